--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,60 @@
+// Command drill hosts scheduler instances on the line format of package wire,
+// from standard input to standard output.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"merlinhitch/internal/wire"
+	"merlinhitch/policy"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers batches until the input ends.
+func run(in io.Reader, out io.Writer) error {
+	r, w := wire.NewReader(in), wire.NewWriter(out)
+	hosts := make(map[int]policy.Scheduler)
+	for {
+		b, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for _, ev := range b.Events {
+			if err := step(hosts, w, b.Now, ev); err != nil {
+				return err
+			}
+		}
+		if err := w.End(); err != nil {
+			return err
+		}
+	}
+}
+
+// step gives one event to its instance and prints what it does.
+func step(hosts map[int]policy.Scheduler, w *wire.Writer, now float64, ev wire.Event) error {
+	switch {
+	case ev.Boot != nil:
+		hosts[ev.Instance] = policy.New(*ev.Boot, ev.Seed)
+	case ev.Kill:
+		delete(hosts, ev.Instance)
+	case hosts[ev.Instance] == nil:
+		return fmt.Errorf("event for instance %d, which is not running", ev.Instance)
+	default:
+		for _, a := range hosts[ev.Instance].Handle(now, ev.Event) {
+			w.Action(ev.Instance, a)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,529 @@
+// Package wire reads event batches and prints action replies in the line
+// format that drives scheduler instances. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"merlinhitch/policy"
+)
+
+// Batch is what happened at one time.
+type Batch struct {
+	Now    float64
+	Events []Event
+}
+
+// Event is an event of one instance. Boot and Kill are the instance's own
+// start and end; otherwise Event is set.
+type Event struct {
+	Instance int
+	Boot     *policy.Settings
+	Seed     uint64
+	Kill     bool
+	Event    policy.Event
+}
+
+// Reader parses batches.
+type Reader struct {
+	in    *bufio.Reader
+	line  int
+	pools [16][]policy.Node
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(r, 1<<20)}
+}
+
+// next returns the coming line without its end.
+func (r *Reader) next() (string, error) {
+	s, err := r.in.ReadString('\n')
+	if err != nil && (s == "" || err != io.EOF) {
+		return "", err
+	}
+	r.line++
+	return strings.TrimSuffix(s, "\n"), nil
+}
+
+// Next returns the next batch, or io.EOF at the end of input.
+func (r *Reader) Next() (*Batch, error) {
+	s, err := r.next()
+	for err == nil && s == "" {
+		s, err = r.next()
+	}
+	if err != nil {
+		return nil, err
+	}
+	f := fields{parts: strings.Split(s, " ")}
+	if name := f.text(); name != "begin_batch" {
+		return nil, r.fail(s, fmt.Errorf("want begin_batch, got %q", name))
+	}
+	b := &Batch{Now: f.number()}
+	if f.err != nil {
+		return nil, r.fail(s, f.err)
+	}
+	for {
+		s, err := r.next()
+		if err == io.EOF {
+			return nil, fmt.Errorf("line %d: batch has no end", r.line)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if s == "end" {
+			return b, nil
+		}
+		ev, ok, err := r.event(s)
+		if err != nil {
+			return nil, r.fail(s, err)
+		}
+		if ok {
+			b.Events = append(b.Events, ev)
+		}
+	}
+}
+
+func (r *Reader) fail(s string, err error) error {
+	const most = 120
+	if len(s) > most {
+		s = s[:most] + "..."
+	}
+	return fmt.Errorf("line %d: %w in %q", r.line, err, s)
+}
+
+// fields hands out the parts of a line and keeps the first error.
+type fields struct {
+	parts []string
+	err   error
+}
+
+func (f *fields) raw() string {
+	if len(f.parts) == 0 {
+		if f.err == nil {
+			f.err = errors.New("line too short")
+		}
+		return ""
+	}
+	s := f.parts[0]
+	f.parts = f.parts[1:]
+	return s
+}
+
+func (f *fields) text() string {
+	if s := f.raw(); s != "-" {
+		return s
+	}
+	return ""
+}
+
+func (f *fields) rest() string {
+	s := strings.Join(f.parts, " ")
+	f.parts = nil
+	return s
+}
+
+func (f *fields) number() float64 {
+	s := f.text()
+	if s == "" {
+		return 0
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if (err != nil || math.IsNaN(v) || math.IsInf(v, 0)) && f.err == nil {
+		f.err = fmt.Errorf("bad number %q", s)
+	}
+	return v
+}
+
+func (f *fields) integer() int {
+	s := f.text()
+	if s == "" {
+		return 0
+	}
+	v, err := strconv.Atoi(s)
+	if err != nil && f.err == nil {
+		f.err = fmt.Errorf("bad integer %q", s)
+	}
+	return v
+}
+
+func (f *fields) flag() bool { return f.integer() != 0 }
+
+func (f *fields) hex() []byte {
+	b, err := hex.DecodeString(f.text())
+	if err != nil && f.err == nil {
+		f.err = errors.New("bad hex digits")
+	}
+	return b
+}
+
+// readings parses name:value pairs set apart by commas.
+func (f *fields) readings() []policy.Reading {
+	s := f.text()
+	if s == "" {
+		return nil
+	}
+	var out []policy.Reading
+	for p := range strings.SplitSeq(s, ",") {
+		name, val, ok := strings.Cut(p, ":")
+		v, err := strconv.ParseFloat(val, 64)
+		if (!ok || err != nil) && f.err == nil {
+			f.err = fmt.Errorf("bad report value %q", p)
+		}
+		out = append(out, policy.Reading{Name: name, Value: v})
+	}
+	return out
+}
+
+var results = map[string]policy.Result{
+	"served": policy.Served, "server_error": policy.ServerError,
+	"turned_away": policy.TurnedAway, "no_answer": policy.NoAnswer,
+	"no_connection": policy.NoConnection, "connection_lost": policy.ConnectionLost,
+	"called_off": policy.Cancelled, "not_sent": policy.NotSent,
+}
+
+func (f *fields) result() policy.Result {
+	s := f.text()
+	v, ok := results[s]
+	if !ok && f.err == nil {
+		f.err = fmt.Errorf("unknown outcome %q", s)
+	}
+	return v
+}
+
+func (f *fields) slot() int {
+	n := f.integer()
+	if (n < 0 || n > 15) && f.err == nil {
+		f.err = fmt.Errorf("pool number %d out of range", n)
+	}
+	if f.err != nil {
+		return 0
+	}
+	return n
+}
+
+// event parses one line; ok is false for a line that is no instance's event.
+func (r *Reader) event(s string) (ev Event, ok bool, err error) {
+	f := &fields{parts: strings.Split(s, " ")}
+	name := f.text()
+	if name == "pool" {
+		n, count := f.slot(), f.integer()
+		if f.err != nil {
+			return ev, false, f.err
+		}
+		r.pools[n], err = r.pool(count)
+		return ev, false, err
+	}
+	ev.Instance = f.integer()
+	switch name {
+	case "boot":
+		n := f.text()
+		if ev.Seed, err = strconv.ParseUint(n, 10, 64); err != nil {
+			v, err := strconv.ParseInt(n, 10, 64)
+			if err != nil {
+				return ev, false, fmt.Errorf("bad seed %q", n)
+			}
+			ev.Seed = uint64(v)
+		}
+		if ev.Boot, err = parseSettings(f.rest()); err != nil {
+			return ev, false, err
+		}
+	case "detach":
+		ev.Kill = true
+	case "membership":
+		ev.Event, err = r.membership(f)
+	case "call":
+		ev.Event = call(f)
+	case "settled":
+		ev.Event = settled(f)
+	case "alarm":
+		ev.Event = policy.TimerFired{Name: f.rest()}
+	case "mail":
+		ev.Event = policy.PeerMessage{From: f.integer(), Data: f.hex()}
+	case "hangup":
+		ev.Event = policy.ClientGone{ID: f.raw()}
+	case "sampled":
+		p := policy.Probed{Node: f.raw(), Elapsed: f.number()}
+		p.Result, p.Report = f.result(), f.readings()
+		ev.Event = p
+	case "begun":
+		ev.Event = policy.StreamStarted{ID: f.raw(), Attempt: f.integer(), Node: f.raw()}
+	default:
+		return ev, false, fmt.Errorf("unknown event %q", name)
+	}
+	if err == nil {
+		err = f.err
+	}
+	return ev, err == nil, err
+}
+
+func (r *Reader) membership(f *fields) (policy.Event, error) {
+	mode := f.integer()
+	f.raw()
+	if mode == 1 {
+		return policy.ListFailed{}, f.err
+	}
+	if mode != 0 && mode != 3 && mode != 4 {
+		return nil, fmt.Errorf("unknown membership mode %d", mode)
+	}
+	n := f.slot()
+	return policy.NodeList{Full: mode != 3, Cached: mode == 4, Nodes: r.pools[n]}, f.err
+}
+
+func call(f *fields) policy.Event {
+	q := policy.Request{ID: f.raw()}
+	bits := f.integer()
+	q.Repeat, q.Write = bits&2 != 0, bits&4 != 0
+	q.Class, q.Plan, q.Volume = f.text(), f.text(), f.text()
+	q.Shard = f.integer()
+	q.Units = f.number()
+	q.Key = f.text()
+	q.Expires, q.Hosts = f.number(), f.integer()
+	return q
+}
+
+func settled(f *fields) policy.Event {
+	o := policy.Outcome{ID: f.raw(), Node: f.raw(), Done: f.flag(), FromOthers: f.number()}
+	o.Elapsed, o.Attempt, o.Use = f.number(), f.integer(), f.number()
+	o.Result, o.Report = f.result(), f.readings()
+	return o
+}
+
+// pool reads the entries of a node list.
+func (r *Reader) pool(count int) ([]policy.Node, error) {
+	if count < 0 {
+		return nil, fmt.Errorf("negative pool size %d", count)
+	}
+	var nodes []policy.Node
+	for range count {
+		s, err := r.next()
+		if err != nil {
+			return nil, errors.New("pool has too few entries")
+		}
+		f := &fields{parts: strings.Split(s, " ")}
+		if f.text() != "item" {
+			return nil, fmt.Errorf("want item, got %q", s)
+		}
+		h := f.integer()
+		if h < 0 || h > 2 {
+			return nil, fmt.Errorf("unknown health %d", h)
+		}
+		n := policy.Node{Health: policy.Health(h), Weight: f.number()}
+		f.raw()
+		n.Shard, n.Started = f.integer(), f.number()
+		n.Addr, n.Zone = f.raw(), f.text()
+		if f.err != nil {
+			return nil, f.err
+		}
+		nodes = append(nodes, n)
+	}
+	return nodes, nil
+}
+
+// options mirrors the keys of the first message that are used here.
+type options struct {
+	Balancers int
+	Me        int
+	Zone      string
+	TickMs    float64 `json:"tick_ms"`
+	Discovery string
+	Classes   []struct {
+		Name      string
+		Worth     float64
+		LateValue float64 `json:"late_value"`
+		AimMs     float64 `json:"aim_ms"`
+		GiveUpMs  float64 `json:"give_up_ms"`
+		Effect    string
+		Group     string
+		KeyTTLMs  float64 `json:"key_ttl_ms"`
+		ByArrival bool    `json:"by_arrival"`
+		Streamed  bool
+	} `json:"request_classes"`
+	Grades []struct {
+		Name       string
+		Price      float64
+		Proportion float64
+		Rate       float64
+		Reserve    float64
+		Limit      float64
+		CapDepth   float64 `json:"cap_depth"`
+		Tolerance  float64
+	}
+	Limits struct {
+		AttemptsCap     int `json:"attempts_cap"`
+		Cancel          bool
+		MayProbe        bool `json:"may_probe"`
+		Peers           bool
+		MayDuplicate    bool    `json:"may_duplicate"`
+		RetryAfter      bool    `json:"retry_after"`
+		MaxRetryAfterMs float64 `json:"max_retry_after_ms"`
+	}
+	Safety struct {
+		AnswerSlackMs       float64  `json:"answer_slack_ms"`
+		StopSendingWithinMs float64  `json:"stop_sending_within_ms"`
+		AskWithinMs         float64  `json:"ask_within_ms"`
+		FallMultiple        float64  `json:"fall_multiple"`
+		OverloadForMs       float64  `json:"overload_for_ms"`
+		ColdFrom            float64  `json:"cold_from"`
+		ColdMs              float64  `json:"cold_ms"`
+		KeyRestMs           float64  `json:"key_rest_ms"`
+		FreeResends         float64  `json:"free_resends"`
+		ExtraRatio          *float64 `json:"extra_ratio"`
+		ResendSpanMs        float64  `json:"resend_span_ms"`
+	}
+	Extra struct {
+		ColdUnits   float64 `json:"cold_units"`
+		UnitMean    float64 `json:"unit_mean"`
+		Largest     float64
+		SlotsTotal  int      `json:"slots_total"`
+		FairWorth   *float64 `json:"fair_worth"`
+		SpareWorth  *float64 `json:"spare_worth"`
+		UsePeriodMs float64  `json:"use_period_ms"`
+		CountsOther bool     `json:"counts_others"`
+	}
+}
+
+func orOne(p *float64) float64 {
+	if p == nil {
+		return 1
+	}
+	return *p
+}
+
+func parseSettings(s string) (*policy.Settings, error) {
+	var o options
+	if err := json.Unmarshal([]byte(s), &o); err != nil {
+		return nil, fmt.Errorf("bad settings: %w", err)
+	}
+	set := &policy.Settings{
+		Hosts: o.Balancers, Self: o.Me, Zone: o.Zone, Tick: o.TickMs,
+		OnRequest: o.Discovery == "on_request", Shards: o.Extra.SlotsTotal,
+		MeanUnits: o.Extra.UnitMean, MostUnits: o.Extra.Largest,
+		FairWorth: orOne(o.Extra.FairWorth), SpareWorth: orOne(o.Extra.SpareWorth),
+		UsePeriod: o.Extra.UsePeriodMs, TellsOther: o.Extra.CountsOther,
+	}
+	for _, c := range o.Classes {
+		class := policy.Class{
+			Name: c.Name, Worth: c.Worth, LateWorth: c.LateValue, Aim: c.AimMs,
+			Deadline: c.GiveUpMs, Window: c.KeyTTLMs, Ordered: c.ByArrival, Streamed: c.Streamed,
+		}
+		switch c.Effect {
+		case "read_like":
+			class.Effect = policy.Safe
+		case "idempotency_key":
+			class.Effect = policy.Keyed
+		}
+		switch c.Group {
+		case "all":
+			class.Group = policy.GroupAll
+		case "zone":
+			class.Group = policy.GroupZone
+		}
+		set.Classes = append(set.Classes, class)
+	}
+	for _, g := range o.Grades {
+		set.Plans = append(set.Plans, policy.Plan{
+			Name: g.Name, Price: g.Price, Weight: g.Proportion, Rate: g.Rate,
+			Reserve: g.Reserve, Limit: g.Limit, Burst: g.CapDepth, Slack: g.Tolerance,
+		})
+	}
+	set.Limits = policy.Limits{
+		MaxAttempts: o.Limits.AttemptsCap, Cancel: o.Limits.Cancel, Probe: o.Limits.MayProbe,
+		Peers: o.Limits.Peers, Copies: o.Limits.MayDuplicate,
+	}
+	if o.Limits.RetryAfter {
+		set.Limits.RetryAfter = o.Limits.MaxRetryAfterMs
+	}
+	set.Rules = policy.Rules{
+		AnswerSlack: o.Safety.AnswerSlackMs, DrainGrace: o.Safety.StopSendingWithinMs,
+		AskWithin: o.Safety.AskWithinMs, FallMultiple: o.Safety.FallMultiple,
+		FallTime: o.Safety.OverloadForMs, ColdFrom: o.Safety.ColdFrom, ColdTime: o.Safety.ColdMs,
+		ColdUnits: o.Extra.ColdUnits, KeyRest: o.Safety.KeyRestMs,
+		HasBudget:  o.Safety.ExtraRatio != nil || o.Safety.ResendSpanMs > 0,
+		BudgetFree: o.Safety.FreeResends, BudgetSpan: o.Safety.ResendSpanMs,
+	}
+	if o.Safety.ExtraRatio != nil {
+		set.Rules.BudgetShare = *o.Safety.ExtraRatio
+	}
+	return set, nil
+}
+
+// Writer prints replies.
+type Writer struct{ out *bufio.Writer }
+
+// NewWriter returns a Writer on w.
+func NewWriter(w io.Writer) *Writer { return &Writer{out: bufio.NewWriterSize(w, 1<<16)} }
+
+// End closes the reply and flushes it.
+func (w *Writer) End() error {
+	w.out.WriteString("yield\n")
+	return w.out.Flush()
+}
+
+func ms(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
+
+func bit(b bool) string {
+	if b {
+		return "1"
+	}
+	return "0"
+}
+
+// Action prints one action of an instance.
+func (w *Writer) Action(inst int, a policy.Action) {
+	i := strconv.Itoa(inst)
+	switch a := a.(type) {
+	case policy.Send:
+		w.line("route", i, a.ID, a.Node, ms(a.Until))
+	case policy.Refuse:
+		w.line("refuse", i, a.ID, ms(a.After))
+	case policy.Fail:
+		w.line("give_up", i, a.ID)
+	case policy.CancelAttempt:
+		w.line("cancel", i, a.ID, strconv.Itoa(a.Attempt))
+	case policy.SetTimer:
+		w.line("sleep", i, ms(a.Delay), a.Name)
+	case policy.Subscribe:
+		w.line("keep_informed", i, bit(a.On))
+	case policy.FetchList:
+		w.line("fetch", i)
+	case policy.Probe:
+		w.line("sample", i, a.Node)
+	case policy.Tell:
+		to, data := "all", "-"
+		if a.To >= 0 {
+			to = strconv.Itoa(a.To)
+		}
+		if len(a.Data) > 0 {
+			data = hex.EncodeToString(a.Data)
+		}
+		w.line("share", i, to, data)
+	case policy.CloseIdle:
+		w.line("hang_up", i, a.Node)
+	case policy.Log:
+		w.line("debug", i, strings.ReplaceAll(a.Text, "\n", " "))
+	}
+}
+
+func (w *Writer) line(parts ...string) {
+	for k, p := range parts {
+		if k > 0 {
+			w.out.WriteByte(' ')
+		}
+		w.out.WriteString(p)
+	}
+	w.out.WriteByte('\n')
+}
+
+// Fault prints that an instance's decision code failed.
+func (w *Writer) Fault(inst int, text string) {
+	w.line("bail_out", strconv.Itoa(inst), strings.ReplaceAll(text, "\n", " "))
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,402 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+)
+
+func settings() Settings {
+	return Settings{
+		Hosts: 1, Zone: "z", Tick: 1, MeanUnits: 2, MostUnits: 4, FairWorth: 1, SpareWorth: 0.1,
+		Classes: []Class{
+			{Name: "read", Worth: 2, Aim: 300, Deadline: 1000, Effect: Safe},
+			{Name: "write", Worth: 3, Aim: 500, Deadline: 2000, Effect: Keyed, Window: 800},
+			{Name: "once", Worth: 1, Aim: 500, Deadline: 2000, Effect: Unsafe},
+			{Name: "turns", Worth: 1, Aim: 500, Deadline: 2000, Effect: Safe, Ordered: true},
+		},
+		Plans: []Plan{
+			{Name: "low", Price: 1, Weight: 1, Limit: 10, Burst: 8, Slack: 2},
+			{Name: "high", Price: 2, Weight: 3},
+		},
+		Limits: Limits{MaxAttempts: 3, Copies: true, RetryAfter: 500},
+		Rules: Rules{AnswerSlack: 8, DrainGrace: 500, FallTime: 1000, ColdFrom: 0.2, ColdTime: 10000,
+			ColdUnits: 20, KeyRest: 200},
+	}
+}
+
+// rig drives one scheduler and keeps what it did.
+type rig struct {
+	p    *scheduler
+	now  float64
+	acts []Action
+	at   map[string]float64
+	n    int
+}
+
+func newRig(s Settings) *rig {
+	g := &rig{p: newScheduler(s, 1), now: 1000, at: map[string]float64{}}
+	g.list(Node{Addr: "n0", Health: Ready, Shard: 0, Zone: "z"})
+	return g
+}
+
+func (g *rig) do(ev Event) []Action {
+	got := slices.Clone(g.p.Handle(g.now, ev))
+	for _, a := range got {
+		if t, ok := a.(SetTimer); ok {
+			g.at[t.Name] = g.now + t.Delay
+		}
+	}
+	g.acts = append(g.acts, got...)
+	return got
+}
+
+func (g *rig) list(n ...Node) []Action { return g.do(NodeList{Full: true, Nodes: n}) }
+
+func (g *rig) ask(class, plan, key string, units float64) string {
+	g.n++
+	id := fmt.Sprintf("%016x", g.n)
+	g.do(Request{ID: id, Class: class, Plan: plan, Volume: plan, Units: units, Key: key,
+		Expires: g.now + 1000, Hosts: 1})
+	return id
+}
+
+// pass lets time go by, firing timers.
+func (g *rig) pass(d float64) {
+	for end := g.now + d; ; {
+		name, at := "", end
+		for _, n := range []string{"second", "wake"} {
+			if t, ok := g.at[n]; ok && t <= at {
+				name, at = n, t
+			}
+		}
+		g.now = at
+		if name == "" {
+			return
+		}
+		delete(g.at, name)
+		g.do(TimerFired{name})
+	}
+}
+
+func (g *rig) end(id string, res Result) {
+	n := g.sends(id)
+	g.do(Outcome{ID: id, Node: "n0", Attempt: n - 1, Done: res == Served, Elapsed: 20, Result: res})
+}
+
+func (g *rig) sends(id string) (n int) {
+	for _, a := range g.acts {
+		if s, ok := a.(Send); ok && s.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *rig) final(id string) string {
+	got := ""
+	for _, a := range g.acts {
+		switch a := a.(type) {
+		case Refuse:
+			if a.ID == id {
+				got += "refuse"
+			}
+		case Fail:
+			if a.ID == id {
+				got += "fail"
+			}
+		}
+	}
+	return got
+}
+
+func TestOneFinalAnswerInTime(t *testing.T) {
+	tests := []struct {
+		name, class, want string
+		do                func(g *rig, id func() string) string
+	}{
+		{"no node listed", "read", "refuse", func(g *rig, id func() string) string { g.list(); return id() }},
+		{"other shard only", "write", "refuse", func(g *rig, id func() string) string {
+			g.list(Node{Addr: "n9", Health: Ready, Shard: 9})
+			return id()
+		}},
+		{"no answer at the deadline, read", "read", "refuse", func(g *rig, id func() string) string {
+			r := id()
+			g.pass(1000)
+			g.end(r, NoAnswer)
+			return r
+		}},
+		{"no answer at the deadline, unsafe", "once", "fail", func(g *rig, id func() string) string {
+			r := id()
+			g.pass(1000)
+			g.end(r, NoAnswer)
+			return r
+		}},
+		{"outcome never comes", "write", "fail", func(g *rig, id func() string) string { return id() }},
+	}
+	for _, tt := range tests {
+		g := newRig(settings())
+		id := tt.do(g, func() string { return g.ask(tt.class, "high", "", 2) })
+		g.pass(1000 + 8)
+		if got := g.final(id); got != tt.want {
+			t.Errorf("%s: final answers %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestRepeats(t *testing.T) {
+	tests := []struct {
+		class string
+		res   Result
+		after float64
+		sends int
+		final string
+	}{
+		{"read", ServerError, 10, 2, ""},
+		{"write", ServerError, 10, 2, ""},
+		{"write", ServerError, 900, 1, "fail"}, // past the window
+		{"once", ServerError, 10, 1, "fail"},
+		{"once", TurnedAway, 10, 2, ""},
+	}
+	for _, tt := range tests {
+		g := newRig(settings())
+		id := g.ask(tt.class, "high", "", 2)
+		g.pass(tt.after)
+		g.end(id, tt.res)
+		g.pass(80)
+		if tt.after > 800 {
+			g.pass(30)
+		}
+		if g.sends(id) != tt.sends || g.final(id) != tt.final {
+			t.Errorf("%+v: %d sends, final %q", tt, g.sends(id), g.final(id))
+		}
+	}
+}
+
+func TestDrainIsKept(t *testing.T) {
+	for _, h := range []Health{Draining, Gone} {
+		g := newRig(settings())
+		g.do(NodeList{Nodes: []Node{{Addr: "n0", Health: h}}})
+		if id := g.ask("read", "high", "", 2); g.sends(id) != 0 {
+			t.Errorf("health %d: sent", h)
+		}
+		g.do(NodeList{Nodes: []Node{{Addr: "n1", Health: Ready}}})
+		if !slices.ContainsFunc(g.acts, func(a Action) bool { s, ok := a.(Send); return ok && s.Node == "n1" }) {
+			t.Errorf("health %d: the successor got nothing", h)
+		}
+	}
+}
+
+func TestColdBudgetInEveryWindow(t *testing.T) {
+	s := settings()
+	s.Hosts = 2
+	g := newRig(s)
+	g.list(Node{Addr: "n0", Health: Ready, Started: 999})
+	var sent []float64
+	for range 400 {
+		id := g.ask("read", "high", "", 2)
+		if g.sends(id) > 0 {
+			sent = append(sent, g.now)
+			g.end(id, ServerError) // its retries count too
+			g.end(id, Served)
+		}
+		g.pass(5)
+	}
+	for _, from := range sent {
+		units := 0.0
+		for _, a := range sent {
+			if a >= from && a < from+1000 {
+				units += 4
+			}
+		}
+		grown := 1 + 4*(from-999)/10000
+		if units > 20*grown/2 {
+			t.Fatalf("%v units in the window from %v", units, from)
+		}
+	}
+	if len(sent) == 0 {
+		t.Fatal("nothing was sent to the cold node")
+	}
+}
+
+func TestOrderByKey(t *testing.T) {
+	g := newRig(settings())
+	a, b := g.ask("turns", "high", "k", 2), g.ask("turns", "high", "k", 2)
+	c := g.ask("turns", "high", "other", 2)
+	if g.sends(a) != 1 || g.sends(b) != 0 || g.sends(c) != 1 {
+		t.Fatal("only the first of a key may be out")
+	}
+	g.end(a, NoAnswer) // goes again, after the rest
+	if g.pass(150); g.sends(a) != 1 || g.sends(b) != 0 {
+		t.Fatal("the key did not rest")
+	}
+	if g.pass(100); g.sends(a) != 2 {
+		t.Fatal("the first was not sent again")
+	}
+	g.end(a, Served)
+	if g.sends(b) != 1 {
+		t.Fatal("the second did not follow")
+	}
+}
+
+func TestResendBudget(t *testing.T) {
+	s := settings()
+	s.Rules.HasBudget, s.Rules.BudgetFree, s.Rules.BudgetShare, s.Rules.BudgetSpan = true, 1, 0.25, 5000
+	g := newRig(s)
+	again := 0
+	for range 8 {
+		id := g.ask("read", "high", "", 2)
+		g.end(id, ServerError)
+		again += g.sends(id) - 1
+		g.pass(20)
+	}
+	if again < 1 || again > 1+8/4 {
+		t.Errorf("%d further attempts", again)
+	}
+}
+
+func TestLimitIsSplitAndSurvivesRestart(t *testing.T) {
+	g := newRig(settings())
+	units, start := 0.0, g.now
+	for range 200 {
+		g.ask("read", "low", "", 2)
+		g.pass(10)
+		for _, r := range slices.Clone(g.p.shards[0].out) {
+			units += r.Units
+			g.end(r.ID, Served)
+		}
+		// A store that was at its floor when this host was born.
+		if most := 10 * (g.now - start) / 1000; units > most+1e-6 {
+			t.Fatalf("%v units after %v ms", units, g.now-start)
+		}
+	}
+	if units < 10 {
+		t.Errorf("only %v units were let go", units)
+	}
+}
+
+func TestSubscribesAgain(t *testing.T) {
+	s := settings()
+	s.OnRequest = true
+	g := newRig(s)
+	count := func() (n int) {
+		for _, a := range g.acts {
+			if a == (Subscribe{true}) {
+				n++
+			}
+		}
+		return n
+	}
+	if count() != 1 {
+		t.Fatal("no subscription at boot")
+	}
+	g.do(ListFailed{})
+	if g.pass(2100); count() < 2 {
+		t.Error("not subscribed again after a failure")
+	}
+}
+
+func TestOverloadShedsLowestWorthFirst(t *testing.T) {
+	g := newRig(settings())
+	g.p.shards[0].service = 100
+	var low, high []string
+	for range 20 {
+		low = append(low, g.ask("read", "low", "", 2))
+		high = append(high, g.ask("write", "high", "", 2))
+	}
+	parked := g.p.shards[0].parked
+	if len(parked) == 0 {
+		t.Fatal("nothing was shed")
+	}
+	if parked[0].flow != 0 {
+		t.Errorf("first shed is of the dearer plan")
+	}
+	_, _ = low, high
+}
+
+func TestSurgingVolumeWaitsBehindItself(t *testing.T) {
+	s := settings()
+	g := newRig(s)
+	ask := func(vol string) string {
+		g.n++
+		id := fmt.Sprintf("%016x", g.n)
+		g.do(Request{ID: id, Class: "turns", Plan: "high", Volume: vol, Units: 2, Expires: g.now + 1000, Hosts: 1})
+		return id
+	}
+	var surge []string
+	for range 12 {
+		surge = append(surge, ask("surge"))
+	}
+	calm := ask("calm")
+	for range 3 {
+		for _, id := range surge {
+			if g.sends(id) == 1 && g.p.reqs[id] != nil {
+				g.end(id, Served)
+				break
+			}
+		}
+	}
+	if g.sends(calm) != 1 {
+		t.Error("the calm volume waits behind the whole surge")
+	}
+}
+
+func TestPlantIsIdentifiedAndSteered(t *testing.T) {
+	f := newRLS([]float64{0, 0.1, 0}, forget, maxCov)
+	u, y, want := 2.0, 0.0, 0.6
+	for k := range 250 {
+		last := y
+		y = 0.2*last + 0.1*u + 0.05
+		f.update([]float64{last, u, 1}, y)
+		pred := f.theta[0]*y + f.theta[1]*u + f.theta[2]
+		u += controlStep([][]float64{{f.theta[1]}}, []float64{want - pred}, 0.05)[0]
+		u += 0.2 * float64(k%3-1) // excitation
+	}
+	if math.Abs(f.theta[1]-0.1) > 0.02 || math.Abs(y-want) > 0.05 {
+		t.Errorf("gain %v, output %v", f.theta[1], y)
+	}
+}
+
+func TestRegulatorsStayInBounds(t *testing.T) {
+	for _, res := range []Result{Served, ServerError, NoConnection, NoAnswer} {
+		g := newRig(settings())
+		for range 300 {
+			for range 4 {
+				g.ask("read", "high", "", 2)
+			}
+			for _, r := range slices.Clone(g.p.shards[0].out) {
+				g.end(r.ID, res)
+			}
+			g.pass(50)
+		}
+		d := g.p.shards[0].depth
+		if !(d >= fewDepth && d <= maxDepth) {
+			t.Errorf("result %d: depth %v", res, d)
+		}
+		sum := 0.0
+		for _, u := range g.p.shares.u {
+			if !(u > 0) {
+				t.Errorf("result %d: share %v", res, u)
+			}
+			sum += u
+		}
+		if math.Abs(sum-1) > 0.1 {
+			t.Errorf("result %d: shares add up to %v", res, sum)
+		}
+	}
+}
+
+func TestStateIsReleased(t *testing.T) {
+	g := newRig(settings())
+	for range 50 {
+		id := g.ask("turns", "high", fmt.Sprint(g.n), 2)
+		g.end(id, Served)
+		g.pass(10)
+	}
+	g.pass(60000)
+	p := g.p
+	if len(p.reqs)+len(p.chains)+len(p.vols)+len(p.wakes) > 1 {
+		t.Errorf("left: %d requests, %d keys, %d volumes, %d wakes", len(p.reqs), len(p.chains), len(p.vols), len(p.wakes))
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,327 @@
+package policy
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// The state that the decisions in policy.go work on.
+
+type request struct {
+	Request
+	class    *Class
+	flow     int
+	shard    *shard
+	vol      *volume
+	arrived  float64
+	aimAt    float64
+	value    float64 // worth for each unit, as far as due
+	attempts int
+	out      int
+	sentAt   float64
+	ran      bool // an attempt may have run, first sent at ranAt to ranNode
+	ranAt    float64
+	ranNode  *node
+	queued   bool // in the shard's main queue, retries or parked
+	done     bool
+}
+
+// volume is what one volume is due through this host.
+type volume struct {
+	seen            float64
+	reserve, limit  float64 // levels, in units
+	resFill, resCap float64
+	limFill, limCap float64
+	limFloor        float64
+	at              float64 // time of the levels
+}
+
+type sent struct{ at, units float64 }
+
+type node struct {
+	Node
+	toldOff  bool    // draining or gone
+	coldAt   float64 // start that it has still to warm up from
+	suspect  bool    // last attempt found no process; one trial at a time
+	pause    float64
+	holdTill float64
+	sends    []sent // within the last Rules.FallTime
+}
+
+// subflow is a volume's queue at a shard, inside its plan's flow.
+type subflow struct {
+	vol    *volume
+	weight float64
+	finish float64
+	queue  []*request // by aim
+	asked  float64    // units in this second
+	demand float64    // units a second, smoothed
+	due    float64    // level of the volume's weighted share here
+	rate   float64    // units a second that fill it
+	last   float64
+}
+
+// flow is a plan at a shard.
+type flow struct {
+	finish float64
+	vtime  float64
+	subs   []*subflow
+}
+
+// shard holds the queue of the node that has the shard.
+type shard struct {
+	id      int
+	node    *node
+	flows   []flow
+	vtime   float64
+	retries []*request
+	parked  []*request
+	out     []*request
+	waiting int
+	depth   float64
+	service float64 // running mean of served attempts
+	wakeAt  float64 // earliest wake asked for
+	gapTill float64 // below depth 1: no send before this
+	fit     *rls
+	sumTime float64
+	served  int
+	wasFull bool // depth held something back in this second
+	lastY   float64
+}
+
+type wake struct {
+	at float64
+	rq *request
+	sh *shard
+}
+type wakes []wake
+
+func (w wakes) Len() int           { return len(w) }
+func (w wakes) Less(i, j int) bool { return w[i].at < w[j].at }
+func (w wakes) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
+func (w *wakes) Push(x any)        { *w = append(*w, x.(wake)) }
+func (w *wakes) Pop() any {
+	old := *w
+	x := old[len(old)-1]
+	*w = old[:len(old)-1]
+	return x
+}
+
+// chain keeps the order of one key.
+type chain struct {
+	members []*request
+	restTo  float64
+}
+
+type scheduler struct {
+	s       Settings
+	rng     *rand.Rand
+	born    float64
+	now     float64
+	started bool
+	acts    []Action
+	nodes   map[string]*node
+	shards  []*shard // by id
+	reqs    map[string]*request
+	vols    map[string]*volume
+	chains  map[string]*chain
+	wakes   wakes
+	armed   float64
+	resends []float64
+	taken   []float64
+	subOn   bool
+	askedAt float64
+	shares  regulator
+}
+
+// sub returns r's sub-flow at the shard. Worth is due by volume, so a plan's
+// share is dealt out among its volumes; one that surges waits behind itself.
+func (sh *shard) sub(r *request) *subflow {
+	f := &sh.flows[r.flow]
+	for _, s := range f.subs {
+		if s.vol == r.vol {
+			return s
+		}
+	}
+	s := &subflow{vol: r.vol, finish: f.vtime, last: r.arrived}
+	f.subs = append(f.subs, s)
+	return s
+}
+
+func (f *flow) idle() bool {
+	for _, s := range f.subs {
+		if len(s.queue) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// remove takes r out of whatever queue it is in.
+func (sh *shard) remove(r *request) {
+	if !r.queued {
+		return
+	}
+	r.queued = false
+	sh.waiting--
+	drop := func(q []*request) []*request {
+		return slices.DeleteFunc(q, func(x *request) bool { return x == r })
+	}
+	sh.retries, sh.parked = drop(sh.retries), drop(sh.parked)
+	s := sh.sub(r)
+	s.queue = drop(s.queue)
+}
+
+// regulator sets the flows' shares.
+type regulator struct {
+	u     []float64
+	y     []float64 // last throughputs, then inverse latencies
+	fits  []*rls
+	units []float64
+	lat   []float64
+	count []float64
+	worth []float64
+	aims  []float64
+	waitN float64
+	waits float64
+}
+
+func (g *regulator) clear() {
+	n := len(g.u)
+	g.units, g.lat, g.count = make([]float64, n), make([]float64, n), make([]float64, n)
+	g.worth, g.aims = make([]float64, n), make([]float64, n)
+	g.waits, g.waitN = 0, 0
+}
+func (p *scheduler) do(a Action) { p.acts = append(p.acts, a) }
+
+// wake has r looked at, or sh pumped, at that time; a shard keeps one wake.
+func (p *scheduler) wake(at float64, r *request, sh *shard) {
+	if sh != nil {
+		if sh.wakeAt > p.now && sh.wakeAt <= at {
+			return
+		}
+		sh.wakeAt = at
+	}
+	heap.Push(&p.wakes, wake{at, r, sh})
+}
+
+// due runs what has come due and arms the timer for what comes next.
+func (p *scheduler) due() {
+	for len(p.wakes) > 0 && p.wakes[0].at <= p.now {
+		w := heap.Pop(&p.wakes).(wake)
+		if w.rq != nil {
+			p.expire(w.rq)
+		} else if w.at == w.sh.wakeAt {
+			p.pump(w.sh)
+		}
+	}
+	if len(p.wakes) > 0 && p.wakes[0].at < p.armed {
+		p.armed = p.wakes[0].at
+		p.do(SetTimer{max(p.armed-p.now, 0), "wake"})
+	}
+}
+
+// shard returns the queue of shard id, made if need be.
+func (p *scheduler) shard(id int) *shard {
+	i, ok := slices.BinarySearchFunc(p.shards, id, func(sh *shard, id int) int { return cmp.Compare(sh.id, id) })
+	if !ok {
+		sh := &shard{id: id, flows: make([]flow, len(p.s.Plans))}
+		p.resetDepth(sh)
+		p.shards = slices.Insert(p.shards, i, sh)
+	}
+	return p.shards[i]
+}
+
+func (p *scheduler) chainOf(r *request) *chain {
+	if !r.class.Ordered || r.Key == "" {
+		return nil
+	}
+	c := p.chains[r.Key]
+	if c == nil {
+		c = &chain{restTo: math.Inf(-1)}
+		p.chains[r.Key] = c
+	}
+	return c
+}
+
+func (p *scheduler) forget(v *volume) {
+	for _, sh := range p.shards {
+		for i := range sh.flows {
+			f := &sh.flows[i]
+			f.subs = slices.DeleteFunc(f.subs, func(s *subflow) bool { return s.vol == v && len(s.queue) == 0 })
+		}
+	}
+}
+
+// served counts an answer towards this second.
+func (g *regulator) served(r *request, latency float64) {
+	i := r.flow
+	g.units[i] += r.Units
+	g.lat[i] += latency
+	g.count[i]++
+	g.worth[i] += r.value * r.Units
+	g.aims[i] += r.class.Aim
+	g.waits += r.sentAt - r.arrived
+	g.waitN++
+}
+
+// tightWait is the mean wait in the queues, at most the aim.
+func (g *regulator) tightWait(aim float64) float64 {
+	return min(g.waits/max(g.waitN, 1), aim)
+}
+
+// dropIdle forgets volumes unused for so long and full again, and rested keys.
+func (p *scheduler) dropIdle(after float64) {
+	for id, v := range p.vols {
+		full := v.limit+v.limFill*(p.now-v.at)/1000 >= v.limCap
+		if full && p.now-v.seen > after {
+			delete(p.vols, id)
+			p.forget(v)
+		}
+	}
+	for k, c := range p.chains {
+		if len(c.members) == 0 && p.now >= c.restTo {
+			delete(p.chains, k)
+		}
+	}
+}
+
+// all returns what waits in the shard's sub-flows.
+func (sh *shard) all() (rs []*request) {
+	for i := range sh.flows {
+		for _, s := range sh.flows[i].subs {
+			rs = append(rs, s.queue...)
+		}
+	}
+	return rs
+}
+func newScheduler(s Settings, seed uint64) *scheduler {
+	if len(s.Plans) == 0 {
+		s.Plans = []Plan{{Price: 1, Weight: 1}}
+	}
+	s.Hosts = max(s.Hosts, 1)
+	if s.MeanUnits <= 0 {
+		s.MeanUnits = 1
+	}
+	p := &scheduler{
+		s: s, rng: rand.New(rand.NewPCG(seed, 0)), armed: math.Inf(1),
+		nodes: map[string]*node{}, reqs: map[string]*request{},
+		vols: map[string]*volume{}, chains: map[string]*chain{},
+	}
+	p.shares.init(s.Plans)
+	return p
+}
+
+func (p *scheduler) tightest() float64 {
+	low := math.Inf(1)
+	for i := range p.s.Classes {
+		low = min(low, p.s.Classes[i].Aim)
+	}
+	if math.IsInf(low, 1) {
+		return period
+	}
+	return low
+}
