--- a/policy/policy.go
+++ b/policy/policy.go
@@ -347,12 +347,24 @@
 	service := p.serviceOf(sh)
 	ahead := float64(len(sh.retries))
 	for _, r := range all {
+		if !r.queued { // ended or sent while an earlier one was let go of
+			continue
+		}
 		if p.now+p.waitFor(sh, ahead)+service > r.aimAt {
 			p.park(sh, r)
 			continue
 		}
 		ahead += r.Units / p.s.MeanUnits
 	}
+	// What cannot be answered before its client leaves would be wasted work, and
+	// clients with short tries come again at once: they are told to stay away.
+	// It also clears queues before a stalled node; a node that recovers within a
+	// request's time could still have served it late.
+	for _, r := range slices.Clone(sh.parked) {
+		if r.queued && p.now+service > r.Expires {
+			p.end(r)
+		}
+	}
 }
 
 // park sets r aside, or refuses it at once where it blocks its key.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -400,3 +400,21 @@
 		t.Errorf("left: %d requests, %d keys, %d volumes, %d wakes", len(p.reqs), len(p.chains), len(p.vols), len(p.wakes))
 	}
 }
+
+// A client that leaves before its answer can come is told so at once.
+func TestShortTriesAreRefusedAtOnce(t *testing.T) {
+	g := newRig(settings())
+	g.p.shards[0].service = 100
+	ask := func(leaves float64) string {
+		g.n++
+		id := fmt.Sprintf("%016x", g.n)
+		g.do(Request{ID: id, Class: "read", Plan: "high", Volume: "v", Units: 2, Expires: g.now + leaves, Hosts: 1})
+		return id
+	}
+	for leaves, want := range map[float64]string{50: "refuse", 150: ""} {
+		id := ask(leaves)
+		if got := g.final(id); got != want || (g.sends(id) == 0) != (want == "refuse") {
+			t.Errorf("client leaves in %v: final %q, %d sends", leaves, got, g.sends(id))
+		}
+	}
+}
