--- a/policy/policy.go
+++ b/policy/policy.go
@@ -282,7 +282,7 @@
 			s.finish = max(s.finish, f.vtime)
 		}
 		i := len(s.queue)
-		for i > 0 && s.queue[i-1].aimAt > r.aimAt {
+		for i > 0 && byWorth(r, s.queue[i-1]) < 0 {
 			i--
 		}
 		s.queue = slices.Insert(s.queue, i, r)
@@ -336,14 +336,18 @@
 	return ahead * p.serviceOf(sh) / max(sh.depth, 1/maxDepth)
 }
 
+// byWorth orders a volume's own requests, and the shedding: under overload the
+// earliest aim first would serve old cheap reads before fresh dear ones.
+func byWorth(a, b *request) int {
+	return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.aimAt, b.aimAt))
+}
+
 // shed parks what cannot be served within its aim, lowest worth first: the
 // queue is walked from the highest worth down, and who finds too much before it
 // is parked. The parked go only when nothing else waits.
 func (p *scheduler) shed(sh *shard) {
 	all := sh.all()
-	slices.SortStableFunc(all, func(a, b *request) int {
-		return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.aimAt, b.aimAt))
-	})
+	slices.SortStableFunc(all, byWorth)
 	service := p.serviceOf(sh)
 	ahead := float64(len(sh.retries))
 	for _, r := range all {
