--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	startDepth = 6.0 // for all hosts together: a fresh host must not hold back a quiet node
 	// aimPart of the tightest aim is what wait and mean service may take
 	// together; the rest is for the spread of service times and for pauses.
-	aimPart   = 0.5
+	aimPart   = 0.3
 	depthQ    = 0.15 // penalty on depth changes; larger, against its gain, than shareQ
 	depthGain = 0.10 // starting figure: service time in aims that one more request out adds
 	minGain   = 0.02 // known sign: fitted gains never fall below this
