Late requests go only to a node that answers quickly

Cause: each host filled its idle moments with requests past their aim; at a node shared by many hosts those delayed what was due elsewhere.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -418,3 +418,18 @@
 		}
 	}
 }
+
+// A late answer must not delay what other hosts have due at a busy node.
+func TestParkedGoOnlyToAQuietNode(t *testing.T) {
+	for service, want := range map[float64]int{20: 1, 200: 0} {
+		g := newRig(settings())
+		g.list()
+		id := g.ask("read", "high", "", 2)
+		g.pass(350) // past its aim
+		g.p.shards[0].service = service
+		g.list(Node{Addr: "n0", Health: Ready})
+		if g.sends(id) != want {
+			t.Errorf("service %v: %d sends, want %d", service, g.sends(id), want)
+		}
+	}
+}
