--- a/policy/policy.go
+++ b/policy/policy.go
@@ -447,7 +447,7 @@
 	// The parked go only to a node with nothing of ours that also answers quicker
 	// than depth aims at: a late answer earns little and would delay what is due
 	// through other hosts. A node slow by nature serves its late ones never.
-	if len(sh.out) > 0 || sh.service > aimPart*p.tightest() {
+	if len(sh.out) > 0 || sh.service > aimPart*p.tightest()/2 {
 		return nil
 	}
 	var pick *request
