--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,8 @@
 	maxCov    = 100.0
 	minSample = 3 // answers that a second must have to teach anything
 
+	idleTimes   = 1.3         // a node this near its own unloaded service time has nothing waiting
+	baseGain    = 0.05        // a second's pull on the unloaded service time from above
 	serviceGain = 0.15        // weight of the newest service time in the running mean
 	coldMargin  = 0.8         // part of the cold budget used: handshakes push too
 	retryPause  = 60.0        // wait after a refused connection or a full node, doubled each time
@@ -444,10 +446,10 @@
 		p.tag(sh, &sh.flows[best], bestSub, r)
 		return r
 	}
-	// The parked go only to a node with nothing of ours that also answers quicker
-	// than depth aims at: a late answer earns little and would delay what is due
-	// through other hosts. A node slow by nature serves its late ones never.
-	if len(sh.out) > 0 || sh.service > aimPart*p.tightest()/2 {
+	// The parked go only to a node with nothing of ours that also answers nearly
+	// as quickly as it does unloaded: a late answer earns little and would delay
+	// what is due through other hosts. A node first met under load looks idle.
+	if len(sh.out) > 0 || sh.service > idleTimes*sh.base {
 		return nil
 	}
 	var pick *request
@@ -721,6 +723,13 @@
 	aim := p.tightest()
 	y, full, n := sh.sumTime/max(float64(sh.served), 1)/aim, sh.wasFull, sh.served
 	sh.sumTime, sh.served, sh.wasFull = 0, 0, false
+	if n > 0 {
+		mean := y * aim
+		if sh.base == 0 || mean < sh.base {
+			sh.base = mean
+		}
+		sh.base += baseGain * (mean - sh.base)
+	}
 	if n < minSample || sh.node == nil || sh.node.suspect {
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -426,7 +426,7 @@
 		g.list()
 		id := g.ask("read", "high", "", 2)
 		g.pass(350) // past its aim
-		g.p.shards[0].service = service
+		g.p.shards[0].service, g.p.shards[0].base = service, 30
 		g.list(Node{Addr: "n0", Health: Ready})
 		if g.sends(id) != want {
 			t.Errorf("service %v: %d sends, want %d", service, g.sends(id), want)
--- a/policy/state.go
+++ b/policy/state.go
@@ -86,6 +86,7 @@
 	wakeAt  float64 // earliest wake asked for
 	gapTill float64 // below depth 1: no send before this
 	fit     *rls
+	base    float64 // service time when nothing waits there
 	sumTime float64
 	served  int
 	wasFull bool // depth held something back in this second
