Depth: one figure for start and floor, and the wait counts in its aim

Two causes: pacing below depth 1 idled nodes where one host had the work, and the wait in depth's aim was always 0, its sample being cleared first.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,10 +13,10 @@
 const (
 	period   = 1000.0 // sample interval of the regulators, as in the paper
 	maxDepth = 32.0   // the design's ceiling for a host's depth at one node
-	// fewDepth is the design's "few", for all hosts together: enough to keep a
-	// node of a core or two busy over a round trip. A host's floor is its part.
-	fewDepth   = 2.0
-	startDepth = 6.0 // for all hosts together: a fresh host must not hold back a quiet node
+	// fewDepth is the design's "few", at start and as floor, for all hosts together:
+	// a node of a core or two stays busy over a round trip. A host's floor is its
+	// part, at least 1: less would idle the node where only this host has work.
+	fewDepth = 6.0
 	// aimPart of the tightest aim is what wait and mean service may take
 	// together; the rest is for the spread of service times and for pauses.
 	aimPart   = 0.3
@@ -132,7 +132,7 @@
 }
 
 func (p *scheduler) resetDepth(sh *shard) {
-	sh.depth = max(startDepth/float64(p.s.Hosts), 1)
+	sh.depth = p.floor()
 	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
 	sh.service = 0
 }
@@ -387,9 +387,6 @@
 
 // room tells whether the depth bound lets one more go.
 func (p *scheduler) room(sh *shard) bool {
-	if len(sh.out) == 0 {
-		return p.now >= sh.gapTill
-	}
 	return float64(len(sh.out)+1) <= math.Round(sh.depth)
 }
 
@@ -410,9 +407,6 @@
 		}
 		if !p.room(sh) {
 			sh.wasFull = true
-			if len(sh.out) == 0 {
-				p.wake(sh.gapTill, nil, sh)
-			}
 			return
 		}
 		r := p.choose(sh)
@@ -636,9 +630,6 @@
 			}
 			n.suspect, n.pause = false, 0
 		}
-		if sh.depth < 1 {
-			sh.gapTill = p.now + o.Elapsed*(1/sh.depth-1)
-		}
 	case NoConnection, ConnectionLost, TurnedAway:
 		if n != nil {
 			n.suspect = n.suspect || o.Result != TurnedAway
@@ -707,15 +698,17 @@
 func (p *scheduler) second() {
 	p.do(SetTimer{period, "second"})
 	p.subscribe()
-	p.shares.step(p.s.Plans)
 	for _, sh := range p.shards {
 		p.setDepth(sh)
 		p.fair(sh)
 		p.pump(sh)
 	}
+	p.shares.step(p.s.Plans)
 	p.dropIdle(idleVolume)
 }
 
+func (p *scheduler) floor() float64 { return max(fewDepth/float64(p.s.Hosts), 1) }
+
 // setDepth aims the node's service time at a part of the tightest aim, less
 // that class's wait, by the control law; it moves only when the depth held
 // something back, for otherwise depth was not what made the service time.
@@ -747,8 +740,7 @@
 		return
 	}
 	d := sh.depth + du[0]
-	low := min(fewDepth/float64(p.s.Hosts), fewDepth)
-	sh.depth = min(max(d, low, sh.depth/2), maxDepth, sh.depth*2)
+	sh.depth = min(max(d, p.floor(), sh.depth/2), maxDepth, sh.depth*2)
 }
 
 // fair deals this host's part of the node out among the volumes that ask for
--- a/policy/state.go
+++ b/policy/state.go
@@ -84,7 +84,6 @@
 	depth   float64
 	service float64 // running mean of served attempts
 	wakeAt  float64 // earliest wake asked for
-	gapTill float64 // below depth 1: no send before this
 	fit     *rls
 	base    float64 // service time when nothing waits there
 	sumTime float64
