--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,8 @@
 	maxCov    = 100.0
 	minSample = 3 // answers that a second must have to teach anything
 
+	stuckAims   = 1.5         // an attempt out for so many of its aims is given up,
+	stuckTimes  = 5           // but not before so many service times: the node may be slow
 	idleTimes   = 1.3         // a node this near its own unloaded service time has nothing waiting
 	baseGain    = 0.05        // a second's pull on the unloaded service time from above
 	serviceGain = 0.15        // weight of the newest service time in the running mean
@@ -43,36 +45,6 @@
 	fairPart    = 0.9         // part of a node's power that is dealt out as share
 )
 
-// Handle implements Scheduler.
-func (p *scheduler) Handle(now float64, ev Event) []Action {
-	p.now, p.acts = now, p.acts[:0]
-	if !p.started {
-		p.start()
-	}
-	switch ev := ev.(type) {
-	case NodeList:
-		p.list(ev)
-	case ListFailed:
-		p.subOn = false
-	case Request:
-		p.take(ev)
-	case Outcome:
-		p.outcome(ev)
-	case ClientGone:
-		if r := p.reqs[ev.ID]; r != nil {
-			p.finish(r)
-		}
-	case TimerFired:
-		if ev.Name == "second" {
-			p.second()
-		} else {
-			p.armed = math.Inf(1)
-		}
-	}
-	p.due()
-	return p.acts
-}
-
 // start begins the sampling at a phase of this host's own, so that hosts do
 // not all move at once, and asks for the list where it must be asked.
 func (p *scheduler) start() {
@@ -351,8 +323,8 @@
 	all := sh.all()
 	slices.SortStableFunc(all, byWorth)
 	service := p.serviceOf(sh)
-	ahead := float64(len(sh.retries))
-	for _, r := range all {
+	ahead := 0.0
+	for _, r := range append(slices.Clone(sh.retries), all...) {
 		if !r.queued { // ended or sent while an earlier one was let go of
 			continue
 		}
@@ -573,7 +545,17 @@
 	r.out++
 	r.sentAt = p.now
 	sh.out = append(sh.out, r)
-	p.do(Send{ID: r.ID, Node: n.Addr})
+	p.do(Send{ID: r.ID, Node: n.Addr, Until: p.until(r, sh)})
+}
+
+// until is when to give an attempt up that may be repeated: an answer lost on its
+// way, or a process that hangs, would else hold depth until the client leaves,
+// and make the node look as slow. Where only this node is slow it costs work.
+func (p *scheduler) until(r *request, sh *shard) float64 {
+	if r.class.Effect == Unsafe || r.class.Streamed {
+		return 0
+	}
+	return min(p.now+max(stuckAims*r.class.Aim, stuckTimes*sh.service), r.Expires)
 }
 
 // Outcomes.
@@ -703,7 +685,7 @@
 		p.fair(sh)
 		p.pump(sh)
 	}
-	p.shares.step(p.s.Plans)
+	p.shares.step()
 	p.dropIdle(idleVolume)
 }
 
@@ -789,7 +771,7 @@
 }
 
 // step is one sample: fit, optimize, control.
-func (g *regulator) step(plans []Plan) {
+func (g *regulator) step() {
 	n := len(g.u)
 	total, units := 0.0, 0.0
 	for i := range n {
@@ -811,7 +793,7 @@
 			g.y[k] = y
 		}
 	}
-	g.control(g.targets(total, plans))
+	g.control(g.targets(total))
 }
 
 // utility is worth got: throughput up to what was asked, by the part of its
@@ -824,7 +806,7 @@
 }
 
 // targets is the greedy optimizer of the paper's figure 4.
-func (g *regulator) targets(total float64, plans []Plan) []float64 {
+func (g *regulator) targets(total float64) []float64 {
 	n := len(g.u)
 	u, cur := make([]float64, n), make([]float64, n)
 	for i := range cur {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -433,3 +433,17 @@
 		}
 	}
 }
+
+// An attempt whose answer never comes must not hold depth until its client leaves.
+func TestStuckAttemptsAreGivenUp(t *testing.T) {
+	for class, want := range map[string]float64{"read": 1450, "write": 1750, "once": 0} {
+		g := newRig(settings())
+		g.p.shards[0].service = 50
+		id := g.ask(class, "high", "", 2)
+		for _, a := range g.acts {
+			if s, ok := a.(Send); ok && s.ID == id && s.Until != want {
+				t.Errorf("%s: given up at %v, want %v", class, s.Until, want)
+			}
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -325,3 +325,34 @@
 	}
 	return low
 }
+
+// Handle implements Scheduler.
+func (p *scheduler) Handle(now float64, ev Event) []Action {
+	p.now, p.acts = now, p.acts[:0]
+	if !p.started {
+		p.start()
+	}
+	switch ev := ev.(type) {
+	case NodeList:
+		p.list(ev)
+	case ListFailed:
+		p.subOn = false
+	case Request:
+		p.take(ev)
+	case Outcome:
+		p.outcome(ev)
+	case ClientGone:
+		if r := p.reqs[ev.ID]; r != nil {
+			p.finish(r)
+		}
+	case TimerFired:
+		if ev.Name == "second" {
+			p.second()
+		} else {
+			p.armed = math.Inf(1)
+		}
+	}
+	p.due()
+	return p.acts
+}
+
