--- a/policy/state.go
+++ b/policy/state.go
@@ -355,4 +355,3 @@
 	p.due()
 	return p.acts
 }
-
