--- a/policy/policy.go
+++ b/policy/policy.go
@@ -329,6 +329,7 @@
 			continue
 		}
 		if p.now+p.waitFor(sh, ahead)+service > r.aimAt {
+			sh.price, sh.priceAt = max(sh.price*standing(p.now-sh.priceAt), r.value), p.now
 			p.park(sh, r)
 			continue
 		}
@@ -397,21 +398,26 @@
 			return r
 		}
 	}
-	best, bestSub := -1, (*subflow)(nil)
-	for i := range sh.flows {
-		f := &sh.flows[i]
-		if best >= 0 && f.finish >= sh.flows[best].finish {
-			continue
+	// What was shed sets a price that stands for a while: what is worth less goes
+	// only after all that is worth it. Without it cheap requests with long aims
+	// outlive dear ones that had to be shed. Under no overload the price is 0.
+	for _, price := range []float64{sh.price * standing(p.now-sh.priceAt), 0} {
+		best, bestSub := -1, (*subflow)(nil)
+		for i := range sh.flows {
+			f := &sh.flows[i]
+			if best >= 0 && f.finish >= sh.flows[best].finish {
+				continue
+			}
+			if s := p.chooseSub(sh, f, price); s != nil {
+				best, bestSub = i, s
+			}
 		}
-		if s := p.chooseSub(sh, f); s != nil {
-			best, bestSub = i, s
+		if best >= 0 {
+			r := bestSub.queue[0]
+			p.tag(sh, &sh.flows[best], bestSub, r)
+			return r
 		}
 	}
-	if best >= 0 {
-		r := bestSub.queue[0]
-		p.tag(sh, &sh.flows[best], bestSub, r)
-		return r
-	}
 	// The parked go only to a node with nothing of ours that also answers nearly
 	// as quickly as it does unloaded: a late answer earns little and would delay
 	// what is due through other hosts. A node first met under load looks idle.
@@ -428,16 +434,20 @@
 	return pick
 }
 
-func (p *scheduler) chooseSub(sh *shard, f *flow) *subflow {
+func (p *scheduler) chooseSub(sh *shard, f *flow, price float64) *subflow {
 	var best *subflow
 	for _, s := range f.subs {
-		if len(s.queue) > 0 && (best == nil || s.finish < best.finish) && p.may(s.queue[0], sh) {
+		first := len(s.queue) > 0 && (best == nil || s.finish < best.finish)
+		if first && s.queue[0].value >= price && p.may(s.queue[0], sh) {
 			best = s
 		}
 	}
 	return best
 }
 
+// standing is the part of a price that is left after a time.
+func standing(after float64) float64 { return math.Exp(-after / period) }
+
 // tag advances virtual time to r's start tags and sets its finish tags.
 func (p *scheduler) tag(sh *shard, f *flow, s *subflow, r *request) {
 	sh.vtime = f.finish
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -447,3 +447,23 @@
 		}
 	}
 }
+
+// What had to be shed sets a price: cheap work waits behind dear while it stands.
+func TestShedSetsAPrice(t *testing.T) {
+	for after, want := range map[float64]bool{10: true, 10 * period: false} {
+		g := newRig(settings())
+		sh := g.p.shards[0]
+		g.p.now = g.now
+		sh.price, sh.priceAt = 5, g.now-after
+		g.list()
+		cheap := g.ask("read", "low", "", 2)
+		g.p.vols["low"].limit = 8
+		dear := g.ask("write", "high", "", 2)
+		sh.flows[1].finish = 1e3 // by tags alone the cheap one comes first
+		sh.depth = 1
+		g.list(Node{Addr: "n0", Health: Ready})
+		if first := g.sends(dear) == 1 && g.sends(cheap) == 0; first != want {
+			t.Errorf("%v ms after: dear first is %v", after, first)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -83,6 +83,8 @@
 	waiting int
 	depth   float64
 	service float64 // running mean of served attempts
+	price   float64 // the dearest worth shed of late, at priceAt
+	priceAt float64
 	wakeAt  float64 // earliest wake asked for
 	fit     *rls
 	base    float64 // service time when nothing waits there
