--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,6 @@
 	idleTimes   = 1.3         // a node this near its own unloaded service time has nothing waiting
 	baseGain    = 0.05        // a second's pull on the unloaded service time from above
 	serviceGain = 0.15        // weight of the newest service time in the running mean
-	coldMargin  = 0.8         // part of the cold budget used: handshakes push too
 	retryPause  = 60.0        // wait after a refused connection or a full node, doubled each time
 	maxPause    = 1000        // and at most this
 	askAgain    = 700.0       // wait before asking again for the node list
@@ -144,7 +143,7 @@
 	if r.ColdFrom > 0 && r.ColdTime > 0 {
 		grown += (1 - r.ColdFrom) / r.ColdFrom * max(age-r.FallTime, 0) / r.ColdTime
 	}
-	return coldMargin * r.ColdUnits * grown / float64(p.s.Hosts), true
+	return r.ColdUnits * grown / float64(p.s.Hosts), true
 }
 
 // Requests.
@@ -491,7 +490,7 @@
 		p.wake(n.sends[0].at+ru.FallTime+2*p.s.Tick, nil, sh)
 		return false
 	}
-	return used <= budget || r.Units <= p.s.MostUnits && used <= ru.ColdUnits/float64(p.s.Hosts)
+	return used <= budget
 }
 
 // repeatable tells whether r, which may have run, may be sent to n.
