--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,15 +20,15 @@
 	// aimPart of the tightest aim is what wait and mean service may take
 	// together; the rest is for the spread of service times and for pauses.
 	aimPart   = 0.3
-	depthQ    = 0.15 // penalty on depth changes; larger, against its gain, than shareQ
-	depthGain = 0.10 // starting figure: service time in aims that one more request out adds
-	minGain   = 0.02 // known sign: fitted gains never fall below this
-	shareQ    = 0.3  // penalty on share changes: a full step takes some three seconds
-	minShare  = 0.04 // no flow is ever shut out
-	latencyW  = 0.5  // inverse latency misses weigh half of throughput misses
-	forget    = 0.97 // RLS forgetting: a memory of about half a minute
-	maxCov    = 100.0
-	minSample = 3 // answers that a second must have to teach anything
+	depthQ    = 0.15  // penalty on depth changes; larger, against its gain, than shareQ
+	depthGain = 0.10  // starting figure: service time in aims that one more request out adds
+	minGain   = 0.02  // known sign: fitted gains never fall below this
+	shareQ    = 0.3   // penalty on share changes: a full step takes some three seconds
+	minShare  = 0.04  // no flow is ever shut out
+	latencyW  = 0.5   // inverse latency misses weigh half of throughput misses
+	forget    = 0.97  // RLS forgetting: a memory of about half a minute
+	maxCov    = 100.0 // trace above which nothing is forgotten: bounded without excitation
+	minSample = 3     // answers that a second must have to teach anything
 
 	stuckAims   = 1.5         // an attempt out for so many of its aims is given up,
 	stuckTimes  = 5           // but not before so many service times: the node may be slow
@@ -105,7 +105,7 @@
 func (p *scheduler) resetDepth(sh *shard) {
 	sh.depth = p.floor()
 	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
-	sh.service = 0
+	sh.service, sh.base = 0, 0
 }
 
 // assign gives the shard the node that holds it now: of those that may be sent
