An outcome after its node has left the list no longer crashes

The node of an attempt was looked up by address when the outcome came; once a list had dropped it, a keyed request's repeat dereferenced nothing. Found by reading, reproduced by TestOutcomeAfterItsNodeIsGone. Zero units no longer reach the fit.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -552,7 +552,7 @@
 	n.sends = append(n.sends, sent{p.now, r.Units})
 	r.attempts++
 	r.out++
-	r.sentAt = p.now
+	r.sentAt, r.sentTo = p.now, n
 	sh.out = append(sh.out, r)
 	p.do(Send{ID: r.ID, Node: n.Addr, Until: p.until(r, sh)})
 }
@@ -571,10 +571,10 @@
 
 func (p *scheduler) outcome(o Outcome) {
 	r := p.reqs[o.ID]
-	if r == nil {
+	if r == nil || r.out == 0 {
 		return
 	}
-	sh, n := r.shard, p.nodes[o.Node]
+	sh, n := r.shard, r.sentTo // the list may have dropped the node since
 	r.out--
 	sh.out = slices.DeleteFunc(sh.out, func(x *request) bool { return x == r })
 	p.judge(r, n, o)
@@ -615,18 +615,14 @@
 		sh.sumTime += o.Elapsed
 		sh.served++
 		p.shares.served(r, p.now-r.arrived)
-		if n != nil {
-			if n.suspect && n.pause > maxPause/2 {
-				n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
-			}
-			n.suspect, n.pause = false, 0
+		if n.suspect && n.pause > maxPause/2 {
+			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
 		}
+		n.suspect, n.pause = false, 0
 	case NoConnection, ConnectionLost, TurnedAway:
-		if n != nil {
-			n.suspect = n.suspect || o.Result != TurnedAway
-			n.pause = min(max(2*n.pause, retryPause), maxPause)
-			n.holdTill = p.now + n.pause
-		}
+		n.suspect = n.suspect || o.Result != TurnedAway
+		n.pause = min(max(2*n.pause, retryPause), maxPause)
+		n.holdTill = p.now + n.pause
 	}
 }
 
@@ -788,7 +784,7 @@
 		units += g.units[i]
 	}
 	defer g.clear()
-	if total < minSample || n < 2 {
+	if total < minSample || n < 2 || units <= 0 {
 		return
 	}
 	for i := range n {
@@ -822,7 +818,7 @@
 		cur[i] = math.Inf(-1)
 	}
 	for left := int(total); left > 0; {
-		pick, step, gain := -1, 1, math.Inf(-1)
+		pick, step, gain := 0, 1, math.Inf(-1)
 		for i := range n {
 			d, got := 1, 0.0
 			for d = 1; d <= left; d++ {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -471,3 +471,32 @@
 		}
 	}
 }
+
+// An outcome may come after its node has left the list; the request's group
+// must still be known.
+func TestOutcomeAfterItsNodeIsGone(t *testing.T) {
+	g := newRig(settings())
+	id := g.ask("write", "high", "", 2)
+	g.do(NodeList{Nodes: []Node{{Addr: "n0", Health: Gone}}})
+	g.do(NodeList{Nodes: []Node{{Addr: "n1", Health: Ready}}})
+	g.do(NodeList{Nodes: []Node{{Addr: "n1", Health: Ready}}})
+	g.end(id, ConnectionLost)
+	if g.pass(100); g.sends(id) != 2 {
+		t.Errorf("%d sends: the successor holds the same shard", g.sends(id))
+	}
+}
+
+// Requests that count no units must not reach the fit or the optimizer.
+func TestZeroUnitsTeachNothing(t *testing.T) {
+	g := newRig(settings())
+	for range 200 {
+		id := g.ask("read", "high", "", 0)
+		g.end(id, Served)
+		g.pass(20)
+	}
+	for _, u := range append(g.p.shares.u, g.p.shares.y...) {
+		if math.IsNaN(u) || math.IsInf(u, 0) {
+			t.Fatalf("shares %v, last sample %v", g.p.shares.u, g.p.shares.y)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -22,6 +22,7 @@
 	attempts int
 	out      int
 	sentAt   float64
+	sentTo   *node
 	ran      bool // an attempt may have run, first sent at ranAt to ranNode
 	ranAt    float64
 	ranNode  *node
