Below a depth of 1 that part of what is asked goes, dearest first

Cause: with 35-200 hosts a floor of one request each is many times a node's cores, and a host's answers from one node are too few for any fit. Now a depth below 1 is a part of what is asked (the cut taken from the worths asked of late), times are gathered until there are enough and filled up with the median over all nodes, the part drifts back while nothing is learnt, and never goes under a fifth. Cold nodes bear the part of this host's own rate. What a volume is due goes by its plan's rate at this host's part.

--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -92,3 +92,36 @@
 	}
 	return max(v, 0)
 }
+
+// weighted returns the shares' gains and the misses of ref, the latencies' rows
+// weighted by latency.
+func (g *regulator) weighted(ref []float64, latency float64) (b [][]float64, miss []float64) {
+	n := len(g.u)
+	for i := range 2 * n {
+		w := 1.0
+		if i >= n {
+			w = latency
+		}
+		row := make([]float64, n)
+		for k := range row {
+			row[k] = w * g.fits[i].theta[1+k]
+		}
+		b, miss = append(b, row), append(miss, w*(ref[i]-g.predict(i, g.u)))
+	}
+	return b, miss
+}
+
+// cut is the worth above which lies that part of the units, of asks sorted from
+// the dearest down.
+func cut(asks []ask, part float64) float64 {
+	left := 0.0
+	for _, a := range asks {
+		left += part * a.units
+	}
+	for _, a := range asks {
+		if left -= a.units; left < 0 {
+			return a.worth
+		}
+	}
+	return 0
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,10 +13,22 @@
 const (
 	period   = 1000.0 // sample interval of the regulators, as in the paper
 	maxDepth = 32.0   // the design's ceiling for a host's depth at one node
-	// fewDepth is the design's "few", at start and as floor, for all hosts together:
-	// a node of a core or two stays busy over a round trip. A host's floor is its
-	// part, at least 1: less would idle the node where only this host has work.
+	// fewDepth is the design's "few", as floor, for all hosts together: a node of a
+	// core or two stays busy over a round trip. Below 1 a host's depth is a part.
 	fewDepth = 6.0
+	// startDepth lets a run on one piece of data go together, before anything is known.
+	startDepth  = 3.0
+	gatherKeep  = 0.6    // of a second's answers kept for the next: a memory of some two seconds
+	thinKeep    = 0.9    // the same while they are fewer than minSample: of some ten
+	poolSpan    = 3000.0 // age at which an answer leaves the pool of all nodes
+	poolMost    = 31     // and how many newer ones push it out
+	poolWeight  = 1.0    // answers that the mean over all nodes counts for in a node's own
+	worthDither = 0.1    // spread of equal worths, so that a part can be cut between them
+	minPart     = 0.2    // of what is asked, that goes at the least: who sends nothing learns nothing
+	blindPull   = 0.2    // a second's pull of a part back to the whole while nothing is learnt
+	recentMost  = 63     // requests before the newest whose worths tell what is asked
+	coldMargin  = 2.5    // room for nodes in more demand than most, for chance and for surges
+	ratePull    = 0.1    // a second's pull on this host's own rate
 	// aimPart of the tightest aim is what wait and mean service may take
 	// together; the rest is for the spread of service times and for pauses.
 	aimPart   = 0.3
@@ -30,18 +42,17 @@
 	maxCov    = 100.0 // trace above which nothing is forgotten: bounded without excitation
 	minSample = 3     // answers that a second must have to teach anything
 
-	stuckAims   = 1.5         // an attempt out for so many of its aims is given up,
-	stuckTimes  = 5           // but not before so many service times: the node may be slow
-	idleTimes   = 1.3         // a node this near its own unloaded service time has nothing waiting
-	baseGain    = 0.05        // a second's pull on the unloaded service time from above
-	serviceGain = 0.15        // weight of the newest service time in the running mean
-	retryPause  = 60.0        // wait after a refused connection or a full node, doubled each time
-	maxPause    = 1000        // and at most this
-	askAgain    = 700.0       // wait before asking again for the node list
-	guard       = 1.0         // final answers of held requests leave this much (plus a tick) early
-	spread      = 0.5         // seconds of its rate that a volume may save up as due
-	idleVolume  = 30 * period // a volume unseen for so long is forgotten
-	fairPart    = 0.9         // part of a node's power that is dealt out as share
+	stuckAims  = 1.5         // an attempt out for so many of its aims is given up,
+	stuckTimes = 5           // but not before so many service times: the node may be slow
+	idleTimes  = 1.3         // a node this near its own unloaded service time has nothing waiting
+	baseGain   = 0.05        // a second's pull on the unloaded service time from above
+	retryPause = 60.0        // wait after a refused connection or a full node, doubled each time
+	maxPause   = 1000        // and at most this
+	askAgain   = 700.0       // wait before asking again for the node list
+	guard      = 1.0         // final answers of held requests leave this much (plus a tick) early
+	spread     = 0.5         // seconds of its rate that a volume may save up as due
+	idleVolume = 30 * period // a volume unseen for so long is forgotten
+	dueTimes   = 4.0         // of its rate that a volume is taken to be due, see volume
 )
 
 // start begins the sampling at a phase of this host's own, so that hosts do
@@ -103,9 +114,9 @@
 }
 
 func (p *scheduler) resetDepth(sh *shard) {
-	sh.depth = p.floor()
+	sh.depth = max(startDepth, p.floor())
 	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
-	sh.service, sh.base = 0, 0
+	sh.got, sh.base = gathered{}, 0
 }
 
 // assign gives the shard the node that holds it now: of those that may be sent
@@ -134,16 +145,27 @@
 // cold tells whether n is still warming up, and the units that this host may
 // send it within any Rules.FallTime. All hosts together may send ColdUnits at
 // the least capacity; that capacity grows no slower than evenly over ColdTime.
-func (p *scheduler) cold(n *node) (budget float64, yes bool) {
+//
+// With many hosts that is less than a request. Then a host lets go that part of
+// what it is asked for which the budget bears of the demand to expect at a node,
+// one request at a time: its own rate over all nodes, for all hosts. Hosts that
+// have more than others to send let a smaller part go, so the sum holds.
+func (p *scheduler) cold(n *node) (budget, part float64, yes bool) {
 	age, r := p.now-n.coldAt, p.s.Rules
 	if age >= r.ColdTime {
-		return 0, false
+		return 0, 1, false
 	}
 	grown := 1.0
 	if r.ColdFrom > 0 && r.ColdTime > 0 {
 		grown += (1 - r.ColdFrom) / r.ColdFrom * max(age-r.FallTime, 0) / r.ColdTime
 	}
-	return r.ColdUnits * grown / float64(p.s.Hosts), true
+	bears, hosts := r.ColdUnits*grown, float64(p.s.Hosts)
+	demand := p.ownRate * hosts / float64(max(p.s.Shards, len(p.shards))) * r.FallTime / period
+	part = 0
+	if p.ownRate > 0 {
+		part = min(bears/(coldMargin*demand), 1)
+	}
+	return bears / hosts, part, true
 }
 
 // Requests.
@@ -186,7 +208,7 @@
 			continue
 		}
 		w := p.waitFor(sh, float64(sh.waiting)) + p.serviceOf(sh)
-		if _, cold := p.cold(sh.node); cold {
+		if _, _, cold := p.cold(sh.node); cold {
 			w *= 4 // a cold node serves few, and its budget is for what must go there
 		}
 		if w < low {
@@ -206,7 +228,10 @@
 		v = &volume{
 			at: p.now, resFill: plan.Reserve / h, resCap: plan.Reserve/h + p.s.MostUnits,
 			limFill: plan.Limit / h, limCap: plan.Burst / h, limFloor: -plan.Slack / h,
+			dueFill: dueTimes * plan.Rate / h,
 		}
+		v.dueCap = max(v.dueFill*spread, 2*p.s.MostUnits)
+		v.due = v.dueCap
 		v.reserve = v.resCap
 		// This host may have spent its part just before it was restarted: count
 		// only on what has filled since it was born.
@@ -216,6 +241,7 @@
 	s := (p.now - v.at) / 1000
 	v.reserve = min(v.reserve+v.resFill*s, v.resCap)
 	v.limit = min(v.limit+v.limFill*s, v.limCap)
+	v.due = min(v.due+v.dueFill*s, v.dueCap)
 	v.at, v.seen = p.now, p.now
 	return v
 }
@@ -224,19 +250,18 @@
 // then inside its weighted share of the node, then as spare.
 func (p *scheduler) rate(r *request) {
 	plan := &p.s.Plans[r.flow]
-	f := r.shard.sub(r)
-	f.asked += r.Units
-	f.due = min(f.due+f.rate*(p.now-f.last)/1000, max(f.rate*spread, p.s.MostUnits))
-	f.last = p.now
 	part := p.s.SpareWorth
 	if plan.Reserve > 0 && r.vol.reserve >= r.Units {
 		r.vol.reserve -= r.Units
 		part = 1
-	} else if f.due >= r.Units || f.rate == 0 {
-		f.due -= r.Units
+	} else if r.vol.due >= r.Units || plan.Rate == 0 {
+		r.vol.due -= r.Units
 		part = p.s.FairWorth
 	}
 	r.value = r.class.Worth * plan.Price * part
+	r.rank = r.value * (1 + worthDither*p.rng.Float64())
+	p.asked += r.Units
+	p.recent = append(p.recent[max(len(p.recent)-recentMost, 0):], ask{r.rank, r.Units})
 }
 
 // enqueue files r at its shard; further attempts go first.
@@ -294,19 +319,47 @@
 // serviceOf is the service time to expect at sh: no less than what the oldest
 // attempt out there has already taken, so a pause or a dead node shows at once.
 func (p *scheduler) serviceOf(sh *shard) float64 {
-	s := sh.service
-	if s == 0 {
-		s = p.tightest() * aimPart / 2
-	}
+	s := p.meanAt(sh)
 	for _, r := range sh.out {
 		s = max(s, (p.now-r.sentAt)/2)
 	}
 	return s
 }
 
+// meanAt is the mean service time at sh. A host that meets a node once in seconds
+// knows little of it: what it has gathered there is filled up with the median of
+// all nodes, which also lets a bad sample fade when nothing follows it.
+func (p *scheduler) meanAt(sh *shard) float64 {
+	prior := p.tightest() * aimPart / 2
+	if len(p.pool) > 0 {
+		prior = p.median
+	}
+	return sh.got.mean(prior, poolWeight)
+}
+
+// part is how much of what this host is asked for at sh may go, dearest first: a
+// depth below 1, or what a node that warms up bears of the demand to expect.
+func (p *scheduler) part(sh *shard) float64 {
+	part := sh.depth
+	if sh.node != nil {
+		if _, bears, cold := p.cold(sh.node); cold {
+			part = min(part, bears)
+		}
+	}
+	return part
+}
+
+// priceFor is the worth above which lies that part of what was asked of late.
+func (p *scheduler) priceFor(part float64) float64 {
+	if part >= 1 {
+		return 0
+	}
+	return cut(p.ranked, part)
+}
+
 // waitFor is the wait of a request with `ahead` mean requests before it.
 func (p *scheduler) waitFor(sh *shard, ahead float64) float64 {
-	return ahead * p.serviceOf(sh) / max(sh.depth, 1/maxDepth)
+	return ahead * p.serviceOf(sh) / max(sh.depth, 1)
 }
 
 // byWorth orders a volume's own requests, and the shedding: under overload the
@@ -321,14 +374,18 @@
 func (p *scheduler) shed(sh *shard) {
 	all := sh.all()
 	slices.SortStableFunc(all, byWorth)
-	service := p.serviceOf(sh)
+	service, price := p.serviceOf(sh), p.priceFor(p.part(sh))
 	ahead := 0.0
 	for _, r := range append(slices.Clone(sh.retries), all...) {
 		if !r.queued { // ended or sent while an earlier one was let go of
 			continue
 		}
+		if r.rank < price {
+			sh.wasFull = true
+			p.park(sh, r)
+			continue
+		}
 		if p.now+p.waitFor(sh, ahead)+service > r.aimAt {
-			sh.price, sh.priceAt = max(sh.price*standing(p.now-sh.priceAt), r.value), p.now
 			p.park(sh, r)
 			continue
 		}
@@ -359,7 +416,7 @@
 
 // room tells whether the depth bound lets one more go.
 func (p *scheduler) room(sh *shard) bool {
-	return float64(len(sh.out)+1) <= math.Round(sh.depth)
+	return float64(len(sh.out)+1) <= max(math.Round(sh.depth), 1)
 }
 
 // pump sends what may go to sh's node.
@@ -397,30 +454,25 @@
 			return r
 		}
 	}
-	// What was shed sets a price that stands for a while: what is worth less goes
-	// only after all that is worth it. Without it cheap requests with long aims
-	// outlive dear ones that had to be shed. Under no overload the price is 0.
-	for _, price := range []float64{sh.price * standing(p.now-sh.priceAt), 0} {
-		best, bestSub := -1, (*subflow)(nil)
-		for i := range sh.flows {
-			f := &sh.flows[i]
-			if best >= 0 && f.finish >= sh.flows[best].finish {
-				continue
-			}
-			if s := p.chooseSub(sh, f, price); s != nil {
-				best, bestSub = i, s
-			}
+	best, bestSub := -1, (*subflow)(nil)
+	for i := range sh.flows {
+		f := &sh.flows[i]
+		if best >= 0 && f.finish >= sh.flows[best].finish {
+			continue
 		}
-		if best >= 0 {
-			r := bestSub.queue[0]
-			p.tag(sh, &sh.flows[best], bestSub, r)
-			return r
+		if s := p.chooseSub(sh, f); s != nil {
+			best, bestSub = i, s
 		}
 	}
+	if best >= 0 {
+		r := bestSub.queue[0]
+		p.tag(sh, &sh.flows[best], bestSub, r)
+		return r
+	}
 	// The parked go only to a node with nothing of ours that also answers nearly
 	// as quickly as it does unloaded: a late answer earns little and would delay
 	// what is due through other hosts. A node first met under load looks idle.
-	if len(sh.out) > 0 || sh.service > idleTimes*sh.base {
+	if len(sh.out) > 0 || p.part(sh) < 1 || p.meanAt(sh) > idleTimes*sh.base {
 		return nil
 	}
 	var pick *request
@@ -433,20 +485,17 @@
 	return pick
 }
 
-func (p *scheduler) chooseSub(sh *shard, f *flow, price float64) *subflow {
+func (p *scheduler) chooseSub(sh *shard, f *flow) *subflow {
 	var best *subflow
 	for _, s := range f.subs {
 		first := len(s.queue) > 0 && (best == nil || s.finish < best.finish)
-		if first && s.queue[0].value >= price && p.may(s.queue[0], sh) {
+		if first && p.may(s.queue[0], sh) {
 			best = s
 		}
 	}
 	return best
 }
 
-// standing is the part of a price that is left after a time.
-func standing(after float64) float64 { return math.Exp(-after / period) }
-
 // tag advances virtual time to r's start tags and sets its finish tags.
 func (p *scheduler) tag(sh *shard, f *flow, s *subflow, r *request) {
 	sh.vtime = f.finish
@@ -477,20 +526,18 @@
 	if !p.limitOK(r, sh) {
 		return false
 	}
-	budget, cold := p.cold(n)
+	budget, part, cold := p.cold(n)
 	if !cold {
 		return true
 	}
-	n.sends = slices.DeleteFunc(n.sends, func(s sent) bool { return s.at < p.now-ru.FallTime-p.s.Tick })
-	used := r.Units
-	for _, s := range n.sends {
-		used += s.units
+	if n.sentSince(p.now-ru.FallTime-p.s.Tick)+r.Units <= budget {
+		return true
 	}
-	if used > budget && len(n.sends) > 0 {
+	if len(n.sends) > 0 {
 		p.wake(n.sends[0].at+ru.FallTime+2*p.s.Tick, nil, sh)
 		return false
 	}
-	return used <= budget
+	return r.attempts == 0 && r.rank >= p.priceFor(part) && part > 0
 }
 
 // repeatable tells whether r, which may have run, may be sent to n.
@@ -564,7 +611,7 @@
 	if r.class.Effect == Unsafe || r.class.Streamed {
 		return 0
 	}
-	return min(p.now+max(stuckAims*r.class.Aim, stuckTimes*sh.service), r.Expires)
+	return min(p.now+max(stuckAims*r.class.Aim, stuckTimes*p.meanAt(sh)), r.Expires)
 }
 
 // Outcomes.
@@ -608,24 +655,31 @@
 	sh := r.shard
 	switch o.Result {
 	case Served:
-		if sh.service == 0 {
-			sh.service = o.Elapsed
-		}
-		sh.service += serviceGain * (o.Elapsed - sh.service)
-		sh.sumTime += o.Elapsed
-		sh.served++
+		p.learn(sh, o.Elapsed)
 		p.shares.served(r, p.now-r.arrived)
 		if n.suspect && n.pause > maxPause/2 {
 			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
 		}
 		n.suspect, n.pause = false, 0
+	case NoAnswer: // it took at least so long
+		p.learn(sh, o.Elapsed)
 	case NoConnection, ConnectionLost, TurnedAway:
+		if o.Result == TurnedAway { // a whole queue stands before what would be taken now
+			sh.got.add(stuckAims * p.tightest())
+		}
 		n.suspect = n.suspect || o.Result != TurnedAway
 		n.pause = min(max(2*n.pause, retryPause), maxPause)
 		n.holdTill = p.now + n.pause
 	}
 }
 
+func (p *scheduler) learn(sh *shard, took float64) {
+	took = min(took, stuckAims*p.tightest()) // one bad node must not stand for all
+	sh.got.add(took)
+	p.pool = append(p.pool[max(len(p.pool)-poolMost, 0):], answer{p.now, took})
+	p.median = medianOf(p.pool)
+}
+
 // again files r for a further attempt, or ends it if there can be none.
 func (p *scheduler) again(r *request) {
 	last := p.now >= r.Expires-p.s.Tick-guard
@@ -685,76 +739,67 @@
 func (p *scheduler) second() {
 	p.do(SetTimer{period, "second"})
 	p.subscribe()
+	if p.ownRate == 0 {
+		p.ownRate = p.asked
+	}
+	p.ownRate += ratePull * (p.asked - p.ownRate)
+	p.asked = 0
+	p.ranked = append(p.ranked[:0], p.recent...)
+	slices.SortFunc(p.ranked, func(a, b ask) int { return cmp.Compare(b.worth, a.worth) })
 	for _, sh := range p.shards {
 		p.setDepth(sh)
-		p.fair(sh)
 		p.pump(sh)
 	}
+	p.pool = slices.DeleteFunc(p.pool, func(a answer) bool { return p.now-a.at > poolSpan })
+	p.median = medianOf(p.pool)
 	p.shares.step()
 	p.dropIdle(idleVolume)
 }
 
-func (p *scheduler) floor() float64 { return max(fewDepth/float64(p.s.Hosts), 1) }
+func (p *scheduler) floor() float64 { return max(fewDepth/float64(p.s.Hosts), minPart) }
 
 // setDepth aims the node's service time at a part of the tightest aim, less
 // that class's wait, by the control law; it moves only when the depth held
 // something back, for otherwise depth was not what made the service time.
 func (p *scheduler) setDepth(sh *shard) {
 	aim := p.tightest()
-	y, full, n := sh.sumTime/max(float64(sh.served), 1)/aim, sh.wasFull, sh.served
-	sh.sumTime, sh.served, sh.wasFull = 0, 0, false
-	if n > 0 {
-		mean := y * aim
-		if sh.base == 0 || mean < sh.base {
-			sh.base = mean
-		}
-		sh.base += baseGain * (mean - sh.base)
+	mean, full := p.meanAt(sh), sh.wasFull
+	y := mean / aim
+	sh.wasFull = false
+	if sh.got.n < minSample {
+		sh.got.fade(thinKeep)
+	} else {
+		sh.got.fade(gatherKeep)
+	}
+	if sh.base == 0 || mean < sh.base {
+		sh.base = mean
 	}
-	if n < minSample || sh.node == nil || sh.node.suspect {
+	sh.base += baseGain * (mean - sh.base)
+	known := sh.got.n + float64(len(p.pool))
+	if sh.depth < 1 {
+		sh.depth += blindPull / (1 + known) * (1 - sh.depth)
+	}
+	if known < minSample || sh.node == nil || sh.node.suspect {
 		return
 	}
 	x := []float64{sh.lastY, sh.depth / maxDepth * 10, 1}
 	sh.lastY = y
-	if !full && y < aimPart {
+	if !full && sh.depth >= 1 && y < aimPart {
 		return
 	}
 	sh.fit.update(x, y)
 	sh.fit.theta[1] = max(sh.fit.theta[1], minGain)
 	b := sh.fit.theta[1] * 10 / maxDepth
-	ref := max(aimPart-p.shares.tightWait(aim)/aim, aimPart/2)
+	ref := aimPart
+	if sh.depth >= 1 { // a part holds nothing back for long: what waits is let go of
+		ref = max(aimPart-p.shares.tightWait(aim)/aim, aimPart/2)
+	}
 	du := controlStep([][]float64{{b}}, []float64{ref - y}, depthQ)
 	if du == nil {
 		return
 	}
 	d := sh.depth + du[0]
-	sh.depth = min(max(d, p.floor(), sh.depth/2), maxDepth, sh.depth*2)
-}
-
-// fair deals this host's part of the node out among the volumes that ask for
-// it, by weight, and what one leaves to the others.
-func (p *scheduler) fair(sh *shard) {
-	power := fairPart * sh.depth / p.serviceOf(sh) * p.s.MeanUnits * 1000
-	var subs []*subflow
-	weight := 0.0
-	for i := range sh.flows {
-		for _, s := range sh.flows[i].subs {
-			s.demand += 0.5 * (s.asked - s.demand)
-			s.asked = 0
-			s.weight = max(p.s.Plans[i].Weight, minShare)
-			if s.demand > 0.1 {
-				subs = append(subs, s)
-				weight += s.weight
-			}
-		}
-	}
-	slices.SortStableFunc(subs, func(a, b *subflow) int {
-		return cmp.Compare(a.demand/a.weight, b.demand/b.weight)
-	})
-	for _, s := range subs {
-		s.rate = power * s.weight / weight
-		power -= min(s.demand, s.rate)
-		weight -= s.weight
-	}
+	sh.depth = min(max(d, p.floor(), sh.depth*0.7), maxDepth, sh.depth*2)
 }
 
 func (g *regulator) init(plans []Plan) {
@@ -810,39 +855,32 @@
 	return g.worth[i] / g.units[i] * g.predict(i, u) * min(g.predict(len(u)+i, u), 1)
 }
 
+// with is the utility of flow i with so much more share.
+func (g *regulator) with(i int, u []float64, more float64) float64 {
+	old := u[i]
+	u[i] += more
+	defer func() { u[i] = old }()
+	return g.utility(i, u)
+}
+
 // targets is the greedy optimizer of the paper's figure 4.
 func (g *regulator) targets(total float64) []float64 {
 	n := len(g.u)
 	u, cur := make([]float64, n), make([]float64, n)
-	for i := range cur {
-		cur[i] = math.Inf(-1)
-	}
 	for left := int(total); left > 0; {
 		pick, step, gain := 0, 1, math.Inf(-1)
 		for i := range n {
-			d, got := 1, 0.0
-			for d = 1; d <= left; d++ {
-				old := u[i]
-				u[i] += float64(d) / total
-				got = g.utility(i, u)
-				u[i] = old
-				if got > cur[i] {
-					break
-				}
-			}
-			if d > left {
-				d = 1
+			d, got := 1, g.with(i, u, 1/total)
+			for got <= cur[i] && d < left {
+				d++
+				got = g.with(i, u, float64(d)/total)
 			}
-			base := cur[i]
-			if math.IsInf(base, -1) {
-				base = 0
-			}
-			if v := (got - base) / float64(d); v > gain {
+			if v := (got - cur[i]) / float64(d); v > gain {
 				pick, step, gain = i, d, v
 			}
 		}
 		u[pick] += float64(step) / total
-		cur[pick] = g.utility(pick, u)
+		cur[pick] = g.with(pick, u, 0)
 		left -= step
 	}
 	ref := make([]float64, 2*n)
@@ -854,28 +892,17 @@
 
 // control minimises |W(y-yref)|^2 + |Q du|^2 over the next shares.
 func (g *regulator) control(ref []float64) {
-	n := len(g.u)
-	b, miss := make([][]float64, 2*n), make([]float64, 2*n)
-	for i := range b {
-		w := 1.0
-		if i >= n {
-			w = latencyW
-		}
-		for k := range n {
-			b[i] = append(b[i], w*g.fits[i].theta[1+k])
-		}
-		miss[i] = w * (ref[i] - g.predict(i, g.u))
-	}
+	b, miss := g.weighted(ref, latencyW)
 	du := controlStep(b, miss, shareQ)
 	if du == nil {
 		return
 	}
-	next, sum := make([]float64, n), 0.0
-	for k := range n {
-		next[k] = max(g.u[k]+du[k], minShare)
-		sum += next[k]
+	sum := 0.0
+	for k := range g.u {
+		g.u[k] = max(g.u[k]+du[k], minShare)
+		sum += g.u[k]
 	}
-	for k := range n {
-		g.u[k] = max(next[k]/sum, minShare/float64(n))
+	for k := range g.u {
+		g.u[k] = max(g.u[k]/sum, minShare/float64(len(g.u)))
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,6 +19,7 @@
 	arrived  float64
 	aimAt    float64
 	value    float64 // worth for each unit, as far as due
+	rank     float64 // value, with equals spread
 	attempts int
 	out      int
 	sentAt   float64
@@ -37,6 +38,8 @@
 	resFill, resCap float64
 	limFill, limCap float64
 	limFloor        float64
+	due, dueFill    float64
+	dueCap          float64
 	at              float64 // time of the levels
 }
 
@@ -52,17 +55,20 @@
 	sends    []sent // within the last Rules.FallTime
 }
 
+// sentSince returns the units sent since then and forgets older sends.
+func (n *node) sentSince(t float64) (units float64) {
+	n.sends = slices.DeleteFunc(n.sends, func(s sent) bool { return s.at < t })
+	for _, s := range n.sends {
+		units += s.units
+	}
+	return units
+}
+
 // subflow is a volume's queue at a shard, inside its plan's flow.
 type subflow struct {
 	vol    *volume
-	weight float64
 	finish float64
 	queue  []*request // by aim
-	asked  float64    // units in this second
-	demand float64    // units a second, smoothed
-	due    float64    // level of the volume's weighted share here
-	rate   float64    // units a second that fill it
-	last   float64
 }
 
 // flow is a plan at a shard.
@@ -83,18 +89,43 @@
 	out     []*request
 	waiting int
 	depth   float64
-	service float64 // running mean of served attempts
-	price   float64 // the dearest worth shed of late, at priceAt
-	priceAt float64
 	wakeAt  float64 // earliest wake asked for
 	fit     *rls
 	base    float64 // service time when nothing waits there
-	sumTime float64
-	served  int
+	got     gathered
 	wasFull bool // depth held something back in this second
 	lastY   float64
 }
 
+// gathered is a fading sum of answers' times.
+type gathered struct{ n, time float64 }
+
+func (g *gathered) add(t float64)     { g.n, g.time = g.n+1, g.time+t }
+func (g *gathered) fade(keep float64) { g.n, g.time = g.n*keep, g.time*keep }
+
+// mean fills the sum up with so many answers that took the prior.
+func (g *gathered) mean(prior, weight float64) float64 {
+	return (g.time + weight*prior) / (g.n + weight)
+}
+
+// answer is a time that an attempt took.
+type answer struct{ at, took float64 }
+
+func medianOf(as []answer) float64 {
+	if len(as) == 0 {
+		return 0
+	}
+	t := make([]float64, len(as))
+	for i, a := range as {
+		t[i] = a.took
+	}
+	slices.Sort(t)
+	return t[len(t)/2]
+}
+
+// ask is what a request asked for and would earn a unit.
+type ask struct{ worth, units float64 }
+
 type wake struct {
 	at float64
 	rq *request
@@ -138,6 +169,12 @@
 	subOn   bool
 	askedAt float64
 	shares  regulator
+	pool    []answer // answers of all nodes
+	median  float64  // of their times
+	asked   float64  // units taken in this second
+	ownRate float64  // the same, smoothed
+	recent  []ask
+	ranked  []ask // recent, dearest first
 }
 
 // sub returns r's sub-flow at the shard. Worth is due by volume, so a plan's
@@ -149,7 +186,7 @@
 			return s
 		}
 	}
-	s := &subflow{vol: r.vol, finish: f.vtime, last: r.arrived}
+	s := &subflow{vol: r.vol, finish: f.vtime}
 	f.subs = append(f.subs, s)
 	return s
 }
