--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,16 +22,17 @@
 	thinKeep    = 0.9    // the same while they are fewer than minSample: of some ten
 	poolSpan    = 3000.0 // age at which an answer leaves the pool of all nodes
 	poolMost    = 31     // and how many newer ones push it out
-	poolWeight  = 1.0    // answers that the mean over all nodes counts for in a node's own
+	poolWeight  = 2.0    // answers that the mean over all nodes counts for in a node's own
 	worthDither = 0.1    // spread of equal worths, so that a part can be cut between them
 	minPart     = 0.2    // of what is asked, that goes at the least: who sends nothing learns nothing
 	blindPull   = 0.2    // a second's pull of a part back to the whole while nothing is learnt
 	recentMost  = 63     // requests before the newest whose worths tell what is asked
-	coldMargin  = 2.5    // room for nodes in more demand than most, for chance and for surges
+	coldMargin  = 1.0    // room for nodes in more demand than most, for chance and for surges
 	ratePull    = 0.1    // a second's pull on this host's own rate
 	// aimPart of the tightest aim is what wait and mean service may take
 	// together; the rest is for the spread of service times and for pauses.
 	aimPart   = 0.3
+	partAim   = 0.5   // the same below a depth of 1: only a queue of others' takes so long
 	depthQ    = 0.15  // penalty on depth changes; larger, against its gain, than shareQ
 	depthGain = 0.10  // starting figure: service time in aims that one more request out adds
 	minGain   = 0.02  // known sign: fitted gains never fall below this
@@ -58,7 +59,7 @@
 // start begins the sampling at a phase of this host's own, so that hosts do
 // not all move at once, and asks for the list where it must be asked.
 func (p *scheduler) start() {
-	p.started, p.born = true, p.now
+	p.started, p.born, p.median = true, p.now, p.tightest()*aimPart/2
 	p.do(SetTimer{period * (0.5 + p.rng.Float64()/2), "second"})
 	p.subscribe()
 }
@@ -330,11 +331,7 @@
 // knows little of it: what it has gathered there is filled up with the median of
 // all nodes, which also lets a bad sample fade when nothing follows it.
 func (p *scheduler) meanAt(sh *shard) float64 {
-	prior := p.tightest() * aimPart / 2
-	if len(p.pool) > 0 {
-		prior = p.median
-	}
-	return sh.got.mean(prior, poolWeight)
+	return sh.got.mean(p.median, poolWeight)
 }
 
 // part is how much of what this host is asked for at sh may go, dearest first: a
@@ -677,7 +674,6 @@
 	took = min(took, stuckAims*p.tightest()) // one bad node must not stand for all
 	sh.got.add(took)
 	p.pool = append(p.pool[max(len(p.pool)-poolMost, 0):], answer{p.now, took})
-	p.median = medianOf(p.pool)
 }
 
 // again files r for a further attempt, or ends it if there can be none.
@@ -746,12 +742,12 @@
 	p.asked = 0
 	p.ranked = append(p.ranked[:0], p.recent...)
 	slices.SortFunc(p.ranked, func(a, b ask) int { return cmp.Compare(b.worth, a.worth) })
+	p.median = medianOf(p.pool, p.tightest()*aimPart/2)
 	for _, sh := range p.shards {
 		p.setDepth(sh)
 		p.pump(sh)
 	}
 	p.pool = slices.DeleteFunc(p.pool, func(a answer) bool { return p.now-a.at > poolSpan })
-	p.median = medianOf(p.pool)
 	p.shares.step()
 	p.dropIdle(idleVolume)
 }
@@ -790,7 +786,7 @@
 	sh.fit.update(x, y)
 	sh.fit.theta[1] = max(sh.fit.theta[1], minGain)
 	b := sh.fit.theta[1] * 10 / maxDepth
-	ref := aimPart
+	ref := partAim
 	if sh.depth >= 1 { // a part holds nothing back for long: what waits is let go of
 		ref = max(aimPart-p.shares.tightWait(aim)/aim, aimPart/2)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -111,9 +111,9 @@
 // answer is a time that an attempt took.
 type answer struct{ at, took float64 }
 
-func medianOf(as []answer) float64 {
+func medianOf(as []answer, none float64) float64 {
 	if len(as) == 0 {
-		return 0
+		return none
 	}
 	t := make([]float64, len(as))
 	for i, a := range as {
