Depth starts at 1

Cause: from 3 a depth needs three seconds to fall below 1, where it first acts on a host that meets a node every few seconds; surges last 7 to 18.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,8 +16,8 @@
 	// fewDepth is the design's "few", as floor, for all hosts together: a node of a
 	// core or two stays busy over a round trip. Below 1 a host's depth is a part.
 	fewDepth = 6.0
-	// startDepth lets a run on one piece of data go together, before anything is known.
-	startDepth  = 3.0
+	// startDepth is where a part begins: parts must act within seconds of a surge.
+	startDepth  = 1.0
 	gatherKeep  = 0.6    // of a second's answers kept for the next: a memory of some two seconds
 	thinKeep    = 0.9    // the same while they are fewer than minSample: of some ten
 	poolSpan    = 3000.0 // age at which an answer leaves the pool of all nodes
