A request's size counts in its service time, and in what its answer teaches

Cause: clients that come with little time left were refused by the mean service time, though a small request needs a third of it; sizes were noise in the fit. The unloaded time is kept once for all nodes in place of once for each shard.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,7 +59,9 @@
 // start begins the sampling at a phase of this host's own, so that hosts do
 // not all move at once, and asks for the list where it must be asked.
 func (p *scheduler) start() {
-	p.started, p.born, p.median = true, p.now, p.tightest()*aimPart/2
+	p.started, p.born = true, p.now
+	p.median = p.tightest() * aimPart / 2
+	p.base = p.median
 	p.do(SetTimer{period * (0.5 + p.rng.Float64()/2), "second"})
 	p.subscribe()
 }
@@ -117,7 +119,7 @@
 func (p *scheduler) resetDepth(sh *shard) {
 	sh.depth = max(startDepth, p.floor())
 	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
-	sh.got, sh.base = gathered{}, 0
+	sh.got = gathered{}
 }
 
 // assign gives the shard the node that holds it now: of those that may be sent
@@ -382,7 +384,7 @@
 			p.park(sh, r)
 			continue
 		}
-		if p.now+p.waitFor(sh, ahead)+service > r.aimAt {
+		if p.now+p.waitFor(sh, ahead)+service+p.extra(r) > r.aimAt {
 			p.park(sh, r)
 			continue
 		}
@@ -393,7 +395,7 @@
 	// It also clears queues before a stalled node; a node that recovers within a
 	// request's time could still have served it late.
 	for _, r := range slices.Clone(sh.parked) {
-		if r.queued && p.now+service > r.Expires {
+		if r.queued && p.now+service+p.extra(r) > r.Expires {
 			p.end(r)
 		}
 	}
@@ -469,7 +471,7 @@
 	// The parked go only to a node with nothing of ours that also answers nearly
 	// as quickly as it does unloaded: a late answer earns little and would delay
 	// what is due through other hosts. A node first met under load looks idle.
-	if len(sh.out) > 0 || p.part(sh) < 1 || p.meanAt(sh) > idleTimes*sh.base {
+	if len(sh.out) > 0 || p.part(sh) < 1 || p.meanAt(sh) > idleTimes*p.base {
 		return nil
 	}
 	var pick *request
@@ -652,7 +654,7 @@
 	sh := r.shard
 	switch o.Result {
 	case Served:
-		p.learn(sh, o.Elapsed)
+		p.learn(sh, max(o.Elapsed-p.extra(r), 0))
 		p.shares.served(r, p.now-r.arrived)
 		if n.suspect && n.pause > maxPause/2 {
 			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
@@ -670,6 +672,11 @@
 	}
 }
 
+// extra is what r's size adds to the service time of a mean request, or takes off.
+func (p *scheduler) extra(r *request) float64 {
+	return p.base * (r.Units/p.s.MeanUnits - 1)
+}
+
 func (p *scheduler) learn(sh *shard, took float64) {
 	took = min(took, stuckAims*p.tightest()) // one bad node must not stand for all
 	sh.got.add(took)
@@ -716,7 +723,6 @@
 	} else {
 		p.do(Fail{r.ID})
 	}
-	r.done = true
 	p.finish(r)
 }
 
@@ -743,6 +749,9 @@
 	p.ranked = append(p.ranked[:0], p.recent...)
 	slices.SortFunc(p.ranked, func(a, b ask) int { return cmp.Compare(b.worth, a.worth) })
 	p.median = medianOf(p.pool, p.tightest()*aimPart/2)
+	if len(p.pool) >= minSample {
+		p.base = min(p.base+baseGain*(p.median-p.base), p.median)
+	}
 	for _, sh := range p.shards {
 		p.setDepth(sh)
 		p.pump(sh)
@@ -767,10 +776,6 @@
 	} else {
 		sh.got.fade(gatherKeep)
 	}
-	if sh.base == 0 || mean < sh.base {
-		sh.base = mean
-	}
-	sh.base += baseGain * (mean - sh.base)
 	known := sh.got.n + float64(len(p.pool))
 	if sh.depth < 1 {
 		sh.depth += blindPull / (1 + known) * (1 - sh.depth)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -430,7 +430,7 @@
 		g.list()
 		id := g.ask("read", "high", "", 2)
 		g.pass(350) // past its aim
-		g.p.shards[0].got, g.p.shards[0].base = gathered{100, 100 * service}, 30
+		g.p.shards[0].got, g.p.base = gathered{100, 100 * service}, 30
 		g.list(Node{Addr: "n0", Health: Ready})
 		if g.sends(id) != want {
 			t.Errorf("service %v: %d sends, want %d", service, g.sends(id), want)
@@ -501,6 +501,28 @@
 	}
 }
 
+// A small request is answered sooner than the mean tells: clients with little
+// time left get theirs, and a large answer does not count as a slow node.
+func TestSizeCounts(t *testing.T) {
+	for units, want := range map[float64]int{1: 1, 4: 0} {
+		g := newRig(settings())
+		g.p.base, g.p.shards[0].got = 60, gathered{100, 100 * 60}
+		g.n++
+		id := fmt.Sprintf("%016x", g.n)
+		g.do(Request{ID: id, Class: "read", Plan: "high", Volume: "v", Units: units, Expires: g.now + 55, Hosts: 1})
+		if g.sends(id) != want {
+			t.Errorf("%v units: %d sends, want %d", units, g.sends(id), want)
+		}
+	}
+	g := newRig(settings())
+	g.p.base = 20
+	id := g.ask("read", "high", "", 4)
+	g.do(Outcome{ID: id, Node: "n0", Done: true, Elapsed: 40, Result: Served})
+	if got := g.p.shards[0].got; got.time != 20 {
+		t.Errorf("twice the mean size in twice the time taught %v", got.time)
+	}
+}
+
 // An outcome may come after its node has left the list; the request's group
 // must still be known.
 func TestOutcomeAfterItsNodeIsGone(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -91,7 +91,6 @@
 	depth   float64
 	wakeAt  float64 // earliest wake asked for
 	fit     *rls
-	base    float64 // service time when nothing waits there
 	got     gathered
 	wasFull bool // depth held something back in this second
 	lastY   float64
@@ -171,6 +170,7 @@
 	shares  regulator
 	pool    []answer // answers of all nodes
 	median  float64  // of their times
+	base    float64  // the same when nothing waits
 	asked   float64  // units taken in this second
 	ownRate float64  // the same, smoothed
 	recent  []ask
