--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,9 +15,7 @@
 	maxDepth = 32.0   // the design's ceiling for a host's depth at one node
 	// fewDepth is the design's "few", as floor, for all hosts together: a node of a
 	// core or two stays busy over a round trip. Below 1 a host's depth is a part.
-	fewDepth = 6.0
-	// startDepth is where a part begins: parts must act within seconds of a surge.
-	startDepth  = 1.0
+	fewDepth    = 6.0
 	gatherKeep  = 0.6    // of a second's answers kept for the next: a memory of some two seconds
 	thinKeep    = 0.9    // the same while they are fewer than minSample: of some ten
 	poolSpan    = 3000.0 // age at which an answer leaves the pool of all nodes
@@ -117,7 +115,7 @@
 }
 
 func (p *scheduler) resetDepth(sh *shard) {
-	sh.depth = max(startDepth, p.floor())
+	sh.depth = max(p.floor(), 1)
 	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
 	sh.got = gathered{}
 }
@@ -210,10 +208,8 @@
 		if sh.node == nil || sh.node.suspect {
 			continue
 		}
-		w := p.waitFor(sh, float64(sh.waiting)) + p.serviceOf(sh)
-		if _, _, cold := p.cold(sh.node); cold {
-			w *= 4 // a cold node serves few, and its budget is for what must go there
-		}
+		// What a cold or busy node may take is for what must go there.
+		w := (p.waitFor(sh, float64(sh.waiting)) + p.serviceOf(sh)) / max(min(p.part(sh), 1), minPart)
 		if w < low {
 			best, low = sh, w
 		}
@@ -275,18 +271,15 @@
 	if r.attempts > 0 {
 		sh.retries = append(sh.retries, r)
 	} else {
-		f, s := &sh.flows[r.flow], sh.sub(r)
-		if f.idle() {
+		f := &sh.flows[r.flow]
+		if len(f.queue) == 0 {
 			f.finish = max(f.finish, sh.vtime)
 		}
-		if len(s.queue) == 0 {
-			s.finish = max(s.finish, f.vtime)
-		}
-		i := len(s.queue)
-		for i > 0 && byWorth(r, s.queue[i-1]) < 0 {
+		i := len(f.queue)
+		for i > 0 && byWorth(r, f.queue[i-1]) < 0 {
 			i--
 		}
-		s.queue = slices.Insert(s.queue, i, r)
+		f.queue = slices.Insert(f.queue, i, r)
 	}
 	p.pump(sh)
 }
@@ -361,7 +354,7 @@
 	return ahead * p.serviceOf(sh) / max(sh.depth, 1)
 }
 
-// byWorth orders a volume's own requests, and the shedding: under overload the
+// byWorth orders a plan's requests, and the shedding: under overload the
 // earliest aim first would serve old cheap reads before fresh dear ones.
 func byWorth(a, b *request) int {
 	return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.aimAt, b.aimAt))
@@ -453,20 +446,22 @@
 			return r
 		}
 	}
-	best, bestSub := -1, (*subflow)(nil)
+	var best *flow
+	var pick *request
 	for i := range sh.flows {
 		f := &sh.flows[i]
-		if best >= 0 && f.finish >= sh.flows[best].finish {
+		if best != nil && f.finish >= best.finish {
 			continue
 		}
-		if s := p.chooseSub(sh, f); s != nil {
-			best, bestSub = i, s
+		may := func(r *request) bool { return p.may(r, sh) } // one that its limit holds is passed over
+		if k := slices.IndexFunc(f.queue, may); k >= 0 {
+			best, pick = f, f.queue[k]
 		}
 	}
-	if best >= 0 {
-		r := bestSub.queue[0]
-		p.tag(sh, &sh.flows[best], bestSub, r)
-		return r
+	if best != nil {
+		sh.vtime = best.finish // the start tag of what goes
+		best.finish += pick.Units / p.shares.u[pick.flow]
+		return pick
 	}
 	// The parked go only to a node with nothing of ours that also answers nearly
 	// as quickly as it does unloaded: a late answer earns little and would delay
@@ -474,7 +469,6 @@
 	if len(sh.out) > 0 || p.part(sh) < 1 || p.meanAt(sh) > idleTimes*p.base {
 		return nil
 	}
-	var pick *request
 	for _, r := range sh.parked {
 		better := pick == nil || (r.aimAt > p.now) && (pick.aimAt <= p.now) || r.value > pick.value
 		if better && p.may(r, sh) {
@@ -484,25 +478,6 @@
 	return pick
 }
 
-func (p *scheduler) chooseSub(sh *shard, f *flow) *subflow {
-	var best *subflow
-	for _, s := range f.subs {
-		first := len(s.queue) > 0 && (best == nil || s.finish < best.finish)
-		if first && p.may(s.queue[0], sh) {
-			best = s
-		}
-	}
-	return best
-}
-
-// tag advances virtual time to r's start tags and sets its finish tags.
-func (p *scheduler) tag(sh *shard, f *flow, s *subflow, r *request) {
-	sh.vtime = f.finish
-	f.finish += r.Units / p.shares.u[r.flow]
-	f.vtime = s.finish
-	s.finish += r.Units
-}
-
 // may is the one gate before every send: it holds each rule.
 func (p *scheduler) may(r *request, sh *shard) bool {
 	n, ru := sh.node, &p.s.Rules
@@ -661,14 +636,16 @@
 		}
 		n.suspect, n.pause = false, 0
 	case NoAnswer: // it took at least so long
-		p.learn(sh, o.Elapsed)
-	case NoConnection, ConnectionLost, TurnedAway:
-		if o.Result == TurnedAway { // a whole queue stands before what would be taken now
-			sh.got.add(stuckAims * p.tightest())
+		p.learn(sh, max(o.Elapsed, p.meanAt(sh)))
+		if o.Elapsed >= p.tightest() {
+			p.hold(n, p.crowd())
 		}
-		n.suspect = n.suspect || o.Result != TurnedAway
-		n.pause = min(max(2*n.pause, retryPause), maxPause)
-		n.holdTill = p.now + n.pause
+	case TurnedAway: // a whole queue stands before what would be taken now
+		sh.got.add(stuckAims * p.tightest())
+		p.hold(n, p.crowd())
+	case NoConnection, ConnectionLost:
+		n.suspect = true
+		p.hold(n, 1)
 	}
 }
 
@@ -677,6 +654,17 @@
 	return p.base * (r.Units/p.s.MeanUnits - 1)
 }
 
+// hold keeps this host away from n for a while, twice as long each time. A node
+// that holds too much works slower and slower: if each of many hosts tried once a
+// second it would never drain, so before one that is full or does not answer the
+// time grows with the hosts. It harms where only this host met a lone long pause.
+func (p *scheduler) hold(n *node, times float64) {
+	n.pause = min(max(2*n.pause, retryPause*times), maxPause*times)
+	n.holdTill = p.now + n.pause
+}
+
+func (p *scheduler) crowd() float64 { return max(float64(p.s.Hosts)/fewDepth, 1) }
+
 func (p *scheduler) learn(sh *shard, took float64) {
 	took = min(took, stuckAims*p.tightest()) // one bad node must not stand for all
 	sh.got.add(took)
--- a/policy/state.go
+++ b/policy/state.go
@@ -64,18 +64,10 @@
 	return units
 }
 
-// subflow is a volume's queue at a shard, inside its plan's flow.
-type subflow struct {
-	vol    *volume
-	finish float64
-	queue  []*request // by aim
-}
-
 // flow is a plan at a shard.
 type flow struct {
 	finish float64
-	vtime  float64
-	subs   []*subflow
+	queue  []*request // by worth
 }
 
 // shard holds the queue of the node that has the shard.
@@ -177,29 +169,6 @@
 	ranked  []ask // recent, dearest first
 }
 
-// sub returns r's sub-flow at the shard. Worth is due by volume, so a plan's
-// share is dealt out among its volumes; one that surges waits behind itself.
-func (sh *shard) sub(r *request) *subflow {
-	f := &sh.flows[r.flow]
-	for _, s := range f.subs {
-		if s.vol == r.vol {
-			return s
-		}
-	}
-	s := &subflow{vol: r.vol, finish: f.vtime}
-	f.subs = append(f.subs, s)
-	return s
-}
-
-func (f *flow) idle() bool {
-	for _, s := range f.subs {
-		if len(s.queue) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // remove takes r out of whatever queue it is in.
 func (sh *shard) remove(r *request) {
 	if !r.queued {
@@ -211,8 +180,8 @@
 		return slices.DeleteFunc(q, func(x *request) bool { return x == r })
 	}
 	sh.retries, sh.parked = drop(sh.retries), drop(sh.parked)
-	s := sh.sub(r)
-	s.queue = drop(s.queue)
+	f := &sh.flows[r.flow]
+	f.queue = drop(f.queue)
 }
 
 // regulator sets the flows' shares.
@@ -287,15 +256,6 @@
 	return c
 }
 
-func (p *scheduler) forget(v *volume) {
-	for _, sh := range p.shards {
-		for i := range sh.flows {
-			f := &sh.flows[i]
-			f.subs = slices.DeleteFunc(f.subs, func(s *subflow) bool { return s.vol == v && len(s.queue) == 0 })
-		}
-	}
-}
-
 // served counts an answer towards this second.
 func (g *regulator) served(r *request, latency float64) {
 	i := r.flow
@@ -319,7 +279,6 @@
 		full := v.limit+v.limFill*(p.now-v.at)/1000 >= v.limCap
 		if full && p.now-v.seen > after {
 			delete(p.vols, id)
-			p.forget(v)
 		}
 	}
 	for k, c := range p.chains {
@@ -329,12 +288,10 @@
 	}
 }
 
-// all returns what waits in the shard's sub-flows.
+// all returns what waits in the shard's flows.
 func (sh *shard) all() (rs []*request) {
 	for i := range sh.flows {
-		for _, s := range sh.flows[i].subs {
-			rs = append(rs, s.queue...)
-		}
+		rs = append(rs, sh.flows[i].queue...)
 	}
 	return rs
 }
