--- a/policy/policy.go
+++ b/policy/policy.go
@@ -527,7 +527,7 @@
 		case GroupAll:
 			return true
 		case GroupZone:
-			return n.Zone == r.ranNode.Zone
+			return n == r.ranNode || n.Zone != "" && n.Zone == r.ranNode.Zone
 		default:
 			return n.Shard == r.ranNode.Shard
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -569,3 +569,107 @@
 		}
 	}
 }
+
+// Contradicting settings get the careful reading, and no panic.
+func TestBadSettings(t *testing.T) {
+	cold := Node{Addr: "n0", Health: Ready, Started: 999}
+	tests := []struct {
+		name  string
+		set   func(s *Settings)
+		sends int
+	}{
+		{"no hosts", func(s *Settings) { s.Hosts = 0 }, 1},
+		{"no cold units", func(s *Settings) { s.Rules.ColdUnits = 0 }, 0},
+		{"no fall time", func(s *Settings) { s.Rules.ColdUnits, s.Rules.FallTime = 0, 0 }, 0},
+		{"no cold share", func(s *Settings) { s.Rules.ColdFrom = 0 }, 1},
+		{"no plans, no classes", func(s *Settings) { s.Plans, s.Classes = nil, nil }, 1},
+		{"no units", func(s *Settings) { s.MeanUnits, s.MostUnits = 0, 0 }, 1},
+	}
+	for _, tt := range tests {
+		s := settings()
+		tt.set(&s)
+		g := newRig(s)
+		g.list(cold)
+		id := g.ask("read", "high", "", 2)
+		if got := g.sends(id); got != tt.sends {
+			t.Errorf("%s: %d sends, want %d", tt.name, got, tt.sends)
+		}
+		g.pass(3000)
+	}
+	g := newRig(settings())
+	g.p.s.Classes[1].Group = GroupZone
+	g.list(Node{Addr: "n0", Health: Ready}) // its zone is not told
+	r := &request{class: &g.p.s.Classes[1], ranNode: g.p.nodes["n0"], ranAt: g.now}
+	if g.p.now = g.now; g.p.repeatable(r, &node{}) || !g.p.repeatable(r, g.p.nodes["n0"]) {
+		t.Error("two nodes without a zone were taken to share one")
+	}
+	g.do(Request{ID: "ff", Class: "read", Plan: "high", Volume: "w", Units: 2, Expires: g.now + 900, Hosts: 1000})
+	if v := g.p.vols["w"]; v.dueFill > 0 || v.limFill > 0 {
+		t.Errorf("a plan without a rate got %v, %v", v.dueFill, v.limFill)
+	}
+}
+
+// However many hosts there are, all of them together send a cold node about what
+// it surely bears, and not nothing.
+func TestColdNodeAcrossHosts(t *testing.T) {
+	for _, hosts := range []int{1, 5, 50, 230} {
+		s := settings()
+		s.Hosts, s.Shards = hosts, 10
+		units := 0.0
+		for h := range hosts {
+			g := &rig{p: newScheduler(s, uint64(h)), now: 1000, at: map[string]float64{}}
+			var ns []Node
+			for k := range 10 {
+				ns = append(ns, Node{Addr: fmt.Sprint("n", k), Health: Ready, Shard: k})
+			}
+			g.list(ns...)
+			ask := func(n int) { // a fleet's 400 units a second, spread over the shards
+				for range n {
+					g.n++
+					id := fmt.Sprintf("%016x", g.n)
+					sh := int(g.p.rng.IntN(10))
+					class := []string{"read", "write"}[g.p.rng.IntN(2)]
+					g.do(Request{ID: id, Class: class, Plan: "high", Volume: fmt.Sprint("v", sh), Shard: sh,
+						Units: 2, Expires: g.now + 1000, Hosts: 1})
+					if g.sends(id) > 0 {
+						g.do(Outcome{ID: id, Node: fmt.Sprint("n", sh), Done: true, Elapsed: 20, Result: Served})
+					}
+					g.pass(float64(hosts) * 5)
+				}
+			}
+			ask(6000 / (5 * hosts))
+			g.list(append(slices.Clone(ns[1:]), Node{Addr: "n0", Health: Ready, Started: g.now})...)
+			g.acts = nil
+			ask(max(1000/(5*hosts), 1)) // one fall time
+			for _, a := range g.acts {
+				if snd, ok := a.(Send); ok && snd.Node == "n0" {
+					units += 2
+				}
+			}
+		}
+		if units < 4 || units > 1.5*20 {
+			t.Errorf("%d hosts sent %v units, 20 are surely borne", hosts, units)
+		}
+	}
+}
+
+// BenchmarkSecond plays one second of traffic; its cost must not grow with hosts.
+func BenchmarkSecond(b *testing.B) {
+	for _, hosts := range []int{5, 230} {
+		b.Run(fmt.Sprint(hosts, "hosts"), func(b *testing.B) {
+			s := settings()
+			s.Hosts = hosts
+			g := newRig(s)
+			for range b.N {
+				for range 20 {
+					id := g.ask("read", "high", "", 2)
+					if g.sends(id) > 0 {
+						g.end(id, Served)
+					}
+					g.acts = g.acts[:0]
+					g.pass(50)
+				}
+			}
+		})
+	}
+}
