--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,21 +25,26 @@
 	minPart     = 0.2    // of what is asked, that goes at the least: who sends nothing learns nothing
 	blindPull   = 0.2    // a second's pull of a part back to the whole while nothing is learnt
 	recentMost  = 63     // requests before the newest whose worths tell what is asked
-	coldMargin  = 1.0    // room for nodes in more demand than most, for chance and for surges
+	coldMargin  = 1.0    // demand reckoned with at a cold node, in means; hunts reached a third of the limit
 	ratePull    = 0.1    // a second's pull on this host's own rate
 	// aimPart of the tightest aim is what wait and mean service may take
 	// together; the rest is for the spread of service times and for pauses.
-	aimPart   = 0.3
-	partAim   = 0.5   // the same below a depth of 1: only a queue of others' takes so long
-	depthQ    = 0.15  // penalty on depth changes; larger, against its gain, than shareQ
-	depthGain = 0.10  // starting figure: service time in aims that one more request out adds
-	minGain   = 0.02  // known sign: fitted gains never fall below this
-	shareQ    = 0.3   // penalty on share changes: a full step takes some three seconds
-	minShare  = 0.04  // no flow is ever shut out
-	latencyW  = 0.5   // inverse latency misses weigh half of throughput misses
-	forget    = 0.97  // RLS forgetting: a memory of about half a minute
-	maxCov    = 100.0 // trace above which nothing is forgotten: bounded without excitation
-	minSample = 3     // answers that a second must have to teach anything
+	aimPart    = 0.3
+	partAim    = 0.5   // the same below a depth of 1: only a queue of others' takes so long
+	depthScale = 10.0  // depths are fitted in tenths of the ceiling, for numbers near 1
+	fallStep   = 0.7   // a second's largest fall of a depth, and
+	riseStep   = 2.0   // its largest rise: thin samples err either way
+	ownStart   = 0.3   // starting figures of the shares' model: a flow's own last value
+	shareStart = 0.7   // and its share
+	depthQ     = 0.15  // penalty on depth changes; larger, against its gain, than shareQ
+	depthGain  = 0.10  // starting figure: service time in aims that one more request out adds
+	minGain    = 0.02  // known sign: fitted gains never fall below this
+	shareQ     = 0.3   // penalty on share changes: a full step takes some three seconds
+	minShare   = 0.04  // no flow is ever shut out
+	latencyW   = 0.5   // inverse latency misses weigh half of throughput misses
+	forget     = 0.97  // RLS forgetting: a memory of about half a minute
+	maxCov     = 100.0 // trace above which nothing is forgotten: bounded without excitation
+	minSample  = 3     // answers, of a node's own and of the pool, below which nothing is taught
 
 	stuckAims  = 1.5         // an attempt out for so many of its aims is given up,
 	stuckTimes = 5           // but not before so many service times: the node may be slow
@@ -771,14 +776,14 @@
 	if known < minSample || sh.node == nil || sh.node.suspect {
 		return
 	}
-	x := []float64{sh.lastY, sh.depth / maxDepth * 10, 1}
+	x := []float64{sh.lastY, sh.depth / maxDepth * depthScale, 1}
 	sh.lastY = y
 	if !full && sh.depth >= 1 && y < aimPart {
 		return
 	}
 	sh.fit.update(x, y)
 	sh.fit.theta[1] = max(sh.fit.theta[1], minGain)
-	b := sh.fit.theta[1] * 10 / maxDepth
+	b := sh.fit.theta[1] * depthScale / maxDepth
 	ref := partAim
 	if sh.depth >= 1 { // a part holds nothing back for long: what waits is let go of
 		ref = max(aimPart-p.shares.tightWait(aim)/aim, aimPart/2)
@@ -788,7 +793,7 @@
 		return
 	}
 	d := sh.depth + du[0]
-	sh.depth = min(max(d, p.floor(), sh.depth*0.7), maxDepth, sh.depth*2)
+	sh.depth = min(max(d, p.floor(), sh.depth*fallStep), maxDepth, sh.depth*riseStep)
 }
 
 func (g *regulator) init(plans []Plan) {
@@ -803,7 +808,7 @@
 	g.y = make([]float64, 2*n)
 	for i := range 2 * n {
 		theta := make([]float64, n+2) // own last value, shares, constant
-		theta[0], theta[1+i%n] = 0.3, 0.7
+		theta[0], theta[1+i%n] = ownStart, shareStart
 		g.fits = append(g.fits, newRLS(theta, forget, maxCov))
 	}
 	g.clear()
