--- a/policy/api.go
+++ b/policy/api.go
@@ -54,6 +54,7 @@
 	MostUnits  float64 // largest units of a request
 	FairWorth  float64 // worth factor within a volume's weighted share
 	SpareWorth float64 // worth factor beyond it
+	// Told for policies to come; this one does not read them.
 	UsePeriod  float64 // period of Outcome.Use
 	TellsOther bool    // Outcome.FromOthers is filled in
 }
@@ -206,7 +207,7 @@
 	Node    string
 }
 
-// Probed answers Probe.
+// Probed answers Probe. This policy sends no Probe and passes Probed over.
 type Probed struct {
 	Node    string
 	Elapsed float64
@@ -214,7 +215,8 @@
 	Report  []Reading
 }
 
-// PeerMessage is a message from another host.
+// PeerMessage is a message from another host. This policy sends none and passes
+// all over, whatever their kind or length.
 type PeerMessage struct {
 	From int
 	Data []byte
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -673,3 +673,56 @@
 		})
 	}
 }
+
+// All hosts of a volume together keep its limit, and each its budget of further
+// attempts, however many there are.
+func TestLimitAndBudgetAcrossHosts(t *testing.T) {
+	for _, hosts := range []int{1, 5, 50, 230} {
+		s := settings()
+		s.Hosts = hosts
+		s.Rules.HasBudget, s.Rules.BudgetFree, s.Rules.BudgetShare, s.Rules.BudgetSpan = true, 1, 0.25, 5000
+		s.Plans[0].Burst = 2 * s.MostUnits * float64(hosts)
+		units, asked, start, end := 0.0, 0, 0.0, 0.0
+		for h := range hosts {
+			g := &rig{p: newScheduler(s, uint64(h)), now: 1000, at: map[string]float64{}}
+			g.list(Node{Addr: "n0", Health: Ready})
+			again := 0
+			for k := range 40 {
+				g.n++
+				id := fmt.Sprintf("%016x", g.n)
+				g.do(Request{ID: id, Class: "write", Plan: "low", Volume: "v", Units: 2, Expires: g.now + 1000, Hosts: hosts})
+				if g.sends(id) > 0 {
+					units += 2
+					g.end(id, Result(k%2)) // served, or an error that asks for another attempt
+					again += g.sends(id) - 1
+				}
+				asked++
+				g.pass(50)
+			}
+			if again > 1+40/4 {
+				t.Errorf("%d hosts: %d further attempts of one", hosts, again)
+			}
+			start, end = 1000, g.now
+		}
+		if most := s.Plans[0].Limit*(end-start)/1000 + s.Plans[0].Burst + s.Plans[0].Slack; units > most {
+			t.Errorf("%d hosts sent %v units of one volume, limit %v", hosts, units, most)
+		}
+	}
+}
+
+// Messages, probes and figures that the module does not use change nothing.
+func TestUnusedEventsAreSkipped(t *testing.T) {
+	g := newRig(settings())
+	for _, ev := range []Event{PeerMessage{From: -1}, PeerMessage{Data: make([]byte, 1<<16)},
+		PeerMessage{From: 9, Data: []byte{255, 255, 0}}, Probed{}, Probed{Node: "nowhere", Report: []Reading{{"cpu", 9}}},
+		StreamStarted{ID: "none"}, ClientGone{ID: "none"}, Outcome{ID: "none"}, TimerFired{"none"}} {
+		if got := g.do(ev); len(got) > 0 {
+			if _, ok := got[0].(SetTimer); !ok {
+				t.Errorf("%#v: %v", ev, got)
+			}
+		}
+	}
+	if id := g.ask("read", "high", "", 2); g.sends(id) != 1 {
+		t.Error("the next request did not go")
+	}
+}
