--- /dev/null
+++ b/diskproto/diskproto.go
@@ -0,0 +1,406 @@
+// Package diskproto is the protocol between hosts and disk servers: frames with a
+// checksum that carry one message each. docs/protocol.md has its field tables.
+//
+// The package is a codec: bytes in, messages out. It bounds every length before
+// it allocates, opens no connection and knows nothing of when a message is due.
+package diskproto
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math"
+)
+
+// Version is the newest version of the protocol; Oldest the oldest understood.
+const (
+	Version = 1
+	Oldest  = 1
+)
+
+const (
+	headLen = 16
+	magic   = 0x4d48 // "MH"
+	// MaxBody bounds a frame's body in bytes: the largest write and its fields.
+	MaxBody = 2<<20 + 4096
+	maxName = 255
+	maxRuns = 64
+	maxFigs = 16
+)
+
+// Kind names a message.
+type Kind byte
+
+// The kinds. Hello, Do, Cancel and Probe go to servers, the others come back.
+const (
+	KindHello Kind = iota + 1
+	KindWelcome
+	KindDo
+	KindAnswer
+	KindCancel
+	KindProbe
+	KindProbed
+	KindBye
+)
+
+// Frame is a message as it travels. Tag pairs an answer with what it answers.
+type Frame struct {
+	Kind Kind
+	Tag  uint32
+	Body []byte
+}
+
+// FrameError says why a stream can't be read on.
+type FrameError struct{ Reason string }
+
+func (e *FrameError) Error() string { return "diskproto: " + e.Reason }
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Append adds the frame of a message to b.
+func Append(b []byte, kind Kind, tag uint32, m interface{ Append([]byte) []byte }) []byte {
+	start := len(b)
+	var head [headLen]byte
+	b = append(b, head[:]...)
+	if m != nil {
+		b = m.Append(b)
+	}
+	h := b[start:]
+	binary.BigEndian.PutUint16(h, magic)
+	h[2], h[3] = Version, byte(kind)
+	binary.BigEndian.PutUint32(h[4:], uint32(len(h)-headLen))
+	binary.BigEndian.PutUint32(h[8:], tag)
+	binary.BigEndian.PutUint32(h[12:], checksum(h[:12], h[headLen:]))
+	return b
+}
+
+func checksum(head, body []byte) uint32 {
+	return crc32.Update(crc32.Checksum(head, castagnoli), castagnoli, body)
+}
+
+// Reader reads frames from a stream. A frame's body is valid until the next call.
+type Reader struct {
+	r    *bufio.Reader
+	head [headLen]byte
+	buf  []byte
+}
+
+// NewReader reads from r.
+func NewReader(r *bufio.Reader) *Reader { return &Reader{r: r} }
+
+// Next reads one frame; io.EOF is a clean end between frames.
+func (r *Reader) Next() (Frame, error) {
+	h := r.head[:]
+	if _, err := io.ReadFull(r.r, h); err != nil {
+		return Frame{}, err
+	}
+	if binary.BigEndian.Uint16(h) != magic {
+		return Frame{}, &FrameError{"not a frame of this protocol"}
+	}
+	n := binary.BigEndian.Uint32(h[4:])
+	if n > MaxBody {
+		return Frame{}, &FrameError{fmt.Sprintf("body of %d bytes, at most %d", n, MaxBody)}
+	}
+	if cap(r.buf) < int(n) {
+		r.buf = make([]byte, n)
+	}
+	body := r.buf[:n]
+	if _, err := io.ReadFull(r.r, body); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return Frame{}, err
+	}
+	if checksum(h[:12], body) != binary.BigEndian.Uint32(h[12:]) {
+		return Frame{}, &FrameError{"checksum does not match"}
+	}
+	return Frame{Kind(h[3]), binary.BigEndian.Uint32(h[8:]), body}, nil
+}
+
+// decoder reads fields and keeps the first failure.
+type decoder struct {
+	b   []byte
+	bad string
+}
+
+func (d *decoder) take(n int, field string) []byte {
+	if d.bad != "" || len(d.b) < n {
+		if d.bad == "" {
+			d.bad = field
+		}
+		return make([]byte, min(n, 8))
+	}
+	v := d.b[:n]
+	d.b = d.b[n:]
+	return v
+}
+
+func (d *decoder) u8(f string) byte    { return d.take(1, f)[0] }
+func (d *decoder) u16(f string) uint16 { return binary.BigEndian.Uint16(d.take(2, f)) }
+func (d *decoder) u32(f string) uint32 { return binary.BigEndian.Uint32(d.take(4, f)) }
+func (d *decoder) u64(f string) uint64 { return binary.BigEndian.Uint64(d.take(8, f)) }
+func (d *decoder) f32(f string) float64 {
+	return float64(math.Float32frombits(d.u32(f)))
+}
+
+func (d *decoder) text(f string) string {
+	n := int(d.u8(f))
+	if d.bad != "" || len(d.b) < n {
+		d.take(n, f)
+		return ""
+	}
+	return string(d.take(n, f))
+}
+
+// end reports a failure, or bytes that no field claims.
+func (d *decoder) end(message string) error {
+	if d.bad != "" {
+		return &FrameError{message + ": cut short at " + d.bad}
+	}
+	if len(d.b) > 0 {
+		return &FrameError{fmt.Sprintf("%s: %d bytes too many", message, len(d.b))}
+	}
+	return nil
+}
+
+func text(b []byte, s string) []byte {
+	s = s[:min(len(s), maxName)]
+	return append(append(b, byte(len(s))), s...)
+}
+
+var be = binary.BigEndian
+
+// Hello opens a connection.
+type Hello struct {
+	Oldest, Newest uint16
+	Host           uint64 // a number of this start of the host
+	Name           string
+}
+
+// Append adds the message's bytes.
+func (m *Hello) Append(b []byte) []byte {
+	b = be.AppendUint16(be.AppendUint16(b, m.Oldest), m.Newest)
+	return text(be.AppendUint64(b, m.Host), m.Name)
+}
+
+// Parse reads the message.
+func (m *Hello) Parse(b []byte) error {
+	d := decoder{b: b}
+	*m = Hello{d.u16("oldest"), d.u16("newest"), d.u64("host"), d.text("name")}
+	return d.end("hello")
+}
+
+// Welcome answers Hello. Version 0 means that none is common.
+type Welcome struct {
+	Version uint16
+	Shard   uint32
+	Started uint64 // a number of this start of the server
+	Clock   uint64 // the server's clock, us; deadlines are given in it
+	Name    string
+	Zone    string
+	Rack    string
+}
+
+// Append adds the message's bytes.
+func (m *Welcome) Append(b []byte) []byte {
+	b = be.AppendUint32(be.AppendUint16(b, m.Version), m.Shard)
+	b = be.AppendUint64(be.AppendUint64(b, m.Started), m.Clock)
+	return text(text(text(b, m.Name), m.Zone), m.Rack)
+}
+
+// Parse reads the message.
+func (m *Welcome) Parse(b []byte) error {
+	d := decoder{b: b}
+	*m = Welcome{d.u16("version"), d.u32("shard"), d.u64("started"), d.u64("clock"),
+		d.text("name"), d.text("zone"), d.text("rack")}
+	return d.end("welcome")
+}
+
+// Effects of a Do, as the request's class has them.
+const (
+	Unsafe byte = iota
+	Keyed
+	Safe
+)
+
+// Run is a run of a volume's blocks.
+type Run struct {
+	LBA    uint64
+	Blocks uint32
+}
+
+// Do asks for one attempt of a request. Host and Seq together are the key under
+// which a keyed request's repeats are dropped: every attempt carries the same.
+type Do struct {
+	Op       byte // as package scsi numbers operations
+	Effect   byte
+	Attempt  uint16
+	Shard    uint32
+	Host     uint64
+	Seq      uint64
+	Origin   uint64 // session and command number of the client's command
+	Deadline uint64 // server's clock, us: not begun by then, it must not run
+	Units    float64
+	Plan     string
+	Volume   string
+	Key      string // the piece of data, for order
+	LBA      uint64
+	Blocks   uint32
+	Runs     []Run  // of an unmap
+	Data     []byte // valid as long as the frame's body
+}
+
+// Append adds the message's bytes.
+func (m *Do) Append(b []byte) []byte {
+	b = append(b, m.Op, m.Effect)
+	b = be.AppendUint32(be.AppendUint16(b, m.Attempt), m.Shard)
+	b = be.AppendUint64(be.AppendUint64(b, m.Host), m.Seq)
+	b = be.AppendUint64(be.AppendUint64(b, m.Origin), m.Deadline)
+	b = be.AppendUint32(b, math.Float32bits(float32(m.Units)))
+	b = text(text(text(b, m.Plan), m.Volume), m.Key)
+	b = be.AppendUint32(be.AppendUint64(b, m.LBA), m.Blocks)
+	b = append(b, byte(len(m.Runs)))
+	for _, r := range m.Runs {
+		b = be.AppendUint32(be.AppendUint64(b, r.LBA), r.Blocks)
+	}
+	b = be.AppendUint32(b, uint32(len(m.Data)))
+	return append(b, m.Data...)
+}
+
+// Parse reads the message.
+func (m *Do) Parse(b []byte) error {
+	d := decoder{b: b}
+	m.Op, m.Effect, m.Attempt, m.Shard = d.u8("op"), d.u8("effect"), d.u16("attempt"), d.u32("shard")
+	m.Host, m.Seq, m.Origin, m.Deadline = d.u64("host"), d.u64("seq"), d.u64("origin"), d.u64("deadline")
+	m.Units = d.f32("units")
+	m.Plan, m.Volume, m.Key = d.text("plan"), d.text("volume"), d.text("key")
+	m.LBA, m.Blocks = d.u64("lba"), d.u32("blocks")
+	n := int(d.u8("runs"))
+	m.Runs = nil
+	if n > maxRuns {
+		return &FrameError{"do: too many runs"}
+	}
+	for range n {
+		m.Runs = append(m.Runs, Run{d.u64("run"), d.u32("run")})
+	}
+	size := int(d.u32("data"))
+	if d.bad == "" && size != len(d.b) {
+		return &FrameError{fmt.Sprintf("do: data of %d bytes, %d said", len(d.b), size)}
+	}
+	m.Data, d.b = d.b, nil
+	if d.bad == "" && !(m.Units >= 0 && m.Units <= 1e6) {
+		return &FrameError{"do: units out of range"}
+	}
+	return d.end("do")
+}
+
+// Result is how a server ended an attempt.
+type Result byte
+
+// The results. Full, Draining, WrongShard and Expired prove that nothing ran.
+const (
+	OK Result = iota + 1
+	Miscompare
+	Failed
+	Full
+	Draining
+	WrongShard
+	Expired
+)
+
+var resultNames = [...]string{"", "ok", "miscompare", "failed", "full", "draining", "wrong-shard", "expired"}
+
+func (r Result) String() string {
+	if int(r) < len(resultNames) {
+		return resultNames[r]
+	}
+	return "?"
+}
+
+// ProvesNothingRan tells whether the attempt certainly had no effect.
+func (r Result) ProvesNothingRan() bool { return r >= Full && r <= Expired }
+
+// Figure is one value of a load report.
+type Figure struct {
+	Name  string
+	Value float64
+}
+
+// Answer ends an attempt.
+type Answer struct {
+	Result  Result
+	Dropped bool    // a repeat: its first attempt had run, this one did not
+	Use     uint32  // 1 + percent of the plan's rate that the volume used; 0: none
+	Others  float64 // units served for the volume through other hosts since the last answer
+	Report  []Figure
+	Data    []byte // valid as long as the frame's body
+}
+
+// Append adds the message's bytes.
+func (m *Answer) Append(b []byte) []byte {
+	dropped := byte(0)
+	if m.Dropped {
+		dropped = 1
+	}
+	b = append(b, byte(m.Result), dropped)
+	b = be.AppendUint32(be.AppendUint32(b, m.Use), math.Float32bits(float32(m.Others)))
+	b = figures(b, m.Report)
+	b = be.AppendUint32(b, uint32(len(m.Data)))
+	return append(b, m.Data...)
+}
+
+// Parse reads the message.
+func (m *Answer) Parse(b []byte) error {
+	d := decoder{b: b}
+	m.Result, m.Dropped = Result(d.u8("result")), d.u8("dropped") == 1
+	m.Use, m.Others = d.u32("use"), d.f32("others")
+	m.Report = d.figures()
+	size := int(d.u32("data"))
+	if d.bad == "" && size != len(d.b) {
+		return &FrameError{fmt.Sprintf("answer: data of %d bytes, %d said", len(d.b), size)}
+	}
+	m.Data, d.b = d.b, nil
+	if d.bad == "" && (m.Result < OK || m.Result > Expired) {
+		return &FrameError{"answer: unknown result"}
+	}
+	return d.end("answer")
+}
+
+func figures(b []byte, fs []Figure) []byte {
+	fs = fs[:min(len(fs), maxFigs)]
+	b = append(b, byte(len(fs)))
+	for _, f := range fs {
+		b = be.AppendUint32(text(b, f.Name), math.Float32bits(float32(f.Value)))
+	}
+	return b
+}
+
+func (d *decoder) figures() (fs []Figure) {
+	n := int(d.u8("report"))
+	for range min(n, maxFigs) {
+		fs = append(fs, Figure{d.text("report"), d.f32("report")})
+	}
+	if n > maxFigs && d.bad == "" {
+		d.bad = "report"
+	}
+	return fs
+}
+
+// Probed answers Probe, whose body is empty, with a load report.
+type Probed struct{ Report []Figure }
+
+// Append adds the message's bytes.
+func (m *Probed) Append(b []byte) []byte { return figures(b, m.Report) }
+
+// Parse reads the message.
+func (m *Probed) Parse(b []byte) error {
+	d := decoder{b: b}
+	m.Report = d.figures()
+	return d.end("probed")
+}
+
+// Cancel, Probe and Bye have no body: Cancel's tag names the Do that is no longer
+// waited for, Bye says that the server takes nothing more on this connection.
--- /dev/null
+++ b/gateway/back.go
@@ -0,0 +1,298 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/outbox"
+	"merlinhitch/policy"
+	"merlinhitch/seam"
+)
+
+// back keeps one connection to each disk server that is sent to, and runs
+// attempts on them. What it learns it posts to the host.
+type back struct {
+	world  seam.World
+	host   *host
+	id     uint64
+	name   string
+	dialIn time.Duration
+	log    *zap.Logger
+
+	mu     sync.Mutex
+	links  map[string]*link
+	closed bool
+	tasks  sync.WaitGroup
+	ctx    context.Context
+	stop   context.CancelFunc
+}
+
+const (
+	backOut     = 64 << 20 // module depth times the largest write is half of it
+	backTimeout = 5 * time.Second
+	// A connection on which attempts time out and nothing was heard for so long
+	// is taken for half-open.
+	silence = 2 * time.Second
+)
+
+func newBack(w seam.World, h *host, name string, dialIn time.Duration, log *zap.Logger) *back {
+	b := &back{world: w, host: h, id: w.Uint64(), name: name, dialIn: dialIn, log: log, links: map[string]*link{}}
+	b.ctx, b.stop = context.WithCancel(context.Background())
+	return b
+}
+
+// link is one connection, from its dialling on. It is used once.
+type link struct {
+	back *back
+	addr string
+
+	mu      sync.Mutex
+	up      bool
+	down    bool
+	bye     bool
+	conn    net.Conn
+	out     *outbox.Outbox
+	waiting []*attempt
+	open    map[uint32]*attempt
+	nextTag uint32
+	heard   time.Duration
+	offset  float64 // server's clock minus this host's, us, not later than true
+}
+
+// send takes an attempt; it never blocks on the network.
+func (b *back) send(a *attempt) {
+	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return
+	}
+	l := b.links[a.node]
+	if l == nil || !l.usable() {
+		l = &link{back: b, addr: a.node, open: map[uint32]*attempt{}}
+		b.links[a.node] = l
+		b.tasks.Add(1)
+		go l.run()
+	}
+	b.mu.Unlock()
+	l.take(a)
+}
+
+func (l *link) usable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.down && !l.bye
+}
+
+func (l *link) take(a *attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.down:
+		l.end(a, policy.NoConnection)
+	case l.up:
+		l.put(a)
+	default:
+		l.waiting = append(l.waiting, a)
+	}
+}
+
+// put writes the attempt's frame. Held: mu.
+func (l *link) put(a *attempt) {
+	if !a.claim() {
+		return // timed out while it waited
+	}
+	l.nextTag++
+	a.tag = l.nextTag
+	l.open[a.tag] = a
+	do := a.job.do
+	do.Attempt = uint16(a.n)
+	do.Deadline = uint64(max(a.until*1000+l.offset, 0))
+	if !l.out.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindDo, a.tag, &do) }) {
+		l.conn.Close() // the reader ends the rest
+	}
+}
+
+func (l *link) end(a *attempt, r policy.Result) {
+	if r == policy.NoConnection && !a.drop() {
+		return
+	}
+	l.back.host.post(event{kind: evLost, attempt: a, result: r})
+}
+
+// run dials, greets and reads until the connection ends.
+func (l *link) run() {
+	defer l.back.tasks.Done()
+	ctx, cancel := context.WithTimeout(l.back.ctx, l.back.dialIn)
+	conn, err := l.back.world.Dial(ctx, "tcp", l.addr)
+	cancel()
+	if err == nil {
+		err = l.serve(conn)
+	}
+	l.finish()
+	l.back.log.Debug("disk server connection over", zap.String("node", l.addr), zap.Error(err))
+}
+
+func (l *link) serve(conn net.Conn) error {
+	out := outbox.New(l.back.world, conn, backOut, backTimeout)
+	defer out.Wait()
+	defer out.Cut()
+	l.mu.Lock()
+	l.conn, l.out = conn, out
+	l.mu.Unlock()
+	if l.back.ctx.Err() != nil {
+		return l.back.ctx.Err()
+	}
+	r := diskproto.NewReader(bufio.NewReaderSize(conn, 32<<10))
+	if err := l.greet(conn, r); err != nil {
+		return err
+	}
+	for {
+		f, err := r.Next()
+		if err != nil {
+			return err
+		}
+		if err := l.frame(f); err != nil {
+			return err
+		}
+	}
+}
+
+// greet exchanges Hello and Welcome within the dial time: a connection that opens
+// and then hangs has carried nothing, and says so by NoConnection.
+func (l *link) greet(conn net.Conn, r *diskproto.Reader) error {
+	h := &diskproto.Hello{Oldest: diskproto.Oldest, Newest: diskproto.Version, Host: l.back.id, Name: l.back.name}
+	l.out.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindHello, 0, h) })
+	conn.SetReadDeadline(l.back.world.Deadline(l.back.dialIn))
+	f, err := r.Next()
+	if err != nil {
+		return err
+	}
+	var w diskproto.Welcome
+	if f.Kind != diskproto.KindWelcome {
+		return &diskproto.FrameError{Reason: "no welcome"}
+	}
+	if err := w.Parse(f.Body); err != nil {
+		return err
+	}
+	if w.Version == 0 {
+		return &diskproto.FrameError{Reason: "no common version"}
+	}
+	conn.SetReadDeadline(time.Time{})
+	now := l.back.world.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// The server read its clock before now: deadlines reckoned from now are early
+	// by the way back, never late.
+	l.offset = float64(w.Clock) - float64(now)/float64(time.Microsecond)
+	l.up, l.heard = true, now
+	for _, a := range l.waiting {
+		l.put(a)
+	}
+	l.waiting = nil
+	return nil
+}
+
+func (l *link) frame(f diskproto.Frame) error {
+	l.mu.Lock()
+	l.heard = l.back.world.Now()
+	a := l.open[f.Tag]
+	if f.Kind == diskproto.KindAnswer {
+		delete(l.open, f.Tag)
+	}
+	if f.Kind == diskproto.KindBye {
+		l.bye = true // what is out may still be answered
+	}
+	l.mu.Unlock()
+	if f.Kind != diskproto.KindAnswer || a == nil {
+		return nil
+	}
+	ans := &diskproto.Answer{}
+	if err := ans.Parse(f.Body); err != nil {
+		return err
+	}
+	if len(ans.Data) > 0 {
+		ans.Data = append([]byte(nil), ans.Data...)
+	}
+	l.back.host.post(event{kind: evAnswer, attempt: a, answer: ans})
+	return nil
+}
+
+// finish ends what the connection had: what waited has certainly not gone, what
+// was sent may have run.
+func (l *link) finish() {
+	l.mu.Lock()
+	l.down = true
+	waiting, open := l.waiting, l.open
+	l.waiting, l.open = nil, nil
+	l.mu.Unlock()
+	l.back.mu.Lock()
+	if l.back.links[l.addr] == l {
+		delete(l.back.links, l.addr)
+	}
+	l.back.mu.Unlock()
+	for _, a := range waiting {
+		l.end(a, policy.NoConnection)
+	}
+	for _, a := range sortedByTag(open) {
+		l.end(a, policy.ConnectionLost)
+	}
+}
+
+// forget drops what has timed out, and closes a connection that seems half-open.
+func (b *back) forget(a *attempt) {
+	b.mu.Lock()
+	l := b.links[a.node]
+	b.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open[a.tag] != a {
+		return
+	}
+	delete(l.open, a.tag)
+	if l.conn != nil && b.world.Now()-l.heard > silence {
+		l.conn.Close()
+	}
+}
+
+func (b *back) cancel(a *attempt) {
+	b.mu.Lock()
+	l := b.links[a.node]
+	b.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.up && l.open[a.tag] == a {
+		l.out.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindCancel, a.tag, nil) })
+	}
+}
+
+// close ends every connection and waits for the goroutines.
+func (b *back) close() {
+	b.stop()
+	b.mu.Lock()
+	b.closed = true
+	links := make([]*link, 0, len(b.links))
+	for _, l := range b.links {
+		links = append(links, l)
+	}
+	b.mu.Unlock()
+	for _, l := range links {
+		l.mu.Lock()
+		if l.conn != nil {
+			l.conn.Close()
+		}
+		l.mu.Unlock()
+	}
+	b.tasks.Wait()
+}
--- /dev/null
+++ b/gateway/command.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/iscsi"
+	"merlinhitch/policy"
+	"merlinhitch/scsi"
+	"merlinhitch/settings"
+)
+
+var noDeadline time.Time
+
+// command is one SCSI command that needs disks: its parts, and what is gathered
+// for its one answer. Once it is at the host, its fields are the host goroutine's.
+type command struct {
+	conn    *conn
+	task    *iscsi.Task
+	jobs    []*job
+	left    int // parts without an end
+	landing int // parts of which something may still take effect
+	worst   endKind
+	after   float64
+	miscomp bool
+	data    []byte
+	size    int
+	held    int // bytes reserved for what it reads
+	group   *abortion
+	gone    bool
+}
+
+// ready turns a command with all its data into requests. Held: conn.mu.
+func (c *conn) ready(t *iscsi.Task) {
+	v := c.front.view.Load()
+	var disk *scsi.Disk
+	if t.LUN == 0 {
+		disk = c.unit.disk
+	}
+	out := scsi.Decode(disk, t.CDB, t.Data, []uint64{0})
+	switch {
+	case out.Sense != nil:
+		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: out.Sense.Fixed()})
+	case out.IO == nil:
+		c.respond(t, iscsi.Answer{Data: out.Data})
+	case out.IO.Op == scsi.Flush:
+		// Every write that was acknowledged is on its disk server already.
+		c.respond(t, iscsi.Answer{})
+	default:
+		c.start(v, t, out.IO)
+	}
+}
+
+func (c *conn) respond(t *iscsi.Task, a iscsi.Answer) { c.sess.Respond(t, a) }
+
+// start hands the command's parts to the host core. Held: conn.mu.
+func (c *conn) start(v *view, t *iscsi.Task, io *scsi.IO) {
+	vol := c.unit.vol
+	if u := v.targets[v.TargetName(vol)]; u != nil {
+		vol = u.vol // the layout in force now
+	}
+	size := int(io.Blocks) * vol.BlockSize
+	if io.Op == scsi.Unmap {
+		size = 0
+	}
+	class := v.Class(io.Op, size, vol.Plan)
+	if class == nil {
+		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.InvalidField.Fixed()})
+		return
+	}
+	cmd := &command{conn: c, task: t, size: size}
+	if io.Op == scsi.Read {
+		cmd.held = size
+	}
+	if int(c.front.open.Load()) >= v.Limits.MaxOpen || !c.front.reserve(cmd.held) {
+		c.respond(t, iscsi.Answer{Status: scsi.Busy}) // not taken: nothing was sent
+		return
+	}
+	cmd.split(v, vol, class, io)
+	if cmd.held > 0 {
+		cmd.data = make([]byte, cmd.held)
+	}
+	t.User = cmd
+	c.front.open.Add(int64(len(cmd.jobs)))
+	for _, j := range cmd.jobs {
+		c.front.host.post(event{kind: evTake, job: j})
+	}
+}
+
+// split makes one request for each run of blocks on one shard.
+func (cmd *command) split(v *view, vol *settings.Volume, class *settings.Class, io *scsi.IO) {
+	if io.Op == scsi.Unmap {
+		cmd.splitUnmap(v, vol, class, io)
+		return
+	}
+	whole := cmd.task.Data
+	if len(whole) > io.Out {
+		whole = whole[:io.Out]
+	}
+	for _, p := range vol.Parts(io.LBA, io.Blocks) {
+		from := int(p.LBA-io.LBA) * vol.BlockSize
+		n := int(p.Blocks) * vol.BlockSize
+		data := whole
+		if io.Op == scsi.Write || io.Compare {
+			data = whole[from : from+n]
+		}
+		j := cmd.add(v, vol, class, io.Op, p.Shard, p.Extent, n)
+		j.do.LBA, j.do.Blocks, j.do.Data = p.LBA, p.Blocks, data
+	}
+}
+
+// splitUnmap gathers the runs of each shard into one request.
+func (cmd *command) splitUnmap(v *view, vol *settings.Volume, class *settings.Class, io *scsi.IO) {
+	byShard := map[int]*job{}
+	for _, r := range io.Unmaps {
+		for _, p := range vol.Parts(r.LBA, r.Blocks) {
+			j := byShard[p.Shard]
+			if j == nil || len(j.do.Runs) == diskRuns {
+				j = cmd.add(v, vol, class, io.Op, p.Shard, p.Extent, 0)
+				byShard[p.Shard] = j
+			}
+			j.do.Runs = append(j.do.Runs, diskproto.Run{LBA: p.LBA, Blocks: p.Blocks})
+		}
+	}
+}
+
+const diskRuns = 64 // of one frame
+
+// add makes one part's request.
+func (cmd *command) add(v *view, vol *settings.Volume, class *settings.Class, op scsi.Op, shard int, extent uint64, size int) *job {
+	c := cmd.conn
+	key := fmt.Sprintf("%s/%d", vol.Name, extent)
+	units := v.Units(size)
+	j := &job{cmd: cmd, part: len(cmd.jobs)}
+	j.req = policy.Request{Class: class.Name, Plan: vol.Plan, Volume: vol.Name, Shard: shard, Units: units,
+		Key: key, Hosts: len(vol.Hosts), Write: op.Writes(), Expires: cmd.task.At + class.Deadline}
+	j.do = diskproto.Do{Op: byte(op), Effect: wireEffect[class.Effect], Shard: uint32(shard), Host: c.front.host.back.id,
+		Origin: uint64(c.tsih)<<32 | uint64(cmd.task.ITT), Units: units, Plan: vol.Plan, Volume: vol.Name, Key: key}
+	cmd.jobs = append(cmd.jobs, j)
+	cmd.left++
+	cmd.landing++
+	return j
+}
+
+var wireEffect = map[string]byte{"safe": diskproto.Safe, "keyed": diskproto.Keyed, "unsafe": diskproto.Unsafe}
+
+// abandon ends the command from the client's side; g, if any, hears when nothing
+// of it can take effect any more. Held: conn.mu.
+func (cmd *command) abandon(g *abortion) {
+	cmd.conn.front.host.post(event{kind: evAsk, ask: func(h *hostCore) {
+		cmd.group, cmd.gone = g, true
+		for _, j := range cmd.jobs {
+			h.abandon(h.now, j)
+		}
+		if cmd.landing == 0 {
+			cmd.tellGroup()
+		}
+	}})
+}
+
+// partDone is the end of one part. On the host's goroutine.
+func (cmd *command) partDone(j *job, how endKind, after float64, ans *diskproto.Answer) {
+	cmd.conn.front.open.Add(-1)
+	cmd.left--
+	cmd.worst, cmd.after = max(cmd.worst, how), max(cmd.after, after)
+	if ans != nil {
+		cmd.miscomp = cmd.miscomp || ans.Result == diskproto.Miscompare
+		if cmd.data != nil {
+			first := cmd.jobs[0].do.LBA
+			at := int(j.do.LBA-first) * (cmd.size / cmd.blocks())
+			if len(ans.Data) != int(j.do.Blocks)*(cmd.size/cmd.blocks()) {
+				cmd.worst = max(cmd.worst, endFailed) // a server that answers less than was asked
+			} else {
+				copy(cmd.data[at:], ans.Data)
+			}
+		}
+	}
+	if cmd.left == 0 {
+		cmd.finish()
+	}
+}
+
+func (cmd *command) blocks() int {
+	n := 0
+	for _, j := range cmd.jobs {
+		n += int(j.do.Blocks)
+	}
+	return n
+}
+
+// finish gives the one answer: GOOD only if all parts were. A refusal promises
+// that nothing ran, which a served part of a write would belie.
+func (cmd *command) finish() {
+	c := cmd.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.front.release(cmd.held)
+	if c.closed || cmd.worst == endGone {
+		return
+	}
+	c.sess.Respond(cmd.task, cmd.answer())
+}
+
+func (cmd *command) answer() iscsi.Answer {
+	switch {
+	case cmd.worst == endServed && cmd.miscomp:
+		return iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.Miscompare.Fixed()}
+	case cmd.worst == endServed:
+		return iscsi.Answer{Data: cmd.data}
+	case cmd.worst == endRefused && !cmd.partRan():
+		return iscsi.Answer{Status: scsi.Busy, Qualifier: retryDelay(cmd.after)}
+	}
+	return iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.CommandAborted.Fixed()}
+}
+
+// partRan tells whether a part that is not safe to repeat was served while
+// another was refused: the client must not be told that nothing happened.
+func (cmd *command) partRan() bool {
+	return len(cmd.jobs) > 1 && slices.ContainsFunc(cmd.jobs, func(j *job) bool {
+		return j.do.Effect != diskproto.Safe && j.sends > 0
+	})
+}
+
+// retryDelay is the advice of BUSY: tenths of a second, SAM-5 section 5.3.2.
+func retryDelay(ms float64) uint16 {
+	return uint16(min(math.Ceil(ms/100), 0x3fef))
+}
+
+// partSettled counts the parts that can't take effect any more. On the host's
+// goroutine.
+func (cmd *command) partSettled() {
+	if cmd.landing--; cmd.landing == 0 && cmd.gone {
+		cmd.tellGroup()
+	}
+}
+
+func (cmd *command) tellGroup() {
+	g := cmd.group
+	cmd.group = nil
+	if g == nil {
+		return
+	}
+	g.conn.mu.Lock()
+	defer g.conn.mu.Unlock()
+	g.one()
+}
--- /dev/null
+++ b/gateway/front.go
@@ -0,0 +1,486 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/iscsi"
+	"merlinhitch/outbox"
+	"merlinhitch/scsi"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+)
+
+// view is the settings as the front uses them. A new view replaces the old as a
+// whole; what was taken under the old one ends under it.
+type view struct {
+	*settings.Settings
+	self    int
+	targets map[string]*unit // by target name
+}
+
+// unit is one volume as a logical unit.
+type unit struct {
+	vol  *settings.Volume
+	disk *scsi.Disk
+}
+
+func newView(s *settings.Settings, self int) *view {
+	v := &view{Settings: s, self: self, targets: map[string]*unit{}}
+	for i := range s.Volumes {
+		vol := &s.Volumes[i]
+		if slices.Contains(vol.Hosts, self) {
+			v.targets[s.TargetName(vol)] = &unit{vol, vol.Disk()}
+		}
+	}
+	return v
+}
+
+// front accepts initiators.
+type front struct {
+	world    seam.World
+	host     *host
+	log      *zap.Logger
+	listener net.Listener
+	view     atomic.Pointer[view]
+	memory   atomic.Int64 // bytes held for clients
+	open     atomic.Int64 // commands at the host core
+	nextTSIH atomic.Uint32
+
+	mu       sync.Mutex
+	conns    map[*conn]bool
+	sessions map[sessionKey]*conn
+	stopping bool
+	tasks    sync.WaitGroup
+}
+
+// sessionKey is the identity of a session: a login with the same takes its place
+// (session reinstatement, RFC 7143 section 6.3.5).
+type sessionKey struct {
+	initiator, target string
+	isid              iscsi.ISID
+}
+
+const (
+	connBuffer  = 4 << 10
+	maxSegment  = 256 << 10 // MaxRecvDataSegmentLength that we declare
+	maxTransfer = 1 << 20
+	// outMost bounds what waits for one client to read: one whole window of small
+	// reads or a few large ones; past it the client is closed.
+	outMost = 16 << 20
+)
+
+func newFront(w seam.World, h *host, v *view, l net.Listener, log *zap.Logger) *front {
+	f := &front{world: w, host: h, log: log, listener: l, conns: map[*conn]bool{}, sessions: map[sessionKey]*conn{}}
+	f.view.Store(v)
+	f.nextTSIH.Store(uint32(w.Uint64()))
+	f.tasks.Add(1)
+	go f.accept()
+	return f
+}
+
+func (f *front) accept() {
+	defer f.tasks.Done()
+	for {
+		c, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		full := len(f.conns) >= f.view.Load().Target.MaxSessions
+		if f.stopping || full {
+			f.mu.Unlock()
+			c.Close()
+			if full {
+				f.log.Warn("connection refused: too many", zap.Stringer("peer", c.RemoteAddr()))
+			}
+			continue
+		}
+		k := newConn(f, c)
+		f.conns[k] = true
+		f.tasks.Add(1)
+		f.mu.Unlock()
+		go k.run()
+	}
+}
+
+// reserve takes memory for a command's data; false when the bound is reached.
+func (f *front) reserve(n int) bool {
+	if f.memory.Add(int64(n)) <= int64(f.view.Load().Target.Memory) {
+		return true
+	}
+	f.memory.Add(-int64(n))
+	return false
+}
+
+func (f *front) release(n int) { f.memory.Add(-int64(n)) }
+
+// register enters a session; the one whose place it takes is closed, and the
+// caller waits for its end.
+func (f *front) register(key sessionKey, c *conn) (old *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old = f.sessions[key]
+	f.sessions[key] = c
+	return old
+}
+
+func (f *front) remove(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.conns, c)
+	if c.key != (sessionKey{}) && f.sessions[c.key] == c {
+		delete(f.sessions, c.key)
+	}
+}
+
+func (f *front) all() []*conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*conn
+	for c := range f.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// conn is one connection of an initiator, which is also its session.
+type conn struct {
+	front *front
+	net   net.Conn
+	out   *outbox.Outbox
+	log   *zap.Logger
+	key   sessionKey
+	unit  *unit
+	ended chan struct{}
+
+	mu      sync.Mutex
+	sess    *iscsi.Session
+	digests iscsi.Digests
+	tsih    uint16
+	closed  bool
+	ping    seam.Timer
+	heard   bool
+	logout  bool
+}
+
+func newConn(f *front, c net.Conn) *conn {
+	k := &conn{front: f, net: c, ended: make(chan struct{}), log: f.log.With(zap.Stringer("peer", c.RemoteAddr()))}
+	k.out = outbox.New(f.world, c, outMost, seam.Duration(f.view.Load().Target.WriteTime))
+	k.out.Gauge = func(delta int) { f.memory.Add(int64(delta)) }
+	return k
+}
+
+func (c *conn) run() {
+	defer c.front.tasks.Done()
+	r := iscsi.NewReader(bufio.NewReaderSize(c.net, connBuffer), maxSegment)
+	err := c.login(r)
+	if err == nil {
+		err = c.serve(r)
+	}
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		c.log.Info("session over", zap.Error(err))
+	}
+	c.close()
+	c.out.Wait()
+	c.front.remove(c)
+	close(c.ended)
+}
+
+func (c *conn) emit(p *iscsi.PDU) {
+	c.out.Put(func(b []byte) []byte { return p.Append(b, c.digests) })
+}
+
+// login runs the login phase within its time.
+func (c *conn) login(r *iscsi.Reader) error {
+	v := c.front.view.Load()
+	c.net.SetReadDeadline(c.front.world.Deadline(seam.Duration(v.Target.LoginTime)))
+	l := iscsi.NewLogin(c.policy(v), func() uint16 { return c.assign() })
+	for {
+		p, err := r.Next()
+		if err != nil {
+			return err
+		}
+		reply, done, err := l.Handle(p)
+		if done {
+			c.begin(v, l)
+		}
+		c.emit(reply)
+		if err != nil {
+			c.out.Finish()
+			return err
+		}
+		if done {
+			break
+		}
+	}
+	c.net.SetReadDeadline(noDeadline)
+	pr := l.Params()
+	c.mu.Lock()
+	c.digests = iscsi.Digests{Header: pr.HeaderDigest, Data: pr.DataDigest}
+	c.mu.Unlock()
+	r.Digests = c.digests
+	return nil
+}
+
+// assign gives the session its handle, which is never 0.
+func (c *conn) assign() uint16 {
+	for {
+		if h := uint16(c.front.nextTSIH.Add(1)); h != 0 {
+			c.tsih = h
+			return h
+		}
+	}
+}
+
+func (c *conn) policy(v *view) *iscsi.TargetPolicy {
+	p := iscsi.DefaultParams()
+	p.MaxRecv, p.MaxBurst, p.FirstBurst, p.InitialR2T, p.MaxR2T = maxSegment, maxTransfer, maxSegment, false, 4
+	tp := &iscsi.TargetPolicy{Params: p, Window: uint32(v.Target.Window), PortalGroup: 1,
+		Random: func(b []byte) { fill(c.front.world, b) },
+		Admit: func(_, target string) iscsi.LoginStatus {
+			if target != "" && v.targets[target] == nil {
+				return iscsi.LoginNotFound
+			}
+			return iscsi.LoginOK
+		}}
+	if len(v.Target.Chap) > 0 {
+		tp.Secret = func(user string) (string, bool) {
+			i := slices.IndexFunc(v.Target.Chap, func(k settings.Chap) bool { return k.User == user })
+			if i < 0 {
+				return "no such user: no secret is this long", false
+			}
+			return v.Target.Chap[i].Secret, true
+		}
+	}
+	if m := v.Target.Mutual; m != nil {
+		tp.Mutual = iscsi.Credentials{User: m.User, Secret: m.Secret}
+	}
+	return tp
+}
+
+func fill(w seam.World, b []byte) {
+	for i := 0; i < len(b); i += 8 {
+		x := w.Uint64()
+		for k := i; k < min(i+8, len(b)); k++ {
+			b[k] = byte(x >> (8 * (k - i)))
+		}
+	}
+}
+
+// begin enters the full feature phase. A session that this one replaces is ended
+// first, with all its tasks.
+func (c *conn) begin(v *view, l *iscsi.Login) {
+	c.unit = v.targets[l.Target]
+	if !l.Discovery {
+		c.key = sessionKey{l.Initiator, l.Target, l.ISID}
+		if old := c.front.register(c.key, c); old != nil {
+			old.log.Info("session reinstated by a new login")
+			old.out.Cut()
+			<-old.ended
+		}
+		c.log = c.log.With(zap.String("volume", c.unit.vol.Name), zap.Uint16("session", l.TSIH))
+	}
+	s := l.Session()
+	s.Out, s.Reserve, s.Release, s.MaxTransfer = c.emit, c.front.reserve, c.front.release, maxTransfer
+	s.Targets = func(name string) []iscsi.Key { return c.targets(v, name) }
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sess, c.heard = s, true
+	c.watch(v)
+}
+
+// targets answers SendTargets with the names that this host serves.
+func (c *conn) targets(v *view, name string) []iscsi.Key {
+	var names []string
+	for t := range v.targets {
+		if name == "All" || name == t {
+			names = append(names, t)
+		}
+	}
+	if name == "" && c.unit != nil {
+		names = []string{v.TargetName(c.unit.vol)}
+	}
+	slices.Sort(names)
+	var keys []iscsi.Key
+	for _, t := range names {
+		keys = append(keys, iscsi.Key{Name: "TargetName", Value: t},
+			iscsi.Key{Name: "TargetAddress", Value: c.net.LocalAddr().String() + ",1"})
+	}
+	return keys
+}
+
+// watch asks silent clients for a sign of life; one that gives none is closed.
+// Held: mu.
+func (c *conn) watch(v *view) {
+	if c.closed {
+		return
+	}
+	every := seam.Duration(v.Target.PingEvery)
+	c.ping = c.front.world.AfterFunc(every, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.heard && !c.sess.Ping() {
+			c.log.Info("closed: no sign of life")
+			c.out.Cut()
+			return
+		}
+		c.heard = false
+		c.watch(v)
+	})
+}
+
+func (c *conn) serve(r *iscsi.Reader) error {
+	for {
+		p, err := r.Next()
+		var dd *iscsi.DataDigestError
+		if errors.As(err, &dd) {
+			c.mu.Lock()
+			c.sess.Reject(p, iscsi.RejectDataDigest)
+			c.mu.Unlock()
+			c.out.Finish()
+			return err
+		}
+		if err != nil {
+			return err
+		}
+		stop, err := c.handle(p)
+		if err != nil || stop {
+			c.out.Finish()
+			return err
+		}
+	}
+}
+
+// handle takes one PDU under the session's lock; what it brings is handed on
+// before the lock is given up, so that the host core sees a session's commands
+// in their order.
+func (c *conn) handle(p *iscsi.PDU) (stop bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = true
+	c.sess.Now = seam.MS(c.front.world.Now())
+	events, err := c.sess.Handle(p)
+	for _, e := range events {
+		switch {
+		case e.Ready != nil:
+			c.ready(e.Ready)
+		case e.Abort != nil:
+			c.abort(e.Abort)
+		case e.Logout:
+			c.logout, stop = true, true
+		}
+	}
+	if p.Opcode() == iscsi.OpCommand && err == nil {
+		c.limitData(p.ITT())
+	}
+	return stop, err
+}
+
+// limitData ends a write whose data does not come in time: nothing of it was sent
+// on, so its failure is certain.
+func (c *conn) limitData(itt uint32) {
+	t := c.sess.Task(itt)
+	if t == nil || t.Delivered() || c.unit == nil {
+		return
+	}
+	v := c.front.view.Load()
+	k := v.Class(scsi.Write, int(t.Length), c.unit.vol.Plan)
+	if k == nil {
+		return
+	}
+	c.front.world.AfterFunc(seam.Duration(k.Deadline), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.closed && c.sess.Task(itt) == t && !t.Delivered() {
+			c.sess.Expire(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.CommandAborted.Fixed()})
+		}
+	})
+}
+
+// abort ends tasks from the client's side. The function's response waits until
+// none of them can take effect any more.
+func (c *conn) abort(a *iscsi.Abort) {
+	g := &abortion{conn: c, abort: a, left: 1}
+	for _, t := range a.Tasks {
+		if cmd, ok := t.User.(*command); ok {
+			g.left++
+			cmd.abandon(g)
+		}
+	}
+	g.one()
+}
+
+// abortion counts the commands that a task management function waits for.
+// Its count is guarded by the conn's lock, or all is on one goroutine before.
+type abortion struct {
+	conn  *conn
+	abort *iscsi.Abort
+	left  int
+}
+
+// one takes one off. Held: conn.mu.
+func (g *abortion) one() {
+	if g.left--; g.left == 0 && !g.conn.closed {
+		g.conn.sess.Finish(g.abort)
+	}
+}
+
+// close ends the session: its tasks are the client's to send again.
+func (c *conn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if !c.logout {
+		c.out.Cut()
+	}
+	if c.sess == nil {
+		return
+	}
+	c.ping.Stop()
+	for _, t := range c.sess.Close() {
+		if cmd, ok := t.User.(*command); ok {
+			cmd.abandon(nil)
+		}
+	}
+}
+
+// askLogout tells the client that the service stops.
+func (c *conn) askLogout(seconds uint16) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sess != nil && !c.closed {
+		c.sess.AskLogout(seconds)
+	}
+}
+
+// busy tells whether commands are still unanswered.
+func (c *conn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sess != nil && !c.closed && c.sess.Open() > 0
+}
+
+// stop takes no new connection.
+func (f *front) stopAccepting() {
+	f.mu.Lock()
+	f.stopping = true
+	f.mu.Unlock()
+	f.listener.Close()
+}
+
+// cutAll closes every connection and waits for the goroutines.
+func (f *front) cutAll() {
+	f.stopAccepting()
+	for _, c := range f.all() {
+		c.out.Cut()
+	}
+	f.tasks.Wait()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/inventory"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+)
+
+// Config says where a gateway stands.
+type Config struct {
+	World     seam.World
+	Log       *zap.Logger
+	Name      string // told to disk servers
+	Self      int    // this host's number in the service
+	Zone      string
+	Listen    string // for initiators
+	Inventory string // address of the node list
+	Admin     string // of the admin API: host:port, unix:PATH, or none
+	Snapshot  string // file of the saved settings, or none
+}
+
+// Gateway is a running host. Without settings it waits for them at the admin API
+// and takes no initiator.
+type Gateway struct {
+	cfg   Config
+	store *settings.Store
+	admin *http.Server
+	api   net.Listener
+
+	mu      sync.Mutex
+	front   *front
+	host    *host
+	list    *inventory.Client
+	addr    net.Addr
+	stopped bool
+	ready   chan struct{}
+	failed  error
+}
+
+// Start starts a gateway.
+func Start(cfg Config) (*Gateway, error) {
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	cfg.Log = cfg.Log.With(zap.String("host", cfg.Name))
+	st, err := settings.Open(cfg.Snapshot)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{cfg: cfg, store: st, ready: make(chan struct{})}
+	if err := g.serveAdmin(); err != nil {
+		return nil, err
+	}
+	st.Watch(g.apply)
+	if s := st.Get(); s != nil {
+		g.apply(s)
+		if g.failed != nil {
+			g.Kill()
+			return nil, g.failed
+		}
+	} else {
+		cfg.Log.Info("waiting for settings", zap.String("admin", cfg.Admin))
+	}
+	return g, nil
+}
+
+func (g *Gateway) serveAdmin() error {
+	if g.cfg.Admin == "" {
+		return nil
+	}
+	network, addr := "tcp", g.cfg.Admin
+	if p, ok := strings.CutPrefix(addr, "unix:"); ok {
+		network, addr = "unix", p
+		os.Remove(p) // a socket that a killed process left
+	}
+	l, err := g.cfg.World.Listen(network, addr)
+	if err != nil {
+		return err
+	}
+	g.api = l
+	g.admin = &http.Server{Handler: settings.Handler(g.store), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
+	go g.admin.Serve(l) // ends with Close; its error says only that
+	return nil
+}
+
+// Admin is the address of the admin API.
+func (g *Gateway) Admin() net.Addr {
+	if g.api == nil {
+		return nil
+	}
+	return g.api.Addr()
+}
+
+// apply brings settings into force. The first start the gateway; later ones
+// change volumes, layouts and the target for commands taken from then on, while
+// classes, plans, limits and rules are the module's from its start to its end.
+func (g *Gateway) apply(s *settings.Settings) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
+	if g.front != nil {
+		g.front.view.Store(newView(s, g.cfg.Self))
+		g.cfg.Log.Info("settings changed", zap.Uint64("version", s.Version))
+		return
+	}
+	if g.failed = g.begin(s); g.failed != nil {
+		g.cfg.Log.Error("can't start", zap.Error(g.failed))
+		return
+	}
+	close(g.ready)
+}
+
+func (g *Gateway) begin(s *settings.Settings) error {
+	if g.cfg.Self >= s.Hosts {
+		return errors.New("gateway: the settings know no host of this number")
+	}
+	l, err := g.cfg.World.Listen("tcp", g.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	h := newHost(g.cfg.World, s, g.cfg.Self, g.cfg.Name, g.cfg.Zone, g.cfg.Log)
+	g.list = inventory.Follow(g.cfg.World, g.cfg.Inventory, func(l inventory.List) {
+		h.post(event{kind: evList, list: l})
+	})
+	h.fetch = g.list.Fetch
+	g.host, g.addr = h, l.Addr()
+	g.front = newFront(g.cfg.World, h, newView(s, g.cfg.Self), l, g.cfg.Log)
+	g.cfg.Log.Info("serving", zap.Stringer("listen", l.Addr()), zap.Uint64("settings", s.Version))
+	return nil
+}
+
+// Ready is closed once the gateway serves initiators.
+func (g *Gateway) Ready() <-chan struct{} { return g.ready }
+
+// Addr is the address for initiators, nil before Ready.
+func (g *Gateway) Addr() net.Addr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.addr
+}
+
+// Settings is the store of the settings.
+func (g *Gateway) Settings() *settings.Store { return g.store }
+
+// Status is what an operator asks for first.
+type Status struct {
+	Sessions, Open   int
+	Memory           int64
+	Requests         uint64 // taken since the start
+	Sends, Resends   uint64
+	Nodes            int
+	ListSeen         bool
+	ConnectedServers int
+}
+
+// Status reads the present figures.
+func (g *Gateway) Status() (s Status) {
+	g.mu.Lock()
+	f, h := g.front, g.host
+	g.mu.Unlock()
+	if f == nil {
+		return s
+	}
+	f.mu.Lock()
+	s.Sessions = len(f.sessions)
+	f.mu.Unlock()
+	s.Open, s.Memory = int(f.open.Load()), f.memory.Load()
+	h.back.mu.Lock()
+	s.ConnectedServers = len(h.back.links)
+	h.back.mu.Unlock()
+	h.ask(func(c *hostCore) {
+		s.Requests, s.Sends, s.Resends, s.Nodes, s.ListSeen = c.nextSeq, c.sends, c.resends, len(c.nodes), c.listed
+	})
+	return s
+}
+
+const stopLook = 20 * time.Millisecond
+
+// Stop ends the gateway gracefully: no new login, what was taken is answered,
+// clients are asked to log out and get so long for it as the settings say. It
+// ends at once when ctx does.
+func (g *Gateway) Stop(ctx context.Context) {
+	g.mu.Lock()
+	f := g.front
+	g.mu.Unlock()
+	if f != nil {
+		f.stopAccepting()
+		stop := f.view.Load().Target.StopTime
+		for _, c := range f.all() {
+			c.askLogout(uint16(min(stop/1000+1, 3600)))
+		}
+		g.await(ctx, seam.Duration(stop), func() bool { return len(f.all()) == 0 })
+		longest := 0.0
+		for _, k := range f.view.Load().Classes {
+			longest = max(longest, k.Deadline)
+		}
+		g.await(ctx, seam.Duration(longest), func() bool {
+			for _, c := range f.all() {
+				if c.busy() {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	g.Kill()
+}
+
+// await looks until done, for at most so long.
+func (g *Gateway) await(ctx context.Context, most time.Duration, done func() bool) {
+	end := g.cfg.World.Now() + most
+	for !done() && g.cfg.World.Now() < end && ctx.Err() == nil {
+		again := make(chan struct{})
+		t := g.cfg.World.AfterFunc(stopLook, func() { close(again) })
+		select {
+		case <-again:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+// Kill ends the gateway at once. What it held is the clients' to try again.
+func (g *Gateway) Kill() {
+	g.mu.Lock()
+	if g.stopped {
+		g.mu.Unlock()
+		return
+	}
+	g.stopped = true
+	f, h, l := g.front, g.host, g.list
+	g.mu.Unlock()
+	if g.admin != nil {
+		g.admin.Close()
+	}
+	if f != nil {
+		h.stop() // first, so that nothing more goes to disk servers
+		f.cutAll()
+		l.Close()
+	}
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,114 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"merlinhitch/gateway"
+	"merlinhitch/initiator"
+	"merlinhitch/inventory"
+	"merlinhitch/iscsi"
+	"merlinhitch/scsi"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+	"merlinhitch/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rig is one host before a few disk servers.
+type rig struct {
+	t     *testing.T
+	world *seam.Real
+	set   *settings.Settings
+	inv   *standin.Inventory
+	disks []*standin.DiskServer
+	cells []*standin.Cell
+	gate  *gateway.Gateway
+}
+
+func quickMachine() standin.MachineConfig {
+	return standin.MachineConfig{Cores: 2, Queue: 64, UnitWork: 0.2, WriteX: 1, ColdFrom: 1, FallTime: 1000, FallMultiple: 2}
+}
+
+func newRig(t *testing.T, edit func(*settings.Settings)) *rig {
+	r := &rig{t: t, world: seam.NewReal(), set: settings.Example(1, 3)}
+	if edit != nil {
+		edit(r.set)
+	}
+	var err error
+	if r.inv, err = standin.ServeInventory(r.world, "127.0.0.1:0", 0); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.inv.Close)
+	for i := range r.set.Shards {
+		cell := standin.NewCell(func(string) int { return 4096 })
+		m := standin.NewMachine(quickMachine(), uint64(i), cell, standin.NewRack(6000), nil, uint32(i), 0, false)
+		d := &standin.DiskServer{Name: "disk", Zone: "hall-a", Rack: "r", Shard: i}
+		if err := standin.ServeDisk(r.world, m, d); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(d.Kill)
+		r.disks, r.cells = append(r.disks, d), append(r.cells, cell)
+		r.inv.ChangeNow(func(b *inventory.Book) {
+			b.Set(inventory.Node{Addr: d.Addr, Health: inventory.Ready, Shard: i, Zone: "hall-a", Weight: 1, Incarnation: d.Started}, 0)
+		})
+	}
+	r.gate, err = gateway.Start(gateway.Config{World: r.world, Name: "h0", Zone: "hall-a", Listen: "127.0.0.1:0", Inventory: r.inv.Addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.gate.Kill)
+	if _, err := r.gate.Settings().Put(r.set); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (r *rig) client(volume int, isid byte) *initiator.Client {
+	r.t.Helper()
+	c, err := r.dial(volume, isid)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(c.Close)
+	return c
+}
+
+func (r *rig) dial(volume int, isid byte) (*initiator.Client, error) {
+	return initiator.Dial(context.Background(), initiator.Config{World: r.world, Addr: r.gate.Addr().String(),
+		Name: "iqn.2026-11.example.client:one", Target: r.set.TargetName(&r.set.Volumes[volume]),
+		ISID: iscsi.ISID{0x80, 0, 0, 0, 0, isid}, Params: initiator.DefaultParams(), LoginTime: 5 * time.Second})
+}
+
+func (r *rig) do(c *initiator.Client, cdb, write []byte, read int) iscsi.Result {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	res, err := c.Do(ctx, cdb, write, read)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return res
+}
+
+func TestReadBackAcrossShards(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.client(4, 1) // a plan without limit, two shards in its layout
+	want := bytes.Repeat([]byte("0123456789abcdef"), 64*4096/16)
+	for i := range want {
+		want[i] ^= byte(i / 4096)
+	}
+	// Blocks 20 to 84 span three extents on two shards.
+	if res := r.do(c, initiator.WriteCDB(20, 64), want, 0); res.Status != scsi.Good {
+		t.Fatalf("write: status %02x sense %x", res.Status, res.Sense)
+	}
+	res := r.do(c, initiator.ReadCDB(20, 64), nil, 64*4096)
+	if res.Status != scsi.Good || !bytes.Equal(res.Data, want) {
+		t.Fatalf("read back: status %02x, %d bytes, equal %v", res.Status, len(res.Data), bytes.Equal(res.Data, want))
+	}
+}
--- /dev/null
+++ b/gateway/host.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/inventory"
+	"merlinhitch/policy"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+)
+
+// host is the shell of a host core: one goroutine, one order of events.
+type host struct {
+	world seam.World
+	core  *hostCore
+	back  *back
+	fetch func()
+	log   *zap.Logger
+
+	mu      sync.Mutex
+	mail    []event
+	stopped bool
+	wake    chan struct{}
+	done    chan struct{}
+
+	timer   seam.Timer
+	timerAt float64
+}
+
+type eventKind int
+
+const (
+	evTake eventKind = iota
+	evAbandon
+	evAnswer
+	evLost
+	evList
+	evAsk
+	evStop
+)
+
+type event struct {
+	kind    eventKind
+	job     *job
+	attempt *attempt
+	answer  *diskproto.Answer
+	result  policy.Result
+	list    inventory.List
+	ask     func(*hostCore)
+}
+
+func newHost(w seam.World, s *settings.Settings, self int, name, zone string, log *zap.Logger) *host {
+	h := &host{world: w, log: log, wake: make(chan struct{}, 1), done: make(chan struct{}), timerAt: math.Inf(1), fetch: func() {}}
+	h.core = newHostCore(s, self, zone, w.Uint64(), h)
+	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
+	go h.run()
+	return h
+}
+
+// post hands an event to the goroutine; it never blocks. What waits is bounded by
+// what is open: one event for each request, one for each attempt.
+func (h *host) post(e event) {
+	h.mu.Lock()
+	if h.stopped {
+		h.mu.Unlock()
+		return
+	}
+	h.mail = append(h.mail, e)
+	h.mu.Unlock()
+	h.ring()
+}
+
+func (h *host) ring() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *host) run() {
+	defer close(h.done)
+	var mail []event
+	for {
+		<-h.wake
+		h.mu.Lock()
+		mail, h.mail = h.mail, mail[:0]
+		h.mu.Unlock()
+		now := seam.MS(h.world.Now())
+		h.core.tick(now)
+		for i := range mail {
+			if mail[i].kind == evStop {
+				return
+			}
+			h.handle(now, &mail[i])
+			mail[i] = event{}
+		}
+		h.arm()
+	}
+}
+
+func (h *host) handle(now float64, e *event) {
+	switch e.kind {
+	case evTake:
+		h.core.take(now, e.job)
+	case evAbandon:
+		h.core.abandon(now, e.job)
+	case evAnswer:
+		h.core.answered(now, e.attempt, e.answer)
+	case evLost:
+		h.core.lost(now, e.attempt, e.result)
+	case evList:
+		h.core.list(now, e.list)
+	case evAsk:
+		e.ask(h.core)
+	}
+}
+
+// arm has the goroutine woken when the core next has something to do.
+func (h *host) arm() {
+	at := h.core.next()
+	now := seam.MS(h.world.Now())
+	if at >= h.timerAt && h.timerAt > now || math.IsInf(at, 1) {
+		return
+	}
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	h.timerAt = at
+	if at <= now {
+		h.ring()
+		return
+	}
+	h.timer = h.world.AfterFunc(seam.Duration(at-now)+time.Microsecond, h.ring)
+}
+
+// ask runs f on the host's goroutine and waits for it; false if the host stopped.
+func (h *host) ask(f func(*hostCore)) bool {
+	ready := make(chan struct{})
+	h.post(event{kind: evAsk, ask: func(c *hostCore) { f(c); close(ready) }})
+	select {
+	case <-ready:
+		return true
+	case <-h.done:
+		return false
+	}
+}
+
+// stop ends the goroutine and the back's connections.
+func (h *host) stop() {
+	h.mu.Lock()
+	if !h.stopped {
+		h.mail = append(h.mail, event{kind: evStop})
+		h.stopped = true
+	}
+	h.mu.Unlock()
+	h.ring()
+	<-h.done
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	h.back.close()
+}
+
+// The effects of the core, on the host's goroutine.
+
+func (h *host) send(a *attempt)   { h.back.send(a) }
+func (h *host) cancel(a *attempt) { h.back.cancel(a) }
+func (h *host) forget(a *attempt) { h.back.forget(a) }
+func (h *host) fetchList()        { h.fetch() }
+func (h *host) note(text string)  { h.log.Warn(text) }
+
+func (h *host) finish(j *job, how endKind, after float64, ans *diskproto.Answer) {
+	j.cmd.partDone(j, how, after, ans)
+}
+
+func (h *host) settled(j *job) { j.cmd.partSettled() }
+
+func sortedByTag(open map[uint32]*attempt) []*attempt {
+	var out []*attempt
+	for _, a := range open {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(a, b *attempt) int { return cmp.Compare(a.tag, b.tag) })
+	return out
+}
--- /dev/null
+++ b/gateway/hostcore.go
@@ -0,0 +1,381 @@
+// Package gateway is the running scheduler of one host: the front that speaks
+// iSCSI, the host core that owns the module's instance, and the back that keeps
+// connections to disk servers. Every decision on order, depth, sending, repeats,
+// refusals, drains, cold nodes and limits is the module's (package policy); what
+// stands here only tells it what happened and carries out what it says.
+package gateway
+
+import (
+	"container/heap"
+	"math"
+	"strconv"
+	"sync/atomic"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/inventory"
+	"merlinhitch/policy"
+	"merlinhitch/settings"
+)
+
+// endKind is how a request ended.
+type endKind int
+
+const (
+	endServed endKind = iota
+	endRefused
+	endFailed
+	endGone // the client ended it
+)
+
+// job is one request of the module: a command's part on one shard.
+type job struct {
+	id      string
+	seq     uint64
+	req     policy.Request
+	do      diskproto.Do // what every attempt says, but for its number and deadline
+	cmd     *command
+	part    int
+	sends   int
+	out     int
+	ended   bool
+	landBy  float64 // until then a lost attempt may still take effect
+	settled bool
+}
+
+// attempt is one sending of a job. Its state is the only thing that host core and
+// back share: the one that moves it out of waiting decides whether it was sent.
+type attempt struct {
+	job    *job
+	n      int
+	node   string
+	sentAt float64
+	until  float64
+	state  atomic.Int32
+	over   bool
+	tag    uint32
+}
+
+const (
+	attemptWaiting int32 = iota
+	attemptSent
+	attemptDropped
+)
+
+// claim is the back's: it tells whether the attempt may still go out.
+func (a *attempt) claim() bool { return a.state.CompareAndSwap(attemptWaiting, attemptSent) }
+
+// drop is the host core's: it tells whether the attempt was kept from going out.
+func (a *attempt) drop() bool { return a.state.CompareAndSwap(attemptWaiting, attemptDropped) }
+
+// effects is what a host core has done. The calls must not block nor call back.
+type effects interface {
+	send(a *attempt)
+	cancel(a *attempt)
+	forget(a *attempt) // its time is up; an answer no longer matters
+	finish(j *job, how endKind, after float64, ans *diskproto.Answer)
+	settled(j *job) // of a job that the client ended: nothing of it can land any more
+	fetchList()
+	note(text string)
+}
+
+// dueKind tells what a due entry is for.
+type due struct {
+	at   float64
+	a    *attempt // its time-out
+	j    *job     // its last possible landing
+	name string   // the module's timer
+}
+
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	old[len(old)-1] = due{}
+	*d = old[:len(old)-1]
+	return x
+}
+
+// hostCore owns the module's instance and everything that the module was told and
+// has said. It is a core: times and events in, effects out, no I/O.
+type hostCore struct {
+	mod     policy.Scheduler
+	eff     effects
+	now     float64
+	jobs    map[string]*job
+	dues    dues
+	nextSeq uint64
+	started map[startKey]float64 // when a node's incarnation started, on this clock
+	listed  bool
+	nodes   map[string]inventory.Node
+	// Sends and Resends count attempts; for operators.
+	sends, resends uint64
+}
+
+type startKey struct {
+	addr        string
+	incarnation uint64
+}
+
+func newHostCore(s *settings.Settings, self int, zone string, seed uint64, eff effects) *hostCore {
+	return &hostCore{mod: policy.New(s.Policy(self, zone), seed), eff: eff, jobs: map[string]*job{},
+		started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
+}
+
+// at moves the clock, which never goes back.
+func (h *hostCore) at(now float64) { h.now = max(h.now, now) }
+
+// take hands a request to the module.
+func (h *hostCore) take(now float64, j *job) {
+	h.at(now)
+	h.nextSeq++
+	j.seq, j.id = h.nextSeq, strconv.FormatUint(h.nextSeq, 36)
+	j.req.ID, j.do.Seq = j.id, j.seq
+	h.jobs[j.id] = j
+	h.tell(j.req)
+}
+
+// tell gives the module an event and carries out what it says.
+func (h *hostCore) tell(ev policy.Event) {
+	// The slice of actions is the module's and is overwritten by the next event;
+	// carrying an action out never tells the module anything by itself.
+	for _, a := range h.mod.Handle(h.now, ev) {
+		h.do(a)
+	}
+}
+
+func (h *hostCore) do(a policy.Action) {
+	switch a := a.(type) {
+	case policy.Send:
+		h.send(a)
+	case policy.Refuse:
+		h.end(a.ID, endRefused, a.After)
+	case policy.Fail:
+		h.end(a.ID, endFailed, 0)
+	case policy.CancelAttempt:
+		if j := h.jobs[a.ID]; j != nil {
+			h.cancel(j, a.Attempt)
+		}
+	case policy.SetTimer:
+		h.push(due{at: h.now + a.Delay, name: a.Name})
+	case policy.FetchList:
+		h.eff.fetchList() // Subscribe needs nothing: the client always is
+	case policy.Log:
+		h.eff.note(a.Text)
+	}
+}
+
+func (h *hostCore) push(d due) { heap.Push(&h.dues, d) }
+
+func (h *hostCore) send(s policy.Send) {
+	j := h.jobs[s.ID]
+	if j == nil || j.ended {
+		h.eff.note("send for a request that is over: " + s.ID)
+		return
+	}
+	until := j.req.Expires
+	if s.Until > 0 {
+		until = min(until, s.Until)
+	}
+	a := &attempt{job: j, n: j.sends, node: s.Node, sentAt: h.now, until: until}
+	j.sends++
+	j.out++
+	h.sends++
+	if a.n > 0 {
+		h.resends++
+	}
+	h.push(due{at: until, a: a})
+	h.eff.send(a)
+}
+
+// cancel stops waiting for an attempt; the outcome comes with the next tick, for
+// the module is in the middle of an event.
+func (h *hostCore) cancel(j *job, n int) {
+	for i := range h.dues {
+		if a := h.dues[i].a; a != nil && a.job == j && a.n == n && !a.over {
+			h.dues[i].at, h.dues[i].name = h.now, "cancelled"
+			heap.Fix(&h.dues, i)
+			h.eff.cancel(a)
+			return
+		}
+	}
+}
+
+// end is a final answer by the module.
+func (h *hostCore) end(id string, how endKind, after float64) {
+	j := h.jobs[id]
+	if j == nil || j.ended {
+		return
+	}
+	j.ended = true
+	h.eff.finish(j, how, after, nil)
+	h.tidy(j)
+}
+
+// tidy forgets a job that is over and has nothing out.
+func (h *hostCore) tidy(j *job) {
+	if !j.ended || j.out > 0 {
+		return
+	}
+	delete(h.jobs, j.id)
+	j.do.Data = nil
+	if j.settled {
+		return
+	}
+	if j.landBy > h.now {
+		h.push(due{at: j.landBy, j: j})
+		return
+	}
+	j.settled = true
+	h.eff.settled(j)
+}
+
+// abandon ends a request from the client's side.
+func (h *hostCore) abandon(now float64, j *job) {
+	h.at(now)
+	if j.ended || h.jobs[j.id] != j {
+		return
+	}
+	j.ended = true
+	h.eff.finish(j, endGone, 0, nil)
+	h.tell(policy.ClientGone{ID: j.id})
+	h.tidy(j)
+}
+
+var results = map[diskproto.Result]policy.Result{
+	diskproto.OK:         policy.Served,
+	diskproto.Miscompare: policy.Served, // it ran, and said no
+	diskproto.Failed:     policy.ServerError,
+	diskproto.Full:       policy.TurnedAway,
+	diskproto.Draining:   policy.TurnedAway,
+	diskproto.Expired:    policy.TurnedAway,
+	diskproto.WrongShard: policy.NotSent,
+}
+
+// answered brings a disk server's answer. Of an attempt that is over already
+// (timed out) it comes too late and changes nothing.
+func (h *hostCore) answered(now float64, a *attempt, ans *diskproto.Answer) {
+	h.at(now)
+	if a.over {
+		return
+	}
+	r := results[ans.Result]
+	if r == policy.Served && !a.job.ended {
+		a.job.ended = true
+		h.eff.finish(a.job, endServed, 0, ans)
+	}
+	report := make([]policy.Reading, len(ans.Report))
+	for i, f := range ans.Report {
+		report[i] = policy.Reading(f)
+	}
+	h.outcome(a, r, policy.Outcome{FromOthers: ans.Others, Use: float64(ans.Use), Report: report})
+}
+
+// lost ends an attempt without an answer.
+func (h *hostCore) lost(now float64, a *attempt, r policy.Result) {
+	h.at(now)
+	if a.over {
+		return
+	}
+	if r == policy.ConnectionLost {
+		a.job.landBy = max(a.job.landBy, a.until)
+	}
+	h.outcome(a, r, policy.Outcome{})
+}
+
+func (h *hostCore) outcome(a *attempt, r policy.Result, o policy.Outcome) {
+	a.over = true
+	j := a.job
+	j.out--
+	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed, o.Result = j.id, a.node, a.n, j.ended, h.now-a.sentAt, r
+	h.tell(o)
+	h.tidy(j)
+}
+
+// next is when tick has something to do, +Inf if never.
+func (h *hostCore) next() float64 {
+	for len(h.dues) > 0 && h.dues[0].a != nil && h.dues[0].a.over {
+		heap.Pop(&h.dues)
+	}
+	if len(h.dues) == 0 {
+		return math.Inf(1)
+	}
+	return h.dues[0].at
+}
+
+// tick does what has come due.
+func (h *hostCore) tick(now float64) {
+	h.at(now)
+	for h.next() <= h.now {
+		d := heap.Pop(&h.dues).(due)
+		switch {
+		case d.a != nil:
+			h.timeOut(d.a, d.name == "cancelled")
+		case d.j != nil:
+			h.tidy(d.j)
+		default:
+			h.tell(policy.TimerFired{Name: d.name})
+		}
+	}
+}
+
+// timeOut ends an attempt whose time is up. If it was still waiting for a
+// connection, nothing of it left the host.
+func (h *hostCore) timeOut(a *attempt, cancelled bool) {
+	switch {
+	case a.drop():
+		h.outcome(a, policy.NoConnection, policy.Outcome{})
+	case cancelled:
+		a.job.landBy = max(a.job.landBy, a.until)
+		h.outcome(a, policy.Cancelled, policy.Outcome{})
+	default: // its deadline has passed at the server too: it can't begin any more
+		h.eff.forget(a)
+		h.outcome(a, policy.NoAnswer, policy.Outcome{})
+	}
+}
+
+// list brings the node list.
+func (h *hostCore) list(now float64, l inventory.List) {
+	h.at(now)
+	if l.Kind == inventory.Failed {
+		h.tell(policy.ListFailed{})
+		return
+	}
+	if l.Kind == inventory.Full {
+		clear(h.nodes)
+	}
+	nodes := make([]policy.Node, len(l.Nodes))
+	for i, n := range l.Nodes {
+		h.nodes[n.Addr] = n
+		nodes[i] = policy.Node{Addr: n.Addr, Health: health[n.Health], Shard: n.Shard, Zone: n.Zone, Weight: n.Weight, Started: h.startOf(n)}
+		if n.Health == inventory.Gone {
+			delete(h.nodes, n.Addr)
+			delete(h.started, startKey{n.Addr, n.Incarnation})
+		}
+	}
+	h.listed = true
+	h.tell(policy.NodeList{Full: l.Kind == inventory.Full, Nodes: nodes})
+}
+
+var health = map[string]policy.Health{
+	inventory.Ready: policy.Ready, inventory.Draining: policy.Draining, inventory.Gone: policy.Gone,
+}
+
+// startOf turns an age into a time on this clock, once for each incarnation: the
+// module takes another time for another start.
+func (h *hostCore) startOf(n inventory.Node) float64 {
+	if n.AgeMS <= 0 {
+		return 0
+	}
+	k := startKey{n.Addr, n.Incarnation}
+	at, ok := h.started[k]
+	if !ok {
+		at = max(h.now-n.AgeMS, math.SmallestNonzeroFloat64)
+		h.started[k] = at
+	}
+	return at
+}
--- /dev/null
+++ b/initiator/initiator.go
@@ -0,0 +1,317 @@
+// Package initiator is the shell of the project's own iSCSI initiator: it logs in
+// to a target, keeps commands in flight over one connection and hands each its
+// end. It repeats nothing by itself.
+package initiator
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"merlinhitch/iscsi"
+	"merlinhitch/outbox"
+	"merlinhitch/seam"
+)
+
+// ErrClosed ends commands whose connection is over: they may have run.
+var ErrClosed = errors.New("initiator: connection closed")
+
+// Config says where and as whom to log in.
+type Config struct {
+	World        seam.World
+	Addr         string
+	Name, Target string
+	Discovery    bool
+	ISID         iscsi.ISID
+	Params       iscsi.Params
+	Chap, Peer   *iscsi.Credentials
+	LoginTime    time.Duration
+	// OnAsk is called when the target asks for a logout, OnClose at the end.
+	OnAsk   func()
+	OnClose func()
+}
+
+// DefaultParams are the offers of an ordinary initiator.
+func DefaultParams() iscsi.Params {
+	p := iscsi.DefaultParams()
+	p.MaxRecv, p.MaxBurst, p.FirstBurst, p.InitialR2T = 256<<10, 1<<20, 64<<10, false
+	return p
+}
+
+// Client is one session. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	conn net.Conn
+	out  *outbox.Outbox
+
+	mu      sync.Mutex
+	core    *iscsi.Initiator
+	digests iscsi.Digests
+	ends    map[uint32]func(iscsi.Result, error)
+	queue   []func()
+	closed  bool
+	done    chan struct{}
+}
+
+const (
+	outMost = 64 << 20
+	outTime = 30 * time.Second
+)
+
+// Dial logs in. The context bounds connecting; LoginTime the login.
+func Dial(ctx context.Context, cfg Config) (*Client, error) {
+	conn, err := cfg.World.Dial(ctx, "tcp", cfg.Addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &Client{cfg: cfg, conn: conn, ends: map[uint32]func(iscsi.Result, error){}, done: make(chan struct{})}
+	c.out = outbox.New(cfg.World, conn, outMost, outTime)
+	if cfg.LoginTime > 0 {
+		conn.SetReadDeadline(cfg.World.Deadline(cfg.LoginTime))
+	}
+	r := iscsi.NewReader(bufio.NewReaderSize(conn, 8<<10), max(cfg.Params.MaxRecv, 8192))
+	if err := c.login(r); err != nil {
+		c.out.Cut()
+		c.out.Wait()
+		return nil, err
+	}
+	conn.SetReadDeadline(time.Time{})
+	go c.run(r)
+	return c, nil
+}
+
+func (c *Client) emit(p *iscsi.PDU) {
+	c.out.Put(func(b []byte) []byte { return p.Append(b, c.digests) })
+}
+
+func (c *Client) login(r *iscsi.Reader) error {
+	l, first := iscsi.NewInitiatorLogin(iscsi.InitiatorConfig{Name: c.cfg.Name, Target: c.cfg.Target, Discovery: c.cfg.Discovery,
+		ISID: c.cfg.ISID, Params: c.cfg.Params, Chap: c.cfg.Chap, Peer: c.cfg.Peer, Random: c.random})
+	for p := first; ; {
+		c.emit(p)
+		reply, err := r.Next()
+		if err != nil {
+			return err
+		}
+		next, done, err := l.Handle(reply)
+		if err != nil {
+			return err
+		}
+		if done {
+			c.digests = l.Digests()
+			r.Digests = c.digests
+			c.core = l.Session(reply)
+			c.core.Out = c.emit
+			return nil
+		}
+		p = next
+	}
+}
+
+func (c *Client) random(b []byte) {
+	for i := range b {
+		b[i] = byte(c.cfg.World.Uint64())
+	}
+}
+
+func (c *Client) run(r *iscsi.Reader) {
+	for {
+		p, err := r.Next()
+		if err != nil {
+			break
+		}
+		if err := c.handle(p); err != nil {
+			break
+		}
+	}
+	c.out.Cut()
+	c.out.Wait()
+	c.mu.Lock()
+	c.closed = true
+	ends := c.ends
+	c.ends, c.queue = map[uint32]func(iscsi.Result, error){}, nil
+	c.mu.Unlock()
+	for _, end := range ends {
+		end(iscsi.Result{}, ErrClosed)
+	}
+	close(c.done)
+	if c.cfg.OnClose != nil {
+		c.cfg.OnClose()
+	}
+}
+
+func (c *Client) handle(p *iscsi.PDU) error {
+	c.mu.Lock()
+	res, err := c.core.Handle(p)
+	var end func(iscsi.Result, error)
+	if res != nil {
+		end = c.ends[res.ITT]
+		delete(c.ends, res.ITT)
+	}
+	for len(c.queue) > 0 && c.core.Room() {
+		c.queue[0]()
+		c.queue = c.queue[1:]
+	}
+	c.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if end != nil {
+		end(*res, nil)
+	}
+	if res != nil && res.AskLogout && c.cfg.OnAsk != nil {
+		c.cfg.OnAsk()
+	}
+	if res != nil && res.Logout {
+		return ErrClosed
+	}
+	return nil
+}
+
+// Handle names a command that was submitted. Its tag is 0 until it is sent.
+type Handle struct {
+	itt     uint32
+	dropped bool
+}
+
+// Submit sends a command, at once or when the window lets it, and calls end once
+// with its result.
+func (c *Client) Submit(lun uint64, cdb, write []byte, read int, end func(iscsi.Result, error)) *Handle {
+	h := &Handle{}
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		end(iscsi.Result{}, ErrClosed)
+		return h
+	}
+	send := func() {
+		if !h.dropped {
+			h.itt = c.core.Command(lun, cdb, write, read)
+			c.ends[h.itt] = end
+		}
+	}
+	if c.core.Room() && len(c.queue) == 0 {
+		send()
+	} else {
+		c.queue = append(c.queue, send)
+	}
+	c.mu.Unlock()
+	return h
+}
+
+// Do sends a command and waits for its end.
+func (c *Client) Do(ctx context.Context, cdb, write []byte, read int) (iscsi.Result, error) {
+	type result struct {
+		r   iscsi.Result
+		err error
+	}
+	got := make(chan result, 1)
+	c.Submit(0, cdb, write, read, func(r iscsi.Result, err error) { got <- result{r, err} })
+	select {
+	case g := <-got:
+		return g.r, g.err
+	case <-ctx.Done():
+		return iscsi.Result{}, ctx.Err()
+	}
+}
+
+// Abort ends a command by ABORT TASK. Its end is not called any more; answered is
+// called with the response, or not at all if the connection ends. A command that
+// was not yet sent is dropped and false returned.
+func (c *Client) Abort(h *Handle, answered func(code byte)) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.itt == 0 {
+		h.dropped = true
+		return false
+	}
+	c.core.Forget(h.itt)
+	delete(c.ends, h.itt)
+	tag := c.core.Manage(iscsi.AbortTask, 0, h.itt)
+	c.ends[tag] = func(r iscsi.Result, err error) {
+		if err == nil {
+			answered(r.Response)
+		}
+	}
+	return true
+}
+
+// Manage sends a task management function and calls answered with the response.
+func (c *Client) Manage(f iscsi.TaskFunction, answered func(code byte, err error)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tag := c.core.Manage(f, 0, iscsi.NoTag)
+	c.ends[tag] = func(r iscsi.Result, err error) { answered(r.Response, err) }
+}
+
+// Targets asks for the target names and addresses.
+func (c *Client) Targets(ctx context.Context) (map[string]string, error) {
+	got := make(chan iscsi.Result, 1)
+	c.mu.Lock()
+	tag := c.core.Text([]iscsi.Key{{Name: "SendTargets", Value: "All"}})
+	c.ends[tag] = func(r iscsi.Result, err error) { got <- r }
+	c.mu.Unlock()
+	select {
+	case r := <-got:
+		keys, err := iscsi.ParseText(r.Text)
+		out, name := map[string]string{}, ""
+		for _, k := range keys {
+			if k.Name == "TargetName" {
+				name = k.Value
+			} else if k.Name == "TargetAddress" {
+				out[name], _, _ = strings.Cut(k.Value, ",")
+			}
+		}
+		return out, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Session is the handle that the target gave the session.
+func (c *Client) Session() uint16 { return c.core.TSIH }
+
+// Logout ends the session in good order and waits for its end.
+func (c *Client) Logout() {
+	c.mu.Lock()
+	c.core.Logout()
+	c.mu.Unlock()
+	<-c.done
+}
+
+// Close drops the connection and waits for its goroutines.
+func (c *Client) Close() {
+	c.out.Cut()
+	<-c.done
+}
+
+// CDBs of the commands that clients here use.
+
+// ReadCDB is READ (16).
+func ReadCDB(lba uint64, blocks uint32) []byte { return cdb16(0x88, lba, blocks) }
+
+// WriteCDB is WRITE (16).
+func WriteCDB(lba uint64, blocks uint32) []byte { return cdb16(0x8a, lba, blocks) }
+
+// WriteSameCDB is WRITE SAME (16).
+func WriteSameCDB(lba uint64, blocks uint32) []byte { return cdb16(0x93, lba, blocks) }
+
+// CompareAndWriteCDB is COMPARE AND WRITE.
+func CompareAndWriteCDB(lba uint64, blocks byte) []byte {
+	b := cdb16(0x89, lba, 0)
+	b[13] = blocks
+	return b
+}
+
+func cdb16(op byte, lba uint64, blocks uint32) []byte {
+	b := make([]byte, 16)
+	b[0] = op
+	binary.BigEndian.PutUint64(b[2:], lba)
+	binary.BigEndian.PutUint32(b[10:], blocks)
+	return b
+}
--- /dev/null
+++ b/inventory/client.go
@@ -0,0 +1,127 @@
+package inventory
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"merlinhitch/seam"
+)
+
+// Client is the shell that follows a list. It reconnects by itself and asks for
+// what it missed; after a reconnect to an inventory whose numbers are behind its
+// own it is told the whole list.
+type Client struct {
+	// Told is called with each list, in order, from one goroutine; a failure
+	// comes as a list of kind Failed.
+	Told func(List)
+
+	world  seam.World
+	addr   string
+	mu     sync.Mutex
+	conn   net.Conn
+	closed bool
+	gen    uint64
+	done   chan struct{}
+	ctx    context.Context
+	stop   context.CancelFunc
+}
+
+const (
+	dialTime   = 2 * time.Second
+	againAfter = 200 * time.Millisecond
+	againMost  = 2 * time.Second
+)
+
+// Follow starts to follow the list at addr.
+func Follow(w seam.World, addr string, told func(List)) *Client {
+	c := &Client{Told: told, world: w, addr: addr, done: make(chan struct{})}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	go c.run()
+	return c
+}
+
+// Fetch asks for the whole list once, on the connection that is open.
+func (c *Client) Fetch() {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		conn.Write(Line(Ask{Op: "fetch"})) // a failure ends the reader, which says so
+	}
+}
+
+// Close ends the client and waits for its goroutine.
+func (c *Client) Close() {
+	c.stop()
+	c.mu.Lock()
+	c.closed = true
+	if c.conn != nil {
+		c.conn.Close()
+	}
+	c.mu.Unlock()
+	<-c.done
+}
+
+func (c *Client) run() {
+	defer close(c.done)
+	wait := againAfter
+	for {
+		if c.once() {
+			wait = againAfter
+		}
+		if c.ctx.Err() != nil {
+			return
+		}
+		c.Told(List{Kind: Failed})
+		again := make(chan struct{})
+		t := c.world.AfterFunc(wait, func() { close(again) })
+		select {
+		case <-again:
+		case <-c.ctx.Done():
+			t.Stop()
+			return
+		}
+		wait = min(2*wait, againMost)
+	}
+}
+
+// once follows the list over one connection; it tells whether anything came.
+func (c *Client) once() (heard bool) {
+	ctx, cancel := context.WithTimeout(c.ctx, dialTime)
+	conn, err := c.world.Dial(ctx, "tcp", c.addr)
+	cancel()
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	c.mu.Lock()
+	c.conn = conn
+	closed := c.closed
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.conn = nil
+		c.mu.Unlock()
+	}()
+	if closed {
+		return false
+	}
+	if _, err := conn.Write(Line(Ask{Op: "watch", From: c.gen})); err != nil {
+		return false
+	}
+	r := bufio.NewReader(conn)
+	for {
+		var l List
+		if ReadLine(r, &l) != nil || l.Check() != nil {
+			return heard
+		}
+		heard = true
+		if l.Kind != Failed {
+			c.gen = l.Generation
+		}
+		c.Told(l)
+	}
+}
--- /dev/null
+++ b/outbox/outbox.go
@@ -0,0 +1,122 @@
+// Package outbox writes to a connection from a goroutine of its own, so that who
+// has something to say never waits for a slow reader. What waits is bounded in
+// bytes and in time; past either bound the connection is closed.
+package outbox
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"merlinhitch/seam"
+)
+
+// Outbox is the writing half of a connection. It is safe for concurrent use.
+type Outbox struct {
+	// Gauge, if set before the first Put, is told of each change of the bytes that
+	// wait or are being written.
+	Gauge func(delta int)
+
+	world   seam.World
+	conn    net.Conn
+	limit   int
+	timeout time.Duration
+
+	mu      sync.Mutex
+	wake    *sync.Cond
+	buf     []byte
+	closed  bool // nothing more is taken
+	cut     bool // what waits is dropped
+	drained chan struct{}
+}
+
+// keepBuffer bounds the memory that an outbox with nothing to say keeps, in bytes.
+const keepBuffer = 16 << 10
+
+// New starts an outbox that holds at most limit bytes and gives a write so much
+// time.
+func New(w seam.World, conn net.Conn, limit int, timeout time.Duration) *Outbox {
+	o := &Outbox{world: w, conn: conn, limit: limit, timeout: timeout, drained: make(chan struct{})}
+	o.wake = sync.NewCond(&o.mu)
+	go o.run()
+	return o
+}
+
+// Put has f append bytes to what waits. It tells whether they were taken; an
+// outbox over its limit closes its connection.
+func (o *Outbox) Put(f func(b []byte) []byte) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return false
+	}
+	before := len(o.buf)
+	o.buf = f(o.buf)
+	o.gauge(len(o.buf) - before)
+	if len(o.buf) > o.limit {
+		o.cutLocked()
+		return false
+	}
+	o.wake.Signal()
+	return true
+}
+
+func (o *Outbox) gauge(delta int) {
+	if o.Gauge != nil {
+		o.Gauge(delta)
+	}
+}
+
+// Finish takes nothing more, writes what waits and closes the connection. It does
+// not wait for that; Wait does.
+func (o *Outbox) Finish() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	o.wake.Signal()
+}
+
+// Cut closes the connection at once.
+func (o *Outbox) Cut() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cutLocked()
+}
+
+func (o *Outbox) cutLocked() {
+	o.closed, o.cut = true, true
+	o.conn.Close()
+	o.wake.Signal()
+}
+
+// Wait returns once the goroutine has ended and the connection is closed.
+func (o *Outbox) Wait() { <-o.drained }
+
+func (o *Outbox) run() {
+	defer close(o.drained)
+	defer o.conn.Close()
+	var out []byte
+	for {
+		o.mu.Lock()
+		for len(o.buf) == 0 && !o.closed {
+			o.wake.Wait()
+		}
+		if o.cut || len(o.buf) == 0 {
+			o.gauge(-len(o.buf))
+			o.mu.Unlock()
+			return
+		}
+		out, o.buf = o.buf, out[:0]
+		o.mu.Unlock()
+		o.conn.SetWriteDeadline(o.world.Deadline(o.timeout))
+		_, err := o.conn.Write(out)
+		o.gauge(-len(out))
+		if err != nil {
+			o.Cut()
+			continue // to settle what waits still
+		}
+		if cap(out) > keepBuffer {
+			out = nil
+		}
+	}
+}
--- /dev/null
+++ b/seam/seam.go
@@ -0,0 +1,71 @@
+// Package seam is the one place through which shells meet time, the network and
+// chance. Cores never import it: they are given times and bytes. A World on real
+// sockets is made once, in main; a virtual one can take its place without any
+// change to the shells.
+package seam
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"time"
+)
+
+// Timer is a pending call; Stop tells whether it was kept from running.
+type Timer interface{ Stop() bool }
+
+// World is what a shell may use of the outside.
+type World interface {
+	// Now is the time since the world began. It only goes forward.
+	Now() time.Duration
+	// Deadline is d from now in the form that net.Conn takes.
+	Deadline(d time.Duration) time.Time
+	// AfterFunc calls f once, on a goroutine of its own, d from now.
+	AfterFunc(d time.Duration, f func()) Timer
+	// Dial connects a stream; it fails when ctx ends first.
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+	// Listen accepts streams at the address.
+	Listen(network, address string) (net.Listener, error)
+	// Uint64 is a random number that no peer can guess.
+	Uint64() uint64
+}
+
+// Real is the world of the machine: its monotonic clock and its sockets.
+type Real struct{ start time.Time }
+
+// NewReal begins a world at the present time.
+func NewReal() *Real { return &Real{start: time.Now()} }
+
+// Now implements World.
+func (w *Real) Now() time.Duration { return time.Since(w.start) }
+
+// Deadline implements World.
+func (w *Real) Deadline(d time.Duration) time.Time { return time.Now().Add(d) }
+
+// AfterFunc implements World.
+func (w *Real) AfterFunc(d time.Duration, f func()) Timer { return time.AfterFunc(d, f) }
+
+// Dial implements World.
+func (w *Real) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// Listen implements World.
+func (w *Real) Listen(network, address string) (net.Listener, error) {
+	return net.Listen(network, address)
+}
+
+// Uint64 implements World.
+func (w *Real) Uint64() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // never fails: crypto/rand aborts the process instead
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// MS is a duration in milliseconds, the unit of the module and of settings.
+func MS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Duration is the inverse of MS.
+func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/settings/example.go
@@ -0,0 +1,40 @@
+package settings
+
+import "fmt"
+
+// Example returns working settings for that many hosts and shards: three plans,
+// and classes of every effect, the figures those of a small fuel card service.
+func Example(hosts, shards int) *Settings {
+	s := &Settings{
+		Hosts: hosts, Shards: shards, UnitBytes: 16384, MeanUnits: 2, MostUnits: 6, FairWorth: 1, SpareWorth: 0.05,
+		Classes: []Class{
+			{Name: "swap", Match: Match{Ops: []string{"compare-and-write"}}, Worth: 3, LateWorth: 0.1, Aim: 500, Deadline: 4000, Effect: "unsafe"},
+			{Name: "txn-write", Match: Match{Ops: []string{"write", "write-same", "unmap"}, Plans: []string{"normal", "prioritario"}}, Worth: 3, LateWorth: 0.15, Aim: 500, Deadline: 4000, Effect: "keyed", Group: "cell", Window: 6000},
+			{Name: "claim-write", Match: Match{Ops: []string{"write", "write-same", "unmap"}}, Worth: 2, LateWorth: 0.15, Aim: 300, Deadline: 1500, Effect: "keyed", Group: "cell", Window: 1500, Ordered: true},
+			{Name: "card-read", Match: Match{Ops: []string{"read", "verify"}, MaxBytes: 65536}, Worth: 2, LateWorth: 0.1, Aim: 300, Deadline: 2000, Effect: "safe"},
+			{Name: "bulk-read", Match: Match{Ops: []string{"read", "verify"}}, Worth: 1, LateWorth: 0.2, Aim: 1500, Deadline: 5000, Effect: "safe"},
+		},
+		Plans: []Plan{
+			{Name: "basico", Price: 0.96, Weight: 1, Rate: 5, Limit: 40, Burst: 48, Slack: 10},
+			{Name: "normal", Price: 1, Weight: 3, Rate: 10},
+			{Name: "prioritario", Price: 1.5, Weight: 6, Rate: 15},
+		},
+		Limits: Limits{MaxAttempts: 4, RetryAfter: 500, DialTimeout: 250, MaxOpen: 33333},
+		Rules: Rules{AnswerSlack: 50, DrainGrace: 500, FallMultiple: 2, FallTime: 1500, ColdFrom: 0.2, ColdTime: 8000,
+			ColdUnits: 26, KeyRest: 200, Budget: &Budget{Free: 3, Share: 0.25, Span: 5000}},
+		Target: Target{Prefix: "iqn.2026-11.example.merlinhitch", Window: 64, MaxSessions: 4096, Memory: 256 << 20,
+			LoginTime: 5000, WriteTime: 5000, PingEvery: 10000, StopTime: 2000},
+	}
+	plans := []string{"basico", "normal", "prioritario", "basico", "normal", "normal"}
+	for i := range 4 * shards {
+		v := Volume{Name: fmt.Sprintf("vol-%03d", i), Plan: plans[i%len(plans)], Blocks: 1 << 14, BlockSize: 4096, Extent: 32}
+		for k := range 1 + i%3 {
+			v.Layout = append(v.Layout, (i+k*3)%shards)
+		}
+		for k := range min(1+i%3, hosts) {
+			v.Hosts = append(v.Hosts, (i+k)%hosts)
+		}
+		s.Volumes = append(s.Volumes, v)
+	}
+	return s
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,481 @@
+// Package settings holds what the operators say: classes, plans, volumes with
+// their layout, limits and rules. Settings are checked as a whole, with every
+// fault named by its path, versioned, and saved as one snapshot. The package
+// makes no decision on any request.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+
+	"merlinhitch/policy"
+	"merlinhitch/scsi"
+)
+
+// Settings is all that the gateways of a service share. Times are in
+// milliseconds, rates in units a second over all hosts.
+type Settings struct {
+	// Version is counted up by each accepted change.
+	Version uint64 `json:"version"`
+	Hosts   int    `json:"hosts"`
+	Shards  int    `json:"shards"`
+	// UnitBytes is the size that counts as one unit; MostUnits the most that one
+	// request counts, MeanUnits the usual.
+	UnitBytes  int      `json:"unit_bytes"`
+	MeanUnits  float64  `json:"mean_units"`
+	MostUnits  float64  `json:"most_units"`
+	FairWorth  float64  `json:"fair_worth"`
+	SpareWorth float64  `json:"spare_worth"`
+	Classes    []Class  `json:"classes"`
+	Plans      []Plan   `json:"plans"`
+	Limits     Limits   `json:"limits"`
+	Rules      Rules    `json:"rules"`
+	Volumes    []Volume `json:"volumes"`
+	Target     Target   `json:"target"`
+}
+
+// Class is a kind of request. The first class whose match fits takes it.
+type Class struct {
+	Name      string  `json:"name"`
+	Match     Match   `json:"match"`
+	Worth     float64 `json:"worth"`
+	LateWorth float64 `json:"late_worth"`
+	Aim       float64 `json:"aim_ms"`
+	Deadline  float64 `json:"deadline_ms"`
+	Effect    string  `json:"effect"` // safe, keyed, unsafe
+	Group     string  `json:"group"`  // of keyed: cell, zone, all
+	Window    float64 `json:"window_ms"`
+	Ordered   bool    `json:"ordered"`
+}
+
+// Match says which commands a class takes: operations of package scsi and sizes
+// in bytes. MaxBytes 0: no bound. Plans empty: all.
+type Match struct {
+	Ops      []string `json:"ops"`
+	MinBytes int      `json:"min_bytes"`
+	MaxBytes int      `json:"max_bytes"`
+	Plans    []string `json:"plans,omitempty"`
+}
+
+// Plan is what a volume has bought.
+type Plan struct {
+	Name    string  `json:"name"`
+	Price   float64 `json:"price"`
+	Weight  float64 `json:"weight"`
+	Rate    float64 `json:"rate"`
+	Reserve float64 `json:"reserve"`
+	Limit   float64 `json:"limit"`
+	Burst   float64 `json:"burst"`
+	Slack   float64 `json:"slack"`
+}
+
+// Limits bounds what a host does.
+type Limits struct {
+	MaxAttempts int     `json:"max_attempts"`
+	Copies      bool    `json:"copies"`
+	RetryAfter  float64 `json:"retry_after_ms"`
+	DialTimeout float64 `json:"dial_timeout_ms"`
+	// MaxOpen is the number of requests that a host holds at most.
+	MaxOpen int `json:"max_open"`
+}
+
+// Rules holds the figures of the seven rules.
+type Rules struct {
+	AnswerSlack  float64 `json:"answer_slack_ms"`
+	DrainGrace   float64 `json:"drain_grace_ms"`
+	FallMultiple float64 `json:"fall_multiple"`
+	FallTime     float64 `json:"fall_time_ms"`
+	ColdFrom     float64 `json:"cold_from"`
+	ColdTime     float64 `json:"cold_time_ms"`
+	ColdUnits    float64 `json:"cold_units"`
+	KeyRest      float64 `json:"key_rest_ms"`
+	Budget       *Budget `json:"budget,omitempty"`
+}
+
+// Budget bounds attempts beyond a request's first; absent: no bound.
+type Budget struct {
+	Free  float64 `json:"free"`
+	Share float64 `json:"share"`
+	Span  float64 `json:"span_ms"`
+}
+
+// Volume is one disk that clients see.
+type Volume struct {
+	Name      string `json:"name"`
+	Plan      string `json:"plan"`
+	Blocks    uint64 `json:"blocks"`
+	BlockSize int    `json:"block_size"`
+	// Extent is the number of blocks that lie together; extent e lies on shard
+	// Layout[e modulo its length].
+	Extent   int   `json:"extent_blocks"`
+	Layout   []int `json:"layout"`
+	Hosts    []int `json:"hosts"` // that its requests come through
+	ReadOnly bool  `json:"read_only,omitempty"`
+}
+
+// Target is the face to initiators.
+type Target struct {
+	// Prefix and a colon go before a volume's name: its target name.
+	Prefix      string  `json:"prefix"`
+	Window      int     `json:"window"` // commands a session
+	MaxSessions int     `json:"max_sessions"`
+	Memory      int     `json:"memory_bytes"` // of data held for clients by a host
+	LoginTime   float64 `json:"login_ms"`     // for a whole login
+	WriteTime   float64 `json:"write_ms"`     // for a client to take what it is sent
+	PingEvery   float64 `json:"ping_ms"`      // of silence, then a sign of life is asked for
+	StopTime    float64 `json:"stop_ms"`      // for clients to log out at a graceful stop
+	Chap        []Chap  `json:"chap,omitempty"`
+	Mutual      *Chap   `json:"mutual,omitempty"`
+}
+
+// Chap is a name with its secret.
+type Chap struct {
+	User   string `json:"user"`
+	Secret string `json:"secret"`
+}
+
+// Fault is one thing wrong, with its path.
+type Fault struct {
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// FaultsError lists everything wrong with settings.
+type FaultsError struct{ Faults []Fault }
+
+func (e *FaultsError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "settings: %d faults", len(e.Faults))
+	for _, f := range e.Faults {
+		fmt.Fprintf(&b, "\n  %s: %s", f.Path, f.Reason)
+	}
+	return b.String()
+}
+
+// MaxSize bounds settings as text, in bytes.
+const MaxSize = 16 << 20
+
+// Parse reads and checks settings.
+func Parse(r io.Reader) (*Settings, error) {
+	b, err := io.ReadAll(io.LimitReader(r, MaxSize+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > MaxSize {
+		return nil, &FaultsError{[]Fault{{"", "over 16 MiB"}}}
+	}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	s := &Settings{}
+	if err := dec.Decode(s); err != nil {
+		return nil, &FaultsError{[]Fault{jsonFault(err)}}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, &FaultsError{[]Fault{{"", "more than one value"}}}
+	}
+	return s, s.Check()
+}
+
+func jsonFault(err error) Fault {
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) {
+		return Fault{t.Field, fmt.Sprintf("is a %s, want a %s", t.Value, t.Type)}
+	}
+	return Fault{"", strings.TrimPrefix(err.Error(), "json: ")}
+}
+
+// checker gathers faults.
+type checker struct{ faults []Fault }
+
+func (c *checker) when(bad bool, path, format string, args ...any) {
+	if bad {
+		c.faults = append(c.faults, Fault{path, fmt.Sprintf(format, args...)})
+	}
+}
+
+// between holds a figure to its bounds; NaN never passes.
+func (c *checker) between(path string, v, low, high float64) {
+	c.when(!(v >= low && v <= high), path, "is %g, must be from %g to %g", v, low, high)
+}
+
+var (
+	nameForm   = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	prefixForm = regexp.MustCompile(`^iqn\.[0-9]{4}-[0-9]{2}\.[a-z0-9.-]{1,120}$`)
+)
+
+const (
+	maxClasses = 64
+	maxPlans   = 64
+	maxVolumes = 100000
+	maxLayout  = 4096
+	day        = 24 * 3600 * 1000.0
+)
+
+// Check returns a *FaultsError with everything wrong, or nil.
+func (s *Settings) Check() error {
+	c := &checker{}
+	c.between("hosts", float64(s.Hosts), 1, 10000)
+	c.between("shards", float64(s.Shards), 1, 100000)
+	c.between("unit_bytes", float64(s.UnitBytes), 512, 1<<24)
+	c.between("mean_units", s.MeanUnits, 0.001, 1e6)
+	c.between("most_units", s.MostUnits, 1, 1e6)
+	c.between("fair_worth", s.FairWorth, 0, 1)
+	c.between("spare_worth", s.SpareWorth, 0, 1)
+	s.checkClasses(c)
+	s.checkPlans(c)
+	s.Rules.check(c)
+	l := s.Limits
+	c.between("limits.max_attempts", float64(l.MaxAttempts), 1, 100)
+	c.between("limits.retry_after_ms", l.RetryAfter, 0, day)
+	c.between("limits.dial_timeout_ms", l.DialTimeout, 1, 60000)
+	c.between("limits.max_open", float64(l.MaxOpen), 1, 1e6)
+	c.when(l.Copies, "limits.copies", "the gateway sends no copies")
+	s.checkVolumes(c)
+	s.Target.check(c)
+	if len(c.faults) > 0 {
+		return &FaultsError{c.faults}
+	}
+	return nil
+}
+
+// names checks a list's names and that none comes twice.
+func (c *checker) names(list string, most int, names []string) {
+	c.when(len(names) == 0, list, "is empty")
+	c.when(len(names) > most, list, "has %d entries, at most %d", len(names), most)
+	seen := map[string]int{}
+	for i, n := range names {
+		path := fmt.Sprintf("%s[%d].name", list, i)
+		c.when(!nameForm.MatchString(n), path, "%.70q is not of small letters, digits, dots and dashes, at most 63", n)
+		first, twice := seen[n]
+		c.when(twice, path, "%q stands already at %s[%d]", n, list, first)
+		if !twice {
+			seen[n] = i
+		}
+	}
+}
+
+func pluck[T any](list []T, name func(*T) string) []string {
+	out := make([]string, len(list))
+	for i := range list {
+		out[i] = name(&list[i])
+	}
+	return out
+}
+
+func (s *Settings) planNames() []string {
+	return pluck(s.Plans, func(p *Plan) string { return p.Name })
+}
+
+func (s *Settings) checkClasses(c *checker) {
+	c.names("classes", maxClasses, pluck(s.Classes, func(k *Class) string { return k.Name }))
+	for i := range s.Classes {
+		k, at := &s.Classes[i], fmt.Sprintf("classes[%d].", i)
+		c.between(at+"worth", k.Worth, 0, 1e6)
+		c.between(at+"late_worth", k.LateWorth, 0, 1)
+		c.between(at+"deadline_ms", k.Deadline, 10, day)
+		c.between(at+"aim_ms", k.Aim, 1, max(k.Deadline, 1))
+		k.checkEffect(c, at)
+		c.when(len(k.Match.Ops) == 0, at+"match.ops", "is empty")
+		for j, o := range k.Match.Ops {
+			op := scsi.OpByName(o)
+			path := fmt.Sprintf("%smatch.ops[%d]", at, j)
+			c.when(op == 0, path, "unknown operation %.40q", o)
+			c.when(op == scsi.CompareAndWrite && k.Effect != "unsafe", path, "compare-and-write must be of an unsafe class: a repeat would compare with its own first effect")
+			c.when(op.Writes() && k.Effect == "safe", path, "a write is not safe to repeat: it may undo a later one")
+		}
+		c.when(k.Match.MinBytes < 0, at+"match.min_bytes", "is below 0")
+		c.when(k.Match.MaxBytes != 0 && k.Match.MaxBytes < k.Match.MinBytes, at+"match.max_bytes", "is below min_bytes")
+		for j, p := range k.Match.Plans {
+			c.when(!slices.Contains(s.planNames(), p), fmt.Sprintf("%smatch.plans[%d]", at, j), "there is no plan %.70q", p)
+		}
+	}
+}
+
+func (k *Class) checkEffect(c *checker, at string) {
+	_, known := effects[k.Effect]
+	c.when(!known, at+"effect", "%.20q is none of safe, keyed, unsafe", k.Effect)
+	if k.Effect == "keyed" {
+		_, known = groups[k.Group]
+		c.when(!known, at+"group", "%.20q is none of cell, zone, all", k.Group)
+		c.between(at+"window_ms", k.Window, 1, day)
+		c.when(k.Window < k.Deadline, at+"window_ms", "is below deadline_ms: a late attempt could run after its key is forgotten")
+		return
+	}
+	c.when(k.Group != "" || k.Window != 0, at+"group", "only keyed classes have a group and a window")
+}
+
+func (s *Settings) checkPlans(c *checker) {
+	c.names("plans", maxPlans, s.planNames())
+	for i := range s.Plans {
+		p, at := &s.Plans[i], fmt.Sprintf("plans[%d].", i)
+		c.between(at+"price", p.Price, 0, 1e6)
+		c.between(at+"weight", p.Weight, 0.001, 1e6)
+		c.between(at+"rate", p.Rate, 0, 1e9)
+		c.between(at+"reserve", p.Reserve, 0, 1e9)
+		c.between(at+"limit", p.Limit, 0, 1e9)
+		if p.Limit > 0 {
+			c.between(at+"burst", p.Burst, s.MostUnits, 1e9)
+			c.between(at+"slack", p.Slack, 0, 1e9)
+			c.when(p.Reserve > p.Limit, at+"reserve", "is above the limit")
+		} else {
+			c.when(p.Burst != 0 || p.Slack != 0, at+"limit", "is 0, but burst or slack is set")
+		}
+	}
+}
+
+func (r *Rules) check(c *checker) {
+	c.between("rules.answer_slack_ms", r.AnswerSlack, 1, 60000)
+	c.between("rules.drain_grace_ms", r.DrainGrace, 0, 60000)
+	c.between("rules.fall_multiple", r.FallMultiple, 1, 1000)
+	c.between("rules.fall_time_ms", r.FallTime, 1, 60000)
+	c.between("rules.cold_from", r.ColdFrom, 0.001, 1)
+	c.between("rules.cold_time_ms", r.ColdTime, 0, day)
+	c.between("rules.cold_units", r.ColdUnits, 0, 1e9)
+	c.between("rules.key_rest_ms", r.KeyRest, 0, 60000)
+	if b := r.Budget; b != nil {
+		c.between("rules.budget.free", b.Free, 0, 1e6)
+		c.between("rules.budget.share", b.Share, 0, 100)
+		c.between("rules.budget.span_ms", b.Span, 1, day)
+	}
+}
+
+func (s *Settings) checkVolumes(c *checker) {
+	c.when(len(s.Volumes) > maxVolumes, "volumes", "has %d entries, at most %d", len(s.Volumes), maxVolumes)
+	plans := s.planNames()
+	if len(s.Volumes) > 0 {
+		c.names("volumes", maxVolumes, pluck(s.Volumes, func(v *Volume) string { return v.Name }))
+	}
+	for i := range s.Volumes {
+		v, at := &s.Volumes[i], fmt.Sprintf("volumes[%d].", i)
+		c.when(!slices.Contains(plans, v.Plan), at+"plan", "there is no plan %.70q", v.Plan)
+		c.when(v.BlockSize != 512 && v.BlockSize != 4096, at+"block_size", "is %d, must be 512 or 4096", v.BlockSize)
+		c.when(v.Blocks == 0 || v.Blocks > 1<<48, at+"blocks", "is %d, must be from 1 to 2^48", v.Blocks)
+		c.between(at+"extent_blocks", float64(v.Extent), 1, 1<<20)
+		c.when(len(v.Layout) == 0 || len(v.Layout) > maxLayout, at+"layout", "has %d shards, must be from 1 to %d", len(v.Layout), maxLayout)
+		for j, sh := range v.Layout {
+			c.when(sh < 0 || sh >= s.Shards, fmt.Sprintf("%slayout[%d]", at, j), "there is no shard %d", sh)
+		}
+		c.when(len(v.Hosts) == 0, at+"hosts", "is empty")
+		for j, h := range v.Hosts {
+			path := fmt.Sprintf("%shosts[%d]", at, j)
+			c.when(h < 0 || h >= s.Hosts, path, "there is no host %d", h)
+			c.when(slices.Contains(v.Hosts[:j], h), path, "host %d stands twice", h)
+		}
+	}
+}
+
+func (t *Target) check(c *checker) {
+	c.when(!prefixForm.MatchString(t.Prefix), "target.prefix", "%.70q is not of the form iqn.yyyy-mm.name", t.Prefix)
+	c.between("target.window", float64(t.Window), 1, 4096)
+	c.between("target.max_sessions", float64(t.MaxSessions), 1, 65535)
+	c.between("target.memory_bytes", float64(t.Memory), 4<<20, math.MaxInt32)
+	c.between("target.login_ms", t.LoginTime, 10, 600000)
+	c.between("target.write_ms", t.WriteTime, 10, 600000)
+	c.between("target.ping_ms", t.PingEvery, 10, 3600000)
+	c.between("target.stop_ms", t.StopTime, 0, 600000)
+	all := slices.Clone(t.Chap)
+	if t.Mutual != nil {
+		all = append(all, *t.Mutual)
+	}
+	for i, k := range all {
+		path := fmt.Sprintf("target.chap[%d]", i)
+		if i >= len(t.Chap) {
+			path = "target.mutual"
+		}
+		c.when(k.User == "" || len(k.User) > 255, path+".user", "must have 1 to 255 bytes")
+		c.when(len(k.Secret) < 12 || len(k.Secret) > 255, path+".secret", "must have 12 to 255 bytes (RFC 7143 section 9.2.1 asks for 96 bits)")
+		c.when(i >= len(t.Chap) && slices.ContainsFunc(t.Chap, func(o Chap) bool { return o.Secret == k.Secret }), path+".secret", "is also a client's: each direction needs its own")
+	}
+}
+
+var (
+	effects = map[string]policy.Effect{"safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}
+	groups  = map[string]policy.Group{"cell": policy.GroupCell, "zone": policy.GroupZone, "all": policy.GroupAll}
+)
+
+// Policy returns what the module of host number self in that zone is told.
+func (s *Settings) Policy(self int, zone string) policy.Settings {
+	p := policy.Settings{
+		Hosts: s.Hosts, Self: self, Zone: zone, Tick: 1, Shards: s.Shards,
+		MeanUnits: s.MeanUnits, MostUnits: s.MostUnits, FairWorth: s.FairWorth, SpareWorth: s.SpareWorth,
+		Limits: policy.Limits{MaxAttempts: s.Limits.MaxAttempts, Cancel: true, Probe: true,
+			Copies: s.Limits.Copies, RetryAfter: s.Limits.RetryAfter},
+		Rules: policy.Rules{AnswerSlack: s.Rules.AnswerSlack, DrainGrace: s.Rules.DrainGrace,
+			FallMultiple: s.Rules.FallMultiple, FallTime: s.Rules.FallTime, ColdFrom: s.Rules.ColdFrom,
+			ColdTime: s.Rules.ColdTime, ColdUnits: s.Rules.ColdUnits, KeyRest: s.Rules.KeyRest},
+	}
+	if b := s.Rules.Budget; b != nil {
+		p.Rules.HasBudget, p.Rules.BudgetFree, p.Rules.BudgetShare, p.Rules.BudgetSpan = true, b.Free, b.Share, b.Span
+	}
+	for _, k := range s.Classes {
+		p.Classes = append(p.Classes, policy.Class{Name: k.Name, Worth: k.Worth, LateWorth: k.LateWorth,
+			Aim: k.Aim, Deadline: k.Deadline, Effect: effects[k.Effect], Group: groups[k.Group],
+			Window: k.Window, Ordered: k.Ordered})
+	}
+	for _, l := range s.Plans {
+		p.Plans = append(p.Plans, policy.Plan(l))
+	}
+	return p
+}
+
+// Class returns the class of a command of that operation and size on a volume of
+// that plan, or nil.
+func (s *Settings) Class(op scsi.Op, size int, plan string) *Class {
+	name := op.String()
+	for i := range s.Classes {
+		m := &s.Classes[i].Match
+		if size < m.MinBytes || m.MaxBytes > 0 && size > m.MaxBytes {
+			continue
+		}
+		if slices.Contains(m.Ops, name) && (len(m.Plans) == 0 || slices.Contains(m.Plans, plan)) {
+			return &s.Classes[i]
+		}
+	}
+	return nil
+}
+
+// Units is what a request of so many bytes counts.
+func (s *Settings) Units(size int) float64 {
+	return min(max(math.Ceil(float64(size)/float64(s.UnitBytes)), 1), s.MostUnits)
+}
+
+// Part is a run of blocks that lies on one shard, with the piece of data that it
+// begins in.
+type Part struct {
+	Shard  int
+	LBA    uint64
+	Blocks uint32
+	Extent uint64
+}
+
+// Parts splits a run of blocks where the shard changes.
+func (v *Volume) Parts(lba uint64, blocks uint32) []Part {
+	var out []Part
+	for blocks > 0 {
+		e := lba / uint64(v.Extent)
+		n := uint32(min(uint64(blocks), (e+1)*uint64(v.Extent)-lba))
+		sh := v.Layout[e%uint64(len(v.Layout))]
+		if k := len(out) - 1; k >= 0 && out[k].Shard == sh {
+			out[k].Blocks += n
+		} else {
+			out = append(out, Part{sh, lba, n, e})
+		}
+		lba, blocks = lba+uint64(n), blocks-n
+	}
+	return out
+}
+
+// Disk describes the volume as a logical unit.
+func (v *Volume) Disk() *scsi.Disk {
+	return &scsi.Disk{Blocks: v.Blocks, BlockSize: uint32(v.BlockSize), Name: v.Name, ReadOnly: v.ReadOnly, Extent: uint32(v.Extent)}
+}
+
+// TargetName is the name under which initiators find the volume.
+func (s *Settings) TargetName(v *Volume) string { return s.Target.Prefix + ":" + v.Name }
--- /dev/null
+++ b/standin/cell.go
@@ -0,0 +1,130 @@
+// Package standin plays the systems that the gateway works with, on loopback and
+// for tests: disk servers with their blocks, the inventory, clients, and relays
+// that record what passes. Each can be given the faults of a bad day. Nothing but
+// cmd, lab and tests imports it.
+package standin
+
+import (
+	"sync"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/scsi"
+)
+
+// Cell holds the blocks of one shard. It outlives the disk server before it, as
+// disks outlive a process, and is handed to its successor.
+type Cell struct {
+	mu     sync.Mutex
+	blocks map[place][]byte
+	Size   func(volume string) int // block size of a volume
+}
+
+type place struct {
+	volume string
+	lba    uint64
+}
+
+// NewCell returns an empty cell, which reads as zeros.
+func NewCell(size func(volume string) int) *Cell {
+	return &Cell{blocks: map[place][]byte{}, Size: size}
+}
+
+// apply carries out an operation and returns its result and data.
+func (c *Cell) apply(d *diskproto.Do) (diskproto.Result, []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	size := c.Size(d.Volume)
+	switch scsi.Op(d.Op) {
+	case scsi.Read:
+		return diskproto.OK, c.read(d.Volume, d.LBA, d.Blocks, size)
+	case scsi.Write:
+		c.write(d.Volume, d.LBA, d.Data, size)
+	case scsi.WriteSame:
+		for i := range uint64(d.Blocks) {
+			c.write(d.Volume, d.LBA+i, d.Data, size)
+		}
+	case scsi.Unmap:
+		for _, r := range d.Runs {
+			for i := range uint64(r.Blocks) {
+				delete(c.blocks, place{d.Volume, r.LBA + i})
+			}
+		}
+	case scsi.CompareAndWrite:
+		half := len(d.Data) / 2
+		if string(c.read(d.Volume, d.LBA, d.Blocks, size)) != string(d.Data[:half]) {
+			return diskproto.Miscompare, nil
+		}
+		c.write(d.Volume, d.LBA, d.Data[half:], size)
+	case scsi.Verify:
+		if len(d.Data) > 0 && string(c.read(d.Volume, d.LBA, d.Blocks, size)) != string(d.Data) {
+			return diskproto.Miscompare, nil
+		}
+	}
+	return diskproto.OK, nil
+}
+
+func (c *Cell) read(volume string, lba uint64, blocks uint32, size int) []byte {
+	out := make([]byte, int(blocks)*size)
+	for i := range uint64(blocks) {
+		copy(out[int(i)*size:], c.blocks[place{volume, lba + i}])
+	}
+	return out
+}
+
+func (c *Cell) write(volume string, lba uint64, data []byte, size int) {
+	for i := 0; i+size <= len(data); i += size {
+		c.blocks[place{volume, lba + uint64(i/size)}] = append([]byte(nil), data[i:i+size]...)
+	}
+}
+
+// Rack is the memory in which the disk servers of a rack drop the repeats of
+// keyed requests. It forgets a key so long after its first run, not later: a
+// repeat that comes too late runs again, and is counted.
+type Rack struct {
+	mu     sync.Mutex
+	keep   float64 // ms
+	seen   map[repeatKey]ran
+	order  []repeatKey
+	Again  int // effects that took place once more
+	counts map[repeatKey]int
+}
+
+type repeatKey struct{ host, seq uint64 }
+
+type ran struct {
+	at     float64
+	result diskproto.Result
+}
+
+// NewRack remembers for so many milliseconds.
+func NewRack(keep float64) *Rack {
+	return &Rack{keep: keep, seen: map[repeatKey]ran{}, counts: map[repeatKey]int{}}
+}
+
+// run applies a keyed request unless it is a repeat still remembered.
+func (k *Rack) run(now float64, d *diskproto.Do, apply func() (diskproto.Result, []byte)) (r diskproto.Result, data []byte, dropped bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for len(k.order) > 0 && now-k.seen[k.order[0]].at >= k.keep {
+		delete(k.seen, k.order[0])
+		k.order = k.order[1:]
+	}
+	key := repeatKey{d.Host, d.Seq}
+	if was, ok := k.seen[key]; ok {
+		return was.result, nil, true
+	}
+	r, data = apply()
+	k.seen[key] = ran{now, r}
+	k.order = append(k.order, key)
+	if k.counts[key]++; k.counts[key] > 1 {
+		k.Again++
+	}
+	return r, data, false
+}
+
+// Repeats is the number of effects that took place more than once.
+func (k *Rack) Repeats() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.Again
+}
--- /dev/null
+++ b/standin/diskserver.go
@@ -0,0 +1,290 @@
+package standin
+
+import (
+	"bufio"
+	"math"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/outbox"
+	"merlinhitch/seam"
+)
+
+// NetTrouble is what is wrong with a disk server's connections.
+type NetTrouble struct {
+	Hang      bool    // connections open, and nothing is read or said on them
+	Torn      float64 // part of the answers that are cut short, with the connection
+	Bytewise  bool    // answers go out a byte at a time
+	Late      float64 // answers are held back for so many ms
+	LateShare float64 // part of them that are
+}
+
+// DiskServer is the shell of a machine: a listener, and two goroutines for each
+// connection.
+type DiskServer struct {
+	Addr    string
+	Name    string
+	Zone    string
+	Rack    string
+	Shard   int
+	Started uint64
+
+	world    seam.World
+	listener net.Listener
+	mu       sync.Mutex
+	machine  *Machine
+	timer    seam.Timer
+	timerAt  float64
+	conns    map[net.Conn]*outbox.Outbox
+	net      NetTrouble
+	rng      *rand.Rand
+	dead     bool
+	tasks    sync.WaitGroup
+	// OnFall is called once, from a goroutine of its own, when the server falls over.
+	OnFall func()
+}
+
+const (
+	diskOut     = 64 << 20
+	diskTimeout = 10 * time.Second
+)
+
+// ServeDisk starts a disk server on a machine.
+func ServeDisk(w seam.World, m *Machine, d *DiskServer) error {
+	l, err := w.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	d.world, d.listener, d.machine = w, l, m
+	d.Addr, d.Started = l.Addr().String(), w.Uint64()
+	d.conns, d.timerAt = map[net.Conn]*outbox.Outbox{}, math.Inf(1)
+	d.rng = rand.New(rand.NewPCG(d.Started, 2))
+	d.tasks.Add(1)
+	go d.accept()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.arm()
+	return nil
+}
+
+func (d *DiskServer) now() float64 { return seam.MS(d.world.Now()) }
+
+func (d *DiskServer) accept() {
+	defer d.tasks.Done()
+	for {
+		c, err := d.listener.Accept()
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		if d.dead {
+			d.mu.Unlock()
+			c.Close()
+			return
+		}
+		o := outbox.New(d.world, c, diskOut, diskTimeout)
+		d.conns[c] = o
+		d.tasks.Add(1)
+		d.mu.Unlock()
+		go d.serve(c, o)
+	}
+}
+
+func (d *DiskServer) serve(c net.Conn, o *outbox.Outbox) {
+	defer d.tasks.Done()
+	defer func() {
+		o.Cut()
+		o.Wait()
+		d.mu.Lock()
+		delete(d.conns, c)
+		d.mu.Unlock()
+	}()
+	if d.hangs() {
+		var b [1]byte
+		for { // the process doesn't read, but the kernel still takes bytes
+			if _, err := c.Read(b[:]); err != nil {
+				return
+			}
+		}
+	}
+	r := diskproto.NewReader(bufio.NewReaderSize(c, 32<<10))
+	for {
+		f, err := r.Next()
+		if err != nil || !d.frame(o, f) {
+			return
+		}
+	}
+}
+
+func (d *DiskServer) hangs() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.net.Hang
+}
+
+// frame handles one message; false ends the connection.
+func (d *DiskServer) frame(o *outbox.Outbox, f diskproto.Frame) bool {
+	switch f.Kind {
+	case diskproto.KindHello:
+		var h diskproto.Hello
+		if h.Parse(f.Body) != nil {
+			return false
+		}
+		w := &diskproto.Welcome{Version: diskproto.Version, Shard: uint32(d.Shard), Started: d.Started,
+			Clock: uint64(d.world.Now() / time.Microsecond), Name: d.Name, Zone: d.Zone, Rack: d.Rack}
+		if h.Oldest > diskproto.Version || h.Newest < diskproto.Oldest {
+			w.Version = 0
+		}
+		return o.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindWelcome, f.Tag, w) })
+	case diskproto.KindDo:
+		var m diskproto.Do
+		if m.Parse(f.Body) != nil {
+			return false
+		}
+		m.Data = append([]byte(nil), m.Data...)
+		d.do(o, f.Tag, m)
+	case diskproto.KindProbe:
+		d.mu.Lock()
+		p := &diskproto.Probed{Report: []diskproto.Figure{{Name: "waiting", Value: float64(len(d.machine.queue))}, {Name: "active", Value: float64(len(d.machine.run))}}}
+		d.mu.Unlock()
+		return o.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindProbed, f.Tag, p) })
+	}
+	return true // Cancel stops nothing here; unknown kinds are of later versions
+}
+
+func (d *DiskServer) do(o *outbox.Outbox, tag uint32, m diskproto.Do) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.dead {
+		return
+	}
+	d.machine.Arrive(d.now(), m, func(a diskproto.Answer) { d.answer(o, tag, a) })
+	if d.machine.Fallen() {
+		d.dead = true
+		go d.fall()
+		return
+	}
+	d.arm()
+}
+
+// answer sends an answer with whatever is wrong with the connection. Held: mu.
+func (d *DiskServer) answer(o *outbox.Outbox, tag uint32, a diskproto.Answer) {
+	frame := diskproto.Append(nil, diskproto.KindAnswer, tag, &a)
+	switch {
+	case d.net.Torn > 0 && d.rng.Float64() < d.net.Torn:
+		o.Put(func(b []byte) []byte { return append(b, frame[:len(frame)/2]...) })
+		o.Finish()
+	case d.net.LateShare > 0 && d.rng.Float64() < d.net.LateShare:
+		d.world.AfterFunc(seam.Duration(d.net.Late), func() {
+			o.Put(func(b []byte) []byte { return append(b, frame...) })
+		})
+	case d.net.Bytewise:
+		for i := range frame {
+			o.Put(func(b []byte) []byte { return append(b, frame[i]) })
+		}
+	default:
+		o.Put(func(b []byte) []byte { return append(b, frame...) })
+	}
+}
+
+// arm sets the timer for what the machine does next. Held: mu.
+func (d *DiskServer) arm() {
+	at := d.machine.Next()
+	if at >= d.timerAt || math.IsInf(at, 1) || d.dead {
+		return
+	}
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	d.timerAt = at
+	d.timer = d.world.AfterFunc(max(seam.Duration(at-d.now()), 0), d.due)
+}
+
+func (d *DiskServer) due() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.dead {
+		return
+	}
+	d.timerAt = math.Inf(1)
+	d.machine.Advance(d.now())
+	d.arm()
+}
+
+// Trouble changes what is wrong with the machine.
+func (d *DiskServer) Trouble(t Trouble) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.machine.Set(d.now(), t)
+	d.arm()
+}
+
+// Net changes what is wrong with the connections. Those that are open are cut
+// when they are to hang, so that hosts meet the fault.
+func (d *DiskServer) Net(t NetTrouble) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change := d.net.Hang != t.Hang
+	d.net = t
+	if change {
+		for _, o := range d.conns {
+			o.Cut()
+		}
+	}
+}
+
+// Drain has the server finish what it has.
+func (d *DiskServer) Drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.machine.Drain()
+}
+
+// Idle tells whether it has nothing to do.
+func (d *DiskServer) Idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Idle()
+}
+
+// Served is the number of requests that it has served.
+func (d *DiskServer) Served() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Served
+}
+
+// fall tells every host before the process ends for good.
+func (d *DiskServer) fall() {
+	d.mu.Lock()
+	for _, o := range d.conns {
+		o.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindBye, fellOver, nil) })
+		o.Finish()
+	}
+	d.mu.Unlock()
+	d.listener.Close()
+	if d.OnFall != nil {
+		d.OnFall()
+	}
+}
+
+// fellOver is the tag of a Bye that says that the server was pushed over.
+const fellOver = 1
+
+// Kill ends the process at once: what it had is lost, unless it was begun.
+func (d *DiskServer) Kill() {
+	d.listener.Close()
+	d.mu.Lock()
+	d.dead = true
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	for _, o := range d.conns {
+		o.Cut()
+	}
+	d.mu.Unlock()
+	d.tasks.Wait()
+}
--- /dev/null
+++ b/standin/inventory.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"merlinhitch/inventory"
+	"merlinhitch/outbox"
+	"merlinhitch/seam"
+)
+
+// Inventory is the shell of a node list: it pushes each change to all clients,
+// so late.
+type Inventory struct {
+	Addr  string
+	world seam.World
+	mu    sync.Mutex
+	book  *inventory.Book
+	late  float64
+	conns map[net.Conn]*watcher
+	l     net.Listener
+	tasks sync.WaitGroup
+	dead  bool
+}
+
+type watcher struct {
+	out   *outbox.Outbox
+	known uint64
+	on    bool
+}
+
+const (
+	listOut     = 8 << 20
+	listTimeout = 5 * time.Second
+)
+
+// ServeInventory starts an inventory that tells changes so many ms late.
+func ServeInventory(w seam.World, addr string, late float64) (*Inventory, error) {
+	l, err := w.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	v := &Inventory{Addr: l.Addr().String(), world: w, book: inventory.NewBook(), late: late,
+		conns: map[net.Conn]*watcher{}, l: l}
+	v.tasks.Add(1)
+	go v.accept()
+	return v, nil
+}
+
+func (v *Inventory) accept() {
+	defer v.tasks.Done()
+	for {
+		c, err := v.l.Accept()
+		if err != nil {
+			return
+		}
+		v.mu.Lock()
+		if v.dead {
+			v.mu.Unlock()
+			c.Close()
+			return
+		}
+		wt := &watcher{out: outbox.New(v.world, c, listOut, listTimeout)}
+		v.conns[c] = wt
+		v.tasks.Add(1)
+		v.mu.Unlock()
+		go v.serve(c, wt)
+	}
+}
+
+func (v *Inventory) serve(c net.Conn, wt *watcher) {
+	defer v.tasks.Done()
+	r := bufio.NewReader(c)
+	for {
+		var a inventory.Ask
+		if inventory.ReadLine(r, &a) != nil {
+			break
+		}
+		v.mu.Lock()
+		switch a.Op {
+		case "watch":
+			wt.on, wt.known = true, a.From
+			v.tell(wt, true)
+		case "fetch":
+			wt.known = 0
+			v.tell(wt, true)
+		}
+		v.mu.Unlock()
+	}
+	wt.out.Cut()
+	wt.out.Wait()
+	v.mu.Lock()
+	delete(v.conns, c)
+	v.mu.Unlock()
+}
+
+// tell sends what the watcher lacks. Held: mu.
+func (v *Inventory) tell(wt *watcher, asked bool) {
+	l := v.book.List(wt.known, seam.MS(v.world.Now()))
+	if len(l.Nodes) == 0 && !asked {
+		return
+	}
+	wt.known = l.Generation
+	wt.out.Put(func(b []byte) []byte { return append(b, inventory.Line(l)...) })
+}
+
+// Change makes changes to the list, which are told after the delay.
+func (v *Inventory) Change(f func(b *inventory.Book)) {
+	v.mu.Lock()
+	late := v.late
+	v.mu.Unlock()
+	v.world.AfterFunc(seam.Duration(late), func() { v.ChangeNow(f) })
+}
+
+// ChangeNow makes and tells changes at once.
+func (v *Inventory) ChangeNow(f func(b *inventory.Book)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.dead {
+		return
+	}
+	f(v.book)
+	for _, wt := range v.conns {
+		if wt.on {
+			v.tell(wt, false)
+		}
+	}
+}
+
+// Late changes how late changes are told, in ms.
+func (v *Inventory) Late(ms float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.late = ms
+}
+
+// CutAll breaks every connection; clients come again.
+func (v *Inventory) CutAll() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, wt := range v.conns {
+		wt.out.Cut()
+	}
+}
+
+// Close ends the inventory.
+func (v *Inventory) Close() {
+	v.l.Close()
+	v.mu.Lock()
+	v.dead = true
+	for _, wt := range v.conns {
+		wt.out.Cut()
+	}
+	v.mu.Unlock()
+	v.tasks.Wait()
+}
