--- /dev/null
+++ b/cmd/merlinhitch/main.go
@@ -0,0 +1,55 @@
+// Command merlinhitch runs the storage gateway, its stand-ins and its tools. Each
+// subcommand only reads its arguments and starts what a package does.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+type commandLine struct {
+	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines (debug, info, warn, error)."`
+
+	Gateway    gatewayCmd    `cmd:"" help:"Run a host: iSCSI towards clients, the module, disk servers behind."`
+	Diskserver diskserverCmd `cmd:"" help:"Run a stand-in disk server."`
+	Inventory  inventoryCmd  `cmd:"" help:"Run a stand-in node list."`
+	Settings   settingsCmd   `cmd:"" help:"Read, change or draft the settings of a running gateway."`
+	Io         ioCmd         `cmd:"" help:"Log in to a volume and read or write blocks."`
+	Badday     baddayCmd     `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
+	Trail      trailCmd      `cmd:"" help:"Check or read the trail of a day."`
+}
+
+// errSaid ends a command that has already said what is wrong.
+var errSaid = errors.New("failed")
+
+func main() {
+	var cl commandLine
+	k := kong.Parse(&cl, kong.Name("merlinhitch"), kong.Description("A storage gateway: iSCSI in front, the scheduler, disk servers behind."), kong.UsageOnError())
+	log, err := newLog(cl.LogLevel)
+	k.FatalIfErrorf(err)
+	if err := k.Run(log); err != nil {
+		if !errors.Is(err, errSaid) {
+			fmt.Fprintln(os.Stderr, "merlinhitch:", err)
+		}
+		os.Exit(1)
+	}
+}
+
+// newLog writes JSON lines to standard error, at most a hundred alike a second
+// and then one in a hundred.
+func newLog(level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	c := zap.NewProductionConfig()
+	c.Level = zap.NewAtomicLevelAt(l)
+	c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	c.DisableStacktrace = true
+	return c.Build()
+}
--- a/initiator/initiator.go
+++ b/initiator/initiator.go
@@ -315,3 +315,6 @@
 	binary.BigEndian.PutUint32(b[10:], blocks)
 	return b
 }
+
+// Done is closed once the session is over.
+func (c *Client) Done() <-chan struct{} { return c.done }
--- /dev/null
+++ b/lab/badday.go
@@ -0,0 +1,259 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/rules"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+	"merlinhitch/trail"
+)
+
+// Options of a bad day.
+type Options struct {
+	Seed     uint64
+	Commands int
+	Troubles []string // kinds; nil: all, "none": a calm day
+	Hosts    int
+	Servers  int
+	Rate     float64 // commands a second
+	Out      string  // folder for the trail and the table, or none
+	Log      *zap.Logger
+	Progress io.Writer
+}
+
+// Result of a day.
+type Result struct {
+	Check    *rules.Checker
+	Wrong    []string // blocks read that could not be
+	Blocks   int      // judged
+	Missed   int      // blocks that could not be read back
+	Repeats  int      // effects that took place once more, counted at the racks
+	Fell     []string
+	Trail    string
+	Took     time.Duration
+	Events   int
+	Commands int64
+	Unsent   int64
+}
+
+// OK tells whether the day kept everything.
+func (r *Result) OK() bool {
+	return r.Check.OK() && len(r.Wrong) == 0 && r.Missed == 0 && r.Repeats == 0 && r.Check.Table.Commands == r.Check.Table.Final
+}
+
+// trouble is one thing that happens on a day.
+type trouble struct {
+	kind string
+	at   time.Duration
+	len  time.Duration
+}
+
+// kinds of trouble, each with what it does for so long.
+var kinds = map[string]func(d *day, rng *rand.Rand, len time.Duration){
+	"crash":          crash,
+	"slow":           slow,
+	"pauses":         pauses,
+	"neighbour":      neighbour,
+	"fast_errors":    fastErrors,
+	"mass_restart":   massRestart,
+	"deploy":         deploy,
+	"report_late":    reportLate,
+	"hot_key":        hotKey,
+	"burst":          burst,
+	"tenant_burst":   tenantBurst,
+	"reconnect":      reconnect,
+	"retry_abuse":    retryAbuse,
+	"give_up":        giveUp,
+	"balancer_crash": balancerCrash,
+	"net_hang":       netHang,
+	"net_torn":       netTorn,
+	"net_bytewise":   netBytewise,
+	"net_late":       netLate,
+	"list_cut":       listCut,
+}
+
+// Kinds lists the kinds of trouble.
+func Kinds() []string {
+	var out []string
+	for k := range kinds {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// day is a running day.
+type day struct {
+	opt   Options
+	fleet *Fleet
+	crowd *Crowd
+	mu    sync.Mutex
+	now   map[string]int // kinds under way
+}
+
+// BadDay plays a day and checks it.
+func BadDay(ctx context.Context, opt Options) (*Result, error) {
+	for _, k := range opt.Troubles {
+		if kinds[k] == nil && k != "none" {
+			return nil, fmt.Errorf("unknown trouble %q; there are %s", k, strings.Join(Kinds(), ", "))
+		}
+	}
+	if opt.Log == nil {
+		opt.Log = zap.NewNop()
+	}
+	set := settings.Example(opt.Hosts, opt.Servers)
+	w := seam.NewReal()
+	f, err := NewFleet(w, set, Machine(set), opt.Seed, opt.Log)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	d := &day{opt: opt, fleet: f, crowd: NewCrowd(f, opt.Seed), now: map[string]int{}}
+	defer d.crowd.Close()
+	d.crowd.Login()
+	return d.play(ctx)
+}
+
+func (d *day) play(ctx context.Context) (*Result, error) {
+	rng := rand.New(rand.NewPCG(d.opt.Seed, 3))
+	begin := d.fleet.World.Now()
+	span := time.Duration(float64(d.opt.Commands) / d.opt.Rate * float64(time.Second))
+	for _, t := range d.script(rng, span) {
+		own := rand.New(rand.NewPCG(rng.Uint64(), 4))
+		d.fleet.after(t.at, func() {
+			d.count(t.kind, 1)
+			kinds[t.kind](d, own, t.len)
+			d.fleet.after(t.len, func() { d.count(t.kind, -1) })
+		})
+	}
+	stop := make(chan struct{})
+	go func() {
+		<-ctx.Done()
+		close(stop)
+	}()
+	progress := d.progress(begin)
+	d.crowd.Run(d.opt.Commands, d.opt.Rate, stop)
+	d.crowd.Wait()
+	res := &Result{}
+	backCtx, cancel := context.WithTimeout(ctx, 60*time.Second)
+	res.Missed = d.crowd.ReadBack(backCtx)
+	cancel()
+	progress()
+	stopCtx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	d.crowd.Close()
+	d.fleet.StopHosts(stopCtx)
+	events := d.fleet.Rec.Stop()
+	return d.judge(res, events, d.fleet.World.Now()-begin)
+}
+
+func (d *day) judge(res *Result, events []trail.Event, took time.Duration) (*Result, error) {
+	res.Took, res.Events = took, len(events)
+	res.Check = rules.Check(d.fleet.Meta, events)
+	res.Wrong = d.crowd.ledger.Judge()
+	res.Blocks = d.crowd.ledger.Checked
+	res.Repeats, res.Fell = d.fleet.Repeats(), d.fleet.Fell()
+	res.Commands, res.Unsent = d.crowd.Asked.Load(), d.crowd.Unsent.Load()
+	if d.opt.Out == "" {
+		return res, nil
+	}
+	if err := os.MkdirAll(d.opt.Out, 0o777); err != nil {
+		return nil, err
+	}
+	res.Trail = filepath.Join(d.opt.Out, fmt.Sprintf("badday-%d.parquet", d.opt.Seed))
+	return res, trail.Write(res.Trail, d.fleet.Meta, events)
+}
+
+// script draws the day's troubles: each kind once, overlapping as they come.
+func (d *day) script(rng *rand.Rand, span time.Duration) (out []trouble) {
+	which := d.opt.Troubles
+	if len(which) == 0 {
+		which = Kinds()
+	}
+	for _, k := range which {
+		if k == "none" {
+			continue
+		}
+		part := func(low, high float64) time.Duration {
+			return time.Duration((low + (high-low)*rng.Float64()) * float64(span))
+		}
+		out = append(out, trouble{k, part(0.05, 0.7), part(0.08, 0.2)})
+	}
+	return out
+}
+
+func (d *day) count(kind string, by int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.now[kind] += by; d.now[kind] == 0 {
+		delete(d.now, kind)
+	}
+}
+
+const progressEvery = 5 * time.Second
+
+// progress prints a line now and then until the function it returns is called.
+func (d *day) progress(begin time.Duration) (end func()) {
+	if d.opt.Progress == nil {
+		return func() {}
+	}
+	var mu sync.Mutex
+	over := false
+	var again func()
+	again = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if over {
+			return
+		}
+		d.mu.Lock()
+		var on []string
+		for k := range d.now {
+			on = append(on, k)
+		}
+		d.mu.Unlock()
+		slices.Sort(on)
+		if len(on) == 0 {
+			on = []string{"none"}
+		}
+		fmt.Fprintf(d.opt.Progress, "%5.0f s  %d asked, %d ended; troubles: %s\n", (d.fleet.World.Now() - begin).Seconds(),
+			d.crowd.Asked.Load(), d.crowd.Ended.Load(), strings.Join(on, " "))
+		d.fleet.World.AfterFunc(progressEvery, again)
+	}
+	d.fleet.World.AfterFunc(progressEvery, again)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		over = true
+	}
+}
+
+// Print writes what came of the day.
+func (r *Result) Print(w io.Writer) {
+	r.Check.Table.Print(w)
+	fmt.Fprintf(w, "goodput %.3f of the worth asked for\n\n", r.Check.Table.Goodput())
+	r.Check.Print(w)
+	fmt.Fprintf(w, "%d blocks read and judged, %d wrong, %d not read back; %d keyed effects twice; %d frames and events on the trail; %.0f s\n",
+		r.Blocks, len(r.Wrong), r.Missed, r.Repeats, r.Events, r.Took.Seconds())
+	if len(r.Fell) > 0 {
+		fmt.Fprintf(w, "pushed over: %s\n", strings.Join(r.Fell, ", "))
+	}
+	for _, t := range r.Wrong[:min(len(r.Wrong), 5)] {
+		fmt.Fprintln(w, "WRONG:", t)
+	}
+	for _, b := range r.Check.Breaks[:min(len(r.Check.Breaks), 5)] {
+		fmt.Fprintln(w, "BROKEN:", b)
+	}
+}
--- /dev/null
+++ b/lab/fleet.go
@@ -0,0 +1,367 @@
+// Package lab runs whole services on loopback: hosts, disk servers, the inventory
+// and clients in one process, a scripted day of troubles over them, and what came
+// of it. It judges by the trail of what passed on the sockets and by the blocks
+// that clients read back; it never reaches into a gateway.
+package lab
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/gateway"
+	"merlinhitch/inventory"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+	"merlinhitch/standin"
+	"merlinhitch/trail"
+)
+
+// Fleet is a service on loopback.
+type Fleet struct {
+	World seam.World
+	Set   *settings.Settings
+	Rec   *trail.Recorder
+	Meta  *trail.Meta
+	log   *zap.Logger
+	inv   *standin.Inventory
+	meter *standin.Meter
+	cfg   standin.MachineConfig
+	seed  uint64
+
+	mu    sync.Mutex
+	disks []*disk
+	hosts []*hostProc
+	old   []*standin.Relay // of hosts that are gone
+	racks []*standin.Rack
+	fell  []string
+	later sync.WaitGroup
+	over  bool
+}
+
+// disk is the place of one shard: the disk server that holds it now, behind an
+// address that stays while its process is started anew, and changes by a deploy.
+type disk struct {
+	shard  int
+	name   string
+	zone   string
+	cell   *standin.Cell
+	rack   *standin.Rack
+	server *standin.DiskServer // nil while down
+	relay  *standin.Relay
+	starts int
+}
+
+// hostProc is one start of a host.
+type hostProc struct {
+	self    int
+	name    string
+	starts  int
+	gate    *gateway.Gateway
+	clients *standin.Relay
+	list    *standin.Relay
+}
+
+// Halls are the zones over which servers are spread.
+var Halls = []string{"hall-a", "hall-b", "hall-c"}
+
+// Machine is the usual disk server of the lab: two cores, work for a unit such
+// that the ordinary load takes a third of the fleet.
+func Machine(s *settings.Settings) standin.MachineConfig {
+	r := s.Rules
+	return standin.MachineConfig{Cores: 2, Queue: 120, UnitWork: 14, WriteX: 1.5, Spread: 0.25, Cached: 2, CachedX: 0.5,
+		PutOff: 0.3, FlushGap: 2500, ColdFrom: r.ColdFrom, ColdTime: r.ColdTime, FallMultiple: r.FallMultiple,
+		FallTime: r.FallTime, ColdUnits: r.ColdUnits}
+}
+
+// listLate is how late the inventory tells a change, ms.
+const listLate = 300
+
+// NewFleet starts a service of the settings' hosts and shards.
+func NewFleet(w seam.World, s *settings.Settings, cfg standin.MachineConfig, seed uint64, log *zap.Logger) (*Fleet, error) {
+	f := &Fleet{World: w, Set: s, log: log, cfg: cfg, seed: seed,
+		Rec:  trail.NewRecorder(func() int64 { return int64(w.Now() / time.Microsecond) }),
+		Meta: &trail.Meta{Settings: s, Servers: map[string]trail.Server{}, Seed: seed}}
+	sizes, rates := map[string]int{}, map[string]float64{}
+	for _, v := range s.Volumes {
+		sizes[v.Name] = v.BlockSize
+		for _, p := range s.Plans {
+			if p.Name == v.Plan {
+				rates[v.Name] = p.Rate
+			}
+		}
+	}
+	f.meter = &standin.Meter{Period: 2000, Rate: func(v string) float64 { return rates[v] }}
+	var err error
+	if f.inv, err = standin.ServeInventory(w, "127.0.0.1:0", listLate); err != nil {
+		return nil, err
+	}
+	for i := range s.Shards {
+		d := &disk{shard: i, zone: Halls[i%len(Halls)], name: fmt.Sprintf("d%d", i), cell: standin.NewCell(func(v string) int { return sizes[v] }), rack: standin.NewRack(longestWindow(s))}
+		f.racks = append(f.racks, d.rack)
+		f.disks = append(f.disks, d)
+		if err := f.startDisk(d, false, true); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	for i := range s.Hosts {
+		h := &hostProc{self: i}
+		f.hosts = append(f.hosts, h)
+		if err := f.startHost(h); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func longestWindow(s *settings.Settings) float64 {
+	w := 0.0
+	for _, k := range s.Classes {
+		w = max(w, k.Window)
+	}
+	return w
+}
+
+func (f *Fleet) nowMS() float64 { return seam.MS(f.World.Now()) }
+
+// startDisk starts a process for the shard, at the address that it has, or a new
+// one where fresh. Held: mu, but for the fleet's own start.
+func (f *Fleet) startDisk(d *disk, cold, fresh bool) error {
+	now := f.nowMS()
+	d.starts++
+	m := standin.NewMachine(f.cfg, f.seed*1000+uint64(d.shard*10+d.starts), d.cell, d.rack, f.meter, uint32(d.shard), now, cold)
+	s := &standin.DiskServer{Name: fmt.Sprintf("%s#%d", d.name, d.starts), Zone: d.zone, Rack: d.name, Shard: d.shard}
+	if err := standin.ServeDisk(f.World, m, s); err != nil {
+		return err
+	}
+	s.OnFall = func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.fell = append(f.fell, s.Name)
+	}
+	d.server = s
+	if fresh || d.relay == nil {
+		r, err := standin.RelayDisk(f.World, f.Rec, s.Addr)
+		if err != nil {
+			return err
+		}
+		if d.relay != nil {
+			f.old = append(f.old, d.relay)
+		}
+		d.relay = r
+		f.Meta.Servers[r.Addr] = trail.Server{Name: s.Name, Shard: d.shard, Zone: d.zone, Rack: d.name,
+			Rate: float64(f.cfg.Cores) / f.cfg.UnitWork * 1000}
+	} else {
+		d.relay.Point(s.Addr)
+	}
+	started := 0.0
+	if cold {
+		started = now
+	}
+	addr, zone, shard := d.relay.Addr, d.zone, d.shard
+	enter := func(b *inventory.Book) {
+		b.Set(inventory.Node{Addr: addr, Health: inventory.Ready, Shard: shard, Zone: zone, Weight: 1, Incarnation: s.Started}, started)
+	}
+	if cold {
+		f.inv.Change(enter)
+	} else {
+		f.inv.ChangeNow(enter)
+	}
+	return nil
+}
+
+func (f *Fleet) startHost(h *hostProc) error {
+	h.starts++
+	h.name = fmt.Sprintf("h%d#%d", h.self, h.starts)
+	var err error
+	if h.list, err = standin.RelayList(f.World, f.Rec, h.name, f.inv.Addr); err != nil {
+		return err
+	}
+	h.gate, err = gateway.Start(gateway.Config{World: f.World, Log: f.log, Name: h.name, Self: h.self,
+		Zone: Halls[h.self%len(Halls)], Listen: "127.0.0.1:0", Inventory: h.list.Addr, Admin: "127.0.0.1:0"})
+	if err != nil {
+		return err
+	}
+	// As an operator would: by a call of the admin API.
+	api := settings.NewAPI(h.gate.Admin().String())
+	defer api.Close()
+	first := *f.Set
+	first.Version = 0
+	if _, err = api.Put(context.Background(), &first); err != nil {
+		return err
+	}
+	<-h.gate.Ready()
+	h.clients, err = standin.RelayClients(f.World, f.Rec, h.name, h.gate.Addr().String(), f.Set)
+	return err
+}
+
+// HostAddr is where clients reach a host now; "" while it is down.
+func (f *Fleet) HostAddr(i int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h := f.hosts[i]; h.clients != nil {
+		return h.clients.Addr
+	}
+	return ""
+}
+
+// after runs g on a goroutine of its own, d from now, unless the fleet is over.
+func (f *Fleet) after(d time.Duration, g func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.over {
+		return
+	}
+	f.later.Add(1)
+	f.World.AfterFunc(d, func() {
+		defer f.later.Done()
+		f.mu.Lock()
+		over := f.over
+		f.mu.Unlock()
+		if !over {
+			g()
+		}
+	})
+}
+
+// KillHost ends a host at once and starts it again after down.
+func (f *Fleet) KillHost(i int, down time.Duration) {
+	f.mu.Lock()
+	h := f.hosts[i]
+	if h.clients == nil {
+		f.mu.Unlock()
+		return
+	}
+	gate, clients, list := h.gate, h.clients, h.list
+	h.clients = nil
+	f.old = append(f.old, clients, list)
+	f.mu.Unlock()
+	gate.Kill()
+	f.after(down, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if err := f.startHost(h); err != nil {
+			f.log.Error("host does not start", zap.Error(err))
+		}
+	})
+}
+
+// KillDisk ends a disk server at once; it comes back cold after down. The
+// inventory hears of both, late.
+func (f *Fleet) KillDisk(i int, down time.Duration) {
+	f.mu.Lock()
+	d := f.disks[i]
+	s, addr := d.server, d.relay.Addr
+	d.server = nil
+	f.mu.Unlock()
+	if s == nil {
+		return
+	}
+	s.Kill()
+	f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
+	f.after(down, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if err := f.startDisk(d, true, false); err != nil {
+			f.log.Error("disk server does not start", zap.Error(err))
+		}
+	})
+}
+
+// Deploy drains a disk server and puts a successor in its place, cold, at another
+// address, with the same blocks.
+func (f *Fleet) Deploy(i int, drain time.Duration) {
+	f.mu.Lock()
+	d := f.disks[i]
+	s := d.server
+	if s == nil {
+		f.mu.Unlock()
+		return
+	}
+	addr := d.relay.Addr
+	f.mu.Unlock()
+	f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Draining) })
+	f.after(drain, func() {
+		s.Drain()
+		f.after(drain, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if d.server != s {
+				return // it died meanwhile
+			}
+			f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
+			go s.Kill()
+			if err := f.startDisk(d, true, true); err != nil {
+				f.log.Error("successor does not start", zap.Error(err))
+			}
+		})
+	})
+}
+
+// Disk returns the server that holds a shard now, nil while it is down.
+func (f *Fleet) Disk(i int) *standin.DiskServer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.disks[i].server
+}
+
+// Repeats is the number of effects that the racks saw more than once.
+func (f *Fleet) Repeats() int {
+	n := 0
+	for _, r := range f.racks {
+		n += r.Repeats()
+	}
+	return n
+}
+
+// Fell names the disk servers that were pushed over.
+func (f *Fleet) Fell() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.fell...)
+}
+
+// StopHosts ends every host gracefully.
+func (f *Fleet) StopHosts(ctx context.Context) {
+	var all sync.WaitGroup
+	f.mu.Lock()
+	hosts := f.hosts
+	f.mu.Unlock()
+	for _, h := range hosts {
+		if h.gate != nil {
+			all.Go(func() { h.gate.Stop(ctx) })
+		}
+	}
+	all.Wait()
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.over = true
+	f.mu.Unlock()
+	f.later.Wait()
+	for _, h := range f.hosts {
+		if h.gate != nil {
+			h.gate.Kill()
+		}
+		f.old = append(f.old, h.clients, h.list)
+	}
+	for _, d := range f.disks {
+		if d.server != nil {
+			d.server.Kill()
+		}
+		f.old = append(f.old, d.relay)
+	}
+	for _, r := range f.old {
+		if r != nil {
+			r.Close()
+		}
+	}
+	f.inv.Close()
+}
--- /dev/null
+++ b/rules/table.go
@@ -0,0 +1,132 @@
+package rules
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"merlinhitch/scsi"
+	"merlinhitch/trail"
+)
+
+// Table counts commands by class and plan, as their clients saw them.
+type Table struct {
+	Rows            map[RowKey]*Row
+	Commands, Final int // that need disks, and of those with an answer or given up
+}
+
+// RowKey names a row.
+type RowKey struct{ Class, Plan string }
+
+// Row is one class of one plan. Latencies are in microseconds.
+type Row struct {
+	Asked, InTime, Late, Refused, Failed, GaveUp int
+	Worth, Due                                   float64
+	Latency                                      *hdrhistogram.Histogram
+}
+
+func newTable() *Table { return &Table{Rows: map[RowKey]*Row{}} }
+
+const longest = 600_000_000 // us that a histogram holds
+
+func (t *Table) row(cmd *command) *Row {
+	k := RowKey{cmd.class.Name, cmd.plan}
+	r := t.Rows[k]
+	if r == nil {
+		r = &Row{Latency: hdrhistogram.New(1, longest, 3)}
+		t.Rows[k] = r
+	}
+	return r
+}
+
+func (t *Table) asked(cmd *command) {
+	if cmd.class == nil {
+		return
+	}
+	t.Commands++
+	r := t.row(cmd)
+	r.Asked++
+	r.Due += cmd.class.Worth
+}
+
+func (t *Table) answered(cmd *command, e *trail.Event) {
+	t.Final++
+	r := t.row(cmd)
+	took := e.T - cmd.at
+	miscompare := e.Sense>>16 == uint32(scsi.Miscompare.Key) && e.Status == int32(scsi.CheckCondition)
+	switch {
+	case e.Status == int32(scsi.Good) || miscompare:
+		r.Latency.RecordValue(min(max(took, 1), longest)) // in range by the line itself
+		if float64(took) <= cmd.class.Aim*1000 {
+			r.InTime++
+			r.Worth += cmd.class.Worth
+		} else {
+			r.Late++
+			r.Worth += cmd.class.Worth * cmd.class.LateWorth
+		}
+	case e.Status == int32(scsi.Busy):
+		r.Refused++
+	default:
+		r.Failed++
+	}
+}
+
+func (t *Table) gaveUp(cmd *command) {
+	t.Final++
+	t.row(cmd).GaveUp++
+}
+
+// Goodput is the worth served over the worth asked for.
+func (t *Table) Goodput() float64 {
+	got, due := 0.0, 0.0
+	for _, r := range t.Rows {
+		got, due = got+r.Worth, due+r.Due
+	}
+	if due == 0 {
+		return 0
+	}
+	return got / due
+}
+
+// Print writes the table.
+func (t *Table) Print(w io.Writer) error {
+	var keys []RowKey
+	for k := range t.Rows {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b RowKey) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Plan, b.Plan))
+	})
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "class\tplan\tasked\tin time\tlate\trefused\tfailed\tgave up\tp50 ms\tp99 ms\t")
+	for _, k := range keys {
+		r := t.Rows[k]
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", k.Class, k.Plan, r.Asked, r.InTime, r.Late,
+			r.Refused, r.Failed, r.GaveUp, float64(r.Latency.ValueAtQuantile(50))/1000, float64(r.Latency.ValueAtQuantile(99))/1000)
+	}
+	return tw.Flush()
+}
+
+// Print writes the rules with their checks, and what was broken.
+func (c *Checker) Print(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for r := Answers; r <= Budget; r++ {
+		verdict := "holds"
+		switch {
+		case c.Broken[r] > 0:
+			verdict = fmt.Sprintf("BROKEN %d times", c.Broken[r])
+		case c.Checks[r] == 0:
+			verdict = "nothing to check"
+		}
+		fmt.Fprintf(tw, "rule %d\t%s\t%d checks\t%s\n", r, r, c.Checks[r], verdict)
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%d commands, %d final answers\n", c.Table.Commands, c.Table.Final)
+	return err
+}
--- /dev/null
+++ b/trail/show.go
@@ -0,0 +1,125 @@
+package trail
+
+import (
+	"fmt"
+	"strings"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/scsi"
+)
+
+// Way prints everything that passed for one command: named by its connection and
+// tag, or by one of its requests. "" if there is nothing.
+func Way(events []Event, conn, tag uint32, hostID, seq uint64) string {
+	if conn == 0 {
+		conn, tag = owner(events, hostID, seq)
+	}
+	var b strings.Builder
+	w := walker{conn: conn, tag: tag, seqs: map[[2]uint64]bool{{hostID, seq}: seq != 0}, out: map[[2]uint32]bool{}}
+	begin := int64(-1)
+	for i := range events {
+		if e := &events[i]; w.takes(e) {
+			if begin < 0 {
+				begin = e.T
+			}
+			Line(&b, e, begin)
+		}
+	}
+	return b.String()
+}
+
+// walker follows one command over the sockets.
+type walker struct {
+	conn, tag uint32
+	host      string
+	session   uint32
+	seqs      map[[2]uint64]bool
+	out       map[[2]uint32]bool // attempts: disk connection and tag
+}
+
+func (w *walker) takes(e *Event) bool {
+	switch {
+	case e.Link == LinkClient && e.Conn == w.conn && w.conn != 0:
+		if e.Kind == Login || e.Kind == Command {
+			w.host, w.session = e.Host, e.Session
+		}
+		return e.Tag == w.tag && e.Kind != Login || e.Kind == Close || e.Kind == Manage && e.Ref == w.tag
+	case e.Link == LinkDisk && e.Kind == Do:
+		key := [2]uint64{e.HostID, e.Seq}
+		if w.conn != 0 && e.Host == w.host && e.Session == w.session && e.Ref == w.tag {
+			w.seqs[key] = true
+		}
+		if w.seqs[key] {
+			w.out[[2]uint32{e.Conn, e.Tag}] = true
+		}
+		return w.seqs[key]
+	case e.Link == LinkDisk && e.Kind == Answer:
+		return w.out[[2]uint32{e.Conn, e.Tag}]
+	case e.Link == LinkDisk && e.Kind == Close:
+		for k := range w.out {
+			if k[0] == e.Conn {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// owner finds the command that a request was part of.
+func owner(events []Event, hostID, seq uint64) (conn, tag uint32) {
+	for i := range events {
+		e := &events[i]
+		if e.Kind != Do || e.HostID != hostID || e.Seq != seq {
+			continue
+		}
+		for k := i; k >= 0; k-- {
+			c := &events[k]
+			if c.Kind == Command && c.Host == e.Host && c.Session == e.Session && c.Tag == e.Ref {
+				return c.Conn, c.Tag
+			}
+		}
+	}
+	return 0, 0
+}
+
+// Line prints one event, its time counted from begin.
+func Line(b *strings.Builder, e *Event, begin int64) {
+	fmt.Fprintf(b, "%10.3f ms  %-6s %s %-4s %-8s ", float64(e.T-begin)/1000, e.Link, e.Host, e.Dir, e.Kind)
+	switch e.Kind {
+	case Command:
+		fmt.Fprintf(b, "%d/%d %s of %s, block %d, %d blocks, %d bytes", e.Conn, e.Tag, e.Op, e.Volume, e.LBA, e.Blocks, e.Length)
+	case Data:
+		fmt.Fprintf(b, "%d/%d %d bytes", e.Conn, e.Tag, e.Length)
+	case Status:
+		fmt.Fprintf(b, "%d/%d %s", e.Conn, e.Tag, statusText(e))
+	case Manage:
+		fmt.Fprintf(b, "%d/%d function %d on task %d", e.Conn, e.Tag, e.Status, e.Ref)
+	case Managed:
+		fmt.Fprintf(b, "%d/%d response %d", e.Conn, e.Tag, e.Status)
+	case Do:
+		fmt.Fprintf(b, "%s request %d attempt %d: %s of %s, key %s, %.0f units, deadline at %.3f ms, tag %d", e.Peer, e.Seq, e.Attempt,
+			e.Op, e.Volume, e.Key, e.Units, float64(e.Deadline-begin)/1000, e.Tag)
+	case Answer:
+		fmt.Fprintf(b, "%s tag %d: %s", e.Peer, e.Tag, diskproto.Result(e.Status))
+		if e.Dropped {
+			b.WriteString(", a repeat that was dropped")
+		}
+	case List:
+		b.WriteString(e.Detail)
+	default:
+		fmt.Fprintf(b, "connection %d %s %s", e.Conn, e.Peer, e.Detail)
+	}
+	b.WriteByte('\n')
+}
+
+func statusText(e *Event) string {
+	switch byte(e.Status) {
+	case scsi.Good:
+		return "GOOD"
+	case scsi.Busy:
+		return fmt.Sprintf("BUSY, again in %d ms", e.Advice*100)
+	case scsi.CheckCondition:
+		return fmt.Sprintf("CHECK CONDITION %06x", e.Sense)
+	}
+	return fmt.Sprintf("status %02x", e.Status)
+}
--- /dev/null
+++ b/trail/trail.go
@@ -0,0 +1,227 @@
+// Package trail keeps what passed on the sockets of a run, in one order of time,
+// as a columnar file that people and the rule checker read. It holds nothing that
+// a gateway says of itself.
+package trail
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+
+	"github.com/parquet-go/parquet-go"
+
+	"merlinhitch/settings"
+)
+
+// Links: which socket an event passed on.
+const (
+	LinkClient = "client"
+	LinkDisk   = "disk"
+	LinkList   = "list"
+)
+
+// Kinds of events. Opens and closes carry in Dir who did it.
+const (
+	Open    = "open"
+	Close   = "close"
+	Login   = "login"   // client: a session began
+	Command = "command" // client: a SCSI command
+	Data    = "data"    // client: Data-Out
+	Status  = "status"  // client: a command's final answer
+	Manage  = "manage"  // client: a task management function
+	Managed = "managed" // client: its response
+	Logout  = "logout"  // client
+	Hello   = "hello"   // disk: a host says who it is
+	Do      = "do"      // disk: an attempt
+	Answer  = "answer"  // disk: its end
+	Bye     = "bye"     // disk: the server takes no more
+	List    = "list"    // list: what the host is told
+	Broken  = "broken"  // any: bytes that are no frame
+	Up      = "up"      // towards the service: client to host, host to server
+	Down    = "down"    // back
+)
+
+// Event is one frame, or the beginning or end of a connection.
+type Event struct {
+	T     int64  `parquet:"t"` // us since the run began
+	Link  string `parquet:"link,dict"`
+	Conn  uint32 `parquet:"conn"` // of the trail, never used twice
+	Host  string `parquet:"host,dict"`
+	Peer  string `parquet:"peer,dict"` // client, or address of the disk server
+	Dir   string `parquet:"dir,dict"`
+	Kind  string `parquet:"kind,dict"`
+	Bytes int64  `parquet:"bytes"`
+
+	// Of commands.
+	Session uint32 `parquet:"session"`
+	Tag     uint32 `parquet:"tag"` // initiator task tag, or tag of a disk frame
+	Ref     uint32 `parquet:"ref"` // task that a function names
+	Op      string `parquet:"op,dict"`
+	Volume  string `parquet:"volume,dict"`
+	LBA     uint64 `parquet:"lba"`
+	Blocks  uint32 `parquet:"blocks"`
+	Length  uint32 `parquet:"length"` // bytes to move
+	Status  int32  `parquet:"status"` // SAM status, result of an answer, or response
+	Sense   uint32 `parquet:"sense"`  // key, code, qualifier
+	Advice  uint32 `parquet:"advice"` // retry delay, 100 ms
+
+	// Of attempts.
+	HostID   uint64  `parquet:"host_id"`
+	Seq      uint64  `parquet:"seq"`
+	Attempt  uint32  `parquet:"attempt"`
+	Effect   int32   `parquet:"effect"`
+	Shard    int32   `parquet:"shard"`
+	Units    float64 `parquet:"units"`
+	Key      string  `parquet:"key,dict"`
+	Deadline int64   `parquet:"deadline"` // us of the same clock
+	Dropped  bool    `parquet:"dropped"`
+	Detail   string  `parquet:"detail,dict"` // of a list: its line
+}
+
+// Server describes a disk server, by the address that hosts know.
+type Server struct {
+	Name  string  `json:"name"`
+	Shard int     `json:"shard"`
+	Zone  string  `json:"zone"`
+	Rack  string  `json:"rack"`
+	Rate  float64 `json:"rate"` // units a second that it can do when warm
+}
+
+// Meta is what a reader must know beside the events.
+type Meta struct {
+	Settings *settings.Settings `json:"settings"`
+	Servers  map[string]Server  `json:"servers"`
+	Seed     uint64             `json:"seed"`
+	Note     string             `json:"note"`
+}
+
+// Recorder gathers events. It is safe for concurrent use: time is read and the
+// event is entered as one step, so the order is that of the times.
+type Recorder struct {
+	Now func() int64 // us
+
+	mu       sync.Mutex
+	events   []Event
+	nextConn uint32
+	tap      func(*Event)
+	off      bool
+}
+
+// NewRecorder reads time from now.
+func NewRecorder(now func() int64) *Recorder { return &Recorder{Now: now} }
+
+// Tap has f see each event as it is entered, from now on.
+func (r *Recorder) Tap(f func(*Event)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tap = f
+}
+
+// Conn returns a number for a new connection.
+func (r *Recorder) Conn() uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nextConn++
+	return r.nextConn
+}
+
+// Add enters an event at the present time.
+func (r *Recorder) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.T = r.Now()
+	if r.off {
+		return
+	}
+	r.events = append(r.events, e)
+	if r.tap != nil {
+		r.tap(&r.events[len(r.events)-1])
+	}
+}
+
+// Stop ends the recording: what passes from now on is the clearing up.
+func (r *Recorder) Stop() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.off = true
+	return r.events
+}
+
+const metaKey = "merlinhitch"
+
+// Write writes a trail file.
+func Write(file string, m *Meta, events []Event) error {
+	b, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	w := parquet.NewGenericWriter[Event](f, parquet.KeyValueMetadata(metaKey, string(b)), parquet.Compression(&parquet.Zstd))
+	_, err = w.Write(events)
+	if cerr := w.Close(); err == nil {
+		err = cerr
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// FileError says why a file is no trail.
+type FileError struct {
+	File string
+	Err  error
+}
+
+func (e *FileError) Error() string { return fmt.Sprintf("trail: %s: %v", e.File, e.Err) }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Err }
+
+// Read reads a trail file.
+func Read(file string) (m *Meta, events []Event, err error) {
+	defer func() {
+		// The library panics on some damaged files.
+		if p := recover(); p != nil {
+			err = &FileError{file, fmt.Errorf("damaged: %v", p)}
+		}
+	}()
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer f.Close()
+	st, err := f.Stat()
+	if err != nil {
+		return nil, nil, err
+	}
+	pf, err := parquet.OpenFile(f, st.Size())
+	if err != nil {
+		return nil, nil, &FileError{file, err}
+	}
+	text, ok := pf.Lookup(metaKey)
+	m = &Meta{}
+	if !ok || json.Unmarshal([]byte(text), m) != nil || m.Settings == nil {
+		return nil, nil, &FileError{file, errors.New("no description of the run")}
+	}
+	r := parquet.NewGenericReader[Event](pf)
+	defer r.Close()
+	events = make([]Event, r.NumRows())
+	for n := 0; n < len(events); {
+		k, err := r.Read(events[n:])
+		n += k
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, nil, &FileError{file, err}
+		}
+		if k == 0 {
+			return nil, nil, &FileError{file, io.ErrUnexpectedEOF}
+		}
+	}
+	return m, events, nil
+}
