--- a/cmd/merlinhitch/badday.go
+++ b/cmd/merlinhitch/badday.go
@@ -22,6 +22,8 @@
 	Troubles []string `help:"Kinds of trouble, all by default; none for a calm day." placeholder:"KIND,..."`
 	Hosts    int      `default:"3" help:"Hosts."`
 	Servers  int      `default:"9" help:"Disk servers, in three halls."`
+	Sweep    int      `help:"Play each kind of trouble alone, all together and none, over so many seeds." placeholder:"SEEDS"`
+	Parallel int      `default:"4" help:"Days of a sweep at once."`
 	Out      string   `help:"Folder for the trail; by default a temporary one." placeholder:"DIR"`
 }
 
@@ -29,6 +31,9 @@
 	if c.Hosts < 1 || c.Servers < 3 || c.Commands < 1 || !(c.Rate > 0) {
 		return fmt.Errorf("badday: needs a host, three servers, a command and a rate above 0")
 	}
+	if c.Sweep > 0 {
+		return c.sweep(log)
+	}
 	if c.Out == "" {
 		dir, err := os.MkdirTemp("", "badday-")
 		if err != nil {
@@ -58,6 +63,25 @@
 	return errSaid
 }
 
+func (c *baddayCmd) sweep(log *zap.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	rows, err := lab.Sweep(ctx, lab.Options{Commands: c.Commands, Hosts: c.Hosts, Servers: c.Servers, Rate: c.Rate,
+		Log: log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))}, c.Sweep, max(c.Parallel, 1), os.Stderr)
+	if err != nil {
+		return err
+	}
+	if err := lab.PrintSweep(os.Stdout, rows); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Bad > 0 {
+			return errSaid
+		}
+	}
+	return nil
+}
+
 type trailCmd struct {
 	Check trailCheckCmd `cmd:"" help:"Check the seven rules on a trail."`
 	Show  trailShowCmd  `cmd:"" help:"Print a trail, or one command's whole way."`
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -31,6 +31,7 @@
 	held    int // bytes reserved for what it reads
 	group   *abortion
 	gone    bool
+	spared  bool
 }
 
 // ready turns a command with all its data into requests. Held: conn.mu.
@@ -165,6 +166,12 @@
 func (cmd *command) partDone(j *job, how endKind, after float64, ans *diskproto.Answer) {
 	cmd.conn.front.open.Add(-1)
 	cmd.left--
+	if j.spare {
+		how = endRefused // it was never sent
+	}
+	if how == endRefused || how == endFailed {
+		cmd.spare()
+	}
 	cmd.worst, cmd.after = max(cmd.worst, how), max(cmd.after, after)
 	if ans != nil {
 		cmd.miscomp = cmd.miscomp || ans.Result == diskproto.Miscompare
@@ -183,6 +190,23 @@
 	}
 }
 
+// spare ends the parts that were never sent, once the command can't be GOOD any
+// more. The module is in the middle of an event: it hears of it next.
+func (cmd *command) spare() {
+	if cmd.left == 0 || cmd.spared {
+		return
+	}
+	cmd.spared = true
+	cmd.conn.front.host.post(event{kind: evAsk, ask: func(h *hostCore) {
+		for _, j := range cmd.jobs {
+			if j.sends == 0 && !j.ended {
+				j.spare = true
+				h.abandon(h.now, j)
+			}
+		}
+	}})
+}
+
 func (cmd *command) blocks() int {
 	n := 0
 	for _, j := range cmd.jobs {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -168,7 +168,7 @@
 	closed  bool
 	ping    seam.Timer
 	heard   bool
-	logout  bool
+	parting bool // what waits to be sent still goes out before the close
 }
 
 func newConn(f *front, c net.Conn) *conn {
@@ -214,7 +214,7 @@
 		}
 		c.emit(reply)
 		if err != nil {
-			c.out.Finish()
+			c.finish()
 			return err
 		}
 		if done {
@@ -345,7 +345,7 @@
 			c.mu.Lock()
 			c.sess.Reject(p, iscsi.RejectDataDigest)
 			c.mu.Unlock()
-			c.out.Finish()
+			c.finish()
 			return err
 		}
 		if err != nil {
@@ -353,12 +353,20 @@
 		}
 		stop, err := c.handle(p)
 		if err != nil || stop {
-			c.out.Finish()
+			c.finish()
 			return err
 		}
 	}
 }
 
+// finish closes the connection once its last words are out.
+func (c *conn) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parting = true
+	c.out.Finish()
+}
+
 // handle takes one PDU under the session's lock; what it brings is handed on
 // before the lock is given up, so that the host core sees a session's commands
 // in their order.
@@ -375,7 +383,7 @@
 		case e.Abort != nil:
 			c.abort(e.Abort)
 		case e.Logout:
-			c.logout, stop = true, true
+			stop = true
 		}
 	}
 	if p.Opcode() == iscsi.OpCommand && err == nil {
@@ -438,7 +446,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	if !c.logout {
+	if !c.parting {
 		c.out.Cut()
 	}
 	if c.sess == nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -112,3 +112,21 @@
 		t.Fatalf("read back: status %02x, %d bytes, equal %v", res.Status, len(res.Data), bytes.Equal(res.Data, want))
 	}
 }
+
+var (
+	hang = standin.NetTrouble{Hang: true}
+	calm = standin.NetTrouble{}
+)
+
+// await looks until done; what is awaited comes by itself, so the time is only a
+// bound on a test that would hang.
+func (r *rig) await(what string, done func() bool) {
+	r.t.Helper()
+	end := time.Now().Add(20 * time.Second)
+	for !done() {
+		if time.Now().After(end) {
+			r.t.Fatal("waited in vain for " + what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -40,6 +40,7 @@
 	ended   bool
 	landBy  float64 // until then a lost attempt may still take effect
 	settled bool
+	spare   bool // ended because the command's answer no longer depends on it
 }
 
 // attempt is one sending of a job. Its state is the only thing that host core and
--- /dev/null
+++ b/lab/sweep.go
@@ -0,0 +1,126 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"merlinhitch/rules"
+)
+
+// SweepRow is one kind of trouble over its seeds.
+type SweepRow struct {
+	Kind      string
+	Runs      int
+	Bad       int // runs that broke something
+	Commands  int
+	Checks    [8]int
+	Goodputs  []float64
+	FirstBad  string
+	BlocksBad int
+}
+
+// Sweep plays each kind of trouble alone, then all together and none, over the
+// seeds 1 to n, so many days at once.
+func Sweep(ctx context.Context, opt Options, n, parallel int, progress io.Writer) ([]SweepRow, error) {
+	type job struct {
+		row  int
+		seed uint64
+	}
+	names := append(Kinds(), "all together", "none")
+	rows := make([]SweepRow, len(names))
+	jobs := make(chan job)
+	var mu sync.Mutex
+	var failed error
+	done := 0
+	var all sync.WaitGroup
+	for range parallel {
+		all.Go(func() {
+			for j := range jobs {
+				o := opt
+				o.Seed, o.Progress, o.Troubles = j.seed, nil, []string{names[j.row]}
+				if names[j.row] == "all together" {
+					o.Troubles = nil
+				}
+				res, err := BadDay(ctx, o)
+				mu.Lock()
+				done++
+				if err != nil {
+					failed = err
+				} else {
+					rows[j.row].add(names[j.row], j.seed, res)
+				}
+				fmt.Fprintf(progress, "%d of %d days: %s, seed %d\n", done, len(names)*n, names[j.row], j.seed)
+				mu.Unlock()
+			}
+		})
+	}
+	for r := range names {
+		for s := range n {
+			jobs <- job{r, uint64(s + 1)}
+		}
+	}
+	close(jobs)
+	all.Wait()
+	return rows, failed
+}
+
+func (r *SweepRow) add(kind string, seed uint64, res *Result) {
+	r.Kind = kind
+	r.Runs++
+	r.Commands += res.Check.Table.Commands
+	r.BlocksBad += len(res.Wrong) + res.Missed
+	for i, n := range res.Check.Checks {
+		r.Checks[i] += n
+	}
+	r.Goodputs = append(r.Goodputs, res.Check.Table.Goodput())
+	if res.OK() {
+		return
+	}
+	r.Bad++
+	if r.FirstBad == "" {
+		r.FirstBad = fmt.Sprintf("seed %d: %d commands, %d answers, %d not read back, %d twice", seed, res.Check.Table.Commands, res.Check.Table.Final, res.Missed, res.Repeats)
+		for _, b := range res.Check.Breaks {
+			r.FirstBad += "; " + b.String()
+		}
+		for _, t := range res.Wrong {
+			r.FirstBad += "; " + t
+		}
+		r.FirstBad = r.FirstBad[:min(len(r.FirstBad), 600)]
+	}
+}
+
+// PrintSweep writes the rows as a table that is also Markdown.
+func PrintSweep(w io.Writer, rows []SweepRow) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	fmt.Fprint(tw, "| trouble\t| days\t| broken\t| commands\t| goodput least\t| median\t| most")
+	for r := rules.Answers; r <= rules.Budget; r++ {
+		fmt.Fprintf(tw, "\t| rule %d", r)
+	}
+	fmt.Fprintln(tw, "\t|")
+	fmt.Fprintln(tw, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	for _, r := range rows {
+		if r.Runs == 0 {
+			continue
+		}
+		slices.Sort(r.Goodputs)
+		fmt.Fprintf(tw, "| %s\t| %d\t| %d\t| %d\t| %.3f\t| %.3f\t| %.3f", r.Kind, r.Runs, r.Bad, r.Commands,
+			r.Goodputs[0], r.Goodputs[len(r.Goodputs)/2], r.Goodputs[len(r.Goodputs)-1])
+		for k := rules.Answers; k <= rules.Budget; k++ {
+			fmt.Fprintf(tw, "\t| %d", r.Checks[k])
+		}
+		fmt.Fprintln(tw, "\t|")
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.FirstBad != "" {
+			fmt.Fprintf(w, "BROKEN with %s: %s\n", r.Kind, r.FirstBad)
+		}
+	}
+	return nil
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -119,12 +119,14 @@
 	parts    int
 	over     bool
 	overAt   int64
-	aborted  bool // by a task management function under way
+	aborted  bool             // by a task management function under way
+	passed   map[string]int64 // keys for which a later command was sent first
 	requests []*request
 }
 
 type request struct {
 	key      requestKey
+	piece    string
 	cmd      *command
 	host     string
 	class    *settings.Class
@@ -308,6 +310,7 @@
 	if byte(e.Status) == scsi.Busy {
 		c.refused(cmd, e)
 	}
+	c.passedOver(cmd, e.T)
 	c.over(cmd, e.T)
 }
 
@@ -409,7 +412,7 @@
 // answers, unless the host itself came to its end.
 func (c *Checker) closeClient(k *conn, e *trail.Event) {
 	for _, cmd := range sorted(k.open) {
-		if cmd.class != nil && !cmd.aborted {
+		if cmd.class != nil {
 			c.Table.gaveUp(cmd)
 		}
 		if e.Dir == trail.Down && cmd.class != nil && !cmd.aborted {
@@ -463,7 +466,7 @@
 	r := c.requests[key]
 	first := r == nil
 	if first {
-		r = &request{key: key, host: e.Host}
+		r = &request{key: key, piece: e.Key, host: e.Host}
 		c.requests[key] = r
 		c.join(r, e)
 	}
@@ -656,12 +659,37 @@
 		}
 	}
 	c.chains[ck] = live
+	if len(r.attempts) > 0 {
+		return
+	}
+	if by, yes := r.cmd.passed[e.Key]; yes {
+		c.broke(at, "%s of key %s (tag %d) sent %.1f ms after a later one of the same connection", r.class.Name, e.Key, r.cmd.tag, float64(e.T-by)/1000)
+	}
 	for _, cmd := range r.cmd.conn.taken {
 		if cmd == r.cmd {
 			break
 		}
-		if c.touches(cmd, e.Key) && !cmd.served() {
-			c.broke(at, "%s of key %s (tag %d) sent before tag %d of the same connection, which came first", r.class.Name, e.Key, r.cmd.tag, cmd.tag)
+		if c.touches(cmd, e.Key) && !cmd.sent(e.Key) {
+			if cmd.passed == nil {
+				cmd.passed = map[string]int64{}
+			}
+			cmd.passed[e.Key] = e.T
+		}
+	}
+}
+
+// passedOver: a command of one part that stayed open after a later one of its key
+// was sent was not over then. Of several parts, one may have been let go of
+// before the command's answer, which the sockets don't show; it is only held to
+// not being sent any more.
+func (c *Checker) passedOver(cmd *command, t int64) {
+	if cmd.parts != 1 {
+		return
+	}
+	for key, by := range cmd.passed {
+		if t > by+Margin {
+			c.broke(Break{Rule: Order, T: by, Conn: cmd.conn.id, Tag: cmd.tag},
+				"a later command of key %s was sent %.1f ms before tag %d was over", key, float64(t-by)/1000, cmd.tag)
 		}
 	}
 }
@@ -676,9 +704,9 @@
 	return false
 }
 
-// served tells whether every part was.
-func (cmd *command) served() bool {
-	return len(cmd.requests) == cmd.parts && !slices.ContainsFunc(cmd.requests, func(r *request) bool { return !r.served })
+// sent tells whether the part with that key was sent.
+func (cmd *command) sent(key string) bool {
+	return slices.ContainsFunc(cmd.requests, func(r *request) bool { return r.piece == key })
 }
 
 // between checks that o leaves the key free for r.
