--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,24 +30,29 @@
 	// aimPart of the tightest aim is what wait and mean service may take
 	// together; the rest is for the spread of service times and for pauses.
 	aimPart    = 0.3
-	partAim    = 0.5   // the same below a depth of 1: only a queue of others' takes so long
-	depthScale = 10.0  // depths are fitted in tenths of the ceiling, for numbers near 1
-	fallStep   = 0.7   // a second's largest fall of a depth, and
-	riseStep   = 2.0   // its largest rise: thin samples err either way
-	ownStart   = 0.3   // starting figures of the shares' model: a flow's own last value
-	shareStart = 0.7   // and its share
-	depthQ     = 0.15  // penalty on depth changes; larger, against its gain, than shareQ
-	depthGain  = 0.10  // starting figure: service time in aims that one more request out adds
-	minGain    = 0.02  // known sign: fitted gains never fall below this
-	shareQ     = 0.3   // penalty on share changes: a full step takes some three seconds
-	minShare   = 0.04  // no flow is ever shut out
-	latencyW   = 0.5   // inverse latency misses weigh half of throughput misses
-	forget     = 0.97  // RLS forgetting: a memory of about half a minute
-	maxCov     = 100.0 // trace above which nothing is forgotten: bounded without excitation
-	minSample  = 3     // answers, of a node's own and of the pool, below which nothing is taught
+	partAim    = 0.5    // the same below a depth of 1: only a queue of others' takes so long
+	depthScale = 10.0   // depths are fitted in tenths of the ceiling, for numbers near 1
+	fallStep   = 0.7    // a second's largest fall of a depth, and
+	riseStep   = 2.0    // its largest rise: thin samples err either way
+	ownStart   = 0.3    // starting figures of the shares' model: a flow's own last value
+	shareStart = 0.7    // and its share
+	depthQ     = 0.15   // penalty on depth changes; larger, against its gain, than shareQ
+	depthGain  = 0.10   // starting figure: service time in aims that one more request out adds
+	minGain    = 0.02   // known sign: fitted gains never fall below this
+	shareQ     = 0.3    // penalty on share changes: a full step takes some three seconds
+	minShare   = 0.04   // no flow is ever shut out
+	latencyW   = 0.5    // inverse latency misses weigh half of throughput misses
+	forget     = 0.97   // RLS forgetting: a memory of about half a minute
+	maxCov     = 100.0  // trace above which nothing is forgotten: bounded without excitation
+	shareSteps = 1000.0 // request-shares that are given out at most; finer ones change nothing
+	minSample  = 3      // answers, of a node's own and of the pool, below which nothing is taught
 
 	stuckAims  = 1.5         // an attempt out for so many of its aims is given up,
 	stuckTimes = 5           // but not before so many service times: the node may be slow
+	longQueue  = 256         // waiting requests at a shard above which
+	walkGap    = 2.0         // they are looked through no more often than this
+	easySpan   = retryPause  // memory of what a node served and turned away
+	easyTimes  = 8.0         // served so many times what it turns away, it is not full
 	idleTimes  = 1.3         // a node this near its own unloaded service time has nothing waiting
 	baseGain   = 0.05        // a second's pull on the unloaded service time from above
 	retryPause = 60.0        // wait after a refused connection or a full node, doubled each time
@@ -122,7 +127,7 @@
 func (p *scheduler) resetDepth(sh *shard) {
 	sh.depth = max(p.floor(), 1)
 	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
-	sh.got = gathered{}
+	sh.got, sh.took = gathered{}, gathered{}
 }
 
 // assign gives the shard the node that holds it now: of those that may be sent
@@ -187,13 +192,16 @@
 	r.aimAt = min(p.now+r.class.Aim, q.Expires)
 	r.vol = p.volume(q, &p.s.Plans[r.flow])
 	if p.s.Rules.HasBudget {
-		p.taken = append(p.taken, p.now)
+		p.taken.add(p.now, 1)
+		p.taken.since(p.now - p.s.Rules.BudgetSpan + p.s.Tick)
 	}
+	p.largest = max(p.largest, q.Units)
 	r.shard = p.place(q.Shard)
 	p.wake(q.Expires-p.s.Tick-guard, r, nil)
 	p.rate(r)
 	if c := p.chainOf(r); c != nil {
 		c.members = append(c.members, r)
+		c.live++
 		if c.members[0] != r || p.now < c.restTo {
 			return
 		}
@@ -274,18 +282,20 @@
 	r.queued = true
 	sh.waiting++
 	if r.attempts > 0 {
-		sh.retries = append(sh.retries, r)
+		sh.retries.add(r)
 	} else {
 		f := &sh.flows[r.flow]
 		if len(f.queue) == 0 {
 			f.finish = max(f.finish, sh.vtime)
 		}
-		i := len(f.queue)
-		for i > 0 && byWorth(r, f.queue[i-1]) < 0 {
-			i--
-		}
+		i, _ := slices.BinarySearchFunc(f.queue, r, func(x, r *request) int {
+			return cmp.Or(byWorth(x, r), -1) // behind its equals
+		})
 		f.queue = slices.Insert(f.queue, i, r)
 	}
+	sh.load += r.Units
+	sh.filed++
+	sh.firstAim = min(sh.firstAim, r.aimAt)
 	p.pump(sh)
 }
 
@@ -297,7 +307,13 @@
 	if c == nil {
 		return
 	}
-	c.members = slices.DeleteFunc(c.members, func(x *request) bool { return x.done && x.out == 0 })
+	if r.done && r.out == 0 && !r.left {
+		r.left = true
+		c.live--
+	}
+	for len(c.members) > 0 && c.members[0].left {
+		c.members = c.members[1:]
+	}
 	if len(c.members) == 0 {
 		if p.now >= c.restTo {
 			delete(p.chains, r.Key)
@@ -368,47 +384,87 @@
 // shed parks what cannot be served within its aim, lowest worth first: the
 // queue is walked from the highest worth down, and who finds too much before it
 // is parked. The parked go only when nothing else waits.
+//
+// The walk is left out where its outcome is known: where all that waits, one
+// after the other, still meets the earliest aim. One that is long is made once in
+// walkGap; a queue that long comes only with thousands of requests a second.
 func (p *scheduler) shed(sh *shard) {
-	all := sh.all()
-	slices.SortStableFunc(all, byWorth)
 	service, price := p.serviceOf(sh), p.priceFor(p.part(sh))
-	ahead := 0.0
-	for _, r := range append(slices.Clone(sh.retries), all...) {
-		if !r.queued { // ended or sent while an earlier one was let go of
-			continue
-		}
-		if r.rank < price {
+	most := max(p.base*(p.largest/p.s.MeanUnits-1), 0)
+	calm := price == 0 && p.now+p.waitFor(sh, sh.load/p.s.MeanUnits)+service+most+guard <= sh.firstAim
+	stay := p.now+service+most+guard <= sh.firstEnd
+	if calm && stay || sh.waiting > longQueue && p.now-sh.walked < walkGap {
+		return
+	}
+	sh.walked = p.now
+	p.shedQueues(sh, service, price)
+	p.shedParked(sh, service)
+}
+
+func (p *scheduler) shedQueues(sh *shard, service, price float64) {
+	room := sh.room
+	sh.room = nil // what is let go of may bring another walk in the midst of this one
+	all := sh.dearest(room)
+	ahead, first := 0.0, math.Inf(1)
+	filed := sh.filed
+	look := func(r *request) {
+		switch {
+		case r == nil || !r.queued: // ended or sent while an earlier one was let go of
+		case r.rank < price:
 			sh.wasFull = true
 			p.park(sh, r)
-			continue
-		}
-		if p.now+p.waitFor(sh, ahead)+service+p.extra(r) > r.aimAt {
+		case p.now+ahead*service/max(sh.depth, 1)+service+p.extra(r) > r.aimAt:
 			p.park(sh, r)
-			continue
+		default:
+			ahead += r.Units / p.s.MeanUnits
+			first = min(first, r.aimAt)
 		}
-		ahead += r.Units / p.s.MeanUnits
 	}
-	// What cannot be answered before its client leaves would be wasted work, and
-	// clients with short tries come again at once: they are told to stay away.
-	// It also clears queues before a stalled node; a node that recovers within a
-	// request's time could still have served it late.
-	for _, r := range slices.Clone(sh.parked) {
-		if r.queued && p.now+service+p.extra(r) > r.Expires {
+	for _, r := range slices.Clone(sh.retries.all) {
+		look(r)
+	}
+	for _, r := range all {
+		look(r)
+	}
+	clear(all)
+	sh.room = all
+	if sh.filed == filed { // nothing came meanwhile that this walk has not seen
+		sh.firstAim = first
+	}
+}
+
+// shedParked: what cannot be answered before its client leaves would be wasted
+// work, and clients with short tries come again at once: they are told to stay
+// away. It also clears queues before a stalled node; a node that recovers within
+// a request's time could still have served it late.
+func (p *scheduler) shedParked(sh *shard, service float64) {
+	first, aside := math.Inf(1), sh.aside
+	for _, r := range slices.Clone(sh.parked.all) {
+		switch {
+		case r == nil || !r.queued:
+		case p.now+service+p.extra(r) > r.Expires:
 			p.end(r)
+		default:
+			first = min(first, r.Expires)
 		}
 	}
+	if sh.aside == aside {
+		sh.firstEnd = first
+	}
 }
 
 // park sets r aside, or refuses it at once where it blocks its key.
 func (p *scheduler) park(sh *shard, r *request) {
 	sh.remove(r)
-	if c := p.chainOf(r); c != nil && len(c.members) > 1 {
+	if c := p.chainOf(r); c != nil && c.live > 1 {
 		p.end(r)
 		return
 	}
 	r.queued = true
 	sh.waiting++
-	sh.parked = append(sh.parked, r)
+	sh.parked.add(r)
+	sh.aside++
+	sh.firstEnd = min(sh.firstEnd, r.Expires)
 }
 
 // room tells whether the depth bound lets one more go.
@@ -446,8 +502,8 @@
 // choose picks the next request that the rules let go: further attempts, then
 // smallest start tag, then the parked.
 func (p *scheduler) choose(sh *shard) *request {
-	for _, r := range sh.retries {
-		if p.may(r, sh) {
+	for _, r := range sh.retries.all {
+		if r != nil && p.may(r, sh) {
 			return r
 		}
 	}
@@ -471,10 +527,19 @@
 	// The parked go only to a node with nothing of ours that also answers nearly
 	// as quickly as it does unloaded: a late answer earns little and would delay
 	// what is due through other hosts. A node first met under load looks idle.
-	if len(sh.out) > 0 || p.part(sh) < 1 || p.meanAt(sh) > idleTimes*p.base {
+	// A quick one with room to spare is as good as idle.
+	idle := sh.quick || len(sh.out) == 0 && p.meanAt(sh) <= idleTimes*p.base
+	if !idle || p.part(sh) < 1 {
 		return nil
 	}
-	for _, r := range sh.parked {
+	seen := 0
+	for _, r := range sh.parked.all {
+		if r == nil {
+			continue
+		}
+		if seen++; seen > longQueue {
+			break
+		}
 		better := pick == nil || (r.aimAt > p.now) && (pick.aimAt <= p.now) || r.value > pick.value
 		if better && p.may(r, sh) {
 			pick = r
@@ -509,11 +574,12 @@
 	if !cold {
 		return true
 	}
-	if n.sentSince(p.now-ru.FallTime-p.s.Tick)+r.Units <= budget {
+	sends, units := n.sends.since(p.now - ru.FallTime - p.s.Tick)
+	if units+r.Units <= budget {
 		return true
 	}
-	if len(n.sends) > 0 {
-		p.wake(n.sends[0].at+ru.FallTime+2*p.s.Tick, nil, sh)
+	if sends > 0 {
+		p.wake(n.sends.oldest()+ru.FallTime+2*p.s.Tick, nil, sh)
 		return false
 	}
 	return r.attempts == 0 && r.rank >= p.priceFor(part) && part > 0
@@ -546,9 +612,9 @@
 		return true
 	}
 	old := p.now - ru.BudgetSpan
-	p.resends = slices.DeleteFunc(p.resends, func(t float64) bool { return t < old-p.s.Tick })
-	p.taken = slices.DeleteFunc(p.taken, func(t float64) bool { return t < old+p.s.Tick })
-	return float64(len(p.resends)+1) <= ru.BudgetFree+ru.BudgetShare*float64(len(p.taken))
+	resends, _ := p.resends.since(old - p.s.Tick)
+	taken, _ := p.taken.since(old + p.s.Tick)
+	return float64(resends+1) <= ru.BudgetFree+ru.BudgetShare*float64(taken)
 }
 
 // limitOK holds a limited volume to this host's part of the limit.
@@ -573,9 +639,10 @@
 			r.vol.limit -= r.Units
 		}
 	} else if p.s.Rules.HasBudget {
-		p.resends = append(p.resends, p.now)
+		p.resends.add(p.now, 1)
 	}
-	n.sends = append(n.sends, sent{p.now, r.Units})
+	n.sends.add(p.now, r.Units)
+	n.sends.since(p.now - p.s.Rules.FallTime - p.s.Tick)
 	r.attempts++
 	r.out++
 	r.sentAt, r.sentTo = p.now, n
@@ -635,6 +702,8 @@
 	switch o.Result {
 	case Served:
 		p.learn(sh, max(o.Elapsed-p.extra(r), 0))
+		sh.took.add(o.Elapsed)
+		n.easy.add(p.now, easySpan)
 		p.shares.served(r, p.now-r.arrived)
 		if n.suspect && n.pause > maxPause/2 {
 			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
@@ -646,8 +715,13 @@
 			p.hold(n, p.crowd())
 		}
 	case TurnedAway: // a whole queue stands before what would be taken now
+		// Not so where it serves many within the pause and turns a few away: at
+		// thousands a second, a pause for each would keep an idle node from work.
 		sh.got.add(stuckAims * p.tightest())
-		p.hold(n, p.crowd())
+		n.hard.add(p.now, easySpan)
+		if n.easy.value(p.now, easySpan) < easyTimes*n.hard.value(p.now, easySpan) {
+			p.hold(n, p.crowd())
+		}
 	case NoConnection, ConnectionLost:
 		n.suspect = true
 		p.hold(n, 1)
@@ -725,6 +799,7 @@
 	r.shard.remove(r)
 	if r.out == 0 {
 		delete(p.reqs, r.ID)
+		p.stale++
 	}
 	p.release(r)
 }
@@ -764,6 +839,8 @@
 	mean, full := p.meanAt(sh), sh.wasFull
 	y := mean / aim
 	sh.wasFull = false
+	sh.quick = sh.took.n >= minSample && sh.took.mean(p.median, poolWeight)*maxDepth <= aimPart*aim
+	sh.took.fade(gatherKeep)
 	if sh.got.n < minSample {
 		sh.got.fade(thinKeep)
 	} else {
@@ -793,6 +870,12 @@
 		return
 	}
 	d := sh.depth + du[0]
+	if sh.quick {
+		// What the ceiling would put there, served one by one, still meets the aim.
+		// The law's steps are sized for service times near the aim: it would take a
+		// minute to give an idle node of a millisecond enough to do.
+		d = sh.depth * riseStep
+	}
 	sh.depth = min(max(d, p.floor(), sh.depth*fallStep), maxDepth, sh.depth*riseStep)
 }
 
@@ -837,7 +920,7 @@
 			g.y[k] = y
 		}
 	}
-	g.control(g.targets(total))
+	g.control(g.targets(min(total, shareSteps)))
 }
 
 // utility is worth got: throughput up to what was asked, by the part of its
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -310,10 +310,10 @@
 		high = append(high, g.ask("write", "high", "", 2))
 	}
 	parked := g.p.shards[0].parked
-	if len(parked) == 0 {
+	if parked.len() == 0 {
 		t.Fatal("nothing was shed")
 	}
-	if parked[0].flow != 0 {
+	if parked.all[0].flow != 0 {
 		t.Errorf("first shed is of the dearer plan")
 	}
 	_, _ = low, high
--- /dev/null
+++ b/policy/rate_test.go
@@ -0,0 +1,220 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// rateSettings are those of one gateway of three before nine disk servers.
+func rateSettings() Settings {
+	return Settings{Hosts: 3, Tick: 1, Shards: 9, MeanUnits: 2, MostUnits: 6, FairWorth: 1, SpareWorth: 0.05,
+		Classes: []Class{
+			{Name: "read", Worth: 2, LateWorth: 0.1, Aim: 300, Deadline: 2000, Effect: Safe},
+			{Name: "write", Worth: 3, LateWorth: 0.15, Aim: 500, Deadline: 4000, Effect: Keyed, Window: 6000},
+		},
+		Plans:  []Plan{{Name: "normal", Price: 1, Weight: 3, Rate: 5}, {Name: "prioritario", Price: 1.5, Weight: 6, Rate: 8}},
+		Limits: Limits{MaxAttempts: 4, RetryAfter: 500},
+		Rules: Rules{AnswerSlack: 8, DrainGrace: 500, FallMultiple: 2, FallTime: 1500, ColdFrom: 0.2, ColdTime: 17000, ColdUnits: 26,
+			HasBudget: true, BudgetFree: 3, BudgetShare: 0.25, BudgetSpan: 5000}}
+}
+
+// reply is an outcome on its way.
+type reply struct {
+	at float64
+	o  Outcome
+}
+
+type replies []reply
+
+func (r replies) Len() int           { return len(r) }
+func (r replies) Less(i, j int) bool { return r[i].at < r[j].at }
+func (r replies) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
+func (r *replies) Push(x any)        { *r = append(*r, x.(reply)) }
+func (r *replies) Pop() any {
+	old := *r
+	x := old[len(old)-1]
+	*r = old[:len(old)-1]
+	return x
+}
+
+// idleFleet answers every attempt after 1 ms, but turns 2% of the first ones away.
+type idleFleet struct {
+	p      Scheduler
+	rng    *rand.Rand
+	now    float64
+	out    replies
+	timers replies // Outcome.ID is the timer's name
+	tries  map[string]int
+	from   int // requests from this number on are counted
+	turned int // of them, refused or failed
+}
+
+func (f *idleFleet) handle(ev Event) {
+	for _, a := range f.p.Handle(f.now, ev) {
+		switch a := a.(type) {
+		case Send:
+			n := f.tries[a.ID]
+			f.tries[a.ID]++
+			o := Outcome{ID: a.ID, Node: a.Node, Attempt: n, Done: true, Elapsed: 1, Result: Served}
+			if n == 0 && f.rng.Float64() < 0.02 {
+				o.Done, o.Result = false, TurnedAway
+			}
+			heap.Push(&f.out, reply{f.now + 1, o})
+		case Refuse:
+			f.end(a.ID)
+		case Fail:
+			f.end(a.ID)
+		case SetTimer:
+			heap.Push(&f.timers, reply{f.now + max(a.Delay, 0.001), Outcome{ID: a.Name}})
+		}
+	}
+}
+
+func (f *idleFleet) end(id string) {
+	delete(f.tries, id)
+	if n, err := strconv.Atoi(id); err == nil && n >= f.from {
+		f.turned++
+	}
+}
+
+// until plays everything that comes due before t.
+func (f *idleFleet) until(t float64) {
+	for {
+		nextOut, nextTimer := t, t
+		if len(f.out) > 0 {
+			nextOut = f.out[0].at
+		}
+		if len(f.timers) > 0 {
+			nextTimer = f.timers[0].at
+		}
+		switch {
+		case nextOut >= t && nextTimer >= t:
+			f.now = t
+			return
+		case nextOut <= nextTimer:
+			r := heap.Pop(&f.out).(reply)
+			f.now = r.at
+			if r.o.Result == Served {
+				delete(f.tries, r.o.ID)
+			}
+			f.handle(r.o)
+		default:
+			r := heap.Pop(&f.timers).(reply)
+			f.now = r.at
+			f.handle(TimerFired{Name: r.o.ID})
+		}
+	}
+}
+
+// run asks for that rate a second for so many ms and returns the requests asked.
+func (f *idleFleet) run(rate, span float64, from int) int {
+	end := f.now + span
+	n := from
+	for {
+		next := f.now + f.rng.ExpFloat64()*1000/rate
+		if next >= end {
+			f.until(end)
+			return n - from
+		}
+		f.until(next)
+		n++
+		v := f.rng.IntN(40)
+		class, plan := "read", "normal"
+		if f.rng.Float64() < 0.3 {
+			class = "write"
+		}
+		if v%2 == 1 {
+			plan = "prioritario"
+		}
+		f.handle(Request{ID: strconv.Itoa(n), Class: class, Plan: plan, Volume: "v" + strconv.Itoa(v), Shard: f.rng.IntN(9),
+			Units: float64(1 + f.rng.IntN(3)), Expires: f.now + 2000, Hosts: 3, Write: class == "write"})
+	}
+}
+
+func newIdleFleet() *idleFleet {
+	f := &idleFleet{p: New(rateSettings(), 1), rng: rand.New(rand.NewPCG(1, 2)), now: 1000, tries: map[string]int{}}
+	var nodes []Node
+	for i := range 9 {
+		nodes = append(nodes, Node{Addr: fmt.Sprintf("n%d", i), Health: Ready, Shard: i, Weight: 1})
+	}
+	f.handle(NodeList{Full: true, Nodes: nodes})
+	return f
+}
+
+// BenchmarkRate measures the module at a gateway's rates: its cost for a request
+// and, of an idle fleet, the part refused after the first two seconds.
+func BenchmarkRate(b *testing.B) {
+	for _, rate := range []float64{500, 5000, 50000} {
+		b.Run(fmt.Sprintf("rate=%.0f", rate), func(b *testing.B) {
+			var asked, turned int
+			var took time.Duration
+			for b.Loop() {
+				f := newIdleFleet()
+				n := f.run(rate, 2000, 0)
+				f.from = n + 1
+				begin := time.Now()
+				asked += f.run(rate, 3000, n)
+				took += time.Since(begin)
+				f.until(f.now + 5000) // to the end of all that was asked
+				turned += f.turned
+			}
+			b.ReportMetric(float64(took.Microseconds())/float64(asked), "us/request")
+			b.ReportMetric(100*float64(turned)/float64(asked), "%refused")
+		})
+	}
+}
+
+// At thousands of requests a second a node that turns a few away is not full: a
+// pause for each of them would keep an idle fleet from work, and a depth that
+// rises by the law's small steps would take a minute to give it enough.
+func TestIdleFleetAtAGatewaysRate(t *testing.T) {
+	f := newIdleFleet()
+	n := f.run(20000, 3000, 0)
+	f.from = n + 1
+	asked := f.run(20000, 1000, n)
+	f.until(f.now + 5000)
+	if f.turned*100 > asked {
+		t.Errorf("%d of %d refused by an idle fleet", f.turned, asked)
+	}
+}
+
+// A node that turns most away is left alone, at any rate.
+func TestAFullNodeIsLeftAlone(t *testing.T) {
+	f := newIdleFleet()
+	f.run(20000, 3000, 0)
+	sh := f.p.(*scheduler).shards[0]
+	for range 200 { // a whole queue stands before what comes now
+		sh.node.hard.add(f.now, easySpan)
+	}
+	f.handle(Request{ID: "x", Class: "read", Plan: "normal", Volume: "v", Shard: 0, Units: 1, Expires: f.now + 2000, Hosts: 3})
+	f.handle(Outcome{ID: "x", Node: sh.node.Addr, Result: TurnedAway})
+	if sh.node.holdTill <= f.now {
+		t.Error("not left alone")
+	}
+}
+
+// What the module remembers of the past does not grow with the time that it runs.
+func TestMemoryIsBounded(t *testing.T) {
+	f := newIdleFleet()
+	n := f.run(5000, 8000, 0)
+	size := func() int {
+		p := f.p.(*scheduler)
+		all := len(p.wakes) + len(p.taken.all) + len(p.resends.all) + len(p.reqs) + len(p.pool)
+		for _, nd := range p.nodes {
+			all += len(nd.sends.all)
+		}
+		for _, sh := range p.shards {
+			all += len(sh.parked.all) + len(sh.retries.all)
+		}
+		return all
+	}
+	before := size()
+	f.run(5000, 8000, n)
+	if after := size(); after > before+before/2 {
+		t.Errorf("%d records after 8 s, %d after 16 s", before, after)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,9 +28,15 @@
 	ranAt    float64
 	ranNode  *node
 	queued   bool // in the shard's main queue, retries or parked
+	list     *list
+	slot     int  // its place in list, where it is in one
+	left     bool // its chain counts it no more
 	done     bool
 }
 
+// over tells whether nothing can come of r any more.
+func (r *request) over() bool { return r.done && r.out == 0 }
+
 // volume is what one volume is due through this host.
 type volume struct {
 	seen            float64
@@ -45,6 +51,73 @@
 
 type sent struct{ at, units float64 }
 
+// window holds what was noted within a time, oldest first, and its sum. Each
+// entry is added and dropped once, whatever the rate.
+type window struct {
+	all  []sent
+	head int
+	sum  float64
+}
+
+func (w *window) add(at, units float64) {
+	w.all = append(w.all, sent{at, units})
+	w.sum += units
+}
+
+// since drops what is older than t and returns the number and sum of the rest.
+func (w *window) since(t float64) (n int, sum float64) {
+	for w.head < len(w.all) && w.all[w.head].at < t {
+		w.sum -= w.all[w.head].units
+		w.head++
+	}
+	if w.head == len(w.all) {
+		w.all, w.head, w.sum = w.all[:0], 0, 0
+	} else if w.head > len(w.all)/2 {
+		w.all = w.all[:copy(w.all, w.all[w.head:])]
+		w.head = 0
+	}
+	return len(w.all) - w.head, w.sum
+}
+
+func (w *window) oldest() float64 { return w.all[w.head].at }
+
+// list keeps requests in the order in which they came; each can be taken out at
+// once by its slot, and the gaps are closed when they are half of all.
+type list struct {
+	all  []*request // nil: a gap
+	gaps int
+}
+
+func (l *list) add(r *request) {
+	r.list, r.slot = l, len(l.all)
+	l.all = append(l.all, r)
+}
+
+func (l *list) remove(r *request) {
+	l.all[r.slot], r.list = nil, nil
+	if l.gaps++; 2*l.gaps > len(l.all) {
+		l.gaps = 0
+		kept := l.all[:0]
+		for _, x := range l.all {
+			if x != nil {
+				x.slot = len(kept)
+				kept = append(kept, x)
+			}
+		}
+		clear(l.all[len(kept):])
+		l.all = kept
+	}
+}
+
+func (l *list) len() int { return len(l.all) - l.gaps }
+
+// fading is a count that halves and halves again with time.
+type fading struct{ n, at float64 }
+
+func (c *fading) add(now, span float64) { c.n, c.at = c.value(now, span)+1, now }
+
+func (c *fading) value(now, span float64) float64 { return c.n * math.Exp((c.at-now)/span) }
+
 type node struct {
 	Node
 	toldOff  bool    // draining or gone
@@ -52,16 +125,9 @@
 	suspect  bool    // last attempt found no process; one trial at a time
 	pause    float64
 	holdTill float64
-	sends    []sent // within the last Rules.FallTime
-}
-
-// sentSince returns the units sent since then and forgets older sends.
-func (n *node) sentSince(t float64) (units float64) {
-	n.sends = slices.DeleteFunc(n.sends, func(s sent) bool { return s.at < t })
-	for _, s := range n.sends {
-		units += s.units
-	}
-	return units
+	sends    window // within the last Rules.FallTime and a tick
+	easy     fading // of late answers that it served
+	hard     fading // and that it turned away
 }
 
 // flow is a plan at a shard.
@@ -76,16 +142,27 @@
 	node    *node
 	flows   []flow
 	vtime   float64
-	retries []*request
-	parked  []*request
-	out     []*request
-	waiting int
-	depth   float64
-	wakeAt  float64 // earliest wake asked for
-	fit     *rls
-	got     gathered
-	wasFull bool // depth held something back in this second
-	lastY   float64
+	retries list
+	parked  list
+	room    []*request // for a walk
+	// load is the units in the flows and retries; nothing there is due before
+	// firstAim, nothing parked leaves before firstEnd: bounds that shed renews.
+	load     float64
+	firstAim float64
+	firstEnd float64
+	filed    int     // counts what was queued,
+	aside    int     // and what was parked
+	walked   float64 // time of the last whole walk
+	out      []*request
+	waiting  int
+	depth    float64
+	wakeAt   float64 // earliest wake asked for
+	fit      *rls
+	got      gathered
+	took     gathered // the same of what was served alone
+	quick    bool     // what the ceiling would put there still meets the aim, one by one
+	wasFull  bool     // depth held something back in this second
+	lastY    float64
 }
 
 // gathered is a fading sum of answers' times.
@@ -124,6 +201,10 @@
 }
 type wakes []wake
 
+// manyWakes is the number below which wakes of requests that are over are left
+// to come due by themselves.
+const manyWakes = 8192
+
 func (w wakes) Len() int           { return len(w) }
 func (w wakes) Less(i, j int) bool { return w[i].at < w[j].at }
 func (w wakes) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
@@ -137,7 +218,8 @@
 
 // chain keeps the order of one key.
 type chain struct {
-	members []*request
+	members []*request // the first has not left, others may have
+	live    int        // those that have not
 	restTo  float64
 }
 
@@ -154,9 +236,11 @@
 	vols    map[string]*volume
 	chains  map[string]*chain
 	wakes   wakes
+	stale   int // wakes of requests that are over
 	armed   float64
-	resends []float64
-	taken   []float64
+	resends window
+	taken   window
+	largest float64 // units of a request so far
 	subOn   bool
 	askedAt float64
 	shares  regulator
@@ -176,12 +260,26 @@
 	}
 	r.queued = false
 	sh.waiting--
-	drop := func(q []*request) []*request {
-		return slices.DeleteFunc(q, func(x *request) bool { return x == r })
+	if r.list != &sh.parked {
+		sh.unload(r)
+	}
+	if r.list != nil {
+		r.list.remove(r)
+		return
 	}
-	sh.retries, sh.parked = drop(sh.retries), drop(sh.parked)
 	f := &sh.flows[r.flow]
-	f.queue = drop(f.queue)
+	i, _ := slices.BinarySearchFunc(f.queue, r, byWorth)
+	for f.queue[i] != r { // equals stand together
+		i++
+	}
+	f.queue = slices.Delete(f.queue, i, i+1)
+}
+
+func (sh *shard) unload(r *request) {
+	sh.load -= r.Units
+	if sh.waiting == sh.parked.len() {
+		sh.load, sh.firstAim = 0, math.Inf(1)
+	}
 }
 
 // regulator sets the flows' shares.
@@ -222,11 +320,19 @@
 	for len(p.wakes) > 0 && p.wakes[0].at <= p.now {
 		w := heap.Pop(&p.wakes).(wake)
 		if w.rq != nil {
+			if w.rq.over() {
+				p.stale--
+			}
 			p.expire(w.rq)
 		} else if w.at == w.sh.wakeAt {
 			p.pump(w.sh)
 		}
 	}
+	if len(p.wakes) > manyWakes && 2*p.stale > len(p.wakes) {
+		p.wakes = slices.DeleteFunc(p.wakes, func(w wake) bool { return w.rq != nil && w.rq.over() })
+		p.stale = 0
+		heap.Init(&p.wakes)
+	}
 	if len(p.wakes) > 0 && p.wakes[0].at < p.armed {
 		p.armed = p.wakes[0].at
 		p.do(SetTimer{max(p.armed-p.now, 0), "wake"})
@@ -237,7 +343,7 @@
 func (p *scheduler) shard(id int) *shard {
 	i, ok := slices.BinarySearchFunc(p.shards, id, func(sh *shard, id int) int { return cmp.Compare(sh.id, id) })
 	if !ok {
-		sh := &shard{id: id, flows: make([]flow, len(p.s.Plans))}
+		sh := &shard{id: id, firstAim: math.Inf(1), firstEnd: math.Inf(1), flows: make([]flow, len(p.s.Plans))}
 		p.resetDepth(sh)
 		p.shards = slices.Insert(p.shards, i, sh)
 	}
@@ -282,18 +388,32 @@
 		}
 	}
 	for k, c := range p.chains {
-		if len(c.members) == 0 && p.now >= c.restTo {
+		if c.live == 0 && p.now >= c.restTo {
 			delete(p.chains, k)
 		}
 	}
 }
 
-// all returns what waits in the shard's flows.
-func (sh *shard) all() (rs []*request) {
+// dearest returns what waits in the shard's flows by worth: the flows, each in
+// that order, are merged; equals go by flow.
+func (sh *shard) dearest(buf []*request) []*request {
+	heads := make([][]*request, len(sh.flows))
 	for i := range sh.flows {
-		rs = append(rs, sh.flows[i].queue...)
+		heads[i] = sh.flows[i].queue
+	}
+	for buf = buf[:0]; ; {
+		best := -1
+		for i, h := range heads {
+			if len(h) > 0 && (best < 0 || byWorth(h[0], heads[best][0]) < 0) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return buf
+		}
+		buf = append(buf, heads[best][0])
+		heads[best] = heads[best][1:]
 	}
-	return rs
 }
 func newScheduler(s Settings, seed uint64) *scheduler {
 	if len(s.Plans) == 0 {
