Answers in batches, data without a second copy; limits, restarts and giving up as tests

Host core and back hold what a batch of events left to say and release it at once; a read of one part hands the server's data on.

--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -21,6 +21,7 @@
 	Settings   settingsCmd   `cmd:"" help:"Read, change or draft the settings of a running gateway."`
 	Io         ioCmd         `cmd:"" help:"Log in to a volume and read or write blocks."`
 	Badday     baddayCmd     `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
+	Bench      benchCmd      `cmd:"" help:"Measure the gateway beside a bare relay over the same hops."`
 	Trail      trailCmd      `cmd:"" help:"Check or read the trail of a day."`
 }
 
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -36,6 +36,7 @@
 const (
 	backOut     = 64 << 20 // module depth times the largest write is half of it
 	backTimeout = 5 * time.Second
+	linkBuffer  = 256 << 10 // a server's answers are many and its connection is one
 	// A connection on which attempts time out and nothing was heard for so long
 	// is taken for half-open.
 	silence = 2 * time.Second
@@ -65,7 +66,7 @@
 	offset  float64 // server's clock minus this host's, us, not later than true
 }
 
-// send takes an attempt; it never blocks on the network.
+// send takes an attempt, on the host's goroutine; it never blocks on the network.
 func (b *back) send(a *attempt) {
 	b.mu.Lock()
 	if b.closed {
@@ -97,12 +98,13 @@
 		l.end(a, policy.NoConnection)
 	case l.up:
 		l.put(a)
+		l.back.host.later(l.out)
 	default:
 		l.waiting = append(l.waiting, a)
 	}
 }
 
-// put writes the attempt's frame. Held: mu.
+// put holds the attempt's frame for the outbox's next release. Held: mu.
 func (l *link) put(a *attempt) {
 	if !a.claim() {
 		return // timed out while it waited
@@ -113,7 +115,7 @@
 	do := a.job.do
 	do.Attempt = uint16(a.n)
 	do.Deadline = uint64(max(a.until*1000+l.offset, 0))
-	if !l.out.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindDo, a.tag, &do) }) {
+	if !l.out.Hold(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindDo, a.tag, &do) }) {
 		l.conn.Close() // the reader ends the rest
 	}
 }
@@ -148,7 +150,7 @@
 	if l.back.ctx.Err() != nil {
 		return l.back.ctx.Err()
 	}
-	r := diskproto.NewReader(bufio.NewReaderSize(conn, 32<<10))
+	r := diskproto.NewReader(bufio.NewReaderSize(conn, linkBuffer))
 	if err := l.greet(conn, r); err != nil {
 		return err
 	}
@@ -194,6 +196,7 @@
 	for _, a := range l.waiting {
 		l.put(a)
 	}
+	l.out.Release()
 	l.waiting = nil
 	return nil
 }
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"merlinhitch/diskproto"
@@ -18,20 +18,20 @@
 // command is one SCSI command that needs disks: its parts, and what is gathered
 // for its one answer. Once it is at the host, its fields are the host goroutine's.
 type command struct {
-	conn    *conn
-	task    *iscsi.Task
-	jobs    []*job
-	left    int // parts without an end
-	landing int // parts of which something may still take effect
-	worst   endKind
-	after   float64
-	miscomp bool
-	data    []byte
-	size    int
-	held    int // bytes reserved for what it reads
-	group   *abortion
-	gone    bool
-	spared  bool
+	conn      *conn
+	task      *iscsi.Task
+	jobs      []*job
+	left      int // parts without an end
+	landing   int // parts of which something may still take effect
+	worst     endKind
+	after     float64
+	miscomp   bool
+	data      []byte
+	blockSize int
+	held      int // bytes reserved for what it reads
+	group     *abortion
+	gone      bool
+	spared    bool
 }
 
 // ready turns a command with all its data into requests. Held: conn.mu.
@@ -72,7 +72,7 @@
 		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.InvalidField.Fixed()})
 		return
 	}
-	cmd := &command{conn: c, task: t, size: size}
+	cmd := &command{conn: c, task: t, blockSize: vol.BlockSize}
 	if io.Op == scsi.Read {
 		cmd.held = size
 	}
@@ -81,9 +81,6 @@
 		return
 	}
 	cmd.split(v, vol, class, io)
-	if cmd.held > 0 {
-		cmd.data = make([]byte, cmd.held)
-	}
 	t.User = cmd
 	c.front.open.Add(int64(len(cmd.jobs)))
 	for _, j := range cmd.jobs {
@@ -133,7 +130,7 @@
 // add makes one part's request.
 func (cmd *command) add(v *view, vol *settings.Volume, class *settings.Class, op scsi.Op, shard int, extent uint64, size int) *job {
 	c := cmd.conn
-	key := fmt.Sprintf("%s/%d", vol.Name, extent)
+	key := vol.Name + "/" + strconv.FormatUint(extent, 10)
 	units := v.Units(size)
 	j := &job{cmd: cmd, part: len(cmd.jobs)}
 	j.req = policy.Request{Class: class.Name, Plan: vol.Plan, Volume: vol.Name, Shard: shard, Units: units,
@@ -175,14 +172,8 @@
 	cmd.worst, cmd.after = max(cmd.worst, how), max(cmd.after, after)
 	if ans != nil {
 		cmd.miscomp = cmd.miscomp || ans.Result == diskproto.Miscompare
-		if cmd.data != nil {
-			first := cmd.jobs[0].do.LBA
-			at := int(j.do.LBA-first) * (cmd.size / cmd.blocks())
-			if len(ans.Data) != int(j.do.Blocks)*(cmd.size/cmd.blocks()) {
-				cmd.worst = max(cmd.worst, endFailed) // a server that answers less than was asked
-			} else {
-				copy(cmd.data[at:], ans.Data)
-			}
+		if cmd.held > 0 && !cmd.gather(j, ans.Data) {
+			cmd.worst = max(cmd.worst, endFailed) // a server that answers less than was asked
 		}
 	}
 	if cmd.left == 0 {
@@ -207,12 +198,20 @@
 	}})
 }
 
-func (cmd *command) blocks() int {
-	n := 0
-	for _, j := range cmd.jobs {
-		n += int(j.do.Blocks)
+// gather puts a part's data in its place; false if it isn't what was asked for.
+func (cmd *command) gather(j *job, data []byte) bool {
+	if len(data) != int(j.do.Blocks)*cmd.blockSize {
+		return false
+	}
+	if len(cmd.jobs) == 1 {
+		cmd.data = data
+		return true
+	}
+	if cmd.data == nil {
+		cmd.data = make([]byte, cmd.held)
 	}
-	return n
+	copy(cmd.data[int(j.do.LBA-cmd.jobs[0].do.LBA)*cmd.blockSize:], data)
+	return true
 }
 
 // finish gives the one answer: GOOD only if all parts were. A refusal promises
@@ -225,7 +224,10 @@
 	if c.closed || cmd.worst == endGone {
 		return
 	}
+	c.batch = true
 	c.sess.Respond(cmd.task, cmd.answer())
+	c.batch = false
+	c.front.host.later(c.out)
 }
 
 func (cmd *command) answer() iscsi.Answer {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -168,6 +168,7 @@
 	closed  bool
 	ping    seam.Timer
 	heard   bool
+	batch   bool // the host core releases the outbox
 	parting bool // what waits to be sent still goes out before the close
 }
 
@@ -194,8 +195,12 @@
 	close(c.ended)
 }
 
+// emit sends a PDU, or holds it while the host core is in a batch. Held: mu.
 func (c *conn) emit(p *iscsi.PDU) {
-	c.out.Put(func(b []byte) []byte { return p.Append(b, c.digests) })
+	c.out.Hold(func(b []byte) []byte { return p.Append(b, c.digests) })
+	if !c.batch {
+		c.out.Release()
+	}
 }
 
 // login runs the login phase within its time.
@@ -212,7 +217,9 @@
 		if done {
 			c.begin(v, l)
 		}
+		c.mu.Lock()
 		c.emit(reply)
+		c.mu.Unlock()
 		if err != nil {
 			c.finish()
 			return err
@@ -342,9 +349,7 @@
 		p, err := r.Next()
 		var dd *iscsi.DataDigestError
 		if errors.As(err, &dd) {
-			c.mu.Lock()
-			c.sess.Reject(p, iscsi.RejectDataDigest)
-			c.mu.Unlock()
+			c.reject(p)
 			c.finish()
 			return err
 		}
@@ -359,6 +364,12 @@
 	}
 }
 
+func (c *conn) reject(p *iscsi.PDU) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sess.Reject(p, iscsi.RejectDataDigest)
+}
+
 // finish closes the connection once its last words are out.
 func (c *conn) finish() {
 	c.mu.Lock()
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -11,6 +11,7 @@
 
 	"merlinhitch/diskproto"
 	"merlinhitch/inventory"
+	"merlinhitch/outbox"
 	"merlinhitch/policy"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
@@ -32,6 +33,7 @@
 
 	timer   seam.Timer
 	timerAt float64
+	said    []*outbox.Outbox // what the present batch of events left to be written
 }
 
 type eventKind int
@@ -101,10 +103,19 @@
 			h.handle(now, &mail[i])
 			mail[i] = event{}
 		}
+		for i, o := range h.said {
+			o.Release()
+			h.said[i] = nil
+		}
+		h.said = h.said[:0]
 		h.arm()
 	}
 }
 
+// later has what o holds written at the end of the batch: many answers then go
+// out in one call of the system. On the host's goroutine only.
+func (h *host) later(o *outbox.Outbox) { h.said = append(h.said, o) }
+
 func (h *host) handle(now float64, e *event) {
 	switch e.kind {
 	case evTake:
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -380,12 +380,12 @@
 // would.
 func (c *Crowd) settle(a ask, s *initiator.Client, end *ending, id uint64, begin time.Duration, left leaving, then func([]byte)) {
 	now := c.fleet.World.Now()
-	f, again := fateMaybe, false
+	f, again := FateMaybe, false
 	class := c.fleet.Set.Class(a.op, int(a.blocks)*a.lane.vol.BlockSize, a.lane.vol.Plan)
 	by := now
 	switch {
 	case left == unsent:
-		f = fateNothing
+		f = FateNothing
 	case left == aborted:
 	case left == closed || end.err != nil:
 		// Whatever was under way may land until the command's time is up.
@@ -393,7 +393,7 @@
 		by = begin + seam.Duration(class.Deadline) + 100*time.Millisecond
 		again = a.op == scsi.Read
 	case end.res.Status == scsi.Good:
-		f = fateAcked
+		f = FateAcked
 		if a.op == scsi.Read {
 			c.ledger.Read(a.lane.vol.Name, a.lba, end.res.Data, a.lane.vol.BlockSize, begin, now)
 			if then != nil {
@@ -401,7 +401,7 @@
 			}
 		}
 	case end.res.Status == scsi.Busy:
-		f, again = fateNothing, true
+		f, again = FateNothing, true
 	default:
 		again = a.op == scsi.Read
 	}
@@ -455,16 +455,16 @@
 	s.Submit(0, initiator.CompareAndWriteCDB(a.lba, 1), out, 0, func(r iscsi.Result, err error) { end.set(r, err) })
 	<-end.done
 	c.Ended.Add(1)
-	f, by := fateMaybe, w.Now()
+	f, by := FateMaybe, w.Now()
 	sense, _ := scsi.ParseSense(end.res.Sense)
 	switch {
 	case end.err != nil:
 		a.lane.drop(s)
 		by = begin + seam.Duration(c.fleet.Set.Class(a.op, a.lane.vol.BlockSize, a.lane.vol.Plan).Deadline) + 100*time.Millisecond
 	case end.res.Status == scsi.Good:
-		f = fateAcked
+		f = FateAcked
 	case end.res.Status == scsi.Busy || sense == scsi.Miscompare:
-		f = fateNothing
+		f = FateNothing
 	}
 	c.ledger.End(id, f, by)
 }
--- /dev/null
+++ b/lab/lab_test.go
@@ -0,0 +1,115 @@
+package lab_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"merlinhitch/lab"
+	"merlinhitch/rules"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func play(t *testing.T, seed uint64, commands int, rate float64, troubles ...string) *lab.Result {
+	t.Helper()
+	res, err := lab.BadDay(context.Background(), lab.Options{Seed: seed, Commands: commands, Rate: rate, Hosts: 3, Servers: 9, Troubles: troubles})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !res.OK() {
+		var b strings.Builder
+		res.Print(&b)
+		t.Fatal(b.String())
+	}
+	return res
+}
+
+// Three hosts on limited volumes whose plan asks for many times its rate, one
+// killed and started again: the limit holds over all of them.
+func TestLimitOverThreeHostsAndARestart(t *testing.T) {
+	res := play(t, 2, 900, 300, "tenant_burst", "balancer_crash")
+	if res.Check.Checks[rules.Limits] == 0 {
+		t.Error("no send of a limited volume")
+	}
+}
+
+// A hall of servers restarts within 0.4 s while clients repeat at once, without
+// heed of advice.
+func TestHallRestartsUnderAbuse(t *testing.T) {
+	res := play(t, 3, 900, 300, "mass_restart", "retry_abuse")
+	if res.Check.Checks[rules.Cold] == 0 {
+		t.Error("no send to a cold server")
+	}
+}
+
+// Clients that give up, by abort and by closing, while servers drain, tear
+// connections and answer late.
+func TestGivingUpUnderNetTroubles(t *testing.T) {
+	res := play(t, 4, 900, 300, "give_up", "deploy", "net_torn", "net_late")
+	if res.Check.Checks[rules.Drains] == 0 || res.Check.Checks[rules.Effects] == 0 {
+		t.Errorf("checks: %v", res.Check.Checks)
+	}
+}
+
+// The ledger rejects what could not have been read.
+func TestLedgerRejects(t *testing.T) {
+	s := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	base := func() (*lab.Ledger, uint64, uint64) {
+		l := lab.NewLedger()
+		a := l.Begin("v", 10, 2, s(1))
+		l.End(a, lab.FateAcked, s(2))
+		b := l.Begin("v", 10, 1, s(3))
+		l.End(b, lab.FateAcked, s(4))
+		return l, a, b
+	}
+	read := func(l *lab.Ledger, lba uint64, data []byte, at float64) []string {
+		l.Read("v", lba, data, 512, s(at), s(at+0.1))
+		return l.Judge()
+	}
+	l, _, b := base()
+	if w := read(l, 10, lab.Stamp(b, 512), 5); len(w) != 0 {
+		t.Errorf("the last write: %v", w)
+	}
+	l, a, _ := base()
+	if w := read(l, 10, lab.Stamp(a, 512), 3.5); len(w) != 0 {
+		t.Errorf("the write before, while the last is under way: %v", w)
+	}
+	bad := map[string]func(l *lab.Ledger, a, b uint64) []string{
+		"older than the last acknowledged": func(l *lab.Ledger, a, _ uint64) []string { return read(l, 10, lab.Stamp(a, 512), 5) },
+		"zeros after a write":              func(l *lab.Ledger, _, _ uint64) []string { return read(l, 11, make([]byte, 512), 5) },
+		"a write nobody sent":              func(l *lab.Ledger, _, _ uint64) []string { return read(l, 10, lab.Stamp(99, 512), 5) },
+		"a write of another place":         func(l *lab.Ledger, a, _ uint64) []string { return read(l, 12, lab.Stamp(a, 512), 5) },
+		"before it was sent":               func(l *lab.Ledger, _, b uint64) []string { return read(l, 10, lab.Stamp(b, 512), 2.5) },
+		"parts of two": func(l *lab.Ledger, a, b uint64) []string {
+			return read(l, 10, append(lab.Stamp(a, 256), lab.Stamp(b, 256)...), 3.5)
+		},
+		"a write that was refused": func(l *lab.Ledger, _, _ uint64) []string {
+			c := l.Begin("v", 10, 1, s(5))
+			l.End(c, lab.FateNothing, s(6))
+			return read(l, 10, lab.Stamp(c, 512), 7)
+		},
+		"a failed write that lands after a later one": func(l *lab.Ledger, _, _ uint64) []string {
+			c := l.Begin("v", 10, 1, s(5))
+			l.End(c, lab.FateMaybe, s(6))
+			d := l.Begin("v", 10, 1, s(7))
+			l.End(d, lab.FateAcked, s(8))
+			return read(l, 10, lab.Stamp(c, 512), 9)
+		},
+	}
+	for name, f := range bad {
+		l, a, b := base()
+		if w := f(l, a, b); len(w) == 0 {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+func TestUnknownTrouble(t *testing.T) {
+	if _, err := lab.BadDay(context.Background(), lab.Options{Hosts: 1, Servers: 3, Commands: 1, Rate: 1, Troubles: []string{"earthquake"}}); err == nil {
+		t.Error("taken")
+	}
+}
--- a/outbox/outbox.go
+++ b/outbox/outbox.go
@@ -45,6 +45,14 @@
 // Put has f append bytes to what waits. It tells whether they were taken; an
 // outbox over its limit closes its connection.
 func (o *Outbox) Put(f func(b []byte) []byte) bool {
+	ok := o.Hold(f)
+	o.Release()
+	return ok
+}
+
+// Hold is Put without starting to write: who has more to say says it first, and
+// then calls Release.
+func (o *Outbox) Hold(f func(b []byte) []byte) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
@@ -57,10 +65,12 @@
 		o.cutLocked()
 		return false
 	}
-	o.wake.Signal()
 	return true
 }
 
+// Release starts to write what was held.
+func (o *Outbox) Release() { o.wake.Signal() }
+
 func (o *Outbox) gauge(delta int) {
 	if o.Gauge != nil {
 		o.Gauge(delta)
--- a/settings/example.go
+++ b/settings/example.go
@@ -20,7 +20,7 @@
 			{Name: "prioritario", Price: 1.5, Weight: 6, Rate: 15},
 		},
 		Limits: Limits{MaxAttempts: 4, RetryAfter: 500, DialTimeout: 250, MaxOpen: 33333},
-		Rules: Rules{AnswerSlack: 50, DrainGrace: 500, FallMultiple: 2, FallTime: 1500, ColdFrom: 0.2, ColdTime: 8000,
+		Rules: Rules{AnswerSlack: 100, DrainGrace: 500, FallMultiple: 2, FallTime: 1500, ColdFrom: 0.2, ColdTime: 8000,
 			ColdUnits: 26, KeyRest: 200, Budget: &Budget{Free: 3, Share: 0.25, Span: 5000}},
 		Target: Target{Prefix: "iqn.2026-11.example.merlinhitch", Window: 64, MaxSessions: 4096, Memory: 256 << 20,
 			LoginTime: 5000, WriteTime: 5000, PingEvery: 10000, StopTime: 2000},
