Resets reach every session of a unit; connections of servers that left are closed

LOGICAL UNIT RESET and target resets ended only their own session's tasks, where SAM-5 has them end all. The others' clients are now told by a unit attention, a cold reset closes the target's sessions, and the response waits for every task. A server that leaves the list, or says Bye, keeps its connection only while it owes answers.

--- a/gateway/back.go
+++ b/gateway/back.go
@@ -56,7 +56,7 @@
 	mu      sync.Mutex
 	up      bool
 	down    bool
-	bye     bool
+	bye     bool // nothing new goes here
 	conn    net.Conn
 	out     *outbox.Outbox
 	waiting []*attempt
@@ -211,9 +211,10 @@
 	if f.Kind == diskproto.KindBye {
 		l.bye = true // what is out may still be answered
 	}
+	over := l.bye && len(l.open) == 0
 	l.mu.Unlock()
 	if f.Kind != diskproto.KindAnswer || a == nil {
-		return nil
+		return errRetired.when(over)
 	}
 	ans := &diskproto.Answer{}
 	if err := ans.Parse(f.Body); err != nil {
@@ -223,9 +224,39 @@
 		ans.Data = append([]byte(nil), ans.Data...)
 	}
 	l.back.host.post(event{kind: evAnswer, attempt: a, answer: ans})
+	return errRetired.when(over)
+}
+
+// retiredError ends a connection to which nothing more goes.
+type retiredError struct{}
+
+var errRetired retiredError
+
+func (retiredError) Error() string { return "gateway: connection retired" }
+
+func (e retiredError) when(over bool) error {
+	if over {
+		return e
+	}
 	return nil
 }
 
+// retire closes the connection to a server that has left, once it has nothing out.
+func (b *back) retire(addr string) {
+	b.mu.Lock()
+	l := b.links[addr]
+	b.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bye = true
+	if l.up && len(l.open) == 0 {
+		l.conn.Close()
+	}
+}
+
 // finish ends what the connection had: what waited has certainly not gone, what
 // was sent may have run.
 func (l *link) finish() {
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -36,6 +36,11 @@
 
 // ready turns a command with all its data into requests. Held: conn.mu.
 func (c *conn) ready(t *iscsi.Task) {
+	if c.attention != nil && scsi.TakesAttention(t.CDB) {
+		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: c.attention.Fixed()})
+		c.attention = nil
+		return
+	}
 	v := c.front.view.Load()
 	var disk *scsi.Disk
 	if t.LUN == 0 {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -157,7 +157,7 @@
 	net   net.Conn
 	out   *outbox.Outbox
 	log   *zap.Logger
-	key   sessionKey
+	key   sessionKey // set before the session is registered
 	unit  *unit
 	ended chan struct{}
 
@@ -169,7 +169,9 @@
 	ping    seam.Timer
 	heard   bool
 	batch   bool // the host core releases the outbox
-	parting bool // what waits to be sent still goes out before the close
+	// attention is told to the next command that asks: a unit attention condition.
+	attention *scsi.Sense
+	parting   bool // what waits to be sent still goes out before the close
 }
 
 func newConn(f *front, c net.Conn) *conn {
@@ -428,6 +430,10 @@
 // none of them can take effect any more.
 func (c *conn) abort(a *iscsi.Abort) {
 	g := &abortion{conn: c, abort: a, left: 1}
+	if a.Wide() && c.unit != nil {
+		g.left++
+		c.front.host.post(event{kind: evAsk, ask: func(*hostCore) { c.resetOthers(g) }})
+	}
 	for _, t := range a.Tasks {
 		if cmd, ok := t.User.(*command); ok {
 			g.left++
@@ -437,6 +443,48 @@
 	g.one()
 }
 
+// resetOthers ends the tasks of the target's other sessions, whose clients are told
+// by a unit attention; a cold reset closes every session. On the host's goroutine,
+// so that two resets at once don't wait for each other.
+func (c *conn) resetOthers(g *abortion) {
+	cold := g.abort.Function == iscsi.TargetColdReset
+	for _, o := range c.front.all() {
+		if o == c || o.key.target != c.key.target {
+			continue
+		}
+		if cold {
+			o.out.Cut()
+			continue
+		}
+		for _, t := range o.reset() {
+			if cmd, ok := t.User.(*command); ok {
+				c.mu.Lock()
+				g.left++
+				c.mu.Unlock()
+				cmd.abandon(g)
+			}
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.one()
+	if cold {
+		c.parting = true
+		c.out.Finish()
+	}
+}
+
+// reset ends the session's tasks for a function of another.
+func (c *conn) reset() []*iscsi.Task {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sess == nil || c.closed {
+		return nil
+	}
+	c.attention = &scsi.DeviceReset
+	return c.sess.Reset()
+}
+
 // abortion counts the commands that a task management function waits for.
 // Its count is guarded by the conn's lock, or all is on one goroutine before.
 type abortion struct {
--- a/gateway/hard_test.go
+++ b/gateway/hard_test.go
@@ -15,6 +15,7 @@
 
 	"merlinhitch/diskproto"
 	"merlinhitch/initiator"
+	"merlinhitch/inventory"
 	"merlinhitch/iscsi"
 	"merlinhitch/scsi"
 	"merlinhitch/settings"
@@ -528,3 +529,57 @@
 		t.Error("the old layout, put again, does not find the block")
 	}
 }
+
+// LUN RESET ends the tasks of every session of the unit; the others are told by a
+// unit attention, and the response waits for all of them.
+func TestLUNResetReachesOtherSessions(t *testing.T) {
+	r := newRig(t, oneShard)
+	out := make(chan *scene, 2)
+	r.stage(func(c *scene, do diskproto.Do) {
+		if scsi.Op(do.Op) == scsi.Read {
+			c.say(ok(do))
+			return
+		}
+		out <- c
+	})
+	one, two := r.client(normal, 1), r.client(normal, 2)
+	two.Submit(0, initiator.WriteCDB(0, 1), make([]byte, 4096), 0, func(res iscsi.Result, err error) {
+		if err == nil {
+			t.Error("a status for a command that was reset")
+		}
+	})
+	s := <-out
+	answered := make(chan byte, 1)
+	one.Manage(iscsi.LUNReset, func(code byte, _ error) { answered <- code })
+	ready := make([]byte, 6) // TEST UNIT READY is answered at once and can't be reset itself
+	res := r.do(two, ready, nil, 0)
+	for res.Status == scsi.Good { // the reset has not reached it yet
+		res = r.do(two, ready, nil, 0)
+	}
+	if sense, _ := scsi.ParseSense(res.Sense); sense != scsi.DeviceReset {
+		t.Errorf("sense %v", sense)
+	}
+	if res := r.do(two, ready, nil, 0); res.Status != scsi.Good {
+		t.Errorf("the attention is told once: %02x", res.Status)
+	}
+	select {
+	case <-answered:
+		t.Fatal("answered while the other session's write was out")
+	default:
+	}
+	s.say(diskproto.Answer{Result: diskproto.OK})
+	if code := <-answered; code != iscsi.FunctionComplete {
+		t.Errorf("response %d", code)
+	}
+}
+
+// A server that leaves the list keeps no connection.
+func TestConnectionOfAGoneServerEnds(t *testing.T) {
+	r := newRig(t, oneShard)
+	r.do(r.client(normal, 1), initiator.ReadCDB(0, 1), nil, 4096)
+	if n := r.gate.Status().ConnectedServers; n != 1 {
+		t.Fatalf("%d connections", n)
+	}
+	r.inv.ChangeNow(func(b *inventory.Book) { b.Health(r.disks[0].Addr, inventory.Gone) })
+	r.await("the connection to end", func() bool { return r.gate.Status().ConnectedServers == 0 })
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -181,11 +181,12 @@
 
 // The effects of the core, on the host's goroutine.
 
-func (h *host) send(a *attempt)   { h.back.send(a) }
-func (h *host) cancel(a *attempt) { h.back.cancel(a) }
-func (h *host) forget(a *attempt) { h.back.forget(a) }
-func (h *host) fetchList()        { h.fetch() }
-func (h *host) note(text string)  { h.log.Warn(text) }
+func (h *host) send(a *attempt)    { h.back.send(a) }
+func (h *host) cancel(a *attempt)  { h.back.cancel(a) }
+func (h *host) forget(a *attempt)  { h.back.forget(a) }
+func (h *host) retire(node string) { h.back.retire(node) }
+func (h *host) fetchList()         { h.fetch() }
+func (h *host) note(text string)   { h.log.Warn(text) }
 
 func (h *host) finish(j *job, how endKind, after float64, ans *diskproto.Answer) {
 	j.cmd.partDone(j, how, after, ans)
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -76,6 +76,7 @@
 	finish(j *job, how endKind, after float64, ans *diskproto.Answer)
 	settled(j *job) // of a job that the client ended: nothing of it can land any more
 	fetchList()
+	retire(node string) // close the connection once it has nothing out
 	note(text string)
 }
 
@@ -165,6 +166,8 @@
 		h.push(due{at: h.now + a.Delay, name: a.Name})
 	case policy.FetchList:
 		h.eff.fetchList() // Subscribe needs nothing: the client always is
+	case policy.CloseIdle:
+		h.eff.retire(a.Node)
 	case policy.Log:
 		h.eff.note(a.Text)
 	}
@@ -356,6 +359,7 @@
 		if n.Health == inventory.Gone {
 			delete(h.nodes, n.Addr)
 			delete(h.started, startKey{n.Addr, n.Incarnation})
+			h.eff.retire(n.Addr)
 		}
 	}
 	h.listed = true
--- a/iscsi/session.go
+++ b/iscsi/session.go
@@ -517,16 +517,31 @@
 	default:
 		a.response = FunctionUnknown
 	}
+	a.Tasks = s.take(match)
+	s.events = append(s.events, Event{Abort: a})
+}
+
+// Wide tells whether the function reaches the tasks of other sessions too.
+func (a *Abort) Wide() bool {
+	return a.Function == LUNReset || a.Function == TargetWarmReset || a.Function == TargetColdReset
+}
+
+// Reset ends every task for a function of another session and returns them; no
+// response will be sent for them.
+func (s *Session) Reset() []*Task { return s.take(func(*Task) bool { return true }) }
+
+// take drops the tasks that match, in their order.
+func (s *Session) take(match func(*Task) bool) (tasks []*Task) {
 	for _, t := range s.tasks {
 		if !t.refused && match(t) {
-			a.Tasks = append(a.Tasks, t)
+			tasks = append(tasks, t)
 		}
 	}
-	slices.SortFunc(a.Tasks, byCmdSN)
-	for _, t := range a.Tasks {
+	slices.SortFunc(tasks, byCmdSN)
+	for _, t := range tasks {
 		s.drop(t)
 	}
-	s.events = append(s.events, Event{Abort: a})
+	return tasks
 }
 
 func (s *Session) query(f TaskFunction, ref uint32, lun uint64) bool {
--- a/scsi/scsi.go
+++ b/scsi/scsi.go
@@ -22,22 +22,17 @@
 
 // The senses that a disk here gives.
 var (
-	NoSense            = Sense{0, 0, 0}
-	InvalidOpcode      = Sense{5, 0x20, 0}
-	LBAOutOfRange      = Sense{5, 0x21, 0}
-	InvalidField       = Sense{5, 0x24, 0}
-	NoSuchLUN          = Sense{5, 0x25, 0}
-	InvalidParameter   = Sense{5, 0x26, 0}
-	ParamLength        = Sense{5, 0x1a, 0}
-	SavingUnsupported  = Sense{5, 0x39, 0}
-	Miscompare         = Sense{0xe, 0x1d, 0}
-	CommandAborted     = Sense{0xb, 0, 0}
-	CommandTimedOut    = Sense{0xb, 0x2e, 1}
-	WriteError         = Sense{3, 0x0c, 0}
-	HardwareError      = Sense{4, 0x44, 0}
-	NotReadyBecoming   = Sense{2, 4, 1}
-	PowerOnReset       = Sense{6, 0x29, 0}
-	CapacityDataChange = Sense{6, 0x2a, 9}
+	NoSense           = Sense{0, 0, 0}
+	InvalidOpcode     = Sense{5, 0x20, 0}
+	LBAOutOfRange     = Sense{5, 0x21, 0}
+	InvalidField      = Sense{5, 0x24, 0}
+	NoSuchLUN         = Sense{5, 0x25, 0}
+	InvalidParameter  = Sense{5, 0x26, 0}
+	ParamLength       = Sense{5, 0x1a, 0}
+	SavingUnsupported = Sense{5, 0x39, 0}
+	Miscompare        = Sense{0xe, 0x1d, 0}
+	CommandAborted    = Sense{0xb, 0, 0}
+	DeviceReset       = Sense{6, 0x29, 3}
 )
 
 func (s Sense) Error() string { return fmt.Sprintf("scsi: sense %x/%02x/%02x", s.Key, s.ASC, s.ASCQ) }
@@ -219,6 +214,12 @@
 	return c.decode(d, cdb, out)
 }
 
+// TakesAttention tells whether a command is answered by a pending unit attention
+// condition: all are but those that ask what is there (SAM-5 section 5.14).
+func TakesAttention(cdb [16]byte) bool {
+	return cdb[0] != opInquiry && cdb[0] != opReportLUNs && cdb[0] != opRequestSense
+}
+
 // commandKey is an opcode with its service action.
 type commandKey struct{ op, sa byte }
 
