Time-outs in a heap that forgets what is over; fewer allocations a command; core tests

A time-out stayed in the host core's heap until it came due, with its request and data: two seconds of work at a gateway's rates. It leaves with the outcome now. The core's time-outs, late answers, settling and node starts are tested without sockets.

--- a/gateway/command.go
+++ b/gateway/command.go
@@ -21,6 +21,8 @@
 	conn      *conn
 	task      *iscsi.Task
 	jobs      []*job
+	first     job
+	room      [1]*job
 	left      int // parts without an end
 	landing   int // parts of which something may still take effect
 	worst     endKind
@@ -65,7 +67,7 @@
 // start hands the command's parts to the host core. Held: conn.mu.
 func (c *conn) start(v *view, t *iscsi.Task, io *scsi.IO) {
 	vol := c.unit.vol
-	if u := v.targets[v.TargetName(vol)]; u != nil {
+	if u := v.targets[c.key.target]; u != nil {
 		vol = u.vol // the layout in force now
 	}
 	size := int(io.Blocks) * vol.BlockSize
@@ -103,7 +105,7 @@
 	if len(whole) > io.Out {
 		whole = whole[:io.Out]
 	}
-	for _, p := range vol.Parts(io.LBA, io.Blocks) {
+	for p := range vol.Parts(io.LBA, io.Blocks) {
 		from := int(p.LBA-io.LBA) * vol.BlockSize
 		n := int(p.Blocks) * vol.BlockSize
 		data := whole
@@ -119,7 +121,7 @@
 func (cmd *command) splitUnmap(v *view, vol *settings.Volume, class *settings.Class, io *scsi.IO) {
 	byShard := map[int]*job{}
 	for _, r := range io.Unmaps {
-		for _, p := range vol.Parts(r.LBA, r.Blocks) {
+		for p := range vol.Parts(r.LBA, r.Blocks) {
 			j := byShard[p.Shard]
 			if j == nil || len(j.do.Runs) == diskRuns {
 				j = cmd.add(v, vol, class, io.Op, p.Shard, p.Extent, 0)
@@ -135,9 +137,16 @@
 // add makes one part's request.
 func (cmd *command) add(v *view, vol *settings.Volume, class *settings.Class, op scsi.Op, shard int, extent uint64, size int) *job {
 	c := cmd.conn
-	key := vol.Name + "/" + strconv.FormatUint(extent, 10)
+	var buf [96]byte
+	key := string(strconv.AppendUint(append(append(buf[:0], vol.Name...), '/'), extent, 10))
 	units := v.Units(size)
-	j := &job{cmd: cmd, part: len(cmd.jobs)}
+	j := &cmd.first // most commands have one part
+	if len(cmd.jobs) > 0 {
+		j = &job{}
+	} else {
+		cmd.jobs = cmd.room[:0]
+	}
+	j.cmd = cmd
 	j.req = policy.Request{Class: class.Name, Plan: vol.Plan, Volume: vol.Name, Shard: shard, Units: units,
 		Key: key, Hosts: len(vol.Hosts), Write: op.Writes(), Expires: cmd.task.At + class.Deadline}
 	j.do = diskproto.Do{Op: byte(op), Effect: wireEffect[class.Effect], Shard: uint32(shard), Host: c.front.host.back.id,
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -6,7 +6,6 @@
 package gateway
 
 import (
-	"container/heap"
 	"math"
 	"strconv"
 	"sync/atomic"
@@ -34,7 +33,6 @@
 	req     policy.Request
 	do      diskproto.Do // what every attempt says, but for its number and deadline
 	cmd     *command
-	part    int
 	sends   int
 	out     int
 	ended   bool
@@ -54,6 +52,7 @@
 	state  atomic.Int32
 	over   bool
 	tag    uint32
+	due    due
 }
 
 const (
@@ -80,28 +79,6 @@
 	note(text string)
 }
 
-// dueKind tells what a due entry is for.
-type due struct {
-	at   float64
-	a    *attempt // its time-out
-	j    *job     // its last possible landing
-	name string   // the module's timer
-}
-
-type dues []due
-
-func (d dues) Len() int           { return len(d) }
-func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
-func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
-func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
-func (d *dues) Pop() any {
-	old := *d
-	x := old[len(old)-1]
-	old[len(old)-1] = due{}
-	*d = old[:len(old)-1]
-	return x
-}
-
 // hostCore owns the module's instance and everything that the module was told and
 // has said. It is a core: times and events in, effects out, no I/O.
 type hostCore struct {
@@ -163,7 +140,7 @@
 			h.cancel(j, a.Attempt)
 		}
 	case policy.SetTimer:
-		h.push(due{at: h.now + a.Delay, name: a.Name})
+		h.dues.push(&due{at: h.now + a.Delay, name: a.Name})
 	case policy.FetchList:
 		h.eff.fetchList() // Subscribe needs nothing: the client always is
 	case policy.CloseIdle:
@@ -173,8 +150,6 @@
 	}
 }
 
-func (h *hostCore) push(d due) { heap.Push(&h.dues, d) }
-
 func (h *hostCore) send(s policy.Send) {
 	j := h.jobs[s.ID]
 	if j == nil || j.ended {
@@ -192,18 +167,20 @@
 	if a.n > 0 {
 		h.resends++
 	}
-	h.push(due{at: until, a: a})
+	a.due = due{at: until, a: a}
+	h.dues.push(&a.due)
 	h.eff.send(a)
 }
 
 // cancel stops waiting for an attempt; the outcome comes with the next tick, for
 // the module is in the middle of an event.
 func (h *hostCore) cancel(j *job, n int) {
-	for i := range h.dues {
-		if a := h.dues[i].a; a != nil && a.job == j && a.n == n && !a.over {
-			h.dues[i].at, h.dues[i].name = h.now, "cancelled"
-			heap.Fix(&h.dues, i)
-			h.eff.cancel(a)
+	for _, d := range h.dues.heap { // rare: the module's own time-outs do most
+		if d.a != nil && d.a.job == j && d.a.n == n {
+			h.dues.remove(d)
+			d.at, d.cancelled = h.now, true
+			h.dues.push(d)
+			h.eff.cancel(d.a)
 			return
 		}
 	}
@@ -231,7 +208,7 @@
 		return
 	}
 	if j.landBy > h.now {
-		h.push(due{at: j.landBy, j: j})
+		h.dues.push(&due{at: j.landBy, j: j})
 		return
 	}
 	j.settled = true
@@ -293,6 +270,7 @@
 
 func (h *hostCore) outcome(a *attempt, r policy.Result, o policy.Outcome) {
 	a.over = true
+	h.dues.remove(&a.due)
 	j := a.job
 	j.out--
 	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed, o.Result = j.id, a.node, a.n, j.ended, h.now-a.sentAt, r
@@ -302,23 +280,21 @@
 
 // next is when tick has something to do, +Inf if never.
 func (h *hostCore) next() float64 {
-	for len(h.dues) > 0 && h.dues[0].a != nil && h.dues[0].a.over {
-		heap.Pop(&h.dues)
-	}
-	if len(h.dues) == 0 {
-		return math.Inf(1)
+	if d := h.dues.first(); d != nil {
+		return d.at
 	}
-	return h.dues[0].at
+	return math.Inf(1)
 }
 
 // tick does what has come due.
 func (h *hostCore) tick(now float64) {
 	h.at(now)
 	for h.next() <= h.now {
-		d := heap.Pop(&h.dues).(due)
+		d := h.dues.first()
+		h.dues.remove(d)
 		switch {
 		case d.a != nil:
-			h.timeOut(d.a, d.name == "cancelled")
+			h.timeOut(d.a, d.cancelled)
 		case d.j != nil:
 			h.tidy(d.j)
 		default:
--- /dev/null
+++ b/gateway/hostcore_test.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/inventory"
+	"merlinhitch/policy"
+	"merlinhitch/settings"
+)
+
+func TestDuesComeInOrder(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var h dues
+	var live []*due
+	for range 20000 {
+		switch {
+		case len(live) == 0 || rng.IntN(3) > 0:
+			d := &due{at: float64(rng.IntN(50))}
+			h.push(d)
+			live = append(live, d)
+		case rng.IntN(2) == 0:
+			i := rng.IntN(len(live))
+			h.remove(live[i])
+			h.remove(live[i]) // twice does no harm
+			live = slices.Delete(live, i, i+1)
+		default:
+			want := slices.MinFunc(live, func(a, b *due) int {
+				if a.at != b.at {
+					return int(a.at - b.at)
+				}
+				return int(a.seq) - int(b.seq)
+			})
+			if got := h.first(); got != want {
+				t.Fatalf("first is due at %v, want %v", got.at, want.at)
+			}
+			h.remove(want)
+			live = slices.DeleteFunc(live, func(d *due) bool { return d == want })
+		}
+		if len(h.heap) != len(live) {
+			t.Fatalf("%d entries, want %d", len(h.heap), len(live))
+		}
+	}
+}
+
+// script is a module that does what a test says, and notes what it is told.
+type script struct {
+	told []policy.Event
+	then func(policy.Event) []policy.Action
+}
+
+func (s *script) Handle(_ float64, ev policy.Event) []policy.Action {
+	s.told = append(s.told, ev)
+	if s.then != nil {
+		return s.then(ev)
+	}
+	return nil
+}
+
+// noted is the effects of a core, as a test sees them.
+type noted struct {
+	sent    []*attempt
+	ends    []endKind
+	settle  int
+	retired []string
+	forgot  int
+}
+
+func (n *noted) send(a *attempt)                                          { n.sent = append(n.sent, a) }
+func (n *noted) cancel(*attempt)                                          {}
+func (n *noted) forget(*attempt)                                          { n.forgot++ }
+func (n *noted) finish(_ *job, k endKind, _ float64, _ *diskproto.Answer) { n.ends = append(n.ends, k) }
+func (n *noted) settled(*job)                                             { n.settle++ }
+func (n *noted) fetchList()                                               {}
+func (n *noted) retire(node string)                                       { n.retired = append(n.retired, node) }
+func (n *noted) note(string)                                              {}
+
+func newScripted(then func(policy.Event) []policy.Action) (*hostCore, *script, *noted) {
+	n := &noted{}
+	h := newHostCore(settings.Example(1, 1), 0, "", 1, n)
+	s := &script{then: then}
+	h.mod = s
+	return h, s, n
+}
+
+func sendAll(ev policy.Event) []policy.Action {
+	if r, ok := ev.(policy.Request); ok {
+		return []policy.Action{policy.Send{ID: r.ID, Node: "n", Until: 500}}
+	}
+	return nil
+}
+
+func lastOutcome(s *script) policy.Outcome {
+	for i := len(s.told) - 1; i >= 0; i-- {
+		if o, ok := s.told[i].(policy.Outcome); ok {
+			return o
+		}
+	}
+	return policy.Outcome{Result: -1}
+}
+
+// An attempt whose time is up while it waits for a connection has certainly not
+// gone out, and can't go out any more; one that was claimed may have run.
+func TestTimeOutProves(t *testing.T) {
+	for _, claimed := range []bool{false, true} {
+		h, s, n := newScripted(sendAll)
+		j := &job{req: policy.Request{Expires: 2000}}
+		h.take(100, j)
+		a := n.sent[0]
+		if claimed && !a.claim() {
+			t.Fatal("not to be claimed")
+		}
+		if h.next() != 500 {
+			t.Fatalf("next at %v", h.next())
+		}
+		h.tick(499)
+		h.tick(500)
+		want := policy.NoConnection
+		if claimed {
+			want = policy.NoAnswer
+		}
+		if o := lastOutcome(s); o.Result != want || o.Done || o.Elapsed != 400 {
+			t.Errorf("claimed %v: %+v", claimed, o)
+		}
+		if a.claim() {
+			t.Error("claimed after its time")
+		}
+		told := len(s.told)
+		h.answered(600, a, &diskproto.Answer{Result: diskproto.OK})
+		h.lost(600, a, policy.ConnectionLost)
+		if len(s.told) != told || len(n.ends) != 0 {
+			t.Error("a late answer was told")
+		}
+	}
+}
+
+func TestServedEndsOnce(t *testing.T) {
+	h, s, n := newScripted(sendAll)
+	j := &job{req: policy.Request{Expires: 2000}}
+	h.take(100, j)
+	n.sent[0].claim()
+	h.answered(150, n.sent[0], &diskproto.Answer{Result: diskproto.OK})
+	if o := lastOutcome(s); o.Result != policy.Served || !o.Done {
+		t.Errorf("%+v", o)
+	}
+	h.abandon(160, j)
+	h.do(policy.Fail{ID: j.id})
+	h.do(policy.Send{ID: j.id, Node: "n"})
+	if !slices.Equal(n.ends, []endKind{endServed}) || len(n.sent) != 1 || len(h.jobs) != 0 || !math.IsInf(h.next(), 1) {
+		t.Errorf("ends %v, %d sends, %d jobs, next %v", n.ends, len(n.sent), len(h.jobs), h.next())
+	}
+}
+
+// A job that its client ended is settled only when nothing of it can land: with
+// an attempt lost, at that attempt's deadline.
+func TestSettledAtTheDeadline(t *testing.T) {
+	h, s, n := newScripted(sendAll)
+	j := &job{req: policy.Request{Expires: 2000}}
+	h.take(100, j)
+	n.sent[0].claim()
+	h.abandon(150, j)
+	if _, ok := s.told[len(s.told)-1].(policy.ClientGone); !ok || n.settle != 0 {
+		t.Fatalf("told %T, settled %d", s.told[len(s.told)-1], n.settle)
+	}
+	h.lost(160, n.sent[0], policy.ConnectionLost)
+	if o := lastOutcome(s); o.Result != policy.ConnectionLost || !o.Done || n.settle != 0 {
+		t.Fatalf("%+v, settled %d", o, n.settle)
+	}
+	h.tick(499)
+	if n.settle != 0 {
+		t.Error("settled before the deadline")
+	}
+	h.tick(500)
+	if n.settle != 1 || !math.IsInf(h.next(), 1) {
+		t.Errorf("settled %d", n.settle)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	h, s, n := newScripted(sendAll)
+	j := &job{req: policy.Request{Expires: 2000}}
+	h.take(100, j)
+	n.sent[0].claim()
+	h.do(policy.CancelAttempt{ID: j.id, Attempt: 0})
+	h.tick(101)
+	if o := lastOutcome(s); o.Result != policy.Cancelled || j.landBy != 500 {
+		t.Errorf("%+v, may land until %v", o, j.landBy)
+	}
+}
+
+// The same start is told again and again with another age; the module must take
+// it for one start, and another incarnation for another.
+func TestStartOfANode(t *testing.T) {
+	h, s, n := newScripted(nil)
+	tell := func(now, age float64, inc uint64, health string) policy.Node {
+		h.list(now, inventory.List{Kind: inventory.Delta, Nodes: []inventory.Node{{Addr: "n", Health: health, Incarnation: inc, AgeMS: age}}})
+		return s.told[len(s.told)-1].(policy.NodeList).Nodes[0]
+	}
+	first := tell(1000, 300, 1, inventory.Ready).Started
+	if again := tell(2000, 1290, 1, inventory.Draining).Started; first != 700 || again != first {
+		t.Errorf("started at %v, then %v", first, again)
+	}
+	if other := tell(3000, 10, 2, inventory.Ready).Started; other != 2990 {
+		t.Errorf("the next start at %v", other)
+	}
+	if long := tell(3000, 0, 3, inventory.Ready).Started; long != 0 {
+		t.Errorf("long ago is %v", long)
+	}
+	tell(4000, 0, 3, inventory.Gone)
+	if !slices.Equal(n.retired, []string{"n"}) || len(h.nodes) != 0 {
+		t.Errorf("retired %v, %d nodes", n.retired, len(h.nodes))
+	}
+	h.list(5000, inventory.List{Kind: inventory.Failed})
+	if _, ok := s.told[len(s.told)-1].(policy.ListFailed); !ok {
+		t.Error("a failure was not told")
+	}
+}
--- a/lab/bench.go
+++ b/lab/bench.go
@@ -71,21 +71,11 @@
 
 // Bench measures both subjects and writes the tables.
 func Bench(opt BenchOptions, out io.Writer) error {
-	w := seam.NewReal()
-	var disks []string
-	for range benchShards {
-		quick, err := standin.ServeQuick(w, benchBlock)
-		if err != nil {
-			return err
-		}
-		defer quick.Close()
-		disks = append(disks, quick.Addr)
-	}
-	gate, err := gatewaySubject(w, disks)
+	gate, closeAll, err := benchGateway()
 	if err != nil {
 		return err
 	}
-	defer gate.close()
+	defer closeAll()
 	relay, err := relaySubject()
 	if err != nil {
 		return err
@@ -94,6 +84,34 @@
 	return benchAll(opt, gate, relay, out)
 }
 
+// benchGateway is a gateway before servers that answer at once.
+func benchGateway() (gate *subject, closeAll func(), err error) {
+	w := seam.NewReal()
+	var disks []*standin.QuickDisk
+	closeAll = func() {
+		if gate != nil {
+			gate.close()
+		}
+		for _, q := range disks {
+			q.Close()
+		}
+	}
+	var addrs []string
+	for range benchShards {
+		q, err := standin.ServeQuick(w, benchBlock)
+		if err != nil {
+			closeAll()
+			return nil, nil, err
+		}
+		disks, addrs = append(disks, q), append(addrs, q.Addr)
+	}
+	if gate, err = gatewaySubject(w, addrs); err != nil {
+		closeAll()
+		return nil, nil, err
+	}
+	return gate, closeAll, nil
+}
+
 func benchAll(opt BenchOptions, gate, relay *subject, out io.Writer) error {
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(tw, "connections\toutstanding\trelay op/s\tgateway op/s\tratio\trelay p50/p99/p99.9 ms\tgateway p50/p99/p99.9 ms\tcpu us/op\tallocs/op\t")
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -265,7 +265,11 @@
 	}
 	size := int(cmd.blocks) * k.volume.BlockSize
 	cmd.class, cmd.plan = c.set.Class(cmd.op, size, k.volume.Plan), k.volume.Plan
-	cmd.parts = max(len(k.volume.Parts(cmd.lba, cmd.blocks)), 1)
+	cmd.parts = 0
+	for range k.volume.Parts(cmd.lba, cmd.blocks) {
+		cmd.parts++
+	}
+	cmd.parts = max(cmd.parts, 1)
 	c.Table.asked(cmd)
 	if cmd.missing <= 0 {
 		c.taken(cmd, e.T)
@@ -696,7 +700,7 @@
 
 // touches tells whether a command has a part with that key.
 func (c *Checker) touches(cmd *command, key string) bool {
-	for _, p := range cmd.conn.volume.Parts(cmd.lba, cmd.blocks) {
+	for p := range cmd.conn.volume.Parts(cmd.lba, cmd.blocks) {
 		if fmt.Sprintf("%s/%d", cmd.conn.volume.Name, p.Extent) == key {
 			return true
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"math"
 	"regexp"
 	"slices"
@@ -456,20 +457,30 @@
 }
 
 // Parts splits a run of blocks where the shard changes.
-func (v *Volume) Parts(lba uint64, blocks uint32) []Part {
-	var out []Part
-	for blocks > 0 {
-		e := lba / uint64(v.Extent)
-		n := uint32(min(uint64(blocks), (e+1)*uint64(v.Extent)-lba))
-		sh := v.Layout[e%uint64(len(v.Layout))]
-		if k := len(out) - 1; k >= 0 && out[k].Shard == sh {
-			out[k].Blocks += n
-		} else {
-			out = append(out, Part{sh, lba, n, e})
+func (v *Volume) Parts(lba uint64, blocks uint32) iter.Seq[Part] {
+	return func(yield func(Part) bool) {
+		var p Part
+		for blocks > 0 {
+			e := lba / uint64(v.Extent)
+			n := uint32(min(uint64(blocks), (e+1)*uint64(v.Extent)-lba))
+			sh := v.Layout[e%uint64(len(v.Layout))]
+			switch {
+			case p.Blocks == 0:
+				p = Part{sh, lba, n, e}
+			case p.Shard == sh:
+				p.Blocks += n
+			default:
+				if !yield(p) {
+					return
+				}
+				p = Part{sh, lba, n, e}
+			}
+			lba, blocks = lba+uint64(n), blocks-n
+		}
+		if p.Blocks > 0 {
+			yield(p)
 		}
-		lba, blocks = lba+uint64(n), blocks-n
 	}
-	return out
 }
 
 // Disk describes the volume as a logical unit.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -97,7 +98,7 @@
 		}
 		for i := range s.Volumes {
 			v := &s.Volumes[i]
-			for _, p := range v.Parts(0, uint32(min(v.Blocks, 1000))) {
+			for p := range v.Parts(0, uint32(min(v.Blocks, 1000))) {
 				if p.Shard < 0 || p.Shard >= s.Shards {
 					t.Fatalf("shard %d", p.Shard)
 				}
@@ -108,7 +109,7 @@
 
 func TestParts(t *testing.T) {
 	v := &Volume{Extent: 10, Layout: []int{3, 5, 5}}
-	got := v.Parts(5, 50)
+	got := slices.Collect(v.Parts(5, 50))
 	want := []Part{{3, 5, 5, 0}, {5, 10, 20, 1}, {3, 30, 10, 3}, {5, 40, 15, 4}}
 	if len(got) != len(want) {
 		t.Fatalf("%+v", got)
