--- a/gateway/back.go
+++ b/gateway/back.go
@@ -220,10 +220,13 @@
 	if err := ans.Parse(f.Body); err != nil {
 		return err
 	}
+	e := event{kind: evAnswer, attempt: a, answer: ans}
 	if len(ans.Data) > 0 {
-		ans.Data = append([]byte(nil), ans.Data...)
+		e.buffer = l.back.host.buffer()
+		*e.buffer = append((*e.buffer)[:0], ans.Data...)
+		ans.Data = *e.buffer
 	}
-	l.back.host.post(event{kind: evAnswer, attempt: a, answer: ans})
+	l.back.host.post(e)
 	return errRetired.when(over)
 }
 
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -212,7 +212,8 @@
 	}})
 }
 
-// gather puts a part's data in its place; false if it isn't what was asked for.
+// gather puts a part's data in its place; false if it isn't what was asked for. A
+// sole part's data is the command's: the answer goes out before it is used again.
 func (cmd *command) gather(j *job, data []byte) bool {
 	if len(data) != int(j.do.Blocks)*cmd.blockSize {
 		return false
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -33,6 +33,7 @@
 
 	timer   seam.Timer
 	timerAt float64
+	buffers sync.Pool
 	said    []*outbox.Outbox // what the present batch of events left to be written
 }
 
@@ -54,6 +55,7 @@
 	attempt *attempt
 	answer  *diskproto.Answer
 	result  policy.Result
+	buffer  *[]byte // what the answer's data lies in, given back once it is handled
 	list    inventory.List
 	ask     func(*hostCore)
 }
@@ -112,6 +114,14 @@
 	}
 }
 
+// buffer returns room for an answer's data.
+func (h *host) buffer() *[]byte {
+	if b, ok := h.buffers.Get().(*[]byte); ok {
+		return b
+	}
+	return new([]byte)
+}
+
 // later has what o holds written at the end of the batch: many answers then go
 // out in one call of the system. On the host's goroutine only.
 func (h *host) later(o *outbox.Outbox) { h.said = append(h.said, o) }
@@ -124,6 +134,9 @@
 		h.core.abandon(now, e.job)
 	case evAnswer:
 		h.core.answered(now, e.attempt, e.answer)
+		if e.buffer != nil { // the data was copied where it goes, or is not wanted
+			h.buffers.Put(e.buffer)
+		}
 	case evLost:
 		h.core.lost(now, e.attempt, e.result)
 	case evList:
--- a/lab/bench.go
+++ b/lab/bench.go
@@ -27,11 +27,13 @@
 	"merlinhitch/standin"
 )
 
-// The bench puts two things between the same clients and the same kind of server,
-// in one process and one run: the gateway, and a bare relay that passes on frames
-// of the gateway's sizes and knows nothing of them. Everything is counted for the
-// whole process, clients and servers included; so the ratios say what the gateway
-// adds to moving the bytes.
+// The bench puts three things between the same clients and the same kind of
+// server, in one process and one run: the gateway, and two bare relays that pass on
+// frames of the gateway's sizes and know nothing of them. The pipe has a connection
+// behind for each in front, so that what comes together goes on together, in one
+// call of the system; the fan has the gateway's connections, one to each server.
+// Everything is counted for the whole process, clients and servers included; so the
+// ratios say what the gateway adds to moving the bytes.
 
 const (
 	benchBlock  = 4096
@@ -76,12 +78,12 @@
 		return err
 	}
 	defer closeAll()
-	relay, err := relaySubject()
+	pipe, fan, closeRelays, err := relaySubjects()
 	if err != nil {
 		return err
 	}
-	defer relay.close()
-	return benchAll(opt, gate, relay, out)
+	defer closeRelays()
+	return benchAll(opt, gate, pipe, fan, out)
 }
 
 // benchGateway is a gateway before servers that answer at once.
@@ -112,34 +114,35 @@
 	return gate, closeAll, nil
 }
 
-func benchAll(opt BenchOptions, gate, relay *subject, out io.Writer) error {
-	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "connections\toutstanding\trelay op/s\tgateway op/s\tratio\trelay p50/p99/p99.9 ms\tgateway p50/p99/p99.9 ms\tcpu us/op\tallocs/op\t")
+func benchAll(opt BenchOptions, gate, pipe, fan *subject, out io.Writer) error {
+	tw := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(tw, "| conns\t| out\t| pipe op/s\t| fan op/s\t| gateway op/s\t| of pipe\t| of fan\t| fan p50/p99/p99.9 ms\t| gateway p50/p99/p99.9 ms\t| cpu us/op: pipe, fan, gateway\t| allocs/op\t|")
+	fmt.Fprintln(tw, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
 	best := 0.0
 	for _, conns := range opt.Conns {
 		for _, depth := range opt.Depths {
-			a, err := measure(relay, conns, depth, 0, opt)
-			if err != nil {
-				return err
-			}
-			b, err := measure(gate, conns, depth, 0, opt)
-			if err != nil {
-				return err
+			var p [3]*Point
+			for i, s := range []*subject{pipe, fan, gate} {
+				var err error
+				if p[i], err = measure(s, conns, depth, 0, opt); err != nil {
+					return err
+				}
 			}
-			if b.Failed == 0 {
-				best = max(best, b.Rate)
-			}
-			fmt.Fprintf(tw, "%d\t%d\t%.0f\t%.0f\t%.2f\t%s\t%s\t%.1f / %.1f\t%.1f / %.1f\t\n", conns, depth, a.Rate, b.Rate, b.Rate/a.Rate,
-				quantiles(a), quantiles(b), a.CPU, b.CPU, a.Allocs, b.Allocs)
-			if b.Failed > 0 {
-				fmt.Fprintf(tw, "%d\t%d\t\t%d not GOOD\t\t\t\t\t\t\n", conns, depth, b.Failed)
+			g := p[2]
+			note := ""
+			if g.Failed > 0 {
+				note = fmt.Sprintf(" (%d not GOOD)", g.Failed)
+			} else {
+				best = max(best, g.Rate)
 			}
+			fmt.Fprintf(tw, "| %d\t| %d\t| %.0f\t| %.0f\t| %.0f%s\t| %.2f\t| %.2f\t| %s\t| %s\t| %.1f, %.1f, %.1f\t| %.1f\t|\n", conns, depth,
+				p[0].Rate, p[1].Rate, g.Rate, note, g.Rate/p[0].Rate, g.Rate/p[1].Rate, quantiles(p[1]), quantiles(g), p[0].CPU, p[1].CPU, g.CPU, g.Allocs)
 		}
 	}
 	if err := tw.Flush(); err != nil {
 		return err
 	}
-	if err := halfLoad(opt, gate, relay, best/2, out); err != nil {
+	if err := halfLoad(opt, gate, fan, best/2, out); err != nil {
 		return err
 	}
 	if err := costs(opt, gate, best/2, out); err != nil {
@@ -164,7 +167,7 @@
 		return err
 	}
 	p99 := func(p *Point) float64 { return float64(p.Latency.ValueAtQuantile(99)) }
-	fmt.Fprintf(out, "\nat half load, %.0f op/s over 64 connections: relay %s ms, gateway %s ms, p99 ratio %.2f\n", rate, quantiles(a), quantiles(b), p99(b)/p99(a))
+	fmt.Fprintf(out, "\nat half load, %.0f op/s over 64 connections: fan %s ms, gateway %s ms, p99 ratio %.2f\n", rate, quantiles(a), quantiles(b), p99(b)/p99(a))
 	return nil
 }
 
@@ -452,35 +455,45 @@
 	return 1, nil
 }
 
-// relaySubject is the bare relay before a server of fixed replies.
-func relaySubject() (*subject, error) {
-	server, err := fixed("127.0.0.1:0", func(c net.Conn) { answer(c, forwardLen, replyLen) })
+// relaySubjects are the two bare relays before a server of fixed replies.
+func relaySubjects() (pipe, fans *subject, closeAll func(), err error) {
+	server, err := fixed("127.0.0.1:0", func(c net.Conn) { convey(c, c, forwardLen, replyLen) })
 	if err != nil {
-		return nil, err
+		return nil, nil, nil, err
 	}
-	relay, err := fixed("127.0.0.1:0", func(c net.Conn) {
-		up, err := net.Dial("tcp", server.Addr().String())
-		if err != nil {
-			return
-		}
-		defer up.Close()
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			convey(c, up, replyLen, responseLen)
-			c.Close()
-		}()
-		convey(up, c, requestLen, forwardLen)
-		up.Close()
-		<-done
-	})
+	straight, err := fixed("127.0.0.1:0", func(c net.Conn) { pipeTo(c, server.Addr().String()) })
 	if err != nil {
 		server.Close()
-		return nil, err
+		return nil, nil, nil, err
 	}
-	s := &subject{name: "relay", addr: relay.Addr().String(), greet: func(net.Conn, *bufio.Reader) (uint32, error) { return 1, nil }}
-	s.close = func() { relay.Close(); server.Close() }
-	return s, nil
+	f, err := newFan(seam.NewReal(), server.Addr().String(), benchShards)
+	if err != nil {
+		server.Close()
+		straight.Close()
+		return nil, nil, nil, err
+	}
+	greet := func(net.Conn, *bufio.Reader) (uint32, error) { return 1, nil }
+	pipe = &subject{name: "pipe", addr: straight.Addr().String(), greet: greet}
+	fans = &subject{name: "fan", addr: f.l.Addr().String(), greet: greet}
+	return pipe, fans, func() { f.close(); straight.Close(); server.Close() }, nil
+}
+
+// pipeTo passes a client's frames to a connection of its own, and back.
+func pipeTo(c net.Conn, server string) {
+	up, err := net.Dial("tcp", server)
+	if err != nil {
+		return
+	}
+	defer up.Close()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		convey(c, up, replyLen, responseLen)
+		c.Close()
+	}()
+	convey(up, c, requestLen, forwardLen)
+	up.Close()
+	<-done
 }
 
 // fixed serves each connection by f until the listener is closed.
@@ -527,6 +540,3 @@
 		b = b[:0]
 	}
 }
-
-// answer replies to each frame with one of another size and the same beginning.
-func answer(c net.Conn, in, out int) { convey(c, c, in, out) }
