--- /dev/null
+++ b/trail/trail_test.go
@@ -0,0 +1,65 @@
+package trail
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"merlinhitch/settings"
+)
+
+func sample() (*Meta, []Event) {
+	var events []Event
+	for i := range 500 {
+		events = append(events, Event{T: int64(i), Link: LinkDisk, Conn: uint32(i % 7), Host: "h0#1", Peer: "127.0.0.1:1", Dir: Up, Kind: Do,
+			Seq: uint64(i), Units: 1.5, Key: "v/1", Effect: 1})
+	}
+	return &Meta{Settings: settings.Example(1, 3), Seed: 5, Servers: map[string]Server{"127.0.0.1:1": {Name: "d0"}}}, events
+}
+
+func TestDamagedFiles(t *testing.T) {
+	m, events := sample()
+	file := filepath.Join(t.TempDir(), "t.parquet")
+	if err := Write(file, m, events); err != nil {
+		t.Fatal(err)
+	}
+	got, back, err := Read(file)
+	if err != nil || got.Seed != 5 || !slices.Equal(back, events) {
+		t.Fatalf("%v", err)
+	}
+	whole, _ := os.ReadFile(file)
+	for n := 0; n < len(whole); n += max(len(whole)/60, 1) {
+		os.WriteFile(file, whole[:n], 0o666)
+		var fe *FileError
+		if _, _, err := Read(file); !errors.As(err, &fe) {
+			t.Errorf("cut at %d: %v", n, err)
+		}
+	}
+	if _, _, err := Read(filepath.Join(t.TempDir(), "none")); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("no file: %v", err)
+	}
+}
+
+func TestRecorderOrder(t *testing.T) {
+	now := int64(0)
+	r := NewRecorder(func() int64 { now++; return now })
+	done := make(chan struct{})
+	for range 4 {
+		go func() {
+			for range 1000 {
+				r.Add(Event{Conn: r.Conn()})
+			}
+			done <- struct{}{}
+		}()
+	}
+	for range 4 {
+		<-done
+	}
+	events := r.Stop()
+	r.Add(Event{}) // after the end: not recorded
+	if len(events) != 4000 || !slices.IsSortedFunc(events, func(a, b Event) int { return int(a.T - b.T) }) {
+		t.Errorf("%d events, in order of time: %v", len(events), slices.IsSortedFunc(events, func(a, b Event) int { return int(a.T - b.T) }))
+	}
+}
