--- a/policy/policy.go
+++ b/policy/policy.go
@@ -947,7 +947,10 @@
 	for left := int(total); left > 0; {
 		pick, step, gain := 0, 1, math.Inf(-1)
 		for i := range n {
-			d, got := 1, g.with(i, u, 1/total)
+			d, got := left, 0.0 // what nobody asked of gains nothing by any share
+			if g.count[i] > 0 {
+				d, got = 1, g.with(i, u, 1/total)
+			}
 			for got <= cur[i] && d < left {
 				d++
 				got = g.with(i, u, float64(d)/total)
