placement: the smallest contradictory set in words, and the cheapest way out

Where there is no layout the operator is told which constraints contradict each other, with volumes, halls and figures, and which node's growth would do. By a deletion filter over an exact feasibility search.

--- a/placement/check.go
+++ b/placement/check.go
@@ -1,6 +1,9 @@
 package placement
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Check judges a layout from the definitions alone: what it breaks, and what it is
 // worth. It shares no bookkeeping with the search.
@@ -62,7 +65,7 @@
 	if placed > p.Parts {
 		c.say("%s: %d parts of %d", vol.Name, placed, p.Parts)
 	}
-	if float64(placed) < p.Tiers[vol.Tier].Reserve*float64(p.Parts)-tolerance {
+	if !vol.Unreserved && float64(placed) < p.Tiers[vol.Tier].Reserve*float64(p.Parts)-tolerance {
 		c.say("%s: %d parts placed, below its reserve", vol.Name, placed)
 	}
 	if len(nodes) > vol.MaxNodes {
@@ -93,8 +96,11 @@
 // loads reckons every node, with all halls and with each one lost.
 func (c *checker) loads() {
 	lost := []string{""}
-	if _, names := c.p.halls(); c.p.Survive {
-		lost = append(lost, names...)
+	_, names := c.p.halls()
+	for _, h := range names {
+		if c.p.Survive && !slices.Contains(c.p.Excused, h) {
+			lost = append(lost, h)
+		}
 	}
 	for _, hall := range lost {
 		load := make([]float64, len(c.p.Nodes))
--- /dev/null
+++ b/placement/conflict_test.go
@@ -0,0 +1,106 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// On infeasible instances the set is contradictory, and no longer so when any one
+// member is dropped; both are judged by looking at every layout.
+func TestConflictsAreSmallest(t *testing.T) {
+	want := 100
+	if *whole {
+		want = 1000
+	}
+	found, members, ways := 0, 0, 0
+	for seed := uint64(0); found < want; seed++ {
+		p := random(rand.New(rand.NewPCG(seed, 21)))
+		if bruteSize(p) > 600 {
+			continue
+		}
+		c, err := FindConflict(p, Options{})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if c == nil {
+			if l, _, _ := brute(p); l == nil {
+				t.Fatalf("seed %d: no conflict is found, and there is no layout", seed)
+			}
+			continue
+		}
+		found++
+		members += len(c.Members)
+		if l, _, _ := brute(Keep(p, c.Members)); l != nil {
+			t.Fatalf("seed %d: %v is no contradiction: %v", seed, c.Words(p), l)
+		}
+		for i := range c.Members {
+			less := slices.Delete(slices.Clone(c.Members), i, i+1)
+			if l, _, _ := brute(Keep(p, less)); l == nil {
+				t.Fatalf("seed %d: %v still contradicts without %q", seed, c.Words(p), c.Members[i].Words(p))
+			}
+		}
+		if c.Out != nil {
+			ways++
+			q := *p
+			q.Nodes = slices.Clone(p.Nodes)
+			q.Nodes[c.Out.Node].Capacity += c.Out.Add
+			if l, _, _ := brute(&q); l == nil {
+				t.Fatalf("seed %d: %v is no way out", seed, c.Out)
+			}
+		}
+	}
+	t.Logf("%d infeasible instances, %d members in all, %d with a way out by one node", found, members, ways)
+}
+
+// The hard cases that operators name, in words with their figures.
+func TestConflictInWords(t *testing.T) {
+	p := &Problem{Parts: 1, Tiers: []Tier{{Worth: 1, Reserve: 1}},
+		Nodes:   []Node{{Name: "a1", Hall: "hall-a", Capacity: 10}, {Name: "b1", Hall: "hall-b", Capacity: 4}, {Name: "b2", Hall: "hall-b", Capacity: 0}},
+		Volumes: []Volume{{Name: "cards", Rate: 9, MaxNodes: 1, Copies: 2}}, Survive: true}
+	check := func(name string, want ...string) {
+		t.Helper()
+		c, err := FindConflict(p, Options{})
+		if err != nil || c == nil {
+			t.Fatalf("%s: %v, %v", name, c, err)
+		}
+		text := strings.Join(c.Words(p), "\n")
+		for _, w := range want {
+			if !strings.Contains(text, w) {
+				t.Errorf("%s: %q is not in\n%s", name, w, text)
+			}
+		}
+	}
+	check("a hall with little spare", "hall-b carries 4", "cards needs 9 of its 9", "way out: 5")
+	p.Nodes = p.Nodes[:1]
+	check("one hall only", "cards needs a copy of each piece in another hall")
+	p.Volumes[0].Copies, p.Volumes[0].Rate = 1, 11
+	check("a volume larger than any node", "a1 in hall-a carries 10", "cards needs 11", "way out: 1")
+	p.Volumes[0].Rate = 0
+	if c, err := FindConflict(p, Options{}); c != nil || err != nil {
+		t.Errorf("a rate measured as 0: %v, %v", c, err)
+	}
+}
+
+// The same problem gives the same layout, among equals too, and weights that differ
+// a thousandfold decide who goes without.
+func TestStableAndByWorth(t *testing.T) {
+	p := &Problem{Parts: 2, Tiers: []Tier{{Worth: 1}, {Worth: 1000}}, Nodes: []Node{{Name: "a", Hall: "x", Capacity: 5}, {Name: "b", Hall: "y", Capacity: 5}}}
+	for i := range 4 {
+		p.Volumes = append(p.Volumes, Volume{Name: fmt.Sprint(i), Tier: i % 2, Rate: 5, MaxNodes: 2, Copies: 1})
+	}
+	first, err := Solve(p, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.Objective.Unmet != 10 || len(first.Layout[1]) == 0 || len(first.Layout[3]) == 0 || !first.Optimal {
+		t.Errorf("%+v of %v", first.Objective, first.Layout)
+	}
+	for range 5 {
+		if again, err := Solve(p, Options{}); err != nil || fmt.Sprint(again.Layout) != fmt.Sprint(first.Layout) {
+			t.Fatalf("%v, then %v, %v", first.Layout, again.Layout, err)
+		}
+	}
+}
--- a/placement/model.go
+++ b/placement/model.go
@@ -42,6 +42,8 @@
 	Copies   int     // 1, or 2: each piece has a copy in another hall
 	Pins     []int   // nodes that must hold some of it
 	Bans     []int   // nodes that may hold none of it, nor of its copies
+	// Unreserved has its tier's reserve not bind this volume.
+	Unreserved bool
 }
 
 // Problem is an instance. Shares are multiples of 1/Parts.
@@ -52,6 +54,8 @@
 	Parts   int
 	// Survive asks that the load which moves when any one hall is lost still fits.
 	Survive bool
+	// Excused are halls whose loss need not be survived all the same.
+	Excused []string
 	// Current is the layout in force, nil if there is none.
 	Current Layout
 }
@@ -144,6 +148,9 @@
 
 // least is the number of parts of v that must be placed.
 func (p *Problem) least(v int) int {
+	if p.Volumes[v].Unreserved {
+		return 0
+	}
 	return int(math.Ceil(p.Tiers[p.Volumes[v].Tier].Reserve*float64(p.Parts) - tolerance))
 }
 
@@ -166,6 +173,11 @@
 	return data, copies
 }
 
+// survived tells whether the loss of that hall must be survived.
+func (p *Problem) survived(hall string) bool {
+	return p.Survive && !slices.Contains(p.Excused, hall)
+}
+
 // halls numbers the halls by their first node.
 func (p *Problem) halls() (of []int, names []string) {
 	for _, n := range p.Nodes {
--- a/placement/solve.go
+++ b/placement/solve.go
@@ -146,6 +146,7 @@
 	steps   int
 	most    int
 	stopped bool
+	any     bool // the first layout will do
 }
 
 // newExact lists the ways of every volume; nil if they are too many to search.
@@ -212,7 +213,7 @@
 	if x.steps++; x.steps > x.most || x.steps%1024 == 0 && x.opt.Stop != nil && x.opt.Stop() {
 		x.stopped = true
 	}
-	if x.stopped {
+	if x.stopped || x.any && x.best != nil {
 		return
 	}
 	low := x.least(i)
--- a/placement/state.go
+++ b/placement/state.go
@@ -9,6 +9,7 @@
 	halls int
 	load  []float64   // by node
 	loss  [][]float64 // by lost hall, then node
+	lost  []int       // the halls of loss
 	cost  float64
 }
 
@@ -17,9 +18,9 @@
 	var names []string
 	s.hall, names = p.halls()
 	s.halls = len(names)
-	if p.Survive {
-		for range names {
-			s.loss = append(s.loss, make([]float64, len(p.Nodes)))
+	for h, name := range names {
+		if p.survived(name) {
+			s.loss, s.lost = append(s.loss, make([]float64, len(p.Nodes))), append(s.lost, h)
 		}
 	}
 	return s
@@ -33,7 +34,8 @@
 	if pc.Copy >= 0 {
 		s.add(pc.Copy, x*vol.Writes)
 	}
-	for h, loss := range s.loss {
+	for i, loss := range s.loss {
+		h := s.lost[i]
 		gone := s.hall[pc.Node] == h
 		if !gone {
 			loss[pc.Node] += x
