--- a/placement/solve.go
+++ b/placement/solve.go
@@ -87,19 +87,46 @@
 		demand += p.Volumes[v].Rate
 	}
 	o.Unmet = cheapestUnmet(p, demand-capacity)
-	placed := min(demand, capacity)
+	carried, moved := 0.0, 0.0 // by all nodes; by those that are left of a lost hall
+	for v := range p.Volumes {
+		vol := &p.Volumes[v]
+		carried += vol.Rate
+		if vol.Copies == 2 {
+			carried += vol.Rate * vol.Writes
+			moved += vol.Rate
+		}
+	}
 	if capacity > 0 && demand <= capacity {
-		o.Use = placed / capacity
+		o.Use = carried / capacity
+		o.LossUse = p.lossBound(moved, capacity)
 		for v := range p.Volumes {
 			o.Use = max(o.Use, p.widestShare(v, widest))
 		}
 	}
 	if o.Unmet > 0 || demand > capacity {
-		o.Use = 0 // what is left out may make any node lighter
+		o.Use, o.LossUse = 0, 0 // what is left out may make any node lighter
 	}
 	return o
 }
 
+// lossBound is the use of the nodes outside the hall whose loss leaves least, if
+// they carry what has copies.
+func (p *Problem) lossBound(moved, capacity float64) (use float64) {
+	_, names := p.halls()
+	for _, h := range names {
+		left := capacity
+		for _, n := range p.Nodes {
+			if n.Hall == h {
+				left -= n.Capacity
+			}
+		}
+		if p.survived(h) && left > tolerance {
+			use = max(use, moved/left)
+		}
+	}
+	return use
+}
+
 // widestShare is the use that v alone puts on some node, were it on the widest.
 func (p *Problem) widestShare(v int, widest float64) float64 {
 	if p.least(v) < p.Parts || widest <= 0 {
