--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -33,7 +33,7 @@
 // BenchmarkSolve measures large instances: time and the proved gap of the highest
 // use.
 func BenchmarkSolve(b *testing.B) {
-	for _, nodes := range []int{10, 47, 200} {
+	for _, nodes := range []int{10, 47, 200, 1000} {
 		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
 			for b.Loop() {
 				p := fleet(nodes, 1)
--- a/placement/solve.go
+++ b/placement/solve.go
@@ -349,6 +349,10 @@
 	best, bestAt := Piece{-1, -1, 1}, math.Inf(1)
 	full := len(g.l[v]) >= vol.MaxNodes
 	apart := g.mustSpread(v)
+	copies := make([]int, g.s.halls) // by the hall of the data, looked for once
+	for h := range copies {
+		copies[h] = unsought
+	}
 	for n := range g.p.Nodes {
 		has := g.at(v, n)
 		if only >= 0 && n != only || full && has < 0 || slices.Contains(vol.Bans, n) || !g.mayGrow(v, n, has) || apart && g.inHall(v, g.s.hall[n]) {
@@ -358,7 +362,11 @@
 		if has >= 0 {
 			pc.Copy = g.l[v][has].Copy
 		} else if vol.Copies == 2 {
-			if pc.Copy = g.copyFor(v, n); pc.Copy < 0 {
+			h := g.s.hall[n]
+			if copies[h] == unsought {
+				copies[h] = g.copyFor(v, n)
+			}
+			if pc.Copy = copies[h]; pc.Copy < 0 {
 				continue
 			}
 		}
@@ -397,6 +405,8 @@
 	return slices.ContainsFunc(g.l[v], func(pc Piece) bool { return g.s.hall[pc.Node] == hall })
 }
 
+const unsought = -2
+
 // at is the index of v's piece on n, -1 if there is none.
 func (g *builder) at(v, n int) int {
 	return slices.IndexFunc(g.l[v], func(pc Piece) bool { return pc.Node == n })
@@ -465,32 +475,44 @@
 	if from < 0 {
 		return false
 	}
+	// A part at a time first: it does the least to the nodes that take it. Then whole
+	// pieces, which may change their copy too.
 	for v := range g.l {
 		i := g.at(v, from)
-		if i < 0 || g.l[v][i].Parts == 1 && slices.Contains(g.p.Volumes[v].Pins, from) {
+		if i < 0 || g.l[v][i].Parts == 1 && g.pinned(v, from) {
 			continue
 		}
-		if g.shift(v, i, high) {
+		if g.shift(v, i, 1, high) {
 			return true
 		}
 	}
+	for v := range g.l {
+		for i, pc := range g.l[v] {
+			if (pc.Node == from || pc.Copy == from) && !g.pinned(v, pc.Node) && g.shift(v, i, pc.Parts, high) {
+				return true
+			}
+		}
+	}
 	return false
 }
 
-// shift moves one part of v's piece i elsewhere if all that it touches then stays
-// below the use it leaves behind.
-func (g *builder) shift(v, i int, high float64) bool {
+func (g *builder) pinned(v, n int) bool { return slices.Contains(g.p.Volumes[v].Pins, n) }
+
+// shift moves k parts of v's piece i elsewhere if all that they touch then stays
+// below the use they leave behind.
+func (g *builder) shift(v, i, k int, high float64) bool {
 	old := slices.Clone(g.l[v])
 	pc := old[i]
-	g.s.put(v, Piece{pc.Node, pc.Copy, 1}, -1)
-	if g.l[v][i].Parts--; g.l[v][i].Parts == 0 {
+	g.s.put(v, Piece{pc.Node, pc.Copy, k}, -1)
+	if g.l[v][i].Parts -= k; g.l[v][i].Parts == 0 {
 		g.l[v] = slices.Delete(g.l[v], i, i+1)
 	}
-	if g.part(v, -1) && g.spreadKept(v, old) {
-		moved := g.l[v]
-		if k := g.grown(old, moved); k >= 0 && g.usesOf(moved[k]) < high-tolerance {
-			return true
-		}
+	ok := true
+	for range k {
+		ok = ok && g.part(v, -1)
+	}
+	if ok && g.spreadKept(v, old) && g.lighter(old, g.l[v], high) {
+		return true
 	}
 	for _, x := range g.l[v] {
 		g.s.put(v, x, -1)
@@ -502,12 +524,18 @@
 	return false
 }
 
-// grown is the piece of now that has more than before had there.
-func (g *builder) grown(before, now []Piece) int {
-	return slices.IndexFunc(now, func(pc Piece) bool {
-		i := slices.IndexFunc(before, func(o Piece) bool { return o.Node == pc.Node })
-		return i < 0 || before[i].Parts < pc.Parts
-	})
+// lighter tells whether something has moved, and all that took it is below that use.
+func (g *builder) lighter(before, now []Piece, high float64) bool {
+	moved := false
+	for _, pc := range now {
+		if slices.ContainsFunc(before, func(o Piece) bool { return o.Node == pc.Node && o.Copy == pc.Copy && o.Parts >= pc.Parts }) {
+			continue
+		}
+		if moved = true; g.usesOf(pc) >= high-tolerance {
+			return false
+		}
+	}
+	return moved
 }
 
 func (g *builder) spreadKept(v int, old []Piece) bool {
