--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -22,6 +22,7 @@
 	Io         ioCmd         `cmd:"" help:"Log in to a volume and read or write blocks."`
 	Badday     baddayCmd     `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
 	Bench      benchCmd      `cmd:"" help:"Measure the gateway beside a bare relay over the same hops."`
+	Plan       planCmd       `cmd:"" help:"Work out which volume lies on which nodes."`
 	Trail      trailCmd      `cmd:"" help:"Check or read the trail of a day."`
 }
 
--- a/placement/conflict_test.go
+++ b/placement/conflict_test.go
@@ -104,3 +104,22 @@
 		}
 	}
 }
+
+// The layouts to compare with are layouts: whole, with copies in other halls.
+func TestOtherLayouts(t *testing.T) {
+	p := Fleet(30, 3)
+	p.Volumes[5].Bans = []int{4}
+	for name, l := range map[string]Layout{"round robin": RoundRobin(p), "by name": ByName(p), "largest first": LargestFirst(p)} {
+		_, broken := Check(p, l)
+		for _, b := range broken {
+			if !strings.Contains(b, "carries") && !strings.Contains(b, "reserve") {
+				t.Errorf("%s: %s", name, b)
+			}
+		}
+		for v := range l {
+			if len(l[v]) == 0 {
+				t.Errorf("%s: volume %d has no place", name, v)
+			}
+		}
+	}
+}
--- a/placement/steps_test.go
+++ b/placement/steps_test.go
@@ -57,7 +57,7 @@
 func TestStepsBetweenLayouts(t *testing.T) {
 	whole, blocked, steps := 0, 0, 0
 	for seed := range uint64(12) {
-		p := fleet(6, seed)
+		p := Fleet(6, seed)
 		p.Parts = 4
 		a, err := Solve(p, Options{Steps: 1})
 		if err != nil {
