merlinhitch plan: layouts from settings and measured rates, shown, drawn, applied step by step

Cause: the solver's core could not be reached by operators, nor was anything measured to feed it. Change: settings hold nodes and what volumes ask of a layout; each host measures units a second by volume (rates, GET /rates); plan turns settings into an instance and steps back into settings; rollout hands steps to every host's admin API, takes a refused step back and stops. gonum/plot draws the heat map of use by node, before and after, with each hall lost. Copies are moved to lower the use after the worst loss; steps no longer feed a node that drains, which the drain test had shown.

--- a/cmd/merlinhitch/plan.go
+++ b/cmd/merlinhitch/plan.go
@@ -1,19 +1,165 @@
 package main
 
 import (
+	"cmp"
+	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
+	"slices"
 	"text/tabwriter"
 	"time"
 
+	"merlinhitch/chart"
 	"merlinhitch/placement"
+	"merlinhitch/plan"
+	"merlinhitch/rollout"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
 )
 
 type planCmd struct {
+	Make  planMakeCmd  `cmd:"" default:"withargs" help:"Work out a layout for the settings in force, show it, and apply it if asked."`
 	Bench planBenchCmd `cmd:"" help:"Measure the solver beside layouts made without one, on simulated fleets."`
 }
 
+type planMakeCmd struct {
+	Admin    []string      `default:"127.0.0.1:8640" help:"Admin addresses of all gateways of the service."`
+	Snapshot string        `help:"Plan for a saved snapshot instead; nothing can be applied." placeholder:"FILE"`
+	Measured bool          `help:"Take the rates that the gateways measured instead of the typed ones."`
+	Lost     []string      `help:"Halls that are lost." placeholder:"HALL"`
+	Limit    time.Duration `default:"30s" help:"Time after which the search gives the best so far."`
+	JSON     bool          `name:"json" help:"Print JSON."`
+	Picture  string        `help:"Draw use by node and hall, before and after, with each hall lost, as a PNG." placeholder:"FILE"`
+	Apply    bool          `help:"Hand the steps to the gateways one by one; stop at the first that is refused."`
+	Pause    time.Duration `default:"1s" help:"Wait between steps."`
+}
+
+func (c *planMakeCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if c.Snapshot != "" && (c.Apply || c.Measured) {
+		return errors.New("plan: a snapshot has no gateways to measure or apply with")
+	}
+	var hosts []*rollout.Host
+	for _, a := range c.Admin {
+		hosts = append(hosts, &rollout.Host{Name: a, API: settings.NewAPI(a)})
+	}
+	pl, err := c.read(ctx, hosts)
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	opt := placement.Options{Stop: func() bool { return time.Since(begin) > c.Limit || ctx.Err() != nil }}
+	r, err := placement.Solve(pl.Problem, opt)
+	if err != nil {
+		return c.explain(pl.Problem, err)
+	}
+	steps, err := pl.Steps(r.Layout)
+	var blocked *placement.BlockedError
+	if err != nil && !errors.As(err, &blocked) {
+		return err
+	}
+	var names []string
+	if blocked != nil {
+		names = blocked.Volumes
+	}
+	if err := c.show(pl, r, pl.Report(r, steps, names)); err != nil || !c.Apply {
+		return err
+	}
+	return rollout.Apply(ctx, seam.NewReal(), hosts, pl, steps, c.Pause, func(n int) {
+		fmt.Fprintf(os.Stderr, "step %d of %d is in force\n", n, len(steps))
+	})
+}
+
+func (c *planMakeCmd) read(ctx context.Context, hosts []*rollout.Host) (*plan.Plan, error) {
+	if c.Snapshot != "" {
+		s, err := settings.Load(c.Snapshot)
+		if err != nil {
+			return nil, err
+		}
+		return plan.From(s, plan.Options{Lost: c.Lost})
+	}
+	ctx, cancel := context.WithTimeout(ctx, apiTime)
+	defer cancel()
+	s, err := rollout.Read(ctx, hosts)
+	if err != nil {
+		return nil, err
+	}
+	opt := plan.Options{Lost: c.Lost}
+	if c.Measured {
+		if opt.Measured, err = rollout.Rates(ctx, hosts); err != nil {
+			return nil, err
+		}
+	}
+	return plan.From(s, opt)
+}
+
+// explain says why there is no layout: the constraints that contradict each other
+// and the cheapest way out.
+func (c *planMakeCmd) explain(p *placement.Problem, err error) error {
+	if !errors.Is(err, placement.ErrNoLayout) && !errors.Is(err, placement.ErrStopped) {
+		return err
+	}
+	begin := time.Now()
+	conflict, cerr := placement.FindConflict(p, placement.Options{Stop: func() bool { return time.Since(begin) > c.Limit }, Steps: 200_000})
+	if cerr != nil || conflict == nil {
+		demand, capacity := 0.0, 0.0
+		for _, v := range p.Volumes {
+			demand += v.Rate * (1 + float64(v.Copies-1)*v.Writes)
+		}
+		for _, n := range p.Nodes {
+			capacity += n.Capacity
+		}
+		fmt.Printf("%v; asked for: %.1f units a second with copies, capacity: %.1f\n", err, demand, capacity)
+		return errSaid
+	}
+	fmt.Println("no layout keeps all of these together; without any one of them there would be one:")
+	for _, w := range conflict.Words(p) {
+		fmt.Println(" ", w)
+	}
+	return errSaid
+}
+
+func (c *planMakeCmd) show(pl *plan.Plan, r *placement.Result, rep *plan.Report) error {
+	if c.Picture != "" {
+		if err := drawUses(c.Picture, pl, r.Layout); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return printJSON(rep)
+	}
+	return rep.Print(os.Stdout)
+}
+
+func drawUses(file string, pl *plan.Plan, l placement.Layout) error {
+	h := &chart.Heat{Title: "use of nodes: load over capacity", Full: 1}
+	order := make([]int, len(pl.Problem.Nodes))
+	for n := range order {
+		order[n] = n
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(pl.Problem.Nodes[a].Hall, pl.Problem.Nodes[b].Hall) })
+	h.Cells = make([][]float64, len(order))
+	for _, n := range order {
+		h.Rows = append(h.Rows, pl.Problem.Nodes[n].Hall+" "+pl.Problem.Nodes[n].Name)
+	}
+	for _, side := range []struct {
+		name   string
+		layout placement.Layout
+	}{{"before", pl.Current}, {"after", l}} {
+		for _, cs := range pl.Cases() {
+			h.Cols = append(h.Cols, side.name+"\n"+cs.Name)
+			for i, uses := 0, pl.Uses(side.layout, cs.Lost); i < len(order); i++ {
+				h.Cells[i] = append(h.Cells[i], uses[order[i]])
+			}
+		}
+	}
+	return h.Draw(file)
+}
+
 type planBenchCmd struct {
 	Nodes []int         `default:"10,47,200,1000" help:"Sizes; eight volumes a node."`
 	Seed  uint64        `default:"1" help:"Draws the fleets."`
@@ -22,8 +168,8 @@
 
 func (c *planBenchCmd) Run() error {
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)
-	fmt.Fprintln(tw, "| nodes\t| volumes\t| layout\t| seconds\t| MiB allocated\t| highest use\t| after worst loss\t| unmet worth\t| constraints broken\t| gap\t|")
-	fmt.Fprintln(tw, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	fmt.Fprintln(tw, "| nodes\t| volumes\t| layout\t| seconds\t| MiB allocated\t| highest use\t| after worst loss\t| unmet worth\t| constraints broken\t| gap\t| gap after loss\t|")
+	fmt.Fprintln(tw, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
 	for _, n := range c.Nodes {
 		if n < 3 {
 			return fmt.Errorf("plan bench: a fleet of %d nodes has no three halls", n)
@@ -39,7 +185,7 @@
 		}{{"round robin", placement.RoundRobin}, {"by name", placement.ByName}, {"largest first", placement.LargestFirst}} {
 			begin, mem := time.Now(), allocated()
 			l := o.make(p)
-			row(tw, p, o.name, l, time.Since(begin), allocated()-mem, "")
+			row(tw, p, o.name, l, time.Since(begin), allocated()-mem, "\t|")
 		}
 	}
 	return tw.Flush()
@@ -51,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	row(tw, p, "solver", r.Layout, time.Since(begin), allocated()-mem, fmt.Sprintf("%.2f%%", 100*r.Gap()))
+	row(tw, p, "solver", r.Layout, time.Since(begin), allocated()-mem, fmt.Sprintf("%.2f%%\t| %.1f%%", 100*r.Gap(), 100*r.LossGap()))
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/inventory"
+	"merlinhitch/rates"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
 )
@@ -89,7 +90,10 @@
 		return err
 	}
 	g.api = l
-	g.admin = &http.Server{Handler: settings.Handler(g.store), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
+	mux := http.NewServeMux()
+	mux.Handle("/settings", settings.Handler(g.store))
+	mux.HandleFunc("GET /rates", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Rates()) })
+	g.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
 	go g.admin.Serve(l) // ends with Close; its error says only that
 	return nil
 }
@@ -187,6 +191,17 @@
 	return s
 }
 
+// Rates is what each volume asked this host for.
+func (g *Gateway) Rates() (out []rates.Rate) {
+	g.mu.Lock()
+	h := g.host
+	g.mu.Unlock()
+	if h != nil {
+		h.ask(func(c *hostCore) { out = c.usage.Read(c.now) })
+	}
+	return out
+}
+
 const stopLook = 20 * time.Millisecond
 
 // Stop ends the gateway gracefully: no new login, what was taken is answered,
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -61,7 +61,7 @@
 
 func newHost(w seam.World, s *settings.Settings, self int, name, zone string, log *zap.Logger) *host {
 	h := &host{world: w, log: log, wake: make(chan struct{}, 1), done: make(chan struct{}), timerAt: math.Inf(1), fetch: func() {}}
-	h.core = newHostCore(s, self, zone, w.Uint64(), h)
+	h.core = newHostCore(seam.MS(w.Now()), s, self, zone, w.Uint64(), h)
 	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
 	go h.run()
 	return h
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -13,6 +13,7 @@
 	"merlinhitch/diskproto"
 	"merlinhitch/inventory"
 	"merlinhitch/policy"
+	"merlinhitch/rates"
 	"merlinhitch/settings"
 )
 
@@ -90,6 +91,7 @@
 	started map[startKey]float64 // when a node's incarnation started, on this clock
 	listed  bool
 	nodes   map[string]inventory.Node
+	usage   *rates.Meter
 	// Sends and Resends count attempts; for operators.
 	sends, resends uint64
 }
@@ -99,8 +101,12 @@
 	incarnation uint64
 }
 
-func newHostCore(s *settings.Settings, self int, zone string, seed uint64, eff effects) *hostCore {
-	return &hostCore{mod: policy.New(s.Policy(self, zone), seed), eff: eff, jobs: map[string]*job{},
+// rateMemory is how many seconds a measured rate looks back on: long enough for the
+// spread to mean something, short against the hours for which layouts are made.
+const rateMemory = 300
+
+func newHostCore(now float64, s *settings.Settings, self int, zone string, seed uint64, eff effects) *hostCore {
+	return &hostCore{now: now, usage: rates.New(now, rateMemory), mod: policy.New(s.Policy(self, zone), seed), eff: eff, jobs: map[string]*job{},
 		started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
 }
 
@@ -114,6 +120,7 @@
 	j.id = strconv.FormatUint(h.nextSeq, 36)
 	j.req.ID, j.do.Seq = j.id, h.nextSeq
 	h.jobs[j.id] = j
+	h.usage.Add(h.now, j.req.Volume, j.req.Units, j.req.Write)
 	h.tell(j.req)
 }
 
--- a/gateway/hostcore_test.go
+++ b/gateway/hostcore_test.go
@@ -80,7 +80,7 @@
 
 func newScripted(then func(policy.Event) []policy.Action) (*hostCore, *script, *noted) {
 	n := &noted{}
-	h := newHostCore(settings.Example(1, 1), 0, "", 1, n)
+	h := newHostCore(0, settings.Example(1, 1), 0, "", 1, n)
 	s := &script{then: then}
 	h.mod = s
 	return h, s, n
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -200,19 +200,14 @@
 	return a
 }
 
-// pick draws a volume by its plan's rate. Held: mu.
+// pick draws a volume by its rate. Held: mu.
 func (c *Crowd) pick() int {
 	s := c.fleet.Set
 	weight := func(v *settings.Volume) float64 {
-		for _, p := range s.Plans {
-			if p.Name == v.Plan {
-				if c.habits.PlanX > 0 && c.habits.Plan == p.Name {
-					return p.Rate * c.habits.PlanX
-				}
-				return p.Rate
-			}
+		if c.habits.PlanX > 0 && c.habits.Plan == v.Plan {
+			return s.RateOf(v) * c.habits.PlanX
 		}
-		return 0
+		return s.RateOf(v)
 	}
 	total := 0.0
 	for i := range s.Volumes {
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -86,13 +86,9 @@
 		Rec:  trail.NewRecorder(func() int64 { return int64(w.Now() / time.Microsecond) }),
 		Meta: &trail.Meta{Settings: s, Servers: map[string]trail.Server{}, Seed: seed}}
 	sizes, rates := map[string]int{}, map[string]float64{}
-	for _, v := range s.Volumes {
-		sizes[v.Name] = v.BlockSize
-		for _, p := range s.Plans {
-			if p.Name == v.Plan {
-				rates[v.Name] = p.Rate
-			}
-		}
+	for i := range s.Volumes {
+		v := &s.Volumes[i]
+		sizes[v.Name], rates[v.Name] = v.BlockSize, s.RateOf(v)
 	}
 	f.meter = &standin.Meter{Period: 2000, Rate: func(v string) float64 { return rates[v] }}
 	var err error
--- a/placement/check.go
+++ b/placement/check.go
@@ -103,22 +103,7 @@
 		}
 	}
 	for _, hall := range lost {
-		load := make([]float64, len(c.p.Nodes))
-		for v, pieces := range c.l {
-			vol := &c.p.Volumes[v]
-			for _, pc := range pieces {
-				part := vol.Rate * float64(pc.Parts) / float64(c.p.Parts)
-				gone := hall != "" && c.p.Nodes[pc.Node].Hall == hall
-				if !gone {
-					load[pc.Node] += part
-				}
-				if pc.Copy >= 0 && gone {
-					load[pc.Copy] += part
-				} else if pc.Copy >= 0 {
-					load[pc.Copy] += part * vol.Writes
-				}
-			}
-		}
+		load := Loads(c.p, c.l, hall)
 		worst := 0.0
 		for n, x := range load {
 			node := &c.p.Nodes[n]
@@ -142,3 +127,31 @@
 		}
 	}
 }
+
+// Loads is what a layout puts on each node, units a second, with a hall lost or
+// with none ("").
+func Loads(p *Problem, l Layout, hall string) []float64 {
+	load := make([]float64, len(p.Nodes))
+	for v, pieces := range l {
+		vol := &p.Volumes[v]
+		for _, pc := range pieces {
+			part := vol.Rate * float64(pc.Parts) / float64(p.Parts)
+			gone := hall != "" && p.Nodes[pc.Node].Hall == hall
+			if !gone {
+				load[pc.Node] += part
+			}
+			if pc.Copy >= 0 && gone {
+				load[pc.Copy] += part
+			} else if pc.Copy >= 0 {
+				load[pc.Copy] += part * vol.Writes
+			}
+		}
+	}
+	return load
+}
+
+// Halls names the halls, in the order of their first nodes.
+func (p *Problem) Halls() []string {
+	_, names := p.halls()
+	return names
+}
--- a/placement/model.go
+++ b/placement/model.go
@@ -162,7 +162,13 @@
 	if p.Current == nil {
 		return 0, 0
 	}
-	for _, pc := range p.Current[v] {
+	return onNode(p.Current[v], n)
+}
+
+// onNode is the number of parts of a volume's pieces that lie on n, as data and as
+// copies.
+func onNode(pieces []Piece, n int) (data, copies int) {
+	for _, pc := range pieces {
 		if pc.Node == n {
 			data += pc.Parts
 		}
--- a/placement/solve.go
+++ b/placement/solve.go
@@ -46,6 +46,15 @@
 	return max(r.Objective.Use/r.Bound.Use-1, 0)
 }
 
+// LossGap is the same for the highest use after the worst loss, against a bound
+// that holds for every layout.
+func (r *Result) LossGap() float64 {
+	if r.Optimal || r.Bound.LossUse <= 0 {
+		return 0
+	}
+	return max(r.Objective.LossUse/r.Bound.LossUse-1, 0)
+}
+
 // Solve returns the best layout that it finds, proved where the exact search came
 // to its end. Without a layout the error is ErrNoLayout, which is a proof, or
 // ErrStopped.
@@ -306,7 +315,8 @@
 			return nil, false
 		}
 	}
-	g.improve(stop)
+	g.improve(stop, g.relieve)
+	g.improve(stop, g.relieveLoss)
 	for _, pieces := range g.l {
 		slices.SortFunc(pieces, func(a, b Piece) int { return a.Node - b.Node })
 	}
@@ -449,15 +459,104 @@
 	return at
 }
 
-// improve takes parts off the fullest node while the highest use falls.
-func (g *builder) improve(stop func() bool) {
+// improve makes one change after another while one helps.
+func (g *builder) improve(stop func() bool, relieve func() bool) {
 	for round := 0; round < 50*len(g.p.Nodes) && (stop == nil || round%16 != 0 || !stop()); round++ {
-		if !g.relieve() {
+		if !relieve() {
 			return
 		}
 	}
 }
 
+// relieveLoss takes a copy off the node that would be the fullest after the loss of
+// a hall, without making any node fuller than the fullest is now.
+func (g *builder) relieveLoss() bool {
+	from, hall, high := -1, -1, 0.0
+	top, _ := g.s.uses()
+	for i, loss := range g.s.loss {
+		for n, x := range loss {
+			if u := use(x, g.p.Nodes[n].Capacity); g.s.hall[n] != g.s.lost[i] && u > high {
+				from, hall, high = n, g.s.lost[i], u
+			}
+		}
+	}
+	for v := range g.l {
+		for i, pc := range g.l[v] {
+			if pc.Copy == from && g.s.hall[pc.Node] == hall && g.recopy(v, i, top, high) {
+				return true
+			}
+		}
+	}
+	for v := range g.l {
+		for i, pc := range g.l[v] {
+			if pc.Copy == from && g.s.hall[pc.Node] == hall && g.swapCopies(v, i, top, high) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// swapCopies lets a piece change copies with another whose data lies in a third
+// hall: what their nodes carry day by day hardly changes, what they would carry after
+// the loss does. False if no swap leaves both below high.
+func (g *builder) swapCopies(v, i int, top, high float64) bool {
+	a := g.l[v][i]
+	from, lost := a.Copy, g.s.hall[a.Node]
+	g.s.put(v, a, -1)
+	defer func() { g.s.put(v, g.l[v][i], 1) }()
+	for w := range g.l {
+		if w == v || slices.Contains(g.p.Volumes[w].Bans, from) {
+			continue
+		}
+		for j, b := range g.l[w] {
+			if b.Copy < 0 || b.Copy == from || g.s.hall[b.Node] == lost || g.s.hall[b.Node] == g.s.hall[from] || g.s.hall[b.Copy] == lost ||
+				g.p.Nodes[b.Copy].Draining || g.p.Nodes[from].Draining || slices.Contains(g.p.Volumes[v].Bans, b.Copy) {
+				continue
+			}
+			x, y := Piece{a.Node, b.Copy, a.Parts}, Piece{b.Node, from, b.Parts}
+			g.s.put(w, b, -1)
+			g.s.put(v, x, 1)
+			g.s.put(w, y, 1)
+			good := g.usesOf(x) <= top+tolerance && g.usesOf(y) <= top+tolerance && g.s.fits(x) && g.s.fits(y) &&
+				max(g.s.lossUse(from), g.s.lossUse(b.Copy)) < high-tolerance
+			g.s.put(v, x, -1)
+			if good {
+				g.l[v][i], g.l[w][j] = x, y
+				return true
+			}
+			g.s.put(w, y, -1)
+			g.s.put(w, b, 1)
+		}
+	}
+	return false
+}
+
+// recopy gives a piece's copy another node: the one that the loss of a hall would
+// fill least, if that stays below high. False if there is none.
+func (g *builder) recopy(v, i int, top, high float64) bool {
+	pc := g.l[v][i]
+	old, best, bestAt := pc.Copy, -1, high-tolerance
+	g.s.put(v, pc, -1)
+	for c := range g.p.Nodes {
+		if c == old || g.s.hall[c] == g.s.hall[pc.Node] || g.p.Nodes[c].Draining || g.p.Nodes[c].Capacity <= 0 || slices.Contains(g.p.Volumes[v].Bans, c) {
+			continue
+		}
+		pc.Copy = c
+		g.s.put(v, pc, 1)
+		if at := g.s.lossUse(c); at < bestAt && g.usesOf(pc) <= top+tolerance && g.s.fits(pc) {
+			best, bestAt = c, at
+		}
+		g.s.put(v, pc, -1)
+	}
+	if pc.Copy = best; best < 0 {
+		pc.Copy = old
+	}
+	g.s.put(v, pc, 1)
+	g.l[v][i] = pc
+	return best >= 0
+}
+
 // relieve moves one part from the fullest node to where it does least; false if
 // none helps.
 func (g *builder) relieve() bool {
--- a/placement/state.go
+++ b/placement/state.go
@@ -81,6 +81,16 @@
 	return load / capacity
 }
 
+// lossUse is the use of a node after the loss that is worst for it.
+func (s *state) lossUse(n int) (worst float64) {
+	for i, l := range s.loss {
+		if s.hall[n] != s.lost[i] {
+			worst = max(worst, use(l[n], s.p.Nodes[n].Capacity))
+		}
+	}
+	return worst
+}
+
 // uses returns the highest use of a node, and after the worst loss of a hall.
 func (s *state) uses() (now, loss float64) {
 	for n := range s.load {
--- a/placement/steps.go
+++ b/placement/steps.go
@@ -150,6 +150,16 @@
 			out = append(out, Piece{pc.Node, pc.Copy, min(less, src.Parts)})
 		}
 	}
+	// What can stay on its node does: on one that drains it could not come back.
+	slices.SortStableFunc(out, func(a, b Piece) int {
+		switch {
+		case a.Node == src.Node && b.Node != src.Node:
+			return -1
+		case b.Node == src.Node && a.Node != src.Node:
+			return 1
+		}
+		return 0
+	})
 	for _, pc := range w.at[v] {
 		placed += pc.Parts
 	}
@@ -175,7 +185,7 @@
 		before := slices.Clone(w.at[v])
 		w.shift(v, src, -k)
 		w.shift(v, dst, k)
-		if w.holds(v, before) && (dst.Node < 0 || w.s.fits(dst)) {
+		if w.holds(v, before) && !w.feedsDraining(v, before, dst) && (dst.Node < 0 || w.s.fits(dst)) {
 			w.steps = append(w.steps, Step{v, Piece{src.Node, src.Copy, k}, Piece{dst.Node, dst.Copy, k}, each * float64(k)})
 			return true
 		}
@@ -202,6 +212,20 @@
 	}
 }
 
+// feedsDraining tells whether a node that drains has more of v than before.
+func (w *walk) feedsDraining(v int, before []Piece, dst Piece) bool {
+	for _, n := range [2]int{dst.Node, dst.Copy} {
+		if n < 0 || !w.p.Nodes[n].Draining {
+			continue
+		}
+		data, copies := onNode(before, n)
+		if d, c := onNode(w.at[v], n); d > data || c > copies {
+			return true
+		}
+	}
+	return false
+}
+
 // holds keeps spread and the number of nodes on the way.
 func (w *walk) holds(v int, before []Piece) bool {
 	var nodes []int
--- a/settings/api.go
+++ b/settings/api.go
@@ -20,10 +20,10 @@
 	mux.HandleFunc("GET /settings", func(w http.ResponseWriter, r *http.Request) {
 		s := st.Get()
 		if s == nil {
-			reply(w, http.StatusNotFound, refusal{Error: "no settings yet"})
+			Reply(w, http.StatusNotFound, refusal{Error: "no settings yet"})
 			return
 		}
-		reply(w, http.StatusOK, s)
+		Reply(w, http.StatusOK, s)
 	})
 	mux.HandleFunc("PUT /settings", func(w http.ResponseWriter, r *http.Request) {
 		s, err := Parse(r.Body)
@@ -34,24 +34,26 @@
 		var stale *StaleError
 		switch {
 		case errors.As(err, &faults):
-			reply(w, http.StatusUnprocessableEntity, refusal{Error: "faulty settings", Faults: faults.Faults})
+			Reply(w, http.StatusUnprocessableEntity, refusal{Error: "faulty settings", Faults: faults.Faults})
 		case errors.As(err, &stale):
-			reply(w, http.StatusConflict, refusal{Error: err.Error()})
+			Reply(w, http.StatusConflict, refusal{Error: err.Error(), Stale: stale})
 		case err != nil:
-			reply(w, http.StatusInternalServerError, refusal{Error: err.Error()})
+			Reply(w, http.StatusInternalServerError, refusal{Error: err.Error()})
 		default:
-			reply(w, http.StatusOK, s)
+			Reply(w, http.StatusOK, s)
 		}
 	})
 	return mux
 }
 
 type refusal struct {
-	Error  string  `json:"error"`
-	Faults []Fault `json:"faults,omitempty"`
+	Error  string      `json:"error"`
+	Faults []Fault     `json:"faults,omitempty"`
+	Stale  *StaleError `json:"stale,omitempty"`
 }
 
-func reply(w http.ResponseWriter, code int, v any) {
+// Reply answers a call of the admin API with JSON.
+func Reply(w http.ResponseWriter, code int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
 	e := json.NewEncoder(w)
@@ -78,7 +80,10 @@
 }
 
 // Get returns the settings in force.
-func (a *API) Get(ctx context.Context) (*Settings, error) { return a.call(ctx, http.MethodGet, nil) }
+func (a *API) Get(ctx context.Context) (*Settings, error) {
+	s := &Settings{}
+	return s, a.call(ctx, http.MethodGet, "/settings", nil, s)
+}
 
 // Put hands in new settings and returns them as they are in force.
 func (a *API) Put(ctx context.Context, s *Settings) (*Settings, error) {
@@ -86,33 +91,42 @@
 	if err != nil {
 		return nil, err
 	}
-	return a.call(ctx, http.MethodPut, b)
+	now := &Settings{}
+	return now, a.call(ctx, http.MethodPut, "/settings", b, now)
+}
+
+// Read fetches another page of the API, such as /rates, into a value.
+func (a *API) Read(ctx context.Context, path string, into any) error {
+	return a.call(ctx, http.MethodGet, path, nil, into)
 }
 
 // Close lets go of idle connections.
 func (a *API) Close() { a.client.CloseIdleConnections() }
 
-func (a *API) call(ctx context.Context, method string, body []byte) (*Settings, error) {
-	req, err := http.NewRequestWithContext(ctx, method, a.base+"/settings", bytes.NewReader(body))
+// call makes one call. A refused change is a *FaultsError or a *StaleError.
+func (a *API) call(ctx context.Context, method, path string, body []byte, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, a.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	resp, err := a.client.Do(req)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxSize))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if resp.StatusCode == http.StatusOK {
-		s := &Settings{}
-		return s, json.Unmarshal(b, s)
+		return json.Unmarshal(b, into)
 	}
 	var r refusal
-	if json.Unmarshal(b, &r) == nil && len(r.Faults) > 0 {
-		return nil, &FaultsError{r.Faults}
+	switch json.Unmarshal(b, &r); {
+	case len(r.Faults) > 0:
+		return &FaultsError{r.Faults}
+	case r.Stale != nil:
+		return r.Stale
 	}
-	return nil, fmt.Errorf("settings: %s: %s", resp.Status, r.Error)
+	return fmt.Errorf("settings: %s: %s", resp.Status, r.Error)
 }
--- a/settings/example.go
+++ b/settings/example.go
@@ -27,7 +27,8 @@
 	}
 	plans := []string{"basico", "normal", "prioritario", "basico", "normal", "normal"}
 	for i := range 4 * shards {
-		v := Volume{Name: fmt.Sprintf("vol-%03d", i), Plan: plans[i%len(plans)], Blocks: 1 << 14, BlockSize: 4096, Extent: 32}
+		v := Volume{Name: fmt.Sprintf("vol-%03d", i), Plan: plans[i%len(plans)], Blocks: 1 << 14, BlockSize: 4096, Extent: 32,
+			Copies: min(2, shards), Writes: 0.35, MaxNodes: 1 + i%3}
 		for k := range 1 + i%3 {
 			v.Layout = append(v.Layout, (i+k*3)%shards)
 		}
@@ -36,5 +37,11 @@
 		}
 		s.Volumes = append(s.Volumes, v)
 	}
+	halls := min(shards, 3)
+	for i := range shards {
+		s.Nodes = append(s.Nodes, Node{Shard: i, Hall: fmt.Sprintf("hall-%c", 'a'+i%halls), Capacity: 140, Cost: 1})
+	}
+	s.Placement = DefaultPlacement
+	s.Placement.Survive = halls > 1
 	return s
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,8 +41,36 @@
 	Rules      Rules    `json:"rules"`
 	Volumes    []Volume `json:"volumes"`
 	Target     Target   `json:"target"`
+	// Nodes says what the disk server of each shard can carry; it may be empty as
+	// long as no layout is asked for.
+	Nodes     []Node    `json:"nodes,omitempty"`
+	Placement Placement `json:"placement,omitzero"`
 }
 
+// Node is the disk server of one shard, as the placement of volumes sees it.
+type Node struct {
+	Shard    int     `json:"shard"`
+	Hall     string  `json:"hall"`
+	Capacity float64 `json:"capacity"` // units a second
+	Cost     float64 `json:"cost,omitempty"`
+	// Draining keeps new data off; it says nothing on the server's process, whose
+	// drains the inventory tells.
+	Draining bool `json:"draining,omitempty"`
+}
+
+// Placement says how layouts are worked out. The zero value means DefaultPlacement.
+type Placement struct {
+	Parts   int  `json:"parts"` // into which a volume's extents are dealt
+	Survive bool `json:"survive,omitempty"`
+	// Margin adds so many times the spread of a measured rate to it.
+	Margin float64 `json:"margin"`
+	// MostMoved is the most that one step moves, in units a second.
+	MostMoved float64 `json:"most_moved"`
+}
+
+// DefaultPlacement is for settings that say nothing on it.
+var DefaultPlacement = Placement{Parts: 8, Margin: 2, MostMoved: 50}
+
 // Class is a kind of request. The first class whose match fits takes it.
 type Class struct {
 	Name      string  `json:"name"`
@@ -120,6 +148,17 @@
 	Layout   []int `json:"layout"`
 	Hosts    []int `json:"hosts"` // that its requests come through
 	ReadOnly bool  `json:"read_only,omitempty"`
+	// Copy is, for each entry of Layout, the shard that takes over when the hall of
+	// the entry is lost; absent: none.
+	Copy []int `json:"copy,omitempty"`
+	// What a layout must keep to: see package placement. Rate 0 is the plan's.
+	Rate     float64 `json:"rate,omitempty"`
+	Writes   float64 `json:"writes,omitempty"` // part of the rate
+	MaxNodes int     `json:"max_nodes,omitempty"`
+	Spread   int     `json:"spread,omitempty"`
+	Copies   int     `json:"copies,omitempty"` // 0 and 1: the data alone
+	Pins     []int   `json:"pins,omitempty"`
+	Bans     []int   `json:"bans,omitempty"`
 }
 
 // Target is the face to initiators.
@@ -241,6 +280,7 @@
 	c.when(l.Copies, "limits.copies", "the gateway sends no copies")
 	s.checkVolumes(c)
 	s.Target.check(c)
+	s.checkNodes(c)
 	if len(c.faults) > 0 {
 		return &FaultsError{c.faults}
 	}
@@ -361,9 +401,8 @@
 		c.when(v.Blocks == 0 || v.Blocks > 1<<48, at+"blocks", "is %d, must be from 1 to 2^48", v.Blocks)
 		c.between(at+"extent_blocks", float64(v.Extent), 1, 1<<20)
 		c.when(len(v.Layout) == 0 || len(v.Layout) > maxLayout, at+"layout", "has %d shards, must be from 1 to %d", len(v.Layout), maxLayout)
-		for j, sh := range v.Layout {
-			c.when(sh < 0 || sh >= s.Shards, fmt.Sprintf("%slayout[%d]", at, j), "there is no shard %d", sh)
-		}
+		s.shards(c, at+"layout", v.Layout)
+		s.checkPlaced(c, v, at)
 		c.when(len(v.Hosts) == 0, at+"hosts", "is empty")
 		for j, h := range v.Hosts {
 			path := fmt.Sprintf("%shosts[%d]", at, j)
@@ -373,6 +412,69 @@
 	}
 }
 
+// shards checks a list of shards.
+func (s *Settings) shards(c *checker, path string, list []int) {
+	for j, sh := range list {
+		c.when(sh < 0 || sh >= s.Shards, fmt.Sprintf("%s[%d]", path, j), "there is no shard %d", sh)
+	}
+}
+
+// checkPlaced checks what a volume asks of its layouts.
+func (s *Settings) checkPlaced(c *checker, v *Volume, at string) {
+	c.between(at+"rate", v.Rate, 0, 1e9)
+	c.between(at+"writes", v.Writes, 0, 1)
+	c.between(at+"max_nodes", float64(v.MaxNodes), 0, maxLayout)
+	c.between(at+"spread", float64(v.Spread), 0, maxLayout)
+	c.between(at+"copies", float64(v.Copies), 0, 2)
+	c.when(len(v.Copy) > 0 && len(v.Copy) != len(v.Layout), at+"copy", "has %d shards, the layout %d", len(v.Copy), len(v.Layout))
+	s.shards(c, at+"copy", v.Copy)
+	s.shards(c, at+"pins", v.Pins)
+	s.shards(c, at+"bans", v.Bans)
+	for j, sh := range v.Pins {
+		c.when(slices.Contains(v.Bans, sh), fmt.Sprintf("%spins[%d]", at, j), "shard %d is banned too", sh)
+		c.when(slices.Contains(v.Pins[:j], sh), fmt.Sprintf("%spins[%d]", at, j), "shard %d stands twice", sh)
+	}
+}
+
+// checkNodes checks that there is a node for every shard, or none at all.
+func (s *Settings) checkNodes(c *checker) {
+	if p := s.Placement; p != (Placement{}) {
+		c.between("placement.parts", float64(p.Parts), 1, 1024)
+		c.between("placement.margin", p.Margin, 0, 100)
+		c.between("placement.most_moved", p.MostMoved, 0.001, 1e9)
+	}
+	if len(s.Nodes) == 0 {
+		return
+	}
+	c.when(len(s.Nodes) != s.Shards, "nodes", "has %d entries for %d shards", len(s.Nodes), s.Shards)
+	seen := make(map[int]int, len(s.Nodes))
+	for i, n := range s.Nodes {
+		at := fmt.Sprintf("nodes[%d].", i)
+		c.when(n.Shard < 0 || n.Shard >= s.Shards, at+"shard", "there is no shard %d", n.Shard)
+		first, twice := seen[n.Shard]
+		c.when(twice, at+"shard", "shard %d stands already at nodes[%d]", n.Shard, first)
+		if !twice {
+			seen[n.Shard] = i
+		}
+		c.when(!nameForm.MatchString(n.Hall), at+"hall", "%.70q is not of small letters, digits, dots and dashes, at most 63", n.Hall)
+		c.between(at+"capacity", n.Capacity, 0, 1e9)
+		c.between(at+"cost", n.Cost, 0, 1e9)
+	}
+}
+
+// RateOf is the units a second that are expected of a volume.
+func (s *Settings) RateOf(v *Volume) float64 {
+	if v.Rate > 0 {
+		return v.Rate
+	}
+	for i := range s.Plans {
+		if s.Plans[i].Name == v.Plan {
+			return s.Plans[i].Rate
+		}
+	}
+	return 0
+}
+
 func (t *Target) check(c *checker) {
 	c.when(!prefixForm.MatchString(t.Prefix), "target.prefix", "%.70q is not of the form iqn.yyyy-mm.name", t.Prefix)
 	c.between("target.window", float64(t.Window), 1, 4096)
