--- a/bgp/fsm.go
+++ b/bgp/fsm.go
@@ -100,7 +100,7 @@
 
 // DefaultTimes are those that RFC 4271 section 10 suggests, but for the retries:
 // clients wait for a way to be announced.
-var DefaultTimes = Times{ConnectRetry: 5000, Hold: 9000, LargeHold: 240000, IdleHold: 250, IdleHoldMost: 30000}
+var DefaultTimes = Times{ConnectRetry: 5000, Hold: 9000, LargeHold: 240000, IdleHold: 250, IdleHoldMost: 8000}
 
 // FSM is the machine of one connection. It is a core: it is told events and returns
 // acts; it holds no socket and no clock.
--- a/bgp/peer_test.go
+++ b/bgp/peer_test.go
@@ -203,7 +203,7 @@
 			t.Errorf("identifiers %v: the connection that side %d began stays", ids, live[0].by)
 		}
 		ups := [2]int{w.sides[0].Ups, w.sides[1].Ups} // one more where both were established for a moment
-		for range 40 { // it lasts, and no other is begun
+		for range 40 {                                // it lasts, and no other is begun
 			w.tick(1000)
 			w.settle()
 		}
--- a/bgp/speaker.go
+++ b/bgp/speaker.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"net"
 	"sync"
@@ -237,6 +238,9 @@
 		case errors.As(err, &n):
 			s.carry(p, p.Bad(s.now(), id, n))
 		case err != nil:
+			if p.conns[id] == o {
+				p.LastError = fmt.Errorf("bgp: connection over: %w", err)
+			}
 			s.carry(p, p.Lost(s.now(), id))
 		default:
 			s.carry(p, p.Message(s.now(), id, t, body))
@@ -331,8 +335,11 @@
 	}
 	var links []*link
 	for _, p := range s.peers {
-		for _, l := range p.conns {
+		for c, l := range p.conns {
 			links = append(links, l)
+			for b := p.Pull(c); len(b) > 0; b = p.Pull(c) { // withdrawals go before the end
+				l.put(b)
+			}
 		}
 		s.carry(p, p.Stop(s.now(), Shutdown(CeaseShutdown, text)))
 	}
--- /dev/null
+++ b/bgp/speaker_test.go
@@ -0,0 +1,199 @@
+package bgp_test
+
+import (
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"merlinhitch/bgp"
+	"merlinhitch/seam"
+	"merlinhitch/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// quick are times in which a test meets every wait; the hold time is the least that
+// BGP knows.
+var quick = bgp.Times{ConnectRetry: 200, Hold: 3000, LargeHold: 1000, IdleHold: 20, IdleHoldMost: 100}
+
+func neighbour(r *standin.Router) bgp.Neighbour {
+	return bgp.Neighbour{Addr: r.Addr, PeerConfig: bgp.PeerConfig{Name: r.Addr, LocalAS: 65001, PeerAS: r.AS, ID: 1, Families: []bgp.Family{bgp.IPv4, bgp.IPv6},
+		Hop4: netip.MustParseAddr("127.0.0.1"), Hop6: netip.IPv6Loopback(), Times: quick}}
+}
+
+func router(t *testing.T, w seam.World, f standin.RouterFault) *standin.Router {
+	t.Helper()
+	r, err := standin.ServeRouter(w, "127.0.0.1:0", 65010)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Fault(f)
+	t.Cleanup(r.Close)
+	return r
+}
+
+func speaker(t *testing.T, w seam.World, list ...bgp.Neighbour) *bgp.Speaker {
+	t.Helper()
+	s, err := bgp.StartSpeaker(w, zap.NewNop(), "", list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Kill)
+	return s
+}
+
+func set(n int, p bgp.Path) (out []bgp.Route) {
+	for i := range n {
+		a := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})
+		if i%2 == 1 {
+			b := netip.MustParseAddr("2001:db8::").As16()
+			b[14], b[15] = byte(i>>8), byte(i)
+			a = netip.AddrFrom16(b)
+		}
+		out = append(out, bgp.Route{Prefix: netip.PrefixFrom(a, a.BitLen()), Path: p})
+	}
+	return out
+}
+
+// await looks until a condition holds; the bound only ends a test that would fail.
+func await(t *testing.T, w seam.World, what string, ok func() bool) {
+	t.Helper()
+	for end := w.Now() + 30*time.Second; !ok(); {
+		if w.Now() > end {
+			t.Fatal("not seen: " + what)
+		}
+		seam.Wait(w, 2*time.Millisecond, nil)
+	}
+}
+
+func holds(r *standin.Router, want []bgp.Route) bool {
+	held := r.Held(1)
+	for _, x := range want {
+		if held[x.Prefix] != x.Path {
+			return false
+		}
+	}
+	return len(held) == len(want)
+}
+
+// Whatever is wrong with a router: once it is sound it has exactly the set, without
+// anybody's help.
+func TestFaultyRouterComesBack(t *testing.T) {
+	for name, f := range map[string]standin.RouterFault{
+		"refuses":              {Refuse: true},
+		"accepts late":         {AcceptAfter: 300 * time.Millisecond},
+		"says nothing":         {Silent: true},
+		"another AS":           {BadAS: true},
+		"reset in OpenSent":    {ResetAt: bgp.OpenSent},
+		"reset in OpenConfirm": {ResetAt: bgp.OpenConfirm},
+		"reset in Established": {ResetAt: bgp.Established},
+		"flaps":                {LiveFor: 50 * time.Millisecond},
+		"no sign of life":      {NoKeepalive: true},
+		"half a message":       {Half: true},
+		"wrong marker":         {BadMarker: true},
+		"wrong length":         {BadLength: true},
+		"unknown attributes":   {UnknownAttrs: true},
+		"hold time 0":          {HoldZero: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := seam.NewReal()
+			r := router(t, w, f)
+			s := speaker(t, w, neighbour(r))
+			s.Set(set(10, bgp.Path{MED: 1}))
+			met := func() bool { // the fault was met: a session failed, or, where it harms none, holds
+				st := s.Status()[0]
+				return st.LastError != "" || f.UnknownAttrs && holds(r, set(10, bgp.Path{MED: 1})) || f.HoldZero && r.Counts().Ups > 0 || f.AcceptAfter > 0
+			}
+			await(t, w, "the fault", func() bool {
+				return met() || f.LiveFor > 0 && r.Counts().Ups > 2 || f.ResetAt != bgp.Idle && s.Status()[0].State == "Idle"
+			})
+			if f.UnknownAttrs && s.Status()[0].State != "Established" {
+				t.Errorf("unknown attributes cost the session: %+v", s.Status()[0])
+			}
+			r.Fault(standin.RouterFault{})
+			r.Reset()
+			want := set(12, bgp.Path{MED: 2})[3:]
+			s.Set(want)
+			await(t, w, "exactly the set", func() bool { return holds(r, want) })
+		})
+	}
+}
+
+func TestARouterOfOneFamilyHearsOneFamily(t *testing.T) {
+	w := seam.NewReal()
+	r := router(t, w, standin.RouterFault{NoIPv6: true})
+	s := speaker(t, w, neighbour(r))
+	s.Set(set(10, bgp.Path{}))
+	await(t, w, "End-of-RIB", func() bool { return r.Counts().Ends == 1 })
+	for p := range r.Held(1) {
+		if p.Addr().Is6() {
+			t.Errorf("%v was told", p)
+		}
+	}
+	if len(r.Held(1)) != 5 {
+		t.Errorf("%d prefixes", len(r.Held(1)))
+	}
+}
+
+// A router that reads a few bytes now and then holds up nobody; what it missed and no
+// longer holds it is never told.
+func TestASlowRouterHoldsUpNobody(t *testing.T) {
+	w := seam.NewReal()
+	slow := router(t, w, standin.RouterFault{SlowRead: 20 * time.Millisecond})
+	fast := router(t, w, standin.RouterFault{})
+	s := speaker(t, w, neighbour(slow), neighbour(fast))
+	last := []bgp.Route(nil)
+	for k := range 20 {
+		last = set(2000, bgp.Path{MED: uint32(k + 1)})
+		s.Set(last)
+		await(t, w, "the set at the fast router", func() bool { return holds(fast, last) })
+	}
+	if holds(slow, last) {
+		t.Error("the slow router was not slow: nothing is tested")
+	}
+}
+
+// Two speakers that know each other's addresses settle on one session.
+func TestTwoSpeakersCollide(t *testing.T) {
+	w := seam.NewReal()
+	var s [2]*bgp.Speaker
+	// The first is told the second's address before that is there, so both dial.
+	free, err := w.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := free.Addr().String()
+	free.Close()
+	start := func(i int, listen, other string) {
+		n := bgp.Neighbour{Addr: other, PeerConfig: bgp.PeerConfig{Name: other, LocalAS: uint32(65001 + i), PeerAS: uint32(65002 - i), ID: uint32(i + 1),
+			Families: []bgp.Family{bgp.IPv4}, Hop4: netip.MustParseAddr("127.0.0.1"), Times: quick}}
+		var err error
+		if s[i], err = bgp.StartSpeaker(w, zap.NewNop(), listen, []bgp.Neighbour{n}); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s[i].Kill)
+	}
+	start(0, "127.0.0.1:0", second)
+	start(1, second, s[0].Addr().String())
+	await(t, w, "both established", func() bool {
+		return s[0].Status()[0].State == "Established" && s[1].Status()[0].State == "Established"
+	})
+}
+
+// At a graceful end the router reads why.
+func TestCloseSaysWhy(t *testing.T) {
+	w := seam.NewReal()
+	r := router(t, w, standin.RouterFault{})
+	s := speaker(t, w, neighbour(r))
+	s.Set(set(4, bgp.Path{}))
+	await(t, w, "the set", func() bool { return holds(r, set(4, bgp.Path{})) })
+	var all sync.WaitGroup
+	all.Go(func() { s.Close("moving to hall-b") })
+	all.Wait()
+	await(t, w, "the end", func() bool { return len(r.Held(1)) == 0 })
+}
--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -23,6 +23,8 @@
 	Badday     baddayCmd     `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
 	Bench      benchCmd      `cmd:"" help:"Measure the gateway beside a bare relay over the same hops."`
 	Plan       planCmd       `cmd:"" help:"Work out which volume lies on which nodes."`
+	Routes     routesCmd     `cmd:"" help:"Show what a gateway announces, to which routers, and why."`
+	Announce   announceCmd   `cmd:"" help:"Measure announcements."`
 	Trail      trailCmd      `cmd:"" help:"Check or read the trail of a day."`
 }
 
--- a/cmd/merlinhitch/serve.go
+++ b/cmd/merlinhitch/serve.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
 	"strings"
@@ -44,11 +46,44 @@
 	Inventory string `required:"" help:"Address of the node list."`
 	Admin     string `default:"127.0.0.1:8640" help:"Address of the admin API: HOST:PORT or unix:PATH."`
 	Snapshot  string `help:"File of the saved settings." placeholder:"FILE"`
+	RouterID  string `help:"BGP identifier, in the form of an IPv4 address; needed where the settings announce." placeholder:"A.B.C.D"`
+	Hop4      string `help:"Next hop told for IPv4 addresses." placeholder:"ADDRESS"`
+	Hop6      string `help:"Next hop told for IPv6 addresses." placeholder:"ADDRESS"`
+	BGPListen string `help:"Address for routers that dial." placeholder:"HOST:PORT"`
+}
+
+// config turns the arguments into a gateway's.
+func (c *gatewayCmd) config(log *zap.Logger) (gateway.Config, error) {
+	cfg := gateway.Config{World: seam.NewReal(), Log: log, Name: c.Name, Self: c.Self, Zone: c.Zone,
+		Listen: c.Listen, Inventory: c.Inventory, Admin: c.Admin, Snapshot: c.Snapshot, BGPListen: c.BGPListen}
+	var err error
+	if c.RouterID != "" {
+		id, err := netip.ParseAddr(c.RouterID)
+		if err != nil || !id.Is4() || id.IsUnspecified() {
+			return cfg, fmt.Errorf("gateway: router id %q is no IPv4 address", c.RouterID)
+		}
+		b := id.As4()
+		cfg.RouterID = binary.BigEndian.Uint32(b[:])
+	}
+	if c.Hop4 != "" {
+		if cfg.Hop4, err = netip.ParseAddr(c.Hop4); err != nil || !cfg.Hop4.Is4() {
+			return cfg, fmt.Errorf("gateway: next hop %q is no IPv4 address", c.Hop4)
+		}
+	}
+	if c.Hop6 != "" {
+		if cfg.Hop6, err = netip.ParseAddr(c.Hop6); err != nil || !cfg.Hop6.Is6() {
+			return cfg, fmt.Errorf("gateway: next hop %q is no IPv6 address", c.Hop6)
+		}
+	}
+	return cfg, nil
 }
 
 func (c *gatewayCmd) Run(log *zap.Logger) error {
-	g, err := gateway.Start(gateway.Config{World: seam.NewReal(), Log: log, Name: c.Name, Self: c.Self, Zone: c.Zone,
-		Listen: c.Listen, Inventory: c.Inventory, Admin: c.Admin, Snapshot: c.Snapshot})
+	cfg, err := c.config(log)
+	if err != nil {
+		return err
+	}
+	g, err := gateway.Start(cfg)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/gateway/announcer_test.go
@@ -0,0 +1,185 @@
+package gateway_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"merlinhitch/announce"
+	"merlinhitch/gateway"
+	"merlinhitch/inventory"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+	"merlinhitch/standin"
+)
+
+var (
+	mixed = netip.MustParsePrefix("10.9.0.1/32") // of volumes on shards 0 and 1
+	alone = netip.MustParsePrefix("10.9.0.2/32") // of volumes on shard 2
+)
+
+// announcing is a host that announces two groups to a router.
+func announcing(t *testing.T) (*rig, *standin.Router) {
+	t.Helper()
+	w := seam.NewReal()
+	r, err := standin.ServeRouter(w, "127.0.0.1:0", 65010)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	g := newRig(t, func(s *settings.Settings) {
+		s.Announce = &settings.Announce{AS: 65001, HoldTime: 9000, Routers: []settings.Router{{Name: "r0", Addr: r.Addr, AS: r.AS}},
+			Steady: 100, SteadyMost: 100, ResortMost: 100, MoveTime: 50,
+			Groups: []settings.AddressGroup{{Name: "mixed", Prefixes: []string{mixed.String()}}, {Name: "alone", Prefixes: []string{alone.String()}}}}
+		for i := range s.Volumes {
+			v := &s.Volumes[i]
+			if v.Layout = []int{0, 1}; i%2 == 0 {
+				v.Layout = []int{2}
+			}
+			group := &s.Announce.Groups[(i+1)%2]
+			group.Volumes = append(group.Volumes, v.Name)
+		}
+	})
+	return g, r
+}
+
+func until(t *testing.T, w seam.World, what string, ok func() bool) {
+	t.Helper()
+	for end := w.Now() + 30*time.Second; !ok(); {
+		if w.Now() > end {
+			t.Fatal("not seen: " + what)
+		}
+		seam.Wait(w, 2*time.Millisecond, nil)
+	}
+}
+
+// level is how the router holds an address.
+func level(r *standin.Router, p netip.Prefix) announce.Level {
+	path, ok := r.Held(1)[p]
+	switch {
+	case !ok:
+		return announce.Withdrawn
+	case path.Shutdown:
+		return announce.LastResort
+	}
+	return announce.Announced
+}
+
+// One of two shards lost is a last resort for who needs both, nothing for the others;
+// both lost is a withdrawal; what comes back is announced again.
+func TestOnlyWhatIsLostIsWithdrawn(t *testing.T) {
+	g, r := announcing(t)
+	until(t, g.world, "both announced", func() bool { return level(r, mixed) == announce.Announced && level(r, alone) == announce.Announced })
+	g.disks[0].Net(standin.NetTrouble{Hang: true})
+	until(t, g.world, "a last resort", func() bool { return level(r, mixed) == announce.LastResort })
+	g.disks[1].Kill()
+	until(t, g.world, "a withdrawal", func() bool { return level(r, mixed) == announce.Withdrawn })
+	if level(r, alone) != announce.Announced {
+		t.Error("a group that lost nothing was withdrawn")
+	}
+	g.disks[0].Net(standin.NetTrouble{})
+	until(t, g.world, "a last resort again", func() bool { return level(r, mixed) == announce.LastResort })
+	for _, s := range g.gate.Routes().Groups {
+		if s.Group == "mixed" && s.Reason != announce.Partly {
+			t.Errorf("%+v", s)
+		}
+	}
+}
+
+// The list says that a server drains before it refuses anything.
+func TestADrainingServerIsNoWay(t *testing.T) {
+	g, r := announcing(t)
+	until(t, g.world, "announced", func() bool { return level(r, alone) == announce.Announced })
+	g.inv.ChangeNow(func(b *inventory.Book) { b.Health(g.disks[2].Addr, inventory.Draining) })
+	until(t, g.world, "a withdrawal", func() bool { return level(r, alone) == announce.Withdrawn })
+	if level(r, mixed) != announce.Announced {
+		t.Error("the other group was withdrawn")
+	}
+}
+
+// A graceful stop goes through the last resort and a withdrawal, and only then ends
+// the session.
+func TestOrderOfAGracefulStop(t *testing.T) {
+	g, r := announcing(t)
+	until(t, g.world, "announced", func() bool { return level(r, mixed) == announce.Announced })
+	from := len(r.Log())
+	g.gate.Stop(context.Background())
+	var got []string
+	for _, c := range r.Log()[from:] {
+		if c.Prefix != mixed {
+			continue
+		}
+		switch {
+		case c.Up && c.Path.Shutdown:
+			got = append(got, "last resort")
+		case c.Up:
+			got = append(got, "announced")
+		case c.ByEnd:
+			got = append(got, "session over")
+		default:
+			got = append(got, "withdrawn")
+		}
+	}
+	if len(got) != 2 || got[0] != "last resort" || got[1] != "withdrawn" {
+		t.Errorf("%v", got)
+	}
+}
+
+// Settings change what is announced without a restart; without the section nothing is.
+func TestSettingsChangeWhatIsAnnounced(t *testing.T) {
+	g, r := announcing(t)
+	until(t, g.world, "announced", func() bool { return level(r, mixed) == announce.Announced })
+	other := netip.MustParsePrefix("10.9.0.3/32")
+	s := *g.gate.Settings().Get()
+	a := *s.Announce
+	a.Groups = append([]settings.AddressGroup(nil), a.Groups...)
+	a.Groups[0].Prefixes = []string{other.String()}
+	s.Announce = &a
+	if _, err := g.gate.Settings().Put(&s); err != nil {
+		t.Fatal(err)
+	}
+	until(t, g.world, "the new address", func() bool { return level(r, other) == announce.Announced && level(r, mixed) == announce.Withdrawn })
+	s = *g.gate.Settings().Get()
+	s.Announce = nil
+	if _, err := g.gate.Settings().Put(&s); err != nil {
+		t.Fatal(err)
+	}
+	until(t, g.world, "nothing", func() bool { return len(r.Held(1)) == 0 })
+}
+
+// Sessions that flap while the gateway's own ability flaps out of step: what the router
+// has in the end is what is true in the end, and nothing else.
+func TestFlapsOutOfStep(t *testing.T) {
+	g, r := announcing(t)
+	r.Fault(standin.RouterFault{LiveFor: 70 * time.Millisecond})
+	r.Reset()
+	for i := range 4 {
+		ups := r.Counts().Ups
+		g.disks[2].Net(standin.NetTrouble{Hang: i%2 == 0})
+		until(t, g.world, "another session", func() bool { return r.Counts().Ups > ups })
+	}
+	g.disks[2].Net(standin.NetTrouble{Hang: true})
+	r.Fault(standin.RouterFault{})
+	r.Reset()
+	until(t, g.world, "the truth", func() bool { return level(r, mixed) == announce.Announced && level(r, alone) == announce.Withdrawn })
+	g.disks[2].Net(standin.NetTrouble{})
+	until(t, g.world, "the way back", func() bool { return level(r, alone) == announce.Announced })
+}
+
+func TestAnnouncingNeedsAnIdentifier(t *testing.T) {
+	w := seam.NewReal()
+	gate, err := gateway.Start(gateway.Config{World: w, Name: "h", Listen: "127.0.0.1:0", Inventory: "127.0.0.1:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer gate.Kill()
+	s := settings.Example(1, 1)
+	s.Announce = &settings.Announce{AS: 65001}
+	if _, err := gate.Settings().Put(s); err != nil {
+		t.Fatal(err)
+	}
+	if gate.Addr() != nil {
+		t.Error("it started without one")
+	}
+}
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -73,15 +73,46 @@
 		b.mu.Unlock()
 		return
 	}
-	l := b.links[a.node]
+	l := b.link(a.node)
+	b.mu.Unlock()
+	l.take(a)
+}
+
+// link is the connection to a server, a new one where there is none that can be used.
+// Held: mu.
+func (b *back) link(addr string) *link {
+	l := b.links[addr]
 	if l == nil || !l.usable() {
-		l = &link{back: b, addr: a.node, open: map[uint32]*attempt{}}
-		b.links[a.node] = l
+		l = &link{back: b, addr: addr, open: map[uint32]*attempt{}}
+		b.links[addr] = l
 		b.tasks.Add(1)
 		go l.run()
 	}
+	return l
+}
+
+// probe asks a server for a sign of life, dialling it if need be.
+func (b *back) probe(addr string) {
+	b.mu.Lock()
+	if b.closed {
+		b.mu.Unlock()
+		return
+	}
+	l := b.link(addr)
 	b.mu.Unlock()
-	l.take(a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.up && !l.down {
+		l.nextTag++
+		tag := l.nextTag
+		l.out.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindProbe, tag, nil) })
+	}
+}
+
+// heard tells when a server last said anything on the connection that is open to it.
+func (b *back) heard(addr string) (at time.Duration, open bool) {
+	b.with(addr, func(l *link) { at, open = l.heard, l.up && !l.down && !l.bye })
+	return at, open
 }
 
 func (l *link) usable() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -29,6 +30,11 @@
 	Inventory string // address of the node list
 	Admin     string // of the admin API: host:port, unix:PATH, or none
 	Snapshot  string // file of the saved settings, or none
+	// For announcements: the identifier, the next hops told for IPv4 and IPv6 (a
+	// family without one is not announced), and where routers may dial, or nowhere.
+	RouterID   uint32
+	Hop4, Hop6 netip.Addr
+	BGPListen  string
 }
 
 // Gateway is a running host. Without settings it waits for them at the admin API
@@ -43,6 +49,7 @@
 	front   *front
 	host    *host
 	list    *inventory.Client
+	ann     *announcer // nil where nothing is to be announced at the start
 	addr    net.Addr
 	stopped bool
 	ready   chan struct{}
@@ -92,6 +99,7 @@
 	g.api = l
 	mux := http.NewServeMux()
 	mux.Handle("/settings", settings.Handler(g.store))
+	mux.HandleFunc("GET /routes", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Routes()) })
 	mux.HandleFunc("GET /rates", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Rates()) })
 	g.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
 	go g.admin.Serve(l) // ends with Close; its error says only that
@@ -117,6 +125,9 @@
 	}
 	if g.front != nil {
 		g.front.view.Store(newView(s, g.cfg.Self))
+		if g.ann != nil {
+			g.ann.apply(s)
+		}
 		g.cfg.Log.Info("settings changed", zap.Uint64("version", s.Version))
 		return
 	}
@@ -131,6 +142,9 @@
 	if g.cfg.Self >= s.Hosts {
 		return errors.New("gateway: the settings know no host of this number")
 	}
+	if s.Announce != nil && g.cfg.RouterID == 0 {
+		return errors.New("gateway: the settings ask for announcements, which need a router identifier")
+	}
 	l, err := g.cfg.World.Listen("tcp", g.cfg.Listen)
 	if err != nil {
 		return err
@@ -142,6 +156,11 @@
 	h.fetch = g.list.Fetch
 	g.host, g.addr = h, l.Addr()
 	g.front = newFront(g.cfg.World, h, newView(s, g.cfg.Self), l, g.cfg.Log)
+	if s.Announce != nil {
+		if g.ann, err = newAnnouncer(g.cfg, s, h, g.list); err != nil {
+			return err // Start ends the rest
+		}
+	}
 	g.cfg.Log.Info("serving", zap.Stringer("listen", l.Addr()), zap.Uint64("settings", s.Version))
 	return nil
 }
@@ -202,15 +221,46 @@
 	return out
 }
 
+// Routes is what this gateway announces, to whom, and why.
+func (g *Gateway) Routes() Routes {
+	g.mu.Lock()
+	a := g.ann
+	g.mu.Unlock()
+	if a == nil {
+		return Routes{}
+	}
+	return a.routes()
+}
+
+// Freeze has the host core stand still until the channel is closed, as a fault of
+// the program might; for drills.
+func (g *Gateway) Freeze(until <-chan struct{}) {
+	g.mu.Lock()
+	h := g.host
+	g.mu.Unlock()
+	if h != nil {
+		h.post(event{kind: evAsk, ask: func(*hostCore) {
+			select {
+			case <-until:
+			case <-h.halted:
+			}
+		}})
+	}
+}
+
 const stopLook = 20 * time.Millisecond
 
-// Stop ends the gateway gracefully: no new login, what was taken is answered,
+// Stop ends the gateway gracefully: clients are led elsewhere where addresses are
+// announced, and the announcement ends; no new login, what was taken is answered,
 // clients are asked to log out and get so long for it as the settings say. It
 // ends at once when ctx does.
 func (g *Gateway) Stop(ctx context.Context) {
 	g.mu.Lock()
-	f := g.front
+	f, a := g.front, g.ann
 	g.mu.Unlock()
+	if a != nil {
+		a.leave(func(most time.Duration) { g.await(ctx, most, func() bool { return len(f.all()) == 0 }) })
+	}
 	if f != nil {
 		f.stopAccepting()
 		stop := f.view.Load().Target.StopTime
@@ -231,7 +281,7 @@
 			return true
 		})
 	}
-	g.Kill()
+	g.end("graceful stop")
 }
 
 // await looks until done, for at most so long.
@@ -243,18 +293,24 @@
 }
 
 // Kill ends the gateway at once. What it held is the clients' to try again.
-func (g *Gateway) Kill() {
+func (g *Gateway) Kill() { g.end("") }
+
+// end ends everything; with a text, routers are told it.
+func (g *Gateway) end(text string) {
 	g.mu.Lock()
 	if g.stopped {
 		g.mu.Unlock()
 		return
 	}
 	g.stopped = true
-	f, h, l := g.front, g.host, g.list
+	f, h, l, a := g.front, g.host, g.list, g.ann
 	g.mu.Unlock()
 	if g.admin != nil {
 		g.admin.Close()
 	}
+	if a != nil {
+		a.close(text)
+	}
 	if f != nil {
 		h.stop() // first, so that nothing more goes to disk servers
 		f.cutAll()
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -29,6 +29,7 @@
 	mail    []event
 	stopped bool
 	wake    chan struct{}
+	halted  chan struct{} // closed as stop begins
 	done    chan struct{}
 
 	timer   seam.Timer
@@ -60,7 +61,7 @@
 }
 
 func newHost(w seam.World, s *settings.Settings, self int, name, zone string, log *zap.Logger) *host {
-	h := &host{world: w, log: log, wake: make(chan struct{}, 1), done: make(chan struct{}), timerAt: math.Inf(1), fetch: func() {}}
+	h := &host{world: w, log: log, wake: make(chan struct{}, 1), halted: make(chan struct{}), done: make(chan struct{}), timerAt: math.Inf(1), fetch: func() {}}
 	h.core = newHostCore(seam.MS(w.Now()), s, self, zone, w.Uint64(), h)
 	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
 	go h.run()
@@ -179,6 +180,7 @@
 	if !h.stopped {
 		h.mail = append(h.mail, event{kind: evStop})
 		h.stopped = true
+		close(h.halted)
 	}
 	h.mu.Unlock()
 	h.ring()
--- a/inventory/client.go
+++ b/inventory/client.go
@@ -24,6 +24,7 @@
 	conn   net.Conn
 	closed bool
 	gen    uint64
+	lostAt time.Duration // since when there is no connection; below 0: there is one
 	done   chan struct{}
 	ctx    context.Context
 	stop   context.CancelFunc
@@ -37,7 +38,7 @@
 
 // Follow starts to follow the list at addr.
 func Follow(w seam.World, addr string, told func(List)) *Client {
-	c := &Client{Told: told, world: w, addr: addr, done: make(chan struct{})}
+	c := &Client{Told: told, world: w, addr: addr, lostAt: w.Now(), done: make(chan struct{})}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	go c.run()
 	return c
@@ -53,6 +54,13 @@
 	}
 }
 
+// Lost tells since when the list can't be followed, if it can't.
+func (c *Client) Lost() (since time.Duration, lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lostAt, c.lostAt >= 0
+}
+
 // Close ends the client and waits for its goroutine.
 func (c *Client) Close() {
 	c.stop()
@@ -93,12 +101,12 @@
 	}
 	defer conn.Close()
 	c.mu.Lock()
-	c.conn = conn
+	c.conn, c.lostAt = conn, -1
 	closed := c.closed
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
-		c.conn = nil
+		c.conn, c.lostAt = nil, c.world.Now()
 		c.mu.Unlock()
 	}()
 	if closed {
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -35,6 +35,10 @@
 	Settings *settings.Settings
 	// Shared has the disk servers share their shelves, as layouts that change need.
 	Shared bool
+	// Routing has clients find hosts by the announcements in a router's table (RouteOn),
+	// or by a fixed choice among all hosts (RouteFixed); "": by the order of each
+	// volume's hosts.
+	Routing string
 	// during is started with the day, for what is more than a kind of trouble.
 	during func(d *day, span time.Duration)
 }
@@ -51,6 +55,10 @@
 	Took    time.Duration
 	Events  int
 	Steps   int // of a layout that were applied
+	// Strays and Unanswered are the clients': see Crowd. Wanted is the goodput with
+	// the worth of strays counted as asked for.
+	Strays, Unanswered int
+	Wanted             float64
 }
 
 // OK tells whether the day kept everything.
@@ -143,7 +151,11 @@
 	defer f.Close()
 	d := &day{opt: opt, fleet: f, crowd: NewCrowd(f, opt.Seed), now: map[string]int{}}
 	defer d.crowd.Close()
+	d.crowd.routed(opt.Routing)
 	d.crowd.Login()
+	if opt.Routing == RouteOn {
+		f.awaitRoutes(10*time.Second, ctx.Done())
+	}
 	return d.play(ctx)
 }
 
@@ -188,6 +200,8 @@
 	res.Check = rules.Check(d.fleet.Meta, events)
 	res.Wrong = d.crowd.ledger.Judge()
 	res.Blocks = d.crowd.ledger.Checked
+	res.Strays, res.Unanswered = int(d.crowd.Strays.Load()), int(d.crowd.Unanswered.Load())
+	res.Wanted = res.Check.Table.GoodputOf(d.crowd.StrayWorth)
 	res.Repeats, res.Fell = d.fleet.Repeats(), d.fleet.Fell()
 	if d.opt.Out == "" {
 		return res, nil
--- /dev/null
+++ b/lab/cutworld.go
@@ -0,0 +1,135 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"merlinhitch/seam"
+)
+
+// cutKind is how an address can't be reached.
+type cutKind int
+
+const (
+	cutReset cutKind = iota // connections end at once, new ones are refused
+	cutHang                 // nothing passes, and nothing says so
+)
+
+// cutWorld is a host's world in which addresses can be cut off for that host alone.
+type cutWorld struct {
+	seam.World
+	mu    sync.Mutex
+	cut   map[string]cutKind
+	conns map[*cutConn]string
+}
+
+func newCutWorld(w seam.World) *cutWorld {
+	return &cutWorld{World: w, cut: map[string]cutKind{}, conns: map[*cutConn]string{}}
+}
+
+// cutConn is a connection that can be cut.
+type cutConn struct {
+	net.Conn
+	w    *cutWorld
+	mu   sync.Mutex
+	hung bool
+}
+
+var errCut = errors.New("lab: cut off")
+
+// Dial implements seam.World.
+func (w *cutWorld) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	w.mu.Lock()
+	kind, cut := w.cut[address]
+	w.mu.Unlock()
+	if cut && kind == cutReset {
+		return nil, errCut
+	}
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c, err := w.World.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	k := &cutConn{Conn: c, w: w}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, cut := w.cut[address]; cut { // it came in between
+		c.Close()
+		return nil, errCut
+	}
+	w.conns[k] = address
+	return k, nil
+}
+
+func (c *cutConn) lost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hung
+}
+
+// Read implements net.Conn; what comes over a hung connection is lost.
+func (c *cutConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.lost() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *cutConn) Write(b []byte) (int, error) {
+	if c.lost() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *cutConn) Close() error {
+	c.w.mu.Lock()
+	delete(c.w.conns, c)
+	c.w.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// off cuts addresses off.
+func (w *cutWorld) off(kind cutKind, addrs ...string) {
+	for _, c := range w.on(addrs, func(a string) { w.cut[a] = kind }) {
+		c.mu.Lock()
+		c.hung = true
+		c.mu.Unlock()
+		if kind == cutReset {
+			c.Close()
+		}
+	}
+}
+
+// heal lets addresses be reached again; what hung ends, for bytes of it are missing.
+func (w *cutWorld) heal(addrs ...string) {
+	for _, c := range w.on(addrs, func(a string) { delete(w.cut, a) }) {
+		if c.lost() {
+			c.Close()
+		}
+	}
+}
+
+// on does f for each address under the lock and returns the connections to them.
+func (w *cutWorld) on(addrs []string, f func(string)) (out []*cutConn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range addrs {
+		f(a)
+		for c, to := range w.conns {
+			if to == a {
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -43,8 +44,13 @@
 	later sync.WaitGroup
 	over  bool
 	now   *settings.Settings // what hosts start with
+	// Router is what hosts announce to, nil where the settings announce nothing.
+	Router *standin.Router
 }
 
+// routerID is a host's BGP identifier.
+func routerID(host int) uint32 { return uint32(host + 1) }
+
 // disk is the place of one shard: the disk server that holds it now, behind an
 // address that stays while its process is started anew, and changes by a deploy.
 type disk struct {
@@ -95,6 +101,17 @@
 		v := &s.Volumes[i]
 		sizes[v.Name], rates[v.Name] = v.BlockSize, s.RateOf(v)
 	}
+	if s.Announce != nil {
+		var err error
+		if f.Router, err = standin.ServeRouter(w, "127.0.0.1:0", 65010); err != nil {
+			return nil, err
+		}
+		next := *s
+		ann := *s.Announce
+		ann.Routers = []settings.Router{{Name: "r0", Addr: f.Router.Addr, AS: f.Router.AS}}
+		next.Announce = &ann
+		f.now = &next
+	}
 	f.meter = &standin.Meter{Period: 2000, Rate: func(v string) float64 { return rates[v] }}
 	var err error
 	if f.inv, err = standin.ServeInventory(w, "127.0.0.1:0", listLate); err != nil {
@@ -195,7 +212,8 @@
 		return err
 	}
 	h.gate, err = gateway.Start(gateway.Config{World: f.World, Log: f.log, Name: h.name, Self: h.self,
-		Zone: Halls[h.self%len(Halls)], Listen: "127.0.0.1:0", Inventory: h.list.Addr, Admin: "127.0.0.1:0"})
+		Zone: Halls[h.self%len(Halls)], Listen: "127.0.0.1:0", Inventory: h.list.Addr, Admin: "127.0.0.1:0",
+		RouterID: routerID(h.self), Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
 	if err != nil {
 		return err
 	}
@@ -388,4 +406,7 @@
 		}
 	}
 	f.inv.Close()
+	if f.Router != nil {
+		f.Router.Close()
+	}
 }
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -113,3 +114,43 @@
 		t.Error("taken")
 	}
 }
+
+// Losses of every kind are seen by the router, and nothing is announced while they
+// last. How soon is measured by `merlinhitch announce losses`, not judged here.
+func TestLossesReachTheRouter(t *testing.T) {
+	rows, err := lab.Losses(context.Background(), 2, 4, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		if r.Failed+r.Wrong > 0 || r.Times.TotalCount() != 2 {
+			t.Errorf("%s: %d seen, %d not, %d announced while unable", r.Kind, r.Times.TotalCount(), r.Failed, r.Wrong)
+		}
+	}
+}
+
+// A hall goes dark, hosts and all, under clients that follow announcements: the rules
+// hold, and who finds a host is served by one that is there.
+func TestHallDarkUnderAnnouncements(t *testing.T) {
+	rows, err := lab.RouteDays(context.Background(), lab.Options{Hosts: 3, Servers: 9, Commands: 900, Rate: 150}, 1, 4, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		if r.Bad > 0 {
+			t.Errorf("%s, %s: %s", r.Day, r.Routing, r.FirstBad)
+		}
+	}
+}
+
+// The solver's layout comes into force step by step on a busy day: the rules hold and
+// every block that was written is read back.
+func TestLayoutAppliedOnABusyDay(t *testing.T) {
+	rows, err := lab.AppliedDay(context.Background(), lab.Options{Seed: 1, Hosts: 3, Servers: 9, Commands: 1500, Rate: 260})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rows.Bad > 0 || rows.Steps == 0 {
+		t.Errorf("%d steps; %s", rows.Steps, rows.FirstBad)
+	}
+}
--- a/lab/layouts.go
+++ b/lab/layouts.go
@@ -348,3 +348,15 @@
 	}
 	return nil
 }
+
+// AppliedDay is one busy day in the midst of which the solver's layout is applied.
+func AppliedDay(ctx context.Context, opt Options) (*LayoutRow, error) {
+	opt.Shared, opt.Troubles = true, BusyKinds
+	res, steps, err := layoutDay(ctx, opt, opt.Rate, "round robin", dayApplied)
+	if err != nil {
+		return nil, err
+	}
+	r := &LayoutRow{}
+	r.add("round robin", "busy, solver's applied", opt.Seed, res, steps)
+	return r, nil
+}
--- /dev/null
+++ b/lab/routing.go
@@ -0,0 +1,222 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+)
+
+// Ways in which clients find a host.
+const (
+	RouteOn    = "announced"
+	RouteFixed = "fixed"
+)
+
+// groups is the number of address groups of an announced service in the lab.
+const groups = 6
+
+// AnnouncedSettings is the example's service with every volume at every host, in
+// groups with an address each.
+func AnnouncedSettings(hosts, servers int) *settings.Settings {
+	s := settings.Example(hosts, servers)
+	all := make([]int, hosts)
+	for i := range all {
+		all[i] = i
+	}
+	s.Announce = &settings.Announce{AS: 65001, HoldTime: 9000, Steady: 500, ResortMost: 2000, SteadyMost: 5000, MoveTime: 500}
+	for g := range groups {
+		s.Announce.Groups = append(s.Announce.Groups, settings.AddressGroup{Name: fmt.Sprintf("group-%d", g), Prefixes: []string{groupPrefix(g).String()}})
+	}
+	for i := range s.Volumes {
+		v := &s.Volumes[i]
+		v.Hosts = all
+		g := &s.Announce.Groups[groupOf(i)]
+		g.Volumes = append(g.Volumes, v.Name)
+	}
+	return s
+}
+
+// groupOf is the group of a volume: each has volumes of every hall.
+func groupOf(v int) int { return v / len(Halls) % groups }
+
+func groupPrefix(g int) netip.Prefix {
+	return netip.PrefixFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(g)}), 32)
+}
+
+// routed has clients choose hosts by rendezvous hashing: among those that the router's
+// best routes to the volume's address lead to, or among all, up or down.
+func (c *Crowd) routed(how string) {
+	if how == "" {
+		return
+	}
+	c.choose = func(v int) *lane {
+		lanes := c.lanes[v]
+		if how == RouteOn {
+			best := c.fleet.Router.Best(groupPrefix(groupOf(v)))
+			lanes = slices.DeleteFunc(slices.Clone(lanes), func(l *lane) bool {
+				for _, r := range best {
+					if r.Host == routerID(l.host) {
+						return false
+					}
+				}
+				return true
+			})
+		}
+		return rendezvous(lanes)
+	}
+}
+
+// awaitRoutes waits until every host announces every group, or for so long.
+func (f *Fleet) awaitRoutes(most time.Duration, stop <-chan struct{}) {
+	for end := f.World.Now() + most; f.World.Now() < end; {
+		missing := false
+		for g := range groups {
+			missing = missing || len(f.Router.Best(groupPrefix(g))) < len(f.hosts)
+		}
+		if !missing || !seam.Wait(f.World, 20*time.Millisecond, stop) {
+			return
+		}
+	}
+}
+
+// rendezvous picks the lane whose hash with the volume is highest, so that a host that
+// comes or goes moves only its own clients.
+func rendezvous(lanes []*lane) (best *lane) {
+	high := uint64(0)
+	for _, l := range lanes {
+		if h := xxhash.Sum64String(fmt.Sprintf("%s at %d", l.vol.Name, l.host)); best == nil || h > high {
+			best, high = l, h
+		}
+	}
+	return best
+}
+
+// RouteShapes are the days on which announcements are measured.
+var RouteShapes = []string{"a hall dark", "hosts killed"}
+
+// hallDark ends a hall's servers and hosts for two fifths of the day.
+func hallDark(d *day, span time.Duration) {
+	f := d.fleet
+	hall := Halls[d.opt.Seed%uint64(len(Halls))]
+	f.after(span*3/10, func() {
+		for i, k := range f.disks {
+			if k.zone == hall {
+				f.KillDisk(i, span*4/10)
+			}
+		}
+		for i := range f.hosts {
+			if Halls[i%len(Halls)] == hall {
+				f.KillHost(i, span*4/10)
+			}
+		}
+	})
+}
+
+// hostsKilled ends each host once, one after the other, for a sixth of the day.
+func hostsKilled(d *day, span time.Duration) {
+	rng := rand.New(rand.NewPCG(d.opt.Seed, 13))
+	for k, i := range rng.Perm(d.opt.Hosts) {
+		d.fleet.after(span*time.Duration(1+2*k)/8, func() { d.fleet.KillHost(i, span/6) })
+	}
+}
+
+// RouteRow is one kind of day with clients routed in one way.
+type RouteRow struct {
+	Day, Routing              string
+	Runs, Bad                 int
+	Wanted                    []float64
+	Strays, Unanswered, Asked int
+	Refused, Failed           int
+	FirstBad                  string
+}
+
+// RouteDays plays the days over seeds with announcements on and off.
+func RouteDays(ctx context.Context, opt Options, n, parallel int, progress io.Writer) ([]RouteRow, error) {
+	rows := make([]RouteRow, 2*len(RouteShapes))
+	type job struct {
+		row  int
+		seed uint64
+	}
+	jobs := make(chan job)
+	var mu sync.Mutex
+	var failed error
+	done := 0
+	var all sync.WaitGroup
+	for range parallel {
+		all.Go(func() {
+			for j := range jobs {
+				o := opt
+				o.Seed, o.Progress, o.Troubles = j.seed, nil, []string{"none"}
+				o.Settings = AnnouncedSettings(opt.Hosts, opt.Servers)
+				o.during = []func(*day, time.Duration){hallDark, hostsKilled}[j.row/2]
+				o.Routing = []string{RouteFixed, RouteOn}[j.row%2]
+				res, err := BadDay(ctx, o)
+				mu.Lock()
+				done++
+				if err != nil {
+					failed = err
+				} else {
+					rows[j.row].add(RouteShapes[j.row/2], o.Routing, j.seed, res)
+				}
+				fmt.Fprintf(progress, "%d of %d days\n", done, len(rows)*n)
+				mu.Unlock()
+			}
+		})
+	}
+	for r := range rows {
+		for s := range n {
+			jobs <- job{r, uint64(s + 1)}
+		}
+	}
+	close(jobs)
+	all.Wait()
+	return rows, failed
+}
+
+func (r *RouteRow) add(name, routing string, seed uint64, res *Result) {
+	r.Day, r.Routing = name, routing
+	r.Runs++
+	r.Wanted = append(r.Wanted, res.Wanted)
+	r.Strays, r.Unanswered = r.Strays+res.Strays, r.Unanswered+res.Unanswered
+	for _, x := range res.Check.Table.Rows {
+		r.Refused, r.Failed, r.Asked = r.Refused+x.Refused, r.Failed+x.Failed, r.Asked+x.Asked
+	}
+	r.Asked += res.Strays
+	if !res.OK() {
+		if r.Bad++; r.FirstBad == "" {
+			r.FirstBad = fmt.Sprintf("seed %d: %s", seed, res.trouble())
+		}
+	}
+}
+
+// PrintRoutes writes the rows as a table that is also Markdown.
+func PrintRoutes(w io.Writer, rows []RouteRow) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(tw, "| day\t| clients routed\t| days\t| broken\t| wanted\t| found no host\t| unanswered\t| refused\t| failed\t| worth served least\t| median\t| most\t|")
+	fmt.Fprintln(tw, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	for _, r := range rows {
+		slices.Sort(r.Wanted)
+		fmt.Fprintf(tw, "| %s\t| %s\t| %d\t| %d\t| %d\t| %d\t| %d\t| %d\t| %d\t| %.3f\t| %.3f\t| %.3f\t|\n", r.Day, r.Routing, r.Runs, r.Bad, r.Asked, r.Strays,
+			r.Unanswered, r.Refused, r.Failed, r.Wanted[0], r.Wanted[len(r.Wanted)/2], r.Wanted[len(r.Wanted)-1])
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.FirstBad != "" {
+			fmt.Fprintf(w, "BROKEN, %s, %s: %s\n", r.Day, r.Routing, r.FirstBad)
+		}
+	}
+	return nil
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,6 +62,7 @@
 	spread     = 0.5         // seconds of its rate that a volume may save up as due
 	idleVolume = 30 * period // a volume unseen for so long is forgotten
 	dueTimes   = 4.0         // of its rate that a volume is taken to be due, see volume
+	bunching   = 20.0        // by which sends may come closer on their way: limits hold where they arrive
 )
 
 // start begins the sampling at a phase of this host's own, so that hosts do
@@ -239,8 +240,9 @@
 		h := float64(max(q.Hosts, 1))
 		v = &volume{
 			at: p.now, resFill: plan.Reserve / h, resCap: plan.Reserve/h + p.s.MostUnits,
-			limFill: plan.Limit / h, limCap: plan.Burst / h, limFloor: -plan.Slack / h,
-			dueFill: dueTimes * plan.Rate / h,
+			limFill: plan.Limit / h, limCap: plan.Burst / h,
+			limFloor: min(plan.Limit*bunching/1000-plan.Slack, 0) / h,
+			dueFill:  dueTimes * plan.Rate / h,
 		}
 		v.dueCap = max(v.dueFill*spread, 2*p.s.MostUnits)
 		v.due = v.dueCap
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -280,6 +280,37 @@
 	}
 }
 
+// Found by busy days on sockets: while the first sends after a rest are on their way, the
+// store where they arrive is full and fills no further; later ones that come faster
+// must find that missing part left over.
+func TestLimitHoldsWhereSendsArrive(t *testing.T) {
+	s := settings()
+	s.Plans[0].Limit, s.Plans[0].Burst, s.Plans[0].Slack = 100, 8, 4
+	g := newRig(s)
+	g.pass(1000) // long enough alive to count on a full store
+	type sent struct{ at, units float64 }
+	var sends []sent
+	for range 1000 {
+		g.ask("read", "low", "", 0.5)
+		g.pass(1)
+		for _, r := range slices.Clone(g.p.shards[0].out) {
+			sends = append(sends, sent{g.now, r.Units})
+			g.end(r.ID, Served)
+		}
+	}
+	level, at := s.Plans[0].Burst, 0.0
+	for _, x := range sends {
+		x.at = max(x.at, sends[0].at+bunching)
+		level, at = min(level+s.Plans[0].Limit*(x.at-at)/1000, s.Plans[0].Burst)-x.units, x.at
+		if level < -s.Plans[0].Slack-1e-6 {
+			t.Fatalf("level %.3f at %g ms, %g is allowed", level, x.at, -s.Plans[0].Slack)
+		}
+	}
+	if len(sends) < 100 {
+		t.Errorf("only %d sends", len(sends))
+	}
+}
+
 func TestSubscribesAgain(t *testing.T) {
 	s := settings()
 	s.OnRequest = true
--- a/rules/table.go
+++ b/rules/table.go
@@ -104,8 +104,11 @@
 }
 
 // Goodput is the worth served over the worth asked for.
-func (t *Table) Goodput() float64 {
-	var all Sum
+func (t *Table) Goodput() float64 { return t.GoodputOf(0) }
+
+// GoodputOf counts more worth as asked for than the sockets show.
+func (t *Table) GoodputOf(strays float64) float64 {
+	all := Sum{Due: strays}
 	for _, r := range t.Rows {
 		all.Worth, all.Due = all.Worth+r.Worth, all.Due+r.Due
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,6 +12,7 @@
 	"io"
 	"iter"
 	"math"
+	"net/netip"
 	"regexp"
 	"slices"
 	"strconv"
@@ -45,6 +46,41 @@
 	// long as no layout is asked for.
 	Nodes     []Node    `json:"nodes,omitempty"`
 	Placement Placement `json:"placement,omitzero"`
+	Announce  *Announce `json:"announce,omitempty"`
+}
+
+// Announce says which service addresses are announced to which routers, and when.
+// Times of 0 mean the defaults of package announce.
+type Announce struct {
+	AS         uint32         `json:"as"`
+	HoldTime   float64        `json:"hold_ms"` // 0: none
+	Routers    []Router       `json:"routers"`
+	Groups     []AddressGroup `json:"groups"`
+	ProbeEvery float64        `json:"probe_ms,omitempty"` // sign of life of a disk server
+	AnswerTime float64        `json:"answer_ms,omitempty"`
+	Steady     float64        `json:"steady_ms,omitempty"`
+	SteadyMost float64        `json:"steady_most_ms,omitempty"`
+	ResortMost float64        `json:"resort_most_ms,omitempty"`
+	HalfLife   float64        `json:"half_life_ms,omitempty"`
+	ListBound  float64        `json:"list_bound_ms,omitempty"`
+	BeatBound  float64        `json:"beat_bound_ms,omitempty"`
+	MoveTime   float64        `json:"move_ms,omitempty"` // for clients to go elsewhere at a graceful stop
+}
+
+// Router is a BGP peer.
+type Router struct {
+	Name    string `json:"name"`
+	Addr    string `json:"addr"` // host:port
+	AS      uint32 `json:"as"`
+	Passive bool   `json:"passive,omitempty"`
+	Hosts   []int  `json:"hosts,omitempty"` // that peer with it; empty: all
+}
+
+// AddressGroup is volumes that are reached by the same service addresses.
+type AddressGroup struct {
+	Name     string   `json:"name"`
+	Prefixes []string `json:"prefixes"`
+	Volumes  []string `json:"volumes"`
 }
 
 // Node is the disk server of one shard, as the placement of volumes sees it.
@@ -281,6 +317,7 @@
 	s.checkVolumes(c)
 	s.Target.check(c)
 	s.checkNodes(c)
+	s.checkAnnounce(c)
 	if len(c.faults) > 0 {
 		return &FaultsError{c.faults}
 	}
@@ -462,6 +499,72 @@
 	}
 }
 
+const (
+	maxRouters  = 256
+	maxGroups   = 4096
+	maxPrefixes = 64
+)
+
+func (s *Settings) checkAnnounce(c *checker) {
+	a := s.Announce
+	if a == nil {
+		return
+	}
+	c.when(a.AS == 0 || a.AS == 23456, "announce.as", "%d is no AS of one's own", a.AS)
+	c.when(a.HoldTime != 0 && !(a.HoldTime >= 3000 && a.HoldTime <= 65535000), "announce.hold_ms", "is %g, must be 0 or from 3000 to 65535000 (RFC 4271 section 4.2)", a.HoldTime)
+	for _, t := range []struct {
+		name       string
+		v, low, hi float64
+	}{{"probe", a.ProbeEvery, 20, 60000}, {"answer", a.AnswerTime, 20, 60000}, {"steady", a.Steady, 10, day}, {"steady_most", a.SteadyMost, 10, day},
+		{"resort_most", a.ResortMost, 10, day}, {"half_life", a.HalfLife, 10, day}, {"list_bound", a.ListBound, 100, day}, {"beat_bound", a.BeatBound, 50, 60000}, {"move", a.MoveTime, 0, 600000}} {
+		if t.v != 0 {
+			c.between("announce."+t.name+"_ms", t.v, t.low, t.hi)
+		}
+	}
+	c.when(len(a.Routers) > maxRouters, "announce.routers", "has %d entries, at most %d", len(a.Routers), maxRouters)
+	if len(a.Routers) > 0 {
+		c.names("announce.routers", maxRouters, pluck(a.Routers, func(r *Router) string { return r.Name }))
+	}
+	for i := range a.Routers {
+		r, at := &a.Routers[i], fmt.Sprintf("announce.routers[%d].", i)
+		_, err := netip.ParseAddrPort(r.Addr)
+		c.when(err != nil, at+"addr", "%.70q is no address with a port", r.Addr)
+		c.when(r.AS == 0, at+"as", "is 0 (RFC 7607)")
+		for j, h := range r.Hosts {
+			c.when(h < 0 || h >= s.Hosts, fmt.Sprintf("%shosts[%d]", at, j), "there is no host %d", h)
+		}
+	}
+	s.checkGroups(c, a)
+}
+
+func (s *Settings) checkGroups(c *checker, a *Announce) {
+	if len(a.Groups) > 0 {
+		c.names("announce.groups", maxGroups, pluck(a.Groups, func(g *AddressGroup) string { return g.Name }))
+	}
+	volumes := make(map[string]bool, len(s.Volumes))
+	for i := range s.Volumes {
+		volumes[s.Volumes[i].Name] = true
+	}
+	prefixes, grouped := map[netip.Prefix]string{}, map[string]string{}
+	for i := range a.Groups {
+		g, at := &a.Groups[i], fmt.Sprintf("announce.groups[%d].", i)
+		c.when(len(g.Prefixes) == 0 || len(g.Prefixes) > maxPrefixes, at+"prefixes", "has %d entries, must be from 1 to %d", len(g.Prefixes), maxPrefixes)
+		for j, t := range g.Prefixes {
+			path := fmt.Sprintf("%sprefixes[%d]", at, j)
+			p, err := netip.ParsePrefix(t)
+			c.when(err != nil || p != p.Masked() || p.Addr().Is4In6(), path, "%.70q is no prefix, or has bits past its length", t)
+			c.when(prefixes[p] != "" && err == nil, path, "%s is also of group %s", t, prefixes[p])
+			prefixes[p] = g.Name
+		}
+		for j, v := range g.Volumes {
+			path := fmt.Sprintf("%svolumes[%d]", at, j)
+			c.when(!volumes[v], path, "there is no volume %.70q", v)
+			c.when(grouped[v] != "", path, "%.70q is also of group %s", v, grouped[v])
+			grouped[v] = g.Name
+		}
+	}
+}
+
 // RateOf is the units a second that are expected of a volume.
 func (s *Settings) RateOf(v *Volume) float64 {
 	if v.Rate > 0 {
--- /dev/null
+++ b/standin/router.go
@@ -0,0 +1,453 @@
+package standin
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"merlinhitch/bgp"
+	"merlinhitch/outbox"
+	"merlinhitch/seam"
+)
+
+// RouterFault is what is wrong with a router's sessions. The zero value is a sound one.
+type RouterFault struct {
+	Refuse       bool          // connections are closed as they come
+	AcceptAfter  time.Duration // before anything is read or said
+	Silent       bool          // it accepts and says nothing
+	BadAS        bool          // its OPEN names another AS
+	HoldZero     bool          // it offers no hold time
+	NoIPv6       bool          // it knows one family
+	ResetAt      bgp.State     // the connection is reset on reaching this state; Idle: never
+	LiveFor      time.Duration // a session is reset so long after it was established
+	NoKeepalive  bool          // after the first it gives no sign of life
+	SlowRead     time.Duration // before each read, of few bytes
+	Half         bool          // half a message, and the end, in the place of its second KEEPALIVE
+	BadMarker    bool          // so instead
+	BadLength    bool          // so instead
+	UnknownAttrs bool          // it sends an UPDATE of attributes that nobody knows
+}
+
+// RouteChange is an entry of a router's log: what it learned, and when its socket
+// brought it.
+type RouteChange struct {
+	At     time.Duration
+	Host   uint32 // the identifier of the speaker that said so
+	Prefix netip.Prefix
+	Up     bool
+	Path   bgp.Path
+	ByEnd  bool // it went with its session
+}
+
+// HeldRoute is a route as a router holds it.
+type HeldRoute struct {
+	Host uint32
+	Path bgp.Path
+}
+
+// Router is a BGP peer with a table of what it was told: a stand-in for the routers
+// that lead clients to hosts.
+type Router struct {
+	Addr string
+	AS   uint32
+	ID   uint32
+	// Changed, if set before the first session, is told each change, with the lock held.
+	Changed func(RouteChange)
+
+	world    seam.World
+	listener net.Listener
+	mu       sync.Mutex
+	fault    RouterFault
+	rng      *rand.Rand
+	sessions map[*routerSession]bool
+	rib      map[netip.Prefix]map[uint32]bgp.Path
+	log      []RouteChange
+	updates  int
+	ends     int // End-of-RIB marks
+	ups      int
+	closed   bool
+	tasks    sync.WaitGroup
+}
+
+type routerSession struct {
+	r     *Router
+	conn  net.Conn
+	out   *outbox.Outbox
+	host  uint32
+	four  bool
+	state bgp.State
+	hold  time.Duration
+	fault RouterFault // as the session began
+	kept  int
+	alive seam.Timer
+	heard time.Duration
+}
+
+const (
+	routerOut  = 1 << 20
+	routerHold = 9 * time.Second
+)
+
+// ServeRouter starts a router of that AS at an address.
+func ServeRouter(w seam.World, addr string, as uint32) (*Router, error) {
+	l, err := w.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{Addr: l.Addr().String(), AS: as, ID: uint32(w.Uint64()) | 1, world: w, listener: l, rng: rand.New(rand.NewPCG(w.Uint64(), 1)),
+		sessions: map[*routerSession]bool{}, rib: map[netip.Prefix]map[uint32]bgp.Path{}}
+	r.tasks.Add(1)
+	go r.accept()
+	return r, nil
+}
+
+// Fault changes what is wrong with sessions that begin from now on.
+func (r *Router) Fault(f RouterFault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+}
+
+// Reset ends every session at once, without a word.
+func (r *Router) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s := range r.sessions {
+		s.out.Cut()
+	}
+}
+
+// Close ends the router and waits for its goroutines.
+func (r *Router) Close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.listener.Close()
+	r.Reset()
+	r.tasks.Wait()
+}
+
+func (r *Router) accept() {
+	defer r.tasks.Done()
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		if r.closed || r.fault.Refuse {
+			r.mu.Unlock()
+			c.Close()
+			continue
+		}
+		s := &routerSession{r: r, conn: c, out: outbox.New(r.world, c, routerOut, routerHold), state: bgp.Connect, fault: r.fault}
+		r.sessions[s] = true
+		r.tasks.Add(1)
+		r.mu.Unlock()
+		go s.run()
+	}
+}
+
+// slowReader lets little through, late.
+type slowReader struct {
+	s *routerSession
+	d time.Duration
+}
+
+func (r slowReader) Read(b []byte) (int, error) {
+	never := make(chan struct{})
+	seam.Wait(r.s.r.world, r.d, never)
+	return r.s.conn.Read(b[:min(len(b), 16)])
+}
+
+func (s *routerSession) run() {
+	r := s.r
+	defer r.tasks.Done()
+	defer s.end()
+	if f := s.fault.AcceptAfter; f > 0 {
+		seam.Wait(r.world, f, make(chan struct{}))
+	}
+	buf := bufio.NewReaderSize(s.conn, bgp.MaxLen)
+	if s.fault.SlowRead > 0 {
+		buf = bufio.NewReaderSize(slowReader{s, s.fault.SlowRead}, 64)
+	}
+	in := bgp.NewReader(buf)
+	for {
+		t, body, err := in.Next()
+		r.mu.Lock()
+		if err == nil {
+			err = s.message(t, body)
+		}
+		var n *bgp.Notification
+		if errors.As(err, &n) {
+			s.say(n.Append(nil))
+			s.out.Finish()
+		}
+		r.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+var errRouterEnd = errors.New("standin: session over")
+
+func (s *routerSession) say(b []byte) { s.out.Put(func(o []byte) []byte { return append(o, b...) }) }
+
+// message handles one message. Held: Router.mu.
+func (s *routerSession) message(t bgp.Type, body []byte) error {
+	s.heard = s.r.world.Now()
+	if s.fault.Silent {
+		return nil
+	}
+	switch t {
+	case bgp.TypeOpen:
+		return s.open(body)
+	case bgp.TypeKeepalive:
+		if s.state == bgp.OpenConfirm {
+			s.reach(bgp.Established)
+			s.r.ups++
+			if s.fault.UnknownAttrs {
+				s.say(unknownAttrs())
+			}
+		}
+	case bgp.TypeUpdate:
+		return s.update(body)
+	case bgp.TypeNotification:
+		return errRouterEnd
+	}
+	return nil
+}
+
+func (s *routerSession) open(body []byte) error {
+	o, err := bgp.ParseOpen(body)
+	if err != nil {
+		return err
+	}
+	s.host, s.four = o.ID, o.FourAS
+	own := &bgp.Open{AS: s.r.AS, HoldTime: uint16(routerHold / time.Second), ID: s.r.ID, Families: []bgp.Family{bgp.IPv4, bgp.IPv6}, FourAS: true, Refresh: true}
+	if s.fault.BadAS {
+		own.AS++
+	}
+	if s.fault.NoIPv6 {
+		own.Families = own.Families[:1]
+	}
+	if s.fault.HoldZero {
+		own.HoldTime = 0
+	}
+	s.hold = time.Duration(min(own.HoldTime, o.HoldTime)) * time.Second
+	s.say(own.Append(nil))
+	s.reach(bgp.OpenSent)
+	s.say(bgp.AppendKeepalive(nil))
+	s.reach(bgp.OpenConfirm)
+	s.keep()
+	return nil
+}
+
+// reach enters a state, in which the session may be reset.
+func (s *routerSession) reach(state bgp.State) {
+	s.state = state
+	if s.fault.ResetAt == state && state != bgp.Idle {
+		s.out.Cut()
+	}
+	if state == bgp.Established && s.fault.LiveFor > 0 {
+		s.r.world.AfterFunc(s.fault.LiveFor, s.out.Cut)
+	}
+}
+
+// keep gives signs of life, or what stands in their place, and ends a session from
+// which none came. Held: Router.mu.
+func (s *routerSession) keep() {
+	if s.hold == 0 {
+		return
+	}
+	s.alive = s.r.world.AfterFunc(s.hold/3, func() {
+		s.r.mu.Lock()
+		defer s.r.mu.Unlock()
+		if !s.r.sessions[s] {
+			return
+		}
+		if s.r.world.Now()-s.heard > s.hold {
+			s.say((&bgp.Notification{Code: bgp.CodeHoldTimer}).Append(nil))
+			s.out.Finish()
+			return
+		}
+		s.kept++
+		k := bgp.AppendKeepalive(nil)
+		switch f := s.fault; {
+		case f.NoKeepalive:
+		case f.Half:
+			s.say(k[:9])
+			s.out.Finish()
+			return
+		case f.BadMarker:
+			k[3] = 0
+			s.say(k)
+		case f.BadLength:
+			binary.BigEndian.PutUint16(k[16:], bgp.MaxLen+1)
+			s.say(k)
+		default:
+			s.say(k)
+		}
+		s.keep()
+	})
+}
+
+// unknownAttrs is an UPDATE with an optional transitive attribute of no known type,
+// and one whose faults cost its prefix only (RFC 7606).
+func unknownAttrs() []byte {
+	u := &bgp.Update{Attrs: &bgp.Attrs{Path: []bgp.Segment{{AS: []uint32{65010}}}, NextHop: netip.AddrFrom4([4]byte{192, 0, 2, 9})},
+		Prefixes: []netip.Prefix{netip.PrefixFrom(netip.AddrFrom4([4]byte{203, 0, 113, 0}), 24)}}
+	b := u.Append(nil, true)
+	const attrs = 21 // where the attributes' length stands: after the header and no withdrawals
+	extra := []byte{0xc0, 0xfb, 2, 1, 2, 0x40, 4, 1, 0}
+	n := binary.BigEndian.Uint16(b[attrs:])
+	end := attrs + 2 + int(n)
+	b = slices.Insert(b, end, extra...)
+	binary.BigEndian.PutUint16(b[attrs:], n+uint16(len(extra)))
+	binary.BigEndian.PutUint16(b[16:], uint16(len(b)))
+	return b
+}
+
+func (s *routerSession) update(body []byte) error {
+	if s.state != bgp.Established {
+		return &bgp.Notification{Code: bgp.CodeFSM}
+	}
+	u, err := bgp.ParseUpdate(body, true, false)
+	if err != nil {
+		return err
+	}
+	s.r.updates++
+	if u.EndOfRIB != (bgp.Family{}) {
+		s.r.ends++
+	}
+	for _, p := range u.Withdrawn {
+		s.r.forget(s.host, p, false)
+	}
+	for _, p := range u.Prefixes {
+		path := bgp.Path{MED: u.Attrs.MED, Shutdown: slices.Contains(u.Attrs.Communities, bgp.GracefulShutdown)}
+		for _, seg := range u.Attrs.Path {
+			path.Prepend += uint8(len(seg.AS))
+		}
+		path.Prepend-- // an AS says itself once in any case
+		s.r.learn(s.host, p, path)
+	}
+	return nil
+}
+
+func (r *Router) note(c RouteChange) {
+	c.At = r.world.Now()
+	r.log = append(r.log, c)
+	if r.Changed != nil {
+		r.Changed(c)
+	}
+}
+
+func (r *Router) learn(host uint32, p netip.Prefix, path bgp.Path) {
+	if r.rib[p] == nil {
+		r.rib[p] = map[uint32]bgp.Path{}
+	}
+	r.rib[p][host] = path
+	r.note(RouteChange{Host: host, Prefix: p, Up: true, Path: path})
+}
+
+func (r *Router) forget(host uint32, p netip.Prefix, byEnd bool) {
+	if _, had := r.rib[p][host]; !had {
+		return
+	}
+	delete(r.rib[p], host)
+	r.note(RouteChange{Host: host, Prefix: p, ByEnd: byEnd})
+}
+
+// end forgets the session, and with it what its speaker said, unless that has said
+// it over another session since.
+func (s *routerSession) end() {
+	s.out.Finish()
+	s.out.Wait()
+	r := s.r
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.sessions, s)
+	if s.alive != nil {
+		s.alive.Stop()
+	}
+	if s.state != bgp.Established {
+		return
+	}
+	for o := range r.sessions {
+		if o.host == s.host && o.state == bgp.Established {
+			return
+		}
+	}
+	var gone []netip.Prefix
+	for p, by := range r.rib {
+		if _, had := by[s.host]; had {
+			gone = append(gone, p)
+		}
+	}
+	slices.SortFunc(gone, netip.Prefix.Compare)
+	for _, p := range gone {
+		r.forget(s.host, p, true)
+	}
+}
+
+// Best lists the routes to a prefix that are equally good and better than the others:
+// no graceful shutdown, then the shorter path, then the lower MED.
+func (r *Router) Best(p netip.Prefix) (out []HeldRoute) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for host, path := range r.rib[p] {
+		out = append(out, HeldRoute{host, path})
+	}
+	rank := func(h HeldRoute) int64 {
+		n := int64(h.Path.Prepend)<<32 | int64(h.Path.MED)
+		if h.Path.Shutdown {
+			n |= 1 << 50
+		}
+		return n
+	}
+	slices.SortFunc(out, func(a, b HeldRoute) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Host, b.Host)) })
+	for i := range out {
+		if rank(out[i]) != rank(out[0]) {
+			return out[:i]
+		}
+	}
+	return out
+}
+
+// Held lists all that a speaker has told.
+func (r *Router) Held(host uint32) map[netip.Prefix]bgp.Path {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[netip.Prefix]bgp.Path{}
+	for p, by := range r.rib {
+		if path, ok := by[host]; ok {
+			out[p] = path
+		}
+	}
+	return out
+}
+
+// RouterCounts are figures of a router.
+type RouterCounts struct{ Updates, Ends, Ups int }
+
+// Counts reads the figures.
+func (r *Router) Counts() RouterCounts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return RouterCounts{r.updates, r.ends, r.ups}
+}
+
+// Log is a copy of the log.
+func (r *Router) Log() []RouteChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.log)
+}
