Foreign initiators: swaps of one block, residuals of writes, RCTD, gaps in data numbers

Change: COMPARE AND WRITE of one block is what is advertised and kept; WRITE with less data than its CDB speaks of writes whole blocks and reports the overflow, with more the underflow; REPORT SUPPORTED OPERATION CODES honours RCTD and refuses options that SPC-4 calls invalid; a gap in DataSN costs the command, not the session; immediate requests are never passed over, so that every abort is answered.

--- a/chart/chart.go
+++ b/chart/chart.go
@@ -100,7 +100,6 @@
 func Lines(file, title, x, y string, series ...Series) error {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
-	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	for i, s := range series {
 		pts := make(plotter.XYs, len(s.X))
@@ -123,7 +122,8 @@
 	p := plot.New()
 	p.Title.Text, p.Y.Label.Text = title, y
 	p.Legend.Top = true
-	wide := vg.Points(14)
+	p.X.Min, p.X.Max = -0.5, float64(len(names))-0.5
+	wide, high := vg.Points(24), 0.0
 	for i, s := range series {
 		b, err := plotter.NewBarChart(plotter.Values(s.Y), wide)
 		if err != nil {
@@ -133,8 +133,12 @@
 		b.Offset = wide * vg.Length(float64(i)-float64(len(series)-1)/2)
 		p.Add(b)
 		p.Legend.Add(s.Name, b)
+		for _, v := range s.Y {
+			high = max(high, v)
+		}
 	}
 	p.NominalX(names...)
+	p.Y.Min, p.Y.Max = 0, 1.3*high // the legend stands above the bars
 	return p.Save(8*vg.Inch, 5*vg.Inch, file)
 }
 
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -27,6 +27,7 @@
 	data      []byte
 	blockSize int
 	held      int // bytes reserved for what it reads
+	out       int // bytes of data out that the CDB speaks of
 	group     *abortion
 	gone      bool
 	spared    bool
@@ -49,19 +50,20 @@
 	case out.Sense != nil:
 		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: out.Sense.Fixed()})
 	case out.IO == nil:
-		c.respond(t, iscsi.Answer{Data: out.Data})
+		c.respond(t, iscsi.Answer{Data: out.Data, Out: out.Out})
 	case out.IO.Op == scsi.Flush:
 		// Every write that was acknowledged is on its disk server already.
 		c.respond(t, iscsi.Answer{})
 	default:
-		c.start(v, t, out.IO)
+		c.start(v, t, out)
 	}
 }
 
 func (c *conn) respond(t *iscsi.Task, a iscsi.Answer) { c.sess.Respond(t, a) }
 
 // start hands the command's parts to the host core. Held: conn.mu.
-func (c *conn) start(v *view, t *iscsi.Task, io *scsi.IO) {
+func (c *conn) start(v *view, t *iscsi.Task, out scsi.Outcome) {
+	io := out.IO
 	vol := c.unit.vol
 	if u := v.targets[c.key.target]; u != nil {
 		vol = u.vol // the layout in force now
@@ -75,7 +77,7 @@
 		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.InvalidField.Fixed()})
 		return
 	}
-	cmd := &command{conn: c, task: t, blockSize: vol.BlockSize}
+	cmd := &command{conn: c, task: t, blockSize: vol.BlockSize, out: out.Out}
 	if io.Op == scsi.Read {
 		cmd.held = size
 	}
@@ -245,7 +247,7 @@
 	case cmd.worst == endServed && cmd.miscomp:
 		return iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.Miscompare.Fixed()}
 	case cmd.worst == endServed:
-		return iscsi.Answer{Data: cmd.data}
+		return iscsi.Answer{Data: cmd.data, Out: cmd.out}
 	case cmd.worst == endRefused && !cmd.partRan():
 		return iscsi.Answer{Status: scsi.Busy, Qualifier: retryDelay(cmd.after)}
 	}
--- a/initiator/initiator.go
+++ b/initiator/initiator.go
@@ -178,6 +178,10 @@
 // Submit sends a command, at once or when the window lets it, and calls end once
 // with its result.
 func (c *Client) Submit(lun uint64, cdb, write []byte, read int, end func(iscsi.Result, error)) *Handle {
+	return c.submit(func() uint32 { return c.core.Command(lun, cdb, write, read) }, end)
+}
+
+func (c *Client) submit(command func() uint32, end func(iscsi.Result, error)) *Handle {
 	h := &Handle{}
 	c.mu.Lock()
 	if c.closed {
@@ -187,7 +191,7 @@
 	}
 	send := func() {
 		if !h.dropped {
-			h.itt = c.core.Command(lun, cdb, write, read)
+			h.itt = command()
 			c.ends[h.itt] = end
 		}
 	}
@@ -202,12 +206,17 @@
 
 // Do sends a command and waits for its end.
 func (c *Client) Do(ctx context.Context, cdb, write []byte, read int) (iscsi.Result, error) {
+	return c.DoAt(ctx, 0, cdb, write, read, 0)
+}
+
+// DoAt is Do for any LUN, with the numbers of its data off by gap; for drills.
+func (c *Client) DoAt(ctx context.Context, lun uint64, cdb, write []byte, read int, gap uint32) (iscsi.Result, error) {
 	type result struct {
 		r   iscsi.Result
 		err error
 	}
 	got := make(chan result, 1)
-	c.Submit(0, cdb, write, read, func(r iscsi.Result, err error) { got <- result{r, err} })
+	c.submit(func() uint32 { return c.core.Submit(lun, cdb, write, read, gap) }, func(r iscsi.Result, err error) { got <- result{r, err} })
 	select {
 	case g := <-got:
 		return g.r, g.err
--- a/iscsi/initiator.go
+++ b/iscsi/initiator.go
@@ -195,6 +195,8 @@
 	Sense     []byte
 	Data      []byte
 	Residual  uint32
+	Underflow bool // Residual bytes were expected and not moved
+	Overflow  bool // Residual bytes more would have been moved
 	TaskReply bool // of a task management function: Response holds its code
 	Response  byte
 	Text      []byte // of a text request
@@ -220,6 +222,7 @@
 type command struct {
 	data, in []byte
 	got      int
+	gap      uint32 // in the numbers of its data
 }
 
 // Session returns the full feature phase after a login that is done; last is the
@@ -253,6 +256,11 @@
 // Command sends a command; write is its data out, read the bytes expected in.
 // The data must stay as it is until the end.
 func (i *Initiator) Command(lun uint64, cdb []byte, write []byte, read int) uint32 {
+	return i.Submit(lun, cdb, write, read, 0)
+}
+
+// Submit is Command with the first Data-Out's number off by so much; for drills.
+func (i *Initiator) Submit(lun uint64, cdb []byte, write []byte, read int, gap uint32) uint32 {
 	p := New(OpCommand).SetLUN(lun)
 	itt := i.tag()
 	flags := byte(0x81) // final, simple task attribute
@@ -275,7 +283,7 @@
 	if unsol {
 		flags &^= 0x80
 	}
-	i.open[itt] = &command{data: write, in: make([]byte, read)}
+	i.open[itt] = &command{data: write, in: make([]byte, read), gap: gap}
 	i.Out(i.number(p.SetFlags(flags)))
 	if unsol {
 		i.send(itt, NoTag, lun, write, sent, first)
@@ -285,7 +293,11 @@
 
 // send sends data[from:to] as Data-Out PDUs of one sequence.
 func (i *Initiator) send(itt, ttt uint32, lun uint64, data []byte, from, to int) {
-	for sn := uint32(0); from < to; sn++ {
+	sn := uint32(0)
+	if c := i.open[itt]; c != nil {
+		sn = c.gap
+	}
+	for ; from < to; sn++ {
 		n := min(i.MaxSend, to-from)
 		p := New(OpDataOut).SetFlags(0).SetLUN(lun).Set(AtITT, itt).Set(AtTTT, ttt)
 		if from+n == to {
@@ -376,7 +388,12 @@
 	}
 	i.expStatSN = p.Word(AtStatSN) + 1
 	delete(i.open, p.ITT())
-	return &Result{ITT: p.ITT(), Status: p.BHS[3], Data: c.in[:c.got], Residual: p.Word(AtLength)}, nil
+	return ended(p, c), nil
+}
+
+// ended is the result that a PDU with a status brings.
+func ended(p *PDU, c *command) *Result {
+	return &Result{ITT: p.ITT(), Status: p.BHS[3], Data: c.in[:c.got], Residual: p.Word(AtLength), Underflow: p.Flags()&0x02 != 0, Overflow: p.Flags()&0x04 != 0}
 }
 
 func (i *Initiator) response(p *PDU) (*Result, error) {
@@ -385,7 +402,7 @@
 		return nil, nil
 	}
 	delete(i.open, p.ITT())
-	r := &Result{ITT: p.ITT(), Status: p.BHS[3], Data: c.in[:c.got], Residual: p.Word(AtLength)}
+	r := ended(p, c)
 	if i.level >= 2 {
 		r.Qualifier = uint16(p.BHS[8])<<8 | uint16(p.BHS[9])
 	}
--- a/iscsi/session.go
+++ b/iscsi/session.go
@@ -173,8 +173,7 @@
 	sn := p.Word(AtCmdSN)
 	ahead := int32(sn - s.expCmdSN)
 	if p.Immediate() {
-		// Immediate commands take no place, but may not run far ahead either.
-		return ahead < 0 || ahead > int32(s.window), nil
+		return false, nil // they take no place, and the window does not bound them
 	}
 	if ahead < 0 || uint32(ahead) >= s.window-min(s.open, s.window) {
 		return true, nil
@@ -239,6 +238,10 @@
 // invalidField is fixed format sense: ILLEGAL REQUEST, INVALID FIELD IN CDB.
 var invalidField = []byte{0x70, 0, 5, 0, 0, 0, 0, 10, 0, 0, 0, 0, 0x24, 0, 0, 0, 0, 0}
 
+// serviceCRC is ABORTED COMMAND, PROTOCOL SERVICE CRC ERROR, with which RFC 7143 ends
+// commands whose data was damaged.
+var serviceCRC = []byte{0x70, 0, 0xb, 0, 0, 0, 0, 10, 0, 0, 0, 0, 0x47, 5, 0, 0, 0, 0}
+
 func (s *Session) beginWrite(t *Task, p *PDU) error {
 	n := uint32(len(p.Data))
 	first := min(uint32(s.FirstBurst), t.Length)
@@ -324,7 +327,11 @@
 		return &ProtocolError{"data beyond the task's length"}
 	}
 	if ttt == NoTag {
-		if !t.unsol || at != t.got || at+n > min(uint32(s.FirstBurst), t.Length) || p.Word(AtDataSN) != t.dataSN {
+		if p.Word(AtDataSN) != t.dataSN {
+			s.missing(t, p)
+			return nil
+		}
+		if !t.unsol || at != t.got || at+n > min(uint32(s.FirstBurst), t.Length) {
 			return &ProtocolError{"unsolicited data out of place"}
 		}
 		t.dataSN++
@@ -337,7 +344,11 @@
 		return nil
 	}
 	r := t.r2ts[ttt]
-	if r == nil || at != r.next || at+n > r.end || p.Word(AtDataSN) != r.sn {
+	if r != nil && p.Word(AtDataSN) != r.sn {
+		s.missing(t, p)
+		return nil
+	}
+	if r == nil || at != r.next || at+n > r.end {
 		return &ProtocolError{"data out of place"}
 	}
 	copy(t.Data[at:], p.Data)
@@ -355,6 +366,16 @@
 	return nil
 }
 
+// missing ends a task whose data came with a gap in its numbers: a PDU in between is
+// lost, and is not asked for again at this recovery level. The PDU is rejected and the
+// task fails, while the session goes on (RFC 7143 sections 7.7 and 7.8).
+func (s *Session) missing(t *Task, p *PDU) {
+	s.reject(p, RejectDataDigest)
+	t.refused = true
+	t.unsol = !p.Final()
+	s.respond(t, Answer{Status: 0x02, Sense: serviceCRC})
+}
+
 // Task returns the open task of that tag, or nil.
 func (s *Session) Task(itt uint32) *Task { return s.tasks[itt] }
 
@@ -371,6 +392,7 @@
 	Qualifier uint16
 	Sense     []byte
 	Data      []byte // what a read returns
+	Out       int    // bytes that the command's CDB moves out
 }
 
 // Respond ends a task that was handed over: its data in, with the status in the
@@ -389,7 +411,7 @@
 	if t.refused && t.unsol { // its unsolicited data is still to come, and is passed over
 		s.tasks[t.ITT] = t
 	}
-	residual, flag := s.residual(t, len(a.Data))
+	residual, flag := s.residual(t, &a)
 	data := a.Data
 	if len(data) > int(t.Length) {
 		data = data[:t.Length]
@@ -411,9 +433,13 @@
 }
 
 // residual is what was expected and not moved, or the other way round.
-func (s *Session) residual(t *Task, n int) (uint32, byte) {
-	if t.Write {
-		return 0, 0
+func (s *Session) residual(t *Task, a *Answer) (uint32, byte) {
+	n := len(a.Data)
+	if t.Write || a.Out > 0 {
+		if a.Status != 0 {
+			return 0, 0 // how much was used up is not known
+		}
+		n = a.Out
 	}
 	switch d := int64(t.Length) - int64(n); {
 	case d > 0:
--- a/scsi/pages.go
+++ b/scsi/pages.go
@@ -180,8 +180,24 @@
 	for k, c := range commands {
 		all[k] = c
 	}
+	timeouts := cdb[2]&0x80 != 0
 	if cdb[2]&7 == 0 {
-		return data(allCodes(all), alloc)
+		return data(allCodes(all, timeouts), alloc)
+	}
+	actions := op == opServiceIn16 || op == opMaintenanceIn
+	switch cdb[2] & 7 {
+	case 1:
+		if actions {
+			return fail(InvalidField) // which one of them is not said
+		}
+		sa = 0
+	case 2:
+		if !actions && knows(all, op) {
+			return fail(InvalidField)
+		}
+	case 3:
+	default:
+		return fail(InvalidField)
 	}
 	c := all[commandKey{op, byte(sa)}]
 	b := make([]byte, 4)
@@ -190,10 +206,27 @@
 		return data(b, alloc)
 	}
 	b[1], b[3] = 3, byte(c.size)
-	return data(append(b, c.usage[:c.size]...), alloc)
+	b = append(b, c.usage[:c.size]...)
+	if timeouts {
+		b[1] |= 0x80
+		b = append(b, noTimeouts()...)
+	}
+	return data(b, alloc)
 }
 
-func allCodes(all map[commandKey]*supported) []byte {
+func knows(all map[commandKey]*supported, op byte) bool {
+	for k := range all {
+		if k.op == op {
+			return true
+		}
+	}
+	return false
+}
+
+// noTimeouts is a command timeouts descriptor that names none, SPC-4 section 6.35.4.
+func noTimeouts() []byte { return []byte{0, 10, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0} }
+
+func allCodes(all map[commandKey]*supported, timeouts bool) []byte {
 	var keys []commandKey
 	for k := range all {
 		keys = append(keys, k)
@@ -207,6 +240,10 @@
 			e[3], e[5] = k.sa, 1
 		}
 		e[7] = byte(all[k].size)
+		if timeouts {
+			e[5] |= 2
+			e = append(e, noTimeouts()...)
+		}
 		b = append(b, e...)
 	}
 	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
--- a/scsi/scsi.go
+++ b/scsi/scsi.go
@@ -110,7 +110,7 @@
 // Limits of what one command may move, told by VPD page B0.
 const (
 	MaxBlocks       = 2048 // of a read or write: 1 MiB of 512-byte blocks
-	MaxCompare      = 64   // of COMPARE AND WRITE; must fit one extent
+	MaxCompare      = 1    // of COMPARE AND WRITE: more may cross an extent's border, and is not atomic there
 	MaxUnmapBlocks  = 8192
 	MaxUnmapRuns    = 32
 	MaxSameBlocks   = 2048
@@ -123,8 +123,7 @@
 	BlockSize uint32
 	Name      string // serves as unit serial number
 	ReadOnly  bool
-	// Extent is the number of blocks of one extent: the optimal granularity, and
-	// what COMPARE AND WRITE may not cross.
+	// Extent is the number of blocks of one extent: the optimal granularity.
 	Extent uint32
 }
 
@@ -133,6 +132,9 @@
 	IO    *IO
 	Data  []byte
 	Sense *Sense
+	// Out is the number of bytes of data out that the CDB speaks of; where the
+	// initiator expects to move another number, the difference is the residual.
+	Out int
 }
 
 func fail(s Sense) Outcome { return Outcome{Sense: &s} }
@@ -337,10 +339,17 @@
 		if s := io.check(d, cdb, len(out)); s != nil {
 			return fail(*s)
 		}
-		if n == 0 && op != Flush && op != WriteSame {
-			return data(nil, 0) // no blocks is no error
+		want := io.Out
+		if op == Write && len(out) < io.Out {
+			// What did come is written, in whole blocks; the rest is a residual
+			// overflow (RFC 7143 section 11.4.5.1).
+			io.Blocks = uint32(len(out)) / d.BlockSize
+			io.Out = int(io.Blocks * d.BlockSize)
+		}
+		if io.Blocks == 0 && op != Flush && op != WriteSame {
+			return Outcome{Data: []byte{}, Out: want} // no blocks is no error
 		}
-		return Outcome{IO: io}
+		return Outcome{IO: io, Out: want}
 	}
 }
 
@@ -369,8 +378,7 @@
 		}
 		io.Out = size
 	case CompareAndWrite:
-		if io.Blocks > MaxCompare || io.Blocks > 0 && d.Extent > 0 &&
-			io.LBA/uint64(d.Extent) != (io.LBA+uint64(io.Blocks)-1)/uint64(d.Extent) {
+		if io.Blocks > MaxCompare {
 			return &InvalidField
 		}
 		io.Out = 2 * int(io.Blocks) * size
@@ -381,7 +389,7 @@
 	if io.Op.Writes() && d.ReadOnly {
 		return &Sense{7, 0x27, 0}
 	}
-	if out < io.Out {
+	if out < io.Out && io.Op != Write {
 		return &InvalidField // less data than the command speaks of
 	}
 	return nil
@@ -424,5 +432,5 @@
 		return data(nil, 0)
 	}
 	io.LBA, io.Blocks = io.Unmaps[0].LBA, io.Unmaps[0].Blocks
-	return Outcome{IO: io}
+	return Outcome{IO: io, Out: n}
 }
