--- /dev/null
+++ b/cmd/merlinhitch/conform.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"merlinhitch/conform"
+	"merlinhitch/initiator"
+	"merlinhitch/iscsi"
+	"merlinhitch/seam"
+)
+
+type conformCmd struct {
+	Portal string `arg:"" help:"Address of the target: HOST:PORT."`
+	Target string `arg:"" help:"Target name. The first blocks of its unit are overwritten."`
+	Name   string `default:"iqn.2026-11.example.client:conform" help:"Initiator name."`
+	User   string `help:"CHAP name."`
+	Secret string `env:"MERLINHITCH_SECRET" help:"CHAP secret."`
+}
+
+func (c *conformCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	cfg := initiator.Config{World: seam.NewReal(), Addr: c.Portal, Name: c.Name, Target: c.Target, ISID: iscsi.ISID{0x80, 2}, Params: initiator.DefaultParams(), LoginTime: apiTime}
+	if c.User != "" {
+		cfg.Chap = &iscsi.Credentials{User: c.User, Secret: c.Secret}
+	}
+	rows, err := conform.Run(ctx, func(ctx context.Context) (*initiator.Client, error) { return initiator.Dial(ctx, cfg) })
+	if perr := conform.Print(os.Stdout, rows); perr != nil {
+		return perr
+	}
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if r.Verdict == conform.Fail {
+			return errSaid
+		}
+	}
+	return nil
+}
--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -21,6 +21,7 @@
 	Settings   settingsCmd   `cmd:"" help:"Read, change or draft the settings of a running gateway."`
 	Io         ioCmd         `cmd:"" help:"Log in to a volume and read or write blocks."`
 	Badday     baddayCmd     `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
+	Conform    conformCmd    `cmd:"" help:"Hold a target to SPC-4, SBC-3 and RFC 7143, check by check."`
 	Bench      benchCmd      `cmd:"" help:"Measure the gateway beside a bare relay over the same hops."`
 	Plan       planCmd       `cmd:"" help:"Work out which volume lies on which nodes."`
 	Routes     routesCmd     `cmd:"" help:"Show what a gateway announces, to which routers, and why."`
--- /dev/null
+++ b/conform/conform.go
@@ -0,0 +1,256 @@
+// Package conform holds a target to the standards: a table of checks, each with its
+// clause, run through the project's own initiator over a socket. It writes to the unit
+// that it is pointed at: see Blocks. It knows nothing of the gateway's code, and is run
+// against any target.
+package conform
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"merlinhitch/initiator"
+	"merlinhitch/iscsi"
+	"merlinhitch/scsi"
+)
+
+// Blocks is the number of blocks, from the first of the unit, that the checks
+// overwrite; the last blocks are read only.
+const Blocks = 128
+
+// Verdict is what came of a check.
+type Verdict int
+
+// The verdicts.
+const (
+	Pass Verdict = iota
+	Fail
+	NotOffered // the target does not list what the check needs
+)
+
+var verdicts = [...]string{"pass", "FAIL", "not offered"}
+
+func (v Verdict) String() string { return verdicts[v] }
+
+// Row is a check and its result.
+type Row struct {
+	Clause  string
+	Name    string
+	Verdict Verdict
+	Why     string
+}
+
+// check is a row of the table.
+type check struct {
+	clause, name string
+	needs        []byte // operation codes without which the target is not asked
+	run          func(t *target) error
+}
+
+// target is a unit under test.
+type target struct {
+	ctx     context.Context
+	s       *initiator.Client
+	blocks  uint64
+	size    int
+	offered map[[2]byte]bool // opcode and service action
+	limits  limits
+}
+
+// limits are those of the Block Limits page; 0: none stated.
+type limits struct {
+	compare, unmapBlocks, unmapRuns uint32
+	transfer                        uint32
+	same                            uint64
+	wsnz                            bool
+}
+
+// each is the time that one check gets.
+const each = 20 * time.Second
+
+// Run runs the table against a unit; dial opens a session, and is called again where a
+// check has cost the one before. An error is of what the table needs to begin with.
+func Run(ctx context.Context, dial func(context.Context) (*initiator.Client, error)) ([]Row, error) {
+	t := &target{ctx: ctx}
+	var err error
+	if t.s, err = dial(ctx); err != nil {
+		return nil, err
+	}
+	defer func() { t.s.Close() }()
+	if err := t.learn(); err != nil {
+		return nil, err
+	}
+	var rows []Row
+	for _, c := range table {
+		row := Row{Clause: c.clause, Name: c.name}
+		if !t.has(c.needs) {
+			row.Verdict = NotOffered
+			rows = append(rows, row)
+			continue
+		}
+		within, cancel := context.WithTimeout(ctx, each)
+		t.ctx = within
+		if err := c.run(t); err != nil {
+			row.Verdict, row.Why = Fail, err.Error()
+		}
+		cancel()
+		rows = append(rows, row)
+		if ctx.Err() != nil {
+			return rows, ctx.Err()
+		}
+		select {
+		case <-t.s.Done():
+			if t.s, err = dial(ctx); err != nil {
+				return rows, err
+			}
+		default:
+		}
+	}
+	return rows, nil
+}
+
+func (t *target) has(ops []byte) bool {
+	for _, op := range ops {
+		if !t.offered[[2]byte{op, 0}] {
+			return false
+		}
+	}
+	return true
+}
+
+// learn asks for what the checks are made for: size, limits, operation codes.
+func (t *target) learn() error {
+	for range 3 { // a unit attention may come first
+		if r, err := t.do(tur(), nil, 0); err != nil {
+			return err
+		} else if r.Status == scsi.Good {
+			break
+		}
+	}
+	r, err := t.do(capacity16(32), nil, 32)
+	if err != nil {
+		return err
+	}
+	if r.Status != scsi.Good || len(r.Data) < 32 {
+		return errors.New("conform: READ CAPACITY (16) gives no size")
+	}
+	t.blocks, t.size = binary.BigEndian.Uint64(r.Data)+1, int(binary.BigEndian.Uint32(r.Data[8:]))
+	if t.blocks < 2*Blocks {
+		return fmt.Errorf("conform: a unit of %d blocks is too small, %d are needed", t.blocks, 2*Blocks)
+	}
+	if r, err = t.do(inquiry(1, 0xb0, 255), nil, 255); err != nil {
+		return err
+	}
+	if b := r.Data; r.Status == scsi.Good && len(b) >= 44 {
+		be := binary.BigEndian
+		t.limits = limits{compare: uint32(b[5]), transfer: be.Uint32(b[8:]), unmapBlocks: be.Uint32(b[20:]), unmapRuns: be.Uint32(b[24:]), same: be.Uint64(b[36:]), wsnz: b[4]&1 != 0}
+	}
+	return t.learnCodes()
+}
+
+func (t *target) learnCodes() error {
+	t.offered = map[[2]byte]bool{}
+	r, err := t.do(rsoc(0, 0, 0, 1<<16), nil, 1<<16)
+	if err != nil {
+		return err
+	}
+	if r.Status != scsi.Good || len(r.Data) < 4 {
+		return errors.New("conform: REPORT SUPPORTED OPERATION CODES is not offered: what is, is not known")
+	}
+	for b := r.Data[4:]; len(b) >= 8; {
+		k := [2]byte{b[0], 0}
+		if b[5]&1 != 0 {
+			k[1] = b[3]
+			t.offered[[2]byte{b[0], 0}] = true
+		}
+		t.offered[k] = true
+		n := 8
+		if b[5]&2 != 0 {
+			n += 12
+		}
+		b = b[min(n, len(b)):]
+	}
+	return nil
+}
+
+func (t *target) do(cdb, out []byte, in int) (iscsi.Result, error) {
+	return t.s.Do(t.ctx, cdb, out, in)
+}
+
+// good asks for GOOD and returns the data.
+func (t *target) good(cdb, out []byte, in int) ([]byte, error) {
+	r, err := t.do(cdb, out, in)
+	if err != nil {
+		return nil, err
+	}
+	if r.Status != scsi.Good {
+		return nil, fmt.Errorf("%x: %s", cdb, ending(r))
+	}
+	return r.Data, nil
+}
+
+// refused asks for CHECK CONDITION with that sense.
+func (t *target) refused(want scsi.Sense, cdb, out []byte, in int) error {
+	r, err := t.do(cdb, out, in)
+	if err != nil {
+		return err
+	}
+	if s, ok := scsi.ParseSense(r.Sense); r.Status != scsi.CheckCondition || !ok || s != want {
+		return fmt.Errorf("%x: %s, want %v", cdb, ending(r), want)
+	}
+	return nil
+}
+
+func ending(r iscsi.Result) string {
+	if s, ok := scsi.ParseSense(r.Sense); ok {
+		return fmt.Sprintf("status %02x, %v", r.Status, s)
+	}
+	return fmt.Sprintf("status %02x", r.Status)
+}
+
+// fill writes a pattern to the first blocks and returns it.
+func (t *target) fill(seed byte, blocks int) ([]byte, error) {
+	b := pattern(seed, blocks*t.size)
+	_, err := t.good(rw(0x8a, 0, uint32(blocks)), b, 0)
+	return b, err
+}
+
+func pattern(seed byte, n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = seed + byte(i) ^ byte(i>>8)*7
+	}
+	return b
+}
+
+// holds reads blocks back.
+func (t *target) holds(lba uint64, want []byte) error {
+	got, err := t.good(rw(0x88, lba, uint32(len(want)/t.size)), nil, len(want))
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(got, want) {
+		return fmt.Errorf("block %d on: not what should be there", lba)
+	}
+	return nil
+}
+
+// Print writes the table for people.
+func Print(w io.Writer, rows []Row) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	count := [3]int{}
+	for _, r := range rows {
+		count[r.Verdict]++
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\n", r.Verdict, r.Clause, r.Name, r.Why)
+	}
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%d checks: %d pass, %d fail, %d not offered\n", len(rows), count[Pass], count[Fail], count[NotOffered])
+	return err
+}
--- a/iscsi/session.go
+++ b/iscsi/session.go
@@ -368,7 +368,7 @@
 
 // missing ends a task whose data came with a gap in its numbers: a PDU in between is
 // lost, and is not asked for again at this recovery level. The PDU is rejected and the
-// task fails, while the session goes on (RFC 7143 sections 7.7 and 7.8).
+// task fails, while the session goes on (RFC 7143 on digest and sequence errors).
 func (s *Session) missing(t *Task, p *PDU) {
 	s.reject(p, RejectDataDigest)
 	t.refused = true
