Persistent reservations: state core, record and fence at the disk servers, over several hosts

Change: package reserve (all six types, register, reserve, release, clear, pre-empt, pre-empt and abort, APTPL, ALL_TG_PT) as a core; the record lies at the disk server of the volume's first extent and is changed by compare-and-swap; every attempt carries the version that its host knows, and a server refuses what is older than the fence it was told; what an old state forbids is read anew before it is said. conform has 23 more checks.

--- a/cmd/merlinhitch/conform.go
+++ b/cmd/merlinhitch/conform.go
@@ -26,7 +26,10 @@
 	if c.User != "" {
 		cfg.Chap = &iscsi.Credentials{User: c.User, Secret: c.Secret}
 	}
-	rows, err := conform.Run(ctx, func(ctx context.Context) (*initiator.Client, error) { return initiator.Dial(ctx, cfg) })
+	rows, err := conform.Run(ctx, func(ctx context.Context, who int) (*initiator.Client, error) {
+		cfg.ISID[5] = byte(who)
+		return initiator.Dial(ctx, cfg)
+	})
 	if perr := conform.Print(os.Stdout, rows); perr != nil {
 		return perr
 	}
--- a/conform/conform.go
+++ b/conform/conform.go
@@ -56,6 +56,7 @@
 type target struct {
 	ctx     context.Context
 	s       *initiator.Client
+	other   *initiator.Client // of another initiator
 	blocks  uint64
 	size    int
 	offered map[[2]byte]bool // opcode and service action
@@ -73,15 +74,20 @@
 // each is the time that one check gets.
 const each = 20 * time.Second
 
-// Run runs the table against a unit; dial opens a session, and is called again where a
-// check has cost the one before. An error is of what the table needs to begin with.
-func Run(ctx context.Context, dial func(context.Context) (*initiator.Client, error)) ([]Row, error) {
+// Run runs the table against a unit; dial opens a session of one of two initiators, 0
+// or 1, and is called again where a check has cost the one before. An error is of what
+// the table needs to begin with.
+func Run(ctx context.Context, dial func(ctx context.Context, who int) (*initiator.Client, error)) ([]Row, error) {
 	t := &target{ctx: ctx}
 	var err error
-	if t.s, err = dial(ctx); err != nil {
+	if t.s, err = dial(ctx, 0); err != nil {
 		return nil, err
 	}
 	defer func() { t.s.Close() }()
+	if t.other, err = dial(ctx, 1); err != nil {
+		return nil, err
+	}
+	defer func() { t.other.Close() }()
 	if err := t.learn(); err != nil {
 		return nil, err
 	}
@@ -105,7 +111,7 @@
 		}
 		select {
 		case <-t.s.Done():
-			if t.s, err = dial(ctx); err != nil {
+			if t.s, err = dial(ctx, 0); err != nil {
 				return rows, err
 			}
 		default:
--- a/conform/table.go
+++ b/conform/table.go
@@ -114,7 +114,7 @@
 		0x35: "SYNCHRONIZE CACHE (10)", 0x91: "SYNCHRONIZE CACHE (16)"}
 )
 
-var table = slices.Concat(primary(), forms(), blocks(), transport())
+var table = slices.Concat(primary(), forms(), blocks(), reservations(), transport())
 
 // primary are the commands of every device (SPC-4).
 func primary() []check {
--- a/diskproto/diskproto.go
+++ b/diskproto/diskproto.go
@@ -17,8 +17,8 @@
 
 // Version is the newest version of the protocol; Oldest the oldest understood.
 const (
-	Version = 1
-	Oldest  = 1
+	Version = 2
+	Oldest  = 2 // version 1 had no fences
 )
 
 const (
@@ -232,6 +232,66 @@
 	Blocks uint32
 }
 
+// Operations beside those of package scsi. A record is a volume's reservations: bytes
+// that mean nothing to a server, with a version, kept with the volume's first extent.
+const (
+	// OpRecord reads the record: its version, and its bytes.
+	OpRecord byte = 0x40
+	// OpSwapRecord puts another in its place if its version is the one expected, else
+	// answers Miscompare; both times with what is there then.
+	OpSwapRecord byte = 0x41
+	// OpFence has the server refuse whatever knows a version below Fence, from now on,
+	// through its own restarts too.
+	OpFence byte = 0x42
+)
+
+// Record is a record with its version, as OpRecord and OpSwapRecord bring it.
+type Record struct {
+	Version uint64
+	Bytes   []byte
+}
+
+// Append writes it.
+func (r *Record) Append(b []byte) []byte { return append(be.AppendUint64(b, r.Version), r.Bytes...) }
+
+// Parse reads it; its bytes are those of b.
+func (r *Record) Parse(b []byte) error {
+	if len(b) < 8 {
+		return &FrameError{"record: cut short"}
+	}
+	r.Version, r.Bytes = be.Uint64(b), b[8:]
+	return nil
+}
+
+// Swap is the data of OpSwapRecord.
+type Swap struct {
+	Expected uint64
+	// Persist has the record outlive a loss of power; without it, one leaves an empty
+	// record of the next version.
+	Persist bool
+	New     Record
+}
+
+// Append writes it.
+func (m *Swap) Append(b []byte) []byte {
+	b = be.AppendUint64(b, m.Expected)
+	if m.Persist {
+		b = append(b, 1)
+	} else {
+		b = append(b, 0)
+	}
+	return m.New.Append(b)
+}
+
+// Parse reads it; its bytes are those of b.
+func (m *Swap) Parse(b []byte) error {
+	if len(b) < 9 || b[8] > 1 {
+		return &FrameError{"swap: cut short, or neither kept nor not"}
+	}
+	m.Expected, m.Persist = be.Uint64(b), b[8] == 1
+	return m.New.Parse(b[9:])
+}
+
 // Do asks for one attempt of a request. Host and Seq together are the key under
 // which a keyed request's repeats are dropped: every attempt carries the same.
 type Do struct {
@@ -243,14 +303,17 @@
 	Seq      uint64
 	Origin   uint64 // session and command number of the client's command
 	Deadline uint64 // server's clock, us: not begun by then, it must not run
-	Units    float64
-	Plan     string
-	Volume   string
-	Key      string // the piece of data, for order
-	LBA      uint64
-	Blocks   uint32
-	Runs     []Run  // of an unmap
-	Data     []byte // valid as long as the frame's body
+	// Fence is the version of the volume's reservations that the host knows; a server
+	// that was told of a later one answers Fenced and does nothing.
+	Fence  uint64
+	Units  float64
+	Plan   string
+	Volume string
+	Key    string // the piece of data, for order
+	LBA    uint64
+	Blocks uint32
+	Runs   []Run  // of an unmap
+	Data   []byte // valid as long as the frame's body
 }
 
 // Append adds the message's bytes.
@@ -258,7 +321,7 @@
 	b = append(b, m.Op, m.Effect)
 	b = be.AppendUint32(be.AppendUint16(b, m.Attempt), m.Shard)
 	b = be.AppendUint64(be.AppendUint64(b, m.Host), m.Seq)
-	b = be.AppendUint64(be.AppendUint64(b, m.Origin), m.Deadline)
+	b = be.AppendUint64(be.AppendUint64(be.AppendUint64(b, m.Origin), m.Deadline), m.Fence)
 	b = be.AppendUint32(b, math.Float32bits(float32(m.Units)))
 	b = text(text(text(b, m.Plan), m.Volume), m.Key)
 	b = be.AppendUint32(be.AppendUint64(b, m.LBA), m.Blocks)
@@ -275,6 +338,7 @@
 	d := decoder{b: b}
 	m.Op, m.Effect, m.Attempt, m.Shard = d.u8("op"), d.u8("effect"), d.u16("attempt"), d.u32("shard")
 	m.Host, m.Seq, m.Origin, m.Deadline = d.u64("host"), d.u64("seq"), d.u64("origin"), d.u64("deadline")
+	m.Fence = d.u64("fence")
 	m.Units = d.f32("units")
 	m.Plan, m.Volume, m.Key = d.text("plan"), d.text("volume"), d.text("key")
 	m.LBA, m.Blocks = d.u64("lba"), d.u32("blocks")
@@ -300,7 +364,7 @@
 // Result is how a server ended an attempt.
 type Result byte
 
-// The results. Full, Draining, WrongShard and Expired prove that nothing ran.
+// The results. Full, Draining, WrongShard, Expired and Fenced prove that nothing ran.
 const (
 	OK Result = iota + 1
 	Miscompare
@@ -309,9 +373,10 @@
 	Draining
 	WrongShard
 	Expired
+	Fenced // the host knows an older version of the reservations than the server
 )
 
-var resultNames = [...]string{"", "ok", "miscompare", "failed", "full", "draining", "wrong-shard", "expired"}
+var resultNames = [...]string{"", "ok", "miscompare", "failed", "full", "draining", "wrong-shard", "expired", "fenced"}
 
 func (r Result) String() string {
 	if int(r) < len(resultNames) {
@@ -321,7 +386,7 @@
 }
 
 // ProvesNothingRan tells whether the attempt certainly had no effect.
-func (r Result) ProvesNothingRan() bool { return r >= Full && r <= Expired }
+func (r Result) ProvesNothingRan() bool { return r >= Full && r <= Fenced }
 
 // Figure is one value of a load report.
 type Figure struct {
--- a/gateway/actor_test.go
+++ b/gateway/actor_test.go
@@ -87,7 +87,7 @@
 		}
 		switch f.Kind {
 		case diskproto.KindHello:
-			w := &diskproto.Welcome{Version: 1, Clock: uint64(a.w.Now() / time.Microsecond), Name: "actor"}
+			w := &diskproto.Welcome{Version: diskproto.Version, Clock: uint64(a.w.Now() / time.Microsecond), Name: "actor"}
 			c.Write(diskproto.Append(nil, diskproto.KindWelcome, f.Tag, w))
 			a.mu.Lock()
 			raw := a.raw
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -7,6 +7,7 @@
 	"merlinhitch/diskproto"
 	"merlinhitch/iscsi"
 	"merlinhitch/policy"
+	"merlinhitch/reserve"
 	"merlinhitch/scsi"
 	"merlinhitch/settings"
 )
@@ -27,7 +28,10 @@
 	data      []byte
 	blockSize int
 	held      int // bytes reserved for what it reads
-	out       int // bytes of data out that the CDB speaks of
+	outcome   scsi.Outcome
+	class     *settings.Class
+	fence     uint64 // version of the reservations that it was judged by
+	fenced    bool   // a disk server knows a later one
 	group     *abortion
 	gone      bool
 	spared    bool
@@ -49,9 +53,11 @@
 	switch {
 	case out.Sense != nil:
 		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: out.Sense.Fixed()})
+	case out.Reserve != nil:
+		c.reservation(v, t, out.Reserve)
 	case out.IO == nil:
 		c.respond(t, iscsi.Answer{Data: out.Data, Out: out.Out})
-	case out.IO.Op == scsi.Flush:
+	case out.IO.Op == scsi.Flush && c.flushes(v):
 		// Every write that was acknowledged is on its disk server already.
 		c.respond(t, iscsi.Answer{})
 	default:
@@ -59,15 +65,26 @@
 	}
 }
 
+// flushes tells whether a flush needs no look at the reservations.
+func (c *conn) flushes(v *view) bool {
+	_, ok := c.front.keeper.judge(c.volume(v).Name, c.nexus(), true)
+	return ok
+}
+
+// volume is the session's volume as the settings have it now.
+func (c *conn) volume(v *view) *settings.Volume {
+	if u := v.targets[c.key.target]; u != nil {
+		return u.vol
+	}
+	return c.unit.vol
+}
+
 func (c *conn) respond(t *iscsi.Task, a iscsi.Answer) { c.sess.Respond(t, a) }
 
 // start hands the command's parts to the host core. Held: conn.mu.
 func (c *conn) start(v *view, t *iscsi.Task, out scsi.Outcome) {
 	io := out.IO
-	vol := c.unit.vol
-	if u := v.targets[c.key.target]; u != nil {
-		vol = u.vol // the layout in force now
-	}
+	vol := c.volume(v) // with the layout in force now
 	size := int(io.Blocks) * vol.BlockSize
 	if io.Op == scsi.Unmap {
 		size = 0
@@ -77,7 +94,12 @@
 		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.InvalidField.Fixed()})
 		return
 	}
-	cmd := &command{conn: c, task: t, blockSize: vol.BlockSize, out: out.Out}
+	fence, may := c.front.keeper.judge(vol.Name, c.nexus(), io.Op.Writes() || io.Op == scsi.Flush)
+	if !may {
+		c.recheck(t, out, vol, class, false)
+		return
+	}
+	cmd := &command{conn: c, task: t, blockSize: vol.BlockSize, outcome: out, class: class, fence: fence}
 	if io.Op == scsi.Read {
 		cmd.held = size
 	}
@@ -143,11 +165,11 @@
 	} else {
 		cmd.jobs = cmd.room[:0]
 	}
-	j.cmd = cmd
+	j.owner = cmd
 	j.req = policy.Request{Class: class.Name, Plan: vol.Plan, Volume: vol.Name, Shard: shard, Units: units,
 		Key: key, Hosts: len(vol.Hosts), Write: op.Writes(), Expires: cmd.task.At + class.Deadline}
 	j.do = diskproto.Do{Op: byte(op), Effect: wireEffect[class.Effect], Shard: uint32(shard), Host: c.front.host.back.id,
-		Origin: uint64(c.tsih)<<32 | uint64(cmd.task.ITT), Units: units, Plan: vol.Plan, Volume: vol.Name, Key: key}
+		Origin: uint64(c.tsih)<<32 | uint64(cmd.task.ITT), Fence: cmd.fence, Units: units, Plan: vol.Plan, Volume: vol.Name, Key: key}
 	cmd.jobs = append(cmd.jobs, j)
 	cmd.left++
 	cmd.landing++
@@ -181,7 +203,9 @@
 		cmd.spare()
 	}
 	cmd.worst, cmd.after = max(cmd.worst, how), max(cmd.after, after)
-	if ans != nil {
+	if ans != nil && ans.Result == diskproto.Fenced {
+		cmd.fenced = true
+	} else if ans != nil {
 		cmd.miscomp = cmd.miscomp || ans.Result == diskproto.Miscompare
 		if cmd.held > 0 && !cmd.gather(j, ans.Data) {
 			cmd.worst = max(cmd.worst, endFailed) // a server that answers less than was asked
@@ -236,6 +260,10 @@
 	if c.closed || cmd.worst == endGone {
 		return
 	}
+	if cmd.fenced && cmd.worst == endServed {
+		c.recheck(cmd.task, cmd.outcome, c.volume(c.front.view.Load()), cmd.class, cmd.partServed())
+		return
+	}
 	c.batch = true
 	c.sess.Respond(cmd.task, cmd.answer())
 	c.batch = false
@@ -247,7 +275,7 @@
 	case cmd.worst == endServed && cmd.miscomp:
 		return iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.Miscompare.Fixed()}
 	case cmd.worst == endServed:
-		return iscsi.Answer{Data: cmd.data, Out: cmd.out}
+		return iscsi.Answer{Data: cmd.data, Out: cmd.outcome.Out}
 	case cmd.worst == endRefused && !cmd.partRan():
 		return iscsi.Answer{Status: scsi.Busy, Qualifier: retryDelay(cmd.after)}
 	}
@@ -262,6 +290,46 @@
 	})
 }
 
+// partServed tells whether a part of a write was done before another met the fence.
+func (cmd *command) partServed() bool {
+	return len(cmd.jobs) > 1 && cmd.outcome.IO.Op.Writes()
+}
+
+// recheck looks a volume's reservations up and then starts the command anew, or says
+// that they stand in its way. partly: some of it may have been done already, which a
+// conflict must not deny. Held: conn.mu.
+func (c *conn) recheck(t *iscsi.Task, out scsi.Outcome, vol *settings.Volume, class *settings.Class, partly bool) {
+	t.User = nil // nothing of it is under way
+	c.front.keeper.fresh(vol, t.At+class.Deadline, func(s *reserve.State, err error) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		switch {
+		case c.closed:
+		case err != nil && partly:
+			c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.CommandAborted.Fixed()})
+		case err != nil:
+			c.respond(t, iscsi.Answer{Status: scsi.Busy})
+		case s.May(c.nexus(), out.IO.Op.Writes() || out.IO.Op == scsi.Flush):
+			if c.sess.Task(t.ITT) == t {
+				c.again(t, out)
+			}
+		case partly:
+			c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.CommandAborted.Fixed()})
+		default:
+			c.respond(t, iscsi.Answer{Status: scsi.Conflict})
+		}
+	})
+}
+
+// again starts a command anew. Held: conn.mu.
+func (c *conn) again(t *iscsi.Task, out scsi.Outcome) {
+	if out.IO.Op == scsi.Flush {
+		c.respond(t, iscsi.Answer{})
+		return
+	}
+	c.start(c.front.view.Load(), t, out)
+}
+
 // retryDelay is the advice of BUSY: tenths of a second, SAM-5 section 5.3.2.
 func retryDelay(ms float64) uint16 {
 	return uint16(min(math.Ceil(ms/100), 0x3fef))
--- a/gateway/conform_test.go
+++ b/gateway/conform_test.go
@@ -22,8 +22,8 @@
 // conformity runs the table against a volume, through whatever stands at that address.
 func conformity(t *testing.T, r *rig, addr string) []conform.Row {
 	t.Helper()
-	rows, err := conform.Run(context.Background(), func(ctx context.Context) (*initiator.Client, error) {
-		return initiator.Dial(ctx, initiator.Config{World: r.world, Addr: addr, Name: "iqn.2026-11.example.client:conform", ISID: iscsi.ISID{0x80, 2},
+	rows, err := conform.Run(context.Background(), func(ctx context.Context, who int) (*initiator.Client, error) {
+		return initiator.Dial(ctx, initiator.Config{World: r.world, Addr: addr, Name: "iqn.2026-11.example.client:conform", ISID: iscsi.ISID{0x80, 2, 0, 0, 0, byte(who)},
 			Target: r.set.TargetName(&r.set.Volumes[unlimited]), Params: initiator.DefaultParams()})
 	})
 	if err != nil {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -14,6 +14,7 @@
 
 	"merlinhitch/iscsi"
 	"merlinhitch/outbox"
+	"merlinhitch/reserve"
 	"merlinhitch/scsi"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
@@ -53,6 +54,7 @@
 	memory   atomic.Int64 // bytes held for clients
 	open     atomic.Int64 // requests at the host core
 	nextTSIH atomic.Uint32
+	keeper   *keeper
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
@@ -79,6 +81,7 @@
 
 func newFront(w seam.World, h *host, v *view, l net.Listener, log *zap.Logger) *front {
 	f := &front{world: w, host: h, log: log, listener: l, conns: map[*conn]bool{}, sessions: map[sessionKey]*conn{}}
+	f.keeper = newKeeper(f)
 	f.view.Store(v)
 	f.nextTSIH.Store(uint32(w.Uint64()))
 	f.tasks.Add(1)
@@ -158,6 +161,7 @@
 	out   *outbox.Outbox
 	log   *zap.Logger
 	key   sessionKey // set before the session is registered
+	port  reserve.Nexus
 	unit  *unit
 	ended chan struct{}
 
@@ -281,6 +285,7 @@
 	c.unit = v.targets[l.Target]
 	if !l.Discovery {
 		c.key = sessionKey{l.Initiator, l.Target, l.ISID}
+		c.port = portOf(c.key, c.front.host.self)
 		if old := c.front.register(c.key, c); old != nil {
 			old.log.Info("session reinstated by a new login")
 			old.out.Cut()
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -24,6 +24,7 @@
 	back  *back
 	fetch func()
 	log   *zap.Logger
+	self  int
 
 	mu      sync.Mutex
 	mail    []event
@@ -61,7 +62,7 @@
 }
 
 func newHost(w seam.World, s *settings.Settings, self int, name, zone string, log *zap.Logger) *host {
-	h := &host{world: w, log: log, wake: make(chan struct{}, 1), halted: make(chan struct{}), done: make(chan struct{}), timerAt: math.Inf(1), fetch: func() {}}
+	h := &host{world: w, log: log, self: self, wake: make(chan struct{}, 1), halted: make(chan struct{}), done: make(chan struct{}), timerAt: math.Inf(1), fetch: func() {}}
 	h.core = newHostCore(seam.MS(w.Now()), s, self, zone, w.Uint64(), h)
 	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
 	go h.run()
@@ -70,15 +71,17 @@
 
 // post hands an event to the goroutine; it never blocks. What waits is bounded by
 // what is open: one event for each request, one for each attempt.
-func (h *host) post(e event) {
+// It tells whether the host still takes events.
+func (h *host) post(e event) bool {
 	h.mu.Lock()
 	if h.stopped {
 		h.mu.Unlock()
-		return
+		return false
 	}
 	h.mail = append(h.mail, e)
 	h.mu.Unlock()
 	h.ring()
+	return true
 }
 
 func (h *host) ring() {
@@ -201,10 +204,10 @@
 func (h *host) note(text string)   { h.log.Warn(text) }
 
 func (h *host) finish(j *job, how endKind, after float64, ans *diskproto.Answer) {
-	j.cmd.partDone(j, how, after, ans)
+	j.owner.partDone(j, how, after, ans)
 }
 
-func (h *host) settled(j *job) { j.cmd.partSettled() }
+func (h *host) settled(j *job) { j.owner.partSettled() }
 
 func sortedByTag(open map[uint32]*attempt) []*attempt {
 	var out []*attempt
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -32,7 +32,7 @@
 	id      string
 	req     policy.Request
 	do      diskproto.Do // what every attempt says, but for its number and deadline
-	cmd     *command
+	owner   owner
 	sends   int
 	out     int
 	ended   bool
@@ -41,6 +41,14 @@
 	spare   bool // ended because the command's answer no longer depends on it
 }
 
+// owner is who a job was made for. It is told on the host's goroutine.
+type owner interface {
+	// partDone is the job's one end; ans is there if it was served.
+	partDone(j *job, how endKind, after float64, ans *diskproto.Answer)
+	// partSettled says that nothing of the job can take effect any more.
+	partSettled()
+}
+
 // attempt is one sending of a job. Its state is the only thing that host core and
 // back share: the one that moves it out of waiting decides whether it was sent.
 type attempt struct {
@@ -241,6 +249,7 @@
 	diskproto.Draining:   policy.TurnedAway,
 	diskproto.Expired:    policy.TurnedAway,
 	diskproto.WrongShard: policy.NotSent,
+	diskproto.Fenced:     policy.Served, // the server has done its work, which was to say no
 }
 
 // answered brings a disk server's answer. Of an attempt that is over already
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -305,6 +305,7 @@
 		return
 	}
 	s.Kill()
+	d.cell.PowerLoss()
 	f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
 	f.after(down, func() {
 		f.mu.Lock()
--- a/scsi/pages.go
+++ b/scsi/pages.go
@@ -184,7 +184,7 @@
 	if cdb[2]&7 == 0 {
 		return data(allCodes(all, timeouts), alloc)
 	}
-	actions := op == opServiceIn16 || op == opMaintenanceIn
+	actions := hasActions(op)
 	switch cdb[2] & 7 {
 	case 1:
 		if actions {
@@ -236,7 +236,7 @@
 	for _, k := range keys {
 		e := make([]byte, 8)
 		e[0] = k.op
-		if k.op == opServiceIn16 || k.op == opMaintenanceIn {
+		if hasActions(k.op) {
 			e[3], e[5] = k.sa, 1
 		}
 		e[7] = byte(all[k].size)
--- a/scsi/scsi.go
+++ b/scsi/scsi.go
@@ -14,6 +14,7 @@
 	Good           byte = 0x00
 	CheckCondition byte = 0x02
 	Busy           byte = 0x08
+	Conflict       byte = 0x18 // RESERVATION CONFLICT
 )
 
 // Sense is a sense key with its additional code and qualifier.
@@ -32,6 +33,12 @@
 	Miscompare        = Sense{0xe, 0x1d, 0}
 	CommandAborted    = Sense{0xb, 0, 0}
 	DeviceReset       = Sense{6, 0x29, 3}
+
+	ReservationsPreempted  = Sense{6, 0x2a, 3}
+	ReservationsReleased   = Sense{6, 0x2a, 4}
+	RegistrationsPreempted = Sense{6, 0x2a, 5}
+	InvalidRelease         = Sense{5, 0x26, 4}
+	RegistrationResources  = Sense{5, 0x55, 4}
 )
 
 func (s Sense) Error() string { return fmt.Sprintf("scsi: sense %x/%02x/%02x", s.Key, s.ASC, s.ASCQ) }
@@ -101,6 +108,14 @@
 	Unmaps []Run
 }
 
+// Reservation is a PERSISTENT RESERVE IN, or OUT with its parameter list.
+type Reservation struct {
+	In     bool
+	Action byte
+	Alloc  int
+	List   []byte
+}
+
 // Run is a run of blocks.
 type Run struct {
 	LBA    uint64
@@ -127,11 +142,13 @@
 	Extent uint32
 }
 
-// Outcome of decoding: exactly one of IO, Data (with status GOOD) and Sense.
+// Outcome of decoding: exactly one of IO, Data (with status GOOD), Sense and Reserve.
 type Outcome struct {
-	IO    *IO
-	Data  []byte
-	Sense *Sense
+	IO *IO
+	// Reserve tells a PERSISTENT RESERVE IN or OUT, which needs the volume's state.
+	Reserve *Reservation
+	Data    []byte
+	Sense   *Sense
 	// Out is the number of bytes of data out that the CDB speaks of; where the
 	// initiator expects to move another number, the difference is the residual.
 	Out int
@@ -166,6 +183,8 @@
 	opWriteSame10      = 0x41
 	opUnmap            = 0x42
 	opModeSense10      = 0x5a
+	opReserveIn        = 0x5e
+	opReserveOut       = 0x5f
 	opRead16           = 0x88
 	opCompareAndWrite  = 0x89
 	opWrite16          = 0x8a
@@ -204,7 +223,7 @@
 	}
 	c := commands[key(cdb)]
 	if c == nil {
-		if cdb[0] == opServiceIn16 || cdb[0] == opMaintenanceIn {
+		if hasActions(cdb[0]) {
 			return fail(InvalidField) // the service action is what is unknown
 		}
 		return fail(InvalidOpcode)
@@ -225,12 +244,17 @@
 type commandKey struct{ op, sa byte }
 
 func key(cdb [16]byte) commandKey {
-	if cdb[0] == opServiceIn16 || cdb[0] == opMaintenanceIn {
+	if hasActions(cdb[0]) {
 		return commandKey{cdb[0], cdb[1] & 0x1f}
 	}
 	return commandKey{cdb[0], 0}
 }
 
+// hasActions tells whether an operation code needs a service action.
+func hasActions(op byte) bool {
+	return op == opServiceIn16 || op == opMaintenanceIn || op == opReserveIn || op == opReserveOut
+}
+
 type decoder func(d *Disk, cdb [16]byte, out []byte) Outcome
 
 type supported struct {
@@ -264,6 +288,12 @@
 	for op, o := range map[byte]Op{opRead16: Read, opWrite16: Write, opVerify16: Verify, opSyncCache16: Flush, opWriteSame16: WriteSame} {
 		commands[commandKey{op, 0}] = &supported{16, span(16, flagBits(o), 2, 10, 10, 14), transfer(o)}
 	}
+	for sa := range byte(4) {
+		commands[commandKey{opReserveIn, sa}] = &supported{size: 10, usage: bits(10, 1, 0x1f, 7, 0xff, 8, 0xff), decode: reserveIn}
+	}
+	for sa := range byte(7) {
+		commands[commandKey{opReserveOut, sa}] = &supported{size: 10, usage: bits(10, 1, 0x1f, 2, 0xff, 5, 0xff, 6, 0xff, 7, 0xff, 8, 0xff), decode: reserveOut}
+	}
 	for k, c := range commands {
 		c.usage[0] = k.op
 	}
@@ -301,6 +331,18 @@
 	return u
 }
 
+func reserveIn(_ *Disk, cdb [16]byte, _ []byte) Outcome {
+	return Outcome{Reserve: &Reservation{In: true, Action: cdb[1] & 0x1f, Alloc: int(binary.BigEndian.Uint16(cdb[7:]))}}
+}
+
+func reserveOut(_ *Disk, cdb [16]byte, out []byte) Outcome {
+	n := int(binary.BigEndian.Uint32(cdb[5:]))
+	if n != len(out) {
+		return fail(ParamLength)
+	}
+	return Outcome{Reserve: &Reservation{Action: cdb[1] & 0x1f, List: out}, Out: n}
+}
+
 func empty(*Disk, [16]byte, []byte) Outcome { return data(nil, 0) }
 
 // address reads the block address and length of a read-like CDB.
--- a/scsi/scsi_test.go
+++ b/scsi/scsi_test.go
@@ -225,7 +225,7 @@
 		copy(b[:], c)
 		o := Decode(disk, b, out, []uint64{0})
 		n := 0
-		for _, has := range []bool{o.IO != nil, o.Data != nil, o.Sense != nil} {
+		for _, has := range []bool{o.IO != nil, o.Data != nil, o.Sense != nil, o.Reserve != nil} {
 			if has {
 				n++
 			}
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -16,7 +16,18 @@
 type Cell struct {
 	mu     sync.Mutex
 	blocks map[place][]byte
+	marks  map[string]*mark
 	Size   func(volume string) int // block size of a volume
+	// Effect, if set, is told of each operation on blocks as it takes effect.
+	Effect func(*diskproto.Do)
+}
+
+// mark is what a cell keeps of a volume's reservations: the record, where it is the
+// first extent's cell, and the fence.
+type mark struct {
+	record  diskproto.Record
+	persist bool
+	fence   uint64
 }
 
 type place struct {
@@ -26,13 +37,19 @@
 
 // NewCell returns an empty cell, which reads as zeros.
 func NewCell(size func(volume string) int) *Cell {
-	return &Cell{blocks: map[place][]byte{}, Size: size}
+	return &Cell{blocks: map[place][]byte{}, marks: map[string]*mark{}, Size: size}
 }
 
 // apply carries out an operation and returns its result and data.
 func (c *Cell) apply(d *diskproto.Do) (diskproto.Result, []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r, data, done := c.reservations(d); done {
+		return r, data
+	}
+	if c.Effect != nil {
+		c.Effect(d)
+	}
 	size := c.Size(d.Volume)
 	switch scsi.Op(d.Op) {
 	case scsi.Read:
@@ -63,6 +80,52 @@
 	return diskproto.OK, nil
 }
 
+// reservations carries out what concerns them, and holds the rest to the fence; done is
+// false for an operation that may go on.
+func (c *Cell) reservations(d *diskproto.Do) (r diskproto.Result, data []byte, done bool) {
+	m := c.marks[d.Volume]
+	if m == nil {
+		if d.Op != diskproto.OpFence && d.Op != diskproto.OpSwapRecord && d.Op != diskproto.OpRecord {
+			return 0, nil, false
+		}
+		m = &mark{}
+		c.marks[d.Volume] = m
+	}
+	switch d.Op {
+	case diskproto.OpRecord:
+		return diskproto.OK, m.record.Append(nil), true
+	case diskproto.OpFence:
+		m.fence = max(m.fence, d.Fence)
+		return diskproto.OK, nil, true
+	case diskproto.OpSwapRecord:
+		var s diskproto.Swap
+		switch {
+		case s.Parse(d.Data) != nil:
+			return diskproto.Failed, nil, true
+		case s.Expected != m.record.Version:
+			return diskproto.Miscompare, m.record.Append(nil), true
+		}
+		m.record = diskproto.Record{Version: s.New.Version, Bytes: append([]byte(nil), s.New.Bytes...)}
+		m.persist = s.Persist
+		return diskproto.OK, m.record.Append(nil), true
+	}
+	if d.Fence < m.fence {
+		return diskproto.Fenced, nil, true
+	}
+	return 0, nil, false
+}
+
+// PowerLoss empties the records that were not to outlive one.
+func (c *Cell) PowerLoss() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.marks {
+		if !m.persist && len(m.record.Bytes) > 0 {
+			m.record = diskproto.Record{Version: m.record.Version + 1}
+		}
+	}
+}
+
 func (c *Cell) read(volume string, lba uint64, blocks uint32, size int) []byte {
 	out := make([]byte, int(blocks)*size)
 	for i := range uint64(blocks) {
