--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -15,18 +15,19 @@
 type commandLine struct {
 	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines (debug, info, warn, error)."`
 
-	Gateway    gatewayCmd    `cmd:"" help:"Run a host: iSCSI towards clients, the module, disk servers behind."`
-	Diskserver diskserverCmd `cmd:"" help:"Run a stand-in disk server."`
-	Inventory  inventoryCmd  `cmd:"" help:"Run a stand-in node list."`
-	Settings   settingsCmd   `cmd:"" help:"Read, change or draft the settings of a running gateway."`
-	Io         ioCmd         `cmd:"" help:"Log in to a volume and read or write blocks."`
-	Badday     baddayCmd     `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
-	Conform    conformCmd    `cmd:"" help:"Hold a target to SPC-4, SBC-3 and RFC 7143, check by check."`
-	Bench      benchCmd      `cmd:"" help:"Measure the gateway beside a bare relay over the same hops."`
-	Plan       planCmd       `cmd:"" help:"Work out which volume lies on which nodes."`
-	Routes     routesCmd     `cmd:"" help:"Show what a gateway announces, to which routers, and why."`
-	Announce   announceCmd   `cmd:"" help:"Measure announcements."`
-	Trail      trailCmd      `cmd:"" help:"Check or read the trail of a day."`
+	Gateway      gatewayCmd      `cmd:"" help:"Run a host: iSCSI towards clients, the module, disk servers behind."`
+	Diskserver   diskserverCmd   `cmd:"" help:"Run a stand-in disk server."`
+	Inventory    inventoryCmd    `cmd:"" help:"Run a stand-in node list."`
+	Settings     settingsCmd     `cmd:"" help:"Read, change or draft the settings of a running gateway."`
+	Io           ioCmd           `cmd:"" help:"Log in to a volume and read or write blocks."`
+	Badday       baddayCmd       `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
+	Reservations reservationsCmd `cmd:"" help:"Play reservations over three hosts with crashes, pauses and cut links, and judge the histories."`
+	Conform      conformCmd      `cmd:"" help:"Hold a target to SPC-4, SBC-3 and RFC 7143, check by check."`
+	Bench        benchCmd        `cmd:"" help:"Measure the gateway beside a bare relay over the same hops."`
+	Plan         planCmd         `cmd:"" help:"Work out which volume lies on which nodes."`
+	Routes       routesCmd       `cmd:"" help:"Show what a gateway announces, to which routers, and why."`
+	Announce     announceCmd     `cmd:"" help:"Measure announcements."`
+	Trail        trailCmd        `cmd:"" help:"Check or read the trail of a day."`
 }
 
 // errSaid ends a command that has already said what is wrong.
--- /dev/null
+++ b/cmd/merlinhitch/reservations.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"merlinhitch/lab"
+)
+
+type reservationsCmd struct {
+	Runs     int `default:"200" help:"Seeds."`
+	Steps    int `default:"40" help:"Steps of each of the four initiators."`
+	Parallel int `default:"6" help:"Runs at once."`
+}
+
+func (c *reservationsCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	bad, err := lab.ReservationRuns(ctx, max(c.Runs, 1), max(c.Steps, 1), max(c.Parallel, 1), os.Stdout, os.Stderr)
+	if err == nil && bad > 0 {
+		err = errSaid
+	}
+	return err
+}
--- a/diskproto/diskproto.go
+++ b/diskproto/diskproto.go
@@ -428,7 +428,7 @@
 		return &FrameError{fmt.Sprintf("answer: data of %d bytes, %d said", len(d.b), size)}
 	}
 	m.Data, d.b = d.b, nil
-	if d.bad == "" && (m.Result < OK || m.Result > Expired) {
+	if d.bad == "" && (m.Result < OK || m.Result > Fenced) {
 		return &FrameError{"answer: unknown result"}
 	}
 	return d.end("answer")
--- a/diskproto/diskproto_test.go
+++ b/diskproto/diskproto_test.go
@@ -80,13 +80,13 @@
 }
 
 func TestResults(t *testing.T) {
-	for r := OK; r <= Expired; r++ {
-		if want := r == Full || r == Draining || r == WrongShard || r == Expired; r.ProvesNothingRan() != want || r.String() == "?" {
+	for r := OK; r <= Fenced; r++ {
+		if want := r == Full || r == Draining || r == WrongShard || r == Expired || r == Fenced; r.ProvesNothingRan() != want || r.String() == "?" {
 			t.Errorf("%d (%s) proves that nothing ran: %v", r, r, r.ProvesNothingRan())
 		}
 	}
 	a := &Answer{}
-	if err := a.Parse((&Answer{Result: Expired + 1}).Append(nil)); err == nil {
+	if err := a.Parse((&Answer{Result: Fenced + 1}).Append(nil)); err == nil {
 		t.Error("an unknown result is taken")
 	}
 }
--- /dev/null
+++ b/lab/reservations.go
@@ -0,0 +1,640 @@
+package lab
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"go.uber.org/zap"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/gateway"
+	"merlinhitch/initiator"
+	"merlinhitch/inventory"
+	"merlinhitch/iscsi"
+	"merlinhitch/scsi"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+	"merlinhitch/standin"
+)
+
+// Reservations of one volume, asked for by several initiators through three hosts, with
+// hosts that die and stand still, links that are cut and disk servers that lose power.
+// What came of it is judged by a model written from SPC-4 alone, over the history that
+// initiators saw and the writes as they took effect at the disk servers.
+
+const (
+	rHosts      = 3
+	rInitiators = 4
+	rShards     = 3
+	// rPersist is the part of the runs in which registrations outlive a loss of power.
+	rPersist = 0.5
+)
+
+// Kinds of steps.
+const (
+	stepRegister   = "register"
+	stepUnregister = "unregister"
+	stepReserve    = "reserve"
+	stepRelease    = "release"
+	stepClear      = "clear"
+	stepPreempt    = "preempt"
+	stepWrite      = "write"
+	stepRead       = "read"
+	stepPower      = "power lost" // of the server that keeps the state
+)
+
+// Outcomes of a step.
+const (
+	saidGood     = "good"
+	saidConflict = "conflict"
+	saidNothing  = "nothing" // refused without effect
+	saidUnknown  = "unknown"
+)
+
+// ReservationStep is one step of a history. Times are since the world began.
+type ReservationStep struct {
+	Who   int
+	Kind  string
+	Type  byte // of a reserve, release or pre-emption
+	Whom  int  // whose key is pre-empted
+	Said  string
+	Call  time.Duration
+	End   time.Duration
+	Stamp uint64 // of a write's block
+}
+
+// ReservationHistory is a run's.
+type ReservationHistory struct {
+	Persist bool
+	Steps   []ReservationStep
+	// Effects are the writes as disk servers carried them out, by their stamps.
+	Effects map[uint64][]time.Duration
+}
+
+// ReservationRun plays one run; unfenced with disk servers that keep no fence.
+func ReservationRun(ctx context.Context, seed uint64, steps int, unfenced bool) (*ReservationHistory, error) {
+	r, err := newReservationRig(seed, unfenced)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	var all sync.WaitGroup
+	for i := range rInitiators {
+		all.Go(func() { r.client(ctx, i, steps) })
+	}
+	stop := make(chan struct{})
+	var faults sync.WaitGroup
+	faults.Go(func() { r.faults(stop) })
+	all.Wait()
+	close(stop)
+	faults.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &r.history, r.failed
+}
+
+type reservationRig struct {
+	world   seam.World
+	rng     *rand.Rand // of the faults
+	seed    uint64
+	set     *settings.Settings
+	inv     *standin.Inventory
+	cells   []*standin.Cell
+	disks   []*standin.DiskServer
+	mu      sync.Mutex
+	hosts   [rHosts]*gateway.Gateway
+	worlds  [rHosts]*cutWorld
+	history ReservationHistory
+	failed  error
+	stamp   uint64
+}
+
+func newReservationRig(seed uint64, unfenced bool) (*reservationRig, error) {
+	r := &reservationRig{world: seam.NewReal(), rng: rand.New(rand.NewPCG(seed, 21)), seed: seed, set: settings.Example(rHosts, rShards)}
+	r.history = ReservationHistory{Persist: r.rng.Float64() < rPersist, Effects: map[uint64][]time.Duration{}}
+	v := r.set.Volumes[5] // of a plan without a limit
+	v.Layout, v.Hosts, v.Blocks = []int{0, 1, 2}, []int{0, 1, 2}, 4096
+	r.set.Volumes = []settings.Volume{v}
+	for i := range r.set.Classes {
+		r.set.Classes[i].Deadline = min(r.set.Classes[i].Deadline, 1500)
+		r.set.Classes[i].Aim = min(r.set.Classes[i].Aim, 500)
+	}
+	r.set.Rules.ColdFrom = 1
+	var err error
+	if r.inv, err = standin.ServeInventory(r.world, "127.0.0.1:0", 0); err != nil {
+		return nil, err
+	}
+	for i := range rShards {
+		cell := standin.NewCell(func(string) int { return v.BlockSize })
+		cell.Effect, cell.Unfenced = r.effect, unfenced
+		r.cells, r.disks = append(r.cells, cell), append(r.disks, nil)
+		if err := r.startDisk(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range rHosts {
+		r.worlds[i] = newCutWorld(r.world)
+		if err := r.startHost(i); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// effect notes a write as it changes blocks.
+func (r *reservationRig) effect(d *diskproto.Do) {
+	if scsi.Op(d.Op) != scsi.Write || len(d.Data) < 8 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := binary.BigEndian.Uint64(d.Data)
+	r.history.Effects[s] = append(r.history.Effects[s], r.world.Now())
+}
+
+func (r *reservationRig) startDisk(i int) error {
+	m := standin.NewMachine(standin.MachineConfig{Cores: 2, Queue: 64, UnitWork: 1, WriteX: 1, ColdFrom: 1, FallTime: 1000, FallMultiple: 2},
+		r.seed*10+uint64(i), r.cells[i], standin.NewRack(6000), nil, uint32(i), 0, false)
+	d := &standin.DiskServer{Name: fmt.Sprint("d", i), Zone: Halls[i], Rack: fmt.Sprint("d", i), Shard: i}
+	if err := standin.ServeDisk(r.world, m, d); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	old := r.disks[i]
+	r.disks[i] = d
+	r.mu.Unlock()
+	r.inv.ChangeNow(func(b *inventory.Book) {
+		if old != nil {
+			b.Health(old.Addr, inventory.Gone)
+		}
+		b.Set(inventory.Node{Addr: d.Addr, Health: inventory.Ready, Shard: i, Zone: d.Zone, Weight: 1, Incarnation: d.Started}, 0)
+	})
+	return nil
+}
+
+func (r *reservationRig) startHost(i int) error {
+	g, err := gateway.Start(gateway.Config{World: r.worlds[i], Log: zap.NewNop(), Name: fmt.Sprint("h", i), Self: i, Zone: Halls[i], Listen: "127.0.0.1:0", Inventory: r.inv.Addr})
+	if err != nil {
+		return err
+	}
+	if _, err := g.Settings().Put(r.set); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hosts[i] = g
+	return nil
+}
+
+func (r *reservationRig) close() {
+	for _, g := range r.hosts {
+		if g != nil {
+			g.Kill()
+		}
+	}
+	for _, d := range r.disks {
+		if d != nil {
+			d.Kill()
+		}
+	}
+	r.inv.Close()
+}
+
+func (r *reservationRig) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failed == nil {
+		r.failed = err
+	}
+}
+
+// faults strikes now and then until stop is closed.
+func (r *reservationRig) faults(stop <-chan struct{}) {
+	for seam.Wait(r.world, time.Duration(50+r.rng.IntN(200))*time.Millisecond, stop) {
+		h, d := r.rng.IntN(rHosts), r.rng.IntN(rShards)
+		r.mu.Lock()
+		g, addr := r.hosts[h], r.disks[d].Addr
+		r.mu.Unlock()
+		lasts := time.Duration(50+r.rng.IntN(300)) * time.Millisecond
+		switch r.rng.IntN(5) {
+		case 0, 1: // a link
+			r.worlds[h].off(cutKind(r.rng.IntN(2)), addr)
+			seam.Wait(r.world, lasts, stop)
+			r.worlds[h].heal(addr)
+		case 2: // a pause of a host
+			until := make(chan struct{})
+			g.Freeze(until)
+			seam.Wait(r.world, lasts, stop)
+			close(until)
+		case 3: // a host
+			g.Kill()
+			if err := r.startHost(h); err != nil {
+				r.fail(err)
+				return
+			}
+		case 4: // a disk server, by loss of power
+			call := r.world.Now()
+			r.disks[d].Kill()
+			r.cells[d].PowerLoss()
+			if d == 0 {
+				r.note(ReservationStep{Kind: stepPower, Said: saidGood, Call: call, End: r.world.Now()})
+			}
+			if err := r.startDisk(d); err != nil {
+				r.fail(err)
+				return
+			}
+		}
+	}
+}
+
+func (r *reservationRig) note(s ReservationStep) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.Steps = append(r.history.Steps, s)
+}
+
+// client is one initiator: it asks for this and that through one host.
+func (r *reservationRig) client(ctx context.Context, who, steps int) {
+	rng := rand.New(rand.NewPCG(r.seed, uint64(100+who)))
+	var s *initiator.Client
+	defer func() {
+		if s != nil {
+			s.Close()
+		}
+	}()
+	kinds := []string{stepRegister, stepRegister, stepUnregister, stepReserve, stepReserve, stepRelease, stepClear, stepPreempt, stepPreempt,
+		stepWrite, stepWrite, stepWrite, stepWrite, stepRead}
+	types := []byte{1, 3, 5, 6, 7, 8}
+	for n := 0; n < steps && ctx.Err() == nil; {
+		for tries := 0; s == nil && tries < 200; tries++ {
+			s = r.dial(ctx, who)
+			if s == nil && !seam.Wait(r.world, 10*time.Millisecond, ctx.Done()) {
+				return
+			}
+		}
+		if s == nil {
+			r.fail(errors.New("lab: no host takes a session"))
+			return
+		}
+		// Time for a fault to strike in between, and for others to be in the midst of theirs.
+		seam.Wait(r.world, time.Duration(rng.IntN(40))*time.Millisecond, ctx.Done())
+		step := ReservationStep{Who: who, Kind: kinds[rng.IntN(len(kinds))], Type: types[rng.IntN(len(types))], Whom: rng.IntN(rInitiators)}
+		if done, alive := r.step(ctx, s, &step, rng); done {
+			n++
+			r.note(step)
+			if !alive {
+				s.Close()
+				s = nil
+			}
+		}
+	}
+}
+
+func (r *reservationRig) dial(ctx context.Context, who int) *initiator.Client {
+	r.mu.Lock()
+	g := r.hosts[who%rHosts]
+	r.mu.Unlock()
+	within, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	s, err := initiator.Dial(within, initiator.Config{World: r.world, Addr: g.Addr().String(), Name: fmt.Sprint("iqn.2026-11.example.client:", who),
+		Target: r.set.TargetName(&r.set.Volumes[0]), ISID: iscsi.ISID{0x80, 0, 0, 0, 0, byte(who)}, Params: initiator.DefaultParams(), LoginTime: time.Second})
+	if err != nil {
+		return nil
+	}
+	return s
+}
+
+// key is an initiator's; it never changes, so that who is pre-empted is known.
+func key(who int) uint64 { return uint64(who + 1) }
+
+// step asks for one thing; done is false where it was only told a unit attention.
+func (r *reservationRig) step(ctx context.Context, s *initiator.Client, st *ReservationStep, rng *rand.Rand) (done, alive bool) {
+	within, cancel := context.WithTimeout(ctx, 8*time.Second)
+	defer cancel()
+	block := make([]byte, r.set.Volumes[0].BlockSize)
+	lba := uint64(rng.IntN(96))
+	cdb, out, in := initiator.ReadCDB(lba, 1), []byte(nil), len(block)
+	switch st.Kind {
+	case stepRead:
+	case stepWrite:
+		r.mu.Lock()
+		r.stamp++
+		st.Stamp = r.stamp
+		r.mu.Unlock()
+		binary.BigEndian.PutUint64(block, st.Stamp)
+		cdb, out, in = initiator.WriteCDB(lba, 1), block, 0
+	default:
+		cdb, out, in = r.reserveOut(st), nil, 0
+		out = r.reserveList(st)
+	}
+	st.Call = r.world.Now()
+	res, err := s.Do(within, cdb, out, in)
+	st.End = r.world.Now()
+	sense, _ := scsi.ParseSense(res.Sense)
+	switch {
+	case err != nil:
+		st.Said = saidUnknown
+		return true, false
+	case res.Status == scsi.Good:
+		st.Said = saidGood
+	case res.Status == scsi.Conflict:
+		st.Said = saidConflict
+	case res.Status == scsi.Busy:
+		st.Said = saidNothing
+	case sense.Key == 6:
+		return false, true
+	case sense.Key == 5: // a pre-emption with the key 0, a release of another type
+		st.Said = saidNothing
+	default:
+		st.Said = saidUnknown
+	}
+	return true, true
+}
+
+var outAction = map[string]byte{stepRegister: 6, stepUnregister: 6, stepReserve: 1, stepRelease: 2, stepClear: 3, stepPreempt: 4}
+
+func (r *reservationRig) reserveOut(st *ReservationStep) []byte {
+	return []byte{0x5f, outAction[st.Kind], st.Type, 0, 0, 0, 0, 0, 24, 0}
+}
+
+func (r *reservationRig) reserveList(st *ReservationStep) []byte {
+	b := make([]byte, 24)
+	binary.BigEndian.PutUint64(b, key(st.Who))
+	switch st.Kind {
+	case stepRegister:
+		binary.BigEndian.PutUint64(b[8:], key(st.Who))
+	case stepPreempt:
+		binary.BigEndian.PutUint64(b[8:], key(st.Whom))
+	}
+	if r.history.Persist {
+		b[20] = 1
+	}
+	return b
+}
+
+// The model: registrations, type and holder, as SPC-4 has them, for initiators of one
+// key each.
+
+type rState struct {
+	registered [rInitiators]bool
+	typ        byte
+	holder     int
+	persist    bool // as the last registration said
+}
+
+func (s rState) holds(who int) bool {
+	return s.typ != 0 && (s.typ >= 7 && s.registered[who] || s.typ < 7 && s.holder == who)
+}
+
+func (s rState) may(who int, write bool) bool {
+	switch {
+	case s.typ == 0 || s.holds(who) || s.typ >= 5 && s.registered[who]:
+		return true
+	}
+	return !write && (s.typ == 1 || s.typ == 5 || s.typ == 7)
+}
+
+func (s rState) drop(who int) rState {
+	s.registered[who] = false
+	if s.typ >= 7 && s.registered == [rInitiators]bool{} || s.typ != 0 && s.typ < 7 && s.holder == who {
+		s.typ, s.holder = 0, 0
+	}
+	return s
+}
+
+// effect is what the step does to the state if it is GOOD, and whether it may be.
+func (s rState) effect(st *ReservationStep, persist bool) (rState, bool) {
+	switch st.Kind {
+	case stepPower:
+		if !s.persist {
+			return rState{}, true
+		}
+		return s, true
+	case stepWrite, stepRead:
+		return s, s.may(st.Who, st.Kind == stepWrite)
+	case stepRegister:
+		s.registered[st.Who], s.persist = true, persist
+		return s, true
+	case stepUnregister:
+		if s.registered[st.Who] {
+			s.persist = persist
+			s = s.drop(st.Who)
+		}
+		return s, true
+	}
+	if !s.registered[st.Who] {
+		return s, false
+	}
+	switch st.Kind {
+	case stepReserve:
+		if s.typ != 0 {
+			return s, s.holds(st.Who) && s.typ == st.Type
+		}
+		if s.typ = st.Type; st.Type < 7 {
+			s.holder = st.Who
+		}
+		return s, true
+	case stepRelease:
+		if s.holds(st.Who) {
+			if s.typ != st.Type {
+				return s, false // refused, and not as a conflict
+			}
+			s.typ, s.holder = 0, 0
+		}
+		return s, true
+	case stepClear:
+		return rState{persist: s.persist}, true
+	}
+	return s.preempt(st)
+}
+
+func (s rState) preempt(st *ReservationStep) (rState, bool) {
+	takes := s.typ != 0 && s.typ < 7 && s.holder == st.Whom
+	if !s.registered[st.Whom] {
+		return s, false
+	}
+	if st.Whom != st.Who {
+		s.registered[st.Whom] = false
+	}
+	if takes {
+		if s.typ, s.holder = st.Type, st.Who; st.Type >= 7 {
+			s.holder = 0
+		}
+	}
+	return s, true
+}
+
+// reservationModel is nondeterministic where the outcome of a step is not known.
+func reservationModel(persist bool) porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{rState{}} },
+		Step: func(state, in, _ any) []any {
+			s, st := state.(rState), in.(ReservationStep)
+			next, good := s.effect(&st, persist)
+			switch st.Said {
+			case saidGood:
+				if good {
+					return []any{next}
+				}
+				return nil
+			case saidConflict:
+				if good {
+					return nil
+				}
+				return []any{s}
+			case saidUnknown:
+				if good && next != s {
+					return []any{s, next}
+				}
+			}
+			return []any{s}
+		},
+		Equal: func(a, b any) bool { return a.(rState) == b.(rState) },
+	}
+	return m.ToModel()
+}
+
+// checkTime bounds the search for an order of one history.
+const checkTime = 60 * time.Second
+
+// Judge tells what is wrong with a history, "" if nothing.
+func (h *ReservationHistory) Judge() string {
+	var ops []porcupine.Operation
+	for i, s := range h.Steps {
+		end := s.End
+		if s.Said == saidUnknown {
+			if s.Kind == stepWrite || s.Kind == stepRead {
+				continue // it changes no reservation
+			}
+			end = math.MaxInt64 // it may yet be carried out
+		}
+		if s.Said == saidNothing {
+			continue
+		}
+		ops = append(ops, porcupine.Operation{ClientId: i, Input: s, Call: int64(s.Call), Return: int64(end)})
+	}
+	switch porcupine.CheckOperationsTimeout(reservationModel(h.Persist), ops, checkTime) {
+	case porcupine.Illegal:
+		return "no order of the steps explains their outcomes"
+	case porcupine.Unknown:
+		return "undecided: no order was found in time"
+	}
+	return h.judgeEffects()
+}
+
+// judgeEffects looks at each write as a disk server carried it out: after a pre-emption
+// of its initiator was answered, and until anything else may have given it leave again,
+// it may not have been.
+func (h *ReservationHistory) judgeEffects() string {
+	writer := map[uint64]int{}
+	for _, s := range h.Steps {
+		if s.Kind == stepWrite {
+			writer[s.Stamp] = s.Who
+		}
+	}
+	for _, p := range h.Steps {
+		if p.Kind != stepPreempt || p.Said != saidGood || p.Whom == p.Who {
+			continue
+		}
+		for stamp, times := range h.Effects {
+			if who, known := writer[stamp]; !known || who != p.Whom {
+				continue
+			}
+			for _, at := range times {
+				if at > p.End && h.reserved(&p, at) && !h.leave(&p, at) {
+					return fmt.Sprintf("a write of initiator %d took effect %v after the answer to its pre-emption", p.Whom, at-p.End)
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// reserved tells whether the pre-emptor certainly held a reservation against all others
+// than registrants from its answer to that time: it reserved before with a GOOD answer
+// and nothing since may have ended it.
+func (h *ReservationHistory) reserved(p *ReservationStep, at time.Duration) bool {
+	var last *ReservationStep
+	for i := range h.Steps {
+		s := &h.Steps[i]
+		if s.Who == p.Who && s.Kind == stepReserve && s.Said == saidGood && s.End < p.Call && (last == nil || s.End > last.End) {
+			last = s
+		}
+	}
+	if last == nil {
+		return false
+	}
+	return !slices.ContainsFunc(h.Steps, func(s ReservationStep) bool {
+		ends := s.Kind == stepRelease || s.Kind == stepClear || s.Kind == stepUnregister || s.Kind == stepPower || s.Kind == stepPreempt && s != *p || s.Kind == stepReserve && s != *last
+		return ends && s.Said != saidConflict && s.Said != saidNothing && s.Call < at && (s.End > last.Call || s.Said == saidUnknown)
+	})
+}
+
+// leave tells whether the pre-empted may have been registered again by then.
+func (h *ReservationHistory) leave(p *ReservationStep, at time.Duration) bool {
+	return slices.ContainsFunc(h.Steps, func(s ReservationStep) bool {
+		return s.Who == p.Whom && s.Kind == stepRegister && s.Said != saidConflict && s.Call < at && (s.End > p.Call || s.Said == saidUnknown)
+	})
+}
+
+// ReservationRuns plays and judges so many runs, several at once.
+func ReservationRuns(ctx context.Context, runs, steps, parallel int, out io.Writer, progress io.Writer) (bad int, err error) {
+	var mu sync.Mutex
+	said := map[string]int{}
+	effects, done, total := 0, 0, 0
+	var all sync.WaitGroup
+	seeds := make(chan uint64)
+	for range parallel {
+		all.Go(func() {
+			for seed := range seeds {
+				h, e := ReservationRun(ctx, seed, steps, false)
+				verdict := ""
+				if e == nil {
+					verdict = h.Judge()
+				}
+				mu.Lock()
+				if done++; e != nil {
+					err = e
+				} else {
+					for _, s := range h.Steps {
+						said[s.Kind+" "+s.Said]++
+						total++
+					}
+					effects += len(h.Effects)
+				}
+				if verdict != "" {
+					bad++
+					fmt.Fprintf(out, "seed %d: %s\n", seed, verdict)
+				}
+				if done%20 == 0 {
+					fmt.Fprintf(progress, "%d of %d runs\n", done, runs)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for s := range runs {
+		seeds <- uint64(s + 1)
+	}
+	close(seeds)
+	all.Wait()
+	var kinds []string
+	for k := range said {
+		kinds = append(kinds, k)
+	}
+	slices.Sort(kinds)
+	fmt.Fprintf(out, "%d runs, %d steps, %d writes took effect, %d runs broken\n", runs, total, effects, bad)
+	for _, k := range kinds {
+		fmt.Fprintf(out, "  %-24s %d\n", k, said[k])
+	}
+	return bad, err
+}
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -20,6 +20,8 @@
 	Size   func(volume string) int // block size of a volume
 	// Effect, if set, is told of each operation on blocks as it takes effect.
 	Effect func(*diskproto.Do)
+	// Unfenced has the cell forget every fence: a broken server, for tests of checkers.
+	Unfenced bool
 }
 
 // mark is what a cell keeps of a volume's reservations: the record, where it is the
@@ -109,7 +111,7 @@
 		m.persist = s.Persist
 		return diskproto.OK, m.record.Append(nil), true
 	}
-	if d.Fence < m.fence {
+	if d.Fence < m.fence && !c.Unfenced {
 		return diskproto.Fenced, nil, true
 	}
 	return 0, nil, false
