--- /dev/null
+++ b/gateway/answerer.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"runtime"
+	"sync"
+
+	"merlinhitch/iscsi"
+	"merlinhitch/outbox"
+)
+
+// answerer gives commands their answers on a goroutine of its own: the session's part
+// of an answer and the copy of its data cost as much as the module's decision, and need
+// not wait for the next one. A connection has one answerer, so that its answers keep
+// their order.
+type answerer struct {
+	host *host
+
+	mu     sync.Mutex
+	mail   []answered
+	closed bool
+	wake   chan struct{}
+	done   chan struct{}
+
+	said []*outbox.Outbox // what the present batch left to be written
+}
+
+// answered is a command whose parts are all over.
+type answered struct {
+	cmd    *command
+	answer iscsi.Answer
+	buffer *[]byte // what the answer's data lies in, given back once it is copied
+	fenced bool
+}
+
+// maxAnswerers bounds the answerers of a host: more than a few find nothing to do, for
+// the module hands out one answer after the other.
+const maxAnswerers = 4
+
+func newAnswerers(h *host) []*answerer {
+	list := make([]*answerer, min(runtime.GOMAXPROCS(0), maxAnswerers))
+	for i := range list {
+		list[i] = &answerer{host: h, wake: make(chan struct{}, 1), done: make(chan struct{})}
+		go list[i].run()
+	}
+	return list
+}
+
+// put hands an answer over. What waits is bounded by what is open at the host.
+func (a *answerer) put(x answered) {
+	a.mu.Lock()
+	a.mail = append(a.mail, x)
+	a.mu.Unlock()
+	a.ring()
+}
+
+func (a *answerer) ring() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// close ends the goroutine once it has given what it was handed, and waits for it.
+func (a *answerer) close() {
+	a.mu.Lock()
+	a.closed = true
+	a.mu.Unlock()
+	a.ring()
+	<-a.done
+}
+
+func (a *answerer) run() {
+	defer close(a.done)
+	var mail []answered
+	for {
+		<-a.wake
+		a.mu.Lock()
+		mail, a.mail = a.mail, mail[:0]
+		closed := a.closed
+		a.mu.Unlock()
+		for i := range mail {
+			a.give(&mail[i])
+			mail[i] = answered{}
+		}
+		for i, o := range a.said {
+			o.Release()
+			a.said[i] = nil
+		}
+		a.said = a.said[:0]
+		if closed && len(mail) == 0 {
+			return
+		}
+		if closed {
+			a.ring()
+		}
+	}
+}
+
+func (a *answerer) give(x *answered) {
+	c := x.cmd.conn
+	c.mu.Lock()
+	if !c.closed {
+		if x.fenced {
+			c.recheck(x.cmd.task, x.cmd.outcome, c.volume(c.front.view.Load()), x.cmd.class, x.cmd.partServed())
+		} else {
+			c.batch = true
+			c.sess.Respond(x.cmd.task, x.answer)
+			c.batch = false
+			a.said = append(a.said, c.out)
+		}
+	}
+	c.mu.Unlock()
+	if x.buffer != nil {
+		a.host.buffers.Put(x.buffer)
+	}
+}
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -26,6 +26,7 @@
 	after     float64
 	miscomp   bool
 	data      []byte
+	buffer    *[]byte // what data lies in, if it is borrowed
 	blockSize int
 	held      int // bytes reserved for what it reads
 	outcome   scsi.Outcome
@@ -234,13 +235,13 @@
 }
 
 // gather puts a part's data in its place; false if it isn't what was asked for. A
-// sole part's data is the command's: the answer goes out before it is used again.
+// sole part's data is the command's, with what it lies in.
 func (cmd *command) gather(j *job, data []byte) bool {
 	if len(data) != int(j.do.Blocks)*cmd.blockSize {
 		return false
 	}
 	if len(cmd.jobs) == 1 {
-		cmd.data = data
+		cmd.data, cmd.buffer, j.buffer = data, j.buffer, nil
 		return true
 	}
 	if cmd.data == nil {
@@ -250,24 +251,16 @@
 	return true
 }
 
-// finish gives the one answer: GOOD only if all parts were. A refusal promises
+// finish hands on the one answer: GOOD only if all parts were. A refusal promises
 // that nothing ran, which a served part of a write would belie.
 func (cmd *command) finish() {
 	c := cmd.conn
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.front.release(cmd.held)
-	if c.closed || cmd.worst == endGone {
+	if cmd.worst == endGone {
+		c.front.host.giveBack(cmd.buffer)
 		return
 	}
-	if cmd.fenced && cmd.worst == endServed {
-		c.recheck(cmd.task, cmd.outcome, c.volume(c.front.view.Load()), cmd.class, cmd.partServed())
-		return
-	}
-	c.batch = true
-	c.sess.Respond(cmd.task, cmd.answer())
-	c.batch = false
-	c.front.host.later(c.out)
+	c.answers.put(answered{cmd, cmd.answer(), cmd.buffer, cmd.fenced && cmd.worst == endServed})
 }
 
 func (cmd *command) answer() iscsi.Answer {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -54,7 +54,9 @@
 	memory   atomic.Int64 // bytes held for clients
 	open     atomic.Int64 // requests at the host core
 	nextTSIH atomic.Uint32
+	turn     atomic.Uint32 // of connections at the answerers
 	keeper   *keeper
+	answers  []*answerer
 
 	mu       sync.Mutex
 	conns    map[*conn]bool
@@ -81,7 +83,7 @@
 
 func newFront(w seam.World, h *host, v *view, l net.Listener, log *zap.Logger) *front {
 	f := &front{world: w, host: h, log: log, listener: l, conns: map[*conn]bool{}, sessions: map[sessionKey]*conn{}}
-	f.keeper = newKeeper(f)
+	f.keeper, f.answers = newKeeper(f), newAnswerers(h)
 	f.view.Store(v)
 	f.nextTSIH.Store(uint32(w.Uint64()))
 	f.tasks.Add(1)
@@ -162,8 +164,10 @@
 	log   *zap.Logger
 	key   sessionKey // set before the session is registered
 	port  reserve.Nexus
-	unit  *unit
-	ended chan struct{}
+	// answers gives the connection's commands their answers.
+	answers *answerer
+	unit    *unit
+	ended   chan struct{}
 
 	mu      sync.Mutex
 	sess    *iscsi.Session
@@ -180,6 +184,7 @@
 
 func newConn(f *front, c net.Conn) *conn {
 	k := &conn{front: f, net: c, ended: make(chan struct{}), log: f.log.With(zap.Stringer("peer", c.RemoteAddr()))}
+	k.answers = f.answers[f.turn.Add(1)%uint32(len(f.answers))]
 	k.out = outbox.New(f.world, c, outMost, seam.Duration(f.view.Load().Target.WriteTime))
 	k.out.Gauge = func(delta int) { f.memory.Add(int64(delta)) }
 	return k
@@ -546,4 +551,7 @@
 		c.out.Cut()
 	}
 	f.tasks.Wait()
+	for _, a := range f.answers {
+		a.close()
+	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/settings", settings.Handler(g.store))
 	mux.HandleFunc("GET /routes", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Routes()) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Status()) })
 	mux.HandleFunc("GET /rates", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Rates()) })
 	g.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
 	go g.admin.Serve(l) // ends with Close; its error says only that
@@ -184,6 +185,7 @@
 	Memory           int64
 	Requests         uint64 // taken since the start
 	Sends, Resends   uint64
+	LimitHeld        uint64 // requests let go of unsent because of their volume's limit
 	Nodes            int
 	ListSeen         bool
 	ConnectedServers int
@@ -205,7 +207,7 @@
 	s.ConnectedServers = len(h.back.links)
 	h.back.mu.Unlock()
 	h.ask(func(c *hostCore) {
-		s.Requests, s.Sends, s.Resends, s.Nodes, s.ListSeen = c.nextSeq, c.sends, c.resends, len(c.nodes), c.listed
+		s.Requests, s.Sends, s.Resends, s.LimitHeld, s.Nodes, s.ListSeen = c.nextSeq, c.sends, c.resends, c.held, len(c.nodes), c.listed
 	})
 	return s
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -132,3 +132,24 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// What a limit holds back is counted.
+func TestWhatALimitHoldsBackIsCounted(t *testing.T) {
+	r := newRig(t, nil)
+	const limited, sessions, each = 0, 4, 64
+	ends := make(chan error, sessions*each)
+	for i := range sessions {
+		c := r.client(limited, byte(10+i))
+		for k := range each {
+			c.Submit(0, initiator.ReadCDB(uint64(k), 1), nil, 4096, func(_ iscsi.Result, err error) { ends <- err })
+		}
+	}
+	for range sessions * each {
+		if err := <-ends; err != nil {
+			t.Fatal(err)
+		}
+	}
+	if held := r.gate.Status().LimitHeld; held == 0 {
+		t.Error("nothing was counted")
+	}
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -125,6 +125,13 @@
 	return new([]byte)
 }
 
+// giveBack returns room for an answer's data.
+func (h *host) giveBack(b *[]byte) {
+	if b != nil {
+		h.buffers.Put(b)
+	}
+}
+
 // later has what o holds written at the end of the batch: many answers then go
 // out in one call of the system. On the host's goroutine only.
 func (h *host) later(o *outbox.Outbox) { h.said = append(h.said, o) }
@@ -134,10 +141,11 @@
 	case evTake:
 		h.core.take(now, e.job)
 	case evAnswer:
+		j := e.attempt.job
+		j.buffer = e.buffer
 		h.core.answered(now, e.attempt, e.answer)
-		if e.buffer != nil { // the data was copied where it goes, or is not wanted
-			h.buffers.Put(e.buffer)
-		}
+		h.giveBack(j.buffer) // the data was copied, or is not wanted, or was taken over
+		j.buffer = nil
 	case evLost:
 		h.core.lost(now, e.attempt, e.result)
 	case evList:
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math"
 	"strconv"
 	"sync/atomic"
@@ -38,7 +39,8 @@
 	ended   bool
 	landBy  float64 // until then a lost attempt may still take effect
 	settled bool
-	spare   bool // ended because the command's answer no longer depends on it
+	buffer  *[]byte // what the data of the answer under way lies in
+	spare   bool    // ended because the command's answer no longer depends on it
 }
 
 // owner is who a job was made for. It is told on the host's goroutine.
@@ -100,6 +102,9 @@
 	listed  bool
 	nodes   map[string]inventory.Node
 	usage   *rates.Meter
+	limits  map[string]float64 // units a second of a plan's volumes, over all hosts
+	held    uint64             // requests that were let go of unsent while their volume asked for more than its limit
+	saidAt  map[string]float64 // when that was last said of a volume
 	// Sends and Resends count attempts; for operators.
 	sends, resends uint64
 }
@@ -114,7 +119,13 @@
 const rateMemory = 300
 
 func newHostCore(now float64, s *settings.Settings, self int, zone string, seed uint64, eff effects) *hostCore {
-	return &hostCore{now: now, usage: rates.New(now, rateMemory), mod: policy.New(s.Policy(self, zone), seed), eff: eff, jobs: map[string]*job{},
+	limits := map[string]float64{}
+	for _, p := range s.Plans {
+		if p.Limit > 0 {
+			limits[p.Name] = p.Limit
+		}
+	}
+	return &hostCore{limits: limits, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory), mod: policy.New(s.Policy(self, zone), seed), eff: eff, jobs: map[string]*job{},
 		started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
 }
 
@@ -207,10 +218,36 @@
 		return
 	}
 	j.ended = true
+	h.heldBack(j)
 	h.eff.finish(j, how, after, nil)
 	h.tidy(j)
 }
 
+// sayEvery is how often a volume that its limit holds back is named in the log, ms.
+const sayEvery = 60_000
+
+// heldBack says, now and then, that a limit is what holds a volume back: a request of it
+// was never sent, and the volume asks this host for more than the host's part. It
+// decides nothing.
+func (h *hostCore) heldBack(j *job) {
+	limit := h.limits[j.req.Plan]
+	if limit == 0 || j.sends > 0 {
+		return
+	}
+	part := limit / float64(max(j.req.Hosts, 1))
+	asks := h.usage.Of(h.now, j.req.Volume)
+	if asks <= part {
+		return
+	}
+	h.held++
+	if at, said := h.saidAt[j.req.Volume]; said && h.now-at < sayEvery {
+		return
+	}
+	h.saidAt[j.req.Volume] = h.now
+	h.eff.note(fmt.Sprintf("volume %s of plan %s asks this host for %.1f units a second, its limit lets it have %.1f here; requests wait and are refused for that",
+		j.req.Volume, j.req.Plan, asks, part))
+}
+
 // tidy forgets a job that is over and has nothing out.
 func (h *hostCore) tidy(j *job) {
 	if !j.ended || j.out > 0 {
--- a/iscsi/initiator.go
+++ b/iscsi/initiator.go
@@ -217,6 +217,7 @@
 	expStatSN uint32
 	nextITT   uint32
 	open      map[uint32]*command
+	text      []byte // of an answer that comes in parts
 }
 
 type command struct {
@@ -361,7 +362,17 @@
 	case OpTaskResp:
 		return &Result{ITT: p.ITT(), TaskReply: true, Response: p.BHS[2]}, nil
 	case OpTextResp:
-		return &Result{ITT: p.ITT(), Text: append([]byte{}, p.Data...)}, nil
+		if len(i.text)+len(p.Data) > MaxText {
+			return nil, &ProtocolError{"text over 64 KiB"}
+		}
+		i.text = append(i.text, p.Data...)
+		if p.Flags()&0x40 != 0 { // more is to come, and is asked for
+			i.Out(i.number(New(OpTextReq).Set(AtITT, p.ITT()).Set(AtTTT, p.Word(AtTTT))))
+			return nil, nil
+		}
+		text := append([]byte{}, i.text...)
+		i.text = i.text[:0]
+		return &Result{ITT: p.ITT(), Text: text}, nil
 	case OpLogoutResp:
 		return &Result{ITT: p.ITT(), Logout: true}, nil
 	case OpAsync:
--- a/iscsi/iscsi_test.go
+++ b/iscsi/iscsi_test.go
@@ -547,3 +547,24 @@
 		t.Errorf("the next command: %+v", r)
 	}
 }
+
+// A list of targets that no PDU holds comes in parts.
+func TestLongTextComesInParts(t *testing.T) {
+	p := newPair(t, nil)
+	p.s.MaxSend = 512
+	const n = 100
+	p.s.Targets = func(string) (keys []Key) {
+		for i := range n {
+			keys = append(keys, Key{"TargetName", "iqn.2026-11.example:" + strings.Repeat("v", i%30)})
+		}
+		return keys
+	}
+	p.i.Text([]Key{{"SendTargets", "All"}})
+	p.run()
+	if len(p.results) != 1 {
+		t.Fatalf("%d results", len(p.results))
+	}
+	if keys, err := ParseText(p.results[0].Text); err != nil || len(keys) != n {
+		t.Errorf("%d keys, %v", len(keys), err)
+	}
+}
--- a/iscsi/session.go
+++ b/iscsi/session.go
@@ -110,6 +110,8 @@
 	nextTTT   uint32
 	text      []byte
 	textITT   uint32
+	textOut   []byte // of an answer, not yet sent
+	textTTT   uint32
 	pingTTT   uint32
 	events    []Event
 }
@@ -590,7 +592,11 @@
 // textReq answers SendTargets, over several PDUs if it comes so.
 func (s *Session) textReq(p *PDU) error {
 	if p.ITT() != s.textITT {
-		s.text, s.textITT = s.text[:0], p.ITT()
+		s.text, s.textITT, s.textOut = s.text[:0], p.ITT(), nil
+	}
+	if s.textOut != nil && p.Word(AtTTT) == s.textTTT && len(p.Data) == 0 {
+		s.textPart(p)
+		return nil
 	}
 	if len(s.text)+len(p.Data) > MaxText {
 		return &ProtocolError{"text over 64 KiB"}
@@ -615,12 +621,24 @@
 			out = append(out, Key{k.Name, "NotUnderstood"})
 		}
 	}
-	r.Data = FormatText(out)
-	if len(r.Data) > s.MaxSend {
-		r.Data = FormatText([]Key{{"SendTargets", "Reject"}})
+	s.textOut = FormatText(out)
+	s.textPart(p)
+	return nil
+}
+
+// textPart sends as much of a text as one PDU holds; the initiator asks for the rest
+// with an empty request (RFC 7143 section 11.11).
+func (s *Session) textPart(p *PDU) {
+	r := New(OpTextResp).Set(AtITT, p.ITT()).Set(AtTTT, NoTag)
+	n := min(len(s.textOut), s.MaxSend)
+	r.Data, s.textOut = s.textOut[:n], s.textOut[n:]
+	if len(s.textOut) > 0 {
+		s.textTTT = s.ttt()
+		r.SetFlags(0x40).Set(AtTTT, s.textTTT)
+	} else {
+		s.textOut = nil
 	}
 	s.Out(s.numbers(r, true))
-	return nil
 }
 
 func (s *Session) logout(p *PDU) {
--- a/rates/rates.go
+++ b/rates/rates.go
@@ -67,6 +67,19 @@
 	s.now, s.wrote, s.at = 0, 0, at
 }
 
+// Of is a volume's mean so far, units a second, the second under way included at the
+// weight that it has by then.
+func (m *Meter) Of(now float64, volume string) float64 {
+	s := m.volumes[volume]
+	if s == nil {
+		return 0
+	}
+	at := second(now)
+	s.to(at, m.keep)
+	weight := 1 - math.Pow(m.keep, float64(at-m.start)+1)
+	return (s.mean*m.keep + (1-m.keep)*s.now) / weight
+}
+
 // forgotten is a rate too small to tell from none.
 const forgotten = 1e-9
 
--- a/rates/rates_test.go
+++ b/rates/rates_test.go
@@ -62,3 +62,19 @@
 		}
 	}
 }
+
+func TestRateOfOneVolume(t *testing.T) {
+	m := rates.New(0, 60)
+	if got := m.Of(0, "a"); got != 0 {
+		t.Errorf("%g of a volume never seen", got)
+	}
+	for s := range 5 {
+		m.Add(float64(s*1000), "a", 7, false)
+	}
+	if got := m.Of(4999, "a"); !near(got, 7) {
+		t.Errorf("%g, want 7", got)
+	}
+	if m.Add(4999, "a", 700, false); m.Of(4999, "a") < 100 {
+		t.Error("a surge in the second under way is not seen")
+	}
+}
