Reservations: hard cases caused, from a write overtaken in its link to a thousand keys

Change: tests that hold a write in the link while its initiator is pre-empted, pause a host past its lease, register 64 initiators at once, a thousand with a key each, and one key through two hosts.

--- a/lab/cutworld.go
+++ b/lab/cutworld.go
@@ -15,6 +15,7 @@
 const (
 	cutReset cutKind = iota // connections end at once, new ones are refused
 	cutHang                 // nothing passes, and nothing says so
+	cutHold                 // what is sent waits on its way until the address is healed
 )
 
 // cutWorld is a host's world in which addresses can be cut off for that host alone.
@@ -35,6 +36,8 @@
 	w    *cutWorld
 	mu   sync.Mutex
 	hung bool
+	hold bool
+	held []byte
 }
 
 var errCut = errors.New("lab: cut off")
@@ -84,6 +87,13 @@
 
 // Write implements net.Conn.
 func (c *cutConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.hold {
+		c.held = append(c.held, b...)
+		c.mu.Unlock()
+		return len(b), nil
+	}
+	c.mu.Unlock()
 	if c.lost() {
 		return len(b), nil
 	}
@@ -102,7 +112,7 @@
 func (w *cutWorld) off(kind cutKind, addrs ...string) {
 	for _, c := range w.on(addrs, func(a string) { w.cut[a] = kind }) {
 		c.mu.Lock()
-		c.hung = true
+		c.hung, c.hold = kind != cutHold, kind == cutHold
 		c.mu.Unlock()
 		if kind == cutReset {
 			c.Close()
@@ -115,7 +125,15 @@
 	for _, c := range w.on(addrs, func(a string) { delete(w.cut, a) }) {
 		if c.lost() {
 			c.Close()
+			continue
 		}
+		c.mu.Lock()
+		held := c.held
+		c.hold, c.held = false, nil
+		if len(held) > 0 {
+			c.Conn.Write(held) // under the lock, before what comes next; a failure ends the reader
+		}
+		c.mu.Unlock()
 	}
 }
 
--- a/lab/reservations_test.go
+++ b/lab/reservations_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
 	"merlinhitch/initiator"
+	"merlinhitch/scsi"
 	"merlinhitch/seam"
 )
 
@@ -173,3 +175,155 @@
 	do(0, stepWrite, 0, 0, saidGood)
 	old.Kill()
 }
+
+// The holder's write is on its way to the disk server when its host's pre-emption is
+// answered: it comes too late there.
+func TestPreemptionOvertakesAWrite(t *testing.T) {
+	r, do := quiet(t)
+	do(0, stepRegister, 0, 0, saidGood)
+	do(1, stepRegister, 0, 0, saidGood)
+	do(0, stepReserve, 1, 0, saidGood)
+	do(0, stepWrite, 0, 0, saidGood)
+	var addrs []string
+	for _, d := range r.disks {
+		addrs = append(addrs, d.Addr)
+	}
+	r.worlds[0].off(cutHold, addrs...)
+	s := r.dial(context.Background(), 0)
+	if s == nil {
+		t.Fatal("no session")
+	}
+	t.Cleanup(s.Close)
+	st := ReservationStep{Who: 0, Kind: stepWrite}
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		for {
+			if done, _ := r.step(context.Background(), s, &st, rand.New(rand.NewPCG(1, 1))); done {
+				return
+			}
+		}
+	}()
+	held := func() (n int) {
+		r.worlds[0].mu.Lock()
+		defer r.worlds[0].mu.Unlock()
+		for c := range r.worlds[0].conns {
+			c.mu.Lock()
+			n += len(c.held)
+			c.mu.Unlock()
+		}
+		return n
+	}
+	for held() < r.set.Volumes[0].BlockSize { // the write is in the link
+		seam.Wait(r.world, time.Millisecond, nil)
+	}
+	do(1, stepPreempt, 1, 0, saidGood)
+	r.worlds[0].heal(addrs...)
+	<-over
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if st.Said == saidGood || len(r.history.Effects[st.Stamp]) > 0 {
+		t.Errorf("%s, %d effects", st.Said, len(r.history.Effects[st.Stamp]))
+	}
+}
+
+// A host stands still for longer than its lease while the reservation passes on.
+func TestPauseOutlastsTheLease(t *testing.T) {
+	r, do := quiet(t)
+	do(0, stepRegister, 0, 0, saidGood)
+	do(1, stepRegister, 0, 0, saidGood)
+	do(0, stepReserve, 1, 0, saidGood)
+	until := make(chan struct{})
+	r.hosts[0].Freeze(until)
+	do(1, stepPreempt, 1, 0, saidGood)
+	seam.Wait(r.world, 1200*time.Millisecond, nil) // past the lease, which is a time of the product's own
+	close(until)
+	do(0, stepWrite, 0, 0, saidConflict)
+	do(1, stepWrite, 0, 0, saidGood)
+}
+
+// crowd registers so many initiators with a key each, some at once, and returns the keys
+// that are read back.
+func crowd(t *testing.T, n, atOnce int) int {
+	t.Helper()
+	r, err := newReservationRig(1, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.close)
+	slots := make(chan struct{}, atOnce)
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			var s *initiator.Client
+			for s == nil {
+				s = r.dial(context.Background(), i)
+			}
+			t.Cleanup(s.Close)
+			for {
+				st := ReservationStep{Who: i, Kind: stepRegister}
+				done, alive := r.step(context.Background(), s, &st, rand.New(rand.NewPCG(1, 1)))
+				if done && st.Said == saidGood {
+					return
+				}
+				if !alive {
+					t.Error("a session is over")
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	s := r.dial(context.Background(), n)
+	defer s.Close()
+	res, err := s.Do(context.Background(), []byte{0x5e, 0, 0, 0, 0, 0, 0, 0x40, 0, 0}, nil, 0x4000)
+	if err != nil || res.Status != scsi.Good {
+		t.Fatal(res.Status, err)
+	}
+	return (len(res.Data) - 8) / 8
+}
+
+func TestBurstOfRegistrations(t *testing.T) {
+	if got := crowd(t, 64, 64); got != 64 {
+		t.Errorf("%d keys of 64", got)
+	}
+}
+
+func TestAThousandSessionsWithAKeyEach(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a thousand sessions")
+	}
+	if got := crowd(t, 1000, 16); got != 1000 {
+		t.Errorf("%d keys of 1000", got)
+	}
+}
+
+// Two hosts register the same key at once: both nexus have it, and each is its own.
+func TestSameKeyThroughTwoHosts(t *testing.T) {
+	r, do := quiet(t)
+	var all sync.WaitGroup
+	for _, who := range []int{0, 1} {
+		s := r.dial(context.Background(), 10+who) // of keys of their own, changed to one
+		t.Cleanup(s.Close)
+		all.Go(func() {
+			list := make([]byte, 24)
+			list[15] = 0x77
+			for {
+				res, err := s.Do(context.Background(), []byte{0x5f, 6, 0, 0, 0, 0, 0, 0, 24, 0}, list, 0)
+				if err != nil || res.Status == scsi.Good {
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	do(0, stepRegister, 0, 0, saidGood)
+	s := r.dial(context.Background(), 12)
+	defer s.Close()
+	res, err := s.Do(context.Background(), []byte{0x5e, 0, 0, 0, 0, 0, 0, 1, 0, 0}, nil, 256)
+	if err != nil || len(res.Data) != 8+3*8 {
+		t.Fatalf("%x %v", res.Data, err)
+	}
+}
