--- a/bgp/fsm.go
+++ b/bgp/fsm.go
@@ -251,7 +251,9 @@
 	f.State = OpenConfirm
 }
 
-func (f *FSM) openSent(e Event, note *Notification, peerHold float64) {
+// connected handles what is the same in every state with a connection; false if the
+// event is another.
+func (f *FSM) connected(e Event, note *Notification) bool {
 	switch {
 	case e.starts() || e == TCPAcked || e == TCPConfirmed:
 	case e == ManualStop:
@@ -263,6 +265,18 @@
 	case e == HoldExpires:
 		f.notify(&Notification{Code: CodeHoldTimer})
 		f.fail()
+	case e == CollisionDump:
+		f.notify(&Notification{Code: CodeCease, Subcode: CeaseCollision})
+		f.fail()
+	default:
+		return false
+	}
+	return true
+}
+
+func (f *FSM) openSent(e Event, note *Notification, peerHold float64) {
+	switch {
+	case f.connected(e, note):
 	case e == TCPFails:
 		f.do(ActDrop)
 		f.stop(HoldTimer)
@@ -274,9 +288,6 @@
 	case e == HeaderErr || e == OpenMsgErr:
 		f.notify(note)
 		f.fail()
-	case e == CollisionDump:
-		f.notify(&Notification{Code: CodeCease, Subcode: CeaseCollision})
-		f.fail()
 	case e == NotifVersionErr:
 		f.release()
 	default:
@@ -289,16 +300,7 @@
 func (f *FSM) opened(e Event, note *Notification) {
 	up := f.State == Established
 	switch {
-	case e.starts() || e == TCPAcked || e == TCPConfirmed:
-	case e == ManualStop:
-		f.say(note, CeaseShutdown)
-		f.quit()
-	case e == AutomaticStop:
-		f.say(note, CeaseRejected)
-		f.fail()
-	case e == HoldExpires:
-		f.notify(&Notification{Code: CodeHoldTimer})
-		f.fail()
+	case f.connected(e, note):
 	case e == KeepaliveExpires:
 		f.do(ActKeep)
 		if f.Hold > 0 {
@@ -317,9 +319,6 @@
 		// header's own; the latter says more.
 		f.notify(note)
 		f.fail()
-	case e == CollisionDump:
-		f.notify(&Notification{Code: CodeCease, Subcode: CeaseCollision})
-		f.fail()
 	case e == KeepaliveReceived:
 		f.restartHold()
 		if !up {
--- a/lab/layouts.go
+++ b/lab/layouts.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -229,10 +228,6 @@
 // too, and with the solver's layout applied in the midst; then a calm day at half the
 // rate with and without the change, where any refusal would be the change's own.
 func LayoutDays(ctx context.Context, opt Options, n, parallel int, progress io.Writer) ([]LayoutRow, error) {
-	type job struct {
-		row  int
-		seed uint64
-	}
 	type kind struct {
 		layout, name string
 		shape        dayShape
@@ -248,41 +243,16 @@
 	list = append(list, kind{"round robin", "busy, solver's applied", dayApplied, false},
 		kind{"round robin", "calm", dayPlain, true}, kind{"round robin", "calm, solver's applied", dayApplied, true})
 	rows := make([]LayoutRow, len(list))
-	jobs := make(chan job)
-	var mu sync.Mutex
-	var failed error
-	done := 0
-	var all sync.WaitGroup
-	for range parallel {
-		all.Go(func() {
-			for j := range jobs {
-				k := list[j.row]
-				o := opt
-				o.Seed, o.Progress, o.Shared = j.seed, nil, true
-				if o.Troubles = BusyKinds; k.calm {
-					o.Troubles, o.Rate, o.Commands = []string{"none"}, opt.Rate/2, opt.Commands/2
-				}
-				res, steps, err := layoutDay(ctx, o, opt.Rate, k.layout, k.shape)
-				mu.Lock()
-				done++
-				if err != nil {
-					failed = fmt.Errorf("%s, %s, seed %d: %w", k.name, k.layout, j.seed, err)
-				} else {
-					rows[j.row].add(k.layout, k.name, j.seed, res, steps)
-				}
-				fmt.Fprintf(progress, "%d of %d days: %s, %s, seed %d\n", done, len(list)*n, k.name, k.layout, j.seed)
-				mu.Unlock()
-			}
-		})
-	}
-	for r := range list {
-		for s := range n {
-			jobs <- job{r, uint64(s + 1)}
+	return rows, overSeeds(len(rows), n, parallel, progress, func(row int, seed uint64) (string, func(), error) {
+		k := list[row]
+		o := opt
+		o.Seed, o.Progress, o.Shared = seed, nil, true
+		if o.Troubles = BusyKinds; k.calm {
+			o.Troubles, o.Rate, o.Commands = []string{"none"}, opt.Rate/2, opt.Commands/2
 		}
-	}
-	close(jobs)
-	all.Wait()
-	return rows, failed
+		res, steps, err := layoutDay(ctx, o, opt.Rate, k.layout, k.shape)
+		return k.name + ", " + k.layout, func() { rows[row].add(k.layout, k.name, seed, res, steps) }, err
+	})
 }
 
 func layoutDay(ctx context.Context, opt Options, rate float64, layout string, shape dayShape) (*Result, int, error) {
--- a/lab/reservations.go
+++ b/lab/reservations.go
@@ -588,45 +588,26 @@
 
 // ReservationRuns plays and judges so many runs, several at once.
 func ReservationRuns(ctx context.Context, runs, steps, parallel int, out io.Writer, progress io.Writer) (bad int, err error) {
-	var mu sync.Mutex
 	said := map[string]int{}
-	effects, done, total := 0, 0, 0
-	var all sync.WaitGroup
-	seeds := make(chan uint64)
-	for range parallel {
-		all.Go(func() {
-			for seed := range seeds {
-				h, e := ReservationRun(ctx, seed, steps, false)
-				verdict := ""
-				if e == nil {
-					verdict = h.Judge()
-				}
-				mu.Lock()
-				if done++; e != nil {
-					err = e
-				} else {
-					for _, s := range h.Steps {
-						said[s.Kind+" "+s.Said]++
-						total++
-					}
-					effects += len(h.Effects)
-				}
-				if verdict != "" {
-					bad++
-					fmt.Fprintf(out, "seed %d: %s\n", seed, verdict)
-				}
-				if done%20 == 0 {
-					fmt.Fprintf(progress, "%d of %d runs\n", done, runs)
-				}
-				mu.Unlock()
+	effects, total := 0, 0
+	err = overSeeds(1, runs, parallel, progress, func(_ int, seed uint64) (string, func(), error) {
+		h, err := ReservationRun(ctx, seed, steps, false)
+		if err != nil {
+			return "reservations", nil, err
+		}
+		verdict := h.Judge()
+		return "reservations", func() {
+			for _, s := range h.Steps {
+				said[s.Kind+" "+s.Said]++
+				total++
 			}
-		})
-	}
-	for s := range runs {
-		seeds <- uint64(s + 1)
-	}
-	close(seeds)
-	all.Wait()
+			effects += len(h.Effects)
+			if verdict != "" {
+				bad++
+				fmt.Fprintf(out, "seed %d: %s\n", seed, verdict)
+			}
+		}, nil
+	})
 	var kinds []string
 	for k := range said {
 		kinds = append(kinds, k)
--- a/lab/routing.go
+++ b/lab/routing.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -144,44 +143,15 @@
 // RouteDays plays the days over seeds with announcements on and off.
 func RouteDays(ctx context.Context, opt Options, n, parallel int, progress io.Writer) ([]RouteRow, error) {
 	rows := make([]RouteRow, 2*len(RouteShapes))
-	type job struct {
-		row  int
-		seed uint64
-	}
-	jobs := make(chan job)
-	var mu sync.Mutex
-	var failed error
-	done := 0
-	var all sync.WaitGroup
-	for range parallel {
-		all.Go(func() {
-			for j := range jobs {
-				o := opt
-				o.Seed, o.Progress, o.Troubles = j.seed, nil, []string{"none"}
-				o.Settings = AnnouncedSettings(opt.Hosts, opt.Servers)
-				o.during = []func(*day, time.Duration){hallDark, hostsKilled}[j.row/2]
-				o.Routing = []string{RouteFixed, RouteOn}[j.row%2]
-				res, err := BadDay(ctx, o)
-				mu.Lock()
-				done++
-				if err != nil {
-					failed = err
-				} else {
-					rows[j.row].add(RouteShapes[j.row/2], o.Routing, j.seed, res)
-				}
-				fmt.Fprintf(progress, "%d of %d days\n", done, len(rows)*n)
-				mu.Unlock()
-			}
-		})
-	}
-	for r := range rows {
-		for s := range n {
-			jobs <- job{r, uint64(s + 1)}
-		}
-	}
-	close(jobs)
-	all.Wait()
-	return rows, failed
+	return rows, overSeeds(len(rows), n, parallel, progress, func(row int, seed uint64) (string, func(), error) {
+		o := opt
+		o.Seed, o.Progress, o.Troubles = seed, nil, []string{"none"}
+		o.Settings = AnnouncedSettings(opt.Hosts, opt.Servers)
+		o.during = []func(*day, time.Duration){hallDark, hostsKilled}[row/2]
+		o.Routing = []string{RouteFixed, RouteOn}[row%2]
+		res, err := BadDay(ctx, o)
+		return RouteShapes[row/2] + ", " + o.Routing, func() { rows[row].add(RouteShapes[row/2], o.Routing, seed, res) }, err
+	})
 }
 
 func (r *RouteRow) add(name, routing string, seed uint64, res *Result) {
--- a/lab/sweep.go
+++ b/lab/sweep.go
@@ -26,12 +26,26 @@
 // Sweep plays each kind of trouble alone, then all together and none, over the
 // seeds 1 to n, so many days at once.
 func Sweep(ctx context.Context, opt Options, n, parallel int, progress io.Writer) ([]SweepRow, error) {
+	names := append(Kinds(), "all together", "none")
+	rows := make([]SweepRow, len(names))
+	return rows, overSeeds(len(rows), n, parallel, progress, func(row int, seed uint64) (string, func(), error) {
+		o := opt
+		o.Seed, o.Progress, o.Troubles = seed, nil, []string{names[row]}
+		if names[row] == "all together" {
+			o.Troubles = nil
+		}
+		res, err := BadDay(ctx, o)
+		return names[row], func() { rows[row].add(names[row], seed, res) }, err
+	})
+}
+
+// overSeeds plays each row with the seeds 1 to n, so many at once. play returns a name
+// for the progress and what enters its result, which is called one at a time.
+func overSeeds(rows, n, parallel int, progress io.Writer, play func(row int, seed uint64) (name string, enter func(), err error)) error {
 	type job struct {
 		row  int
 		seed uint64
 	}
-	names := append(Kinds(), "all together", "none")
-	rows := make([]SweepRow, len(names))
 	jobs := make(chan job)
 	var mu sync.Mutex
 	var failed error
@@ -40,32 +54,26 @@
 	for range parallel {
 		all.Go(func() {
 			for j := range jobs {
-				o := opt
-				o.Seed, o.Progress, o.Troubles = j.seed, nil, []string{names[j.row]}
-				if names[j.row] == "all together" {
-					o.Troubles = nil
-				}
-				res, err := BadDay(ctx, o)
+				name, enter, err := play(j.row, j.seed)
 				mu.Lock()
-				done++
-				if err != nil {
-					failed = err
+				if done++; err != nil {
+					failed = fmt.Errorf("%s, seed %d: %w", name, j.seed, err)
 				} else {
-					rows[j.row].add(names[j.row], j.seed, res)
+					enter()
 				}
-				fmt.Fprintf(progress, "%d of %d days: %s, seed %d\n", done, len(names)*n, names[j.row], j.seed)
+				fmt.Fprintf(progress, "%d of %d: %s, seed %d\n", done, rows*n, name, j.seed)
 				mu.Unlock()
 			}
 		})
 	}
-	for r := range names {
+	for r := range rows {
 		for s := range n {
 			jobs <- job{r, uint64(s + 1)}
 		}
 	}
 	close(jobs)
 	all.Wait()
-	return rows, failed
+	return failed
 }
 
 func (r *SweepRow) add(kind string, seed uint64, res *Result) {
