An abort of a reservation change waits until it is made or certainly is not

Cause: the abort was answered while the change could still land. Change: a task's User tells what is under way; PERSISTENT RESERVE commands wait as writes do. Measured: a test that holds the change in its link: not answered before it is let go.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -436,9 +436,9 @@
 		c.front.host.post(event{kind: evAsk, ask: func(*hostCore) { c.resetOthers(g) }})
 	}
 	for _, t := range a.Tasks {
-		if cmd, ok := t.User.(*command); ok {
+		if u, ok := t.User.(underway); ok {
 			g.left++
-			cmd.abandon(g)
+			u.abandon(g)
 		}
 	}
 	g.one()
@@ -458,11 +458,11 @@
 			continue
 		}
 		for _, t := range o.reset() {
-			if cmd, ok := t.User.(*command); ok {
+			if u, ok := t.User.(underway); ok {
 				c.mu.Lock()
 				g.left++
 				c.mu.Unlock()
-				cmd.abandon(g)
+				u.abandon(g)
 			}
 		}
 	}
@@ -486,6 +486,13 @@
 	return c.sess.Reset()
 }
 
+// underway is what a task's User is while something of it may still take effect.
+type underway interface {
+	// abandon ends it from the client's side; g, if any, hears when nothing of it can
+	// take effect any more. The session's conn.mu is held.
+	abandon(g *abortion)
+}
+
 // abortion counts the commands that a task management function waits for.
 // Its count is guarded by the conn's lock, or all is on one goroutine before.
 type abortion struct {
@@ -514,8 +521,8 @@
 	}
 	c.ping.Stop()
 	for _, t := range c.sess.Close() {
-		if cmd, ok := t.User.(*command); ok {
-			cmd.abandon(nil)
+		if u, ok := t.User.(underway); ok {
+			u.abandon(nil)
 		}
 	}
 }
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -311,6 +311,7 @@
 		return
 	}
 	p := &reserving{c: c, t: t, vol: vol, expires: t.At + class.Deadline}
+	t.User = p
 	if r.In {
 		c.front.keeper.fresh(vol, p.expires, func(s *reserve.State, err error) { p.show(s, err, r) })
 		return
@@ -321,6 +322,7 @@
 		if err != nil {
 			sense = outSense[err]
 		}
+		p.over = true
 		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: sense.Fixed()})
 		return
 	}
@@ -350,6 +352,29 @@
 	stamp   uint64
 	tries   int
 	maybe   bool // an own change may have been made, or may still be
+	// Guarded by c.mu:
+	over  bool
+	group *abortion // that waits for the end
+}
+
+// abandon has an abort wait until the change is made, or certainly is not.
+func (p *reserving) abandon(g *abortion) {
+	p.group = g
+	if p.over {
+		p.tellGroup()
+	}
+}
+
+// tellGroup tells an abort that waits, from a goroutine that holds no lock.
+func (p *reserving) tellGroup() {
+	if g := p.group; g != nil {
+		p.group = nil
+		p.c.front.world.AfterFunc(0, func() {
+			g.conn.mu.Lock()
+			defer g.conn.mu.Unlock()
+			g.one()
+		})
+	}
 }
 
 // mostTries bounds how often a change that lost against another is made anew: 64
@@ -359,6 +384,8 @@
 func (p *reserving) answer(a iscsi.Answer) {
 	p.c.mu.Lock()
 	defer p.c.mu.Unlock()
+	p.over = true
+	p.tellGroup()
 	if !p.c.closed {
 		p.c.respond(p.t, a)
 	}
@@ -458,8 +485,8 @@
 		hit := o != by && o.unit != nil && o.unit.vol.Name == volume && o.attention == &scsi.RegistrationsPreempted
 		if _, registered := state.Key(o.nexus()); hit && !registered && o.sess != nil && !o.closed {
 			for _, t := range o.sess.Reset() {
-				if cmd, ok := t.User.(*command); ok {
-					cmd.abandon(nil)
+				if u, ok := t.User.(underway); ok {
+					u.abandon(nil)
 				}
 			}
 		}
--- a/lab/reservations_test.go
+++ b/lab/reservations_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"merlinhitch/initiator"
+	"merlinhitch/iscsi"
 	"merlinhitch/scsi"
 	"merlinhitch/seam"
 )
@@ -204,17 +205,7 @@
 			}
 		}
 	}()
-	held := func() (n int) {
-		r.worlds[0].mu.Lock()
-		defer r.worlds[0].mu.Unlock()
-		for c := range r.worlds[0].conns {
-			c.mu.Lock()
-			n += len(c.held)
-			c.mu.Unlock()
-		}
-		return n
-	}
-	for held() < r.set.Volumes[0].BlockSize { // the write is in the link
+	for r.worlds[0].waiting() < r.set.Volumes[0].BlockSize { // the write is in the link
 		seam.Wait(r.world, time.Millisecond, nil)
 	}
 	do(1, stepPreempt, 1, 0, saidGood)
@@ -227,6 +218,39 @@
 	}
 }
 
+// An abort of a registration under way is answered once the registration is made, or
+// certainly is not.
+func TestAbortOfARegistration(t *testing.T) {
+	r, do := quiet(t)
+	do(0, stepRegister, 0, 0, saidGood)
+	var addrs []string
+	for _, d := range r.disks {
+		addrs = append(addrs, d.Addr)
+	}
+	s := r.dial(context.Background(), 3) // through the same host
+	t.Cleanup(s.Close)
+	if _, err := s.Do(context.Background(), make([]byte, 6), nil, 0); err != nil { // takes a unit attention, if any
+		t.Fatal(err)
+	}
+	r.worlds[0].off(cutHold, addrs...)
+	h := s.Submit(0, []byte{0x5f, 6, 0, 0, 0, 0, 0, 0, 24, 0}, append(make([]byte, 15), 9, 0, 0, 0, 0, 0, 0, 0, 0), 0, func(iscsi.Result, error) {})
+	for r.worlds[0].waiting() == 0 {
+		seam.Wait(r.world, time.Millisecond, nil)
+	}
+	answered := make(chan byte, 1)
+	s.Abort(h, func(code byte) { answered <- code })
+	seam.Wait(r.world, 100*time.Millisecond, nil)
+	select {
+	case <-answered:
+		t.Error("answered while it may still be made")
+	default:
+	}
+	r.worlds[0].heal(addrs...)
+	if code := <-answered; code != iscsi.FunctionComplete {
+		t.Errorf("response %d", code)
+	}
+}
+
 // A host stands still for longer than its lease while the reservation passes on.
 func TestPauseOutlastsTheLease(t *testing.T) {
 	r, do := quiet(t)
@@ -242,6 +266,18 @@
 	do(1, stepWrite, 0, 0, saidGood)
 }
 
+// waiting is the number of bytes that are held on their way.
+func (w *cutWorld) waiting() (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		c.mu.Lock()
+		n += len(c.held)
+		c.mu.Unlock()
+	}
+	return n
+}
+
 // crowd registers so many initiators with a key each, some at once, and returns the keys
 // that are read back.
 func crowd(t *testing.T, n, atOnce int) int {
