Queues that limits hold are not looked through at each send

Change: a flow remembers until when limits hold all of it and looks only at what came since; the parked likewise. What is decided, and when, stays the same: twin schedulers under the same random events, each with its own timers, one without the memory.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -293,7 +293,7 @@
 		i, _ := slices.BinarySearchFunc(f.queue, r, func(x, r *request) int {
 			return cmp.Or(byWorth(x, r), -1) // behind its equals
 		})
-		f.queue = slices.Insert(f.queue, i, r)
+		f.queue, f.fresh = slices.Insert(f.queue, i, r), append(f.fresh, r)
 	}
 	sh.load += r.Units
 	sh.filed++
@@ -516,9 +516,8 @@
 		if best != nil && f.finish >= best.finish {
 			continue
 		}
-		may := func(r *request) bool { return p.may(r, sh) } // one that its limit holds is passed over
-		if k := slices.IndexFunc(f.queue, may); k >= 0 {
-			best, pick = f, f.queue[k]
+		if r := f.next(p, sh); r != nil {
+			best, pick = f, r
 		}
 	}
 	if best != nil {
@@ -534,7 +533,11 @@
 	if !idle || p.part(sh) < 1 {
 		return nil
 	}
-	seen := 0
+	if p.now < sh.asideTill-rounding && sh.asideMark == sh.mark() { // limits hold all that would be seen
+		p.wake(sh.asideTill+guard, nil, sh)
+		return nil
+	}
+	seen, held, till := 0, 0, math.Inf(1)
 	for _, r := range sh.parked.all {
 		if r == nil {
 			continue
@@ -543,10 +546,15 @@
 			break
 		}
 		better := pick == nil || (r.aimAt > p.now) && (pick.aimAt <= p.now) || r.value > pick.value
-		if better && p.may(r, sh) {
+		if p.heldAt = 0; better && p.may(r, sh) {
 			pick = r
+		} else if p.heldAt > 0 {
+			held, till = held+1, min(till, p.heldAt)
 		}
 	}
+	if sh.asideMark, sh.asideTill = sh.mark(), 0; held > 0 && held == min(seen, longQueue) {
+		sh.asideTill = till
+	}
 	return pick
 }
 
@@ -627,7 +635,8 @@
 	}
 	v := p.volume(r.Request, plan)
 	if lack := v.limFloor + r.Units - v.limit; lack > 0 {
-		p.wake(p.now+lack/v.limFill*1000+guard, nil, sh)
+		p.heldAt = p.now + lack/v.limFill*1000
+		p.wake(p.heldAt+guard, nil, sh)
 		return false
 	}
 	return true
--- a/policy/state.go
+++ b/policy/state.go
@@ -132,8 +132,66 @@
 
 // flow is a plan at a shard.
 type flow struct {
-	finish float64
-	queue  []*request // by worth
+	finish   float64
+	queue    []*request // by worth
+	heldTill float64    // limits hold all of the queue but the fresh until then
+	fresh    []*request // that came since
+}
+
+// rounding is more, in ms, than the same moment differs by when it is reckoned from two
+// others.
+const rounding = 1e-6
+
+// next is the dearest of the queue that may go; one that its limit holds is passed over.
+// Where limits hold all of it, only what comes is looked at until the first of them lets
+// one go: a long queue of limited volumes costs its shard nothing.
+func (f *flow) next(p *scheduler, sh *shard) *request {
+	if p.now < f.heldTill-rounding && len(f.fresh) <= len(f.queue)+poolMost {
+		if r := f.newcomer(p, sh); r != nil {
+			return r
+		}
+		p.wake(f.heldTill+guard, nil, sh)
+		return nil
+	}
+	clear(f.fresh)
+	f.fresh, f.heldTill = f.fresh[:0], 0
+	held, till := 0, math.Inf(1)
+	for _, r := range f.queue {
+		p.heldAt = 0
+		if p.may(r, sh) {
+			return r
+		}
+		if p.heldAt > 0 {
+			held, till = held+1, min(till, p.heldAt)
+		}
+	}
+	if held == len(f.queue) && held > 0 {
+		f.heldTill = till
+	}
+	return nil
+}
+
+// newcomer is the dearest of the fresh that may go. Those that limits hold join the rest.
+func (f *flow) newcomer(p *scheduler, sh *shard) (best *request) {
+	kept := f.fresh[:0]
+	for _, r := range f.fresh {
+		if !r.queued || r.list != nil {
+			continue // sent, parked or over
+		}
+		p.heldAt = 0
+		if p.may(r, sh) {
+			if best == nil || byWorth(r, best) < 0 {
+				best = r
+			}
+		} else if p.heldAt > 0 {
+			f.heldTill = min(f.heldTill, p.heldAt)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(f.fresh[len(kept):])
+	f.fresh = kept
+	return best
 }
 
 // shard holds the queue of the node that has the shard.
@@ -150,19 +208,23 @@
 	load     float64
 	firstAim float64
 	firstEnd float64
-	filed    int     // counts what was queued,
-	aside    int     // and what was parked
-	walked   float64 // time of the last whole walk
-	out      []*request
-	waiting  int
-	depth    float64
-	wakeAt   float64 // earliest wake asked for
-	fit      *rls
-	got      gathered
-	took     gathered // the same of what was served alone
-	quick    bool     // what the ceiling would put there still meets the aim, one by one
-	wasFull  bool     // depth held something back in this second
-	lastY    float64
+	filed    int // counts what was queued,
+	aside    int // and what was parked
+	// Limits hold all of the parked that would be seen until asideTill, as long as the
+	// mark is the same.
+	asideTill float64
+	asideMark [2]int
+	walked    float64 // time of the last whole walk
+	out       []*request
+	waiting   int
+	depth     float64
+	wakeAt    float64 // earliest wake asked for
+	fit       *rls
+	got       gathered
+	took      gathered // the same of what was served alone
+	quick     bool     // what the ceiling would put there still meets the aim, one by one
+	wasFull   bool     // depth held something back in this second
+	lastY     float64
 }
 
 // gathered is a fading sum of answers' times.
@@ -241,6 +303,7 @@
 	resends window
 	taken   window
 	largest float64 // units of a request so far
+	heldAt  float64 // when the request just looked at may go by its limit; 0: that does not hold it
 	subOn   bool
 	askedAt float64
 	shares  regulator
@@ -253,6 +316,9 @@
 	ranked  []ask // recent, dearest first
 }
 
+// mark changes with whatever comes to the parked or leaves them.
+func (sh *shard) mark() [2]int { return [2]int{sh.aside, sh.parked.len()} }
+
 // remove takes r out of whatever queue it is in.
 func (sh *shard) remove(r *request) {
 	if !r.queued {
