--- a/gateway/answerer.go
+++ b/gateway/answerer.go
@@ -36,8 +36,18 @@
 // the module hands out one answer after the other.
 const maxAnswerers = 4
 
+// heldAnswers is the number of answers after which what is held goes out: enough for few
+// calls of the system, not so many that the first waits for the last.
+const heldAnswers = 16
+
+// newAnswerers returns none where there is one processor: a hand-over would then cost
+// what it saves.
 func newAnswerers(h *host) []*answerer {
-	list := make([]*answerer, min(runtime.GOMAXPROCS(0), maxAnswerers))
+	n := min(runtime.GOMAXPROCS(0), maxAnswerers)
+	if n == 1 {
+		return nil
+	}
+	list := make([]*answerer, n)
 	for i := range list {
 		list[i] = &answerer{host: h, wake: make(chan struct{}, 1), done: make(chan struct{})}
 		go list[i].run()
@@ -79,14 +89,13 @@
 		closed := a.closed
 		a.mu.Unlock()
 		for i := range mail {
-			a.give(&mail[i])
+			a.host.give(&mail[i], func(o *outbox.Outbox) { a.said = append(a.said, o) })
 			mail[i] = answered{}
+			if len(a.said) == heldAnswers {
+				a.release()
+			}
 		}
-		for i, o := range a.said {
-			o.Release()
-			a.said[i] = nil
-		}
-		a.said = a.said[:0]
+		a.release()
 		if closed && len(mail) == 0 {
 			return
 		}
@@ -96,7 +105,17 @@
 	}
 }
 
-func (a *answerer) give(x *answered) {
+// release has what the answers left be written.
+func (a *answerer) release() {
+	for i, o := range a.said {
+		o.Release()
+		a.said[i] = nil
+	}
+	a.said = a.said[:0]
+}
+
+// give ends a command at its session; later has what that leaves be written.
+func (h *host) give(x *answered, later func(*outbox.Outbox)) {
 	c := x.cmd.conn
 	c.mu.Lock()
 	if !c.closed {
@@ -106,11 +125,9 @@
 			c.batch = true
 			c.sess.Respond(x.cmd.task, x.answer)
 			c.batch = false
-			a.said = append(a.said, c.out)
+			later(c.out)
 		}
 	}
 	c.mu.Unlock()
-	if x.buffer != nil {
-		a.host.buffers.Put(x.buffer)
-	}
+	h.giveBack(x.buffer)
 }
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -260,7 +260,12 @@
 		c.front.host.giveBack(cmd.buffer)
 		return
 	}
-	c.answers.put(answered{cmd, cmd.answer(), cmd.buffer, cmd.fenced && cmd.worst == endServed})
+	x := answered{cmd, cmd.answer(), cmd.buffer, cmd.fenced && cmd.worst == endServed}
+	if c.answers == nil {
+		c.front.host.give(&x, c.front.host.later)
+		return
+	}
+	c.answers.put(x)
 }
 
 func (cmd *command) answer() iscsi.Answer {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -164,7 +164,7 @@
 	log   *zap.Logger
 	key   sessionKey // set before the session is registered
 	port  reserve.Nexus
-	// answers gives the connection's commands their answers.
+	// answers gives the connection's commands their answers; nil: the host does.
 	answers *answerer
 	unit    *unit
 	ended   chan struct{}
@@ -184,7 +184,9 @@
 
 func newConn(f *front, c net.Conn) *conn {
 	k := &conn{front: f, net: c, ended: make(chan struct{}), log: f.log.With(zap.Stringer("peer", c.RemoteAddr()))}
-	k.answers = f.answers[f.turn.Add(1)%uint32(len(f.answers))]
+	if n := uint32(len(f.answers)); n > 0 {
+		k.answers = f.answers[f.turn.Add(1)%n]
+	}
 	k.out = outbox.New(f.world, c, outMost, seam.Duration(f.view.Load().Target.WriteTime))
 	k.out.Gauge = func(delta int) { f.memory.Add(int64(delta)) }
 	return k
