--- a/conform/table.go
+++ b/conform/table.go
@@ -432,6 +432,34 @@
 			}
 			return err
 		}},
+		{"SBC-3 PRE-FETCH", "PRE-FETCH is GOOD or CONDITION MET, beyond the end out of range", []byte{0x34, 0x90}, func(t *target) error {
+			for _, op := range []byte{0x34, 0x90} {
+				r, err := t.do(rw(op, 0, 8), nil, 0)
+				if err == nil && r.Status != scsi.Good && r.Status != 0x04 {
+					err = errors.New(ending(r))
+				}
+				if err = errors.Join(err, t.refused(scsi.LBAOutOfRange, rw(op, t.blocks, 1), nil, 0)); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+		{"SBC-3 GET LBA STATUS", "GET LBA STATUS begins at the address and stays in the unit", nil, func(t *target) error {
+			if !t.offered[[2]byte{0x9e, 0x12}] {
+				return nil
+			}
+			cdb := rw(0x9e, 5, 64)
+			cdb[1] = 0x12
+			b, err := t.good(cdb, nil, 64)
+			if err != nil {
+				return err
+			}
+			if len(b) < 24 || binary.BigEndian.Uint64(b[8:]) > 5 || binary.BigEndian.Uint64(b[8:])+uint64(binary.BigEndian.Uint32(b[16:])) > t.blocks {
+				return fmt.Errorf("%x", b)
+			}
+			binary.BigEndian.PutUint64(cdb[2:], t.blocks)
+			return t.refused(scsi.LBAOutOfRange, cdb, nil, 64)
+		}},
 		{"SBC-3 READ CAPACITY (16)", "READ CAPACITY (16) is cut to the allocation length", nil, func(t *target) error {
 			b, err := t.good(capacity16(12), nil, 12)
 			if err == nil && len(b) != 12 {
--- a/scsi/scsi.go
+++ b/scsi/scsi.go
@@ -182,6 +182,8 @@
 	opSyncCache10      = 0x35
 	opWriteSame10      = 0x41
 	opUnmap            = 0x42
+	opPreFetch10       = 0x34
+	opPreFetch16       = 0x90
 	opModeSense10      = 0x5a
 	opReserveIn        = 0x5e
 	opReserveOut       = 0x5f
@@ -199,6 +201,7 @@
 	opVerify12         = 0xaf
 	saReadCapacity16   = 0x10
 	saReportSupported  = 0x0c
+	saGetLBAStatus     = 0x12
 	naca               = 0x04
 	reservedProtection = 0xe0
 )
@@ -273,6 +276,9 @@
 		{opReadCapacity10, 0}:                {size: 10, decode: readCapacity10},
 		{opServiceIn16, saReadCapacity16}:    {size: 16, usage: bits(16, 1, 0x1f, 10, 0xff, 11, 0xff, 12, 0xff, 13, 0xff), decode: readCapacity16},
 		{opMaintenanceIn, saReportSupported}: {size: 12, usage: bits(12, 1, 0x1f, 2, 0x87, 3, 0xff, 4, 0xff, 5, 0xff, 6, 0xff, 7, 0xff, 8, 0xff, 9, 0xff), decode: reportSupported},
+		{opServiceIn16, saGetLBAStatus}:      {size: 16, usage: span(16, 0x1f, 2, 10, 10, 14), decode: lbaStatus},
+		{opPreFetch10, 0}:                    {size: 10, usage: span(10, 0x02, 2, 6, 7, 9), decode: preFetch},
+		{opPreFetch16, 0}:                    {size: 16, usage: span(16, 0x02, 2, 10, 10, 14), decode: preFetch},
 		{opUnmap, 0}:                         {size: 10, usage: bits(10, 7, 0xff, 8, 0xff), decode: unmap},
 		{opCompareAndWrite, 0}:               {size: 16, usage: span(16, 0x18, 2, 10, 13, 14), decode: transfer(CompareAndWrite)},
 	}
@@ -343,6 +349,30 @@
 	return Outcome{Reserve: &Reservation{Action: cdb[1] & 0x1f, List: out}, Out: n}
 }
 
+// preFetch answers PRE-FETCH: there is no cache that blocks could go to, which is GOOD
+// and not CONDITION MET (SBC-3, PRE-FETCH).
+func preFetch(d *Disk, cdb [16]byte, _ []byte) Outcome {
+	lba, n := address(cdb)
+	if lba > d.Blocks || uint64(n) > d.Blocks-lba {
+		return fail(LBAOutOfRange)
+	}
+	return data(nil, 0)
+}
+
+// lbaStatus answers GET LBA STATUS with one descriptor to the end of the unit: mapped, or
+// of unknown state, which is what provisioning status 0 means (SBC-3).
+func lbaStatus(d *Disk, cdb [16]byte, _ []byte) Outcome {
+	lba := binary.BigEndian.Uint64(cdb[2:])
+	if lba >= d.Blocks {
+		return fail(LBAOutOfRange)
+	}
+	b := make([]byte, 24)
+	binary.BigEndian.PutUint32(b, 20)
+	binary.BigEndian.PutUint64(b[8:], lba)
+	binary.BigEndian.PutUint32(b[16:], uint32(min(d.Blocks-lba, 1<<32-1)))
+	return data(b, binary.BigEndian.Uint32(cdb[10:]))
+}
+
 func empty(*Disk, [16]byte, []byte) Outcome { return data(nil, 0) }
 
 // address reads the block address and length of a read-like CDB.
