--- a/gateway/announcer_test.go
+++ b/gateway/announcer_test.go
@@ -105,6 +105,7 @@
 	until(t, g.world, "announced", func() bool { return level(r, mixed) == announce.Announced })
 	from := len(r.Log())
 	g.gate.Stop(context.Background())
+	until(t, g.world, "the withdrawal", func() bool { return level(r, mixed) == announce.Withdrawn })
 	var got []string
 	for _, c := range r.Log()[from:] {
 		if c.Prefix != mixed {
