--- a/bgp/update.go
+++ b/bgp/update.go
@@ -25,7 +25,6 @@
 const (
 	flagOptional   = 0x80
 	flagTransitive = 0x40
-	flagPartial    = 0x20
 	flagExtended   = 0x10
 )
 
--- a/lab/layouts.go
+++ b/lab/layouts.go
@@ -125,7 +125,11 @@
 		d.fail(err)
 		return
 	}
-	again, _, _ := solverSteps(f.InForce())
+	again, err := plan.From(f.InForce(), plan.Options{}) // With moves a plan, and pl is still to be applied
+	if err != nil {
+		d.fail(err)
+		return
+	}
 	for _, st := range steps { // a host may have any of them when the day ends
 		s, err := again.With(st)
 		if err != nil {
--- a/lab/losses.go
+++ b/lab/losses.go
@@ -184,7 +184,7 @@
 	return len(r.log)
 }
 
-// ListLate bound of the rig, and its steady time: short, so that many losses fit in a
+// The list's bound in the rig, and its steady time: short, so that many losses fit in a
 // minute; the way from a loss to the router does not depend on them.
 const (
 	rigListBound = 300 * time.Millisecond
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -97,10 +97,12 @@
 	}
 	for i := range s.Volumes {
 		v := &s.Volumes[i]
+		cut := pl.cut(v, pl.Problem.Parts)
+		now := pieces(cut)
 		out := placement.Volume{Name: v.Name, Rate: s.RateOf(v), Writes: v.Writes, MaxNodes: v.MaxNodes, Spread: v.Spread, Copies: max(v.Copies, 1),
 			Tier: slices.IndexFunc(s.Plans, func(p settings.Plan) bool { return p.Name == v.Plan })}
 		if out.MaxNodes == 0 {
-			out.MaxNodes = max(len(pieces(pl.cut(v, pl.Problem.Parts))), 1)
+			out.MaxNodes = max(len(now), 1)
 		}
 		if opt.Measured != nil {
 			r := measured[v.Name]
@@ -119,9 +121,8 @@
 		}
 		out.Pins = slices.DeleteFunc(out.Pins, func(n int) bool { return slices.Contains(out.Bans, n) })
 		pl.Problem.Volumes = append(pl.Problem.Volumes, out)
-		cut := pl.cut(v, pl.Problem.Parts)
 		pl.slots = append(pl.slots, cut)
-		pl.Current = append(pl.Current, pieces(cut))
+		pl.Current = append(pl.Current, now)
 	}
 }
 
