--- a/bgp/speaker.go
+++ b/bgp/speaker.go
@@ -33,7 +33,7 @@
 	peers    []*neighbour
 	nextConn ConnID
 	closed   bool
-	tasks    sync.WaitGroup
+	tasks    seam.Group
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
@@ -77,8 +77,7 @@
 			return nil, err
 		}
 		s.listener = l
-		s.tasks.Add(1)
-		go s.accept()
+		s.tasks.Go(w, s.accept)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,8 +141,7 @@
 	for _, o := range outs {
 		switch o.Kind {
 		case OutDial:
-			s.tasks.Add(1)
-			go s.dial(p)
+			s.tasks.Go(s.world, func() { s.dial(p) })
 		case OutSend:
 			if box := p.conns[o.Conn]; box != nil {
 				box.put(o.Data)
@@ -187,10 +185,7 @@
 }
 
 func (s *Speaker) dial(p *neighbour) {
-	defer s.tasks.Done()
-	ctx, cancel := context.WithTimeout(s.ctx, dialTime)
-	defer cancel()
-	c, err := s.world.Dial(ctx, "tcp", p.addr)
+	c, err := s.world.Dial(s.ctx, "tcp", p.addr, dialTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -218,13 +213,11 @@
 		}
 	}
 	p.conns[id] = l
-	s.tasks.Add(1)
-	go s.read(p, id, c, l)
+	s.tasks.Go(s.world, func() { s.read(p, id, c, l) })
 	return id
 }
 
 func (s *Speaker) read(p *neighbour, id ConnID, c net.Conn, o *link) {
-	defer s.tasks.Done()
 	r := NewReader(bufio.NewReaderSize(c, MaxLen))
 	for {
 		t, body, err := r.Next()
@@ -262,7 +255,6 @@
 }
 
 func (s *Speaker) accept() {
-	defer s.tasks.Done()
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
@@ -380,5 +372,5 @@
 	if s.listener != nil {
 		s.listener.Close()
 	}
-	s.tasks.Wait()
+	s.tasks.Wait(s.world)
 }
--- a/conform/conform.go
+++ b/conform/conform.go
@@ -109,12 +109,10 @@
 		if ctx.Err() != nil {
 			return rows, ctx.Err()
 		}
-		select {
-		case <-t.s.Done():
+		if t.s.Done().Opened() {
 			if t.s, err = dial(ctx, 0); err != nil {
 				return rows, err
 			}
-		default:
 		}
 	}
 	return rows, nil
--- a/gateway/announcer.go
+++ b/gateway/announcer.go
@@ -25,8 +25,8 @@
 	list    *inventory.Client
 	log     *zap.Logger
 	speaker *bgp.Speaker
-	stopped chan struct{}
-	done    chan struct{}
+	stopped seam.Gate
+	done    seam.Gate
 
 	mu      sync.Mutex
 	core    *announce.Core
@@ -54,7 +54,7 @@
 
 func newAnnouncer(cfg Config, s *settings.Settings, h *host, list *inventory.Client) (*announcer, error) {
 	a := &announcer{cfg: cfg, host: h, list: list, log: cfg.Log, core: announce.New(announce.DefaultConfig),
-		stopped: make(chan struct{}), done: make(chan struct{}), nodes: map[string]int{}, levels: map[string]announce.Level{}}
+		nodes: map[string]int{}, levels: map[string]announce.Level{}}
 	var peers []bgp.Neighbour
 	for i := range s.Announce.Routers {
 		r := &s.Announce.Routers[i]
@@ -71,7 +71,7 @@
 		return nil, err
 	}
 	a.apply(s)
-	go a.run()
+	cfg.World.Go(a.run)
 	return a, nil
 }
 
@@ -127,8 +127,8 @@
 }
 
 func (a *announcer) run() {
-	defer close(a.done)
-	for seam.Wait(a.cfg.World, lookEvery, a.stopped) {
+	defer a.done.Open()
+	for seam.Wait(a.cfg.World, lookEvery, &a.stopped) {
 		a.look()
 	}
 }
@@ -235,13 +235,13 @@
 
 // close ends the announcer; with a text in peace, without one at once.
 func (a *announcer) close(text string) {
-	close(a.stopped)
+	a.stopped.Open()
 	if text == "" {
 		a.speaker.Kill()
 	} else {
 		a.speaker.Close(text)
 	}
-	<-a.done
+	a.done.Wait(a.cfg.World)
 }
 
 // Routes is what operators see of the announcements.
--- a/gateway/answerer.go
+++ b/gateway/answerer.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"runtime"
 	"sync"
 
 	"merlinhitch/iscsi"
 	"merlinhitch/outbox"
+	"merlinhitch/seam"
 )
 
 // answerer gives commands their answers on a goroutine of its own: the session's part
@@ -18,8 +18,8 @@
 	mu     sync.Mutex
 	mail   []answered
 	closed bool
-	wake   chan struct{}
-	done   chan struct{}
+	wake   seam.Parker
+	done   seam.Gate
 
 	said []*outbox.Outbox // what the present batch left to be written
 }
@@ -43,14 +43,14 @@
 // newAnswerers returns none where there is one processor: a hand-over would then cost
 // what it saves.
 func newAnswerers(h *host) []*answerer {
-	n := min(runtime.GOMAXPROCS(0), maxAnswerers)
+	n := min(h.world.Processors(), maxAnswerers)
 	if n == 1 {
 		return nil
 	}
 	list := make([]*answerer, n)
 	for i := range list {
-		list[i] = &answerer{host: h, wake: make(chan struct{}, 1), done: make(chan struct{})}
-		go list[i].run()
+		list[i] = &answerer{host: h, wake: h.world.NewParker()}
+		h.world.Go(list[i].run)
 	}
 	return list
 }
@@ -60,14 +60,7 @@
 	a.mu.Lock()
 	a.mail = append(a.mail, x)
 	a.mu.Unlock()
-	a.ring()
-}
-
-func (a *answerer) ring() {
-	select {
-	case a.wake <- struct{}{}:
-	default:
-	}
+	a.wake.Unpark()
 }
 
 // close ends the goroutine once it has given what it was handed, and waits for it.
@@ -75,15 +68,15 @@
 	a.mu.Lock()
 	a.closed = true
 	a.mu.Unlock()
-	a.ring()
-	<-a.done
+	a.wake.Unpark()
+	a.done.Wait(a.host.world)
 }
 
 func (a *answerer) run() {
-	defer close(a.done)
+	defer a.done.Open()
 	var mail []answered
 	for {
-		<-a.wake
+		a.wake.Park()
 		a.mu.Lock()
 		mail, a.mail = a.mail, mail[:0]
 		closed := a.closed
@@ -100,7 +93,7 @@
 			return
 		}
 		if closed {
-			a.ring()
+			a.wake.Unpark()
 		}
 	}
 }
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -28,7 +28,7 @@
 	mu     sync.Mutex
 	links  map[string]*link
 	closed bool
-	tasks  sync.WaitGroup
+	tasks  seam.Group
 	ctx    context.Context
 	stop   context.CancelFunc
 }
@@ -85,8 +85,7 @@
 	if l == nil || !l.usable() {
 		l = &link{back: b, addr: addr, open: map[uint32]*attempt{}}
 		b.links[addr] = l
-		b.tasks.Add(1)
-		go l.run()
+		b.tasks.Go(b.world, l.run)
 	}
 	return l
 }
@@ -160,10 +159,7 @@
 
 // run dials, greets and reads until the connection ends.
 func (l *link) run() {
-	defer l.back.tasks.Done()
-	ctx, cancel := context.WithTimeout(l.back.ctx, l.back.dialIn)
-	conn, err := l.back.world.Dial(ctx, "tcp", l.addr)
-	cancel()
+	conn, err := l.back.world.Dial(l.back.ctx, "tcp", l.addr, l.back.dialIn)
 	if err == nil {
 		err = l.serve(conn)
 	}
@@ -357,5 +353,5 @@
 		}
 		l.mu.Unlock()
 	}
-	b.tasks.Wait()
+	b.tasks.Wait(b.world)
 }
--- a/gateway/conform_test.go
+++ b/gateway/conform_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"merlinhitch/conform"
 	"merlinhitch/initiator"
@@ -79,7 +80,7 @@
 			if err != nil {
 				return
 			}
-			gate, err := r.world.Dial(context.Background(), "tcp", r.gate.Addr().String())
+			gate, err := r.world.Dial(context.Background(), "tcp", r.gate.Addr().String(), time.Second)
 			if err != nil {
 				client.Close()
 				return
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -62,7 +62,7 @@
 	conns    map[*conn]bool
 	sessions map[sessionKey]*conn
 	stopping bool
-	tasks    sync.WaitGroup
+	tasks    seam.Group
 }
 
 // sessionKey is the identity of a session: a login with the same takes its place
@@ -86,13 +86,11 @@
 	f.keeper, f.answers = newKeeper(f), newAnswerers(h)
 	f.view.Store(v)
 	f.nextTSIH.Store(uint32(w.Uint64()))
-	f.tasks.Add(1)
-	go f.accept()
+	f.tasks.Go(w, f.accept)
 	return f
 }
 
 func (f *front) accept() {
-	defer f.tasks.Done()
 	for {
 		c, err := f.listener.Accept()
 		if err != nil {
@@ -110,9 +108,8 @@
 		}
 		k := newConn(f, c)
 		f.conns[k] = true
-		f.tasks.Add(1)
+		f.tasks.Go(f.world, k.run)
 		f.mu.Unlock()
-		go k.run()
 	}
 }
 
@@ -167,7 +164,7 @@
 	// answers gives the connection's commands their answers; nil: the host does.
 	answers *answerer
 	unit    *unit
-	ended   chan struct{}
+	ended   seam.Gate
 
 	mu      sync.Mutex
 	sess    *iscsi.Session
@@ -183,7 +180,7 @@
 }
 
 func newConn(f *front, c net.Conn) *conn {
-	k := &conn{front: f, net: c, ended: make(chan struct{}), log: f.log.With(zap.Stringer("peer", c.RemoteAddr()))}
+	k := &conn{front: f, net: c, log: f.log.With(zap.Stringer("peer", c.RemoteAddr()))}
 	if n := uint32(len(f.answers)); n > 0 {
 		k.answers = f.answers[f.turn.Add(1)%n]
 	}
@@ -193,7 +190,6 @@
 }
 
 func (c *conn) run() {
-	defer c.front.tasks.Done()
 	r := iscsi.NewReader(bufio.NewReaderSize(c.net, connBuffer), maxSegment)
 	err := c.login(r)
 	if err == nil {
@@ -205,7 +201,7 @@
 	c.close()
 	c.out.Wait()
 	c.front.remove(c)
-	close(c.ended)
+	c.ended.Open()
 }
 
 // emit sends a PDU, or holds it while the host core is in a batch. Held: mu.
@@ -296,7 +292,7 @@
 		if old := c.front.register(c.key, c); old != nil {
 			old.log.Info("session reinstated by a new login")
 			old.out.Cut()
-			<-old.ended
+			old.ended.Wait(c.front.world)
 		}
 		c.log = c.log.With(zap.String("volume", c.unit.vol.Name), zap.Uint16("session", l.TSIH))
 	}
@@ -559,7 +555,7 @@
 	for _, c := range f.all() {
 		c.out.Cut()
 	}
-	f.tasks.Wait()
+	f.tasks.Wait(f.world)
 	for _, a := range f.answers {
 		a.close()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,7 @@
 	ann     *announcer // nil where nothing is to be announced at the start
 	addr    net.Addr
 	stopped bool
-	ready   chan struct{}
+	ready   seam.Gate
 	failed  error
 }
 
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{cfg: cfg, store: st, ready: make(chan struct{})}
+	g := &Gateway{cfg: cfg, store: st}
 	if err := g.serveAdmin(); err != nil {
 		return nil, err
 	}
@@ -136,7 +136,7 @@
 		g.cfg.Log.Error("can't start", zap.Error(g.failed))
 		return
 	}
-	close(g.ready)
+	g.ready.Open()
 }
 
 func (g *Gateway) begin(s *settings.Settings) error {
@@ -166,8 +166,8 @@
 	return nil
 }
 
-// Ready is closed once the gateway serves initiators.
-func (g *Gateway) Ready() <-chan struct{} { return g.ready }
+// Ready is open once the gateway serves initiators.
+func (g *Gateway) Ready() *seam.Gate { return &g.ready }
 
 // Addr is the address for initiators, nil before Ready.
 func (g *Gateway) Addr() net.Addr {
@@ -234,19 +234,14 @@
 	return a.routes()
 }
 
-// Freeze has the host core stand still until the channel is closed, as a fault of
+// Freeze has the host core stand still until the gate is open, as a fault of
 // the program might; for drills.
-func (g *Gateway) Freeze(until <-chan struct{}) {
+func (g *Gateway) Freeze(until *seam.Gate) {
 	g.mu.Lock()
 	h := g.host
 	g.mu.Unlock()
 	if h != nil {
-		h.post(event{kind: evAsk, ask: func(*hostCore) {
-			select {
-			case <-until:
-			case <-h.halted:
-			}
-		}})
+		h.post(event{kind: evAsk, ask: func(*hostCore) { seam.WaitAny(h.world, until, &h.halted) }})
 	}
 }
 
@@ -290,7 +285,7 @@
 func (g *Gateway) await(ctx context.Context, most time.Duration, done func() bool) {
 	end := g.cfg.World.Now() + most
 	for !done() && g.cfg.World.Now() < end && ctx.Err() == nil {
-		seam.Wait(g.cfg.World, stopLook, ctx.Done())
+		seam.Pause(ctx, g.cfg.World, stopLook)
 	}
 }
 
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -29,9 +29,9 @@
 	mu      sync.Mutex
 	mail    []event
 	stopped bool
-	wake    chan struct{}
-	halted  chan struct{} // closed as stop begins
-	done    chan struct{}
+	wake    seam.Parker
+	halted  seam.Gate // open as stop begins
+	done    seam.Gate
 
 	timer   seam.Timer
 	timerAt float64
@@ -62,10 +62,10 @@
 }
 
 func newHost(w seam.World, s *settings.Settings, self int, name, zone string, log *zap.Logger) *host {
-	h := &host{world: w, log: log, self: self, wake: make(chan struct{}, 1), halted: make(chan struct{}), done: make(chan struct{}), timerAt: math.Inf(1), fetch: func() {}}
+	h := &host{world: w, log: log, self: self, wake: w.NewParker(), timerAt: math.Inf(1), fetch: func() {}}
 	h.core = newHostCore(seam.MS(w.Now()), s, self, zone, w.Uint64(), h)
 	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
-	go h.run()
+	w.Go(h.run)
 	return h
 }
 
@@ -80,22 +80,15 @@
 	}
 	h.mail = append(h.mail, e)
 	h.mu.Unlock()
-	h.ring()
+	h.wake.Unpark()
 	return true
 }
 
-func (h *host) ring() {
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
-}
-
 func (h *host) run() {
-	defer close(h.done)
+	defer h.done.Open()
 	var mail []event
 	for {
-		<-h.wake
+		h.wake.Park()
 		h.mu.Lock()
 		mail, h.mail = h.mail, mail[:0]
 		h.mu.Unlock()
@@ -167,22 +160,18 @@
 	}
 	h.timerAt = at
 	if at <= now {
-		h.ring()
+		h.wake.Unpark()
 		return
 	}
-	h.timer = h.world.AfterFunc(seam.Duration(at-now)+time.Microsecond, h.ring)
+	h.timer = h.world.AfterFunc(seam.Duration(at-now)+time.Microsecond, h.wake.Unpark)
 }
 
 // ask runs f on the host's goroutine and waits for it; false if the host stopped.
 func (h *host) ask(f func(*hostCore)) bool {
-	ready := make(chan struct{})
-	h.post(event{kind: evAsk, ask: func(c *hostCore) { f(c); close(ready) }})
-	select {
-	case <-ready:
-		return true
-	case <-h.done:
-		return false
-	}
+	var ready seam.Gate
+	h.post(event{kind: evAsk, ask: func(c *hostCore) { f(c); ready.Open() }})
+	seam.WaitAny(h.world, &ready, &h.done)
+	return ready.Opened()
 }
 
 // stop ends the goroutine and the back's connections.
@@ -191,11 +180,11 @@
 	if !h.stopped {
 		h.mail = append(h.mail, event{kind: evStop})
 		h.stopped = true
-		close(h.halted)
+		h.halted.Open()
 	}
 	h.mu.Unlock()
-	h.ring()
-	<-h.done
+	h.wake.Unpark()
+	h.done.Wait(h.world)
 	if h.timer != nil {
 		h.timer.Stop()
 	}
--- a/initiator/initiator.go
+++ b/initiator/initiator.go
@@ -8,7 +8,9 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -55,7 +57,7 @@
 	ends    map[uint32]func(iscsi.Result, error)
 	queue   []func()
 	closed  bool
-	done    chan struct{}
+	done    seam.Gate
 }
 
 const (
@@ -63,13 +65,13 @@
 	outTime = 30 * time.Second
 )
 
-// Dial logs in. The context bounds connecting; LoginTime the login.
+// Dial logs in. LoginTime bounds connecting, and then the login.
 func Dial(ctx context.Context, cfg Config) (*Client, error) {
-	conn, err := cfg.World.Dial(ctx, "tcp", cfg.Addr)
+	conn, err := cfg.World.Dial(ctx, "tcp", cfg.Addr, cfg.LoginTime)
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{cfg: cfg, conn: conn, ends: map[uint32]func(iscsi.Result, error){}, done: make(chan struct{})}
+	c := &Client{cfg: cfg, conn: conn, ends: map[uint32]func(iscsi.Result, error){}}
 	c.out = outbox.New(cfg.World, conn, outMost, outTime)
 	if cfg.LoginTime > 0 {
 		conn.SetReadDeadline(cfg.World.Deadline(cfg.LoginTime))
@@ -81,7 +83,7 @@
 		return nil, err
 	}
 	conn.SetReadDeadline(time.Time{})
-	go c.run(r)
+	cfg.World.Go(func() { c.run(r) })
 	return c, nil
 }
 
@@ -132,10 +134,10 @@
 	ends := c.ends
 	c.ends, c.queue = map[uint32]func(iscsi.Result, error){}, nil
 	c.mu.Unlock()
-	for _, end := range ends {
-		end(iscsi.Result{}, ErrClosed)
+	for _, tag := range slices.Sorted(maps.Keys(ends)) {
+		ends[tag](iscsi.Result{}, ErrClosed)
 	}
-	close(c.done)
+	c.done.Open()
 	if c.cfg.OnClose != nil {
 		c.cfg.OnClose()
 	}
@@ -215,14 +217,16 @@
 		r   iscsi.Result
 		err error
 	}
-	got := make(chan result, 1)
-	c.submit(func() uint32 { return c.core.Submit(lun, cdb, write, read, gap) }, func(r iscsi.Result, err error) { got <- result{r, err} })
-	select {
-	case g := <-got:
-		return g.r, g.err
-	case <-ctx.Done():
+	var got result
+	var over seam.Gate
+	c.submit(func() uint32 { return c.core.Submit(lun, cdb, write, read, gap) }, func(r iscsi.Result, err error) {
+		got = result{r, err}
+		over.Open()
+	})
+	if !seam.Await(ctx, c.cfg.World, &over) {
 		return iscsi.Result{}, ctx.Err()
 	}
+	return got.r, got.err
 }
 
 // Abort ends a command by ABORT TASK. Its end is not called any more; answered is
@@ -256,26 +260,28 @@
 
 // Targets asks for the target names and addresses.
 func (c *Client) Targets(ctx context.Context) (map[string]string, error) {
-	got := make(chan iscsi.Result, 1)
+	var r iscsi.Result
+	var over seam.Gate
 	c.mu.Lock()
 	tag := c.core.Text([]iscsi.Key{{Name: "SendTargets", Value: "All"}})
-	c.ends[tag] = func(r iscsi.Result, err error) { got <- r }
+	c.ends[tag] = func(got iscsi.Result, err error) {
+		r = got
+		over.Open()
+	}
 	c.mu.Unlock()
-	select {
-	case r := <-got:
-		keys, err := iscsi.ParseText(r.Text)
-		out, name := map[string]string{}, ""
-		for _, k := range keys {
-			if k.Name == "TargetName" {
-				name = k.Value
-			} else if k.Name == "TargetAddress" {
-				out[name], _, _ = strings.Cut(k.Value, ",")
-			}
-		}
-		return out, err
-	case <-ctx.Done():
+	if !seam.Await(ctx, c.cfg.World, &over) {
 		return nil, ctx.Err()
 	}
+	keys, err := iscsi.ParseText(r.Text)
+	out, name := map[string]string{}, ""
+	for _, k := range keys {
+		if k.Name == "TargetName" {
+			name = k.Value
+		} else if k.Name == "TargetAddress" {
+			out[name], _, _ = strings.Cut(k.Value, ",")
+		}
+	}
+	return out, err
 }
 
 // Logout ends the session in good order and waits for its end.
@@ -283,13 +289,13 @@
 	c.mu.Lock()
 	c.core.Logout()
 	c.mu.Unlock()
-	<-c.done
+	c.done.Wait(c.cfg.World)
 }
 
 // Close drops the connection and waits for its goroutines.
 func (c *Client) Close() {
 	c.out.Cut()
-	<-c.done
+	c.done.Wait(c.cfg.World)
 }
 
 // CDBs of the commands that clients here use.
@@ -318,5 +324,5 @@
 	return b
 }
 
-// Done is closed once the session is over.
-func (c *Client) Done() <-chan struct{} { return c.done }
+// Done is open once the session is over.
+func (c *Client) Done() *seam.Gate { return &c.done }
--- a/inventory/client.go
+++ b/inventory/client.go
@@ -25,7 +25,8 @@
 	closed bool
 	gen    uint64
 	lostAt time.Duration // since when there is no connection; below 0: there is one
-	done   chan struct{}
+	done   seam.Gate
+	over   seam.Gate // closing
 	ctx    context.Context
 	stop   context.CancelFunc
 }
@@ -38,9 +39,9 @@
 
 // Follow starts to follow the list at addr.
 func Follow(w seam.World, addr string, told func(List)) *Client {
-	c := &Client{Told: told, world: w, addr: addr, lostAt: w.Now(), done: make(chan struct{})}
+	c := &Client{Told: told, world: w, addr: addr, lostAt: w.Now()}
 	c.ctx, c.stop = context.WithCancel(context.Background())
-	go c.run()
+	w.Go(c.run)
 	return c
 }
 
@@ -64,17 +65,18 @@
 // Close ends the client and waits for its goroutine.
 func (c *Client) Close() {
 	c.stop()
+	c.over.Open()
 	c.mu.Lock()
 	c.closed = true
 	if c.conn != nil {
 		c.conn.Close()
 	}
 	c.mu.Unlock()
-	<-c.done
+	c.done.Wait(c.world)
 }
 
 func (c *Client) run() {
-	defer close(c.done)
+	defer c.done.Open()
 	wait := againAfter
 	for {
 		if c.once() {
@@ -84,7 +86,7 @@
 			return
 		}
 		c.Told(List{Kind: Failed})
-		if !seam.Wait(c.world, wait, c.ctx.Done()) {
+		if !seam.Wait(c.world, wait, &c.over) {
 			return
 		}
 		wait = min(2*wait, againMost)
@@ -93,9 +95,7 @@
 
 // once follows the list over one connection; it tells whether anything came.
 func (c *Client) once() (heard bool) {
-	ctx, cancel := context.WithTimeout(c.ctx, dialTime)
-	conn, err := c.world.Dial(ctx, "tcp", c.addr)
-	cancel()
+	conn, err := c.world.Dial(c.ctx, "tcp", c.addr, dialTime)
 	if err != nil {
 		return false
 	}
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -154,7 +154,7 @@
 	d.crowd.routed(opt.Routing)
 	d.crowd.Login()
 	if opt.Routing == RouteOn {
-		f.awaitRoutes(10*time.Second, ctx.Done())
+		f.awaitRoutes(ctx, 10*time.Second)
 	}
 	return d.play(ctx)
 }
@@ -175,17 +175,13 @@
 		d.opt.during(d, span)
 	}
 	progress := d.progress(begin)
-	d.crowd.Run(d.opt.Commands, d.opt.Rate, ctx.Done())
+	d.crowd.Run(ctx, d.opt.Commands, d.opt.Rate)
 	d.crowd.Wait()
 	res := &Result{}
-	backCtx, cancel := context.WithTimeout(ctx, 60*time.Second)
-	res.Missed = d.crowd.ReadBack(backCtx)
-	cancel()
+	res.Missed = d.crowd.ReadBack(ctx, 60*time.Second)
 	progress()
-	stopCtx, cancel := context.WithTimeout(ctx, 10*time.Second)
-	defer cancel()
 	d.crowd.Close()
-	d.fleet.StopHosts(stopCtx)
+	d.fleet.StopHosts(ctx)
 	events := d.fleet.Rec.Stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/lab/bench.go
+++ b/lab/bench.go
@@ -417,7 +417,7 @@
 	if _, err := g.Settings().Put(set); err != nil {
 		return nil, err
 	}
-	<-g.Ready()
+	<-g.Ready().Chan()
 	s := &subject{name: "gateway", addr: g.Addr().String()}
 	s.close = func() {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -62,7 +62,7 @@
 	// before their answer; StrayWorth is what the former would have been worth.
 	Strays, Unanswered atomic.Int64
 	StrayWorth         float64
-	running            sync.WaitGroup
+	running            seam.Group
 	stopping           atomic.Bool
 }
 
@@ -103,9 +103,7 @@
 	var c *initiator.Client
 	err := context.Canceled
 	if addr := l.crowd.fleet.HostAddr(l.host); addr != "" {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		c, err = initiator.Dial(ctx, initiator.Config{World: w, Addr: addr,
+		c, err = initiator.Dial(context.Background(), initiator.Config{World: w, Addr: addr,
 			Name: "iqn.2026-11.example.client:" + l.vol.Name, Target: l.crowd.fleet.Set.TargetName(l.vol),
 			ISID: iscsi.ISID{0x80, 0, 0, 0, 0, l.isid}, Params: initiator.DefaultParams(), LoginTime: 2 * time.Second})
 	}
@@ -131,13 +129,13 @@
 
 // Login opens every session, so that a day doesn't begin with a storm.
 func (c *Crowd) Login() {
-	var all sync.WaitGroup
+	var all seam.Group
 	for _, ls := range c.lanes {
 		for _, l := range ls {
-			all.Go(func() { l.session() })
+			all.Go(c.fleet.World, func() { l.session() })
 		}
 	}
-	all.Wait()
+	all.Wait(c.fleet.World)
 }
 
 // ask is one thing a client wants: what, where and how often it has tried.
@@ -235,7 +233,7 @@
 
 // Run sends so many commands at that mean rate a second, open loop: a slow
 // service is asked no less.
-func (c *Crowd) Run(commands int, rate float64, stop <-chan struct{}) {
+func (c *Crowd) Run(ctx context.Context, commands int, rate float64) {
 	next := c.fleet.World.Now()
 	for n := 0; n < commands; n++ {
 		c.mu.Lock()
@@ -247,17 +245,16 @@
 		next += time.Duration(c.rng.ExpFloat64() / (rate * x) * float64(time.Second))
 		c.mu.Unlock()
 		if wait := next - c.fleet.World.Now(); wait > 0 {
-			if !seam.Wait(c.fleet.World, wait, stop) {
+			if !seam.Pause(ctx, c.fleet.World, wait) {
 				return
 			}
 		}
-		c.running.Add(1)
-		go c.send(a)
+		c.running.Go(c.fleet.World, func() { c.send(a) })
 	}
 }
 
 // Wait returns once every command has ended and every retry was made.
-func (c *Crowd) Wait() { c.running.Wait() }
+func (c *Crowd) Wait() { c.running.Wait(c.fleet.World) }
 
 // Close ends every session.
 func (c *Crowd) Close() {
@@ -274,9 +271,8 @@
 	}
 }
 
-// send carries one command through to its end. It takes one off running.
+// send carries one command through to its end.
 func (c *Crowd) send(a ask) {
-	defer c.running.Done()
 	var s *initiator.Client
 	if a.lane != nil {
 		s = a.lane.session()
@@ -320,7 +316,7 @@
 		cdb, out = initiator.CompareAndWriteCDB(a.lba, byte(a.blocks)), append(slices.Clone(a.old), Stamp(id, n)...)
 	}
 	c.Asked.Add(1)
-	end := &ending{done: make(chan struct{})}
+	end := &ending{}
 	h := s.Submit(0, cdb, out, in, func(r iscsi.Result, err error) { end.set(r, err) })
 	left := c.await(s, h, end, a)
 	c.Ended.Add(1)
@@ -330,13 +326,13 @@
 // ending is how a command ended at its client.
 type ending struct {
 	once sync.Once
-	done chan struct{}
+	done seam.Gate
 	res  iscsi.Result
 	err  error
 }
 
 func (e *ending) set(r iscsi.Result, err error) {
-	e.once.Do(func() { e.res, e.err = r, err; close(e.done) })
+	e.once.Do(func() { e.res, e.err = r, err; e.done.Open() })
 }
 
 // leaving says how a client left a command before its end.
@@ -352,7 +348,7 @@
 // await waits for the end of a command, or leaves it early.
 func (c *Crowd) await(s *initiator.Client, h *initiator.Handle, end *ending, a ask) leaving {
 	if a.leave == 0 {
-		<-end.done
+		end.done.Wait(c.fleet.World)
 		return stayed
 	}
 	c.mu.Lock()
@@ -361,30 +357,30 @@
 		at = c.habits.AbuseAt
 	}
 	c.mu.Unlock()
-	if !seam.Wait(c.fleet.World, seam.Duration(a.class(c.fleet.Set).Aim*at), end.done) {
+	if !seam.Wait(c.fleet.World, seam.Duration(a.class(c.fleet.Set).Aim*at), &end.done) {
 		return stayed
 	}
 	if a.how == 1 {
 		a.lane.drop(s)
 		s.Close()
-		<-end.done
+		end.done.Wait(c.fleet.World)
 		if end.err == nil {
 			return stayed
 		}
 		return closed
 	}
-	answered := make(chan struct{})
-	if !s.Abort(h, func(byte) { close(answered) }) {
+	var answered seam.Gate
+	if !s.Abort(h, func(byte) { answered.Open() }) {
 		return unsent
 	}
-	select {
-	case <-answered:
+	seam.WaitAny(c.fleet.World, &answered, &end.done, s.Done())
+	switch {
+	case answered.Opened():
 		return aborted
-	case <-end.done: // it crossed the abort
+	case end.done.Opened(): // it crossed the abort
 		return stayed
-	case <-s.Done():
-		return closed
 	}
+	return closed
 }
 
 // settle enters what became of the command, and tries again where its client
@@ -450,7 +446,10 @@
 		a.leave = 0
 	}
 	c.running.Add(1)
-	c.fleet.World.AfterFunc(wait, func() { c.send(a) })
+	c.fleet.World.AfterFunc(wait, func() {
+		defer c.running.Done()
+		c.send(a)
+	})
 }
 
 // swap reads a block and replaces it if it is still the same.
@@ -465,32 +464,45 @@
 }
 
 // ReadBack reads every block that was written, until each was read, through
-// whichever of its volume's hosts is up. It returns how many could not be.
-func (c *Crowd) ReadBack(ctx context.Context) (missed int) {
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	slots := make(chan struct{}, 16) // gently: this is no load test
+// whichever of its volume's hosts is up, for at most so long. It returns how many
+// could not be.
+func (c *Crowd) ReadBack(ctx context.Context, most time.Duration) (missed int) {
+	until := c.fleet.World.Now() + most
+	type piece struct {
+		volume int
+		run
+	}
+	var left []piece
+	written := c.ledger.Written()
 	for i := range c.lanes {
-		v := &c.fleet.Set.Volumes[i]
-		lbas := c.ledger.Written()[v.Name]
-		for _, run := range runs(lbas, 16) {
-			slots <- struct{}{}
-			all.Go(func() {
-				defer func() { <-slots }()
-				if !c.readRun(ctx, i, run) {
-					mu.Lock()
-					missed += int(run.blocks)
-					mu.Unlock()
-				}
-			})
+		for _, r := range runs(written[c.fleet.Set.Volumes[i].Name], 16) {
+			left = append(left, piece{i, r})
 		}
 	}
-	all.Wait()
+	var mu sync.Mutex
+	var all seam.Group
+	for range 16 { // gently: this is no load test
+		all.Go(c.fleet.World, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			for len(left) > 0 {
+				p := left[0]
+				left = left[1:]
+				mu.Unlock()
+				got := c.readRun(ctx, until, p.volume, p.run)
+				mu.Lock()
+				if !got {
+					missed += int(p.blocks)
+				}
+			}
+		})
+	}
+	all.Wait(c.fleet.World)
 	return missed
 }
 
-func (c *Crowd) readRun(ctx context.Context, volume int, r run) bool {
-	for try := 0; ctx.Err() == nil; try++ {
+func (c *Crowd) readRun(ctx context.Context, until time.Duration, volume int, r run) bool {
+	for try := 0; ctx.Err() == nil && c.fleet.World.Now() < until; try++ {
 		l := c.lanes[volume][try%len(c.lanes[volume])]
 		if s := l.session(); s != nil {
 			got := false
@@ -501,7 +513,7 @@
 				return true
 			}
 		}
-		seam.Wait(c.fleet.World, redialAfter, ctx.Done())
+		seam.Pause(ctx, c.fleet.World, redialAfter)
 	}
 	return false
 }
--- a/lab/cutworld.go
+++ b/lab/cutworld.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"merlinhitch/seam"
 )
@@ -43,7 +44,7 @@
 var errCut = errors.New("lab: cut off")
 
 // Dial implements seam.World.
-func (w *cutWorld) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (w *cutWorld) Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
 	w.mu.Lock()
 	kind, cut := w.cut[address]
 	w.mu.Unlock()
@@ -51,10 +52,10 @@
 		return nil, errCut
 	}
 	if cut {
-		<-ctx.Done()
-		return nil, ctx.Err()
+		seam.Pause(ctx, w, within)
+		return nil, errCut
 	}
-	c, err := w.World.Dial(ctx, network, address)
+	c, err := w.World.Dial(ctx, network, address, within)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -41,7 +41,7 @@
 	old   []*standin.Relay // of hosts that are gone
 	racks []*standin.Rack
 	fell  []string
-	later sync.WaitGroup
+	later seam.Group
 	over  bool
 	now   *settings.Settings // what hosts start with
 	// Router is what hosts announce to, nil where the settings announce nothing.
@@ -225,7 +225,7 @@
 	if _, err = api.Put(context.Background(), &first); err != nil {
 		return err
 	}
-	<-h.gate.Ready()
+	h.gate.Ready().Wait(f.World)
 	h.clients, err = standin.RelayClients(f.World, f.Rec, h.name, h.gate.Addr().String(), f.Set)
 	return err
 }
@@ -338,7 +338,7 @@
 				return // it died meanwhile
 			}
 			f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
-			go s.Kill()
+			f.World.Go(s.Kill)
 			if err := f.startDisk(d, true, true); err != nil {
 				f.log.Error("successor does not start", zap.Error(err))
 			}
@@ -371,16 +371,16 @@
 
 // StopHosts ends every host gracefully.
 func (f *Fleet) StopHosts(ctx context.Context) {
-	var all sync.WaitGroup
+	var all seam.Group
 	f.mu.Lock()
 	hosts := f.hosts
 	f.mu.Unlock()
 	for _, h := range hosts {
 		if h.gate != nil {
-			all.Go(func() { h.gate.Stop(ctx) })
+			all.Go(f.World, func() { h.gate.Stop(ctx) })
 		}
 	}
-	all.Wait()
+	all.Wait(f.World)
 }
 
 // Close ends everything at once.
@@ -388,7 +388,7 @@
 	f.mu.Lock()
 	f.over = true
 	f.mu.Unlock()
-	f.later.Wait()
+	f.later.Wait(f.World)
 	for _, h := range f.hosts {
 		if h.gate != nil {
 			h.gate.Kill()
--- a/lab/losses.go
+++ b/lab/losses.go
@@ -254,15 +254,14 @@
 // gives it back.
 func (s *loser) lose(kind int) (lossResult, error) {
 	w := s.rig.world
-	never := make(chan struct{})
-	seam.Wait(w, time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), never) // at any point of its rounds
+	seam.Wait(w, time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), nil) // at any point of its rounds
 	all := make([]string, len(s.rig.disks))
 	for i, d := range s.rig.disks {
 		all[i] = d.Addr
 	}
 	how := cutKind(s.rng.IntN(2))
 	from, at := s.rig.mark(), w.Now()
-	hung := make(chan struct{})
+	var hung seam.Gate
 	gone := []netip.Prefix{s.one, s.both}
 	down := func(c standin.RouteChange) bool { return !c.Up }
 	var heal func() error
@@ -275,8 +274,8 @@
 		gone = gone[:1]
 		heal = func() error { s.world.heal(all[0]); return nil }
 	case "core hung":
-		s.gate.Freeze(hung)
-		heal = func() error { close(hung); return nil }
+		s.gate.Freeze(&hung)
+		heal = func() error { hung.Open(); return nil }
 	case "process killed":
 		s.gate.Kill()
 		heal = func() error { return s.start() }
@@ -292,7 +291,7 @@
 		res.seen = res.seen && ok
 		res.took = max(res.took, c.At-at)
 	}
-	seam.Wait(w, 100*time.Millisecond, never) // nothing may come while it lasts
+	seam.Wait(w, 100*time.Millisecond, nil) // nothing may come while it lasts
 	res.wrong = s.wrong(from, gone, LossKinds[kind] == LossKinds[4])
 	from = s.rig.mark()
 	if err := heal(); err != nil || LossKinds[kind] == "process killed" {
--- a/lab/reservations.go
+++ b/lab/reservations.go
@@ -91,12 +91,12 @@
 	for i := range rInitiators {
 		all.Go(func() { r.client(ctx, i, steps) })
 	}
-	stop := make(chan struct{})
-	var faults sync.WaitGroup
-	faults.Go(func() { r.faults(stop) })
+	var stop seam.Gate
+	var faults seam.Group
+	faults.Go(r.world, func() { r.faults(&stop) })
 	all.Wait()
-	close(stop)
-	faults.Wait()
+	stop.Open()
+	faults.Wait(r.world)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return &r.history, r.failed
@@ -217,8 +217,8 @@
 	}
 }
 
-// faults strikes now and then until stop is closed.
-func (r *reservationRig) faults(stop <-chan struct{}) {
+// faults strikes now and then until stop is open.
+func (r *reservationRig) faults(stop *seam.Gate) {
 	for seam.Wait(r.world, time.Duration(50+r.rng.IntN(200))*time.Millisecond, stop) {
 		h, d := r.rng.IntN(rHosts), r.rng.IntN(rShards)
 		r.mu.Lock()
@@ -231,10 +231,10 @@
 			seam.Wait(r.world, lasts, stop)
 			r.worlds[h].heal(addr)
 		case 2: // a pause of a host
-			until := make(chan struct{})
-			g.Freeze(until)
+			var until seam.Gate
+			g.Freeze(&until)
 			seam.Wait(r.world, lasts, stop)
-			close(until)
+			until.Open()
 		case 3: // a host
 			g.Kill()
 			if err := r.startHost(h); err != nil {
@@ -277,7 +277,7 @@
 	for n := 0; n < steps && ctx.Err() == nil; {
 		for tries := 0; s == nil && tries < 200; tries++ {
 			s = r.dial(ctx, who)
-			if s == nil && !seam.Wait(r.world, 10*time.Millisecond, ctx.Done()) {
+			if s == nil && !seam.Pause(ctx, r.world, 10*time.Millisecond) {
 				return
 			}
 		}
@@ -286,7 +286,7 @@
 			return
 		}
 		// Time for a fault to strike in between, and for others to be in the midst of theirs.
-		seam.Wait(r.world, time.Duration(rng.IntN(40))*time.Millisecond, ctx.Done())
+		seam.Pause(ctx, r.world, time.Duration(rng.IntN(40))*time.Millisecond)
 		step := ReservationStep{Who: who, Kind: kinds[rng.IntN(len(kinds))], Type: types[rng.IntN(len(types))], Whom: rng.IntN(rInitiators)}
 		if done, alive := r.step(ctx, s, &step, rng); done {
 			n++
@@ -303,9 +303,7 @@
 	r.mu.Lock()
 	g := r.hosts[who%rHosts]
 	r.mu.Unlock()
-	within, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	s, err := initiator.Dial(within, initiator.Config{World: r.world, Addr: g.Addr().String(), Name: fmt.Sprint("iqn.2026-11.example.client:", who),
+	s, err := initiator.Dial(ctx, initiator.Config{World: r.world, Addr: g.Addr().String(), Name: fmt.Sprint("iqn.2026-11.example.client:", who),
 		Target: r.set.TargetName(&r.set.Volumes[0]), ISID: iscsi.ISID{0x80, 0, 0, 0, 0, byte(who)}, Params: initiator.DefaultParams(), LoginTime: time.Second})
 	if err != nil {
 		return nil
--- a/lab/reservations_test.go
+++ b/lab/reservations_test.go
@@ -257,11 +257,11 @@
 	do(0, stepRegister, 0, 0, saidGood)
 	do(1, stepRegister, 0, 0, saidGood)
 	do(0, stepReserve, 1, 0, saidGood)
-	until := make(chan struct{})
-	r.hosts[0].Freeze(until)
+	var until seam.Gate
+	r.hosts[0].Freeze(&until)
 	do(1, stepPreempt, 1, 0, saidGood)
 	seam.Wait(r.world, 1200*time.Millisecond, nil) // past the lease, which is a time of the product's own
-	close(until)
+	until.Open()
 	do(0, stepWrite, 0, 0, saidConflict)
 	do(1, stepWrite, 0, 0, saidGood)
 }
--- a/lab/routing.go
+++ b/lab/routing.go
@@ -77,13 +77,13 @@
 }
 
 // awaitRoutes waits until every host announces every group, or for so long.
-func (f *Fleet) awaitRoutes(most time.Duration, stop <-chan struct{}) {
+func (f *Fleet) awaitRoutes(ctx context.Context, most time.Duration) {
 	for end := f.World.Now() + most; f.World.Now() < end; {
 		missing := false
 		for g := range groups {
 			missing = missing || len(f.Router.Best(groupPrefix(g))) < len(f.hosts)
 		}
-		if !missing || !seam.Wait(f.World, 20*time.Millisecond, stop) {
+		if !missing || !seam.Pause(ctx, f.World, 20*time.Millisecond) {
 			return
 		}
 	}
--- a/outbox/outbox.go
+++ b/outbox/outbox.go
@@ -26,11 +26,11 @@
 	timeout time.Duration
 
 	mu      sync.Mutex
-	wake    *sync.Cond
+	wake    seam.Parker
 	buf     []byte
 	closed  bool // nothing more is taken
 	cut     bool // what waits is dropped
-	drained chan struct{}
+	drained seam.Gate
 }
 
 // keepBuffer bounds the memory that an outbox with nothing to say keeps, in bytes.
@@ -39,9 +39,8 @@
 // New starts an outbox that holds at most limit bytes and gives a write so much
 // time.
 func New(w seam.World, conn net.Conn, limit int, timeout time.Duration) *Outbox {
-	o := &Outbox{world: w, conn: conn, limit: limit, timeout: timeout, drained: make(chan struct{})}
-	o.wake = sync.NewCond(&o.mu)
-	go o.run()
+	o := &Outbox{world: w, conn: conn, limit: limit, timeout: timeout, wake: w.NewParker()}
+	w.Go(o.run)
 	return o
 }
 
@@ -72,7 +71,7 @@
 }
 
 // Release starts to write what was held.
-func (o *Outbox) Release() { o.wake.Signal() }
+func (o *Outbox) Release() { o.wake.Unpark() }
 
 func (o *Outbox) gauge(delta int) {
 	if o.Gauge != nil {
@@ -86,7 +85,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closed = true
-	o.wake.Signal()
+	o.wake.Unpark()
 }
 
 // Cut closes the connection at once.
@@ -99,11 +98,11 @@
 func (o *Outbox) cutLocked() {
 	o.closed, o.cut = true, true
 	o.conn.Close()
-	o.wake.Signal()
+	o.wake.Unpark()
 }
 
 // Wait returns once the goroutine has ended and the connection is closed.
-func (o *Outbox) Wait() { <-o.drained }
+func (o *Outbox) Wait() { o.drained.Wait(o.world) }
 
 func (o *Outbox) empty() bool {
 	o.mu.Lock()
@@ -112,13 +111,15 @@
 }
 
 func (o *Outbox) run() {
-	defer close(o.drained)
+	defer o.drained.Open()
 	defer o.conn.Close()
 	var out []byte
 	for {
 		o.mu.Lock()
 		for len(o.buf) == 0 && !o.closed {
-			o.wake.Wait()
+			o.mu.Unlock()
+			o.wake.Park()
+			o.mu.Lock()
 		}
 		if o.cut || len(o.buf) == 0 {
 			o.gauge(-len(o.buf))
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -106,7 +106,7 @@
 			}
 		}
 		done(i + 1)
-		if i+1 < len(steps) && pause > 0 && !seam.Wait(w, pause, ctx.Done()) {
+		if i+1 < len(steps) && pause > 0 && !seam.Pause(ctx, w, pause) {
 			return ctx.Err()
 		}
 	}
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -9,6 +9,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net"
+	"runtime"
 	"time"
 )
 
@@ -23,12 +24,29 @@
 	Deadline(d time.Duration) time.Time
 	// AfterFunc calls f once, on a goroutine of its own, d from now.
 	AfterFunc(d time.Duration, f func()) Timer
-	// Dial connects a stream; it fails when ctx ends first.
-	Dial(ctx context.Context, network, address string) (net.Conn, error)
+	// Dial connects a stream; it fails when that takes longer, or when ctx ends first.
+	Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error)
 	// Listen accepts streams at the address.
 	Listen(network, address string) (net.Listener, error)
 	// Uint64 is a random number that no peer can guess.
 	Uint64() uint64
+	// Go runs f on a goroutine of its own. A shell starts none but by this.
+	Go(f func())
+	// NewParker is a place for one goroutine to wait at. A shell waits for other
+	// goroutines of its world by it, or by what is built on it here; it holds no lock
+	// meanwhile.
+	NewParker() Parker
+	// Processors is how many goroutines can run at once.
+	Processors() int
+}
+
+// Parker is where one goroutine waits until another wakes it.
+type Parker interface {
+	// Park returns once Unpark was called since the last return. It may return for
+	// nothing: who parks looks again at what it waits for.
+	Park()
+	// Unpark never blocks.
+	Unpark()
 }
 
 // Real is the world of the machine: its monotonic clock and its sockets.
@@ -47,8 +65,8 @@
 func (w *Real) AfterFunc(d time.Duration, f func()) Timer { return time.AfterFunc(d, f) }
 
 // Dial implements World.
-func (w *Real) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var d net.Dialer
+func (w *Real) Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: within}
 	return d.DialContext(ctx, network, address)
 }
 
@@ -64,6 +82,26 @@
 	return binary.BigEndian.Uint64(b[:])
 }
 
+// Go implements World.
+func (w *Real) Go(f func()) { go f() }
+
+// Processors implements World.
+func (w *Real) Processors() int { return runtime.GOMAXPROCS(0) }
+
+// NewParker implements World.
+func (w *Real) NewParker() Parker { return realParker(make(chan struct{}, 1)) }
+
+type realParker chan struct{}
+
+func (p realParker) Park() { <-p }
+
+func (p realParker) Unpark() {
+	select {
+	case p <- struct{}{}:
+	default:
+	}
+}
+
 // MS is a duration in milliseconds, the unit of the module and of settings.
 func MS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
@@ -78,16 +116,3 @@
 		b = b[copy(b, word[:]):]
 	}
 }
-
-// Wait waits for d, or until stop is closed; it tells whether the whole of d passed.
-func Wait(w World, d time.Duration, stop <-chan struct{}) bool {
-	due := make(chan struct{})
-	t := w.AfterFunc(d, func() { close(due) })
-	select {
-	case <-due:
-		return true
-	case <-stop:
-		t.Stop()
-		return false
-	}
-}
--- a/standin/diskserver.go
+++ b/standin/diskserver.go
@@ -42,7 +42,7 @@
 	net      NetTrouble
 	rng      *rand.Rand
 	dead     bool
-	tasks    sync.WaitGroup
+	tasks    seam.Group
 	// OnFall is called once, from a goroutine of its own, when the server falls over.
 	OnFall func()
 }
@@ -62,8 +62,7 @@
 	d.Addr, d.Started = l.Addr().String(), w.Uint64()
 	d.conns, d.timerAt = map[net.Conn]*outbox.Outbox{}, math.Inf(1)
 	d.rng = rand.New(rand.NewPCG(d.Started, 2))
-	d.tasks.Add(1)
-	go d.accept()
+	d.tasks.Go(w, d.accept)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.arm()
@@ -73,7 +72,6 @@
 func (d *DiskServer) now() float64 { return seam.MS(d.world.Now()) }
 
 func (d *DiskServer) accept() {
-	defer d.tasks.Done()
 	for {
 		c, err := d.listener.Accept()
 		if err != nil {
@@ -87,14 +85,12 @@
 		}
 		o := outbox.New(d.world, c, diskOut, diskTimeout)
 		d.conns[c] = o
-		d.tasks.Add(1)
 		d.mu.Unlock()
-		go d.serve(c, o)
+		d.tasks.Go(d.world, func() { d.serve(c, o) })
 	}
 }
 
 func (d *DiskServer) serve(c net.Conn, o *outbox.Outbox) {
-	defer d.tasks.Done()
 	defer func() {
 		o.Cut()
 		o.Wait()
@@ -164,7 +160,7 @@
 	d.machine.Arrive(d.now(), m, func(a diskproto.Answer) { d.answer(o, tag, a) })
 	if d.machine.Fallen() {
 		d.dead = true
-		go d.fall()
+		d.world.Go(d.fall)
 		return
 	}
 	d.arm()
@@ -286,5 +282,5 @@
 		o.Cut()
 	}
 	d.mu.Unlock()
-	d.tasks.Wait()
+	d.tasks.Wait(d.world)
 }
--- a/standin/inventory.go
+++ b/standin/inventory.go
@@ -21,7 +21,7 @@
 	late  float64
 	conns map[net.Conn]*watcher
 	l     net.Listener
-	tasks sync.WaitGroup
+	tasks seam.Group
 	dead  bool
 }
 
@@ -44,13 +44,11 @@
 	}
 	v := &Inventory{Addr: l.Addr().String(), world: w, book: inventory.NewBook(), late: late,
 		conns: map[net.Conn]*watcher{}, l: l}
-	v.tasks.Add(1)
-	go v.accept()
+	v.tasks.Go(w, v.accept)
 	return v, nil
 }
 
 func (v *Inventory) accept() {
-	defer v.tasks.Done()
 	for {
 		c, err := v.l.Accept()
 		if err != nil {
@@ -64,14 +62,12 @@
 		}
 		wt := &watcher{out: outbox.New(v.world, c, listOut, listTimeout)}
 		v.conns[c] = wt
-		v.tasks.Add(1)
 		v.mu.Unlock()
-		go v.serve(c, wt)
+		v.tasks.Go(v.world, func() { v.serve(c, wt) })
 	}
 }
 
 func (v *Inventory) serve(c net.Conn, wt *watcher) {
-	defer v.tasks.Done()
 	r := bufio.NewReader(c)
 	for {
 		var a inventory.Ask
@@ -154,5 +150,5 @@
 		wt.out.Cut()
 	}
 	v.mu.Unlock()
-	v.tasks.Wait()
+	v.tasks.Wait(v.world)
 }
--- a/standin/quick.go
+++ b/standin/quick.go
@@ -19,7 +19,7 @@
 	block []byte
 	mu    sync.Mutex
 	conns []net.Conn
-	tasks sync.WaitGroup
+	tasks seam.Group
 }
 
 // ServeQuick starts one that answers with so many bytes.
@@ -29,13 +29,11 @@
 		return nil, err
 	}
 	q := &QuickDisk{Addr: l.Addr().String(), world: w, l: l, block: make([]byte, bytes)}
-	q.tasks.Add(1)
-	go q.accept()
+	q.tasks.Go(w, q.accept)
 	return q, nil
 }
 
 func (q *QuickDisk) accept() {
-	defer q.tasks.Done()
 	for {
 		c, err := q.l.Accept()
 		if err != nil {
@@ -43,16 +41,14 @@
 		}
 		q.mu.Lock()
 		q.conns = append(q.conns, c)
-		q.tasks.Add(1)
 		q.mu.Unlock()
-		go q.serve(c)
+		q.tasks.Go(q.world, func() { q.serve(c) })
 	}
 }
 
 // serve answers what has come in one write, so that a busy connection costs few
 // calls of the system.
 func (q *QuickDisk) serve(c net.Conn) {
-	defer q.tasks.Done()
 	defer c.Close()
 	br := bufio.NewReaderSize(c, 64<<10)
 	r := diskproto.NewReader(br)
@@ -87,5 +83,5 @@
 		c.Close()
 	}
 	q.mu.Unlock()
-	q.tasks.Wait()
+	q.tasks.Wait(q.world)
 }
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -33,7 +33,7 @@
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	dead   bool
-	tasks  sync.WaitGroup
+	tasks  seam.Group
 }
 
 // tapper reads the frames of one connection.
@@ -59,13 +59,11 @@
 		return nil, err
 	}
 	r := &Relay{Addr: l.Addr().String(), world: w, rec: rec, target: target, make: make, l: l, conns: map[net.Conn]bool{}}
-	r.tasks.Add(1)
-	go r.accept()
+	r.tasks.Go(w, r.accept)
 	return r, nil
 }
 
 func (r *Relay) accept() {
-	defer r.tasks.Done()
 	for {
 		c, err := r.l.Accept()
 		if err != nil {
@@ -74,8 +72,7 @@
 		if !r.keep(c) {
 			return
 		}
-		r.tasks.Add(1)
-		go r.serve(c)
+		r.tasks.Go(r.world, func() { r.serve(c) })
 	}
 }
 
@@ -98,14 +95,11 @@
 }
 
 func (r *Relay) serve(c net.Conn) {
-	defer r.tasks.Done()
 	defer r.drop(c)
-	ctx, cancel := context.WithTimeout(context.Background(), relayDial)
-	defer cancel()
 	r.mu.Lock()
 	target := r.target
 	r.mu.Unlock()
-	s, err := r.world.Dial(ctx, "tcp", target)
+	s, err := r.world.Dial(context.Background(), "tcp", target, relayDial)
 	if err != nil {
 		// What the caller sees is a connection that closes, as from a dead process.
 		return
@@ -116,11 +110,10 @@
 	defer r.drop(s)
 	t := &tap{relay: r, tapper: r.make(r.Addr), conn: r.rec.Conn()}
 	t.note(trail.Event{Kind: trail.Open, Dir: trail.Up})
-	var both sync.WaitGroup
-	both.Add(2)
-	go func() { defer both.Done(); t.pump(s, c, true) }()
-	go func() { defer both.Done(); t.pump(c, s, false) }()
-	both.Wait()
+	var both seam.Group
+	both.Go(r.world, func() { t.pump(s, c, true) })
+	both.Go(r.world, func() { t.pump(c, s, false) })
+	both.Wait(r.world)
 }
 
 // tap is one connection through a relay.
@@ -214,7 +207,7 @@
 		c.Close()
 	}
 	r.mu.Unlock()
-	r.tasks.Wait()
+	r.tasks.Wait(r.world)
 }
 
 // clientTap reads iSCSI.
--- a/standin/router.go
+++ b/standin/router.go
@@ -73,7 +73,7 @@
 	ends     int // End-of-RIB marks
 	ups      int
 	closed   bool
-	tasks    sync.WaitGroup
+	tasks    seam.Group
 }
 
 type routerSession struct {
@@ -103,8 +103,7 @@
 	}
 	r := &Router{Addr: l.Addr().String(), AS: as, ID: uint32(w.Uint64()) | 1, world: w, listener: l, rng: rand.New(rand.NewPCG(w.Uint64(), 1)),
 		sessions: map[*routerSession]bool{}, rib: map[netip.Prefix]map[uint32]bgp.Path{}}
-	r.tasks.Add(1)
-	go r.accept()
+	r.tasks.Go(w, r.accept)
 	return r, nil
 }
 
@@ -131,11 +130,10 @@
 	r.mu.Unlock()
 	r.listener.Close()
 	r.Reset()
-	r.tasks.Wait()
+	r.tasks.Wait(r.world)
 }
 
 func (r *Router) accept() {
-	defer r.tasks.Done()
 	for {
 		c, err := r.listener.Accept()
 		if err != nil {
@@ -149,9 +147,8 @@
 		}
 		s := &routerSession{r: r, conn: c, out: outbox.New(r.world, c, routerOut, routerHold), state: bgp.Connect, fault: r.fault}
 		r.sessions[s] = true
-		r.tasks.Add(1)
 		r.mu.Unlock()
-		go s.run()
+		r.tasks.Go(r.world, func() { s.run() })
 	}
 }
 
@@ -162,17 +159,15 @@
 }
 
 func (r slowReader) Read(b []byte) (int, error) {
-	never := make(chan struct{})
-	seam.Wait(r.s.r.world, r.d, never)
+	seam.Wait(r.s.r.world, r.d, nil)
 	return r.s.conn.Read(b[:min(len(b), 16)])
 }
 
 func (s *routerSession) run() {
 	r := s.r
-	defer r.tasks.Done()
 	defer s.end()
 	if f := s.fault.AcceptAfter; f > 0 {
-		seam.Wait(r.world, f, make(chan struct{}))
+		seam.Wait(r.world, f, nil)
 	}
 	buf := bufio.NewReaderSize(s.conn, bgp.MaxLen)
 	if s.fault.SlowRead > 0 {
