world: a whole fleet in one process, the same from a seed at any processors

A virtual world (clock, timers, links, processes, one goroutine at a time) stands behind the seam; the fleet, its clients and its troubles run in it unchanged. Relays' recorders became taps that stand on a relay or on a virtual link. Shells list what they hold in the order in which it came; the disk server's timer no longer comes before its time.

--- a/bgp/speaker.go
+++ b/bgp/speaker.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +49,9 @@
 	timerAt float64
 }
 
+// inOrder lists the connections by age.
+func (p *neighbour) inOrder() []ConnID { return slices.Sorted(maps.Keys(p.conns)) }
+
 // link is a connection's writing half.
 type link struct {
 	*outbox.Outbox
@@ -125,7 +130,8 @@
 
 // pull gives idle connections what they have not been told.
 func (s *Speaker) pull(p *neighbour) {
-	for c, l := range p.conns {
+	for _, c := range p.inOrder() {
+		l := p.conns[c]
 		if l.telling {
 			continue
 		}
@@ -327,7 +333,8 @@
 	}
 	var links []*link
 	for _, p := range s.peers {
-		for c, l := range p.conns {
+		for _, c := range p.inOrder() {
+			l := p.conns[c]
 			links = append(links, l)
 			for b := p.Pull(c); len(b) > 0; b = p.Pull(c) { // withdrawals go before the end
 				l.put(b)
@@ -352,8 +359,8 @@
 		return
 	}
 	for _, p := range s.peers {
-		for _, o := range p.conns {
-			o.Cut()
+		for _, c := range p.inOrder() {
+			p.conns[c].Cut()
 		}
 	}
 	s.end()
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -342,8 +344,8 @@
 	b.mu.Lock()
 	b.closed = true
 	links := make([]*link, 0, len(b.links))
-	for _, l := range b.links {
-		links = append(links, l)
+	for _, addr := range slices.Sorted(maps.Keys(b.links)) {
+		links = append(links, b.links[addr])
 	}
 	b.mu.Unlock()
 	for _, l := range links {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -59,7 +59,7 @@
 	answers  []*answerer
 
 	mu       sync.Mutex
-	conns    map[*conn]bool
+	conns    seam.Roster[*conn]
 	sessions map[sessionKey]*conn
 	stopping bool
 	tasks    seam.Group
@@ -82,7 +82,7 @@
 )
 
 func newFront(w seam.World, h *host, v *view, l net.Listener, log *zap.Logger) *front {
-	f := &front{world: w, host: h, log: log, listener: l, conns: map[*conn]bool{}, sessions: map[sessionKey]*conn{}}
+	f := &front{world: w, host: h, log: log, listener: l, sessions: map[sessionKey]*conn{}}
 	f.keeper, f.answers = newKeeper(f), newAnswerers(h)
 	f.view.Store(v)
 	f.nextTSIH.Store(uint32(w.Uint64()))
@@ -97,7 +97,7 @@
 			return
 		}
 		f.mu.Lock()
-		full := len(f.conns) >= f.view.Load().Target.MaxSessions
+		full := f.conns.Len() >= f.view.Load().Target.MaxSessions
 		if f.stopping || full {
 			f.mu.Unlock()
 			c.Close()
@@ -107,7 +107,7 @@
 			continue
 		}
 		k := newConn(f, c)
-		f.conns[k] = true
+		f.conns.Add(k)
 		f.tasks.Go(f.world, k.run)
 		f.mu.Unlock()
 	}
@@ -137,7 +137,7 @@
 func (f *front) remove(c *conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.conns, c)
+	f.conns.Remove(c)
 	if c.key != (sessionKey{}) && f.sessions[c.key] == c {
 		delete(f.sessions, c.key)
 	}
@@ -146,11 +146,7 @@
 func (f *front) all() []*conn {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []*conn
-	for c := range f.conns {
-		out = append(out, c)
-	}
-	return out
+	return f.conns.All()
 }
 
 // conn is one connection of an initiator, which is also its session.
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -144,7 +144,14 @@
 	if set == nil {
 		set = settings.Example(opt.Hosts, opt.Servers)
 	}
-	f, err := NewFleet(seam.NewReal(), set, Machine(set), opt)
+	w := seam.NewReal()
+	return playDay(ctx, w, loopback{w}, set, opt)
+}
+
+// playDay plays and checks a day at a site, of which w is the part that clients and
+// troubles have.
+func playDay(ctx context.Context, w seam.World, at site, set *settings.Settings, opt Options) (*Result, error) {
+	f, err := NewFleet(w, at, set, Machine(set), opt)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -23,7 +23,7 @@
 	"merlinhitch/trail"
 )
 
-// Fleet is a service on loopback.
+// Fleet is a service.
 type Fleet struct {
 	World seam.World
 	Set   *settings.Settings
@@ -38,7 +38,8 @@
 	mu    sync.Mutex
 	disks []*disk
 	hosts []*hostProc
-	old   []*standin.Relay // of hosts that are gone
+	old   []wire // of hosts that are gone
+	site  site
 	racks []*standin.Rack
 	fell  []string
 	later seam.Group
@@ -60,7 +61,8 @@
 	cell   *standin.Cell
 	rack   *standin.Rack
 	server *standin.DiskServer // nil while down
-	relay  *standin.Relay
+	relay  wire
+	world  seam.World // of the server's process
 	starts int
 	cores  int
 }
@@ -71,8 +73,9 @@
 	name    string
 	starts  int
 	gate    *gateway.Gateway
-	clients *standin.Relay
-	list    *standin.Relay
+	world   seam.World
+	clients wire // nil while it is down
+	list    wire
 }
 
 // Halls are the zones over which servers are spread.
@@ -91,9 +94,9 @@
 const listLate = 300
 
 // NewFleet starts a service of the settings' hosts and shards.
-func NewFleet(w seam.World, s *settings.Settings, cfg standin.MachineConfig, opt Options) (*Fleet, error) {
+func NewFleet(w seam.World, at site, s *settings.Settings, cfg standin.MachineConfig, opt Options) (*Fleet, error) {
 	seed := opt.Seed
-	f := &Fleet{World: w, Set: s, now: s, log: opt.Log, cfg: cfg, seed: seed,
+	f := &Fleet{World: w, site: at, Set: s, now: s, log: opt.Log, cfg: cfg, seed: seed,
 		Rec:  trail.NewRecorder(func() int64 { return int64(w.Now() / time.Microsecond) }),
 		Meta: &trail.Meta{Settings: s, Servers: map[string]trail.Server{}, Seed: seed}}
 	sizes, rates := map[string]int{}, map[string]float64{}
@@ -103,7 +106,7 @@
 	}
 	if s.Announce != nil {
 		var err error
-		if f.Router, err = standin.ServeRouter(w, "127.0.0.1:0", 65010); err != nil {
+		if f.Router, err = standin.ServeRouter(at.process("router"), "127.0.0.1:0", 65010); err != nil {
 			return nil, err
 		}
 		next := *s
@@ -114,7 +117,7 @@
 	}
 	f.meter = &standin.Meter{Period: 2000, Rate: func(v string) float64 { return rates[v] }}
 	var err error
-	if f.inv, err = standin.ServeInventory(w, "127.0.0.1:0", listLate); err != nil {
+	if f.inv, err = standin.ServeInventory(at.process("inventory"), "127.0.0.1:0", listLate); err != nil {
 		return nil, err
 	}
 	newCell := func() *standin.Cell { return standin.NewCell(func(v string) int { return sizes[v] }) }
@@ -165,7 +168,8 @@
 	cfg.Cores = d.cores
 	m := standin.NewMachine(cfg, f.seed*1000+uint64(d.shard*10+d.starts), d.cell, d.rack, f.meter, uint32(d.shard), now, cold)
 	s := &standin.DiskServer{Name: fmt.Sprintf("%s#%d", d.name, d.starts), Zone: d.zone, Rack: d.name, Shard: d.shard}
-	if err := standin.ServeDisk(f.World, m, s); err != nil {
+	d.world = f.site.process(s.Name)
+	if err := standin.ServeDisk(d.world, m, s); err != nil {
 		return err
 	}
 	s.OnFall = func() {
@@ -175,7 +179,7 @@
 	}
 	d.server = s
 	if fresh || d.relay == nil {
-		r, err := standin.RelayDisk(f.World, f.Rec, s.Addr)
+		r, err := f.site.wire(s.Addr, true, func(addr string) *standin.Tap { return standin.TapDisk(f.Rec, addr) })
 		if err != nil {
 			return err
 		}
@@ -183,7 +187,7 @@
 			f.old = append(f.old, d.relay)
 		}
 		d.relay = r
-		f.Meta.Servers[r.Addr] = trail.Server{Name: s.Name, Shard: d.shard, Zone: d.zone, Rack: d.name,
+		f.Meta.Servers[r.Address()] = trail.Server{Name: s.Name, Shard: d.shard, Zone: d.zone, Rack: d.name,
 			Rate: float64(cfg.Cores) / cfg.UnitWork * 1000}
 	} else {
 		d.relay.Point(s.Addr)
@@ -192,7 +196,7 @@
 	if cold {
 		started = now
 	}
-	addr, zone, shard := d.relay.Addr, d.zone, d.shard
+	addr, zone, shard := d.relay.Address(), d.zone, d.shard
 	enter := func(b *inventory.Book) {
 		b.Set(inventory.Node{Addr: addr, Health: inventory.Ready, Shard: shard, Zone: zone, Weight: 1, Incarnation: s.Started}, started)
 	}
@@ -208,25 +212,37 @@
 	h.starts++
 	h.name = fmt.Sprintf("h%d#%d", h.self, h.starts)
 	var err error
-	if h.list, err = standin.RelayList(f.World, f.Rec, h.name, f.inv.Addr); err != nil {
+	name := h.name
+	h.world = f.site.process(name)
+	if h.list, err = f.site.wire(f.inv.Addr, true, func(string) *standin.Tap { return standin.TapList(f.Rec, name) }); err != nil {
 		return err
 	}
-	h.gate, err = gateway.Start(gateway.Config{World: f.World, Log: f.log, Name: h.name, Self: h.self,
-		Zone: Halls[h.self%len(Halls)], Listen: "127.0.0.1:0", Inventory: h.list.Addr, Admin: "127.0.0.1:0",
+	h.gate, err = gateway.Start(gateway.Config{World: h.world, Log: f.log, Name: h.name, Self: h.self,
+		Zone: Halls[h.self%len(Halls)], Listen: "127.0.0.1:0", Inventory: h.list.Address(), Admin: f.site.admin(),
 		RouterID: routerID(h.self), Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
 	if err != nil {
 		return err
 	}
-	// As an operator would: by a call of the admin API.
-	api := settings.NewAPI(h.gate.Admin().String())
-	defer api.Close()
+	if err = f.configure(h.gate); err != nil {
+		return err
+	}
+	h.gate.Ready().Wait(f.World)
+	h.clients, err = f.site.wire(h.gate.Addr().String(), false, func(string) *standin.Tap { return standin.TapClients(f.Rec, name, f.Set) })
+	return err
+}
+
+// configure gives a new host its settings, as an operator would: by a call of the admin
+// API where there is one.
+func (f *Fleet) configure(g *gateway.Gateway) error {
 	first := *f.now
 	first.Version = 0
-	if _, err = api.Put(context.Background(), &first); err != nil {
+	if g.Admin() == nil {
+		_, err := g.Settings().Put(&first)
 		return err
 	}
-	h.gate.Ready().Wait(f.World)
-	h.clients, err = standin.RelayClients(f.World, f.Rec, h.name, h.gate.Addr().String(), f.Set)
+	api := settings.NewAPI(g.Admin().String())
+	defer api.Close()
+	_, err := api.Put(context.Background(), &first)
 	return err
 }
 
@@ -247,7 +263,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if h := f.hosts[i]; h.clients != nil {
-		return h.clients.Addr
+		return h.clients.Address()
 	}
 	return ""
 }
@@ -279,11 +295,13 @@
 		f.mu.Unlock()
 		return
 	}
-	gate, clients, list := h.gate, h.clients, h.list
+	gate, clients, list, at := h.gate, h.clients, h.list, h.world
 	h.clients = nil
 	f.old = append(f.old, clients, list)
 	f.mu.Unlock()
-	gate.Kill()
+	if !f.site.crash(at, false) {
+		gate.Kill()
+	}
 	f.after(down, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -298,13 +316,15 @@
 func (f *Fleet) KillDisk(i int, down time.Duration) {
 	f.mu.Lock()
 	d := f.disks[i]
-	s, addr := d.server, d.relay.Addr
+	s, addr, at := d.server, d.relay.Address(), d.world
 	d.server = nil
 	f.mu.Unlock()
 	if s == nil {
 		return
 	}
-	s.Kill()
+	if !f.site.crash(at, false) {
+		s.Kill()
+	}
 	d.cell.PowerLoss()
 	f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
 	f.after(down, func() {
@@ -326,7 +346,7 @@
 		f.mu.Unlock()
 		return
 	}
-	addr := d.relay.Addr
+	addr := d.relay.Address()
 	f.mu.Unlock()
 	f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Draining) })
 	f.after(drain, func() {
@@ -376,7 +396,7 @@
 	hosts := f.hosts
 	f.mu.Unlock()
 	for _, h := range hosts {
-		if h.gate != nil {
+		if h.gate != nil && h.clients != nil {
 			all.Go(f.World, func() { h.gate.Stop(ctx) })
 		}
 	}
@@ -385,6 +405,9 @@
 
 // Close ends everything at once.
 func (f *Fleet) Close() {
+	if !f.site.remains() {
+		return
+	}
 	f.mu.Lock()
 	f.over = true
 	f.mu.Unlock()
--- /dev/null
+++ b/lab/site.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"merlinhitch/seam"
+	"merlinhitch/standin"
+	"merlinhitch/world"
+)
+
+// site is where a service runs: on loopback, or in a virtual world. All that differs
+// between the two stands here.
+type site interface {
+	// process is the world as a new program of that name has it.
+	process(name string) seam.World
+	// crash ends a program where it stands; false if the site can't, and the program
+	// is to be told to end.
+	crash(w seam.World, power bool) bool
+	// wire makes an address that leads to target and on which what passes is recorded,
+	// beside the side that dials or the one that listens.
+	wire(target string, byDialler bool, tap func(addr string) *standin.Tap) (wire, error)
+	// remains tells whether programs stay until they are told to end.
+	remains() bool
+	// admin is where a host serves its admin API, "" where that has no HTTP.
+	admin() string
+}
+
+// wire is an address with a recorder.
+type wire interface {
+	Address() string
+	// Point has connections from now on go to another address.
+	Point(target string)
+	Close()
+}
+
+// loopback is the site of real sockets.
+type loopback struct{ seam.World }
+
+func (l loopback) process(string) seam.World { return l.World }
+func (loopback) crash(seam.World, bool) bool { return false }
+func (loopback) remains() bool               { return true }
+func (loopback) admin() string               { return "127.0.0.1:0" }
+func (l loopback) wire(target string, _ bool, tap func(addr string) *standin.Tap) (wire, error) {
+	return standin.ServeRelay(l.World, target, tap)
+}
+
+// virtual is the site in a virtual world.
+type virtual struct{ w *world.World }
+
+func (v virtual) process(name string) seam.World { return v.w.Process(name) }
+
+func (v virtual) crash(w seam.World, power bool) bool {
+	how := world.Crash
+	if power {
+		how = world.Silent
+	}
+	w.(*world.Process).Kill(how)
+	return true
+}
+
+func (virtual) remains() bool { return false } // the world ends them
+
+func (virtual) admin() string { return "" }
+
+func (v virtual) wire(target string, byDialler bool, tap func(addr string) *standin.Tap) (wire, error) {
+	a := &virtualWire{w: v.w}
+	a.addr = v.w.Alias(target, byDialler, func() world.Observer { return tap(a.addr) })
+	return a, nil
+}
+
+type virtualWire struct {
+	w    *world.World
+	addr string
+}
+
+func (a *virtualWire) Address() string     { return a.addr }
+func (a *virtualWire) Point(target string) { a.w.Point(a.addr, target) }
+func (a *virtualWire) Close()              {} // ends with its world
--- a/standin/diskserver.go
+++ b/standin/diskserver.go
@@ -38,7 +38,7 @@
 	machine  *Machine
 	timer    seam.Timer
 	timerAt  float64
-	conns    map[net.Conn]*outbox.Outbox
+	conns    seam.Roster[*outbox.Outbox]
 	net      NetTrouble
 	rng      *rand.Rand
 	dead     bool
@@ -60,7 +60,7 @@
 	}
 	d.world, d.listener, d.machine = w, l, m
 	d.Addr, d.Started = l.Addr().String(), w.Uint64()
-	d.conns, d.timerAt = map[net.Conn]*outbox.Outbox{}, math.Inf(1)
+	d.timerAt = math.Inf(1)
 	d.rng = rand.New(rand.NewPCG(d.Started, 2))
 	d.tasks.Go(w, d.accept)
 	d.mu.Lock()
@@ -84,7 +84,7 @@
 			return
 		}
 		o := outbox.New(d.world, c, diskOut, diskTimeout)
-		d.conns[c] = o
+		d.conns.Add(o)
 		d.mu.Unlock()
 		d.tasks.Go(d.world, func() { d.serve(c, o) })
 	}
@@ -95,7 +95,7 @@
 		o.Cut()
 		o.Wait()
 		d.mu.Lock()
-		delete(d.conns, c)
+		d.conns.Remove(o)
 		d.mu.Unlock()
 	}()
 	if d.hangs() {
@@ -196,7 +196,8 @@
 		d.timer.Stop()
 	}
 	d.timerAt = at
-	d.timer = d.world.AfterFunc(max(seam.Duration(at-d.now()), 0), d.due)
+	// A moment late, so that rounding never has it come before its time.
+	d.timer = d.world.AfterFunc(max(seam.Duration(at-d.now()), 0)+time.Microsecond, d.due)
 }
 
 func (d *DiskServer) due() {
@@ -226,7 +227,7 @@
 	change := d.net.Hang != t.Hang
 	d.net = t
 	if change {
-		for _, o := range d.conns {
+		for _, o := range d.conns.All() {
 			o.Cut()
 		}
 	}
@@ -256,7 +257,7 @@
 // fall tells every host before the process ends for good.
 func (d *DiskServer) fall() {
 	d.mu.Lock()
-	for _, o := range d.conns {
+	for _, o := range d.conns.All() {
 		o.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindBye, fellOver, nil) })
 		o.Finish()
 	}
@@ -278,7 +279,7 @@
 	if d.timer != nil {
 		d.timer.Stop()
 	}
-	for _, o := range d.conns {
+	for _, o := range d.conns.All() {
 		o.Cut()
 	}
 	d.mu.Unlock()
--- a/standin/inventory.go
+++ b/standin/inventory.go
@@ -19,7 +19,7 @@
 	mu    sync.Mutex
 	book  *inventory.Book
 	late  float64
-	conns map[net.Conn]*watcher
+	conns seam.Roster[*watcher]
 	l     net.Listener
 	tasks seam.Group
 	dead  bool
@@ -42,8 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &Inventory{Addr: l.Addr().String(), world: w, book: inventory.NewBook(), late: late,
-		conns: map[net.Conn]*watcher{}, l: l}
+	v := &Inventory{Addr: l.Addr().String(), world: w, book: inventory.NewBook(), late: late, l: l}
 	v.tasks.Go(w, v.accept)
 	return v, nil
 }
@@ -61,7 +60,7 @@
 			return
 		}
 		wt := &watcher{out: outbox.New(v.world, c, listOut, listTimeout)}
-		v.conns[c] = wt
+		v.conns.Add(wt)
 		v.mu.Unlock()
 		v.tasks.Go(v.world, func() { v.serve(c, wt) })
 	}
@@ -88,7 +87,7 @@
 	wt.out.Cut()
 	wt.out.Wait()
 	v.mu.Lock()
-	delete(v.conns, c)
+	v.conns.Remove(wt)
 	v.mu.Unlock()
 }
 
@@ -118,7 +117,7 @@
 		return
 	}
 	f(v.book)
-	for _, wt := range v.conns {
+	for _, wt := range v.conns.All() {
 		if wt.on {
 			v.tell(wt, false)
 		}
@@ -136,7 +135,7 @@
 func (v *Inventory) CutAll() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, wt := range v.conns {
+	for _, wt := range v.conns.All() {
 		wt.out.Cut()
 	}
 }
@@ -146,7 +145,7 @@
 	v.l.Close()
 	v.mu.Lock()
 	v.dead = true
-	for _, wt := range v.conns {
+	for _, wt := range v.conns.All() {
 		wt.out.Cut()
 	}
 	v.mu.Unlock()
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -1,23 +1,12 @@
 package standin
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/binary"
-	"encoding/json"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
 	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
 )
 
 // Relay stands on a socket, passes the bytes on as they are and records each
@@ -26,39 +15,27 @@
 	Addr string
 
 	world  seam.World
-	rec    *trail.Recorder
 	target string
-	make   func(addr string) tapper
+	tap    func(addr string) *Tap
 	l      net.Listener
 	mu     sync.Mutex
-	conns  map[net.Conn]bool
+	conns  seam.Roster[net.Conn]
 	dead   bool
 	tasks  seam.Group
 }
 
-// tapper reads the frames of one connection.
-type tapper interface {
-	// cut returns the length of the frame that b begins with, 0 if it isn't all
-	// there, -1 if it is none.
-	cut(up bool, b []byte) int
-	// frame describes a whole frame; nil leaves it out.
-	frame(up bool, b []byte) []trail.Event
-	// who fills in the end points.
-	who(e *trail.Event)
-}
-
 const (
 	relayChunk = 64 << 10
-	relayFrame = 4 << 20 // longer is taken for broken
 	relayDial  = 2 * time.Second
 )
 
-func newRelay(w seam.World, rec *trail.Recorder, target string, make func(addr string) tapper) (*Relay, error) {
+// ServeRelay starts a relay to target; tap makes what reads a connection.
+func ServeRelay(w seam.World, target string, tap func(addr string) *Tap) (*Relay, error) {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Addr: l.Addr().String(), world: w, rec: rec, target: target, make: make, l: l, conns: map[net.Conn]bool{}}
+	r := &Relay{Addr: l.Addr().String(), world: w, target: target, tap: tap, l: l}
 	r.tasks.Go(w, r.accept)
 	return r, nil
 }
@@ -83,14 +60,14 @@
 		c.Close()
 		return false
 	}
-	r.conns[c] = true
+	r.conns.Add(c)
 	return true
 }
 
 func (r *Relay) drop(c net.Conn) {
 	c.Close()
 	r.mu.Lock()
-	delete(r.conns, c)
+	r.conns.Remove(c)
 	r.mu.Unlock()
 }
 
@@ -108,37 +85,20 @@
 		return
 	}
 	defer r.drop(s)
-	t := &tap{relay: r, tapper: r.make(r.Addr), conn: r.rec.Conn()}
-	t.note(trail.Event{Kind: trail.Open, Dir: trail.Up})
+	t := r.tap(r.Addr)
 	var both seam.Group
-	both.Go(r.world, func() { t.pump(s, c, true) })
-	both.Go(r.world, func() { t.pump(c, s, false) })
+	both.Go(r.world, func() { pump(t, s, c, true) })
+	both.Go(r.world, func() { pump(t, c, s, false) })
 	both.Wait(r.world)
 }
 
-// tap is one connection through a relay.
-type tap struct {
-	relay  *Relay
-	conn   uint32
-	mu     sync.Mutex // both directions record through one tapper
-	tapper tapper
-	closed bool
-}
-
-func (t *tap) note(e trail.Event) {
-	e.Conn = t.conn
-	t.tapper.who(&e)
-	t.relay.rec.Add(e)
-}
-
 // pump passes bytes from src to dst. The side that ends first is noted.
-func (t *tap) pump(dst, src net.Conn, up bool) {
+func pump(t *Tap, dst, src net.Conn, up bool) {
 	buf := make([]byte, relayChunk)
-	var held []byte
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
-			held = t.record(append(held, buf[:n]...), up)
+			t.Bytes(up, buf[:n])
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				break
 			}
@@ -147,48 +107,13 @@
 			break
 		}
 	}
-	t.mu.Lock()
-	if !t.closed {
-		t.closed = true
-		t.note(trail.Event{Kind: trail.Close, Dir: dir(up)})
-	}
-	t.mu.Unlock()
+	t.Closed(up)
 	src.Close()
 	dst.Close()
 }
 
-func dir(up bool) string {
-	if up {
-		return trail.Up
-	}
-	return trail.Down
-}
-
-// record notes the whole frames in b and returns what remains.
-func (t *tap) record(b []byte, up bool) []byte {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.closed {
-		return nil
-	}
-	rest := b
-	for len(rest) > 0 {
-		n := t.tapper.cut(up, rest)
-		if n < 0 || n == 0 && len(rest) > relayFrame {
-			t.note(trail.Event{Kind: trail.Broken, Dir: dir(up), Bytes: int64(len(rest))})
-			return nil
-		}
-		if n == 0 {
-			break
-		}
-		for _, e := range t.tapper.frame(up, rest[:n]) {
-			e.Dir, e.Bytes = dir(up), int64(n)
-			t.note(e)
-		}
-		rest = rest[n:]
-	}
-	return append([]byte(nil), rest...)
-}
+// Address is where the relay listens.
+func (r *Relay) Address() string { return r.Addr }
 
 // Point has connections from now on go to another address, as when a process
 // behind a stable address is started anew.
@@ -203,259 +128,9 @@
 	r.l.Close()
 	r.mu.Lock()
 	r.dead = true
-	for c := range r.conns {
+	for _, c := range r.conns.All() {
 		c.Close()
 	}
 	r.mu.Unlock()
 	r.tasks.Wait(r.world)
 }
-
-// clientTap reads iSCSI.
-type clientTap struct {
-	host, peer string
-	set        *settings.Settings
-	digests    [2]bool // header, data
-	full       bool
-	session    uint32
-	volume     string
-	keys       []byte
-}
-
-// RelayClients records what passes between initiators and the host at target.
-func RelayClients(w seam.World, rec *trail.Recorder, host, target string, set *settings.Settings) (*Relay, error) {
-	return newRelay(w, rec, target, func(string) tapper { return &clientTap{host: host, set: set} })
-}
-
-func (c *clientTap) who(e *trail.Event) {
-	e.Link, e.Host, e.Peer, e.Session = trail.LinkClient, c.host, c.peer, c.session
-	if e.Volume == "" {
-		e.Volume = c.volume
-	}
-}
-
-func (c *clientTap) cut(up bool, b []byte) int {
-	if len(b) < 48 {
-		return 0
-	}
-	data := int(b[5])<<16 | int(b[6])<<8 | int(b[7])
-	n := 48 + 4*int(b[4]) + (data+3)&^3
-	if c.full && c.digests[0] {
-		n += 4
-	}
-	if c.full && c.digests[1] && data > 0 {
-		n += 4
-	}
-	if n > relayFrame {
-		return -1
-	}
-	if len(b) < n {
-		return 0
-	}
-	return n
-}
-
-func (c *clientTap) frame(up bool, b []byte) []trail.Event {
-	r := iscsi.NewReader(bufio.NewReader(bytes.NewReader(b)), relayFrame)
-	if c.full {
-		r.Digests = iscsi.Digests{Header: c.digests[0], Data: c.digests[1]}
-	}
-	p, err := r.Next()
-	if err != nil {
-		return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
-	}
-	if up {
-		return c.up(p)
-	}
-	return c.down(p)
-}
-
-func (c *clientTap) up(p *iscsi.PDU) []trail.Event {
-	e := trail.Event{Tag: p.ITT()}
-	switch p.Opcode() {
-	case iscsi.OpLoginReq:
-		c.keys = append(c.keys, p.Data...)
-		return nil
-	case iscsi.OpCommand:
-		e.Kind, e.Length = trail.Command, p.Word(20)
-		e.Op, e.LBA, e.Blocks = describe(p.CDB())
-		e.Advice = uint32(len(p.Data)) // immediate data, bytes
-		if p.Flags()&0x20 == 0 {
-			e.Advice = e.Length // nothing is still to come
-		}
-	case iscsi.OpDataOut:
-		e.Kind, e.Length = trail.Data, uint32(len(p.Data))
-	case iscsi.OpTaskReq:
-		e.Kind, e.Ref, e.Status = trail.Manage, p.Word(iscsi.AtTTT), int32(p.Flags()&0x7f)
-	case iscsi.OpLogoutReq:
-		e.Kind = trail.Logout
-	default:
-		return nil
-	}
-	return []trail.Event{e}
-}
-
-func (c *clientTap) down(p *iscsi.PDU) []trail.Event {
-	e := trail.Event{Tag: p.ITT()}
-	switch p.Opcode() {
-	case iscsi.OpLoginResp:
-		return c.login(p)
-	case iscsi.OpResponse:
-		e.Kind, e.Status = trail.Status, int32(p.BHS[3])
-		e.Advice = uint32(binary.BigEndian.Uint16(p.BHS[8:]))
-		if len(p.Data) > 2 {
-			if s, ok := scsi.ParseSense(p.Data[2:]); ok {
-				e.Sense = uint32(s.Key)<<16 | uint32(s.ASC)<<8 | uint32(s.ASCQ)
-			}
-		}
-	case iscsi.OpDataIn:
-		if p.Flags()&1 == 0 {
-			return nil
-		}
-		e.Kind, e.Status = trail.Status, int32(p.BHS[3])
-	case iscsi.OpTaskResp:
-		e.Kind, e.Status = trail.Managed, int32(p.BHS[2])
-	default:
-		return nil
-	}
-	return []trail.Event{e}
-}
-
-// login follows the login to its end: names from the requests, digests from the
-// answers, the session's handle from the last.
-func (c *clientTap) login(p *iscsi.PDU) []trail.Event {
-	answers, _ := iscsi.ParseText(p.Data)
-	for _, k := range answers {
-		switch k.Name {
-		case "HeaderDigest":
-			c.digests[0] = k.Value == "CRC32C"
-		case "DataDigest":
-			c.digests[1] = k.Value == "CRC32C"
-		}
-	}
-	if p.BHS[36] != 0 || !p.Final() || p.Flags()&3 != 3 {
-		return nil
-	}
-	c.full = true
-	c.session = uint32(p.BHS[14])<<8 | uint32(p.BHS[15])
-	asked, _ := iscsi.ParseText(c.keys)
-	c.keys = nil
-	for _, k := range asked {
-		switch k.Name {
-		case "InitiatorName":
-			c.peer = k.Value[strings.LastIndexByte(k.Value, ':')+1:]
-		case "TargetName":
-			c.volume = k.Value[strings.LastIndexByte(k.Value, ':')+1:]
-		}
-	}
-	return []trail.Event{{Kind: trail.Login}}
-}
-
-// describe names a CDB's operation; "" for those that need no disk. The data of
-// an UNMAP isn't read: its runs are in its attempts.
-func describe(cdb []byte) (op string, lba uint64, blocks uint32) {
-	var b [16]byte
-	copy(b[:], cdb)
-	every := &scsi.Disk{Blocks: 1 << 62, BlockSize: 1}
-	out := scsi.Decode(every, b, make([]byte, 2*scsi.MaxBlocks), nil)
-	if b[0] == 0x42 {
-		return scsi.Unmap.String(), 0, 0
-	}
-	if out.IO == nil || out.IO.Op == scsi.Flush {
-		return "", 0, 0
-	}
-	return out.IO.Op.String(), out.IO.LBA, out.IO.Blocks
-}
-
-// diskTap reads the disk servers' protocol.
-type diskTap struct {
-	server string
-	host   string
-	hostID uint64
-}
-
-// RelayDisk records what passes between hosts and the disk server at target. The
-// relay's address is the one that the inventory lists.
-func RelayDisk(w seam.World, rec *trail.Recorder, target string) (*Relay, error) {
-	return newRelay(w, rec, target, func(addr string) tapper { return &diskTap{server: addr} })
-}
-
-func (d *diskTap) who(e *trail.Event) {
-	e.Link, e.Host, e.Peer, e.HostID = trail.LinkDisk, d.host, d.server, d.hostID
-}
-
-func (d *diskTap) cut(_ bool, b []byte) int {
-	if len(b) < 16 {
-		return 0
-	}
-	if b[0] != 'M' || b[1] != 'H' {
-		return -1
-	}
-	n := 16 + int(binary.BigEndian.Uint32(b[4:]))
-	if n > relayFrame {
-		return -1
-	}
-	if len(b) < n {
-		return 0
-	}
-	return n
-}
-
-func (d *diskTap) frame(_ bool, b []byte) []trail.Event {
-	f, err := diskproto.NewReader(bufio.NewReader(bytes.NewReader(b))).Next()
-	if err != nil {
-		return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
-	}
-	e := trail.Event{Tag: f.Tag}
-	switch f.Kind {
-	case diskproto.KindHello:
-		var m diskproto.Hello
-		if m.Parse(f.Body) != nil {
-			return nil
-		}
-		d.host, d.hostID = m.Name, m.Host
-		e.Kind = trail.Hello
-	case diskproto.KindDo:
-		var m diskproto.Do
-		if err := m.Parse(f.Body); err != nil {
-			return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
-		}
-		e.Kind, e.Op, e.Effect, e.Attempt, e.Shard = trail.Do, scsi.Op(m.Op).String(), int32(m.Effect), uint32(m.Attempt), int32(m.Shard)
-		e.Seq, e.Deadline, e.Units, e.Volume, e.Key = m.Seq, int64(m.Deadline), m.Units, m.Volume, m.Key
-		e.LBA, e.Blocks, e.Length = m.LBA, m.Blocks, uint32(len(m.Data))
-		e.Session, e.Ref = uint32(m.Origin>>32), uint32(m.Origin)
-	case diskproto.KindAnswer:
-		var m diskproto.Answer
-		if err := m.Parse(f.Body); err != nil {
-			return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
-		}
-		e.Kind, e.Status, e.Dropped, e.Length = trail.Answer, int32(m.Result), m.Dropped, uint32(len(m.Data))
-	case diskproto.KindBye:
-		e.Kind, e.Status = trail.Bye, int32(f.Tag)
-	default:
-		return nil
-	}
-	return []trail.Event{e}
-}
-
-// listTap reads the inventory's lines.
-type listTap struct{ host string }
-
-// RelayList records what the host is told by the inventory at target.
-func RelayList(w seam.World, rec *trail.Recorder, host, target string) (*Relay, error) {
-	return newRelay(w, rec, target, func(string) tapper { return &listTap{host} })
-}
-
-func (l *listTap) who(e *trail.Event) { e.Link, e.Host = trail.LinkList, l.host }
-
-func (l *listTap) cut(_ bool, b []byte) int { return bytes.IndexByte(b, '\n') + 1 }
-
-func (l *listTap) frame(up bool, b []byte) []trail.Event {
-	if up {
-		return nil
-	}
-	var m inventory.List
-	if json.Unmarshal(b, &m) != nil {
-		return []trail.Event{{Kind: trail.Broken}}
-	}
-	return []trail.Event{{Kind: trail.List, Detail: string(bytes.TrimSpace(b))}}
-}
--- a/standin/router.go
+++ b/standin/router.go
@@ -66,7 +66,7 @@
 	mu       sync.Mutex
 	fault    RouterFault
 	rng      *rand.Rand
-	sessions map[*routerSession]bool
+	sessions seam.Roster[*routerSession]
 	rib      map[netip.Prefix]map[uint32]bgp.Path
 	log      []RouteChange
 	updates  int
@@ -102,7 +102,7 @@
 		return nil, err
 	}
 	r := &Router{Addr: l.Addr().String(), AS: as, ID: uint32(w.Uint64()) | 1, world: w, listener: l, rng: rand.New(rand.NewPCG(w.Uint64(), 1)),
-		sessions: map[*routerSession]bool{}, rib: map[netip.Prefix]map[uint32]bgp.Path{}}
+		rib: map[netip.Prefix]map[uint32]bgp.Path{}}
 	r.tasks.Go(w, r.accept)
 	return r, nil
 }
@@ -118,7 +118,7 @@
 func (r *Router) Reset() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for s := range r.sessions {
+	for _, s := range r.sessions.All() {
 		s.out.Cut()
 	}
 }
@@ -146,7 +146,7 @@
 			continue
 		}
 		s := &routerSession{r: r, conn: c, out: outbox.New(r.world, c, routerOut, routerHold), state: bgp.Connect, fault: r.fault}
-		r.sessions[s] = true
+		r.sessions.Add(s)
 		r.mu.Unlock()
 		r.tasks.Go(r.world, func() { s.run() })
 	}
@@ -266,7 +266,7 @@
 	s.alive = s.r.world.AfterFunc(s.hold/3, func() {
 		s.r.mu.Lock()
 		defer s.r.mu.Unlock()
-		if !s.r.sessions[s] {
+		if !s.r.sessions.Has(s) {
 			return
 		}
 		if s.r.world.Now()-s.heard > s.hold {
@@ -369,14 +369,14 @@
 	r := s.r
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.sessions, s)
+	r.sessions.Remove(s)
 	if s.alive != nil {
 		s.alive.Stop()
 	}
 	if s.state != bgp.Established {
 		return
 	}
-	for o := range r.sessions {
+	for _, o := range r.sessions.All() {
 		if o.host == s.host && o.state == bgp.Established {
 			return
 		}
--- /dev/null
+++ b/standin/tap.go
@@ -0,0 +1,353 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/inventory"
+	"merlinhitch/iscsi"
+	"merlinhitch/scsi"
+	"merlinhitch/settings"
+	"merlinhitch/trail"
+)
+
+// tapper reads the frames of one connection.
+type tapper interface {
+	// cut returns the length of the frame that b begins with, 0 if it isn't all
+	// there, -1 if it is none.
+	cut(up bool, b []byte) int
+	// frame describes a whole frame; nil leaves it out.
+	frame(up bool, b []byte) []trail.Event
+	// who fills in the end points.
+	who(e *trail.Event)
+}
+
+const tapFrame = 4 << 20 // longer is taken for broken
+
+// Tap records the frames of one connection from the bytes that pass.
+type Tap struct {
+	rec    *trail.Recorder
+	conn   uint32
+	mu     sync.Mutex // both directions record through one tapper
+	tapper tapper
+	held   [2][]byte // of a frame that isn't whole yet, up and down
+	closed bool
+}
+
+func newTap(rec *trail.Recorder, r tapper) *Tap {
+	t := &Tap{rec: rec, tapper: r, conn: rec.Conn()}
+	t.note(trail.Event{Kind: trail.Open, Dir: trail.Up})
+	return t
+}
+
+func (t *Tap) note(e trail.Event) {
+	e.Conn = t.conn
+	t.tapper.who(&e)
+	t.rec.Add(e)
+}
+
+// Bytes takes what passes; up from the side that dialled.
+func (t *Tap) Bytes(up bool, b []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	held := &t.held[0]
+	if !up {
+		held = &t.held[1]
+	}
+	if len(*held) == 0 { // most often: nothing is left of b
+		*held = append([]byte(nil), t.record(b, up)...)
+		return
+	}
+	*held = append([]byte(nil), t.record(append(*held, b...), up)...)
+}
+
+// Closed notes which side ended the connection, once.
+func (t *Tap) Closed(up bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.closed {
+		t.closed = true
+		t.note(trail.Event{Kind: trail.Close, Dir: dir(up)})
+	}
+}
+
+func dir(up bool) string {
+	if up {
+		return trail.Up
+	}
+	return trail.Down
+}
+
+// record notes the whole frames in b and returns what remains.
+func (t *Tap) record(b []byte, up bool) []byte {
+	for len(b) > 0 {
+		n := t.tapper.cut(up, b)
+		if n < 0 || n == 0 && len(b) > tapFrame {
+			t.note(trail.Event{Kind: trail.Broken, Dir: dir(up), Bytes: int64(len(b))})
+			return nil
+		}
+		if n == 0 {
+			return b
+		}
+		for _, e := range t.tapper.frame(up, b[:n]) {
+			e.Dir, e.Bytes = dir(up), int64(n)
+			t.note(e)
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// clientTap reads iSCSI.
+type clientTap struct {
+	host, peer string
+	set        *settings.Settings
+	digests    [2]bool // header, data
+	full       bool
+	session    uint32
+	volume     string
+	keys       []byte
+}
+
+// TapClients reads a connection between an initiator and that host.
+func TapClients(rec *trail.Recorder, host string, set *settings.Settings) *Tap {
+	return newTap(rec, &clientTap{host: host, set: set})
+}
+
+func (c *clientTap) who(e *trail.Event) {
+	e.Link, e.Host, e.Peer, e.Session = trail.LinkClient, c.host, c.peer, c.session
+	if e.Volume == "" {
+		e.Volume = c.volume
+	}
+}
+
+func (c *clientTap) cut(up bool, b []byte) int {
+	if len(b) < 48 {
+		return 0
+	}
+	data := int(b[5])<<16 | int(b[6])<<8 | int(b[7])
+	n := 48 + 4*int(b[4]) + (data+3)&^3
+	if c.full && c.digests[0] {
+		n += 4
+	}
+	if c.full && c.digests[1] && data > 0 {
+		n += 4
+	}
+	if n > tapFrame {
+		return -1
+	}
+	if len(b) < n {
+		return 0
+	}
+	return n
+}
+
+func (c *clientTap) frame(up bool, b []byte) []trail.Event {
+	r := iscsi.NewReader(bufio.NewReader(bytes.NewReader(b)), tapFrame)
+	if c.full {
+		r.Digests = iscsi.Digests{Header: c.digests[0], Data: c.digests[1]}
+	}
+	p, err := r.Next()
+	if err != nil {
+		return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
+	}
+	if up {
+		return c.up(p)
+	}
+	return c.down(p)
+}
+
+func (c *clientTap) up(p *iscsi.PDU) []trail.Event {
+	e := trail.Event{Tag: p.ITT()}
+	switch p.Opcode() {
+	case iscsi.OpLoginReq:
+		c.keys = append(c.keys, p.Data...)
+		return nil
+	case iscsi.OpCommand:
+		e.Kind, e.Length = trail.Command, p.Word(20)
+		e.Op, e.LBA, e.Blocks = describe(p.CDB())
+		e.Advice = uint32(len(p.Data)) // immediate data, bytes
+		if p.Flags()&0x20 == 0 {
+			e.Advice = e.Length // nothing is still to come
+		}
+	case iscsi.OpDataOut:
+		e.Kind, e.Length = trail.Data, uint32(len(p.Data))
+	case iscsi.OpTaskReq:
+		e.Kind, e.Ref, e.Status = trail.Manage, p.Word(iscsi.AtTTT), int32(p.Flags()&0x7f)
+	case iscsi.OpLogoutReq:
+		e.Kind = trail.Logout
+	default:
+		return nil
+	}
+	return []trail.Event{e}
+}
+
+func (c *clientTap) down(p *iscsi.PDU) []trail.Event {
+	e := trail.Event{Tag: p.ITT()}
+	switch p.Opcode() {
+	case iscsi.OpLoginResp:
+		return c.login(p)
+	case iscsi.OpResponse:
+		e.Kind, e.Status = trail.Status, int32(p.BHS[3])
+		e.Advice = uint32(binary.BigEndian.Uint16(p.BHS[8:]))
+		if len(p.Data) > 2 {
+			if s, ok := scsi.ParseSense(p.Data[2:]); ok {
+				e.Sense = uint32(s.Key)<<16 | uint32(s.ASC)<<8 | uint32(s.ASCQ)
+			}
+		}
+	case iscsi.OpDataIn:
+		if p.Flags()&1 == 0 {
+			return nil
+		}
+		e.Kind, e.Status = trail.Status, int32(p.BHS[3])
+	case iscsi.OpTaskResp:
+		e.Kind, e.Status = trail.Managed, int32(p.BHS[2])
+	default:
+		return nil
+	}
+	return []trail.Event{e}
+}
+
+// login follows the login to its end: names from the requests, digests from the
+// answers, the session's handle from the last.
+func (c *clientTap) login(p *iscsi.PDU) []trail.Event {
+	answers, _ := iscsi.ParseText(p.Data)
+	for _, k := range answers {
+		switch k.Name {
+		case "HeaderDigest":
+			c.digests[0] = k.Value == "CRC32C"
+		case "DataDigest":
+			c.digests[1] = k.Value == "CRC32C"
+		}
+	}
+	if p.BHS[36] != 0 || !p.Final() || p.Flags()&3 != 3 {
+		return nil
+	}
+	c.full = true
+	c.session = uint32(p.BHS[14])<<8 | uint32(p.BHS[15])
+	asked, _ := iscsi.ParseText(c.keys)
+	c.keys = nil
+	for _, k := range asked {
+		switch k.Name {
+		case "InitiatorName":
+			c.peer = k.Value[strings.LastIndexByte(k.Value, ':')+1:]
+		case "TargetName":
+			c.volume = k.Value[strings.LastIndexByte(k.Value, ':')+1:]
+		}
+	}
+	return []trail.Event{{Kind: trail.Login}}
+}
+
+// describe names a CDB's operation; "" for those that need no disk. The data of
+// an UNMAP isn't read: its runs are in its attempts.
+func describe(cdb []byte) (op string, lba uint64, blocks uint32) {
+	var b [16]byte
+	copy(b[:], cdb)
+	every := &scsi.Disk{Blocks: 1 << 62, BlockSize: 1}
+	out := scsi.Decode(every, b, make([]byte, 2*scsi.MaxBlocks), nil)
+	if b[0] == 0x42 {
+		return scsi.Unmap.String(), 0, 0
+	}
+	if out.IO == nil || out.IO.Op == scsi.Flush {
+		return "", 0, 0
+	}
+	return out.IO.Op.String(), out.IO.LBA, out.IO.Blocks
+}
+
+// diskTap reads the disk servers' protocol.
+type diskTap struct {
+	server string
+	host   string
+	hostID uint64
+}
+
+// TapDisk reads a connection between a host and the disk server that the inventory
+// lists at that address.
+func TapDisk(rec *trail.Recorder, addr string) *Tap { return newTap(rec, &diskTap{server: addr}) }
+
+func (d *diskTap) who(e *trail.Event) {
+	e.Link, e.Host, e.Peer, e.HostID = trail.LinkDisk, d.host, d.server, d.hostID
+}
+
+func (d *diskTap) cut(_ bool, b []byte) int {
+	if len(b) < 16 {
+		return 0
+	}
+	if b[0] != 'M' || b[1] != 'H' {
+		return -1
+	}
+	n := 16 + int(binary.BigEndian.Uint32(b[4:]))
+	if n > tapFrame {
+		return -1
+	}
+	if len(b) < n {
+		return 0
+	}
+	return n
+}
+
+func (d *diskTap) frame(_ bool, b []byte) []trail.Event {
+	f, err := diskproto.NewReader(bufio.NewReader(bytes.NewReader(b))).Next()
+	if err != nil {
+		return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
+	}
+	e := trail.Event{Tag: f.Tag}
+	switch f.Kind {
+	case diskproto.KindHello:
+		var m diskproto.Hello
+		if m.Parse(f.Body) != nil {
+			return nil
+		}
+		d.host, d.hostID = m.Name, m.Host
+		e.Kind = trail.Hello
+	case diskproto.KindDo:
+		var m diskproto.Do
+		if err := m.Parse(f.Body); err != nil {
+			return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
+		}
+		e.Kind, e.Op, e.Effect, e.Attempt, e.Shard = trail.Do, scsi.Op(m.Op).String(), int32(m.Effect), uint32(m.Attempt), int32(m.Shard)
+		e.Seq, e.Deadline, e.Units, e.Volume, e.Key = m.Seq, int64(m.Deadline), m.Units, m.Volume, m.Key
+		e.LBA, e.Blocks, e.Length = m.LBA, m.Blocks, uint32(len(m.Data))
+		e.Session, e.Ref = uint32(m.Origin>>32), uint32(m.Origin)
+	case diskproto.KindAnswer:
+		var m diskproto.Answer
+		if err := m.Parse(f.Body); err != nil {
+			return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
+		}
+		e.Kind, e.Status, e.Dropped, e.Length = trail.Answer, int32(m.Result), m.Dropped, uint32(len(m.Data))
+	case diskproto.KindBye:
+		e.Kind, e.Status = trail.Bye, int32(f.Tag)
+	default:
+		return nil
+	}
+	return []trail.Event{e}
+}
+
+// listTap reads the inventory's lines.
+type listTap struct{ host string }
+
+// TapList reads a connection between that host and the inventory.
+func TapList(rec *trail.Recorder, host string) *Tap { return newTap(rec, &listTap{host}) }
+
+func (l *listTap) who(e *trail.Event) { e.Link, e.Host = trail.LinkList, l.host }
+
+func (l *listTap) cut(_ bool, b []byte) int { return bytes.IndexByte(b, '\n') + 1 }
+
+func (l *listTap) frame(up bool, b []byte) []trail.Event {
+	if up {
+		return nil
+	}
+	var m inventory.List
+	if json.Unmarshal(b, &m) != nil {
+		return []trail.Event{{Kind: trail.Broken}}
+	}
+	return []trail.Event{{Kind: trail.List, Detail: string(bytes.TrimSpace(b))}}
+}
