--- a/gateway/back.go
+++ b/gateway/back.go
@@ -13,6 +13,7 @@
 
 	"merlinhitch/diskproto"
 	"merlinhitch/outbox"
+	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/seam"
 )
@@ -142,11 +143,17 @@
 		return // timed out while it waited
 	}
 	l.nextTag++
+	if plant.Is(plant.TagReused) {
+		l.nextTag %= 32
+	}
 	a.tag = l.nextTag
 	l.open[a.tag] = a
 	do := a.job.do
 	do.Attempt = uint16(a.n)
 	do.Deadline = uint64(max(a.until*1000+l.offset, 0))
+	if plant.Is(plant.DeadlineUnsaid) {
+		do.Deadline += 60_000_000
+	}
 	if !l.out.Hold(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindDo, a.tag, &do) }) {
 		l.conn.Close() // the reader ends the rest
 	}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -12,6 +12,7 @@
 	"merlinhitch/diskproto"
 	"merlinhitch/inventory"
 	"merlinhitch/outbox"
+	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
@@ -159,7 +160,7 @@
 		h.timer.Stop()
 	}
 	h.timerAt = at
-	if at <= now {
+	if at <= now && !plant.Is(plant.WakeupLost) {
 		h.wake.Unpark()
 		return
 	}
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -13,6 +13,7 @@
 
 	"merlinhitch/diskproto"
 	"merlinhitch/inventory"
+	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/rates"
 	"merlinhitch/settings"
@@ -125,7 +126,13 @@
 			limits[p.Name] = p.Limit
 		}
 	}
-	return &hostCore{limits: limits, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory), mod: policy.New(s.Policy(self, zone), seed), eff: eff, jobs: map[string]*job{},
+	p := s.Policy(self, zone)
+	if plant.Is(plant.RepeatLate) {
+		for i := range p.Classes {
+			p.Classes[i].Window *= 3
+		}
+	}
+	return &hostCore{limits: limits, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory), mod: policy.New(p, seed), eff: eff, jobs: map[string]*job{},
 		started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
 }
 
@@ -382,6 +389,9 @@
 	}
 	nodes := make([]policy.Node, len(l.Nodes))
 	for i, n := range l.Nodes {
+		if plant.Is(plant.DrainOverlooked) && n.Health == inventory.Draining {
+			n.Health = inventory.Ready
+		}
 		h.nodes[n.Addr] = n
 		nodes[i] = policy.Node{Addr: n.Addr, Health: health[n.Health], Shard: n.Shard, Zone: n.Zone, Weight: n.Weight, Started: h.startOf(n)}
 		if n.Health == inventory.Gone {
@@ -401,7 +411,7 @@
 // startOf turns an age into a time on this clock, once for each incarnation: the
 // module takes another time for another start.
 func (h *hostCore) startOf(n inventory.Node) float64 {
-	if n.AgeMS <= 0 {
+	if n.AgeMS <= 0 || plant.Is(plant.StartUnheard) {
 		return 0
 	}
 	k := startKey{n.Addr, n.Incarnation}
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -64,6 +64,7 @@
 	StrayWorth         float64
 	running            seam.Group
 	stopping           atomic.Bool
+	lateBy             time.Duration
 }
 
 // NewCrowd makes the clients; each logs in with its first command.
@@ -400,7 +401,7 @@
 		}
 		// Whatever was under way may land until the command's time is up.
 		a.lane.drop(s)
-		by = begin + seam.Duration(a.class(c.fleet.Set).Deadline) + 100*time.Millisecond
+		by = begin + seam.Duration(a.class(c.fleet.Set).Deadline) + 100*time.Millisecond + c.lateBy
 		again = a.op == scsi.Read
 	case end.res.Status == scsi.Good:
 		f = FateAcked
--- /dev/null
+++ b/plant/plant.go
@@ -0,0 +1,25 @@
+// Package plant holds the switch of faults that are planted on purpose, to show that
+// the exploration finds them. In an ordinary build no fault can be switched on and
+// none of their code is there; with the build tag "planted" one can, for the whole
+// program. It never decides anything of itself.
+package plant
+
+// The faults. Each stands where the product would have the bug.
+const (
+	DrainOverlooked  = "drain-overlooked"    // a draining server counts as ready
+	RepeatLate       = "repeat-late"         // the window of repeats is taken for three times as long
+	LimitUndivided   = "limit-undivided"     // each host takes a volume's whole limit for its own
+	TagReused        = "tag-reused"          // a late answer is taken for that of another attempt
+	WakeupLost       = "wakeup-lost"         // what came due already is not looked at again
+	AbortAtOnce      = "abort-at-once"       // an abort is answered while a write can still land
+	KeyForgotten     = "key-forgotten"       // the module isn't told which requests share a key
+	StartUnheard     = "start-unheard"       // the module isn't told that a server is cold
+	LossTakenForGood = "loss-taken-for-good" // a write whose connection went is called done
+	DeadlineUnsaid   = "deadline-unsaid"     // disk servers aren't told until when an attempt may begin
+	BusyAfterSend    = "busy-after-send"     // a write that may have run is called refused
+	ExtentMissed     = "extent-missed"       // a part past an extent's border is written one block off
+)
+
+// All lists the faults.
+var All = []string{DrainOverlooked, RepeatLate, LimitUndivided, TagReused, WakeupLost, AbortAtOnce, KeyForgotten, StartUnheard,
+	LossTakenForGood, DeadlineUnsaid, BusyAfterSend, ExtentMissed}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -151,6 +151,30 @@
 	resent  []int64
 	diedAt  int64
 	lost    []Break // commands dropped by the host, unless it died
+	still   []span  // when it stood still
+}
+
+// span is a time during which a host did nothing, us.
+type span struct{ from, to int64 }
+
+// awake is when a host can see what comes at t.
+func (h *host) awake(t int64) int64 {
+	for _, s := range h.still {
+		if s.from <= t && t < s.to {
+			return s.to
+		}
+	}
+	return t
+}
+
+// due is the end of a time that begins at t and that the host must be awake for.
+func (h *host) due(t, end int64) int64 {
+	for _, s := range h.still {
+		if t < s.to && s.from < end {
+			end += s.to - max(s.from, t)
+		}
+	}
+	return end
 }
 
 type push struct {
@@ -216,6 +240,9 @@
 		c.disk(e)
 	case trail.LinkList:
 		c.list(e)
+	case trail.LinkFault:
+		h := c.host(e.Host)
+		h.still = append(h.still, span{e.T, e.Deadline})
 	}
 }
 
@@ -291,7 +318,7 @@
 	if cmd.class == nil {
 		return math.MaxInt64
 	}
-	return cmd.at + int64((cmd.class.Deadline+c.set.Rules.AnswerSlack)*1000)
+	return c.host(cmd.conn.host).due(cmd.at, cmd.at+int64((cmd.class.Deadline+c.set.Rules.AnswerSlack)*1000))
 }
 
 func (c *Checker) status(k *conn, e *trail.Event) {
@@ -525,7 +552,7 @@
 	default:
 		over, what = k.ended[e.Ref], "command that was over, or never was"
 	}
-	if over < e.T-Margin {
+	if c.host(e.Host).awake(over) < e.T-Margin {
 		c.broke(at, "%s sent attempt %d for a %s (session %d, tag %d)", e.Host, e.Attempt, what, e.Session, e.Ref)
 	}
 }
@@ -537,7 +564,7 @@
 		return
 	}
 	at.Rule = Drains
-	if late := e.T - told - int64(c.set.Rules.DrainGrace*1000); late > 0 {
+	if late := e.T - c.host(e.Host).awake(told) - int64(c.set.Rules.DrainGrace*1000); late > 0 {
 		c.broke(at, "%s sent to %s %.1f ms after the grace", e.Host, c.server(e.Peer), float64(late)/1000)
 	}
 }
--- a/rules/table.go
+++ b/rules/table.go
@@ -154,6 +154,21 @@
 	return worst
 }
 
+// Between is the goodput of what was asked in the seconds from..to, to left out; 1 if
+// nothing was.
+func (t *Table) Between(from, to int64) float64 {
+	var sum Sum
+	for s := from; s < to; s++ {
+		if x := t.Seconds[s]; x != nil {
+			sum.Due, sum.Worth = sum.Due+x.Due, sum.Worth+x.Worth
+		}
+	}
+	if sum.Due == 0 {
+		return 1
+	}
+	return sum.part()
+}
+
 // Print writes the table.
 func (t *Table) Print(w io.Writer) error {
 	var keys []RowKey
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -21,6 +21,7 @@
 	LinkClient = "client"
 	LinkDisk   = "disk"
 	LinkList   = "list"
+	LinkFault  = "fault" // no socket: what was done to a program, as judges must know it
 )
 
 // Kinds of events. Opens and closes carry in Dir who did it.
@@ -40,6 +41,7 @@
 	Bye     = "bye"     // disk: the server takes no more
 	List    = "list"    // list: what the host is told
 	Broken  = "broken"  // any: bytes that are no frame
+	Still   = "still"   // fault: a host stands still until Deadline
 	Up      = "up"      // towards the service: client to host, host to server
 	Down    = "down"    // back
 )
@@ -108,13 +110,23 @@
 
 	mu       sync.Mutex
 	events   []Event
+	tell     func(*Event)
 	nextConn uint32
 	off      bool
+	drop     bool
 }
 
 // NewRecorder reads time from now.
 func NewRecorder(now func() int64) *Recorder { return &Recorder{Now: now} }
 
+// Tell has f told of each event as it is entered, from now on; without keep the events
+// are not gathered.
+func (r *Recorder) Tell(f func(*Event), keep bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tell, r.drop = f, !keep
+}
+
 // Conn returns a number for a new connection.
 func (r *Recorder) Conn() uint32 {
 	r.mu.Lock()
@@ -131,7 +143,12 @@
 	if r.off {
 		return
 	}
-	r.events = append(r.events, e)
+	if r.tell != nil {
+		r.tell(&e)
+	}
+	if !r.drop {
+		r.events = append(r.events, e)
+	}
 }
 
 // Stop ends the recording: what passes from now on is the clearing up.
