--- /dev/null
+++ b/world/lint_test.go
@@ -0,0 +1,154 @@
+package world
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// cores are given times and bytes: they meet neither the clock nor the network, and
+// start nothing. Files named after a slash are shells in the same package.
+var cores = map[string][]string{
+	"policy": nil, "iscsi": nil, "scsi": nil, "reserve": nil, "diskproto": nil, "announce": nil, "rates": nil, "rules": nil,
+	"bgp": {"speaker.go"}, "inventory": {"client.go"},
+}
+
+// shells run in the world: all that they do to the outside goes through the seam.
+var shells = []string{"gateway", "outbox", "initiator", "standin", "bgp", "inventory"}
+
+// outside are the lines that a world has no part in, each with its reason.
+var outside = map[string]string{
+	"gateway/gateway.go: go statement": "the admin API of HTTP, which a world has not",
+}
+
+var coreImports = []string{"net", "net/http", "os", "os/exec", "time", "context", "sync", "crypto/rand", "math/rand", "runtime"}
+
+var shellImports = []string{"os/exec", "crypto/rand", "math/rand"}
+
+// shellCalls reach past the seam.
+var shellCalls = map[string][]string{
+	"time":    {"Now", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick", "Since", "Until"},
+	"net":     {"Dial", "DialTimeout", "Listen", "ListenPacket"},
+	"rand":    {"Int", "IntN", "Float64", "Uint64", "Uint64N", "Perm", "Shuffle", "N", "Int64N", "Read"},
+	"runtime": {"GOMAXPROCS", "NumCPU", "Gosched"},
+	"context": {"WithTimeout", "WithDeadline"},
+}
+
+// lint names what in a file reaches past the seam; core is stricter.
+func lint(name string, src any, core bool) (found []string, err error) {
+	set := token.NewFileSet()
+	f, err := parser.ParseFile(set, name, src, 0)
+	if err != nil {
+		return nil, err
+	}
+	say := func(format string, args ...any) { found = append(found, name+": "+fmt.Sprintf(format, args...)) }
+	barred := shellImports
+	if core {
+		barred = coreImports
+	}
+	for _, im := range f.Imports {
+		path, _ := strconv.Unquote(im.Path.Value)
+		for _, b := range barred {
+			if path == b {
+				say("imports %s", path)
+			}
+		}
+	}
+	ast.Inspect(f, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			say("go statement")
+		case *ast.SelectStmt:
+			say("select statement")
+		case *ast.ChanType:
+			say("channel")
+		case *ast.SelectorExpr:
+			x, ok := n.X.(*ast.Ident)
+			if !ok {
+				break
+			}
+			if x.Name == "sync" && (n.Sel.Name == "WaitGroup" || n.Sel.Name == "Cond" || n.Sel.Name == "NewCond") {
+				say("sync.%s", n.Sel.Name)
+			}
+			for _, c := range shellCalls[x.Name] {
+				if n.Sel.Name == c {
+					say("%s.%s", x.Name, c)
+				}
+			}
+		}
+		return true
+	})
+	return found, nil
+}
+
+// Nothing that runs in the world reaches past the seam.
+func TestNothingReachesPastTheSeam(t *testing.T) {
+	files := 0
+	look := func(dir string, core bool, only func(file string) bool) {
+		names, err := filepath.Glob(filepath.Join("..", dir, "*.go"))
+		if err != nil || len(names) == 0 {
+			t.Fatal(dir, err)
+		}
+		for _, n := range names {
+			if strings.HasSuffix(n, "_test.go") || !only(filepath.Base(n)) {
+				continue
+			}
+			files++
+			src, err := os.ReadFile(n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			found, err := lint(dir+"/"+filepath.Base(n), src, core)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, s := range found {
+				if outside[s] == "" {
+					t.Error(s)
+				}
+			}
+		}
+	}
+	for dir, but := range cores {
+		look(dir, true, func(file string) bool { return !contains(but, file) })
+	}
+	for _, dir := range shells {
+		look(dir, false, func(file string) bool { return cores[dir] == nil || contains(cores[dir], file) })
+	}
+	if files < 40 {
+		t.Errorf("only %d files were looked at", files)
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// The check rejects each thing that it is for.
+func TestLintRejects(t *testing.T) {
+	for _, bad := range []string{
+		"import \"time\"\nfunc f() { time.Now() }", "import \"time\"\nfunc f() { time.Sleep(1) }", "func f() { go f() }",
+		"var c chan int", "func f() { select {} }", "import \"sync\"\nvar w sync.WaitGroup", "import \"net\"\nfunc f() { net.Dial(\"\", \"\") }",
+		"import \"math/rand/v2\"\nvar x = rand.IntN(3)", "import \"crypto/rand\"", "import \"runtime\"\nvar n = runtime.GOMAXPROCS(0)",
+	} {
+		if found, err := lint("x.go", "package x\n"+bad, false); err != nil || len(found) == 0 {
+			t.Errorf("not rejected: %s (%v)", bad, err)
+		}
+	}
+	for _, bad := range []string{"import \"net\"", "import \"sync\"", "import \"time\"", "import \"os\""} {
+		if found, err := lint("x.go", "package x\n"+bad, true); err != nil || len(found) == 0 {
+			t.Errorf("not rejected in a core: %s (%v)", bad, err)
+		}
+	}
+}
--- /dev/null
+++ b/world/world_test.go
@@ -0,0 +1,281 @@
+package world
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"merlinhitch/seam"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve starts a process that hands each connection to f.
+func serve(t *testing.T, w *World, name string, f func(p *Process, c net.Conn)) (p *Process, addr string) {
+	t.Helper()
+	p = w.Process(name)
+	l, err := p.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.Go(func() { f(p, c) })
+		}
+	})
+	return p, l.Addr().String()
+}
+
+func echo(_ *Process, c net.Conn) { io.Copy(c, c) }
+
+func dial(t *testing.T, p *Process, addr string) net.Conn {
+	t.Helper()
+	c, err := p.Dial(context.Background(), "tcp", addr, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func run(t *testing.T, w *World, main func(p *Process)) {
+	t.Helper()
+	if err := w.Run("main", time.Hour, main); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestEchoInPartsAndWhole(t *testing.T) {
+	for _, n := range []Net{{Delay: time.Millisecond}, {Delay: time.Millisecond, Split: true}, {Delay: time.Millisecond, Jitter: 5 * time.Millisecond, Loss: 0.3}} {
+		w := New(7)
+		w.Net = n
+		_, addr := serve(t, w, "echo", echo)
+		run(t, w, func(p *Process) {
+			c := dial(t, p, addr)
+			want := bytes.Repeat([]byte("0123456789"), 2000)
+			p.Go(func() { c.Write(want) })
+			got := make([]byte, len(want))
+			if _, err := io.ReadFull(c, got); err != nil || !bytes.Equal(got, want) {
+				t.Errorf("%+v: %v", n, err)
+			}
+			if p.Now() < 2*time.Millisecond {
+				t.Errorf("%+v: it took %v", n, p.Now())
+			}
+		})
+	}
+}
+
+// A writer whose reader takes nothing waits, and at its deadline gives up.
+func TestBuffersAreBounded(t *testing.T) {
+	w := New(1)
+	_, addr := serve(t, w, "deaf", func(*Process, net.Conn) {})
+	run(t, w, func(p *Process) {
+		c := dial(t, p, addr)
+		c.SetWriteDeadline(p.Deadline(3 * time.Second))
+		n, err := c.Write(make([]byte, 1<<20))
+		if n != window || !errors.Is(err, os.ErrDeadlineExceeded) || p.Now() < 3*time.Second {
+			t.Errorf("%d bytes taken, %v, at %v", n, err, p.Now())
+		}
+	})
+}
+
+func TestReadDeadline(t *testing.T) {
+	w := New(1)
+	_, addr := serve(t, w, "mute", func(*Process, net.Conn) {})
+	run(t, w, func(p *Process) {
+		c := dial(t, p, addr)
+		begin := p.Now()
+		c.SetReadDeadline(p.Deadline(time.Second))
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) || p.Now() != begin+time.Second {
+			t.Error(err, p.Now())
+		}
+	})
+}
+
+// What a cut keeps back comes when it has healed, in order; a half-open connection
+// stays silent for ever.
+func TestCutsAndHalfOpen(t *testing.T) {
+	w := New(3)
+	far, addr := serve(t, w, "far#1", echo)
+	run(t, w, func(p *Process) {
+		c := dial(t, p, addr)
+		there := w.Link("main", "far")
+		there.Set(Net{Delay: time.Millisecond, Cut: true})
+		c.Write([]byte("one"))
+		c.Write([]byte("two"))
+		p.AfterFunc(5*time.Second, func() { there.Set(Net{Delay: time.Millisecond}) })
+		got := make([]byte, 6)
+		if _, err := io.ReadFull(c, got); err != nil || string(got) != "onetwo" || p.Now() < 5*time.Second || p.Now() > 8*time.Second {
+			t.Errorf("%q %v at %v", got, err, p.Now())
+		}
+		far.Kill(Silent)
+		c.SetReadDeadline(p.Deadline(time.Minute))
+		c.Write([]byte("three"))
+		if _, err := c.Read(got); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("a machine that is gone said %v", err)
+		}
+	})
+}
+
+// A dial to where nobody listens is refused, over a cut it takes its whole time.
+func TestDials(t *testing.T) {
+	w := New(3)
+	_, addr := serve(t, w, "far", echo)
+	run(t, w, func(p *Process) {
+		if _, err := p.Dial(context.Background(), "tcp", "127.0.0.1:9", time.Second); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Error(err)
+		}
+		w.Link("far", "main").Set(Net{Cut: true})
+		begin := p.Now()
+		if _, err := p.Dial(context.Background(), "tcp", addr, time.Second); !errors.Is(err, os.ErrDeadlineExceeded) || p.Now() != begin+time.Second {
+			t.Error(err, p.Now()-begin)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		if _, err := p.Dial(ctx, "tcp", addr, time.Second); !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+}
+
+// The other side of a crash reads what was sent, then the end; writes are reset.
+func TestCrashClosesSockets(t *testing.T) {
+	w := New(3)
+	far, addr := serve(t, w, "far", func(p *Process, c net.Conn) {
+		c.Write([]byte("last words"))
+		p.NewParker().Park()
+	})
+	run(t, w, func(p *Process) {
+		c := dial(t, p, addr)
+		p.AfterFunc(time.Second, func() { far.Kill(Crash) })
+		if b, err := io.ReadAll(c); err != nil || string(b) != "last words" || p.Now() < time.Second {
+			t.Errorf("%q %v", b, err)
+		}
+		c.Write([]byte("?"))
+		seam.Wait(p, time.Second, nil)
+		if _, err := c.Write([]byte("?")); !errors.Is(err, syscall.ECONNRESET) {
+			t.Error("written to a dead process:", err)
+		}
+	})
+}
+
+// A process that stands still misses nothing and is late for everything.
+func TestStall(t *testing.T) {
+	w := New(3)
+	var rang, read time.Duration
+	far, addr := serve(t, w, "far", func(p *Process, c net.Conn) {
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			read = p.Now()
+		}
+	})
+	run(t, w, func(p *Process) {
+		c := dial(t, p, addr)
+		seam.Wait(p, time.Millisecond, nil)
+		far.AfterFunc(time.Second, func() { rang = far.Now() })
+		far.Stall(5 * time.Second)
+		c.Write([]byte("x"))
+		seam.Wait(p, 6*time.Second, nil)
+	})
+	if rang < 5*time.Second || read < 5*time.Second {
+		t.Errorf("rang at %v, read at %v", rang, read)
+	}
+}
+
+func TestJumpBringsTimersForward(t *testing.T) {
+	w := New(3)
+	run(t, w, func(p *Process) {
+		q := w.Process("q")
+		var rang time.Duration
+		q.AfterFunc(3*time.Second, func() { rang = p.Now() })
+		q.Jump(2 * time.Second)
+		seam.Wait(p, 2*time.Second, nil)
+		if rang != time.Second || q.Now() != p.Now()+2*time.Second {
+			t.Error("rang at", rang, "clock", q.Now())
+		}
+	})
+}
+
+// Killed programs run nothing more, not even what they had put off.
+func TestKilledProgramsDoNothingMore(t *testing.T) {
+	w := New(3)
+	done := 0
+	run(t, w, func(p *Process) {
+		q := w.Process("q")
+		q.Go(func() {
+			defer seam.Wait(q, time.Second, nil)
+			seam.Wait(q, time.Second, nil)
+			done++
+		})
+		q.AfterFunc(time.Second, func() { done++ })
+		seam.Wait(p, time.Millisecond, nil)
+		q.Kill(Crash)
+		q.Go(func() { done++ })
+		seam.Wait(p, 5*time.Second, nil)
+	})
+	if done != 0 || w.Process("r").Dead() {
+		t.Error(done, "things were done after the end")
+	}
+}
+
+// A run that can't end says so, and a crash names its program.
+func TestRunsThatDoNotEnd(t *testing.T) {
+	var stuck *StuckError
+	if err := New(1).Run("main", time.Second, func(p *Process) { p.NewParker().Park() }); !errors.As(err, &stuck) || !stuck.Idle {
+		t.Error(err)
+	}
+	if err := New(1).Run("main", time.Second, func(p *Process) { seam.Wait(p, time.Hour, nil) }); !errors.As(err, &stuck) || stuck.Idle {
+		t.Error(err)
+	}
+	var crash *CrashError
+	err := New(1).Run("main", time.Second, func(p *Process) {
+		p.w.Process("q").Go(func() { panic("on purpose") })
+		seam.Wait(p, 10*time.Millisecond, nil)
+	})
+	if !errors.As(err, &crash) || crash.Process != "q" || !strings.Contains(crash.Stack, "on purpose") && crash.Value != "on purpose" {
+		t.Error(err)
+	}
+}
+
+type heard struct{ log *[]string }
+
+func (h heard) Bytes(up bool, b []byte) {
+	*h.log = append(*h.log, map[bool]string{true: "up ", false: "down "}[up]+string(b))
+}
+func (h heard) Closed(up bool) {
+	*h.log = append(*h.log, map[bool]string{true: "up ", false: "down "}[up]+"closed")
+}
+
+// An observer hears what passes at its end, whichever listener the address leads to.
+func TestAliasesAndObservers(t *testing.T) {
+	for _, byDialler := range []bool{true, false} {
+		w := New(1)
+		_, one := serve(t, w, "one", func(_ *Process, c net.Conn) { c.Write([]byte("one")); c.Close() })
+		_, two := serve(t, w, "two", echo)
+		var log []string
+		a := w.Alias(one, byDialler, func() Observer { return heard{&log} })
+		run(t, w, func(p *Process) {
+			io.ReadAll(dial(t, p, a))
+			w.Point(a, two)
+			c := dial(t, p, a)
+			c.Write([]byte("hey"))
+			io.ReadFull(c, make([]byte, 3))
+			c.Close()
+			seam.Wait(p, time.Second, nil)
+		})
+		if got := strings.Join(log, ", "); got != "down one, down closed, up hey, down hey, up closed" {
+			t.Errorf("by the dialler %v: %s", byDialler, got)
+		}
+	}
+}
