experiment: grids in the world, kept as columns, tables and charts, compared in pairs

Cause: load experiments need many runs of many sizes, kept so that two versions can be compared. Rows and seconds go to Parquet, cells to a Markdown table, goodput, latency, recovery and cost to charts; two experiments are compared run for run with Student's interval, and nothing within it is called a gain.

--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -23,6 +23,7 @@
 	Badday       baddayCmd       `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
 	Explore      exploreCmd      `cmd:"" help:"Play days with drawn troubles in a virtual world and check every step."`
 	Replay       replayCmd       `cmd:"" help:"Play one scene again, exactly."`
+	Experiment   experimentCmd   `cmd:"" help:"Load experiments in a virtual world, kept as tables and charts."`
 	Reservations reservationsCmd `cmd:"" help:"Play reservations over three hosts with crashes, pauses and cut links, and judge the histories."`
 	Conform      conformCmd      `cmd:"" help:"Hold a target to SPC-4, SBC-3 and RFC 7143, check by check."`
 	Bench        benchCmd        `cmd:"" help:"Measure the gateway beside a bare relay over the same hops."`
--- /dev/null
+++ b/lab/experiment_test.go
@@ -0,0 +1,118 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func small() Grid {
+	return Grid{Hosts: []int{1, 3}, Servers: []int{3}, Rates: []float64{60}, Loads: []float64{1}, Layouts: []string{""}, Troubles: []string{"none", "crash"},
+		Seeds: 3, Span: 6 * time.Second, Parallel: 4}
+}
+
+// An experiment is the same at each play, is read back as it was, and has its pictures.
+func TestExperimentIsKeptAndPlaysAgain(t *testing.T) {
+	rows, seconds, err := Experiment(context.Background(), small(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := SaveExperiment(dir, rows, seconds); err != nil {
+		t.Fatal(err)
+	}
+	got, err := LoadExperiment(dir)
+	if err != nil || len(got) != 12 {
+		t.Fatal(len(got), err)
+	}
+	again, _, err := Experiment(context.Background(), small(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range got {
+		if got[i] != rows[i] {
+			t.Fatalf("read back %+v, was %+v", got[i], rows[i])
+		}
+		if got[i].Digest != again[i].Digest || got[i].Goodput != again[i].Goodput || got[i].P99 != again[i].P99 {
+			t.Fatalf("played again %+v, was %+v", again[i], got[i])
+		}
+	}
+	for _, f := range []string{TableFile, "goodput-hosts.png", "cost-hosts.png", "goodput-time.png", "p99-time.png"} {
+		if st, err := os.Stat(filepath.Join(dir, f)); err != nil || st.Size() < 200 {
+			t.Error(f, err)
+		}
+	}
+	for _, c := range CompareExperiments(got, again) {
+		if c.Verdict != "the same" {
+			t.Errorf("an experiment differs from itself: %+v", c)
+		}
+	}
+}
+
+// What is within noise is called neither gain nor loss; what is not, is.
+func TestComparisonsKnowNoise(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	before := make([]ExperimentRow, 20)
+	for i := range before {
+		before[i] = ExperimentRow{Hosts: 3, Seed: uint64(i), Goodput: 0.7 + 0.1*rng.Float64(), Worst: 0.5, P99: 100 + 50*rng.Float64(), StepsPer: 20}
+	}
+	change := func(f func(r *ExperimentRow)) map[string]string {
+		after := append([]ExperimentRow(nil), before...)
+		for i := range after {
+			f(&after[i])
+		}
+		out := map[string]string{}
+		for _, c := range CompareExperiments(before, after) {
+			out[c.Figure] = c.Verdict
+		}
+		return out
+	}
+	noise := func() float64 { return rng.Float64() - 0.5 }
+	if v := change(func(r *ExperimentRow) { r.Goodput += 0.02 * noise(); r.P99 += 10 * noise() }); v["goodput"] != "within noise" || v["p99 ms"] != "within noise" {
+		t.Error("noise:", v)
+	}
+	if v := change(func(r *ExperimentRow) { r.Goodput += 0.03 + 0.02*noise(); r.P99 += 20 + 5*noise() }); v["goodput"] != "gain" || v["p99 ms"] != "loss" {
+		t.Error("more goodput and latency:", v)
+	}
+	if v := change(func(r *ExperimentRow) { r.Goodput -= 0.03 + 0.02*noise(); r.P99 -= 20 + 5*noise() }); v["goodput"] != "loss" || v["p99 ms"] != "gain" {
+		t.Error("less goodput and latency:", v)
+	}
+	if list := CompareExperiments(before[:2], before[:2]); list[0].Verdict != "too few pairs" {
+		t.Error("two pairs:", list[0])
+	}
+}
+
+// Bad grids and settings are refused by name.
+func TestBadGrids(t *testing.T) {
+	for want, change := range map[string]func(*Grid){
+		"earthquake":   func(g *Grid) { g.Troubles = []string{"earthquake"} },
+		"needs hosts":  func(g *Grid) { g.Hosts = nil },
+		"no values":    func(g *Grid) { g.Figure = "limits.max_attempts" },
+		"limits.speed": func(g *Grid) { g.Figure, g.Values = "limits.speed", []float64{1} },
+		"max_attempts": func(g *Grid) { g.Figure, g.Values = "limits.max_attempts", []float64{-1} },
+		"layout":       func(g *Grid) { g.Layouts = []string{"round"} },
+	} {
+		g := small()
+		change(&g)
+		if _, _, err := Experiment(context.Background(), g, io.Discard); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
+
+// 170 hosts before 47 servers with 760 requests a second.
+func TestHallsFullOfHosts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("long")
+	}
+	s := Draw(1, 170, 47, 10*time.Second, 760, true)
+	out := kept(t, s)
+	if n := out.Check.Table.Commands; n < 7000 {
+		t.Fatalf("%d commands", n)
+	}
+}
--- a/lab/explore.go
+++ b/lab/explore.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,9 +34,15 @@
 	Rate     float64  `json:"rate"` // commands a second
 	Script   []Strike `json:"script"`
 	Planted  string   `json:"planted,omitempty"`
-	Failure  *Failure `json:"failure,omitempty"` // that it ends with
-	Digest   uint64   `json:"digest,omitempty"`
-	Steps    uint64   `json:"steps,omitempty"`
+	// Figures are figures of the settings, by path, in place of the example's; Layout is
+	// one of SceneLayouts.
+	Figures map[string]float64 `json:"figures,omitempty"`
+	Layout  string             `json:"layout,omitempty"`
+
+	ended   func(at, took int64, served bool) // see rules.Table
+	Failure *Failure                          `json:"failure,omitempty"` // that it ends with
+	Digest  uint64                            `json:"digest,omitempty"`
+	Steps   uint64                            `json:"steps,omitempty"`
 }
 
 // Failure is what a scene came to. Kind is the same for equal failures.
@@ -148,6 +156,10 @@
 	if s.Hosts < 1 || s.Servers < 3 || s.Commands < 1 || !(s.Rate > 0) {
 		return nil, errors.New("lab: a scene needs a host, three servers, a command and a rate above 0")
 	}
+	set, err := s.settings()
+	if err != nil {
+		return nil, err
+	}
 	w := world.New(s.Seed)
 	out := &Outcome{Scene: s}
 	var fleet *Fleet
@@ -158,13 +170,14 @@
 	}
 	opt.live = func(f *Fleet) *rules.Checker {
 		fleet, out.Check = f, rules.New(f.Meta)
+		out.Check.Table.Ended = s.ended
 		f.Rec.Tell(func(e *trail.Event) { out.hear(w, e) }, keep != "")
 		return out.Check
 	}
 	var res *Result
 	var failed error
-	err := w.Run("lab", sceneMost, func(p *world.Process) {
-		res, failed = playDay(ctx, p, virtual{w}, SmallBlocks(settings.Example(s.Hosts, s.Servers)), opt)
+	err = w.Run("lab", sceneMost, func(p *world.Process) {
+		res, failed = playDay(ctx, p, virtual{w}, set, opt)
 	})
 	if err == nil {
 		err = failed
@@ -186,6 +199,68 @@
 	return out, nil
 }
 
+// SceneLayouts are the ways in which a scene's volumes can lie on its servers.
+var SceneLayouts = []string{"", "narrow", "wide"}
+
+// settings are the scene's: the example's with small blocks, its figures and its layout.
+func (s Scene) settings() (*settings.Settings, error) {
+	set := SmallBlocks(settings.Example(s.Hosts, s.Servers))
+	for i := range set.Volumes {
+		v := &set.Volumes[i]
+		switch s.Layout {
+		case "":
+		case "narrow":
+			v.Layout = v.Layout[:1]
+		case "wide":
+			v.Layout, v.MaxNodes = nil, s.Servers
+			for k := range min(6, s.Servers) {
+				v.Layout = append(v.Layout, (i+k)%s.Servers)
+			}
+		default:
+			return nil, fmt.Errorf("lab: unknown layout %q", s.Layout)
+		}
+	}
+	return withFigures(set, s.Figures)
+}
+
+// withFigures sets figures by their path in the settings' JSON, as limits.max_attempts.
+func withFigures(set *settings.Settings, figures map[string]float64) (*settings.Settings, error) {
+	if len(figures) == 0 {
+		return set, nil
+	}
+	b, err := json.Marshal(set)
+	if err != nil {
+		return nil, err
+	}
+	var tree map[string]any
+	if err := json.Unmarshal(b, &tree); err != nil {
+		return nil, err
+	}
+	for _, path := range slices.Sorted(maps.Keys(figures)) {
+		at, parts := tree, strings.Split(path, ".")
+		for _, p := range parts[:len(parts)-1] {
+			next, ok := at[p].(map[string]any)
+			if !ok {
+				return nil, fmt.Errorf("lab: the settings have no %s", path)
+			}
+			at = next
+		}
+		last := parts[len(parts)-1]
+		if _, ok := at[last].(float64); !ok {
+			return nil, fmt.Errorf("lab: the settings have no figure %s", path)
+		}
+		at[last] = figures[path]
+	}
+	if b, err = json.Marshal(tree); err != nil {
+		return nil, err
+	}
+	out := &settings.Settings{}
+	if err := json.Unmarshal(b, out); err != nil {
+		return nil, err
+	}
+	return out, out.Check()
+}
+
 // hear checks the rules on one event, and ends the run at the first that is broken.
 func (o *Outcome) hear(w *world.World, e *trail.Event) {
 	o.Check.Feed(e)
--- a/rules/table.go
+++ b/rules/table.go
@@ -19,6 +19,9 @@
 	Commands, Final int // that need disks, and of those with an answer or given up
 	// Seconds is what was due and served of the commands of each second.
 	Seconds map[int64]*Sum
+	// Ended, if set, is told of each command with an answer: when it was asked, how long
+	// it took, both us, and whether it was served.
+	Ended func(at, took int64, served bool)
 }
 
 // Sum is worth asked for and served.
@@ -78,6 +81,9 @@
 	t.Final++
 	r := t.row(cmd)
 	took := e.T - cmd.at
+	if t.Ended != nil {
+		t.Ended(cmd.at, took, e.Status == int32(scsi.Good))
+	}
 	miscompare := e.Sense>>16 == uint32(scsi.Miscompare.Key) && e.Status == int32(scsi.CheckCondition)
 	switch {
 	case e.Status == int32(scsi.Good) || miscompare:
