--- a/rules/table.go
+++ b/rules/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 
@@ -109,14 +110,21 @@
 	t.row(cmd).GaveUp++
 }
 
+// keys lists the rows by class and plan.
+func (t *Table) keys() []RowKey {
+	return slices.SortedFunc(maps.Keys(t.Rows), func(a, b RowKey) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Plan, b.Plan))
+	})
+}
+
 // Goodput is the worth served over the worth asked for.
 func (t *Table) Goodput() float64 { return t.GoodputOf(0) }
 
 // GoodputOf counts more worth as asked for than the sockets show.
 func (t *Table) GoodputOf(strays float64) float64 {
 	all := Sum{Due: strays}
-	for _, r := range t.Rows {
-		all.Worth, all.Due = all.Worth+r.Worth, all.Due+r.Due
+	for _, k := range t.keys() { // in order: sums of floats depend on it
+		all.Worth, all.Due = all.Worth+t.Rows[k].Worth, all.Due+t.Rows[k].Due
 	}
 	return all.part()
 }
@@ -124,7 +132,8 @@
 // WorstPlan is the goodput of the plan that fares worst.
 func (t *Table) WorstPlan() float64 {
 	plans := map[string]*Sum{}
-	for k, r := range t.Rows {
+	for _, k := range t.keys() {
+		r := t.Rows[k]
 		if plans[k.Plan] == nil {
 			plans[k.Plan] = &Sum{}
 		}
@@ -177,16 +186,9 @@
 
 // Print writes the table.
 func (t *Table) Print(w io.Writer) error {
-	var keys []RowKey
-	for k := range t.Rows {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b RowKey) int {
-		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Plan, b.Plan))
-	})
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(tw, "class\tplan\tasked\tin time\tlate\trefused\tfailed\tgave up\tp50 ms\tp99 ms\t")
-	for _, k := range keys {
+	for _, k := range t.keys() {
 		r := t.Rows[k]
 		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", k.Class, k.Plan, r.Asked, r.InTime, r.Late,
 			r.Refused, r.Failed, r.GaveUp, float64(r.Latency.ValueAtQuantile(50))/1000, float64(r.Latency.ValueAtQuantile(99))/1000)
