Commands that wait for the window end with their connection; region: the core of two regions

They end as others do. The core of package region decides grants, leases, generations and shares; its exhaustive model is being sized.

--- a/initiator/initiator.go
+++ b/initiator/initiator.go
@@ -55,7 +55,7 @@
 	core    *iscsi.Initiator
 	digests iscsi.Digests
 	ends    map[uint32]func(iscsi.Result, error)
-	queue   []func()
+	queue   []queued // that the window does not let go yet
 	closed  bool
 	done    seam.Gate
 }
@@ -131,12 +131,17 @@
 	c.out.Wait()
 	c.mu.Lock()
 	c.closed = true
-	ends := c.ends
+	ends, queue := c.ends, c.queue
 	c.ends, c.queue = map[uint32]func(iscsi.Result, error){}, nil
 	c.mu.Unlock()
 	for _, tag := range slices.Sorted(maps.Keys(ends)) {
 		ends[tag](iscsi.Result{}, ErrClosed)
 	}
+	for _, q := range queue {
+		if !q.handle.dropped {
+			q.end(iscsi.Result{}, ErrClosed)
+		}
+	}
 	c.done.Open()
 	if c.cfg.OnClose != nil {
 		c.cfg.OnClose()
@@ -152,7 +157,7 @@
 		delete(c.ends, res.ITT)
 	}
 	for len(c.queue) > 0 && c.core.Room() {
-		c.queue[0]()
+		c.queue[0].send()
 		c.queue = c.queue[1:]
 	}
 	c.mu.Unlock()
@@ -171,6 +176,13 @@
 	return nil
 }
 
+// queued is a command that was not sent yet.
+type queued struct {
+	handle *Handle
+	send   func()
+	end    func(iscsi.Result, error)
+}
+
 // Handle names a command that was submitted. Its tag is 0 until it is sent.
 type Handle struct {
 	itt     uint32
@@ -200,7 +212,7 @@
 	if c.core.Room() && len(c.queue) == 0 {
 		send()
 	} else {
-		c.queue = append(c.queue, send)
+		c.queue = append(c.queue, queued{h, send, end})
 	}
 	c.mu.Unlock()
 	return h
--- a/lab/virtual_test.go
+++ b/lab/virtual_test.go
@@ -93,8 +93,9 @@
 		1:   "a retired connection to a server that died without a word was never closed",
 		48:  "attempts that waited for their connection passed the budget when they went",
 		103: "a host that died while its list was cut",
+		748: "commands that waited for the window never ended when their connection did",
 	}
-	for _, seed := range []uint64{1, 48, 103} {
+	for _, seed := range []uint64{1, 48, 103, 748} {
 		if testing.Short() && seed != 1 {
 			continue
 		}
--- /dev/null
+++ b/region/model_test.go
@@ -0,0 +1,309 @@
+package region
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+var whole = flag.Bool("whole", false, "explore to the larger size")
+
+// The model: two sources, one host in each region, one shard and one limit. Every order
+// of ticks, beats, questions, deliveries, losses, restarts and moves is explored, to a
+// number of ticks and of each rare event. Clocks run at a rate of their own.
+
+const (
+	tick      = 4.0 // true time of one
+	drift     = 0.25
+	lease     = 1.5 * tick
+	quiet     = tick
+	farAway   = 60 // beyond it no time matters
+	startHome = ID(0)
+)
+
+type message struct {
+	kind int8 // 0 beat, 1 grant
+	to   ID
+	beat Beat
+	gr   Grant
+}
+
+// doctor spoils the protocol in one way.
+type doctor string
+
+const (
+	sound           doctor = ""
+	leaseNoDrift    doctor = "a lease without drift"
+	sharedEarly     doctor = "a share taken back early"
+	countedAtAnswer doctor = "a lease counted from its answer"
+	quietForgotten  doctor = "a source that grants though it hears nothing"
+	oldListTaken    doctor = "an older list that is taken"
+)
+
+type state struct {
+	true_    float64
+	clocks   [4]float64 // sources 0 and 1, hosts 0 and 1
+	sources  [2]*Source
+	hosts    [2]*Host
+	air      []message
+	ticks    int
+	moves    int
+	restarts int
+}
+
+func (m *model) config() Config {
+	c := Config{Lease: lease, Quiet: quiet, Drift: drift}
+	if m.doctor == leaseNoDrift {
+		c.Drift = 0
+	}
+	return c
+}
+
+type model struct {
+	doctor   doctor
+	rates    [4]float64
+	ticks    int
+	moves    int
+	restarts int
+	air      int
+	seen     map[uint64]bool
+	deepest  int
+	broken   string
+	takeover bool // some state had the shard in the other region
+	lent     bool // some state had parts of the limit in both
+}
+
+func (m *model) first() *state {
+	rec := Record{Term: 2, Leader: 0, Homes: []Home{{startHome, 1}}, Shares: [][2]float64{{0.5, 0.5}}}
+	s := &state{}
+	for i := range 2 {
+		s.sources[i] = NewSource(m.config(), ID(i), 1, rec, 0)
+		s.hosts[i] = NewHost(m.config(), ID(i))
+	}
+	return s
+}
+
+func (s *state) clone() *state {
+	c := *s
+	for i := range 2 {
+		x := *s.sources[i]
+		x.rec, x.want, x.sent = x.rec.Clone(), x.want.Clone(), append([]question(nil), x.sent...)
+		c.sources[i] = &x
+		h := *s.hosts[i]
+		h.known, h.asked = h.known.Clone(), append([]question(nil), h.asked...)
+		c.hosts[i] = &h
+	}
+	c.air = append([]message(nil), s.air...)
+	return &c
+}
+
+// key is the state with every time told from its own clock's present.
+func (s *state) key() uint64 {
+	d := xxhash.New()
+	put := func(v ...float64) {
+		var b [8]byte
+		for _, x := range v {
+			binary.LittleEndian.PutUint64(b[:], math.Float64bits(x))
+			d.Write(b[:])
+		}
+	}
+	near := func(t, now float64) float64 { return max(-farAway, min(farAway, t-now)) }
+	rec := func(r Record) {
+		put(float64(r.Term), float64(r.Leader), float64(r.Homes[0].Region), float64(r.Homes[0].Gen), r.Shares[0][0], r.Shares[0][1])
+	}
+	flag := func(b bool) {
+		if b {
+			put(1)
+		} else {
+			put(0)
+		}
+	}
+	for i, x := range s.sources {
+		now := s.clocks[i]
+		rec(x.rec)
+		rec(x.want)
+		put(float64(x.start), float64(x.seq), float64(x.theirs[0]), float64(x.theirs[1]))
+		put(near(x.contact, now), near(x.heard, now), near(x.adoptedAt, now), near(x.granted, now), near(x.grantedAt, now))
+		flag(x.adopted)
+		flag(x.silent)
+		for _, q := range x.sent {
+			put(float64(q.id), near(q.at, now))
+		}
+		h, hn := s.hosts[i], s.clocks[2+i]
+		if len(h.known.Homes) > 0 {
+			rec(h.known)
+		}
+		put(near(h.until, hn), float64(h.nextID))
+		for _, q := range h.asked {
+			put(float64(q.id), near(q.at, hn))
+		}
+	}
+	for _, a := range s.air {
+		put(float64(a.kind), float64(a.to))
+		if a.kind == 0 {
+			put(float64(a.beat.Seq), float64(a.beat.Start), float64(a.beat.EchoSeq), float64(a.beat.EchoStart))
+			rec(a.beat.Record)
+		} else {
+			put(float64(a.gr.Ask), a.gr.Lease)
+			rec(a.gr.Record)
+		}
+	}
+	put(float64(s.ticks), float64(s.moves), float64(s.restarts))
+	return d.Sum64()
+}
+
+// check is the invariants: a shard is served in one region at most, and the parts of a
+// limit that may be spent are never more than the limit.
+func (m *model) check(s *state) {
+	var gens [2]uint64
+	var may [2]bool
+	sum := 0.0
+	for i, h := range s.hosts {
+		now := s.clocks[2+i]
+		gens[i], may[i] = h.May(now, 0)
+		sum += h.Share(now, 0)
+		if may[i] && h.self != startHome {
+			m.takeover = true
+		}
+	}
+	if may[0] && may[1] {
+		m.broken = fmt.Sprintf("the shard is served in both regions, under generations %d and %d", gens[0], gens[1])
+	}
+	if sum > 1+1e-9 {
+		m.broken = fmt.Sprintf("%.2f of the limit may be spent", sum)
+	}
+	if s.hosts[0].Share(s.clocks[2], 0) > 0 && s.hosts[1].Share(s.clocks[3], 0) > 0 {
+		m.lent = true
+	}
+}
+
+// steps are the states that can follow: a round of a tick. Each round has at most one
+// rare event; then every source tells the other, every host asks, and of all that is in
+// the air each comes or waits; what waits is lost when the next of its kind leaves.
+func (m *model) steps(s *state) (out []*state) {
+	if s.ticks == m.ticks {
+		return nil
+	}
+	begin := []*state{s.clone()}
+	rare := func(f func(c *state)) {
+		c := s.clone()
+		f(c)
+		begin = append(begin, c)
+	}
+	for i := range 2 {
+		if s.restarts < m.restarts {
+			rare(func(c *state) {
+				c.restarts++
+				x := c.sources[i]
+				c.sources[i] = Restart(m.config(), x.self, x.start+1, x.rec, c.clocks[i])
+			})
+		}
+		if s.moves < m.moves && s.sources[i].Leads() {
+			rare(func(c *state) {
+				c.moves++
+				c.sources[i].Move(c.clocks[i], 0, c.sources[i].want.Homes[0].Region.Other())
+				c.sources[i].Share(c.clocks[i], 0, [2]float64{0.25, 0.75})
+			})
+		}
+	}
+	for _, c := range begin {
+		c.ticks++
+		for i := range c.clocks {
+			c.clocks[i] += m.rates[i]
+		}
+		for i, x := range c.sources {
+			x.Tick(c.clocks[i])
+			c.send(m.air, message{kind: 0, to: ID(1 - i), beat: x.Beat(c.clocks[i])})
+			m.ask(c, i)
+		}
+		out = append(out, m.fates(c, 0)...)
+	}
+	return out
+}
+
+// fates are the states after each choice for the messages from k on.
+func (m *model) fates(c *state, k int) (out []*state) {
+	if k == len(c.air) {
+		return []*state{c}
+	}
+	came := c.clone()
+	m.deliver(came, k)
+	return append(m.fates(came, k), m.fates(c, k+1)...) // it came, or it waits
+}
+
+// send puts a message into the air; where a way is full, its oldest is lost.
+func (c *state) send(most int, a message) {
+	n, first := 0, -1
+	for k, x := range c.air {
+		if x.kind == a.kind && x.to == a.to {
+			if n++; first < 0 {
+				first = k
+			}
+		}
+	}
+	if n >= most {
+		c.air = append(c.air[:first:first], c.air[first+1:]...)
+	}
+	c.air = append(c.air, a)
+}
+
+func (m *model) ask(c *state, i int) {
+	id := c.hosts[i].Ask(c.clocks[2+i])
+	g, ok := c.sources[i].Grant(c.clocks[i], id)
+	if m.doctor == quietForgotten && !ok {
+		c.sources[i].grantedAt = c.clocks[i]
+		g, ok = Grant{Ask: id, Lease: lease, Record: c.sources[i].Record()}, true
+	}
+	if m.doctor == sharedEarly {
+		g.Lease *= 3
+	}
+	if ok {
+		c.send(m.air, message{kind: 1, to: ID(i), gr: g})
+	}
+}
+
+func (m *model) deliver(c *state, k int) {
+	a := c.air[k]
+	c.air = append(c.air[:k:k], c.air[k+1:]...)
+	if a.kind == 0 {
+		c.sources[a.to].Heard(c.clocks[a.to], a.beat)
+		return
+	}
+	h, now := c.hosts[a.to], c.clocks[2+a.to]
+	if m.doctor == countedAtAnswer {
+		for i := range h.asked {
+			h.asked[i].at = now
+		}
+	}
+	if m.doctor == oldListTaken {
+		h.known.Term = 0
+	}
+	h.Told(a.gr)
+}
+
+// explore goes through every state within the bounds, up to so many.
+func (m *model) explore(most int) (states int, all bool) {
+	m.seen = map[uint64]bool{}
+	stack := []*state{m.first()}
+	for len(stack) > 0 {
+		s := stack[0]
+		stack = stack[1:]
+		k := s.key()
+		if m.seen[k] {
+			continue
+		}
+		m.seen[k] = true
+		m.deepest = s.ticks
+		if m.check(s); m.broken != "" {
+			return len(m.seen), false
+		}
+		if len(m.seen) >= most {
+			return len(m.seen), false
+		}
+		stack = append(stack, m.steps(s)...)
+	}
+	return len(m.seen), true
+}
--- /dev/null
+++ b/region/source.go
@@ -0,0 +1,242 @@
+package region
+
+import "slices"
+
+// Beat is what a source tells the other, so often as it likes.
+type Beat struct {
+	Start, Seq         uint64 // of the sender: its present run, and its beat in that
+	EchoStart, EchoSeq uint64 // the newest of the receiver that the sender has heard
+	Record             Record
+}
+
+// Source is the inventory's source in one region.
+//
+// The one that does not lead grants only while the other has echoed a beat that is not
+// older than Quiet. The leader that has heard nothing for as long as the other may still
+// grant, and as its grants then last, takes over what the other had. So in a cut the
+// leader's region goes on and the other stops by itself; where the leader's region is
+// lost, an operator's word makes the other lead (Lead), for nothing in it can tell a
+// cut from a loss.
+type Source struct {
+	cfg  Config
+	self ID
+	rec  Record
+	want Record // homes and shares that are to be, once they can; the leader's
+
+	start   uint64
+	seq     uint64
+	sent    []question // beats that wait for their echo
+	contact float64    // when the newest echoed beat was sent
+	heard   float64    // when the other was last heard
+	theirs  [2]uint64  // run and newest beat of the other
+	// The other has adopted the present term: nothing older is granted there since.
+	adopted   bool
+	adoptedAt float64
+	granted   float64 // when this source last granted under an older term than the present
+	grantedAt float64 // when it last granted
+	silent    bool    // the other was held for lost when the term was made
+}
+
+// NewSource returns a source of a new service, whose record both sources begin with.
+// start tells this run from every other of the source; later runs have greater ones.
+func NewSource(cfg Config, self ID, start uint64, rec Record, now float64) *Source {
+	rec = rec.Clone()
+	return &Source{cfg: cfg, self: self, start: start, rec: rec, want: rec.Clone(), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
+}
+
+// Restart returns a source that comes back with what it had saved. Its hosts may hold
+// leases that it does not remember, and the other may have gone on: it grants nothing
+// before it has heard of the other, or, if it leads, before those leases are over.
+func Restart(cfg Config, self ID, start uint64, saved Record, now float64) *Source {
+	s := NewSource(cfg, self, start, saved, now)
+	s.contact, s.adopted = now-2*cfg.Quiet, false
+	return s
+}
+
+// Record is what the source holds; it is saved before anything it says goes out.
+func (s *Source) Record() Record { return s.rec.Clone() }
+
+// Leads tells whether this source makes the terms.
+func (s *Source) Leads() bool { return s.rec.Leader == s.self }
+
+// Beat returns what to tell the other.
+func (s *Source) Beat(now float64) Beat {
+	s.seq++
+	s.sent = remember(s.sent, question{s.seq, now}, s.cfg.Quiet)
+	return Beat{Start: s.start, Seq: s.seq, EchoStart: s.theirs[0], EchoSeq: s.theirs[1], Record: s.rec.Clone()}
+}
+
+// Heard takes the other's beat.
+func (s *Source) Heard(now float64, b Beat) {
+	if b.Start < s.theirs[0] || b.Start == s.theirs[0] && b.Seq <= s.theirs[1] {
+		return // overtaken on its way
+	}
+	s.theirs, s.heard = [2]uint64{b.Start, b.Seq}, now
+	if i := slices.IndexFunc(s.sent, func(q question) bool { return b.EchoStart == s.start && q.id == b.EchoSeq }); i >= 0 {
+		s.contact = max(s.contact, s.sent[i].at)
+		s.sent = slices.Delete(s.sent, 0, i+1)
+	}
+	switch {
+	case b.Record.Term > s.rec.Term:
+		s.adopt(now, b.Record)
+	case b.Record.Term == s.rec.Term && !s.adopted:
+		s.adopted, s.adoptedAt = true, now
+	}
+	s.Tick(now)
+}
+
+// adopt takes a newer record.
+func (s *Source) adopt(now float64, r Record) {
+	s.rec, s.want = r.Clone(), r.Clone()
+	s.granted = s.grantedAt
+	s.adopted, s.adoptedAt, s.silent = true, now, false
+}
+
+// Grants tells whether the source may grant now.
+func (s *Source) Grants(now float64) bool {
+	return s.Leads() || now < s.contact+s.cfg.Quiet*(1-s.cfg.Drift)
+}
+
+// Grant answers a host of this region; false if nothing may be granted.
+func (s *Source) Grant(now float64, ask uint64) (Grant, bool) {
+	if !s.Grants(now) {
+		return Grant{}, false
+	}
+	s.grantedAt = now
+	return Grant{Ask: ask, Lease: s.cfg.Lease, Record: s.rec.Clone()}, true
+}
+
+// Move has a shard served in a region, once that is safe. Only the leader's.
+func (s *Source) Move(now float64, shard int, to ID) {
+	s.want.Homes[shard].Region = to
+	s.Tick(now)
+}
+
+// Share gives the regions parts of a limit, once that is safe. Only the leader's.
+func (s *Source) Share(now float64, limit int, parts [2]float64) {
+	s.want.Shares[limit] = parts
+	s.Tick(now)
+}
+
+// Lead makes this source the leader on an operator's word that the other region is
+// lost, or that its disk servers refuse what is older. What the other had is taken over
+// when its grants have run out.
+func (s *Source) Lead(now float64) {
+	if s.Leads() {
+		return
+	}
+	s.next(func(r *Record) { r.Leader = s.self })
+	s.Tick(now)
+}
+
+// wait is how long a time lasts on this clock so that it has certainly passed on any.
+func (s *Source) wait(d float64) float64 { return d * (1 + s.cfg.Drift) / (1 - s.cfg.Drift) }
+
+// lost tells whether nothing that the other granted can last any more, whatever it has
+// heard: it grants for Quiet after the last beat of its that was echoed, which it sent
+// before it was heard here.
+func (s *Source) lost(now float64) bool {
+	return now >= s.heard+s.wait(s.cfg.Quiet)+s.wait(s.cfg.Lease)
+}
+
+// clear tells whether no grant of an older term lasts anywhere.
+func (s *Source) clear(now float64) bool {
+	mine := now >= s.granted+s.wait(s.cfg.Lease)
+	theirs := s.adopted && now >= s.adoptedAt+s.wait(s.cfg.Lease)
+	return mine && (theirs || s.lost(now))
+}
+
+// Tick does what has come due; only a leader has anything to do.
+func (s *Source) Tick(now float64) {
+	if !s.Leads() {
+		return
+	}
+	if s.lost(now) && !s.silent {
+		s.takeOver()
+	}
+	s.retreat()
+	if s.clear(now) {
+		s.advance()
+	}
+}
+
+// takeOver wants all that the other region has.
+func (s *Source) takeOver() {
+	s.silent = true
+	for i := range s.want.Homes {
+		s.want.Homes[i].Region = s.self
+	}
+	for i := range s.want.Shares {
+		s.want.Shares[i] = [2]float64{}
+		s.want.Shares[i][s.self] = 1
+	}
+}
+
+// retreat makes a term without what somebody is to give up.
+func (s *Source) retreat() {
+	give := false
+	for i, h := range s.rec.Homes {
+		give = give || h.Region != Nowhere && h.Region != s.want.Homes[i].Region
+	}
+	for i, p := range s.rec.Shares {
+		give = give || p[0] > s.want.Shares[i][0] || p[1] > s.want.Shares[i][1]
+	}
+	if !give {
+		return
+	}
+	s.next(func(r *Record) {
+		for i := range r.Homes {
+			if r.Homes[i].Region != s.want.Homes[i].Region {
+				r.Homes[i].Region = Nowhere
+			}
+		}
+		for i := range r.Shares {
+			for k := range r.Shares[i] {
+				r.Shares[i][k] = min(r.Shares[i][k], s.want.Shares[i][k])
+			}
+		}
+	})
+}
+
+// advance makes a term with what is wanted, now that nobody else has it.
+func (s *Source) advance() {
+	change := false
+	for i, h := range s.rec.Homes {
+		change = change || h.Region != s.want.Homes[i].Region
+	}
+	for i, p := range s.rec.Shares {
+		change = change || p != s.want.Shares[i]
+	}
+	if !change {
+		return
+	}
+	s.next(func(r *Record) {
+		for i := range r.Homes {
+			if to := s.want.Homes[i].Region; r.Homes[i].Region != to {
+				r.Homes[i] = Home{to, r.Homes[i].Gen + 1}
+			}
+		}
+		r.Shares = slices.Clone(s.want.Shares)
+	})
+}
+
+// next makes the next term.
+func (s *Source) next(change func(*Record)) {
+	r := s.rec.Clone()
+	r.Term = (r.Term/2+1)*2 + uint64(s.self) // two leaders never make the same
+	change(&r)
+	s.rec = r
+	s.granted, s.adopted = s.grantedAt, false
+}
+
+// Next is when Tick may have something to do that nothing else brings.
+func (s *Source) Next(now float64) float64 {
+	at := s.heard + s.wait(s.cfg.Quiet) + s.wait(s.cfg.Lease)
+	if s.adopted {
+		at = min(at, max(s.granted, s.adoptedAt)+s.wait(s.cfg.Lease))
+	}
+	if at <= now {
+		return now + s.cfg.Lease
+	}
+	return at
+}
