--- a/gateway/back.go
+++ b/gateway/back.go
@@ -145,7 +145,7 @@
 	}
 	l.nextTag++
 	if plant.Is(plant.TagReused) {
-		l.nextTag %= 32
+		l.nextTag %= 4
 	}
 	a.tag = l.nextTag
 	l.open[a.tag] = a
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -153,14 +153,14 @@
 func (h *host) arm() {
 	at := h.core.next()
 	now := seam.MS(h.world.Now())
-	if at >= h.timerAt && h.timerAt > now || math.IsInf(at, 1) {
+	if at >= h.timerAt && (h.timerAt > now || plant.Is(plant.WakeupLost)) || math.IsInf(at, 1) {
 		return
 	}
 	if h.timer != nil {
 		h.timer.Stop()
 	}
 	h.timerAt = at
-	if at <= now && !plant.Is(plant.WakeupLost) {
+	if at <= now {
 		h.wake.Unpark()
 		return
 	}
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -128,9 +128,11 @@
 		}
 	}
 	p := s.Policy(self, zone)
-	if plant.Is(plant.RepeatLate) {
+	if plant.Is(plant.RepeatUnsafe) {
 		for i := range p.Classes {
-			p.Classes[i].Window *= 3
+			if p.Classes[i].Effect == policy.Unsafe {
+				p.Classes[i].Effect, p.Classes[i].Window = policy.Keyed, p.Classes[i].Deadline
+			}
 		}
 	}
 	return &hostCore{limits: limits, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory), mod: policy.New(p, seed), eff: eff, jobs: map[string]*job{},
