--- a/gateway/command.go
+++ b/gateway/command.go
@@ -179,9 +179,6 @@
 	if plant.Is(plant.KeyForgotten) {
 		j.req.Key += fmt.Sprint(c.front.open.Load())
 	}
-	if plant.Is(plant.LimitUndivided) {
-		j.req.Hosts = 1
-	}
 	cmd.jobs = append(cmd.jobs, j)
 	cmd.left++
 	cmd.landing++
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -135,6 +135,11 @@
 			}
 		}
 	}
+	if plant.Is(plant.LimitMisread) {
+		for i := range p.Plans {
+			p.Plans[i].Limit *= 4
+		}
+	}
 	return &hostCore{limits: limits, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory), mod: policy.New(p, seed), eff: eff, jobs: map[string]*job{},
 		started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
 }
