--- a/lab/virtual_test.go
+++ b/lab/virtual_test.go
@@ -45,6 +45,21 @@
 	return out
 }
 
+// passed is the trail of a scene that keeps everything.
+func passed(t *testing.T, s Scene) []trail.Event {
+	t.Helper()
+	file := t.TempDir() + "/trail.parquet"
+	out, err := s.Play(context.Background(), file)
+	if err != nil || out.Failure != nil {
+		t.Fatal(err, out.Failure)
+	}
+	_, events, err := trail.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return events
+}
+
 // The same seed gives the same run, event for event, whatever the machine.
 func TestSceneIsTheSameAtAnyProcessors(t *testing.T) {
 	before := runtime.GOMAXPROCS(0)
@@ -155,16 +170,7 @@
 	late := 0
 	for seed := range uint64(3) {
 		s := strike(seed+1, 15, Strike{Kind: "net_late", At: 2 * time.Second, Len: 8 * time.Second}, Strike{Kind: "net_late", At: 3 * time.Second, Len: 8 * time.Second})
-		file := t.TempDir() + "/trail.parquet"
-		out, err := s.Play(context.Background(), file)
-		if err != nil || out.Failure != nil {
-			t.Fatal(err, out.Failure)
-		}
-		_, events, err := trail.Read(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		late += lateAnswers(events)
+		late += lateAnswers(passed(t, s))
 	}
 	if late == 0 {
 		t.Fatal("no answer came after its attempt's time: the case was not caused")
@@ -192,18 +198,9 @@
 func TestHostsEndAsTheirBytesLeave(t *testing.T) {
 	whole(t)
 	for seed := range uint64(4) {
-		file := t.TempDir() + "/trail.parquet"
 		s := strike(seed+1, 15, Strike{Kind: "host_torn", At: 2 * time.Second, Len: 4 * time.Second},
 			Strike{Kind: "host_torn", At: 5 * time.Second, Len: 4 * time.Second})
-		out, err := s.Play(context.Background(), file)
-		if err != nil || out.Failure != nil {
-			t.Fatal(err, out.Failure)
-		}
-		_, events, err := trail.Read(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if !slices.ContainsFunc(events, func(e trail.Event) bool { return e.Kind == trail.Died }) {
+		if !slices.ContainsFunc(passed(t, s), func(e trail.Event) bool { return e.Kind == trail.Died }) {
 			t.Fatal("no host died: the case was not caused")
 		}
 	}
@@ -328,6 +325,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			plant.Set("")
+			sane := s
+			sane.Planted, sane.Failure = "", nil
+			kept(t, sane) // it is the fault that fails it
 			t.Logf("seed %d of %d played: %v; %d troubles shrunk to %d, %d commands to %d, %d hosts", s.Seed, sum.Played, s.Failure, len(s.Script),
 				len(small.Script), s.Commands, small.Commands, small.Hosts)
 		})
