--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -409,8 +409,8 @@
 // CompareExperiments compares what two experiments have in common. What lies within
 // the interval of its noise is neither gain nor loss.
 func CompareExperiments(before, after []ExperimentRow) (out []Compared) {
-	keys, was := group(before)
-	_, is := group(after)
+	keys, was := group(oneFigure(before))
+	_, is := group(oneFigure(after))
 	for _, k := range keys {
 		for _, f := range compared {
 			var base, diff []float64
@@ -442,6 +442,21 @@
 	return out
 }
 
+// oneFigure leaves out the figure of an experiment that has one value of it throughout:
+// it may be what two experiments differ by.
+func oneFigure(rows []ExperimentRow) []ExperimentRow {
+	out := slices.Clone(rows)
+	for i := range out {
+		if out[i].Figure != rows[0].Figure || out[i].Value != rows[0].Value {
+			return rows
+		}
+	}
+	for i := range out {
+		out[i].Figure, out[i].Value = "", 0
+	}
+	return out
+}
+
 // PrintCompared writes a comparison as Markdown.
 func PrintCompared(w io.Writer, list []Compared) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
--- a/lab/experiment_test.go
+++ b/lab/experiment_test.go
@@ -82,6 +82,9 @@
 	if v := change(func(r *ExperimentRow) { r.Goodput -= 0.03 + 0.02*noise(); r.P99 -= 20 + 5*noise() }); v["goodput"] != "loss" || v["p99 ms"] != "gain" {
 		t.Error("less goodput and latency:", v)
 	}
+	if v := change(func(r *ExperimentRow) { r.Figure, r.Value = "limits.max_attempts", 3 }); v["goodput"] != "the same" {
+		t.Error("experiments that differ by a figure:", v)
+	}
 	if list := CompareExperiments(before[:2], before[:2]); list[0].Verdict != "too few pairs" {
 		t.Error("two pairs:", list[0])
 	}
