--- a/lab/strikes.go
+++ b/lab/strikes.go
@@ -65,7 +65,7 @@
 func pairs(d *day, rng *rand.Rand, part float64, f func(host, disk string)) {
 	for h := range d.opt.Hosts {
 		for _, i := range some(rng, d.opt.Servers, part) {
-			f(stableName(d.fleet.hosts[h].name), d.fleet.disks[i].name)
+			f(world.StableName(d.fleet.hosts[h].name), d.fleet.disks[i].name)
 		}
 	}
 }
@@ -98,7 +98,7 @@
 // listHang has nothing pass between some hosts and the inventory, and nothing say so.
 func listHang(d *day, w *world.World, rng *rand.Rand, len time.Duration) {
 	for _, h := range some(rng, d.opt.Hosts, 0.5) {
-		link(d, w, stableName(d.fleet.hosts[h].name), "inventory", true, true, len, func(n *world.Net) { n.Cut = true })
+		link(d, w, world.StableName(d.fleet.hosts[h].name), "inventory", true, true, len, func(n *world.Net) { n.Cut = true })
 	}
 }
 
@@ -148,10 +148,3 @@
 	p := d.fleet.hosts[rng.IntN(d.opt.Hosts)].world.(*world.Process)
 	p.Jump(time.Duration(between(rng, 0.02, 3) * float64(time.Second)))
 }
-
-func stableName(name string) string {
-	if i := slices.Index([]byte(name), '#'); i >= 0 {
-		return name[:i]
-	}
-	return name
-}
--- a/world/net.go
+++ b/world/net.go
@@ -73,7 +73,8 @@
 	}
 }
 
-func stable(name string) string {
+// StableName is a process's name without the number of its start.
+func StableName(name string) string {
 	for i := range len(name) {
 		if name[i] == '#' {
 			return name[:i]
@@ -207,7 +208,7 @@
 			w.sleep(p, min(2*w.Net.Delay, end-w.now))
 			return fail(syscall.ECONNREFUSED)
 		}
-		out, back := w.Link(stable(p.name), stable(l.p.name)), w.Link(stable(l.p.name), stable(p.name))
+		out, back := w.Link(StableName(p.name), StableName(l.p.name)), w.Link(StableName(l.p.name), StableName(p.name))
 		if out.Cut || back.Cut || w.rng.Float64() < out.Loss+back.Loss-out.Loss*back.Loss {
 			if w.now+try >= end {
 				w.sleep(p, end-w.now)
