--- a/region/region.go
+++ b/region/region.go
@@ -138,6 +138,3 @@
 	}
 	return h.known.Shares[limit][h.self]
 }
-
-// Known is the newest record that the host was told of.
-func (h *Host) Known() Record { return h.known }
--- a/region/source.go
+++ b/region/source.go
@@ -228,15 +228,3 @@
 	s.rec = r
 	s.granted, s.adopted = s.grantedAt, false
 }
-
-// Next is when Tick may have something to do that nothing else brings.
-func (s *Source) Next(now float64) float64 {
-	at := s.heard + s.wait(s.cfg.Quiet) + s.wait(s.cfg.Lease)
-	if s.adopted {
-		at = min(at, max(s.granted, s.adoptedAt)+s.wait(s.cfg.Lease))
-	}
-	if at <= now {
-		return now + s.cfg.Lease
-	}
-	return at
-}
--- a/world/process.go
+++ b/world/process.go
@@ -38,9 +38,6 @@
 	return p
 }
 
-// Name is the process's.
-func (p *Process) Name() string { return p.name }
-
 // Now implements seam.World.
 func (p *Process) Now() time.Duration { return p.w.now + p.skew }
 
