Regions: copies decide what may move, a second loss is taken over as the first

A shard could be moved or taken over whatever its copy in the other region held, and the leader took a lost region over once only: it never noticed its return. Homes now say whose cell has everything and whether it answers alone; disk servers' words on their copies (behind, whole, drained) make terms; a home that answered alone is not taken over unless an operator gives that up. Hosts of both regions send to a shard's home; limits' shares say since when they grew.

--- a/region/region.go
+++ b/region/region.go
@@ -11,7 +11,10 @@
 // earlier by it, and a holder counts from when it asked.
 package region
 
-import "slices"
+import (
+	"errors"
+	"slices"
+)
 
 // ID is a region: 0 or 1. Nowhere is the home of a shard that is between two.
 type ID int8
@@ -33,30 +36,91 @@
 // with every command to its disk servers, which refuse one that is older than the
 // newest they have seen.
 type Home struct {
-	Region ID
-	Gen    uint64
+	Region ID     `json:"region"`
+	From   ID     `json:"from"` // whose cell has all that was ever answered; Region, where that is one
+	Prefer ID     `json:"prefer"`
+	Gen    uint64 `json:"gen"`
+	Moved  uint64 `json:"moved"` // the generation under which it came to From
+	// Alone: the home may answer writes that the other region's cell does not have. Then
+	// that cell can't take its place without a loss.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // Record is what both sources hold in one order, that of its terms. One source leads:
 // it alone makes terms.
 type Record struct {
-	Term   uint64
-	Leader ID
-	Homes  []Home       // by shard
-	Shares [][2]float64 // by limit: the part of each region; never more than 1 together
+	Term   uint64       `json:"term"`
+	Leader ID           `json:"leader"`
+	Homes  []Home       `json:"homes"`  // by shard
+	Shares [][2]float64 `json:"shares"` // by limit: the part of each region; never more than 1 together
+	Split  [][2]float64 `json:"split"`  // the same while both regions serve
+}
+
+// Begin is the record of a new service: each shard at the home it prefers, each limit
+// split as said.
+func Begin(leader ID, homes []ID, split [][2]float64) Record {
+	r := Record{Term: 2, Leader: leader, Shares: slices.Clone(split), Split: slices.Clone(split)}
+	for _, h := range homes {
+		r.Homes = append(r.Homes, Home{Region: h, From: h, Prefer: h, Gen: 1, Moved: 1})
+	}
+	return r
 }
 
 // Clone is a copy that shares nothing.
 func (r Record) Clone() Record {
-	r.Homes, r.Shares = slices.Clone(r.Homes), slices.Clone(r.Shares)
+	r.Homes, r.Shares, r.Split = slices.Clone(r.Homes), slices.Clone(r.Shares), slices.Clone(r.Split)
 	return r
 }
 
+// Check tells what is wrong with a record that came from outside.
+func (r *Record) Check() error {
+	side := func(id ID) bool { return id == 0 || id == 1 }
+	if !side(r.Leader) || len(r.Shares) != len(r.Split) {
+		return errRecord
+	}
+	for _, h := range r.Homes {
+		if !side(h.Region) && h.Region != Nowhere || !side(h.From) || !side(h.Prefer) || h.Gen < h.Moved || h.Region != Nowhere && h.Region != h.From {
+			return errRecord
+		}
+	}
+	for i := range r.Shares {
+		for _, p := range [][2]float64{r.Shares[i], r.Split[i]} {
+			if !(p[0] >= 0 && p[1] >= 0 && p[0]+p[1] <= 1+1e-9) {
+				return errRecord
+			}
+		}
+	}
+	return nil
+}
+
+var errRecord = errors.New("region: a record whose leader, homes or shares can't be")
+
+// CopyState is what a home's disk server says of its copy in the other region.
+type CopyState int8
+
+// The states.
+const (
+	// Behind: the copy can't be reached, and answers wait for it.
+	Behind CopyState = iota + 1
+	// Whole: the copy has everything, and nothing is answered any more before it has it.
+	Whole
+	// Drained: the shard is known to be between two homes, and the copy has all that was
+	// ever taken.
+	Drained
+)
+
+// Copy is a disk server's word on its copy under a generation.
+type Copy struct {
+	Shard int       `json:"shard"`
+	Gen   uint64    `json:"gen"`
+	State CopyState `json:"state"`
+}
+
 // Grant is what a source tells a host that asked.
 type Grant struct {
-	Ask    uint64 // the host's number of its question
-	Lease  float64
-	Record Record
+	Ask    uint64  `json:"ask"` // the host's number of its question
+	Lease  float64 `json:"lease_ms"`
+	Record Record  `json:"record"`
 }
 
 // Host is what one host knows.
@@ -67,6 +131,7 @@
 	until  float64 // the end of the lease, by this host's clock
 	nextID uint64
 	asked  []question
+	since  []float64 // by limit: when this region's part last grew, by this host's clock
 }
 
 type question struct {
@@ -100,13 +165,14 @@
 // Told takes a grant; false if it is of no use: of an older term than what is known, as
 // from a source that came back with an old list, or the answer to nothing that is
 // remembered.
-func (h *Host) Told(g Grant) bool {
+func (h *Host) Told(now float64, g Grant) bool {
 	i := slices.IndexFunc(h.asked, func(q question) bool { return q.id == g.Ask })
 	if i < 0 || g.Record.Term < h.known.Term {
 		return false
 	}
 	end := h.asked[i].at + g.Lease*(1-h.cfg.Drift)
 	if g.Record.Term > h.known.Term {
+		h.grown(now, g.Record.Shares)
 		h.known, h.until = g.Record.Clone(), end
 	}
 	h.until = max(h.until, end)
@@ -114,27 +180,50 @@
 	return true
 }
 
+// grown notes which parts of limits grow with the new shares. What the other region had
+// of them may just have been spent there.
+func (h *Host) grown(now float64, shares [][2]float64) {
+	h.since = append(h.since, make([]float64, max(len(shares)-len(h.since), 0))...)
+	for i, p := range shares {
+		if i >= len(h.known.Shares) || p[h.self] > h.known.Shares[i][h.self] {
+			h.since[i] = now
+		}
+	}
+}
+
 // Holds tells whether the host has a lease; without one it takes no work and its
 // addresses are withdrawn.
 func (h *Host) Holds(now float64) bool { return now < h.until }
 
-// Until is the end of the lease.
+// Until is the end of the lease. Nothing may begin at a disk server after it.
 func (h *Host) Until() float64 { return h.until }
 
-// May tells whether the host may send to the shard's disk servers now, and under which
-// generation.
-func (h *Host) May(now float64, shard int) (gen uint64, ok bool) {
-	if !h.Holds(now) || shard >= len(h.known.Homes) {
-		return 0, false
+// Known is the record that the host goes by.
+func (h *Host) Known() *Record { return &h.known }
+
+// May tells whether the host may send to a shard's disk server now, in which region that
+// is, and under which generation.
+func (h *Host) May(now float64, shard int) (home Home, ok bool) {
+	if !h.Holds(now) || shard < 0 || shard >= len(h.known.Homes) {
+		return Home{Region: Nowhere}, false
 	}
-	home := h.known.Homes[shard]
-	return home.Gen, home.Region == h.self
+	home = h.known.Homes[shard]
+	return home, home.Region != Nowhere
+}
+
+// MayRepeat tells whether what may have run under an older generation may be sent again
+// under the present one. Where the shard moved since, the disk server that it would be
+// sent to may never have heard of it, or have lost it when the other came back, unless
+// repeats are dropped wherever they go.
+func MayRepeat(first uint64, home Home, everywhere bool) bool {
+	return everywhere || first >= home.Moved
 }
 
-// Share is the part of a limit that this host's region may spend now.
-func (h *Host) Share(now float64, limit int) float64 {
-	if !h.Holds(now) || limit >= len(h.known.Shares) {
-		return 0
+// Share is the part of a limit that this host's region may spend, and since when it has
+// been no smaller; 0 without a lease.
+func (h *Host) Share(now float64, limit int) (part, since float64) {
+	if !h.Holds(now) || limit < 0 || limit >= len(h.known.Shares) {
+		return 0, now
 	}
-	return h.known.Shares[limit][h.self]
+	return h.known.Shares[limit][h.self], h.since[limit]
 }
--- a/region/source.go
+++ b/region/source.go
@@ -4,9 +4,12 @@
 
 // Beat is what a source tells the other, so often as it likes.
 type Beat struct {
-	Start, Seq         uint64 // of the sender: its present run, and its beat in that
-	EchoStart, EchoSeq uint64 // the newest of the receiver that the sender has heard
-	Record             Record
+	Start     uint64 `json:"start"` // of the sender: its present run,
+	Seq       uint64 `json:"seq"`   // and its beat in that
+	EchoStart uint64 `json:"echo_start"`
+	EchoSeq   uint64 `json:"echo_seq"` // the newest of the receiver that the sender has heard
+	Record    Record `json:"record"`
+	Copies    []Copy `json:"copies,omitempty"` // what disk servers said there
 }
 
 // Source is the inventory's source in one region.
@@ -32,16 +35,20 @@
 	// The other has adopted the present term: nothing older is granted there since.
 	adopted   bool
 	adoptedAt float64
-	granted   float64 // when this source last granted under an older term than the present
-	grantedAt float64 // when it last granted
-	silent    bool    // the other was held for lost when the term was made
+	granted   float64   // when this source last granted under an older term than the present
+	grantedAt float64   // when it last granted
+	silent    bool      // the other is held for lost, and was taken over from
+	copies    []Copy    // by shard: the last word on it
+	leftAt    []float64 // by shard: since when it is nowhere
+	given     bool      // an operator gives up what only the lost region has
 }
 
 // NewSource returns a source of a new service, whose record both sources begin with.
 // start tells this run from every other of the source; later runs have greater ones.
 func NewSource(cfg Config, self ID, start uint64, rec Record, now float64) *Source {
 	rec = rec.Clone()
-	return &Source{cfg: cfg, self: self, start: start, rec: rec, want: rec.Clone(), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
+	n := len(rec.Homes)
+	return &Source{copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: rec.Clone(), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
 }
 
 // Restart returns a source that comes back with what it had saved. Its hosts may hold
@@ -63,7 +70,45 @@
 func (s *Source) Beat(now float64) Beat {
 	s.seq++
 	s.sent = remember(s.sent, question{s.seq, now}, s.cfg.Quiet)
-	return Beat{Start: s.start, Seq: s.seq, EchoStart: s.theirs[0], EchoSeq: s.theirs[1], Record: s.rec.Clone()}
+	return Beat{Start: s.start, Seq: s.seq, EchoStart: s.theirs[0], EchoSeq: s.theirs[1], Record: s.rec.Clone(), Copies: s.words()}
+}
+
+// words are what disk servers of this region said that the leader has still to hear.
+func (s *Source) words() (out []Copy) {
+	if s.Leads() {
+		return nil
+	}
+	for _, c := range s.copies {
+		if c.Gen > 0 && s.news(c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// news tells whether a word on a copy is of the present record and changes it.
+func (s *Source) news(c Copy) bool {
+	if c.Shard < 0 || c.Shard >= len(s.rec.Homes) || c.Gen != s.rec.Homes[c.Shard].Gen {
+		return false
+	}
+	h := s.rec.Homes[c.Shard]
+	switch c.State {
+	case Behind:
+		return !h.Alone && h.Region != Nowhere
+	case Whole:
+		return h.Alone && h.Region != Nowhere
+	case Drained:
+		return h.Region == Nowhere
+	}
+	return false
+}
+
+// Report takes a disk server's word on its copy.
+func (s *Source) Report(now float64, c Copy) {
+	if s.news(c) {
+		s.copies[c.Shard] = c
+	}
+	s.Tick(now)
 }
 
 // Heard takes the other's beat.
@@ -82,6 +127,11 @@
 	case b.Record.Term == s.rec.Term && !s.adopted:
 		s.adopted, s.adoptedAt = true, now
 	}
+	for _, c := range b.Copies {
+		if s.news(c) {
+			s.copies[c.Shard] = c
+		}
+	}
 	s.Tick(now)
 }
 
@@ -106,15 +156,24 @@
 	return Grant{Ask: ask, Lease: s.cfg.Lease, Record: s.rec.Clone()}, true
 }
 
-// Move has a shard served in a region, once that is safe. Only the leader's.
+// Move has a shard served in a region, once that is safe: once its copy there has all.
+// Only the leader's.
 func (s *Source) Move(now float64, shard int, to ID) {
 	s.want.Homes[shard].Region = to
 	s.Tick(now)
 }
 
+// Return has every shard served in the region that it prefers. Only the leader's.
+func (s *Source) Return(now float64) {
+	for i := range s.want.Homes {
+		s.want.Homes[i].Region = s.rec.Homes[i].Prefer
+	}
+	s.Tick(now)
+}
+
 // Share gives the regions parts of a limit, once that is safe. Only the leader's.
 func (s *Source) Share(now float64, limit int, parts [2]float64) {
-	s.want.Shares[limit] = parts
+	s.want.Shares[limit], s.want.Split[limit] = parts, parts
 	s.Tick(now)
 }
 
@@ -129,6 +188,13 @@
 	s.Tick(now)
 }
 
+// GiveUp takes over what only the lost region has in full, on an operator's word that
+// writes which it answered alone may be lost. Only the leader's.
+func (s *Source) GiveUp(now float64) {
+	s.given = true
+	s.Tick(now)
+}
+
 // wait is how long a time lasts on this clock so that it has certainly passed on any.
 func (s *Source) wait(d float64) float64 { return d * (1 + s.cfg.Drift) / (1 - s.cfg.Drift) }
 
@@ -151,12 +217,17 @@
 	if !s.Leads() {
 		return
 	}
-	if s.lost(now) && !s.silent {
+	switch lost := s.lost(now); {
+	case lost && !s.silent:
 		s.takeOver()
+	case !lost && s.silent:
+		s.silent, s.given = false, false
+		copy(s.want.Shares, s.want.Split) // the other spends its part again
 	}
-	s.retreat()
+	s.copied()
+	s.retreat(now)
 	if s.clear(now) {
-		s.advance()
+		s.advance(now)
 	}
 }
 
@@ -172,11 +243,37 @@
 	}
 }
 
+// copied makes a term of what disk servers said of their copies. A home that is to answer
+// alone does so under a new generation, so that no word of an older one counts.
+func (s *Source) copied() {
+	if !slices.ContainsFunc(s.copies, func(c Copy) bool { return c.State != Drained && s.news(c) }) {
+		return
+	}
+	s.next(func(r *Record) {
+		for i, c := range s.copies {
+			if c.State == Drained || !s.news(c) {
+				continue
+			}
+			h := &r.Homes[i]
+			if h.Alone = c.State == Behind; h.Alone {
+				h.Gen++
+			}
+		}
+	})
+}
+
+// leaves tells whether a shard is to leave its home now: the other cell must have
+// everything, unless that is given up.
+func (s *Source) leaves(i int) bool {
+	h := s.rec.Homes[i]
+	return h.Region != Nowhere && h.Region != s.want.Homes[i].Region && (!h.Alone || s.silent && s.given)
+}
+
 // retreat makes a term without what somebody is to give up.
-func (s *Source) retreat() {
+func (s *Source) retreat(now float64) {
 	give := false
-	for i, h := range s.rec.Homes {
-		give = give || h.Region != Nowhere && h.Region != s.want.Homes[i].Region
+	for i := range s.rec.Homes {
+		give = give || s.leaves(i)
 	}
 	for i, p := range s.rec.Shares {
 		give = give || p[0] > s.want.Shares[i][0] || p[1] > s.want.Shares[i][1]
@@ -186,8 +283,8 @@
 	}
 	s.next(func(r *Record) {
 		for i := range r.Homes {
-			if r.Homes[i].Region != s.want.Homes[i].Region {
-				r.Homes[i].Region = Nowhere
+			if s.leaves(i) {
+				r.Homes[i].Region, s.leftAt[i] = Nowhere, now
 			}
 		}
 		for i := range r.Shares {
@@ -195,28 +292,56 @@
 				r.Shares[i][k] = min(r.Shares[i][k], s.want.Shares[i][k])
 			}
 		}
+		r.Split = slices.Clone(s.want.Split)
 	})
 }
 
-// advance makes a term with what is wanted, now that nobody else has it.
-func (s *Source) advance() {
-	change := false
-	for i, h := range s.rec.Homes {
-		change = change || h.Region != s.want.Homes[i].Region
+// settles tells whether a shard that is nowhere gets its home now. Its old one must have
+// said that the other has all, unless it is lost; if it says nothing for long, the shard
+// goes back.
+func (s *Source) settles(now float64, i int) bool {
+	h, to := s.rec.Homes[i], s.want.Homes[i].Region
+	if h.Region != Nowhere {
+		return false
 	}
-	for i, p := range s.rec.Shares {
-		change = change || p != s.want.Shares[i]
+	if to == h.From || s.silent && h.From != s.self {
+		return true
+	}
+	if c := s.copies[i]; c.State == Drained && s.news(c) {
+		return true
 	}
-	if !change {
+	if now >= s.leftAt[i]+patience*s.wait(s.cfg.Lease) {
+		s.want.Homes[i].Region = h.From
+		return true
+	}
+	return false
+}
+
+// patience is how many leases a shard stays without a home for its copy's sake: the rest
+// of what the copy lacks takes far less than one.
+const patience = 3
+
+// advance makes a term with what is wanted, now that nobody else has it.
+func (s *Source) advance(now float64) {
+	var come []int
+	for i := range s.rec.Homes {
+		if s.settles(now, i) {
+			come = append(come, i)
+		}
+	}
+	if len(come) == 0 && slices.Equal(s.rec.Shares, s.want.Shares) {
 		return
 	}
 	s.next(func(r *Record) {
-		for i := range r.Homes {
-			if to := s.want.Homes[i].Region; r.Homes[i].Region != to {
-				r.Homes[i] = Home{to, r.Homes[i].Gen + 1}
+		for _, i := range come {
+			h, to := &r.Homes[i], s.want.Homes[i].Region
+			h.Gen++
+			if to != h.From {
+				h.Moved, h.Alone = h.Gen, s.silent
 			}
+			h.Region, h.From = to, to
 		}
-		r.Shares = slices.Clone(s.want.Shares)
+		r.Shares, r.Split = slices.Clone(s.want.Shares), slices.Clone(s.want.Split)
 	})
 }
 
