--- a/diskproto/diskproto.go
+++ b/diskproto/diskproto.go
@@ -17,8 +17,8 @@
 
 // Version is the newest version of the protocol; Oldest the oldest understood.
 const (
-	Version = 2
-	Oldest  = 2 // version 1 had no fences
+	Version = 3
+	Oldest  = 3 // version 1 had no fences, version 2 no generations
 )
 
 const (
@@ -31,10 +31,12 @@
 	maxFigs = 16
 )
 
-// Kind names a message.
+// Kind names a message. Cancel, Probe and Bye have no body: Cancel's tag names the Do that
+// is no longer waited for, Bye says that the server takes nothing more on this connection.
 type Kind byte
 
-// The kinds. Hello, Do, Cancel and Probe go to servers, the others come back.
+// The kinds. Hello, Do, Cancel and Probe go to servers, the others come back; Join and Copy
+// go from a shard's home to its copy, Joined and Copied come back.
 const (
 	KindHello Kind = iota + 1
 	KindWelcome
@@ -44,6 +46,10 @@
 	KindProbe
 	KindProbed
 	KindBye
+	KindJoin
+	KindJoined
+	KindCopy
+	KindCopied
 )
 
 // Frame is a message as it travels. Tag pairs an answer with what it answers.
@@ -173,6 +179,13 @@
 
 var be = binary.BigEndian
 
+func flag(b []byte, set bool) []byte {
+	if set {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
 // Hello opens a connection.
 type Hello struct {
 	Oldest, Newest uint16
@@ -275,12 +288,7 @@
 // Append writes it.
 func (m *Swap) Append(b []byte) []byte {
 	b = be.AppendUint64(b, m.Expected)
-	if m.Persist {
-		b = append(b, 1)
-	} else {
-		b = append(b, 0)
-	}
-	return m.New.Append(b)
+	return m.New.Append(flag(b, m.Persist))
 }
 
 // Parse reads it; its bytes are those of b.
@@ -305,7 +313,11 @@
 	Deadline uint64 // server's clock, us: not begun by then, it must not run
 	// Fence is the version of the volume's reservations that the host knows; a server
 	// that was told of a later one answers Fenced and does nothing.
-	Fence  uint64
+	Fence uint64
+	// Gen is the generation of the shard's home that the host knows; 0 where the service
+	// has one region. A server that knows a later one answers Stale and does nothing.
+	Gen    uint64
+	Copied bool // to be answered only once the copy in the other region has it
 	Units  float64
 	Plan   string
 	Volume string
@@ -322,6 +334,7 @@
 	b = be.AppendUint32(be.AppendUint16(b, m.Attempt), m.Shard)
 	b = be.AppendUint64(be.AppendUint64(b, m.Host), m.Seq)
 	b = be.AppendUint64(be.AppendUint64(be.AppendUint64(b, m.Origin), m.Deadline), m.Fence)
+	b = flag(be.AppendUint64(b, m.Gen), m.Copied)
 	b = be.AppendUint32(b, math.Float32bits(float32(m.Units)))
 	b = text(text(text(b, m.Plan), m.Volume), m.Key)
 	b = be.AppendUint32(be.AppendUint64(b, m.LBA), m.Blocks)
@@ -338,7 +351,7 @@
 	d := decoder{b: b}
 	m.Op, m.Effect, m.Attempt, m.Shard = d.u8("op"), d.u8("effect"), d.u16("attempt"), d.u32("shard")
 	m.Host, m.Seq, m.Origin, m.Deadline = d.u64("host"), d.u64("seq"), d.u64("origin"), d.u64("deadline")
-	m.Fence = d.u64("fence")
+	m.Fence, m.Gen, m.Copied = d.u64("fence"), d.u64("gen"), d.u8("copied") == 1
 	m.Units = d.f32("units")
 	m.Plan, m.Volume, m.Key = d.text("plan"), d.text("volume"), d.text("key")
 	m.LBA, m.Blocks = d.u64("lba"), d.u32("blocks")
@@ -364,7 +377,7 @@
 // Result is how a server ended an attempt.
 type Result byte
 
-// The results. Full, Draining, WrongShard, Expired and Fenced prove that nothing ran.
+// The results. Full, Draining, WrongShard, Expired, Fenced and Stale prove that nothing ran.
 const (
 	OK Result = iota + 1
 	Miscompare
@@ -374,9 +387,10 @@
 	WrongShard
 	Expired
 	Fenced // the host knows an older version of the reservations than the server
+	Stale  // the host knows an older generation of the shard's home than the server
 )
 
-var resultNames = [...]string{"", "ok", "miscompare", "failed", "full", "draining", "wrong-shard", "expired", "fenced"}
+var resultNames = [...]string{"", "ok", "miscompare", "failed", "full", "draining", "wrong-shard", "expired", "fenced", "stale"}
 
 func (r Result) String() string {
 	if int(r) < len(resultNames) {
@@ -386,7 +400,7 @@
 }
 
 // ProvesNothingRan tells whether the attempt certainly had no effect.
-func (r Result) ProvesNothingRan() bool { return r >= Full && r <= Fenced }
+func (r Result) ProvesNothingRan() bool { return r >= Full && r <= Stale }
 
 // Figure is one value of a load report.
 type Figure struct {
@@ -397,6 +411,7 @@
 // Answer ends an attempt.
 type Answer struct {
 	Result  Result
+	Clock   uint64  // the server's, us
 	Dropped bool    // a repeat: its first attempt had run, this one did not
 	Use     uint32  // 1 + percent of the plan's rate that the volume used; 0: none
 	Others  float64 // units served for the volume through other hosts since the last answer
@@ -406,11 +421,7 @@
 
 // Append adds the message's bytes.
 func (m *Answer) Append(b []byte) []byte {
-	dropped := byte(0)
-	if m.Dropped {
-		dropped = 1
-	}
-	b = append(b, byte(m.Result), dropped)
+	b = flag(be.AppendUint64(append(b, byte(m.Result)), m.Clock), m.Dropped)
 	b = be.AppendUint32(be.AppendUint32(b, m.Use), math.Float32bits(float32(m.Others)))
 	b = figures(b, m.Report)
 	b = be.AppendUint32(b, uint32(len(m.Data)))
@@ -420,7 +431,7 @@
 // Parse reads the message.
 func (m *Answer) Parse(b []byte) error {
 	d := decoder{b: b}
-	m.Result, m.Dropped = Result(d.u8("result")), d.u8("dropped") == 1
+	m.Result, m.Clock, m.Dropped = Result(d.u8("result")), d.u64("clock"), d.u8("dropped") == 1
 	m.Use, m.Others = d.u32("use"), d.f32("others")
 	m.Report = d.figures()
 	size := int(d.u32("data"))
@@ -428,7 +439,7 @@
 		return &FrameError{fmt.Sprintf("answer: data of %d bytes, %d said", len(d.b), size)}
 	}
 	m.Data, d.b = d.b, nil
-	if d.bad == "" && (m.Result < OK || m.Result > Fenced) {
+	if d.bad == "" && (m.Result < OK || m.Result > Stale) {
 		return &FrameError{"answer: unknown result"}
 	}
 	return d.end("answer")
@@ -455,17 +466,92 @@
 }
 
 // Probed answers Probe, whose body is empty, with a load report.
-type Probed struct{ Report []Figure }
+type Probed struct {
+	Clock  uint64 // the server's, us
+	Report []Figure
+}
 
 // Append adds the message's bytes.
-func (m *Probed) Append(b []byte) []byte { return figures(b, m.Report) }
+func (m *Probed) Append(b []byte) []byte { return figures(be.AppendUint64(b, m.Clock), m.Report) }
 
 // Parse reads the message.
 func (m *Probed) Parse(b []byte) error {
 	d := decoder{b: b}
-	m.Report = d.figures()
+	m.Clock, m.Report = d.u64("clock"), d.figures()
 	return d.end("probed")
 }
 
-// Cancel, Probe and Bye have no body: Cancel's tag names the Do that is no longer
-// waited for, Bye says that the server takes nothing more on this connection.
+// Position is a place in a shard's history of changes: the generation under which the
+// change was made, and its number. Equal positions have equal histories before them.
+type Position struct{ Gen, Seq uint64 }
+
+func (p Position) append(b []byte) []byte { return be.AppendUint64(be.AppendUint64(b, p.Gen), p.Seq) }
+
+func (d *decoder) position(f string) Position { return Position{d.u64(f), d.u64(f)} }
+
+// Join opens a shard's copying: its home under that generation asks for what the other
+// region's cell has.
+type Join struct {
+	Shard uint32
+	Gen   uint64
+}
+
+// Append adds the message's bytes.
+func (m *Join) Append(b []byte) []byte { return be.AppendUint64(be.AppendUint32(b, m.Shard), m.Gen) }
+
+// Parse reads the message.
+func (m *Join) Parse(b []byte) error {
+	d := decoder{b: b}
+	*m = Join{d.u32("shard"), d.u64("gen")}
+	return d.end("join")
+}
+
+// Joined answers Join: Stale where a later generation is known, WrongShard, or OK with
+// the last position of what the cell has.
+type Joined struct {
+	Result Result
+	At     Position
+}
+
+// Append adds the message's bytes.
+func (m *Joined) Append(b []byte) []byte { return m.At.append(append(b, byte(m.Result))) }
+
+// Parse reads the message.
+func (m *Joined) Parse(b []byte) error {
+	d := decoder{b: b}
+	*m = Joined{Result(d.u8("result")), d.position("at")}
+	if d.bad == "" && (m.Result < OK || m.Result > Stale) {
+		return &FrameError{"joined: unknown result"}
+	}
+	return d.end("joined")
+}
+
+// Copy is one change of a shard on its way to the copy, or a piece of its whole state.
+type Copy struct {
+	At Position
+	// Of a whole state: First empties the cell, Part leaves it unfinished, a change
+	// without Part ends it. At is then that of the state.
+	First, Part bool
+	Age         uint32 // ms since it ran at the home, for who drops repeats
+	Do          Do
+}
+
+// Append adds the message's bytes.
+func (m *Copy) Append(b []byte) []byte {
+	b = flag(flag(m.At.append(b), m.First), m.Part)
+	return m.Do.Append(be.AppendUint32(b, m.Age))
+}
+
+// Parse reads the message.
+func (m *Copy) Parse(b []byte) error {
+	d := decoder{b: b}
+	m.At, m.First, m.Part, m.Age = d.position("at"), d.u8("first") == 1, d.u8("part") == 1, d.u32("age")
+	if d.bad != "" {
+		return d.end("copy")
+	}
+	return m.Do.Parse(d.b)
+}
+
+// Copied says that the copy has everything up to a position. Stale: it knows a later
+// generation and takes no more.
+type Copied = Joined
--- a/diskproto/diskproto_test.go
+++ b/diskproto/diskproto_test.go
@@ -21,10 +21,13 @@
 }{
 	{KindHello, &Hello{1, 2, 99, "h0"}, func() message { return &Hello{} }},
 	{KindWelcome, &Welcome{1, 7, 8, 9, "d0", "hall-a", "r1"}, func() message { return &Welcome{} }},
-	{KindDo, &Do{Op: 2, Effect: Keyed, Attempt: 3, Shard: 4, Host: 5, Seq: 6, Origin: 7, Deadline: 8, Units: 1.5, Plan: "p", Volume: "v",
+	{KindDo, &Do{Op: 2, Effect: Keyed, Attempt: 3, Shard: 4, Host: 5, Seq: 6, Origin: 7, Deadline: 8, Fence: 11, Gen: 12, Copied: true, Units: 1.5, Plan: "p", Volume: "v",
 		Key: "v/1", LBA: 9, Blocks: 10, Runs: []Run{{1, 2}, {3, 4}}, Data: []byte("data")}, func() message { return &Do{} }},
-	{KindAnswer, &Answer{Result: OK, Dropped: true, Use: 5, Others: 2.5, Report: []Figure{{"waiting", 3}}, Data: []byte("data")}, func() message { return &Answer{} }},
-	{KindProbed, &Probed{Report: []Figure{{"cpu", 0.5}}}, func() message { return &Probed{} }},
+	{KindAnswer, &Answer{Result: OK, Clock: 7, Dropped: true, Use: 5, Others: 2.5, Report: []Figure{{"waiting", 3}}, Data: []byte("data")}, func() message { return &Answer{} }},
+	{KindJoin, &Join{3, 4}, func() message { return &Join{} }},
+	{KindJoined, &Joined{OK, Position{1, 2}}, func() message { return &Joined{} }},
+	{KindCopy, &Copy{At: Position{1, 2}, First: true, Part: true, Age: 3, Do: Do{Op: 2, Volume: "v", LBA: 9, Blocks: 1, Data: []byte("data")}}, func() message { return &Copy{} }},
+	{KindProbed, &Probed{Clock: 5, Report: []Figure{{"cpu", 0.5}}}, func() message { return &Probed{} }},
 }
 
 func TestRoundTrips(t *testing.T) {
@@ -80,13 +83,13 @@
 }
 
 func TestResults(t *testing.T) {
-	for r := OK; r <= Fenced; r++ {
-		if want := r == Full || r == Draining || r == WrongShard || r == Expired || r == Fenced; r.ProvesNothingRan() != want || r.String() == "?" {
+	for r := OK; r <= Stale; r++ {
+		if want := r == Full || r == Draining || r == WrongShard || r == Expired || r == Fenced || r == Stale; r.ProvesNothingRan() != want || r.String() == "?" {
 			t.Errorf("%d (%s) proves that nothing ran: %v", r, r, r.ProvesNothingRan())
 		}
 	}
 	a := &Answer{}
-	if err := a.Parse((&Answer{Result: Fenced + 1}).Append(nil)); err == nil {
+	if err := a.Parse((&Answer{Result: Stale + 1}).Append(nil)); err == nil {
 		t.Error("an unknown result is taken")
 	}
 }
--- a/gateway/announcer.go
+++ b/gateway/announcer.go
@@ -11,6 +11,7 @@
 	"merlinhitch/announce"
 	"merlinhitch/bgp"
 	"merlinhitch/inventory"
+	"merlinhitch/policy"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
 )
@@ -174,7 +175,7 @@
 func (a *announcer) heard(c *hostCore) {
 	nodes := make(map[string]int, len(c.nodes))
 	for addr, n := range c.nodes {
-		if n.Health == inventory.Ready {
+		if c.healthOf(n) == policy.Ready {
 			nodes[addr] = n.Shard
 		}
 	}
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -24,6 +24,7 @@
 	id     uint64
 	name   string
 	dialIn time.Duration
+	drift  float64 // part by which clocks may run fast or slow
 	log    *zap.Logger
 
 	mu     sync.Mutex
@@ -65,7 +66,8 @@
 	open    map[uint32]*attempt
 	nextTag uint32
 	heard   time.Duration
-	offset  float64 // server's clock minus this host's, us, not later than true
+	clock   float64 // the server's, us, which was no less
+	clockAt float64 // at this time of the host's, us
 }
 
 // send takes an attempt, on the host's goroutine; it never blocks on the network.
@@ -112,6 +114,25 @@
 	}
 }
 
+// freshen asks servers whose clock was last heard a while ago for it.
+func (b *back) freshen() {
+	b.mu.Lock()
+	links := b.all.All()
+	b.mu.Unlock()
+	for _, l := range links {
+		l.mu.Lock()
+		if now := float64(b.world.Now()) / float64(time.Microsecond); now-l.clockAt > clockOld && l.up && !l.down {
+			l.nextTag++
+			tag := l.nextTag
+			l.out.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindProbe, tag, nil) })
+		}
+		l.mu.Unlock()
+	}
+}
+
+// clockOld is the age at which a server's clock is asked for, us.
+const clockOld = 400_000
+
 // heard tells when a server last said anything on the connection that is open to it.
 func (b *back) heard(addr string) (at time.Duration, open bool) {
 	b.with(addr, func(l *link) { at, open = l.heard, l.up && !l.down && !l.bye })
@@ -151,7 +172,7 @@
 	l.open[a.tag] = a
 	do := a.job.do
 	do.Attempt = uint16(a.n)
-	do.Deadline = uint64(max(a.until*1000+l.offset, 0))
+	do.Gen, do.Deadline = a.gen, l.deadline(a.until)
 	if plant.Is(plant.DeadlineUnsaid) {
 		do.Deadline += 60_000_000
 	}
@@ -160,6 +181,22 @@
 	}
 }
 
+// reads takes the server's clock as heard at now. The server read it before: deadlines
+// reckoned from it are early by the way back, never late. Held: mu.
+func (l *link) reads(clock uint64, now time.Duration) {
+	l.clock, l.clockAt = float64(clock), float64(now)/float64(time.Microsecond)
+}
+
+// deadline is a time of this host's in the server's clock, no later however the two
+// have drifted since it was heard. Held: mu.
+func (l *link) deadline(until float64) uint64 {
+	ahead := until*1000 - l.clockAt
+	if d := l.back.drift; d > 0 && ahead > 0 {
+		ahead *= (1 - d) / (1 + d)
+	}
+	return uint64(max(l.clock+ahead, 0))
+}
+
 func (l *link) end(a *attempt, r policy.Result) {
 	if r == policy.NoConnection && !a.drop() {
 		return
@@ -226,9 +263,7 @@
 	now := l.back.world.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	// The server read its clock before now: deadlines reckoned from now are early
-	// by the way back, never late.
-	l.offset = float64(w.Clock) - float64(now)/float64(time.Microsecond)
+	l.reads(w.Clock, now)
 	l.up, l.heard = true, now
 	for _, a := range l.waiting {
 		l.put(a)
@@ -250,6 +285,15 @@
 	}
 	over := l.bye && len(l.open) == 0
 	l.mu.Unlock()
+	if f.Kind == diskproto.KindProbed {
+		var p diskproto.Probed
+		if err := p.Parse(f.Body); err != nil {
+			return err
+		}
+		l.mu.Lock()
+		l.reads(p.Clock, l.heard)
+		l.mu.Unlock()
+	}
 	if f.Kind != diskproto.KindAnswer || a == nil {
 		return errRetired.when(over)
 	}
@@ -257,6 +301,11 @@
 	if err := ans.Parse(f.Body); err != nil {
 		return err
 	}
+	if l.back.drift > 0 {
+		l.mu.Lock()
+		l.reads(ans.Clock, l.heard)
+		l.mu.Unlock()
+	}
 	e := event{kind: evAnswer, attempt: a, answer: ans}
 	if len(ans.Data) > 0 {
 		e.buffer = l.back.host.buffer()
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -106,7 +106,7 @@
 	if io.Op == scsi.Read {
 		cmd.held = size
 	}
-	if int(c.front.open.Load()) >= v.Limits.MaxOpen || !c.front.reserve(cmd.held) {
+	if !c.front.host.serves() || int(c.front.open.Load()) >= v.Limits.MaxOpen || !c.front.reserve(cmd.held) {
 		c.respond(t, iscsi.Answer{Status: scsi.Busy}) // not taken: nothing was sent
 		return
 	}
@@ -173,7 +173,7 @@
 	}
 	j.owner = cmd
 	j.req = policy.Request{Class: class.Name, Plan: vol.Plan, Volume: vol.Name, Shard: shard, Units: units,
-		Key: key, Hosts: len(vol.Hosts), Write: op.Writes(), Expires: cmd.task.At + class.Deadline}
+		Key: key, Hosts: v.hosts[vol.Name], Write: op.Writes(), Expires: cmd.task.At + class.Deadline}
 	j.do = diskproto.Do{Op: byte(op), Effect: wireEffect[class.Effect], Shard: uint32(shard), Host: c.front.host.back.id,
 		Origin: uint64(c.tsih)<<32 | uint64(cmd.task.ITT), Fence: cmd.fence, Units: units, Plan: vol.Plan, Volume: vol.Name, Key: key}
 	if plant.Is(plant.KeyForgotten) {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -25,6 +25,7 @@
 type view struct {
 	*settings.Settings
 	targets map[string]*unit // by target name
+	hosts   map[string]int   // by volume: how many hosts of this one's region it comes through
 }
 
 // unit is one volume as a logical unit.
@@ -34,11 +35,12 @@
 }
 
 func newView(s *settings.Settings, self int) *view {
-	v := &view{Settings: s, targets: map[string]*unit{}}
+	v := &view{Settings: s, targets: map[string]*unit{}, hosts: map[string]int{}}
 	for i := range s.Volumes {
 		vol := &s.Volumes[i]
 		if slices.Contains(vol.Hosts, self) {
 			v.targets[s.TargetName(vol)] = &unit{vol, vol.Disk()}
+			v.hosts[vol.Name] = len(s.Near(self, vol.Hosts))
 		}
 	}
 	return v
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	front   *front
 	host    *host
 	list    *inventory.Client
+	lease   *leaser    // nil in a service of one region
 	ann     *announcer // nil where nothing is to be announced at the start
 	addr    net.Addr
 	stopped bool
@@ -155,6 +156,9 @@
 		h.post(event{kind: evList, list: l})
 	})
 	h.fetch = g.list.Fetch
+	if s.Regions != nil {
+		g.lease = newLeaser(g.cfg.World, h, g.cfg.Inventory, s.Regions, g.cfg.Log)
+	}
 	g.host, g.addr = h, l.Addr()
 	g.front = newFront(g.cfg.World, h, newView(s, g.cfg.Self), l, g.cfg.Log)
 	if s.Announce != nil {
@@ -300,7 +304,7 @@
 		return
 	}
 	g.stopped = true
-	f, h, l, a := g.front, g.host, g.list, g.ann
+	f, h, l, a, lease := g.front, g.host, g.list, g.ann, g.lease
 	g.mu.Unlock()
 	if g.admin != nil {
 		g.admin.Close()
@@ -312,5 +316,8 @@
 		h.stop() // first, so that nothing more goes to disk servers
 		f.cutAll()
 		l.Close()
+		if lease != nil {
+			lease.close()
+		}
 	}
 }
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	"merlinhitch/outbox"
 	"merlinhitch/plant"
 	"merlinhitch/policy"
+	"merlinhitch/region"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
 )
@@ -34,6 +36,8 @@
 	halted  seam.Gate // open as stop begins
 	done    seam.Gate
 
+	lease   atomic.Uint64 // bits of the lease's end; without regions it never ends
+	sooner  func()        // has a lease asked for at once
 	timer   seam.Timer
 	timerAt float64
 	buffers sync.Pool
@@ -48,6 +52,7 @@
 	evLost
 	evList
 	evAsk
+	evGrant
 	evStop
 )
 
@@ -59,6 +64,7 @@
 	result  policy.Result
 	buffer  *[]byte // what the answer's data lies in, given back once it is handled
 	list    inventory.List
+	grant   *region.Grant
 	ask     func(*hostCore)
 }
 
@@ -66,6 +72,11 @@
 	h := &host{world: w, log: log, self: self, wake: w.NewParker(), timerAt: math.Inf(1), fetch: func() {}}
 	h.core = newHostCore(seam.MS(w.Now()), s, self, zone, w.Uint64(), h)
 	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
+	h.sooner = func() {}
+	if h.leased(math.Inf(1)); s.Regions != nil {
+		h.leased(0)
+		h.back.drift = regionConfig(s.Regions).Drift
+	}
 	w.Go(h.run)
 	return h
 }
@@ -144,6 +155,8 @@
 		h.core.lost(now, e.attempt, e.result)
 	case evList:
 		h.core.list(now, e.list)
+	case evGrant:
+		h.core.granted(now, e.grant)
 	case evAsk:
 		e.ask(h.core)
 	}
@@ -194,12 +207,19 @@
 
 // The effects of the core, on the host's goroutine.
 
-func (h *host) send(a *attempt)    { h.back.send(a) }
-func (h *host) cancel(a *attempt)  { h.back.cancel(a) }
-func (h *host) forget(a *attempt)  { h.back.forget(a) }
-func (h *host) retire(node string) { h.back.retire(node) }
-func (h *host) fetchList()         { h.fetch() }
-func (h *host) note(text string)   { h.log.Warn(text) }
+func (h *host) send(a *attempt)      { h.back.send(a) }
+func (h *host) cancel(a *attempt)    { h.back.cancel(a) }
+func (h *host) forget(a *attempt)    { h.back.forget(a) }
+func (h *host) retire(node string)   { h.back.retire(node) }
+func (h *host) fetchList()           { h.fetch() }
+func (h *host) note(text string)     { h.log.Warn(text) }
+func (h *host) renew()               { h.sooner() }
+func (h *host) leased(until float64) { h.lease.Store(math.Float64bits(until)) }
+
+// serves tells whether the host may take work now; without a lease it may not.
+func (h *host) serves() bool {
+	return seam.MS(h.world.Now()) < math.Float64frombits(h.lease.Load())
+}
 
 func (h *host) finish(j *job, how endKind, after float64, ans *diskproto.Answer) {
 	j.owner.partDone(j, how, after, ans)
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"merlinhitch/diskproto"
@@ -40,6 +41,8 @@
 	ended   bool
 	landBy  float64 // until then a lost attempt may still take effect
 	settled bool
+	gen     uint64 // of the shard's home when it was first sent
+	group   policy.Group
 	buffer  *[]byte // what the data of the answer under way lies in
 	spare   bool    // ended because the command's answer no longer depends on it
 }
@@ -60,6 +63,7 @@
 	node   string
 	sentAt float64
 	until  float64
+	gen    uint64 // of the shard's home
 	state  atomic.Int32
 	over   bool
 	tag    uint32
@@ -87,7 +91,9 @@
 	finish(j *job, how endKind, after float64, ans *diskproto.Answer)
 	settled(j *job) // of a job that the client ended: nothing of it can land any more
 	fetchList()
-	retire(node string) // close the connection once it has nothing out
+	renew()               // ask for a lease at once
+	leased(until float64) // the lease's end, by the host's clock
+	retire(node string)   // close the connection once it has nothing out
 	note(text string)
 }
 
@@ -105,6 +111,8 @@
 	nodes   map[string]inventory.Node
 	usage   *rates.Meter
 	limits  map[string]float64 // units a second of a plan's volumes, over all hosts
+	regions *regional          // nil: there is one
+	groups  map[string]policy.Group
 	held    uint64             // requests that were let go of unsent while their volume asked for more than its limit
 	saidAt  map[string]float64 // when that was last said of a volume
 	// Sends and Resends count attempts; for operators.
@@ -140,7 +148,11 @@
 			p.Plans[i].Limit *= 4
 		}
 	}
-	return &hostCore{limits: limits, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory), mod: policy.New(p, seed), eff: eff, jobs: map[string]*job{},
+	groups := map[string]policy.Group{}
+	for _, k := range p.Classes {
+		groups[k.Name] = k.Group
+	}
+	return &hostCore{regions: newRegional(s, self), groups: groups, limits: limits, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory), mod: policy.New(p, seed), eff: eff, jobs: map[string]*job{},
 		started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
 }
 
@@ -153,6 +165,10 @@
 	h.nextSeq++
 	j.id = strconv.FormatUint(h.nextSeq, 36)
 	j.req.ID, j.do.Seq = j.id, h.nextSeq
+	if h.regions != nil {
+		h.regions.limited(h.now, &j.req)
+		j.group, j.do.Copied = h.groups[j.req.Class], h.regions.copied[j.req.Plan]
+	}
 	h.jobs[j.id] = j
 	h.usage.Add(h.now, j.req.Volume, j.req.Units, j.req.Write)
 	h.tell(j.req)
@@ -201,15 +217,20 @@
 		until = min(until, s.Until)
 	}
 	a := &attempt{job: j, n: j.sends, node: s.Node, sentAt: h.now, until: until}
+	goes := h.stamp(a)
 	j.sends++
 	j.out++
 	h.sends++
 	if a.n > 0 {
 		h.resends++
 	}
-	a.due = due{at: until, a: a}
+	a.due = due{at: a.until, a: a}
+	if goes {
+		h.eff.send(a)
+	} else {
+		a.due.at, a.due.cancelled = h.now, true // the module is in the midst of an event
+	}
 	h.dues.push(&a.due)
-	h.eff.send(a)
 }
 
 // cancel stops waiting for an attempt; the outcome comes with the next tick, for
@@ -302,6 +323,7 @@
 	diskproto.Expired:    policy.TurnedAway,
 	diskproto.WrongShard: policy.NotSent,
 	diskproto.Fenced:     policy.Served, // the server has done its work, which was to say no
+	diskproto.Stale:      policy.NotSent,
 }
 
 // answered brings a disk server's answer. Of an attempt that is over already
@@ -311,6 +333,9 @@
 	if a.over {
 		return
 	}
+	if ans.Result == diskproto.Stale {
+		h.refusedAsOld(a)
+	}
 	r := results[ans.Result]
 	if r == policy.Served && !a.job.ended {
 		a.job.ended = true
@@ -364,6 +389,8 @@
 			h.timeOut(d.a, d.cancelled)
 		case d.j != nil:
 			h.tidy(d.j)
+		case d.name == leaseEnd:
+			h.leaseOver()
 		default:
 			h.tell(policy.TimerFired{Name: d.name})
 		}
@@ -374,6 +401,8 @@
 // connection, nothing of it left the host.
 func (h *hostCore) timeOut(a *attempt, cancelled bool) {
 	switch {
+	case a.link == nil && cancelled && a.drop(): // it was not to go
+		h.outcome(a, policy.NotSent, policy.Outcome{})
 	case a.drop():
 		h.outcome(a, policy.NoConnection, policy.Outcome{})
 	case cancelled:
@@ -395,23 +424,34 @@
 	if l.Kind == inventory.Full {
 		clear(h.nodes)
 	}
-	nodes := make([]policy.Node, len(l.Nodes))
 	for i, n := range l.Nodes {
 		if plant.Is(plant.DrainOverlooked) && n.Health == inventory.Draining {
-			n.Health = inventory.Ready
+			l.Nodes[i].Health = inventory.Ready
 		}
-		h.nodes[n.Addr] = n
-		nodes[i] = policy.Node{Addr: n.Addr, Health: health[n.Health], Shard: n.Shard, Zone: n.Zone, Weight: n.Weight, Started: h.startOf(n)}
+		h.nodes[n.Addr] = l.Nodes[i]
+	}
+	h.listed = true
+	h.tellNodes(l.Kind == inventory.Full, l.Nodes)
+	for _, n := range l.Nodes {
 		if n.Health == inventory.Gone {
 			delete(h.nodes, n.Addr)
 			delete(h.started, startKey{n.Addr, n.Incarnation})
 			h.eff.retire(n.Addr)
 		}
 	}
-	h.listed = true
-	h.tell(policy.NodeList{Full: l.Kind == inventory.Full, Nodes: nodes})
 }
 
+// tellNodes tells the module of nodes, of all there are where full.
+func (h *hostCore) tellNodes(full bool, list []inventory.Node) {
+	nodes := make([]policy.Node, len(list))
+	for i, n := range list {
+		nodes[i] = policy.Node{Addr: n.Addr, Health: h.healthOf(n), Shard: n.Shard, Zone: n.Zone, Weight: n.Weight, Started: h.startOf(n)}
+	}
+	h.tell(policy.NodeList{Full: full, Nodes: nodes})
+}
+
+func byAddr(a, b inventory.Node) int { return strings.Compare(a.Addr, b.Addr) }
+
 var health = map[string]policy.Health{
 	inventory.Ready: policy.Ready, inventory.Draining: policy.Draining, inventory.Gone: policy.Gone,
 }
--- a/gateway/hostcore_test.go
+++ b/gateway/hostcore_test.go
@@ -75,6 +75,8 @@
 func (n *noted) finish(_ *job, k endKind, _ float64, _ *diskproto.Answer) { n.ends = append(n.ends, k) }
 func (n *noted) settled(*job)                                             { n.settle++ }
 func (n *noted) fetchList()                                               {}
+func (n *noted) renew()                                                   {}
+func (n *noted) leased(float64)                                           {}
 func (n *noted) retire(node string)                                       { n.retired = append(n.retired, node) }
 func (n *noted) note(string)                                              {}
 
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -229,7 +229,7 @@
 	const name = "/reservations"
 	j := &job{}
 	j.req = policy.Request{Class: class.Name, Plan: vol.Plan, Volume: vol.Name, Shard: shard, Units: 1, Key: vol.Name + name,
-		Hosts: len(vol.Hosts), Write: like.Writes(), Expires: expires}
+		Hosts: f.view.Load().hosts[vol.Name], Write: like.Writes(), Expires: expires}
 	j.do = diskproto.Do{Op: op, Effect: wireEffect[class.Effect], Shard: uint32(shard), Host: f.host.back.id, Units: 1, Plan: vol.Plan,
 		Volume: vol.Name, Key: j.req.Key, Fence: fence, Data: data}
 	f.open.Add(1)
--- /dev/null
+++ b/gateway/regional.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/inventory"
+	"merlinhitch/plant"
+	"merlinhitch/policy"
+	"merlinhitch/region"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+)
+
+// regional is what a host core of a service over two regions knows of them. What it
+// decides is package region's; the module hears of it as a node list that has for each
+// shard only the node at its home, and of its part of each limit.
+type regional struct {
+	*region.Host
+	self   region.ID
+	limits map[string]int // of plans that have one: its number
+	copied map[string]bool
+	parts  map[string]limitPart // of limited volumes
+	held   bool                 // as the module was last told
+	term   uint64
+}
+
+// limitPart is a limited volume's: its hosts in this region, and its limit.
+type limitPart struct{ hosts, limit int }
+
+func regionConfig(r *settings.Regions) region.Config {
+	c := region.Config{Lease: r.Lease, Quiet: r.Quiet, Drift: r.Drift}
+	if plant.Is(plant.LeaseNoDrift) {
+		c.Drift = 0
+	}
+	return c
+}
+
+func newRegional(s *settings.Settings, self int) *regional {
+	if s.Regions == nil {
+		return nil
+	}
+	r := &regional{Host: region.NewHost(regionConfig(s.Regions), region.ID(s.Regions.Hosts[self])), self: region.ID(s.Regions.Hosts[self]),
+		limits: map[string]int{}, copied: map[string]bool{}, parts: map[string]limitPart{}}
+	for i, p := range s.Plans {
+		r.copied[p.Name] = p.Copied != settings.AckBefore
+		if p.Limit > 0 {
+			r.limits[p.Name] = i
+		}
+	}
+	return r
+}
+
+// nobody stands for a part of nothing: of so many hosts that no request ever fits.
+const nobody = 1 << 30
+
+// hostsFor is of how many hosts a volume's part of a limit is one.
+func (r *regional) hostsFor(now float64, p limitPart) (hosts int, since float64) {
+	share, since := r.Share(now, p.limit)
+	if share <= 0 {
+		return nobody, since
+	}
+	return int(min(math.Ceil(float64(p.hosts)/share-1e-9), nobody)), since
+}
+
+// limited enters a request's part of its limit.
+func (r *regional) limited(now float64, q *policy.Request) {
+	limit, ok := r.limits[q.Plan]
+	if !ok {
+		return
+	}
+	p := limitPart{max(q.Hosts, 1), limit}
+	r.parts[q.Volume] = p
+	q.Hosts, q.PartSince = r.hostsFor(now, p)
+}
+
+// granted brings what the inventory granted.
+func (h *hostCore) granted(now float64, g *region.Grant) {
+	h.at(now)
+	r := h.regions
+	if r == nil || !r.Told(h.now, *g) {
+		return
+	}
+	h.dues.push(&due{at: r.Until(), name: leaseEnd})
+	if r.held && r.Known().Term == r.term {
+		return
+	}
+	h.rehome()
+}
+
+// leaseEnd is the timer at the end of a lease.
+const leaseEnd = "/lease"
+
+// leaseOver looks whether the lease has run out.
+func (h *hostCore) leaseOver() {
+	if r := h.regions; r.held && !r.Holds(h.now) {
+		h.rehome()
+		h.eff.note("no lease: nothing is sent until the inventory grants one")
+	}
+}
+
+// rehome tells the module where shards are at home now, and its parts of limits.
+func (h *hostCore) rehome() {
+	r := h.regions
+	r.held, r.term = r.Holds(h.now), r.Known().Term
+	h.eff.leased(r.Until())
+	all := make([]inventory.Node, 0, len(h.nodes))
+	for _, n := range h.nodes {
+		all = append(all, n)
+	}
+	slices.SortFunc(all, byAddr)
+	h.tellNodes(true, all)
+	volumes := make([]string, 0, len(r.parts))
+	for v := range r.parts {
+		volumes = append(volumes, v)
+	}
+	slices.Sort(volumes)
+	for _, v := range volumes {
+		hosts, _ := r.hostsFor(h.now, r.parts[v])
+		h.tell(policy.Part{Volume: v, Hosts: hosts})
+	}
+}
+
+// healthOf is a node's as the module is told it: one that is not at its shard's home is
+// as good as draining.
+func (h *hostCore) healthOf(n inventory.Node) policy.Health {
+	if r := h.regions; r != nil && n.Health == inventory.Ready {
+		if home, ok := r.May(h.now, n.Shard); !ok || home.Region != n.Region {
+			return policy.Draining
+		}
+	}
+	return health[n.Health]
+}
+
+// stamp has an attempt carry its shard's generation and end with the lease; false if it
+// must not go.
+func (h *hostCore) stamp(a *attempt) bool {
+	r, j := h.regions, a.job
+	if r == nil {
+		return true
+	}
+	home, ok := r.May(h.now, j.req.Shard)
+	if n, listed := h.nodes[a.node]; !ok || !listed || n.Region != home.Region {
+		return false
+	}
+	if j.gen == 0 {
+		j.gen = home.Gen
+	}
+	everywhere := j.group == policy.GroupAll || j.do.Effect == diskproto.Safe
+	if !region.MayRepeat(j.gen, home, everywhere) {
+		return false
+	}
+	if plant.Is(plant.FenceMissing) {
+		a.gen = nobody
+		return true
+	}
+	a.gen, a.until = home.Gen, min(a.until, r.Until())
+	return true
+}
+
+// refusedAsOld takes note of a disk server that knows a later generation.
+func (h *hostCore) refusedAsOld(a *attempt) {
+	if r := h.regions; r != nil {
+		r.Refused(a.job.req.Shard, a.gen)
+		h.rehome()
+		h.eff.renew()
+	}
+}
+
+// leaser asks the inventory for leases, from a goroutine of its own.
+type leaser struct {
+	world  seam.World
+	host   *host
+	caller *inventory.Caller
+	every  time.Duration
+	log    *zap.Logger
+	mu     sync.Mutex
+	soon   *seam.Gate
+	over   seam.Gate
+	done   seam.Gate
+}
+
+// leaseParts is how many times a lease is renewed in its own length: two questions may be
+// lost without harm.
+const leaseParts = 6
+
+func newLeaser(w seam.World, h *host, addr string, r *settings.Regions, log *zap.Logger) *leaser {
+	l := &leaser{world: w, host: h, caller: inventory.NewCaller(w, func() string { return addr }), every: seam.Duration(r.Lease / leaseParts), log: log}
+	h.sooner = l.sooner
+	w.Go(l.run)
+	return l
+}
+
+func (l *leaser) run() {
+	defer l.done.Open()
+	refused := false
+	for {
+		var id uint64
+		if !l.host.ask(func(c *hostCore) { id = c.regions.Ask(c.now) }) {
+			return
+		}
+		a, err := l.caller.Ask(inventory.Ask{Op: "lease", Ask: id}, 2*l.every)
+		switch {
+		case err == nil && a.Kind == inventory.Granted:
+			refused = false
+			l.host.post(event{kind: evGrant, grant: a.Grant})
+		case err == nil && !refused:
+			refused = true
+			l.log.Warn("no lease is granted", zap.String("reason", a.Reason))
+		}
+		l.host.back.freshen()
+		l.mu.Lock()
+		l.soon = &seam.Gate{}
+		soon := l.soon
+		l.mu.Unlock()
+		seam.Wait(l.world, l.every, soon)
+		if l.over.Opened() {
+			return
+		}
+	}
+}
+
+// sooner ends the wait before the next question.
+func (l *leaser) sooner() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.soon != nil {
+		l.soon.Open()
+	}
+}
+
+func (l *leaser) close() {
+	l.over.Open()
+	l.sooner()
+	l.caller.Close()
+	l.done.Wait(l.world)
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -11,8 +11,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
+
+	"merlinhitch/region"
 )
 
 // MaxLine bounds a line in bytes; a list of a thousand nodes takes a fifth of it.
@@ -29,6 +32,10 @@
 	// last was, by the inventory's clock when it sends. 0: long ago.
 	Incarnation uint64  `json:"incarnation"`
 	AgeMS       float64 `json:"age_ms"`
+	// Of a service over two regions: where the node is, and which change of that region's
+	// source the entry is. Of two entries of a node the later change counts.
+	Region region.ID `json:"region,omitempty"`
+	Stamp  uint64    `json:"stamp,omitempty"`
 }
 
 // The states of a node.
@@ -38,25 +45,60 @@
 	Gone     = "gone"
 )
 
-// Ask is what a client says: "watch" for changes from a generation on, "fetch"
-// for the list once.
+// Ask is what a client says: "watch" for changes from a generation on, "fetch" for the
+// list once. In a service over two regions hosts ask for a "lease", disk servers tell of
+// their "copies" and are told the record, the other region's source says "beat", and
+// operators "record", "lead", "move", "return", "share" and "give up".
 type Ask struct {
-	Op   string `json:"op"`
-	From uint64 `json:"from"`
+	Op     string        `json:"op"`
+	From   uint64        `json:"from,omitempty"`
+	Ask    uint64        `json:"ask,omitempty"` // of a lease
+	Copies []region.Copy `json:"copies,omitempty"`
+	Beat   *region.Beat  `json:"beat,omitempty"`
+	Known  [2]uint64     `json:"known,omitzero"` // of a beat: the last stamps of each region's list
+	Shard  int           `json:"shard,omitempty"` // of a move; of a share the limit
+	To     region.ID     `json:"to,omitempty"`
+	Parts  [2]float64    `json:"parts,omitzero"`
 }
 
 // List is what a server says.
 type List struct {
-	Kind       string `json:"kind"` // full, delta, failed
-	Generation uint64 `json:"generation"`
-	Nodes      []Node `json:"nodes"`
+	Kind       string `json:"kind"`
+	Generation uint64 `json:"generation,omitempty"`
+	Nodes      []Node `json:"nodes,omitempty"`
+
+	Grant  *region.Grant  `json:"grant,omitempty"`
+	Record *region.Record `json:"record,omitempty"`
+	Beat   *region.Beat   `json:"beat,omitempty"`
+	Known  [2]uint64      `json:"known,omitzero"`
+	Status *Status        `json:"status,omitempty"`
+	Reason string         `json:"reason,omitempty"` // of a refusal
+}
+
+// Status is what an operator sees of a source.
+type Status struct {
+	Region  region.ID `json:"region"`
+	Grants  bool      `json:"grants"`
+	HeardMS float64   `json:"heard_ms"` // ago, of the other
+	History []Event   `json:"history"`  // the last changes, oldest first
+}
+
+// Event is a change of the record that a source saw.
+type Event struct {
+	AgoMS float64 `json:"ago_ms"`
+	Term  uint64  `json:"term"`
+	Text  string  `json:"text"`
 }
 
 // The kinds of a List.
 const (
-	Full   = "full"
-	Delta  = "delta"
-	Failed = "failed"
+	Full    = "full"
+	Delta   = "delta"
+	Failed  = "failed"
+	Granted = "grant"
+	Told    = "record" // the record, as it stands
+	Heard   = "beat"
+	Refused = "refused"
 )
 
 // LineError says why a line can't be taken.
@@ -101,20 +143,66 @@
 
 // Check tells what is wrong with a list.
 func (l *List) Check() error {
-	if l.Kind != Full && l.Kind != Delta && l.Kind != Failed {
+	switch {
+	case l.Kind == Granted && l.Grant == nil, l.Kind == Told && l.Record == nil, l.Kind == Heard && l.Beat == nil:
+		return &LineError{"a " + l.Kind + " without what it is to say"}
+	case !slices.Contains([]string{Full, Delta, Failed, Granted, Told, Heard, Refused}, l.Kind):
 		return &LineError{fmt.Sprintf("unknown kind %.32q", l.Kind)}
 	}
+	if err := checkRecords(l.Grant, l.Record, l.Beat); err != nil {
+		return err
+	}
 	for i, n := range l.Nodes {
-		if n.Addr == "" || n.Shard < 0 || n.Shard > 1<<20 {
-			return &LineError{fmt.Sprintf("nodes[%d]: no address, or a bad shard", i)}
+		if err := n.check(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) check(i int) error {
+	if n.Addr == "" || n.Shard < 0 || n.Shard > 1<<20 || n.Region < 0 || n.Region > 1 {
+		return &LineError{fmt.Sprintf("nodes[%d]: no address, or a bad shard or region", i)}
+	}
+	if n.Health != Ready && n.Health != Draining && n.Health != Gone {
+		return &LineError{fmt.Sprintf("nodes[%d]: unknown health %.32q", i, n.Health)}
+	}
+	return nil
+}
+
+func checkRecords(g *region.Grant, r *region.Record, b *region.Beat) error {
+	var all []*region.Record
+	if g != nil {
+		if !(g.Lease >= 0 && g.Lease <= maxLease) {
+			return &LineError{"a lease that can't be"}
 		}
-		if n.Health != Ready && n.Health != Draining && n.Health != Gone {
-			return &LineError{fmt.Sprintf("nodes[%d]: unknown health %.32q", i, n.Health)}
+		all = append(all, &g.Record)
+	}
+	if b != nil {
+		all = append(all, &b.Record)
+	}
+	if r != nil {
+		all = append(all, r)
+	}
+	for _, r := range all {
+		if err := r.Check(); err != nil {
+			return &LineError{err.Error()}
 		}
 	}
 	return nil
 }
 
+// maxLease bounds a lease, ms: nobody means a longer one.
+const maxLease = 600_000
+
+// Check tells what is wrong with a question.
+func (a *Ask) Check() error {
+	if a.Op == "beat" && a.Beat == nil || a.To < 0 || a.To > 1 {
+		return &LineError{"a beat without one, or no region"}
+	}
+	return checkRecords(nil, nil, a.Beat)
+}
+
 // keepChanges bounds what a Book remembers of the past.
 const keepChanges = 1024
 
@@ -124,6 +212,10 @@
 	since   map[string]float64 // start of the incarnation, ms of the server's clock
 	changes []change
 	gen     uint64
+	// Of a service over two regions: what entries of this book's own are stamped with.
+	owned bool
+	own   region.ID
+	stamp uint64
 }
 
 type change struct {
@@ -134,11 +226,24 @@
 // NewBook returns an empty list of generation 1.
 func NewBook() *Book { return &Book{nodes: map[string]Node{}, since: map[string]float64{}, gen: 1} }
 
+// Own makes the book that of a region's source in its present run, which no earlier run
+// had a greater number than: every change made here from now on is later than all of
+// earlier runs.
+func (b *Book) Own(r region.ID, start uint64) { b.owned, b.own, b.stamp = true, r, start<<32 }
+
 // Generation is the number of the last change.
 func (b *Book) Generation() uint64 { return b.gen }
 
 // Set enters a node that started at that time (0: long ago), at time now.
 func (b *Book) Set(n Node, started float64) {
+	if b.owned {
+		b.stamp++
+		n.Region, n.Stamp = b.own, b.stamp
+	}
+	b.enter(n, started)
+}
+
+func (b *Book) enter(n Node, started float64) {
 	b.gen++
 	b.nodes[n.Addr], b.since[n.Addr] = n, started
 	b.changes = append(b.changes, change{b.gen, n.Addr})
@@ -157,6 +262,48 @@
 	return ok
 }
 
+// Merge takes entries of another book; of each node the later change counts. It tells
+// whether anything is new.
+func (b *Book) Merge(nodes []Node, now float64) (news bool) {
+	for _, n := range nodes {
+		if old, ok := b.nodes[n.Addr]; ok && old.Stamp >= n.Stamp {
+			continue
+		}
+		started := 0.0
+		if n.AgeMS > 0 {
+			started = now - n.AgeMS
+		}
+		n.AgeMS = 0
+		b.enter(n, started)
+		news = true
+	}
+	return news
+}
+
+// Stamps are the latest stamps of each region's entries.
+func (b *Book) Stamps() (out [2]uint64) {
+	for _, n := range b.nodes {
+		out[n.Region] = max(out[n.Region], n.Stamp)
+	}
+	return out
+}
+
+// Since lists the entries with later stamps than those, those of nodes that are gone too.
+func (b *Book) Since(known [2]uint64, now float64) (out []Node) {
+	for addr, n := range b.nodes {
+		if n.Stamp > known[n.Region] {
+			out = append(out, b.entry(addr, now))
+		}
+	}
+	slices.SortFunc(out, func(a, c Node) int { return strings.Compare(a.Addr, c.Addr) })
+	return out
+}
+
+// Clone is a copy that shares nothing.
+func (b *Book) Clone() *Book {
+	return &Book{nodes: maps.Clone(b.nodes), since: maps.Clone(b.since), changes: slices.Clone(b.changes), gen: b.gen}
+}
+
 // List is what a client that knows the list up to that generation is to be told:
 // the changes, or all where they are no longer known. Nodes that are gone stay
 // out of full lists.
--- a/plant/plant.go
+++ b/plant/plant.go
@@ -18,8 +18,15 @@
 	DeadlineUnsaid   = "deadline-unsaid"     // disk servers aren't told until when an attempt may begin
 	BusyAfterSend    = "busy-after-send"     // a write that may have run is called refused
 	ExtentMissed     = "extent-missed"       // a part past an extent's border is written one block off
+	// Of a service over two regions.
+	FenceMissing = "fence-missing" // disk servers hear of no generation, nor until when the lease lasts
+	LeaseNoDrift = "lease-without-drift"
+	ShareEarly   = "share-taken-back-early" // what a source takes back is given on at once
 )
 
 // All lists the faults.
 var All = []string{DrainOverlooked, RepeatUnsafe, LimitMisread, TagReused, WakeupLost, AbortAtOnce, KeyForgotten, StartUnheard,
 	LossTakenForGood, DeadlineUnsaid, BusyAfterSend, ExtentMissed}
+
+// OfRegions lists those of a service over two regions.
+var OfRegions = []string{FenceMissing, LeaseNoDrift, ShareEarly}
--- a/policy/api.go
+++ b/policy/api.go
@@ -176,6 +176,14 @@
 	Hosts   int     // hosts that the volume's requests come through
 	Repeat  bool
 	Write   bool
+	// PartSince is since when this host's part of the volume's limit was no smaller; 0: always.
+	PartSince float64
+}
+
+// Part says that this host's part of a volume's plan is now one of so many.
+type Part struct {
+	Volume string
+	Hosts  int
 }
 
 // Outcome ends an attempt. Done is set if the request is over with it.
@@ -231,6 +239,7 @@
 func (Outcome) event()       {}
 func (TimerFired) event()    {}
 func (ClientGone) event()    {}
+func (Part) event()          {}
 func (StreamStarted) event() {}
 func (Probed) event()        {}
 func (PeerMessage) event()   {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -237,20 +237,13 @@
 func (p *scheduler) volume(q Request, plan *Plan) *volume {
 	v := p.vols[q.Volume]
 	if v == nil {
-		h := float64(max(q.Hosts, 1))
-		v = &volume{
-			at: p.now, resFill: plan.Reserve / h, resCap: plan.Reserve/h + p.s.MostUnits,
-			limFill: plan.Limit / h, limCap: plan.Burst / h,
-			limFloor: min(plan.Limit*bunching/1000-plan.Slack, 0) / h,
-			dueFill:  dueTimes * plan.Rate / h,
-		}
-		v.dueCap = max(v.dueFill*spread, 2*p.s.MostUnits)
-		v.due = v.dueCap
-		v.reserve = v.resCap
-		// This host may have spent its part just before it was restarted: count
-		// only on what has filled since it was born.
-		v.limit = min(v.limFloor+v.limFill*(p.now-p.born)/1000, v.limCap)
+		v = &volume{plan: plan, at: p.now}
 		p.vols[q.Volume] = v
+		p.divide(v, q.Hosts)
+		v.due, v.reserve = v.dueCap, v.resCap
+		// This host may have spent its part just before it was restarted, or others what
+		// of it was theirs: count only on what has filled since.
+		v.limit = min(v.limFloor+v.limFill*(p.now-max(p.born, q.PartSince))/1000, v.limCap)
 	}
 	s := (p.now - v.at) / 1000
 	v.reserve = min(v.reserve+v.resFill*s, v.resCap)
@@ -260,6 +253,31 @@
 	return v
 }
 
+// divide gives a volume this host's part of what its plan has.
+func (p *scheduler) divide(v *volume, hosts int) {
+	h, plan := float64(max(hosts, 1)), v.plan
+	v.resFill, v.limFill, v.dueFill = plan.Reserve/h, plan.Limit/h, dueTimes*plan.Rate/h
+	v.resCap, v.limCap = plan.Reserve/h+p.s.MostUnits, plan.Burst/h
+	v.limFloor = min(plan.Limit*bunching/1000-plan.Slack, 0) / h
+	v.dueCap = max(v.dueFill*spread, 2*p.s.MostUnits)
+}
+
+// repart changes that part. What is left of the old one stays, as far as the new one
+// holds it: what it gains may have been spent elsewhere.
+func (p *scheduler) repart(e Part) {
+	v := p.vols[e.Volume]
+	if v == nil {
+		return
+	}
+	left := p.volume(Request{Volume: e.Volume}, v.plan).limit - v.limFloor
+	p.divide(v, e.Hosts)
+	v.limit = v.limFloor + min(left, v.limCap-v.limFloor)
+	for _, sh := range p.shards {
+		sh.forgetHeld()
+		p.pump(sh)
+	}
+}
+
 // rate sets what r's units are worth: in full inside the volume's reserve,
 // then inside its weighted share of the node, then as spare.
 func (p *scheduler) rate(r *request) {
@@ -890,24 +908,6 @@
 	sh.depth = min(max(d, p.floor(), sh.depth*fallStep), maxDepth, sh.depth*riseStep)
 }
 
-func (g *regulator) init(plans []Plan) {
-	n := len(plans)
-	sum := 0.0
-	for _, pl := range plans {
-		sum += max(pl.Weight, minShare)
-	}
-	for _, pl := range plans {
-		g.u = append(g.u, max(pl.Weight, minShare)/sum)
-	}
-	g.y = make([]float64, 2*n)
-	for i := range 2 * n {
-		theta := make([]float64, n+2) // own last value, shares, constant
-		theta[0], theta[1+i%n] = ownStart, shareStart
-		g.fits = append(g.fits, newRLS(theta, forget, maxCov))
-	}
-	g.clear()
-}
-
 // step is one sample: fit, optimize, control.
 func (g *regulator) step() {
 	n := len(g.u)
--- a/policy/rate_test.go
+++ b/policy/rate_test.go
@@ -1,9 +1,11 @@
 package policy
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -218,3 +220,63 @@
 		t.Errorf("%d records after 8 s, %d after 16 s", before, after)
 	}
 }
+
+// A limit's parts pass between two hosts again and again: whatever is asked of both, they
+// never pass it together, what is given back is spent, and nothing that a large part held
+// waits for a small one's pace for ever.
+func TestPartsOfALimitMove(t *testing.T) {
+	s := settings()
+	s.Plans[0].Limit, s.Plans[0].Burst, s.Plans[0].Slack = 40, 8, 4
+	none := 1 << 30
+	var rigs [2]*rig
+	for i := range rigs {
+		rigs[i] = newRig(s)
+		rigs[i].now = 100
+	}
+	parts := [2]int{2, 2}
+	since := [2]float64{}
+	type passed struct{ at, units float64 }
+	var all []passed
+	rng := rand.New(rand.NewPCG(5, 5))
+	for step := range 4000 {
+		for i, g := range rigs {
+			g.n++
+			id := fmt.Sprint(i, "-", g.n)
+			g.do(Request{ID: id, Class: "read", Plan: "low", Volume: "v", Units: 1 + float64(rng.IntN(3)), Expires: g.now + 400, Hosts: parts[i], PartSince: since[i]})
+			g.pass(5)
+			for k := 0; k < len(g.acts); k++ { // those of the last change too
+				if s, ok := g.acts[k].(Send); ok {
+					all = append(all, passed{g.when[k], g.p.reqs[s.ID].Units})
+					g.do(Outcome{ID: s.ID, Node: "n0", Attempt: 0, Done: true, Elapsed: 1, Result: Served})
+				}
+			}
+			g.acts, g.when = g.acts[:0], g.when[:0]
+		}
+		if step%300 != 299 {
+			continue
+		}
+		// First everyone gives up what it is to have no more, then others get it.
+		next := [][2]int{{2, 2}, {1, none}, {none, 1}, {4, 2}}[rng.IntN(4)]
+		for i, g := range rigs {
+			parts[i] = max(parts[i], next[i])
+			g.do(Part{"v", parts[i]})
+		}
+		for i, g := range rigs {
+			if next[i] < parts[i] {
+				parts[i], since[i] = next[i], g.now
+				g.do(Part{"v", parts[i]})
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b passed) int { return cmp.Compare(a.at, b.at) })
+	level, at, total := s.Plans[0].Burst, 0.0, 0.0
+	for _, x := range all {
+		level, at = min(level+s.Plans[0].Limit*(x.at-at)/1000, s.Plans[0].Burst)-x.units, x.at
+		if total += x.units; level < -s.Plans[0].Slack-1e-9 {
+			t.Fatalf("%.2f units below the limit at %.0f", -level, x.at)
+		}
+	}
+	if asked := s.Plans[0].Limit * rigs[0].now / 1000; total < 0.6*asked {
+		t.Errorf("%.0f units passed, the limit bears %.0f", total, asked)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -39,6 +39,7 @@
 
 // volume is what one volume is due through this host.
 type volume struct {
+	plan            *Plan
 	seen            float64
 	reserve, limit  float64 // levels, in units
 	resFill, resCap float64
@@ -319,6 +320,14 @@
 // mark changes with whatever comes to the parked or leaves them.
 func (sh *shard) mark() [2]int { return [2]int{sh.aside, sh.parked.len()} }
 
+// forgetHeld has everything looked at anew that a limit holds.
+func (sh *shard) forgetHeld() {
+	sh.asideTill = 0
+	for i := range sh.flows {
+		sh.flows[i].heldTill = 0
+	}
+}
+
 // remove takes r out of whatever queue it is in.
 func (sh *shard) remove(r *request) {
 	if !r.queued {
@@ -362,6 +371,24 @@
 	waits float64
 }
 
+func (g *regulator) init(plans []Plan) {
+	n := len(plans)
+	sum := 0.0
+	for _, pl := range plans {
+		sum += max(pl.Weight, minShare)
+	}
+	for _, pl := range plans {
+		g.u = append(g.u, max(pl.Weight, minShare)/sum)
+	}
+	g.y = make([]float64, 2*n)
+	for i := range 2 * n {
+		theta := make([]float64, n+2) // own last value, shares, constant
+		theta[0], theta[1+i%n] = ownStart, shareStart
+		g.fits = append(g.fits, newRLS(theta, forget, maxCov))
+	}
+	g.clear()
+}
+
 func (g *regulator) clear() {
 	n := len(g.u)
 	g.units, g.lat, g.count = make([]float64, n), make([]float64, n), make([]float64, n)
@@ -524,6 +551,8 @@
 		p.take(ev)
 	case Outcome:
 		p.outcome(ev)
+	case Part:
+		p.repart(ev)
 	case ClientGone:
 		if r := p.reqs[ev.ID]; r != nil {
 			p.finish(r)
--- a/region/region.go
+++ b/region/region.go
@@ -132,6 +132,7 @@
 	nextID uint64
 	asked  []question
 	since  []float64 // by limit: when this region's part last grew, by this host's clock
+	stale  []uint64  // by shard: the newest generation that a disk server refused
 }
 
 type question struct {
@@ -208,7 +209,14 @@
 		return Home{Region: Nowhere}, false
 	}
 	home = h.known.Homes[shard]
-	return home, home.Region != Nowhere
+	return home, home.Region != Nowhere && (shard >= len(h.stale) || home.Gen > h.stale[shard])
+}
+
+// Refused notes that a disk server knows a later generation: the shard is let alone until
+// this host knows it too.
+func (h *Host) Refused(shard int, gen uint64) {
+	h.stale = append(h.stale, make([]uint64, max(shard+1-len(h.stale), 0))...)
+	h.stale[shard] = max(h.stale[shard], gen)
 }
 
 // MayRepeat tells whether what may have run under an older generation may be sent again
--- a/region/source.go
+++ b/region/source.go
@@ -1,6 +1,10 @@
 package region
 
-import "slices"
+import (
+	"slices"
+
+	"merlinhitch/plant"
+)
 
 // Beat is what a source tells the other, so often as it likes.
 type Beat struct {
@@ -226,7 +230,7 @@
 	}
 	s.copied()
 	s.retreat(now)
-	if s.clear(now) {
+	if s.clear(now) || plant.Is(plant.ShareEarly) {
 		s.advance(now)
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,45 @@
 	Nodes     []Node    `json:"nodes,omitempty"`
 	Placement Placement `json:"placement,omitzero"`
 	Announce  *Announce `json:"announce,omitempty"`
+	// Regions has the service run over two.
+	Regions *Regions `json:"regions,omitempty"`
+}
+
+// Regions are the bounds of package region, and where each host is. Times of leases are
+// the same for the inventories of both regions, which know them from elsewhere.
+type Regions struct {
+	Lease float64 `json:"lease_ms"`
+	Quiet float64 `json:"quiet_ms"`
+	Drift float64 `json:"drift"` // part by which any clock may run fast or slow
+	Hosts []int   `json:"hosts"` // by host: 0 or 1
+}
+
+// Near lists those of some hosts that are in the same region as one.
+func (s *Settings) Near(self int, hosts []int) []int {
+	if s.Regions == nil {
+		return hosts
+	}
+	var out []int
+	for _, h := range hosts {
+		if s.Regions.Hosts[h] == s.Regions.Hosts[self] {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (s *Settings) checkRegions(c *checker) {
+	r := s.Regions
+	if r == nil {
+		return
+	}
+	c.between("regions.lease_ms", r.Lease, 200, 60000)
+	c.between("regions.quiet_ms", r.Quiet, 200, 60000)
+	c.between("regions.drift", r.Drift, 0, 0.2)
+	c.when(len(r.Hosts) != s.Hosts, "regions.hosts", "has %d entries for %d hosts", len(r.Hosts), s.Hosts)
+	for i, at := range r.Hosts {
+		c.when(at != 0 && at != 1, fmt.Sprintf("regions.hosts[%d]", i), "is %d, must be 0 or 1", at)
+	}
 }
 
 // Announce says which service addresses are announced to which routers, and when.
@@ -140,8 +179,18 @@
 	Limit   float64 `json:"limit"`
 	Burst   float64 `json:"burst"`
 	Slack   float64 `json:"slack"`
+	// Copied says when a write is acknowledged in a service over two regions: "before" its
+	// copy is in the other region, which may lose some with the region, or "after"; "" is
+	// after.
+	Copied string `json:"copied,omitempty"`
 }
 
+// When writes are acknowledged.
+const (
+	AckBefore = "before"
+	AckAfter  = "after"
+)
+
 // Limits bounds what a host does.
 type Limits struct {
 	MaxAttempts int     `json:"max_attempts"`
@@ -318,6 +367,7 @@
 	s.Target.check(c)
 	s.checkNodes(c)
 	s.checkAnnounce(c)
+	s.checkRegions(c)
 	if len(c.faults) > 0 {
 		return &FaultsError{c.faults}
 	}
@@ -406,6 +456,7 @@
 		} else {
 			c.when(p.Burst != 0 || p.Slack != 0, at+"limit", "is 0, but burst or slack is set")
 		}
+		c.when(p.Copied != "" && p.Copied != AckBefore && p.Copied != AckAfter, at+"copied", "%.20q is neither before nor after", p.Copied)
 	}
 }
 
@@ -628,7 +679,8 @@
 			Window: k.Window, Ordered: k.Ordered})
 	}
 	for _, l := range s.Plans {
-		p.Plans = append(p.Plans, policy.Plan(l))
+		p.Plans = append(p.Plans, policy.Plan{Name: l.Name, Price: l.Price, Weight: l.Weight, Rate: l.Rate, Reserve: l.Reserve,
+			Limit: l.Limit, Burst: l.Burst, Slack: l.Slack})
 	}
 	return p
 }
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -22,6 +22,9 @@
 	Effect func(*diskproto.Do)
 	// Unfenced has the cell forget every fence: a broken server, for tests of checkers.
 	Unfenced bool
+
+	rep      replica
+	fillings int // whole states that came in
 }
 
 // mark is what a cell keeps of a volume's reservations: the record, where it is the
@@ -42,12 +45,25 @@
 	return &Cell{blocks: map[place][]byte{}, marks: map[string]*mark{}, Size: size}
 }
 
-// apply carries out an operation and returns its result and data.
-func (c *Cell) apply(d *diskproto.Do) (diskproto.Result, []byte) {
+// apply carries out an operation and returns its result and data, and which change the
+// cell's copy must have before it is answered.
+func (c *Cell) apply(now float64, d *diskproto.Do) (r diskproto.Result, data []byte, needs uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r, data, done := c.reservations(d); done {
-		return r, data
+	if !c.admit(d.Gen) {
+		return diskproto.Stale, nil, 0
+	}
+	r, data, changed := c.run(d)
+	if changed {
+		c.changed(now, d)
+	}
+	return r, data, c.needs(d, changed)
+}
+
+// run carries out an operation; changed tells whether anything is not as it was. Held: mu.
+func (c *Cell) run(d *diskproto.Do) (r diskproto.Result, data []byte, changed bool) {
+	if r, data, changed, done := c.reservations(d); done {
+		return r, data, changed
 	}
 	if c.Effect != nil {
 		c.Effect(d)
@@ -55,7 +71,28 @@
 	size := c.Size(d.Volume)
 	switch scsi.Op(d.Op) {
 	case scsi.Read:
-		return diskproto.OK, c.read(d.Volume, d.LBA, d.Blocks, size)
+		return diskproto.OK, c.read(d.Volume, d.LBA, d.Blocks, size), false
+	case scsi.Write, scsi.WriteSame, scsi.Unmap:
+		c.store(d, size)
+		return diskproto.OK, nil, true
+	case scsi.CompareAndWrite:
+		half := len(d.Data) / 2
+		if string(c.read(d.Volume, d.LBA, d.Blocks, size)) != string(d.Data[:half]) {
+			return diskproto.Miscompare, nil, false
+		}
+		c.write(d.Volume, d.LBA, d.Data[half:], size)
+		return diskproto.OK, nil, true
+	case scsi.Verify:
+		if len(d.Data) > 0 && string(c.read(d.Volume, d.LBA, d.Blocks, size)) != string(d.Data) {
+			return diskproto.Miscompare, nil, false
+		}
+	}
+	return diskproto.OK, nil, false
+}
+
+// store makes a change that depends on nothing that was there. Held: mu.
+func (c *Cell) store(d *diskproto.Do, size int) {
+	switch scsi.Op(d.Op) {
 	case scsi.Write:
 		c.write(d.Volume, d.LBA, d.Data, size)
 	case scsi.WriteSame:
@@ -68,53 +105,47 @@
 				delete(c.blocks, place{d.Volume, r.LBA + i})
 			}
 		}
-	case scsi.CompareAndWrite:
-		half := len(d.Data) / 2
-		if string(c.read(d.Volume, d.LBA, d.Blocks, size)) != string(d.Data[:half]) {
-			return diskproto.Miscompare, nil
-		}
-		c.write(d.Volume, d.LBA, d.Data[half:], size)
-	case scsi.Verify:
-		if len(d.Data) > 0 && string(c.read(d.Volume, d.LBA, d.Blocks, size)) != string(d.Data) {
-			return diskproto.Miscompare, nil
-		}
 	}
-	return diskproto.OK, nil
 }
 
-// reservations carries out what concerns them, and holds the rest to the fence; done is
-// false for an operation that may go on.
-func (c *Cell) reservations(d *diskproto.Do) (r diskproto.Result, data []byte, done bool) {
-	m := c.marks[d.Volume]
+// mark is a volume's, made if need be. Held: mu.
+func (c *Cell) mark(volume string) *mark {
+	m := c.marks[volume]
 	if m == nil {
-		if d.Op != diskproto.OpFence && d.Op != diskproto.OpSwapRecord && d.Op != diskproto.OpRecord {
-			return 0, nil, false
-		}
 		m = &mark{}
-		c.marks[d.Volume] = m
+		c.marks[volume] = m
 	}
+	return m
+}
+
+// reservations carries out what concerns them, and holds the rest to the fence; done is
+// false for an operation that may go on.
+func (c *Cell) reservations(d *diskproto.Do) (r diskproto.Result, data []byte, changed, done bool) {
 	switch d.Op {
 	case diskproto.OpRecord:
-		return diskproto.OK, m.record.Append(nil), true
+		return diskproto.OK, c.mark(d.Volume).record.Append(nil), false, true
 	case diskproto.OpFence:
+		m := c.mark(d.Volume)
+		changed = d.Fence > m.fence
 		m.fence = max(m.fence, d.Fence)
-		return diskproto.OK, nil, true
+		return diskproto.OK, nil, changed, true
 	case diskproto.OpSwapRecord:
+		m := c.mark(d.Volume)
 		var s diskproto.Swap
 		switch {
 		case s.Parse(d.Data) != nil:
-			return diskproto.Failed, nil, true
+			return diskproto.Failed, nil, false, true
 		case s.Expected != m.record.Version:
-			return diskproto.Miscompare, m.record.Append(nil), true
+			return diskproto.Miscompare, m.record.Append(nil), false, true
 		}
 		m.record = diskproto.Record{Version: s.New.Version, Bytes: append([]byte(nil), s.New.Bytes...)}
 		m.persist = s.Persist
-		return diskproto.OK, m.record.Append(nil), true
+		return diskproto.OK, m.record.Append(nil), true, true
 	}
-	if d.Fence < m.fence && !c.Unfenced {
-		return diskproto.Fenced, nil, true
+	if m := c.marks[d.Volume]; m != nil && d.Fence < m.fence && !c.Unfenced {
+		return diskproto.Fenced, nil, false, true
 	}
-	return 0, nil, false
+	return 0, nil, false, false
 }
 
 // PowerLoss empties the records that were not to outlive one.
@@ -178,7 +209,9 @@
 	if was, ok := k.seen[key]; ok {
 		return was.result, nil, true
 	}
-	r, data = apply()
+	if r, data = apply(); r == diskproto.Stale {
+		return r, data, false // it may come again under a newer generation
+	}
 	k.seen[key] = ran{now, r}
 	k.order = append(k.order, key)
 	if k.counts[key]++; k.counts[key] > 1 {
@@ -187,6 +220,18 @@
 	return r, data, false
 }
 
+// note enters a keyed request that ran so long ago, elsewhere.
+func (k *Rack) note(at float64, d *diskproto.Do) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	key := repeatKey{d.Host, d.Seq}
+	if _, ok := k.seen[key]; ok || d.Effect != diskproto.Keyed || d.Seq == 0 {
+		return
+	}
+	k.seen[key] = ran{at, diskproto.OK}
+	k.order = append(k.order, key)
+}
+
 // Repeats is the number of effects that took place more than once.
 func (k *Rack) Repeats() int {
 	k.mu.Lock()
--- a/standin/diskserver.go
+++ b/standin/diskserver.go
@@ -43,6 +43,11 @@
 	rng      *rand.Rand
 	dead     bool
 	tasks    seam.Group
+	stopped  seam.Gate
+	// Of one of two regions: where the inventory is, and the disk server of the same shard
+	// in the other region; "" while there is none.
+	Inventory func() string
+	Peer      func() string
 	// OnFall is called once, from a goroutine of its own, when the server falls over.
 	OnFall func()
 }
@@ -62,7 +67,12 @@
 	d.Addr, d.Started = l.Addr().String(), w.Uint64()
 	d.timerAt = math.Inf(1)
 	d.rng = rand.New(rand.NewPCG(d.Started, 2))
+	m.Outside = d.outside
 	d.tasks.Go(w, d.accept)
+	if d.Peer != nil {
+		d.tasks.Go(w, d.copying)
+		d.tasks.Go(w, d.reporting)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.arm()
@@ -77,27 +87,36 @@
 		if err != nil {
 			return
 		}
-		d.mu.Lock()
-		if d.dead {
-			d.mu.Unlock()
-			c.Close()
+		o := outbox.New(d.world, c, diskOut, diskTimeout)
+		if !d.keep(o) {
+			o.Cut()
 			return
 		}
-		o := outbox.New(d.world, c, diskOut, diskTimeout)
-		d.conns.Add(o)
-		d.mu.Unlock()
 		d.tasks.Go(d.world, func() { d.serve(c, o) })
 	}
 }
 
+// keep has a connection cut when the process ends; false if it has ended.
+func (d *DiskServer) keep(o *outbox.Outbox) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.dead {
+		return false
+	}
+	d.conns.Add(o)
+	return true
+}
+
+func (d *DiskServer) leave(o *outbox.Outbox) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conns.Remove(o)
+}
+
 func (d *DiskServer) serve(c net.Conn, o *outbox.Outbox) {
-	defer func() {
-		o.Cut()
-		o.Wait()
-		d.mu.Lock()
-		d.conns.Remove(o)
-		d.mu.Unlock()
-	}()
+	defer d.leave(o)
+	defer o.Wait()
+	defer o.Cut()
 	if d.hangs() {
 		var b [1]byte
 		for { // the process doesn't read, but the kernel still takes bytes
@@ -107,14 +126,36 @@
 		}
 	}
 	r := diskproto.NewReader(bufio.NewReaderSize(c, 32<<10))
+	var gen uint64 // under which a home copies to here by this connection
 	for {
 		f, err := r.Next()
-		if err != nil || !d.frame(o, f) {
+		if err != nil {
+			return
+		}
+		ok := false
+		switch f.Kind {
+		case diskproto.KindJoin, diskproto.KindCopy:
+			ok = d.copied(o, f, &gen)
+		default:
+			ok = d.frame(o, f)
+		}
+		if !ok {
 			return
 		}
 	}
 }
 
+// outside runs f as an event of the machine.
+func (d *DiskServer) outside(f func()) {
+	d.world.AfterFunc(0, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if !d.dead {
+			f()
+		}
+	})
+}
+
 func (d *DiskServer) hangs() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -144,7 +185,7 @@
 		d.do(o, f.Tag, m)
 	case diskproto.KindProbe:
 		d.mu.Lock()
-		p := &diskproto.Probed{Report: []diskproto.Figure{{Name: "waiting", Value: float64(len(d.machine.queue))}, {Name: "active", Value: float64(len(d.machine.run))}}}
+		p := &diskproto.Probed{Clock: uint64(d.world.Now() / time.Microsecond), Report: []diskproto.Figure{{Name: "waiting", Value: float64(len(d.machine.queue))}, {Name: "active", Value: float64(len(d.machine.run))}}}
 		d.mu.Unlock()
 		return o.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindProbed, f.Tag, p) })
 	}
@@ -168,6 +209,7 @@
 
 // answer sends an answer with whatever is wrong with the connection. Held: mu.
 func (d *DiskServer) answer(o *outbox.Outbox, tag uint32, a diskproto.Answer) {
+	a.Clock = uint64(d.world.Now() / time.Microsecond)
 	frame := diskproto.Append(nil, diskproto.KindAnswer, tag, &a)
 	switch {
 	case d.net.Torn > 0 && d.rng.Float64() < d.net.Torn:
@@ -274,6 +316,7 @@
 // Kill ends the process at once: what it had is lost, unless it was begun.
 func (d *DiskServer) Kill() {
 	d.listener.Close()
+	d.stopped.Open()
 	d.mu.Lock()
 	d.dead = true
 	if d.timer != nil {
--- a/standin/inventory.go
+++ b/standin/inventory.go
@@ -23,6 +23,8 @@
 	l     net.Listener
 	tasks seam.Group
 	dead  bool
+	over  seam.Gate
+	reg   *source // of one of two regions
 }
 
 type watcher struct {
@@ -70,7 +72,7 @@
 	r := bufio.NewReader(c)
 	for {
 		var a inventory.Ask
-		if inventory.ReadLine(r, &a) != nil {
+		if inventory.ReadLine(r, &a) != nil || a.Check() != nil {
 			break
 		}
 		v.mu.Lock()
@@ -81,6 +83,9 @@
 		case "fetch":
 			wt.known = 0
 			v.tell(wt, true)
+		default:
+			l := v.answer(&a)
+			wt.out.Put(func(b []byte) []byte { return append(b, inventory.Line(l)...) })
 		}
 		v.mu.Unlock()
 	}
@@ -93,6 +98,9 @@
 
 // tell sends what the watcher lacks. Held: mu.
 func (v *Inventory) tell(wt *watcher, asked bool) {
+	if v.reg != nil && !v.reg.src.Grants(seam.MS(v.world.Now())) {
+		return // what it lists may be old
+	}
 	l := v.book.List(wt.known, seam.MS(v.world.Now()))
 	if len(l.Nodes) == 0 && !asked {
 		return
@@ -117,6 +125,11 @@
 		return
 	}
 	f(v.book)
+	v.tellAll()
+}
+
+// tellAll sends every watcher what it lacks. Held: mu.
+func (v *Inventory) tellAll() {
 	for _, wt := range v.conns.All() {
 		if wt.on {
 			v.tell(wt, false)
@@ -142,6 +155,7 @@
 
 // Close ends the inventory.
 func (v *Inventory) Close() {
+	v.over.Open()
 	v.l.Close()
 	v.mu.Lock()
 	v.dead = true
--- a/standin/machine.go
+++ b/standin/machine.go
@@ -44,6 +44,7 @@
 	end     float64
 	failing bool
 	result  diskproto.Answer
+	needs   uint64 // the change that the cell's copy must have first
 }
 
 type running []*job
@@ -86,6 +87,8 @@
 	fallen   bool
 
 	Served int // requests served
+	// Outside runs f as if the machine's caller had called, for what comes due elsewhere.
+	Outside func(f func())
 }
 
 // NewMachine returns a machine that started at that time; cold or long warm.
@@ -217,11 +220,19 @@
 		j.result = diskproto.Answer{Result: diskproto.Failed}
 		return
 	}
-	apply := func() (diskproto.Result, []byte) { return m.cell.apply(d) }
+	apply := func() (r diskproto.Result, data []byte) {
+		r, data, j.needs = m.cell.apply(now, d)
+		return r, data
+	}
 	a := &j.result
-	if d.Effect == diskproto.Keyed {
-		a.Result, a.Data, a.Dropped = m.rack.run(now, d, apply)
-	} else {
+	switch {
+	case m.cell.Stale(d.Gen):
+		a.Result = diskproto.Stale
+	case d.Effect == diskproto.Keyed:
+		if a.Result, a.Data, a.Dropped = m.rack.run(now, d, apply); a.Dropped {
+			j.needs = m.cell.newest()
+		}
+	default:
 		a.Result, a.Data = apply()
 	}
 	d.Data = nil // what was written isn't needed any more
@@ -288,7 +299,9 @@
 		m.Served++
 		a.Use, a.Others = m.meter.count(now, m.trouble.Late, m.shard, j.do.Host, j.do.Volume, j.do.Units)
 	}
-	j.reply(a)
+	if m.cell.after(now, j.needs, func() { m.Outside(func() { j.reply(a) }) }) {
+		j.reply(a)
+	}
 }
 
 // Meter adds up what volumes use, over all disk servers.
--- a/standin/machine_test.go
+++ b/standin/machine_test.go
@@ -76,7 +76,7 @@
 	if late.Result != diskproto.Expired {
 		t.Errorf("%v", late.Result)
 	}
-	if _, b := cell.apply(&diskproto.Do{Op: byte(scsi.Read), Volume: "v", Blocks: 1}); b[0] != 0 {
+	if _, b, _ := cell.apply(0, &diskproto.Do{Op: byte(scsi.Read), Volume: "v", Blocks: 1}); b[0] != 0 {
 		t.Error("a write landed after its deadline")
 	}
 }
@@ -94,7 +94,7 @@
 	if !again.Dropped || again.Result != diskproto.OK {
 		t.Errorf("a repeat: %+v", again)
 	}
-	if _, b := cell.apply(&diskproto.Do{Op: byte(scsi.Read), Volume: "v", Blocks: 1}); b[0] != 8 {
+	if _, b, _ := cell.apply(0, &diskproto.Do{Op: byte(scsi.Read), Volume: "v", Blocks: 1}); b[0] != 8 {
 		t.Errorf("the repeat undid a later write: %d", b[0])
 	}
 	if rack.Repeats() != 0 {
--- /dev/null
+++ b/standin/source.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"merlinhitch/inventory"
+	"merlinhitch/region"
+	"merlinhitch/seam"
+)
+
+// source is what an inventory of one of two regions has beside its list: the shell of
+// region.Source. The other region's inventory is told and asked by beats.
+type source struct {
+	src     *region.Source
+	self    region.ID
+	other   func() string
+	every   time.Duration
+	heardAt float64
+	grants  bool // as watchers last knew
+	history []inventory.Event
+	at      []float64 // of history
+	last    region.Record
+	saved   *Saved
+}
+
+// Saved is what an inventory keeps through its own restarts. A copy of it that was put
+// by is an old list to come back with.
+type Saved struct {
+	Record region.Record
+	Book   *inventory.Book
+	Starts uint64
+}
+
+// Clone is a copy that shares nothing.
+func (s *Saved) Clone() *Saved {
+	return &Saved{Record: s.Record.Clone(), Book: s.Book.Clone(), Starts: s.Starts}
+}
+
+const keepHistory = 64
+
+// ServeRegion starts the inventory of one of two regions; other is the address of the
+// other's. start is greater than that of every earlier run; in saved is what an earlier
+// one kept, or a new service's record and no book.
+func ServeRegion(w seam.World, addr string, late float64, cfg region.Config, self region.ID, start uint64, saved *Saved, other func() string) (*Inventory, error) {
+	l, err := w.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	now := seam.MS(w.Now())
+	g := &source{self: self, other: other, every: seam.Duration(cfg.Quiet / 10), heardAt: now, saved: saved, last: saved.Record.Clone()}
+	v := &Inventory{Addr: l.Addr().String(), world: w, late: late, l: l, reg: g}
+	if saved.Book == nil {
+		v.book = inventory.NewBook()
+		g.src = region.NewSource(cfg, self, start, saved.Record, now)
+	} else {
+		v.book = saved.Book.Clone()
+		g.src = region.Restart(cfg, self, start, saved.Record, now)
+	}
+	v.book.Own(self, start)
+	v.tasks.Go(w, v.accept)
+	v.tasks.Go(w, v.beating)
+	return v, nil
+}
+
+// beating tells the other region's inventory of this one, and hears of it.
+func (v *Inventory) beating() {
+	g := v.reg
+	c := inventory.NewCaller(v.world, g.other)
+	defer c.Close()
+	for seam.Wait(v.world, g.every, &v.over) {
+		v.mu.Lock()
+		now := v.now()
+		g.src.Tick(now)
+		v.changed(now)
+		b := g.src.Beat(now)
+		known := v.book.Stamps()
+		v.mu.Unlock()
+		l, err := c.Ask(inventory.Ask{Op: "beat", Beat: &b, Known: known}, 3*g.every)
+		if err != nil || l.Kind != inventory.Heard {
+			continue
+		}
+		v.mu.Lock()
+		v.heard(l.Beat, l.Nodes)
+		v.mu.Unlock()
+	}
+}
+
+func (v *Inventory) now() float64 { return seam.MS(v.world.Now()) }
+
+// heard takes the other's beat with what it lists. Held: mu.
+func (v *Inventory) heard(b *region.Beat, nodes []inventory.Node) {
+	now := v.now()
+	v.reg.heardAt = now
+	v.book.Merge(nodes, now)
+	v.reg.src.Heard(now, *b)
+	v.changed(now)
+	v.tellAll()
+}
+
+// changed saves the record and notes what became of it; watchers hear what was held back
+// while nothing could be granted. Held: mu.
+func (v *Inventory) changed(now float64) {
+	g := v.reg
+	r := g.src.Record()
+	if r.Term != g.last.Term {
+		for _, text := range differences(g.last, r) {
+			g.history, g.at = append(g.history, inventory.Event{Term: r.Term, Text: text}), append(g.at, now)
+		}
+		n := max(len(g.history)-keepHistory, 0)
+		g.history, g.at = g.history[n:], g.at[n:]
+		g.last = r
+	}
+	g.saved.Record, g.saved.Book = r, v.book
+	if on := g.src.Grants(now); on != g.grants {
+		if g.grants = on; on {
+			v.tellAll()
+		}
+	}
+}
+
+// differences says what a new term changes, and why.
+func differences(a, b region.Record) (out []string) {
+	say := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	if a.Leader != b.Leader {
+		say("region %d leads, on an operator's word", b.Leader)
+	}
+	for i, h := range b.Homes {
+		switch o := a.Homes[i]; {
+		case h.Region == region.Nowhere && o.Region != h.Region:
+			say("shard %d leaves region %d: every lease on it runs out first", i, h.From)
+		case h.Region != o.Region && h.From != o.From && h.Alone:
+			say("shard %d is at home in region %d under generation %d, alone: the other region is lost", i, h.Region, h.Gen)
+		case h.Region != o.Region && h.From != o.From:
+			say("shard %d is at home in region %d under generation %d: moved, with all that its copy had", i, h.Region, h.Gen)
+		case h.Region != o.Region:
+			say("shard %d is at home in region %d again under generation %d", i, h.Region, h.Gen)
+		case h.Alone && !o.Alone:
+			say("shard %d answers alone under generation %d: its copy can't be reached", i, h.Gen)
+		case !h.Alone && o.Alone:
+			say("shard %d: its copy has everything again", i)
+		}
+	}
+	shares := 0
+	for i := range b.Shares {
+		if a.Shares[i] != b.Shares[i] {
+			shares++
+		}
+	}
+	if shares > 0 {
+		say("%d limits are split anew", shares)
+	}
+	return out
+}
+
+// answer is what is said to anything but a watch. Held: mu.
+func (v *Inventory) answer(a *inventory.Ask) inventory.List {
+	if v.reg == nil {
+		return inventory.List{Kind: inventory.Refused, Reason: "this service has one region"}
+	}
+	now, src := v.now(), v.reg.src
+	defer v.changed(now)
+	src.Tick(now)
+	if leads := src.Leads(); !leads && (a.Op == "move" || a.Op == "return" || a.Op == "share" || a.Op == "give up") {
+		return inventory.List{Kind: inventory.Refused, Reason: fmt.Sprintf("region %d leads: ask its inventory", src.Record().Leader)}
+	}
+	rec := src.Record()
+	switch {
+	case a.Op == "lease":
+		g, ok := src.Grant(now, a.Ask)
+		if !ok {
+			return inventory.List{Kind: inventory.Refused, Reason: "the other region has not been heard of for too long"}
+		}
+		return inventory.List{Kind: inventory.Granted, Grant: &g}
+	case a.Op == "beat":
+		v.heard(a.Beat, nil)
+		b := src.Beat(now)
+		return inventory.List{Kind: inventory.Heard, Beat: &b, Nodes: v.book.Since(a.Known, now), Known: v.book.Stamps()}
+	case a.Op == "copies":
+		for _, c := range a.Copies {
+			src.Report(now, c)
+		}
+	case a.Op == "record":
+		return v.record(now, v.status(now))
+	case a.Op == "lead":
+		src.Lead(now)
+	case a.Op == "return":
+		src.Return(now)
+	case a.Op == "give up":
+		src.GiveUp(now)
+	case a.Op == "move" && a.Shard >= 0 && a.Shard < len(rec.Homes):
+		src.Move(now, a.Shard, a.To)
+	case a.Op == "share" && a.Shard >= 0 && a.Shard < len(rec.Shares) && a.Parts[0] >= 0 && a.Parts[1] >= 0 && a.Parts[0]+a.Parts[1] <= 1:
+		src.Share(now, a.Shard, a.Parts)
+	default:
+		return inventory.List{Kind: inventory.Refused, Reason: "there is no such thing to ask for, or no such shard or limit"}
+	}
+	return v.record(now, nil)
+}
+
+func (v *Inventory) record(now float64, s *inventory.Status) inventory.List {
+	r := v.reg.src.Record()
+	return inventory.List{Kind: inventory.Told, Record: &r, Status: s}
+}
+
+func (v *Inventory) status(now float64) *inventory.Status {
+	g := v.reg
+	s := &inventory.Status{Region: g.self, Grants: g.src.Grants(now), HeardMS: now - g.heardAt}
+	for i, e := range g.history {
+		e.AgoMS = now - g.at[i]
+		s.History = append(s.History, e)
+	}
+	return s
+}
