--- a/gateway/host.go
+++ b/gateway/host.go
@@ -75,7 +75,7 @@
 	h.sooner = func() {}
 	if h.leased(math.Inf(1)); s.Regions != nil {
 		h.leased(0)
-		h.back.drift = regionConfig(s.Regions).Drift
+		h.back.drift = s.Regions.Drift
 	}
 	w.Go(h.run)
 	return h
--- a/gateway/regional.go
+++ b/gateway/regional.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +25,7 @@
 	limits map[string]int // of plans that have one: its number
 	copied map[string]bool
 	parts  map[string]limitPart // of limited volumes
+	drift  float64              // a limit may fill so much too fast
 	held   bool                 // as the module was last told
 	term   uint64
 }
@@ -33,20 +33,12 @@
 // limitPart is a limited volume's: its hosts in this region, and its limit.
 type limitPart struct{ hosts, limit int }
 
-func regionConfig(r *settings.Regions) region.Config {
-	c := region.Config{Lease: r.Lease, Quiet: r.Quiet, Drift: r.Drift}
-	if plant.Is(plant.LeaseNoDrift) {
-		c.Drift = 0
-	}
-	return c
-}
-
 func newRegional(s *settings.Settings, self int) *regional {
 	if s.Regions == nil {
 		return nil
 	}
-	r := &regional{Host: region.NewHost(regionConfig(s.Regions), region.ID(s.Regions.Hosts[self])), self: region.ID(s.Regions.Hosts[self]),
-		limits: map[string]int{}, copied: map[string]bool{}, parts: map[string]limitPart{}}
+	r := &regional{Host: region.NewHost(s.Regions.Config(), region.ID(s.Regions.Hosts[self])), self: region.ID(s.Regions.Hosts[self]),
+		drift: s.Regions.Drift, limits: map[string]int{}, copied: map[string]bool{}, parts: map[string]limitPart{}}
 	for i, p := range s.Plans {
 		r.copied[p.Name] = p.Copied != settings.AckBefore
 		if p.Limit > 0 {
@@ -56,16 +48,13 @@
 	return r
 }
 
-// nobody stands for a part of nothing: of so many hosts that no request ever fits.
-const nobody = 1 << 30
+// nothing stands for a share of nothing: no request ever fits it.
+const nothing = 1e-9
 
-// hostsFor is of how many hosts a volume's part of a limit is one.
-func (r *regional) hostsFor(now float64, p limitPart) (hosts int, since float64) {
-	share, since := r.Share(now, p.limit)
-	if share <= 0 {
-		return nobody, since
-	}
-	return int(min(math.Ceil(float64(p.hosts)/share-1e-9), nobody)), since
+// shareOf is what this region's hosts have of a limit, by clocks that may run fast.
+func (r *regional) shareOf(now float64, limit int) (share, since float64) {
+	share, since = r.Share(now, limit)
+	return max(share*(1-r.drift), nothing), since
 }
 
 // limited enters a request's part of its limit.
@@ -74,9 +63,8 @@
 	if !ok {
 		return
 	}
-	p := limitPart{max(q.Hosts, 1), limit}
-	r.parts[q.Volume] = p
-	q.Hosts, q.PartSince = r.hostsFor(now, p)
+	r.parts[q.Volume] = limitPart{max(q.Hosts, 1), limit}
+	q.Share, q.PartSince = r.shareOf(now, limit)
 }
 
 // granted brings what the inventory granted.
@@ -86,6 +74,7 @@
 	if r == nil || !r.Told(h.now, *g) {
 		return
 	}
+	h.eff.leased(r.Until())
 	h.dues.push(&due{at: r.Until(), name: leaseEnd})
 	if r.held && r.Known().Term == r.term {
 		return
@@ -108,7 +97,6 @@
 func (h *hostCore) rehome() {
 	r := h.regions
 	r.held, r.term = r.Holds(h.now), r.Known().Term
-	h.eff.leased(r.Until())
 	all := make([]inventory.Node, 0, len(h.nodes))
 	for _, n := range h.nodes {
 		all = append(all, n)
@@ -121,8 +109,9 @@
 	}
 	slices.Sort(volumes)
 	for _, v := range volumes {
-		hosts, _ := r.hostsFor(h.now, r.parts[v])
-		h.tell(policy.Part{Volume: v, Hosts: hosts})
+		p := r.parts[v]
+		share, _ := r.shareOf(h.now, p.limit)
+		h.tell(policy.Part{Volume: v, Hosts: p.hosts, Share: share})
 	}
 }
 
@@ -155,11 +144,9 @@
 	if !region.MayRepeat(j.gen, home, everywhere) {
 		return false
 	}
-	if plant.Is(plant.FenceMissing) {
-		a.gen = nobody
-		return true
+	if a.gen = home.Gen; !plant.Is(plant.FenceMissing) {
+		a.until = min(a.until, r.Until())
 	}
-	a.gen, a.until = home.Gen, min(a.until, r.Until())
 	return true
 }
 
@@ -200,11 +187,11 @@
 	defer l.done.Open()
 	refused := false
 	for {
-		var id uint64
-		if !l.host.ask(func(c *hostCore) { id = c.regions.Ask(c.now) }) {
+		var id, knows uint64
+		if !l.host.ask(func(c *hostCore) { id, knows = c.regions.Ask(c.now), c.regions.Known().Term }) {
 			return
 		}
-		a, err := l.caller.Ask(inventory.Ask{Op: "lease", Ask: id}, 2*l.every)
+		a, err := l.caller.Ask(inventory.Ask{Op: "lease", Ask: id, From: knows}, 2*l.every)
 		switch {
 		case err == nil && a.Kind == inventory.Granted:
 			refused = false
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -17,6 +18,7 @@
 	"merlinhitch/rules"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
+	"merlinhitch/standin"
 	"merlinhitch/trail"
 )
 
@@ -62,6 +64,11 @@
 	Took    time.Duration
 	Events  int
 	Steps   int // of a layout that were applied
+	// Of a service over two regions: writes that were acknowledged before their copy and
+	// lost with a region, what the operator said, and when a region was lost.
+	Lost   int
+	Said   map[string]int
+	Losses []Loss
 	// Strays and Unanswered are the clients': see Crowd. Wanted is the goodput with
 	// the worth of strays counted as asked for.
 	Strays, Unanswered int
@@ -121,24 +128,23 @@
 
 // Kinds lists the kinds of trouble.
 func Kinds() []string {
-	var out []string
-	for k := range kinds {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
+	return sortedKeys(kinds)
 }
 
+func sortedKeys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
+
 // day is a running day.
 type day struct {
-	opt   Options
-	fleet *Fleet
-	crowd *Crowd
-	mu    sync.Mutex
-	now   map[string]int // kinds under way
-	steps int            // of a layout that are in force
-	err   error
-	check *rules.Checker // that hears of the day as it goes; nil: it is checked at the end
+	opt      Options
+	fleet    *Fleet
+	crowd    *Crowd
+	mu       sync.Mutex
+	now      map[string]int // kinds under way
+	steps    int            // of a layout that are in force
+	operator *operator
+	err      error
+	putBy    [2]*standin.Saved // the inventories' state as the day begins
+	check    *rules.Checker    // that hears of the day as it goes; nil: it is checked at the end
 }
 
 // BadDay plays a day and checks it.
@@ -156,7 +162,7 @@
 		set = settings.Example(opt.Hosts, opt.Servers)
 	}
 	w := seam.NewReal()
-	return playDay(ctx, w, loopback{w}, set, opt)
+	return playDay(ctx, w, loopback{World: w}, set, opt)
 }
 
 // playDay plays and checks a day at a site, of which w is the part that clients and
@@ -174,6 +180,9 @@
 	}
 	defer d.crowd.Close()
 	d.crowd.routed(opt.Routing)
+	if set.Regions != nil {
+		d.crowd.spanRegions()
+	}
 	d.crowd.Login()
 	if opt.Routing == RouteOn {
 		f.awaitRoutes(ctx, 10*time.Second)
@@ -199,10 +208,17 @@
 	if d.opt.during != nil {
 		d.opt.during(d, span)
 	}
+	var over seam.Gate
+	if d.fleet.Set.Regions != nil {
+		d.putBy = d.fleet.PutBy()
+		d.operator = &operator{f: d.fleet, Said: map[string]int{}, returns: true}
+		d.fleet.World.Go(func() { d.operator.run(&over) })
+	}
 	progress := d.progress(begin)
 	d.crowd.Run(ctx, d.opt.Commands, d.opt.Rate)
 	d.crowd.Wait()
 	res := &Result{}
+	defer over.Open()
 	res.Missed = d.crowd.ReadBack(ctx, 60*time.Second)
 	progress()
 	d.crowd.Close()
@@ -228,6 +244,10 @@
 	res.Blocks = d.crowd.ledger.Checked
 	res.Strays, res.Unanswered = int(d.crowd.Strays.Load()), int(d.crowd.Unanswered.Load())
 	res.Wanted = res.Check.Table.GoodputOf(d.crowd.StrayWorth)
+	res.Lost = len(d.crowd.ledger.Lost)
+	if o := d.operator; o != nil {
+		res.Said, res.Losses = o.Said, d.fleet.losses
+	}
 	res.Repeats, res.Fell = d.fleet.Repeats(), d.fleet.Fell()
 	if d.opt.Out == "" {
 		return res, nil
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -27,6 +27,8 @@
 	client  *initiator.Client
 	dialing bool
 	retryAt time.Duration
+	missed  int           // commands in a row that it did not serve
+	shunned time.Duration // until when another is tried first
 }
 
 // Habits are how clients behave now. The zero value is the ordinary one.
@@ -388,6 +390,7 @@
 // would.
 func (c *Crowd) settle(a ask, s *initiator.Client, end *ending, id uint64, begin time.Duration, left leaving, then func([]byte)) {
 	now := c.fleet.World.Now()
+	a.lane.judge(now, end.err == nil && end.res.Status == scsi.Good)
 	f, again := FateMaybe, false
 	by := now
 	sense, _ := scsi.ParseSense(end.res.Sense)
--- a/lab/explore.go
+++ b/lab/explore.go
@@ -38,6 +38,8 @@
 	// one of SceneLayouts.
 	Figures map[string]float64 `json:"figures,omitempty"`
 	Layout  string             `json:"layout,omitempty"`
+	// Regions has the service run over two.
+	Regions bool `json:"regions,omitempty"`
 
 	ended   func(at, took int64, served bool) // see rules.Table
 	Failure *Failure                          `json:"failure,omitempty"` // that it ends with
@@ -83,7 +85,12 @@
 	Unknown  int     // that could not be judged in time
 	Reads    int     // blocks read and judged
 	Recovery float64 // goodput after the last trouble
-	Goodput  float64
+	// Of a service over two regions: the time for which each shard of a lost region that
+	// was taken over was not served, and acknowledged writes lost that were not copied yet.
+	Outages []time.Duration
+	Lost    int
+	Said    map[string]int
+	Goodput float64
 }
 
 const (
@@ -92,6 +99,9 @@
 	// settleIn is within which goodput comes back after the last trouble: a cold start
 	// and what the inventory needs to tell of it.
 	settleIn = 15 * time.Second
+	// regionSettle is how much longer that takes after a region was lost: leases run out,
+	// copies are made whole, and shards go home.
+	regionSettle = 15 * time.Second
 	// recovered is the least goodput after that. Calm days have 0.95 and more; a plan's
 	// own limit takes the rest.
 	recovered = 0.75
@@ -142,6 +152,24 @@
 		Script: drawScript(which, rng, span*2/3)}
 }
 
+// DrawRegions makes a scene of a service over two regions from a seed: one to three
+// troubles of regions, and some of the others.
+func DrawRegions(seed uint64, hosts, servers int, span time.Duration, rate float64) Scene {
+	rng := rand.New(rand.NewPCG(seed, 19))
+	kinds := RegionKinds()
+	which := []string{"tenant_burst"} // a limit that nobody asks for can't be passed
+	for _, i := range rng.Perm(len(kinds))[:1+rng.IntN(3)] {
+		which = append(which, kinds[i])
+	}
+	for _, k := range WorldKinds() {
+		if k != beyond && k != "tenant_burst" && rng.Float64() < 0.1 {
+			which = append(which, k)
+		}
+	}
+	return Scene{Seed: seed, Hosts: hosts, Servers: servers, Commands: int(span.Seconds() * rate), Rate: rate, Regions: true,
+		Script: drawScript(which, rng, span*2/3)}
+}
+
 // Play plays a scene to its end or to its first failure. keep, if any, is a file for
 // its trail.
 func (s Scene) Play(ctx context.Context, keep string) (*Outcome, error) {
@@ -149,7 +177,7 @@
 		return nil, errors.New("lab: the scene has a planted fault, and this build can have none")
 	}
 	for _, t := range s.Script {
-		if kinds[t.Kind] == nil && worldKinds[t.Kind] == nil {
+		if kinds[t.Kind] == nil && worldKinds[t.Kind] == nil && (regionKinds[t.Kind] == nil || !s.Regions) {
 			return nil, fmt.Errorf("lab: unknown trouble %q", t.Kind)
 		}
 	}
@@ -165,6 +193,9 @@
 	var fleet *Fleet
 	opt := Options{Seed: s.Seed, Commands: s.Commands, Rate: s.Rate, Hosts: s.Hosts, Servers: s.Servers, Script: s.Script, Log: zap.NewNop(),
 		lateBy: standMost}
+	if s.Regions {
+		opt.lateBy = 2 * standMost
+	}
 	if opt.Script == nil {
 		opt.Script = []Strike{} // none, where nil would have one drawn
 	}
@@ -204,6 +235,9 @@
 
 // settings are the scene's: the example's with small blocks, its figures and its layout.
 func (s Scene) settings() (*settings.Settings, error) {
+	if s.Regions {
+		return withFigures(RegionSettings(s.Hosts, s.Servers), s.Figures)
+	}
 	set := SmallBlocks(settings.Example(s.Hosts, s.Servers))
 	for i := range set.Volumes {
 		v := &set.Volumes[i]
@@ -296,6 +330,7 @@
 		}
 	}
 	o.Goodput, o.Reads = res.Check.Table.Goodput(), res.Blocks
+	o.Lost, o.Said, o.Outages = res.Lost, res.Said, outages(res)
 	var wrong []string
 	if o.Blocks, o.Unknown, wrong = res.ledger.Linear(); len(res.Wrong) > 0 {
 		fail(failBlocks, "%s", res.Wrong[0])
@@ -317,8 +352,15 @@
 	}
 	span := time.Duration(float64(o.Scene.Commands) / o.Scene.Rate * float64(time.Second))
 	calm := settleIn
+	if o.Scene.Regions {
+		calm += regionSettle
+	}
 	for _, t := range o.Scene.Script {
-		calm = max(calm, t.At+t.Len+settleIn)
+		end := t.At + t.Len + settleIn
+		if o.Scene.Regions {
+			end += regionSettle
+		}
+		calm = max(calm, end)
 	}
 	if o.Recovery = 1; calm+recoverySpan <= span {
 		if o.Recovery = res.Check.Table.Between(int64(calm/time.Second), int64(span/time.Second)); o.Recovery < recovered {
@@ -419,6 +461,7 @@
 	Rate           float64
 	Swarm          bool
 	Planted        string
+	Regions        bool // scenes of a service over two
 	Parallel       int
 	StopAtFirst    bool
 	Out            string // folder for the scenes that fail, or none
@@ -431,12 +474,15 @@
 	Virtual                                time.Duration
 	Goodput                                float64 // mean
 	Kinds                                  map[string]int
+	Outages                                []time.Duration
+	Lost                                   int
+	Said                                   map[string]int
 	Failures                               []Scene // by seed
 }
 
 // Explore plays scene after scene, some at once.
 func Explore(ctx context.Context, x Exploration, progress io.Writer) (*Explored, error) {
-	sum := &Explored{Kinds: map[string]int{}}
+	sum := &Explored{Kinds: map[string]int{}, Said: map[string]int{}}
 	var mu sync.Mutex
 	var failed error
 	next := uint64(0)
@@ -454,6 +500,9 @@
 					return
 				}
 				s := Draw(seed, x.Hosts, x.Servers, x.Span, x.Rate, x.Swarm)
+				if x.Regions {
+					s = DrawRegions(seed, x.Hosts, x.Servers, x.Span, x.Rate)
+				}
 				s.Planted = x.Planted
 				out, err := s.Play(ctx, "")
 				if ctx.Err() != nil {
@@ -491,6 +540,10 @@
 	for _, t := range o.Scene.Script {
 		e.Kinds[t.Kind]++
 	}
+	e.Outages, e.Lost = append(e.Outages, o.Outages...), e.Lost+o.Lost
+	for op, n := range o.Said {
+		e.Said[op] += n
+	}
 	if o.Failure == nil {
 		return nil
 	}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -10,17 +10,20 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"merlinhitch/gateway"
 	"merlinhitch/inventory"
+	"merlinhitch/region"
 	"merlinhitch/rollout"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
 	"merlinhitch/standin"
 	"merlinhitch/trail"
+	"merlinhitch/world"
 )
 
 // Fleet is a service.
@@ -30,21 +33,28 @@
 	Rec   *trail.Recorder
 	Meta  *trail.Meta
 	log   *zap.Logger
-	inv   *standin.Inventory
 	meter *standin.Meter
 	cfg   standin.MachineConfig
 	seed  uint64
 
-	mu    sync.Mutex
-	disks []*disk
-	hosts []*hostProc
-	old   []wire // of hosts that are gone
-	site  site
-	racks []*standin.Rack
-	fell  []string
-	later seam.Group
-	over  bool
-	now   *settings.Settings // what hosts start with
+	mu     sync.Mutex
+	invs   []*invProc // by region; one where there is one
+	disks  []*disk    // by region, then by shard
+	hosts  []*hostProc
+	old    []wire // of hosts that are gone
+	site   site
+	racks  []*standin.Rack
+	fell   []string
+	later  seam.Group
+	over   bool
+	now    *settings.Settings // what hosts start with
+	ran    map[effectKey]bool // keyed and unsafe requests that took effect, in either region
+	again  int
+	gone   [2]bool   // regions that are lost as a whole
+	calm   world.Net // of the ways between regions
+	losses []Loss
+	// counting guards what effects are counted in: disk servers call with locks held.
+	counting sync.Mutex
 	// Router is what hosts announce to, nil where the settings announce nothing.
 	Router *standin.Router
 }
@@ -65,6 +75,18 @@
 	world  seam.World // of the server's process
 	starts int
 	cores  int
+	region int
+	where  atomic.Pointer[string] // the server's own address
+}
+
+// invProc is a region's inventory.
+type invProc struct {
+	region int
+	inv    *standin.Inventory // nil while down
+	world  seam.World
+	saved  *standin.Saved // nil where there is one region
+	starts int
+	where  atomic.Pointer[string]
 }
 
 // hostProc is one start of a host.
@@ -116,31 +138,44 @@
 		f.now = &next
 	}
 	f.meter = &standin.Meter{Period: 2000, Rate: func(v string) float64 { return rates[v] }}
-	var err error
-	if f.inv, err = standin.ServeInventory(at.process("inventory"), "127.0.0.1:0", listLate); err != nil {
+	if err := f.startInventories(); err != nil {
 		return nil, err
 	}
 	newCell := func() *standin.Cell { return standin.NewCell(func(v string) int { return sizes[v] }) }
 	shelf := newCell()
-	for i := range s.Shards {
-		d := &disk{shard: i, zone: Halls[i%len(Halls)], name: fmt.Sprintf("d%d", i), cell: newCell(), rack: standin.NewRack(longestWindow(s)), cores: cfg.Cores}
+	for k := range s.Shards * len(f.invs) {
+		i := k % s.Shards
+		d := &disk{shard: i, region: k / s.Shards, zone: Halls[i%len(Halls)], name: fmt.Sprintf("d%d", i), cell: newCell(), rack: standin.NewRack(longestWindow(s)), cores: cfg.Cores}
+		if s.Regions != nil {
+			d.name, d.zone = fmt.Sprintf("d%d.%d", i, d.region), fmt.Sprintf("%s.%d", d.zone, d.region)
+			d.cell.Replicate(region.ID(d.region))
+			d.cell.Effect = f.effect
+		}
 		if opt.Shared {
 			d.cell = shelf
 		}
-		if n := slices.IndexFunc(s.Nodes, func(n settings.Node) bool { return n.Shard == i }); n >= 0 {
+		if n := slices.IndexFunc(s.Nodes, func(n settings.Node) bool { return n.Shard == i }); n >= 0 && s.Regions == nil {
 			d.zone = s.Nodes[n].Hall
 			d.cores = max(int(s.Nodes[n].Capacity*cfg.UnitWork/1000+0.5), 1)
 		}
 		f.racks = append(f.racks, d.rack)
 		f.disks = append(f.disks, d)
+	}
+	for _, d := range f.disks { // which know each other
 		if err := f.startDisk(d, false, true); err != nil {
 			f.Close()
 			return nil, err
 		}
 	}
 	for i := range s.Hosts {
-		h := &hostProc{self: i}
-		f.hosts = append(f.hosts, h)
+		f.hosts = append(f.hosts, &hostProc{self: i})
+	}
+	if s.Regions != nil {
+		f.calm = at.between()
+		f.Across(0, f.calm)
+		f.Across(1, f.calm)
+	}
+	for _, h := range f.hosts {
 		if err := f.startHost(h); err != nil {
 			f.Close()
 			return nil, err
@@ -166,9 +201,10 @@
 	d.starts++
 	cfg := f.cfg
 	cfg.Cores = d.cores
-	m := standin.NewMachine(cfg, f.seed*1000+uint64(d.shard*10+d.starts), d.cell, d.rack, f.meter, uint32(d.shard), now, cold)
+	m := standin.NewMachine(cfg, f.seed*1000+uint64(d.shard*10+d.starts+d.region*1000), d.cell, d.rack, f.meter, uint32(d.shard), now, cold)
 	s := &standin.DiskServer{Name: fmt.Sprintf("%s#%d", d.name, d.starts), Zone: d.zone, Rack: d.name, Shard: d.shard}
 	d.world = f.site.process(s.Name)
+	f.regional(d, s)
 	if err := standin.ServeDisk(d.world, m, s); err != nil {
 		return err
 	}
@@ -178,6 +214,7 @@
 		f.fell = append(f.fell, s.Name)
 	}
 	d.server = s
+	d.where.Store(&s.Addr)
 	if fresh || d.relay == nil {
 		r, err := f.site.wire(s.Addr, true, func(addr string) *standin.Tap { return standin.TapDisk(f.Rec, addr) })
 		if err != nil {
@@ -187,7 +224,7 @@
 			f.old = append(f.old, d.relay)
 		}
 		d.relay = r
-		f.Meta.Servers[r.Address()] = trail.Server{Name: s.Name, Shard: d.shard, Zone: d.zone, Rack: d.name,
+		f.Meta.Servers[r.Address()] = trail.Server{Name: s.Name, Shard: d.shard, Zone: d.zone, Rack: d.name, Region: d.region,
 			Rate: float64(cfg.Cores) / cfg.UnitWork * 1000}
 	} else {
 		d.relay.Point(s.Addr)
@@ -197,15 +234,30 @@
 		started = now
 	}
 	addr, zone, shard := d.relay.Address(), d.zone, d.shard
-	enter := func(b *inventory.Book) {
+	f.list(d.region, cold, func(b *inventory.Book) {
 		b.Set(inventory.Node{Addr: addr, Health: inventory.Ready, Shard: shard, Zone: zone, Weight: 1, Incarnation: s.Started}, started)
+	})
+	return nil
+}
+
+// list changes a region's list, late or at once, if its inventory is up.
+func (f *Fleet) list(region int, late bool, change func(*inventory.Book)) {
+	switch v := f.invs[region].inv; {
+	case v == nil:
+	case late:
+		v.Change(change)
+	default:
+		v.ChangeNow(change)
 	}
-	if cold {
-		f.inv.Change(enter)
-	} else {
-		f.inv.ChangeNow(enter)
+}
+
+// inventories does something with each inventory that is up.
+func (f *Fleet) inventories(do func(*standin.Inventory)) {
+	for _, p := range f.invs {
+		if p.inv != nil {
+			do(p.inv)
+		}
 	}
-	return nil
 }
 
 func (f *Fleet) startHost(h *hostProc) error {
@@ -214,7 +266,10 @@
 	var err error
 	name := h.name
 	h.world = f.site.process(name)
-	if h.list, err = f.site.wire(f.inv.Addr, true, func(string) *standin.Tap { return standin.TapList(f.Rec, name) }); err != nil {
+	if f.Set.Regions != nil { // clocks of hosts differ a little
+		f.site.pace(h.world, 1+0.002*float64(h.self%3-1))
+	}
+	if h.list, err = f.site.wire(*f.invs[f.regionOf(h.self)].where.Load(), true, func(string) *standin.Tap { return standin.TapList(f.Rec, name) }); err != nil {
 		return err
 	}
 	h.gate, err = gateway.Start(gateway.Config{World: h.world, Log: f.log, Name: h.name, Self: h.self,
@@ -333,7 +388,7 @@
 		s.Kill()
 	}
 	d.cell.PowerLoss()
-	f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
+	f.list(d.region, true, func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
 	f.after(down, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -355,7 +410,7 @@
 	}
 	addr := d.relay.Address()
 	f.mu.Unlock()
-	f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Draining) })
+	f.list(d.region, true, func(b *inventory.Book) { b.Health(addr, inventory.Draining) })
 	f.after(drain, func() {
 		s.Drain()
 		f.after(drain, func() {
@@ -364,7 +419,7 @@
 			if d.server != s {
 				return // it died meanwhile
 			}
-			f.inv.Change(func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
+			f.list(d.region, true, func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
 			f.World.Go(s.Kill)
 			if err := f.startDisk(d, true, true); err != nil {
 				f.log.Error("successor does not start", zap.Error(err))
@@ -382,7 +437,9 @@
 
 // Repeats is the number of effects that the racks saw more than once.
 func (f *Fleet) Repeats() int {
-	n := 0
+	f.counting.Lock()
+	n := f.again
+	f.counting.Unlock()
 	for _, r := range f.racks {
 		n += r.Repeats()
 	}
@@ -436,7 +493,7 @@
 			r.Close()
 		}
 	}
-	f.inv.Close()
+	f.inventories((*standin.Inventory).Close)
 	if f.Router != nil {
 		f.Router.Close()
 	}
--- a/lab/ledger.go
+++ b/lab/ledger.go
@@ -17,6 +17,10 @@
 	writes map[uint64]*written
 	blocks map[blockAt][]*written
 	reads  []seen
+	// Loose are volumes whose writes are acknowledged before they are copied: some may be
+	// lost with a region. Lost are those that were.
+	Loose map[string]bool
+	Lost  map[uint64]bool
 	// Checked counts the blocks that were judged.
 	Checked int
 }
@@ -55,7 +59,7 @@
 
 // NewLedger returns an empty ledger; blocks start as zeros, write 0.
 func NewLedger() *Ledger {
-	return &Ledger{writes: map[uint64]*written{}, blocks: map[blockAt][]*written{}}
+	return &Ledger{Lost: map[uint64]bool{}, writes: map[uint64]*written{}, blocks: map[blockAt][]*written{}}
 }
 
 // Begin enters a write that is about to be sent and returns its number.
@@ -158,6 +162,10 @@
 	}
 	for _, w := range l.blocks[r.at] {
 		if w.fate == FateAcked && w.begin > end && w.end < r.begin {
+			if l.Loose[r.at.volume] {
+				l.Lost[w.id] = true
+				continue
+			}
 			return say("holds write %d, over by %.3f s, although write %d was begun at %.3f s and acknowledged at %.3f s",
 				r.id, end.Seconds(), w.id, w.begin.Seconds(), w.end.Seconds())
 		}
--- a/lab/linear.go
+++ b/lab/linear.go
@@ -53,6 +53,9 @@
 	}
 	slices.SortFunc(places, func(a, b blockAt) int { return cmp.Or(cmp.Compare(a.volume, b.volume), cmp.Compare(a.lba, b.lba)) })
 	for _, at := range places {
+		if l.Loose[at.volume] {
+			continue
+		}
 		judged++
 		switch porcupine.CheckOperationsTimeout(blockModel, l.history(at, reads[at]), blockTime) {
 		case porcupine.Illegal:
--- /dev/null
+++ b/lab/regionday.go
@@ -0,0 +1,219 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"merlinhitch/inventory"
+	"merlinhitch/region"
+	"merlinhitch/rules"
+	"merlinhitch/seam"
+	"merlinhitch/standin"
+	"merlinhitch/world"
+)
+
+// regionKinds are the troubles of a service over two regions.
+var regionKinds = map[string]func(d *day, rng *rand.Rand, len time.Duration){
+	"region_loss":     regionLoss,
+	"region_loss_two": regionLossTwice,
+	"region_cut":      regionCut,
+	"region_half":     regionHalf,
+	"region_one_way":  regionOneWay,
+	"region_slow":     regionSlow,
+	"inventory_cut":   inventoryCut,
+	"inventory_old":   inventoryOld,
+	"lease_stall":     leaseStall,
+	"opening":         opening,
+	"moves":           moves,
+}
+
+// RegionKinds lists the kinds of trouble of a service over two regions.
+func RegionKinds() []string { return sortedKeys(regionKinds) }
+
+// regionLoss ends a region; it comes back with the inventory that it began the day with.
+func regionLoss(d *day, rng *rand.Rand, len time.Duration) {
+	d.fleet.LoseRegion(rng.IntN(2), len, d.old(rng))
+}
+
+// regionLossTwice loses a region again while it recovers.
+func regionLossTwice(d *day, rng *rand.Rand, len time.Duration) {
+	r := rng.IntN(2)
+	again := time.Duration(between(rng, 0.3, 4) * float64(time.Second))
+	d.fleet.LoseRegion(r, len/3, d.old(rng))
+	d.fleet.after(len/3+again, func() { d.fleet.LoseRegion(r, len/3, [2]*standin.Saved{}) })
+}
+
+// old is the inventories' state of long ago, or none.
+func (d *day) old(rng *rand.Rand) (out [2]*standin.Saved) {
+	if rng.IntN(2) == 0 {
+		out = d.putBy
+	}
+	return out
+}
+
+func regionCut(d *day, _ *rand.Rand, len time.Duration) {
+	d.across(len, true, true, world.Net{Cut: true})
+}
+
+// regionHalf drops half of what passes between the regions.
+func regionHalf(d *day, _ *rand.Rand, len time.Duration) {
+	d.across(len, true, true, world.Net{Loss: 0.5})
+}
+
+func regionOneWay(d *day, rng *rand.Rand, len time.Duration) {
+	there := rng.IntN(2) == 0
+	d.across(len, there, !there, world.Net{Cut: true})
+}
+
+func regionSlow(d *day, rng *rand.Rand, len time.Duration) {
+	late := time.Duration(between(rng, 5, 80) * float64(time.Millisecond))
+	d.across(len, true, true, world.Net{Delay: late, Jitter: late})
+}
+
+// across changes the ways between the regions for a while.
+func (d *day) across(len time.Duration, there, back bool, n world.Net) {
+	set := func(n world.Net) {
+		if there {
+			d.fleet.Across(0, n)
+		}
+		if back {
+			d.fleet.Across(1, n)
+		}
+	}
+	set(n)
+	d.fleet.after(len, func() { set(d.fleet.calm) })
+}
+
+// inventoryCut has nobody reach any inventory, nor these each other, while hosts and disk
+// servers of both regions reach each other.
+func inventoryCut(d *day, _ *rand.Rand, len time.Duration) {
+	d.fleet.ToInventories(world.Net{Cut: true})
+	d.fleet.after(len, func() { d.fleet.ToInventories(d.fleet.calm) })
+}
+
+// inventoryOld has a region's inventory come back with the state of long ago; all else runs on.
+func inventoryOld(d *day, rng *rand.Rand, len time.Duration) {
+	d.fleet.LoseInventory(rng.IntN(2), len/4, d.putBy)
+}
+
+// leaseStall has a host stand still for up to 30 s.
+func leaseStall(d *day, rng *rand.Rand, len time.Duration) {
+	d.fleet.StallHost(rng.IntN(d.opt.Hosts), min(time.Duration(between(rng, 1, 30)*float64(time.Second)), len))
+}
+
+// opening is a region lost as the morning begins: 1.7 to 2.4 times the usual, for all of
+// the loss and while the region comes back.
+func opening(d *day, rng *rand.Rand, len time.Duration) {
+	x := between(rng, 1.7, 2.4)
+	d.habit(len, func(h *Habits) { h.Rate = x }, func(h *Habits) { h.Rate = 0 })
+	d.fleet.LoseRegion(rng.IntN(2), len/2, d.old(rng))
+}
+
+// moves has shards moved to and fro by an operator.
+func moves(d *day, rng *rand.Rand, len time.Duration) {
+	for range 4 {
+		shard, to := rng.IntN(d.fleet.Set.Shards), rng.IntN(2)
+		d.fleet.after(time.Duration(rng.Float64()*float64(len)), func() {
+			for r := range 2 { // one of them leads
+				d.fleet.Tell(r, inventory.Ask{Op: "move", Shard: shard, To: region.ID(to)})
+			}
+		})
+	}
+}
+
+const (
+	operatorLooks = 500 * time.Millisecond
+	// operatorWaits is how long an operator looks before a word that can't be taken back.
+	operatorWaits = 2 * time.Second
+)
+
+// operator plays the person at a service over two regions until over opens: it says which
+// region leads when the other is lost for certain, and has shards return once every copy
+// has all.
+type operator struct {
+	f       *Fleet
+	lostAt  [2]time.Duration // since when a region is gone; 0: it is not
+	calmAt  time.Duration
+	Said    map[string]int
+	returns bool // shards are brought back to where they prefer to be
+}
+
+func (o *operator) run(over *seam.Gate) {
+	for seam.Wait(o.f.World, operatorLooks, over) {
+		o.look()
+	}
+}
+
+func (o *operator) look() {
+	now := o.f.World.Now()
+	for r := range 2 {
+		switch gone := o.f.Gone(r); {
+		case !gone:
+			o.lostAt[r] = 0
+		case o.lostAt[r] == 0:
+			o.lostAt[r] = now
+		}
+	}
+	for r := range 2 {
+		if o.lostAt[r] != 0 {
+			continue
+		}
+		l, err := o.f.Tell(r, inventory.Ask{Op: "record"})
+		if err != nil || l.Kind != inventory.Told || l.Status == nil {
+			continue
+		}
+		other := 1 - r
+		if o.lostAt[other] != 0 && now-o.lostAt[other] > operatorWaits && (l.Record.Leader != region.ID(r) || !l.Status.Grants) {
+			o.say(r, "lead")
+		}
+		if l.Record.Leader == region.ID(r) {
+			o.bringBack(now, r, &l)
+		}
+	}
+}
+
+// bringBack has shards return after some calm.
+func (o *operator) bringBack(now time.Duration, r int, l *inventory.List) {
+	away := false
+	for _, h := range l.Record.Homes {
+		if h.Alone || h.Region == region.Nowhere {
+			o.calmAt = 0
+			return
+		}
+		away = away || h.Region != h.Prefer
+	}
+	switch {
+	case l.Status.HeardMS > 500 || !away || !o.returns:
+		o.calmAt = 0
+	case o.calmAt == 0:
+		o.calmAt = now
+	case now-o.calmAt > operatorWaits:
+		o.calmAt = 0
+		o.say(r, "return")
+	}
+}
+
+func (o *operator) say(r int, op string) {
+	if _, err := o.f.Tell(r, inventory.Ask{Op: op}); err == nil {
+		o.Said[op]++
+	}
+}
+
+// outages are the times for which shards of a lost region were not served, of those that
+// were served in the other before theirs came back.
+func outages(res *Result) (out []time.Duration) {
+	homes := res.Check.Homes()
+	for _, l := range res.Losses {
+		last := map[int]rules.Served{} // by shard, before the loss
+		for _, s := range homes {
+			at := time.Duration(s.At) * time.Microsecond
+			if was, ok := last[s.Shard]; ok && was.Region == l.Region && s.Region != l.Region && at > l.At && at < l.Back {
+				out = append(out, at-l.At)
+			}
+			if at <= l.At || s.Region != l.Region {
+				last[s.Shard] = s
+			}
+		}
+	}
+	return out
+}
--- a/lab/reservations.go
+++ b/lab/reservations.go
@@ -86,7 +86,7 @@
 // fence.
 func ReservationRun(ctx context.Context, seed uint64, steps int, unfenced bool) (*ReservationHistory, error) {
 	w := seam.NewReal()
-	return reservationRun(ctx, w, loopback{w}, seed, steps, unfenced)
+	return reservationRun(ctx, w, loopback{World: w}, seed, steps, unfenced)
 }
 
 // reservationMost bounds a run's virtual time.
--- a/lab/reservations_test.go
+++ b/lab/reservations_test.go
@@ -96,7 +96,7 @@
 func quiet(t *testing.T) (*reservationRig, func(who int, kind string, typ byte, whom int, want string)) {
 	t.Helper()
 	w := seam.NewReal()
-	r, err := newReservationRig(w, loopback{w}, 1, false)
+	r, err := newReservationRig(w, loopback{World: w}, 1, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -284,7 +284,7 @@
 func crowd(t *testing.T, n, atOnce int) int {
 	t.Helper()
 	w := seam.NewReal()
-	r, err := newReservationRig(w, loopback{w}, 1, false)
+	r, err := newReservationRig(w, loopback{World: w}, 1, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/lab/site.go
+++ b/lab/site.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"time"
+
 	"merlinhitch/seam"
 	"merlinhitch/standin"
 	"merlinhitch/world"
@@ -17,6 +19,12 @@
 	// wire makes an address that leads to target and on which what passes is recorded,
 	// beside the side that dials or the one that listens.
 	wire(target string, byDialler bool, tap func(addr string) *standin.Tap) (wire, error)
+	// link gives the way from one program to another a state, by their lasting names.
+	link(from, to string, n world.Net)
+	// between is the state of the ways between two regions on a calm day.
+	between() world.Net
+	// pace has a new program's clock run at so many times the world's, if the site can.
+	pace(w seam.World, x float64)
 	// remains tells whether programs stay until they are told to end.
 	remains() bool
 	// admin is where a host serves its admin API, "" where that has no HTTP.
@@ -31,10 +39,24 @@
 	Close()
 }
 
-// loopback is the site of real sockets.
-type loopback struct{ seam.World }
+// loopback is the site of real sockets. Programs of a service over two regions meet by
+// way of links.
+type loopback struct {
+	seam.World
+	links *standin.Links // nil: sockets as they are
+}
 
-func (l loopback) process(string) seam.World { return l.World }
+func (l loopback) process(name string) seam.World {
+	if l.links == nil {
+		return l.World
+	}
+	return l.links.Process(world.StableName(name))
+}
+func (l loopback) link(from, to string, n world.Net) {
+	l.links.Set(from, to, standin.Way{Delay: n.Delay, Loss: n.Loss, Cut: n.Cut})
+}
+func (loopback) between() world.Net          { return world.Net{} }
+func (loopback) pace(seam.World, float64)    {}
 func (loopback) crash(seam.World, bool) bool { return false }
 func (loopback) remains() bool               { return true }
 func (loopback) admin() string               { return "127.0.0.1:0" }
@@ -43,12 +65,21 @@
 	if err != nil {
 		return nil, err // not a wire that holds no relay
 	}
+	if l.links != nil {
+		l.links.Lead(r.Addr, target)
+	}
 	return r, nil
 }
 
 // virtual is the site in a virtual world.
 type virtual struct{ w *world.World }
 
+func (v virtual) link(from, to string, n world.Net) { v.w.Link(from, to).Set(n) }
+func (v virtual) between() world.Net {
+	return world.Net{Delay: 3 * time.Millisecond, Jitter: time.Millisecond}
+}
+func (v virtual) pace(w seam.World, x float64) { w.(*world.Process).Pace(x) }
+
 func (v virtual) process(name string) seam.World { return v.w.Process(name) }
 
 func (v virtual) crash(w seam.World, power bool) bool {
--- a/lab/strikes.go
+++ b/lab/strikes.go
@@ -40,6 +40,9 @@
 	if f := kinds[kind]; f != nil {
 		return f
 	}
+	if f := regionKinds[kind]; f != nil {
+		return f
+	}
 	f := worldKinds[kind]
 	return func(d *day, rng *rand.Rand, len time.Duration) { f(d, d.fleet.site.(virtual).w, rng, len) }
 }
@@ -64,7 +67,7 @@
 // pairs draws hosts and disk servers.
 func pairs(d *day, rng *rand.Rand, part float64, f func(host, disk string)) {
 	for h := range d.opt.Hosts {
-		for _, i := range some(rng, d.opt.Servers, part) {
+		for _, i := range some(rng, d.places(), part) {
 			f(world.StableName(d.fleet.hosts[h].name), d.fleet.disks[i].name)
 		}
 	}
@@ -98,7 +101,8 @@
 // listHang has nothing pass between some hosts and the inventory, and nothing say so.
 func listHang(d *day, w *world.World, rng *rand.Rand, len time.Duration) {
 	for _, h := range some(rng, d.opt.Hosts, 0.5) {
-		link(d, w, world.StableName(d.fleet.hosts[h].name), "inventory", true, true, len, func(n *world.Net) { n.Cut = true })
+		inv := world.StableName(d.fleet.invs[d.fleet.regionOf(h)].name())
+		link(d, w, world.StableName(d.fleet.hosts[h].name), inv, true, true, len, func(n *world.Net) { n.Cut = true })
 	}
 }
 
@@ -131,14 +135,14 @@
 }
 
 func diskStall(d *day, _ *world.World, rng *rand.Rand, len time.Duration) {
-	for _, i := range some(rng, d.opt.Servers, 0.2) {
+	for _, i := range some(rng, d.places(), 0.2) {
 		d.fleet.disks[i].world.(*world.Process).Stall(min(time.Duration(between(rng, 0.05, 4)*float64(time.Second)), len))
 	}
 }
 
 // powerCut ends disk servers together with their machines: no connection is closed.
 func powerCut(d *day, _ *world.World, rng *rand.Rand, len time.Duration) {
-	for _, i := range some(rng, d.opt.Servers, 0.15) {
+	for _, i := range some(rng, d.places(), 0.15) {
 		d.fleet.CutPower(i, max(len/2, time.Second))
 	}
 }
--- a/lab/troubles.go
+++ b/lab/troubles.go
@@ -12,6 +12,9 @@
 
 func between(rng *rand.Rand, low, high float64) float64 { return low + (high-low)*rng.Float64() }
 
+// places is how many disk servers there are, in all regions.
+func (d *day) places() int { return len(d.fleet.disks) }
+
 // some draws a part of n things, one at least.
 func some(rng *rand.Rand, n int, part float64) []int {
 	k := max(int(float64(n)*part+0.5), 1)
@@ -20,7 +23,7 @@
 
 // machines gives some disk servers a trouble for a while.
 func (d *day) machines(rng *rand.Rand, part float64, len time.Duration, t func() standin.Trouble) {
-	for _, i := range some(rng, d.opt.Servers, part) {
+	for _, i := range some(rng, d.places(), part) {
 		if s := d.fleet.Disk(i); s != nil {
 			s.Trouble(t())
 			d.fleet.after(len, func() { s.Trouble(standin.Trouble{}) })
@@ -30,7 +33,7 @@
 
 // wires gives some disk servers' connections a trouble for a while.
 func (d *day) wires(rng *rand.Rand, part float64, len time.Duration, t standin.NetTrouble) {
-	for _, i := range some(rng, d.opt.Servers, part) {
+	for _, i := range some(rng, d.places(), part) {
 		if s := d.fleet.Disk(i); s != nil {
 			s.Net(t)
 			d.fleet.after(len, func() { s.Net(standin.NetTrouble{}) })
@@ -45,7 +48,7 @@
 }
 
 func crash(d *day, rng *rand.Rand, len time.Duration) {
-	for _, i := range some(rng, d.opt.Servers, 0.15) {
+	for _, i := range some(rng, d.places(), 0.15) {
 		d.fleet.KillDisk(i, max(len/2, time.Second))
 	}
 }
@@ -70,24 +73,24 @@
 
 // massRestart strikes one hall: all its servers within 0.4 s.
 func massRestart(d *day, rng *rand.Rand, len time.Duration) {
-	hall := rng.IntN(min(d.opt.Servers, 3))
-	for i := hall; i < d.opt.Servers; i += 3 {
+	hall := rng.IntN(min(d.places(), 3))
+	for i := hall; i < d.places(); i += 3 {
 		back := time.Duration(between(rng, 1, 4) * float64(time.Second))
 		d.fleet.after(time.Duration(between(rng, 0, 0.4)*float64(time.Second)), func() { d.fleet.KillDisk(i, back) })
 	}
 }
 
 func deploy(d *day, rng *rand.Rand, len time.Duration) {
-	turn := some(rng, d.opt.Servers, 0.5)
+	turn := some(rng, d.places(), 0.5)
 	for k, i := range turn {
-		d.fleet.after(len*time.Duration(k)/time.Duration(d.opt.Servers), func() { d.fleet.Deploy(i, 900*time.Millisecond) })
+		d.fleet.after(len*time.Duration(k)/time.Duration(d.places()), func() { d.fleet.Deploy(i, 900*time.Millisecond) })
 	}
 }
 
 func reportLate(d *day, rng *rand.Rand, len time.Duration) {
 	late := between(rng, 500, 4800)
-	d.fleet.inv.Late(listLate + late/4)
-	d.fleet.after(len, func() { d.fleet.inv.Late(listLate) })
+	d.fleet.inventories(func(v *standin.Inventory) { v.Late(listLate + late/4) })
+	d.fleet.after(len, func() { d.fleet.inventories(func(v *standin.Inventory) { v.Late(listLate) }) })
 	d.machines(rng, 1, len, func() standin.Trouble { return standin.Trouble{Late: late} })
 }
 
@@ -163,6 +166,7 @@
 
 // listCut breaks the hosts' connections to the inventory.
 func listCut(d *day, _ *rand.Rand, len time.Duration) {
-	d.fleet.inv.CutAll()
-	d.fleet.after(len/2, d.fleet.inv.CutAll)
+	cut := func() { d.fleet.inventories((*standin.Inventory).CutAll) }
+	cut()
+	d.fleet.after(len/2, cut)
 }
--- a/lab/virtual_test.go
+++ b/lab/virtual_test.go
@@ -262,7 +262,7 @@
 	opt := Options{Seed: 3, Commands: 600, Rate: 120, Hosts: 3, Servers: 9, Troubles: []string{"none"}}
 	set := func() *settings.Settings { return SmallBlocks(settings.Example(3, 9)) }
 	w := seam.NewReal()
-	real, err := playDay(context.Background(), w, loopback{w}, set(), opt)
+	real, err := playDay(context.Background(), w, loopback{World: w}, set(), opt)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/plant/plant.go
+++ b/plant/plant.go
@@ -19,8 +19,8 @@
 	BusyAfterSend    = "busy-after-send"     // a write that may have run is called refused
 	ExtentMissed     = "extent-missed"       // a part past an extent's border is written one block off
 	// Of a service over two regions.
-	FenceMissing = "fence-missing" // disk servers hear of no generation, nor until when the lease lasts
-	LeaseNoDrift = "lease-without-drift"
+	FenceMissing = "fence-missing"          // disk servers refuse no older generation, and do not hear when a lease ends
+	LeaseNoDrift = "lease-without-drift"    // neither who grants nor who holds reckons with clocks that differ
 	ShareEarly   = "share-taken-back-early" // what a source takes back is given on at once
 )
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -176,14 +176,16 @@
 	Hosts   int     // hosts that the volume's requests come through
 	Repeat  bool
 	Write   bool
-	// PartSince is since when this host's part of the volume's limit was no smaller; 0: always.
-	PartSince float64
+	// Share is what those hosts have of the plan's figures, 0: all; PartSince is since when
+	// they had no less, 0: always.
+	Share, PartSince float64
 }
 
-// Part says that this host's part of a volume's plan is now one of so many.
+// Part says what a volume's hosts have of its plan's figures now.
 type Part struct {
 	Volume string
 	Hosts  int
+	Share  float64
 }
 
 // Outcome ends an attempt. Done is set if the request is over with it.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -239,7 +239,7 @@
 	if v == nil {
 		v = &volume{plan: plan, at: p.now}
 		p.vols[q.Volume] = v
-		p.divide(v, q.Hosts)
+		p.divide(v, parts(q.Hosts, q.Share))
 		v.due, v.reserve = v.dueCap, v.resCap
 		// This host may have spent its part just before it was restarted, or others what
 		// of it was theirs: count only on what has filled since.
@@ -254,8 +254,8 @@
 }
 
 // divide gives a volume this host's part of what its plan has.
-func (p *scheduler) divide(v *volume, hosts int) {
-	h, plan := float64(max(hosts, 1)), v.plan
+func (p *scheduler) divide(v *volume, h float64) {
+	plan := v.plan
 	v.resFill, v.limFill, v.dueFill = plan.Reserve/h, plan.Limit/h, dueTimes*plan.Rate/h
 	v.resCap, v.limCap = plan.Reserve/h+p.s.MostUnits, plan.Burst/h
 	v.limFloor = min(plan.Limit*bunching/1000-plan.Slack, 0) / h
@@ -270,7 +270,7 @@
 		return
 	}
 	left := p.volume(Request{Volume: e.Volume}, v.plan).limit - v.limFloor
-	p.divide(v, e.Hosts)
+	p.divide(v, parts(e.Hosts, e.Share))
 	v.limit = v.limFloor + min(left, v.limCap-v.limFloor)
 	for _, sh := range p.shards {
 		sh.forgetHeld()
--- a/policy/rate_test.go
+++ b/policy/rate_test.go
@@ -227,13 +227,13 @@
 func TestPartsOfALimitMove(t *testing.T) {
 	s := settings()
 	s.Plans[0].Limit, s.Plans[0].Burst, s.Plans[0].Slack = 40, 8, 4
-	none := 1 << 30
 	var rigs [2]*rig
 	for i := range rigs {
 		rigs[i] = newRig(s)
 		rigs[i].now = 100
 	}
-	parts := [2]int{2, 2}
+	const none = 1e-9
+	parts := [2]float64{0.5, 0.5}
 	since := [2]float64{}
 	type passed struct{ at, units float64 }
 	var all []passed
@@ -242,7 +242,7 @@
 		for i, g := range rigs {
 			g.n++
 			id := fmt.Sprint(i, "-", g.n)
-			g.do(Request{ID: id, Class: "read", Plan: "low", Volume: "v", Units: 1 + float64(rng.IntN(3)), Expires: g.now + 400, Hosts: parts[i], PartSince: since[i]})
+			g.do(Request{ID: id, Class: "read", Plan: "low", Volume: "v", Units: 1 + float64(rng.IntN(3)), Expires: g.now + 400, Hosts: 1, Share: parts[i], PartSince: since[i]})
 			g.pass(5)
 			for k := 0; k < len(g.acts); k++ { // those of the last change too
 				if s, ok := g.acts[k].(Send); ok {
@@ -256,15 +256,15 @@
 			continue
 		}
 		// First everyone gives up what it is to have no more, then others get it.
-		next := [][2]int{{2, 2}, {1, none}, {none, 1}, {4, 2}}[rng.IntN(4)]
+		next := [][2]float64{{0.5, 0.5}, {1, none}, {none, 1}, {0.25, 0.5}}[rng.IntN(4)]
 		for i, g := range rigs {
-			parts[i] = max(parts[i], next[i])
-			g.do(Part{"v", parts[i]})
+			parts[i] = min(parts[i], next[i])
+			g.do(Part{"v", 1, parts[i]})
 		}
 		for i, g := range rigs {
-			if next[i] < parts[i] {
+			if next[i] > parts[i] {
 				parts[i], since[i] = next[i], g.now
-				g.do(Part{"v", parts[i]})
+				g.do(Part{"v", 1, parts[i]})
 			}
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -50,6 +50,14 @@
 	at              float64 // time of the levels
 }
 
+// parts is of how many equal parts a host has one.
+func parts(hosts int, share float64) float64 {
+	if share <= 0 {
+		share = 1
+	}
+	return float64(max(hosts, 1)) / share
+}
+
 type sent struct{ at, units float64 }
 
 // window holds what was noted within a time, oldest first, and its sum. Each
--- a/region/model_test.go
+++ b/region/model_test.go
@@ -91,6 +91,7 @@
 	for i := range 2 {
 		x := *s.sources[i]
 		x.rec, x.want, x.sent = x.rec.Clone(), x.want.Clone(), append([]question(nil), x.sent...)
+		x.seenGen = append([]uint64(nil), x.seenGen...)
 		x.copies, x.leftAt = append([]Copy(nil), x.copies...), append([]float64(nil), x.leftAt...)
 		c.sources[i] = &x
 		h := *s.hosts[i]
@@ -130,6 +131,8 @@
 		put(float64(x.start), float64(x.seq), float64(x.theirs[0]), float64(x.theirs[1]))
 		put(near(x.contact, now), near(x.heard, now), near(x.adoptedAt, now), near(x.granted, now), near(x.grantedAt, now))
 		flag(x.adopted)
+		flag(x.unsure)
+		put(near(x.listenTill, now), float64(x.seenTerm), float64(x.seenGen[0]))
 		flag(x.silent)
 		put(float64(x.copies[0].State), float64(x.copies[0].Gen), near(x.leftAt[0], now))
 		for _, q := range x.sent {
@@ -202,6 +205,11 @@
 				x := c.sources[i]
 				c.sources[i] = Restart(m.config(), x.self, x.start+1, x.rec, c.clocks[i])
 			})
+			rare(func(c *state) { // with an old list
+				c.restarts++
+				x := c.sources[i]
+				c.sources[i] = Restart(m.config(), x.self, x.start+1, m.first().sources[i].rec, c.clocks[i])
+			})
 		}
 		if s.moves < m.moves && s.sources[i].Leads() {
 			rare(func(c *state) {
@@ -262,7 +270,7 @@
 
 func (m *model) ask(c *state, i int) {
 	id := c.hosts[i].Ask(c.clocks[2+i])
-	g, ok := c.sources[i].Grant(c.clocks[i], id)
+	g, ok := c.sources[i].Grant(c.clocks[i], id, c.hosts[i].known.Term)
 	if m.doctor == quietForgotten && !ok {
 		c.sources[i].grantedAt = c.clocks[i]
 		g, ok = Grant{Ask: id, Lease: lease, Record: c.sources[i].Record()}, true
--- a/region/region.go
+++ b/region/region.go
@@ -14,6 +14,8 @@
 import (
 	"errors"
 	"slices"
+
+	"merlinhitch/plant"
 )
 
 // ID is a region: 0 or 1. Nowhere is the home of a shard that is between two.
@@ -32,6 +34,14 @@
 	Drift float64 // part by which a clock may run fast or slow
 }
 
+// planted is the bounds with the fault that is planted.
+func (c Config) planted() Config {
+	if plant.Is(plant.LeaseNoDrift) {
+		c.Drift = 0
+	}
+	return c
+}
+
 // Home is where a shard is served, and under which generation: the number that goes
 // with every command to its disk servers, which refuse one that is older than the
 // newest they have seen.
@@ -145,7 +155,7 @@
 const keepAsked = 8
 
 // NewHost returns a host that may do nothing yet.
-func NewHost(cfg Config, self ID) *Host { return &Host{cfg: cfg, self: self} }
+func NewHost(cfg Config, self ID) *Host { return &Host{cfg: cfg.planted(), self: self} }
 
 // Ask notes a question to a source; its number goes along.
 func (h *Host) Ask(now float64) uint64 {
--- a/region/region_test.go
+++ b/region/region_test.go
@@ -144,15 +144,15 @@
 			disks(b)
 			b.Heard(now, a.Beat(now))
 			a.Heard(now, b.Beat(now))
-			a.Grant(now, 1)
-			b.Grant(now, 1)
+			a.Grant(now, 1, 0)
+			b.Grant(now, 1, 0)
 		}
 	}
 	talk(1000)
 	least := (cfg.Quiet + cfg.Lease) * (1 + cfg.Drift) / (1 - cfg.Drift)
 	lost := now - 10
 	for ; a.Record().Homes[1].Region != 0; now++ { // the other region is silent
-		a.Grant(now, 1)
+		a.Grant(now, 1, 0)
 		a.Tick(now)
 		if now > lost+2*least {
 			t.Fatal("never taken over")
@@ -185,7 +185,7 @@
 	}
 	b.Lead(now)
 	for end := now + 1000; now < end; now += 10 {
-		b.Grant(now, 1)
+		b.Grant(now, 1, 0)
 		b.Tick(now)
 	}
 	if b.Record().Homes[0].Region != 1 || !b.Leads() {
@@ -292,3 +292,45 @@
 		}
 	}
 }
+
+// A leader that comes back with an old record makes no term and grants nothing until it
+// has heard of the other, nor while a host or a disk server knows more.
+func TestOldRecordDoesNoHarm(t *testing.T) {
+	cfg := Config{Lease: 100, Quiet: 200, Drift: 0.01}
+	rec := Begin(0, []ID{0, 1}, [][2]float64{{0.5, 0.5}})
+	a, now := Restart(cfg, 0, 2, rec, 0), 0.0
+	for ; now < 5000; now += 10 {
+		a.Tick(now)
+		if _, ok := a.Grant(now, 1, 0); ok || a.Record().Term != rec.Term {
+			t.Fatalf("granted, or made a term, at %v", now)
+		}
+	}
+	newer := rec.Clone()
+	newer.Term, newer.Leader, newer.Homes[0] = 5, 1, Home{Region: 1, From: 1, Gen: 2, Moved: 2}
+	b := NewSource(cfg, 1, 1, newer, now)
+	for end := now + 100; now < end; now += 10 {
+		b.Heard(now, a.Beat(now))
+		a.Heard(now, b.Beat(now))
+	}
+	if g, ok := a.Grant(now, 1, 5); !ok || g.Record.Homes[0].Region != 1 {
+		t.Fatalf("after it heard of the other: %+v, %v", g, ok)
+	}
+	for _, tell := range []func(s *Source, now float64){
+		func(s *Source, now float64) { s.Grant(now, 1, 8) },
+		func(s *Source, now float64) { s.Report(now, Copy{Shard: 0, Gen: 3}) },
+	} {
+		a := Restart(cfg, 0, 2, rec, 0)
+		a.Lead(0) // an operator's word: the other is lost
+		if _, ok := a.Grant(50, 1, 0); !ok {
+			t.Fatal("nothing granted on an operator's word")
+		}
+		tell(a, 60)
+		if _, ok := a.Grant(70, 1, 0); ok {
+			t.Fatal("granted although more is known")
+		}
+		a.Lead(80)
+		if g, ok := a.Grant(90, 1, a.Record().Term); !ok || g.Record.Term < 8 && g.Record.Homes[0].Gen < 4 {
+			t.Fatalf("a second word does not help: %+v", g.Record)
+		}
+	}
+}
--- a/region/source.go
+++ b/region/source.go
@@ -45,14 +45,22 @@
 	copies    []Copy    // by shard: the last word on it
 	leftAt    []float64 // by shard: since when it is nowhere
 	given     bool      // an operator gives up what only the lost region has
+	// After a restart with what may be an old record: nothing is granted and no term made
+	// until the other has echoed this run or an operator says so (unsure), nor for a moment
+	// (listenTill) in which hosts and disk servers tell what they know; nor while any of
+	// them is known to know more (seenTerm, seenGen).
+	unsure     bool
+	listenTill float64
+	seenTerm   uint64
+	seenGen    []uint64 // by shard
 }
 
 // NewSource returns a source of a new service, whose record both sources begin with.
 // start tells this run from every other of the source; later runs have greater ones.
 func NewSource(cfg Config, self ID, start uint64, rec Record, now float64) *Source {
-	rec = rec.Clone()
+	rec, cfg = rec.Clone(), cfg.planted()
 	n := len(rec.Homes)
-	return &Source{copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: rec.Clone(), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
+	return &Source{seenGen: make([]uint64, n), copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: rec.Clone(), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
 }
 
 // Restart returns a source that comes back with what it had saved. Its hosts may hold
@@ -60,10 +68,27 @@
 // before it has heard of the other, or, if it leads, before those leases are over.
 func Restart(cfg Config, self ID, start uint64, saved Record, now float64) *Source {
 	s := NewSource(cfg, self, start, saved, now)
-	s.contact, s.adopted = now-2*cfg.Quiet, false
+	s.contact, s.adopted, s.unsure, s.listenTill = now-2*cfg.Quiet, false, true, now+cfg.Lease/listenParts
 	return s
 }
 
+// listenParts is the part of a lease for which a source that came back listens: a host's
+// lease outlasts it, and every host and disk server speaks several times in it.
+const listenParts = 5
+
+// Sure tells whether the source's record is the newest for all it knows.
+func (s *Source) Sure(now float64) bool {
+	if s.unsure || now < s.listenTill || s.seenTerm > s.rec.Term {
+		return false
+	}
+	for i, h := range s.rec.Homes {
+		if s.seenGen[i] > h.Gen {
+			return false
+		}
+	}
+	return true
+}
+
 // Record is what the source holds; it is saved before anything it says goes out.
 func (s *Source) Record() Record { return s.rec.Clone() }
 
@@ -107,8 +132,12 @@
 	return false
 }
 
-// Report takes a disk server's word on its copy.
+// Report takes a disk server's word on its copy; without a state it tells the generation
+// that it knows.
 func (s *Source) Report(now float64, c Copy) {
+	if c.Shard >= 0 && c.Shard < len(s.seenGen) {
+		s.seenGen[c.Shard] = max(s.seenGen[c.Shard], c.Gen)
+	}
 	if s.news(c) {
 		s.copies[c.Shard] = c
 	}
@@ -122,7 +151,7 @@
 	}
 	s.theirs, s.heard = [2]uint64{b.Start, b.Seq}, now
 	if i := slices.IndexFunc(s.sent, func(q question) bool { return b.EchoStart == s.start && q.id == b.EchoSeq }); i >= 0 {
-		s.contact = max(s.contact, s.sent[i].at)
+		s.contact, s.unsure = max(s.contact, s.sent[i].at), false
 		s.sent = slices.Delete(s.sent, 0, i+1)
 	}
 	switch {
@@ -148,12 +177,13 @@
 
 // Grants tells whether the source may grant now.
 func (s *Source) Grants(now float64) bool {
-	return s.Leads() || now < s.contact+s.cfg.Quiet*(1-s.cfg.Drift)
+	return s.Sure(now) && (s.Leads() || now < s.contact+s.cfg.Quiet*(1-s.cfg.Drift))
 }
 
-// Grant answers a host of this region; false if nothing may be granted.
-func (s *Source) Grant(now float64, ask uint64) (Grant, bool) {
-	if !s.Grants(now) {
+// Grant answers a host of this region that knows the record of a term; false if nothing
+// may be granted.
+func (s *Source) Grant(now float64, ask, knows uint64) (Grant, bool) {
+	if s.seenTerm = max(s.seenTerm, knows); !s.Grants(now) {
 		return Grant{}, false
 	}
 	s.grantedAt = now
@@ -182,13 +212,21 @@
 }
 
 // Lead makes this source the leader on an operator's word that the other region is
-// lost, or that its disk servers refuse what is older. What the other had is taken over
-// when its grants have run out.
+// lost, or that its disk servers refuse what is older, and has one that came back lead
+// with what it has. What the other had is taken over when its grants have run out.
 func (s *Source) Lead(now float64) {
-	if s.Leads() {
+	if s.Leads() && s.Sure(now) {
 		return
 	}
-	s.next(func(r *Record) { r.Leader = s.self })
+	s.unsure = false
+	s.next(func(r *Record) {
+		r.Leader = s.self
+		for i := range r.Homes {
+			if h := &r.Homes[i]; s.seenGen[i] > h.Gen {
+				h.Gen, h.Moved = s.seenGen[i]+1, s.seenGen[i]+1
+			}
+		}
+	})
 	s.Tick(now)
 }
 
@@ -218,7 +256,7 @@
 
 // Tick does what has come due; only a leader has anything to do.
 func (s *Source) Tick(now float64) {
-	if !s.Leads() {
+	if !s.Leads() || !s.Sure(now) {
 		return
 	}
 	switch lost := s.lost(now); {
@@ -352,7 +390,7 @@
 // next makes the next term.
 func (s *Source) next(change func(*Record)) {
 	r := s.rec.Clone()
-	r.Term = (r.Term/2+1)*2 + uint64(s.self) // two leaders never make the same
+	r.Term = (max(r.Term, s.seenTerm)/2+1)*2 + uint64(s.self) // two leaders never make the same
 	change(&r)
 	s.rec = r
 	s.granted, s.adopted = s.grantedAt, false
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,6 +11,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -36,9 +37,12 @@
 	Limits                  // no limit passed, over all hosts
 	Order                   // order by key
 	Budget                  // further attempts within the budget
+	// Homes is kept by a service over two regions beside the seven: once a shard was served
+	// in one of them under a generation, nothing is served in the other under an older one.
+	Homes
 )
 
-var names = [...]string{"", "one final answer", "no effect twice", "drains kept", "no cold server pushed over", "limits kept", "order by key", "resends within budget"}
+var names = [...]string{"", "one final answer", "no effect twice", "drains kept", "no cold server pushed over", "limits kept", "order by key", "resends within budget", "one home at a time"}
 
 func (r Rule) String() string { return names[r] }
 
@@ -66,8 +70,8 @@
 	set    *settings.Settings
 	vols   map[string]*settings.Volume
 	plans  map[string]*settings.Plan
-	Checks [8]int
-	Broken [8]int
+	Checks [9]int
+	Broken [9]int
 	Breaks []Break
 
 	conns    map[uint32]*conn
@@ -78,6 +82,7 @@
 	pushes   map[string][]push
 	stores   map[string]*store
 	chains   map[chainKey][]*request
+	served   map[int32][]servedUnder // by shard, where there are two regions
 	last     int64
 	Table    *Table
 	layouts  map[string][]*settings.Volume
@@ -136,6 +141,7 @@
 	req      *request
 	at       int64
 	server   string
+	gen      uint64
 	deadline int64
 	answered bool
 	result   diskproto.Result
@@ -193,7 +199,7 @@
 	c := &Checker{meta: m, set: m.Settings, vols: map[string]*settings.Volume{}, plans: map[string]*settings.Plan{},
 		conns: map[uint32]*conn{}, sessions: map[sessionKey]*conn{}, requests: map[requestKey]*request{},
 		hosts: map[string]*host{}, starts: map[string]int64{}, pushes: map[string][]push{},
-		stores: map[string]*store{}, chains: map[chainKey][]*request{}, layouts: map[string][]*settings.Volume{}, Table: newTable()}
+		served: map[int32][]servedUnder{}, stores: map[string]*store{}, chains: map[chainKey][]*request{}, layouts: map[string][]*settings.Volume{}, Table: newTable()}
 	for i := range c.set.Volumes {
 		c.vols[c.set.Volumes[i].Name] = &c.set.Volumes[i]
 	}
@@ -521,7 +527,7 @@
 	if e.Attempt > 0 {
 		c.budget(e, at)
 	}
-	a := &attempt{req: r, at: e.T, server: e.Peer, deadline: e.Deadline}
+	a := &attempt{req: r, at: e.T, server: e.Peer, deadline: e.Deadline, gen: e.Gen}
 	r.attempts = append(r.attempts, a)
 	k.links[e.Tag] = a
 }
@@ -667,10 +673,12 @@
 
 func (c *Checker) sameGroup(group, a, b string) bool {
 	x, y := c.meta.Servers[a], c.meta.Servers[b]
-	switch group {
-	case "all":
+	switch {
+	case group == "all":
 		return true
-	case "zone":
+	case x.Region != y.Region:
+		return false
+	case group == "zone":
 		return x.Zone == y.Zone
 	}
 	return x.Shard == y.Shard
@@ -831,6 +839,53 @@
 	}
 	if a.result == diskproto.OK || a.result == diskproto.Miscompare {
 		a.req.served = true
+		c.home(a, e.T)
+	}
+}
+
+// servedUnder is the first answer that a shard's server gave under a generation.
+type servedUnder struct {
+	gen    uint64
+	region int
+	at     int64
+}
+
+// Served is when a shard was first served in a region under a generation.
+type Served struct {
+	Shard, Region int
+	Gen           uint64
+	At            int64 // us
+}
+
+// Homes lists where shards were served, each in the order of time.
+func (c *Checker) Homes() (out []Served) {
+	for _, shard := range slices.Sorted(maps.Keys(c.served)) {
+		for _, s := range c.served[shard] {
+			out = append(out, Served{int(shard), s.region, s.gen, s.at})
+		}
+	}
+	return out
+}
+
+// home is rule 8, on each attempt that was served.
+func (c *Checker) home(a *attempt, t int64) {
+	if a.gen == 0 {
+		return
+	}
+	c.Checks[Homes]++
+	at := c.meta.Servers[a.server]
+	list := c.served[int32(at.Shard)]
+	known := false
+	for _, s := range list {
+		known = known || s.gen == a.gen && s.region == at.Region
+		if s.region != at.Region && s.gen >= a.gen && s.at < a.at {
+			c.broke(Break{Rule: Homes, T: t, HostID: a.req.key.host, Seq: a.req.key.seq},
+				"shard %d was served in region %d under generation %d, %.1f ms after region %d had served it under %d",
+				at.Shard, at.Region, a.gen, float64(a.at-s.at)/1000, s.region, s.gen)
+		}
+	}
+	if !known {
+		c.served[int32(at.Shard)] = append(list, servedUnder{a.gen, at.Region, t})
 	}
 }
 
--- a/rules/table.go
+++ b/rules/table.go
@@ -199,7 +199,11 @@
 // Print writes the rules with their checks, and what was broken.
 func (c *Checker) Print(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	for r := Answers; r <= Budget; r++ {
+	last := Budget
+	if c.set.Regions != nil {
+		last = Homes
+	}
+	for r := Answers; r <= last; r++ {
 		verdict := "holds"
 		switch {
 		case c.Broken[r] > 0:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 	"strings"
 
 	"merlinhitch/policy"
+	"merlinhitch/region"
 	"merlinhitch/scsi"
 )
 
@@ -60,6 +61,11 @@
 	Hosts []int   `json:"hosts"` // by host: 0 or 1
 }
 
+// Config is the bounds as package region takes them.
+func (r *Regions) Config() region.Config {
+	return region.Config{Lease: r.Lease, Quiet: r.Quiet, Drift: r.Drift}
+}
+
 // Near lists those of some hosts that are in the same region as one.
 func (s *Settings) Near(self int, hosts []int) []int {
 	if s.Regions == nil {
--- a/standin/copier.go
+++ b/standin/copier.go
@@ -183,10 +183,8 @@
 	c := inventory.NewCaller(d.world, d.Inventory)
 	defer c.Close()
 	for seam.Wait(d.world, reportEach, &d.stopped) {
-		a := inventory.Ask{Op: "copies"}
-		if state, gen, ok := d.machine.cell.Word(d.now()); ok {
-			a.Copies = []region.Copy{{Shard: d.Shard, Gen: gen, State: state}}
-		}
+		state, gen := d.machine.cell.Word(d.now())
+		a := inventory.Ask{Op: "copies", Copies: []region.Copy{{Shard: d.Shard, Gen: gen, State: state}}}
 		l, err := c.Ask(a, reportTime)
 		if err == nil && l.Kind == inventory.Told && d.Shard < len(l.Record.Homes) {
 			d.machine.cell.Learn(l.Record.Homes[d.Shard])
--- a/standin/copies.go
+++ b/standin/copies.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/plant"
 	"merlinhitch/region"
 	"merlinhitch/scsi"
 )
@@ -127,6 +128,8 @@
 	switch {
 	case !r.on || c.Unfenced:
 		return true
+	case plant.Is(plant.FenceMissing) && gen < r.gen:
+		return true
 	case gen > r.gen:
 		r.becomes(gen, home)
 	case gen < r.gen || r.side != home || r.closed:
@@ -235,26 +238,28 @@
 	})
 }
 
-// Word is what the home says of its copy; false if there is nothing to say.
-func (c *Cell) Word(now float64) (state region.CopyState, gen uint64, ok bool) {
+// Word is what the cell says of its copy, 0 if there is nothing to say, and the generation
+// that it knows.
+func (c *Cell) Word(now float64) (state region.CopyState, gen uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := &c.rep
 	has := r.joined && r.copied >= r.at.Seq
 	switch {
 	case r.side != home:
-		return 0, 0, false
+	case r.closed && has:
+		state = region.Drained
 	case r.closed:
-		return region.Drained, r.gen, has
 	case r.alone && has:
 		r.alone, r.wholeFor = false, r.gen // from here on nothing is answered alone
-		return region.Whole, r.gen, true
+		state = region.Whole
 	case r.alone:
-		return 0, 0, false
-	case r.saidSo:
-		return region.Whole, r.gen, r.wholeFor == r.gen
+	case r.saidSo && r.wholeFor == r.gen:
+		state = region.Whole
+	case len(r.waits) > 0 && now-r.waits[0].since > behindAfter:
+		state = region.Behind
 	}
-	return region.Behind, r.gen, len(r.waits) > 0 && now-r.waits[0].since > behindAfter
+	return state, r.gen
 }
 
 // Home tells whether the cell is its shard's home, and under which generation.
--- a/standin/diskserver.go
+++ b/standin/diskserver.go
@@ -298,6 +298,7 @@
 
 // fall tells every host before the process ends for good.
 func (d *DiskServer) fall() {
+	d.stopped.Open()
 	d.mu.Lock()
 	for _, o := range d.conns.All() {
 		o.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindBye, fellOver, nil) })
--- /dev/null
+++ b/standin/links.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"merlinhitch/seam"
+)
+
+// Way is the state of the way from one program to another. On a real socket nothing can
+// be lost without the kernel sending it again, so what is lost comes late, as it would by
+// a link that drops packets.
+type Way struct {
+	Delay time.Duration
+	Loss  float64 // part of what is sent that must be sent again
+	Cut   bool    // nothing passes until it is whole again
+}
+
+// Links are the ways between programs on loopback: each program has a World of its own,
+// whose connections go through relays that delay, drop and cut.
+type Links struct {
+	world  seam.World
+	mu     sync.Mutex
+	owner  map[string]string // program that listens at an address
+	ways   map[[2]string]*way
+	relays map[[2]string]*Relay // by who dials, and the address
+	rng    *rand.Rand
+}
+
+type way struct {
+	Way
+	whole *seam.Gate // while it is cut
+}
+
+// NewLinks returns links that are whole.
+func NewLinks(w seam.World, seed uint64) *Links {
+	return &Links{world: w, owner: map[string]string{}, ways: map[[2]string]*way{}, relays: map[[2]string]*Relay{}, rng: rand.New(rand.NewPCG(seed, 9))}
+}
+
+// Process is the world as the program of that name has it.
+func (l *Links) Process(name string) seam.World { return &linked{l.world, l, name} }
+
+// Lead says that an address leads to another.
+func (l *Links) Lead(addr, target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owner[addr] = l.owner[target]
+}
+
+// Set changes the way from one program to another.
+func (l *Links) Set(from, to string, s Way) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.way(from, to)
+	w.Way = s
+	switch {
+	case s.Cut && w.whole == nil:
+		w.whole = &seam.Gate{}
+	case !s.Cut && w.whole != nil:
+		w.whole.Open()
+		w.whole = nil
+	}
+}
+
+// way is the state of a way. Held: mu.
+func (l *Links) way(from, to string) *way {
+	k := [2]string{from, to}
+	if l.ways[k] == nil {
+		l.ways[k] = &way{}
+	}
+	return l.ways[k]
+}
+
+// pass waits until what is sent from one program to another has come through; false if
+// over opens first.
+func (l *Links) pass(from, to string, over *seam.Gate) bool {
+	l.mu.Lock()
+	w := l.way(from, to)
+	whole, late := w.whole, w.Delay
+	for again := lostAgain; w.Loss > 0 && l.rng.Float64() < w.Loss; again = min(2*again, lostMost) {
+		late += again
+	}
+	l.mu.Unlock()
+	for whole != nil {
+		seam.WaitAny(l.world, whole, over)
+		if over.Opened() {
+			return false
+		}
+		l.mu.Lock()
+		whole = w.whole // it may be cut again already
+		l.mu.Unlock()
+	}
+	return late == 0 || seam.Wait(l.world, late, over)
+}
+
+// Times after which what was lost is sent again (RFC 6298 section 5.5).
+const (
+	lostAgain = 200 * time.Millisecond
+	lostMost  = 3 * time.Second
+)
+
+// Close ends the relays.
+func (l *Links) Close() {
+	l.mu.Lock()
+	relays := l.relays
+	l.relays = nil
+	l.mu.Unlock()
+	for _, r := range relays {
+		r.Close()
+	}
+}
+
+// relay is where a program dials an address.
+func (l *Links) relay(from, addr string) (string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	to, ok := l.owner[addr]
+	if !ok || l.relays == nil {
+		return addr, nil
+	}
+	k := [2]string{from, addr}
+	if r := l.relays[k]; r != nil {
+		return r.Addr, nil
+	}
+	r, err := ServeRelay(l.world, addr, nil)
+	if err != nil {
+		return "", err
+	}
+	r.pass = func(up bool, over *seam.Gate) bool {
+		if up {
+			return l.pass(from, to, over)
+		}
+		return l.pass(to, from, over)
+	}
+	l.relays[k] = r
+	return r.Addr, nil
+}
+
+// linked is a program's world.
+type linked struct {
+	seam.World
+	links *Links
+	name  string
+}
+
+// Listen implements seam.World.
+func (p *linked) Listen(network, address string) (net.Listener, error) {
+	n, err := p.World.Listen(network, address)
+	if err == nil {
+		p.links.mu.Lock()
+		p.links.owner[n.Addr().String()] = p.name
+		p.links.mu.Unlock()
+	}
+	return n, err
+}
+
+// Dial implements seam.World.
+func (p *linked) Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
+	at, err := p.links.relay(p.name, address)
+	if err != nil {
+		return nil, err
+	}
+	return p.World.Dial(ctx, network, at, within)
+}
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -21,7 +21,10 @@
 	mu     sync.Mutex
 	conns  seam.Roster[net.Conn]
 	dead   bool
+	over   seam.Gate
 	tasks  seam.Group
+	// pass, if set, waits until what is to go on that way may; false if the relay ended.
+	pass func(up bool, over *seam.Gate) bool
 }
 
 const (
@@ -29,7 +32,7 @@
 	relayDial  = 2 * time.Second
 )
 
-// ServeRelay starts a relay to target; tap makes what reads a connection.
+// ServeRelay starts a relay to target; tap, if any, makes what reads a connection.
 func ServeRelay(w seam.World, target string, tap func(addr string) *Tap) (*Relay, error) {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -85,18 +88,24 @@
 		return
 	}
 	defer r.drop(s)
-	t := r.tap(r.Addr)
+	var t *Tap
+	if r.tap != nil {
+		t = r.tap(r.Addr)
+	}
 	var both seam.Group
-	both.Go(r.world, func() { pump(t, s, c, true) })
-	both.Go(r.world, func() { pump(t, c, s, false) })
+	both.Go(r.world, func() { r.pump(t, s, c, true) })
+	both.Go(r.world, func() { r.pump(t, c, s, false) })
 	both.Wait(r.world)
 }
 
 // pump passes bytes from src to dst. The side that ends first is noted.
-func pump(t *Tap, dst, src net.Conn, up bool) {
+func (r *Relay) pump(t *Tap, dst, src net.Conn, up bool) {
 	buf := make([]byte, relayChunk)
 	for {
 		n, err := src.Read(buf)
+		if r.pass != nil && !r.pass(up, &r.over) {
+			break
+		}
 		if n > 0 {
 			t.Bytes(up, buf[:n])
 			if _, werr := dst.Write(buf[:n]); werr != nil {
@@ -125,6 +134,7 @@
 
 // Close ends the relay and every connection through it.
 func (r *Relay) Close() {
+	r.over.Open()
 	r.l.Close()
 	r.mu.Lock()
 	r.dead = true
--- a/standin/source.go
+++ b/standin/source.go
@@ -167,9 +167,13 @@
 	rec := src.Record()
 	switch {
 	case a.Op == "lease":
-		g, ok := src.Grant(now, a.Ask)
+		g, ok := src.Grant(now, a.Ask, a.From)
 		if !ok {
-			return inventory.List{Kind: inventory.Refused, Reason: "the other region has not been heard of for too long"}
+			reason := "the other region has not been heard of for too long"
+			if !src.Sure(now) {
+				reason = "this source came back, or something knows more than it: it waits for the other region's, or an operator's word"
+			}
+			return inventory.List{Kind: inventory.Refused, Reason: reason}
 		}
 		return inventory.List{Kind: inventory.Granted, Grant: &g}
 	case a.Op == "beat":
@@ -212,3 +216,10 @@
 	}
 	return s
 }
+
+// Saved is a copy of what the inventory keeps.
+func (v *Inventory) Saved() *Saved {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.reg.saved.Clone()
+}
--- a/standin/tap.go
+++ b/standin/tap.go
@@ -51,8 +51,11 @@
 	t.rec.Add(e)
 }
 
-// Bytes takes what passes; up from the side that dialled.
+// Bytes takes what passes; up from the side that dialled. No tap hears nothing.
 func (t *Tap) Bytes(up bool, b []byte) {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
@@ -71,6 +74,9 @@
 
 // Closed notes which side ended the connection, once.
 func (t *Tap) Closed(up bool) {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.closed {
@@ -314,7 +320,7 @@
 			return []trail.Event{{Kind: trail.Broken, Detail: err.Error()}}
 		}
 		e.Kind, e.Op, e.Effect, e.Attempt, e.Shard = trail.Do, scsi.Op(m.Op).String(), int32(m.Effect), uint32(m.Attempt), int32(m.Shard)
-		e.Seq, e.Deadline, e.Units, e.Volume, e.Key = m.Seq, int64(m.Deadline), m.Units, m.Volume, m.Key
+		e.Seq, e.Deadline, e.Units, e.Volume, e.Key, e.Gen = m.Seq, int64(m.Deadline), m.Units, m.Volume, m.Key, m.Gen
 		e.LBA, e.Blocks, e.Length = m.LBA, m.Blocks, uint32(len(m.Data))
 		e.Session, e.Ref = uint32(m.Origin>>32), uint32(m.Origin)
 	case diskproto.KindAnswer:
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -79,6 +79,7 @@
 	Shard    int32   `parquet:"shard"`
 	Units    float64 `parquet:"units"`
 	Key      string  `parquet:"key,dict"`
+	Gen      uint64  `parquet:"gen"`      // of the shard's home, as the host knows it
 	Deadline int64   `parquet:"deadline"` // us of the same clock
 	Dropped  bool    `parquet:"dropped"`
 	Detail   string  `parquet:"detail,dict"` // of a list: its line
@@ -91,6 +92,8 @@
 	Zone  string  `json:"zone"`
 	Rack  string  `json:"rack"`
 	Rate  float64 `json:"rate"` // units a second that it can do when warm
+	// Region is where it is, in a service over two.
+	Region int `json:"region,omitempty"`
 }
 
 // Meta is what a reader must know beside the events.
--- a/world/lint_test.go
+++ b/world/lint_test.go
@@ -17,7 +17,7 @@
 var cores = map[string][]string{
 	"policy": nil, "iscsi": nil, "scsi": nil, "reserve": nil, "diskproto": nil, "announce": nil, "rates": nil, "rules": nil,
 	"placement": nil, "plan": nil, "region": nil,
-	"bgp": {"speaker.go"}, "inventory": {"client.go"},
+	"bgp": {"speaker.go"}, "inventory": {"client.go", "caller.go"},
 }
 
 // shells run in the world: all that they do to the outside goes through the seam.
--- a/world/process.go
+++ b/world/process.go
@@ -22,6 +22,7 @@
 	conns   []*conn
 	ports   []*listener
 	skew    time.Duration // what its clock is ahead
+	pace    float64       // seconds of its clock in one
 	stalled bool
 	dead    bool
 	// Cores is what Processors tells; at least 1.
@@ -33,13 +34,21 @@
 
 // Process starts a process.
 func (w *World) Process(name string) *Process {
-	p := &Process{w: w, name: name, id: uint64(len(w.procs)), Cores: 2, rng: rand.New(rand.NewPCG(w.seed, xxhash.Sum64String(name)))}
+	p := &Process{w: w, name: name, id: uint64(len(w.procs)), Cores: 2, pace: 1, rng: rand.New(rand.NewPCG(w.seed, xxhash.Sum64String(name)))}
 	w.procs = append(w.procs, p)
 	return p
 }
 
 // Now implements seam.World.
-func (p *Process) Now() time.Duration { return p.w.now + p.skew }
+func (p *Process) Now() time.Duration {
+	if p.pace == 1 {
+		return p.w.now + p.skew
+	}
+	return time.Duration(float64(p.w.now)*p.pace) + p.skew
+}
+
+// Pace has the process's clock run at so many times the world's, from its start on.
+func (p *Process) Pace(x float64) { p.pace = x }
 
 // epoch is when every world begins.
 var epoch = time.Unix(1_000_000_000, 0)
@@ -94,6 +103,9 @@
 // AfterFunc implements seam.World.
 func (p *Process) AfterFunc(d time.Duration, f func()) seam.Timer {
 	t := &timer{p: p, f: f}
+	if p.pace != 1 {
+		d = time.Duration(float64(d)/p.pace) + 1 // no earlier than its clock shows
+	}
 	p.w.push(event{at: p.w.now + max(d, 0), timer: t})
 	return t
 }
