Clients notice an inventory that is gone without a word; lists of two runs never mix

A region lost with its power left hosts waiting for ever at a watch that nobody answered; they now ask again each second and give up after three. A list that came back from long ago was told as a change to what a later run had said: generations and stamps now carry the run.

--- a/cmd/merlinhitch/explore.go
+++ b/cmd/merlinhitch/explore.go
@@ -24,6 +24,7 @@
 	Servers  int     `default:"9" help:"Disk servers, in three halls."`
 	Seconds  float64 `default:"60" help:"Virtual seconds during which clients ask."`
 	Rate     float64 `default:"120" help:"Commands a second, in the mean of an ordinary day."`
+	Regions  bool    `help:"A service over two regions, with its troubles."`
 	Swarm    bool    `default:"true" negatable:"" help:"A subset of the kinds of trouble for each seed; otherwise all on each."`
 	Parallel int     `help:"Scenes at once; by default as many as processors."`
 	Stop     bool    `help:"Stop at the first failure."`
@@ -39,7 +40,7 @@
 	}
 	begin := time.Now()
 	sum, err := lab.Explore(ctx, lab.Exploration{First: c.First, Seeds: c.Seeds, Hosts: c.Hosts, Servers: c.Servers, Rate: c.Rate,
-		Span: time.Duration(c.Seconds * float64(time.Second)), Swarm: c.Swarm, Parallel: c.Parallel, StopAtFirst: c.Stop, Out: c.Out}, os.Stderr)
+		Span: time.Duration(c.Seconds * float64(time.Second)), Swarm: c.Swarm, Regions: c.Regions, Parallel: c.Parallel, StopAtFirst: c.Stop, Out: c.Out}, os.Stderr)
 	if err != nil {
 		return err
 	}
@@ -53,6 +54,9 @@
 		list = append(list, fmt.Sprintf("%s %d", k, sum.Kinds[k]))
 	}
 	fmt.Println("troubles:", strings.Join(list, ", "))
+	if c.Regions {
+		sum.PrintRegions(os.Stdout)
+	}
 	for _, s := range sum.Failures {
 		fmt.Printf("seed %d: %s\n", s.Seed, s.Failure)
 	}
--- a/inventory/client.go
+++ b/inventory/client.go
@@ -35,6 +35,8 @@
 	dialTime   = 2 * time.Second
 	againAfter = 200 * time.Millisecond
 	againMost  = 2 * time.Second
+	watchEach  = time.Second
+	silentMost = 3500 * time.Millisecond // three questions without an answer
 )
 
 // Follow starts to follow the list at addr.
@@ -112,19 +114,40 @@
 	if closed {
 		return false
 	}
-	if _, err := conn.Write(Line(Ask{Op: "watch", From: c.gen})); err != nil {
+	if !c.watch(conn) {
 		return false
 	}
 	r := bufio.NewReader(conn)
 	for {
+		conn.SetReadDeadline(c.world.Deadline(silentMost))
 		var l List
 		if ReadLine(r, &l) != nil || l.Check() != nil {
 			return heard
 		}
 		heard = true
 		if l.Kind != Failed {
+			c.mu.Lock()
 			c.gen = l.Generation
+			c.mu.Unlock()
 		}
-		c.Told(l)
+		if l.Kind != Delta || len(l.Nodes) > 0 {
+			c.Told(l)
+		}
+	}
+}
+
+// watch asks for what the client lacks, and goes on asking as long as the connection is
+// the present one: an inventory that is gone without a word is found out by that.
+func (c *Client) watch(conn net.Conn) bool {
+	c.mu.Lock()
+	ask, now := Line(Ask{Op: "watch", From: c.gen}), c.conn == conn
+	c.mu.Unlock()
+	if !now {
+		return false
+	}
+	if _, err := conn.Write(ask); err != nil {
+		return false
 	}
+	c.world.AfterFunc(watchEach, func() { c.watch(conn) })
+	return true
 }
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -55,7 +55,7 @@
 	Ask    uint64        `json:"ask,omitempty"` // of a lease
 	Copies []region.Copy `json:"copies,omitempty"`
 	Beat   *region.Beat  `json:"beat,omitempty"`
-	Known  [2]uint64     `json:"known,omitzero"` // of a beat: the last stamps of each region's list
+	Known  [2]uint64     `json:"known,omitzero"`  // of a beat: the last stamps of each region's list
 	Shard  int           `json:"shard,omitempty"` // of a move; of a share the limit
 	To     region.ID     `json:"to,omitempty"`
 	Parts  [2]float64    `json:"parts,omitzero"`
@@ -213,9 +213,11 @@
 	changes []change
 	gen     uint64
 	// Of a service over two regions: what entries of this book's own are stamped with.
-	owned bool
-	own   region.ID
-	stamp uint64
+	owned  bool
+	own    region.ID
+	stamp  uint64
+	missed bool   // what earlier runs did after this book was put by may be known elsewhere
+	floor  uint64 // generations before it are of earlier runs, which this book may not know
 }
 
 type change struct {
@@ -229,7 +231,11 @@
 // Own makes the book that of a region's source in its present run, which no earlier run
 // had a greater number than: every change made here from now on is later than all of
 // earlier runs.
-func (b *Book) Own(r region.ID, start uint64) { b.owned, b.own, b.stamp = true, r, start<<32 }
+func (b *Book) Own(r region.ID, start uint64) {
+	b.owned, b.own, b.stamp = true, r, start<<32
+	b.gen = max(b.gen, start<<32)
+	b.floor, b.changes, b.missed = b.gen, nil, true
+}
 
 // Generation is the number of the last change.
 func (b *Book) Generation() uint64 { return b.gen }
@@ -280,8 +286,15 @@
 	return news
 }
 
-// Stamps are the latest stamps of each region's entries.
+// CaughtUp notes that all was merged that another book has.
+func (b *Book) CaughtUp() { b.missed = false }
+
+// Stamps are the latest stamps of each region's entries: another book need not tell them
+// again. A new run wants to be told everything once.
 func (b *Book) Stamps() (out [2]uint64) {
+	if b.missed {
+		return out
+	}
 	for _, n := range b.nodes {
 		out[n.Region] = max(out[n.Region], n.Stamp)
 	}
@@ -301,14 +314,14 @@
 
 // Clone is a copy that shares nothing.
 func (b *Book) Clone() *Book {
-	return &Book{nodes: maps.Clone(b.nodes), since: maps.Clone(b.since), changes: slices.Clone(b.changes), gen: b.gen}
+	return &Book{nodes: maps.Clone(b.nodes), since: maps.Clone(b.since), changes: slices.Clone(b.changes), gen: b.gen, floor: b.floor, missed: b.missed}
 }
 
 // List is what a client that knows the list up to that generation is to be told:
 // the changes, or all where they are no longer known. Nodes that are gone stay
 // out of full lists.
 func (b *Book) List(from uint64, now float64) List {
-	if from > 0 && from <= b.gen && (len(b.changes) == 0 || from+1 >= b.changes[0].gen) {
+	if from > 0 && from >= b.floor && from <= b.gen && (len(b.changes) == 0 || from+1 >= b.changes[0].gen) {
 		l := List{Kind: Delta, Generation: b.gen}
 		seen := map[string]bool{}
 		for _, c := range b.changes {
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"strings"
 	"testing"
+
+	"merlinhitch/region"
 )
 
 // A client that applies what it is told, from any generation on, has the list.
@@ -106,3 +108,106 @@
 		}
 	})
 }
+
+// Two books of two regions that tell each other what they lack agree, whatever was put by
+// and came back; a client that knew a later list than the one that came back hears all of
+// it, and nothing that an earlier run said outranks what is said now.
+func TestBooksOfTwoRegions(t *testing.T) {
+	books := [2]*Book{NewBook(), NewBook()}
+	for r := range books {
+		books[r].Own(region.ID(r), 1)
+	}
+	have, known := map[string]string{}, uint64(0) // a client of region 0
+	hear := func(l List) {
+		if l.Kind == Full {
+			clear(have)
+		}
+		for _, n := range l.Nodes {
+			if have[n.Addr] = n.Health; n.Health == Gone {
+				delete(have, n.Addr)
+			}
+		}
+		known = l.Generation
+	}
+	exchange := func() {
+		for r, b := range books {
+			b.Merge(books[1-r].Since(b.Stamps(), 0), 0)
+			b.CaughtUp()
+		}
+	}
+	var putBy *Book
+	for step := range 400 {
+		r := step % 2
+		b := books[r]
+		addr := fmt.Sprintf("n%d.%d", step*7%10, r)
+		switch step % 5 {
+		case 0, 1, 2:
+			b.Set(Node{Addr: addr, Health: Ready}, 0)
+		case 3:
+			b.Health(addr, Draining)
+		default:
+			b.Health(addr, Gone)
+		}
+		switch step {
+		case 100:
+			putBy = books[0].Clone()
+		case 301: // back with a list of long ago, and a change at once
+			books[0] = putBy
+			books[0].Own(0, 2)
+			books[0].Set(Node{Addr: "n0.0", Health: Draining}, 0)
+		}
+		if step%3 == 0 {
+			exchange()
+			hear(books[0].List(known, 0))
+		}
+		if step == 303 && have["n0.0"] != Draining {
+			t.Fatal("what was said by an earlier run outranks the present")
+		}
+	}
+	exchange()
+	hear(books[0].List(known, 0))
+	full := func(b *Book) string { return string(Line(b.List(0, 0).Nodes)) }
+	if full(books[0]) != full(books[1]) {
+		t.Errorf("the books differ:\n%s%s", full(books[0]), full(books[1]))
+	}
+	want := map[string]string{}
+	for _, n := range books[0].List(0, 0).Nodes {
+		want[n.Addr] = n.Health
+	}
+	if fmt.Sprint(have) != fmt.Sprint(want) {
+		t.Errorf("the client has %v, want %v", have, want)
+	}
+}
+
+func TestRecordsAreChecked(t *testing.T) {
+	good := region.Begin(0, []region.ID{0, 1}, [][2]float64{{0.5, 0.5}})
+	if l := (List{Kind: Told, Record: &good}); l.Check() != nil {
+		t.Fatal("a good record is refused:", l.Check())
+	}
+	for _, spoil := range []func(r *region.Record){
+		func(r *region.Record) { r.Leader = 2 },
+		func(r *region.Record) { r.Homes[0].Region = 7 },
+		func(r *region.Record) { r.Homes[1].From = -3 },
+		func(r *region.Record) { r.Homes[0].Region = 1 },
+		func(r *region.Record) { r.Homes[0].Moved = 9 },
+		func(r *region.Record) { r.Shares[0] = [2]float64{0.6, 0.6} },
+		func(r *region.Record) { r.Split[0] = [2]float64{-1, 0} },
+		func(r *region.Record) { r.Split = nil },
+	} {
+		r := good.Clone()
+		spoil(&r)
+		for _, l := range []List{{Kind: Told, Record: &r}, {Kind: Granted, Grant: &region.Grant{Record: r}}, {Kind: Heard, Beat: &region.Beat{Record: r}}} {
+			if l.Check() == nil {
+				t.Errorf("taken: %+v", r)
+			}
+		}
+	}
+	for _, l := range []List{{Kind: Told}, {Kind: Granted}, {Kind: Heard}, {Kind: Granted, Grant: &region.Grant{Lease: -1, Record: good}}} {
+		if l.Check() == nil {
+			t.Errorf("taken: %+v", l)
+		}
+	}
+	if (&Ask{Op: "beat"}).Check() == nil || (&Ask{Op: "move", To: 3}).Check() == nil {
+		t.Error("a beat without one, or a third region, is taken")
+	}
+}
--- a/lab/explore.go
+++ b/lab/explore.go
@@ -166,8 +166,13 @@
 			which = append(which, k)
 		}
 	}
-	return Scene{Seed: seed, Hosts: hosts, Servers: servers, Commands: int(span.Seconds() * rate), Rate: rate, Regions: true,
-		Script: drawScript(which, rng, span*2/3)}
+	script := drawScript(which, rng, span*2/3)
+	for i := range script { // long enough for leases to run out
+		if regionKinds[script[i].Kind] != nil {
+			script[i].Len *= 2
+		}
+	}
+	return Scene{Seed: seed, Hosts: hosts, Servers: servers, Commands: int(span.Seconds() * rate), Rate: rate, Regions: true, Script: script}
 }
 
 // Play plays a scene to its end or to its first failure. keep, if any, is a file for
--- a/lab/regionday.go
+++ b/lab/regionday.go
@@ -1,7 +1,10 @@
 package lab
 
 import (
+	"fmt"
+	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"merlinhitch/inventory"
@@ -217,3 +220,17 @@
 	}
 	return out
 }
+
+// PrintRegions writes what an exploration showed of regions.
+func (e *Explored) PrintRegions(w io.Writer) {
+	slices.Sort(e.Outages)
+	at := func(q float64) float64 {
+		if len(e.Outages) == 0 {
+			return 0
+		}
+		return e.Outages[int(q*float64(len(e.Outages)-1))].Seconds()
+	}
+	fmt.Fprintf(w, "%d shards of lost regions were taken over: not served for %.1f s at the least, %.1f s in the median, %.1f s at the 90th percentile, %.1f s at the most\n",
+		len(e.Outages), at(0), at(0.5), at(0.9), at(1))
+	fmt.Fprintf(w, "%d writes lost that were acknowledged before their copy; operators said lead %d and return %d times\n", e.Lost, e.Said["lead"], e.Said["return"])
+}
--- a/standin/source.go
+++ b/standin/source.go
@@ -82,6 +82,7 @@
 		}
 		v.mu.Lock()
 		v.heard(l.Beat, l.Nodes)
+		v.book.CaughtUp()
 		v.mu.Unlock()
 	}
 }
