--- a/region/region.go
+++ b/region/region.go
@@ -13,6 +13,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 
 	"merlinhitch/plant"
@@ -49,15 +50,19 @@
 	Region ID     `json:"region"`
 	From   ID     `json:"from"` // whose cell has all that was ever answered; Region, where that is one
 	Prefer ID     `json:"prefer"`
-	Gen    uint64 `json:"gen"`
+	Gen    uint64 `json:"gen"`   // the term that made it so
 	Moved  uint64 `json:"moved"` // the generation under which it came to From
 	// Alone: the home may answer writes that the other region's cell does not have. Then
-	// that cell can't take its place without a loss.
-	Alone bool `json:"alone,omitempty"`
+	// that cell can't take its place without a loss. Leaving: it is about to, once the
+	// other region knows of it.
+	Alone   bool `json:"alone,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Record is what both sources hold in one order, that of its terms. One source leads:
-// it alone makes terms.
+// it alone makes terms. A term's upper half counts the words by which operators had a
+// region lead, even for region 0: what a lost leader made unheard of is older than
+// whatever the next one makes.
 type Record struct {
 	Term   uint64       `json:"term"`
 	Leader ID           `json:"leader"`
@@ -69,13 +74,20 @@
 // Begin is the record of a new service: each shard at the home it prefers, each limit
 // split as said.
 func Begin(leader ID, homes []ID, split [][2]float64) Record {
-	r := Record{Term: 2, Leader: leader, Shares: slices.Clone(split), Split: slices.Clone(split)}
+	r := Record{Term: uint64(leader)<<half | 1, Leader: leader, Shares: slices.Clone(split), Split: slices.Clone(split)}
 	for _, h := range homes {
-		r.Homes = append(r.Homes, Home{Region: h, From: h, Prefer: h, Gen: 1, Moved: 1})
+		r.Homes = append(r.Homes, Home{Region: h, From: h, Prefer: h, Gen: r.Term, Moved: r.Term})
 	}
 	return r
 }
 
+// half is the bits of a term's lower half.
+const half = 32
+
+// TermText is a term, or a generation, as people read it: the word that had its region
+// lead, and its number.
+func TermText(t uint64) string { return fmt.Sprintf("%d.%d", t>>half, t&(1<<half-1)) }
+
 // Clone is a copy that shares nothing.
 func (r Record) Clone() Record {
 	r.Homes, r.Shares, r.Split = slices.Clone(r.Homes), slices.Clone(r.Shares), slices.Clone(r.Split)
--- a/region/source.go
+++ b/region/source.go
@@ -53,6 +53,7 @@
 	listenTill float64
 	seenTerm   uint64
 	seenGen    []uint64 // by shard
+	ahead      []uint64 // by shard: a generation that the other's disk servers know
 }
 
 // NewSource returns a source of a new service, whose record both sources begin with.
@@ -60,7 +61,7 @@
 func NewSource(cfg Config, self ID, start uint64, rec Record, now float64) *Source {
 	rec, cfg = rec.Clone(), cfg.planted()
 	n := len(rec.Homes)
-	return &Source{seenGen: make([]uint64, n), copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: rec.Clone(), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
+	return &Source{seenGen: make([]uint64, n), ahead: make([]uint64, n), copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: rec.Clone(), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
 }
 
 // Restart returns a source that comes back with what it had saved. Its hosts may hold
@@ -112,6 +113,11 @@
 			out = append(out, c)
 		}
 	}
+	for i, h := range s.rec.Homes { // a term that was never heard of: its leader was lost with it
+		if s.seenGen[i] > h.Gen && h.From == s.self {
+			out = append(out, Copy{Shard: i, Gen: s.seenGen[i]})
+		}
+	}
 	return out
 }
 
@@ -123,7 +129,7 @@
 	h := s.rec.Homes[c.Shard]
 	switch c.State {
 	case Behind:
-		return !h.Alone && h.Region != Nowhere
+		return !h.Alone && !h.Leaving && h.Region != Nowhere
 	case Whole:
 		return h.Alone && h.Region != Nowhere
 	case Drained:
@@ -161,8 +167,11 @@
 		s.adopted, s.adoptedAt = true, now
 	}
 	for _, c := range b.Copies {
-		if s.news(c) {
+		switch {
+		case s.news(c):
 			s.copies[c.Shard] = c
+		case c.Shard >= 0 && c.Shard < len(s.ahead):
+			s.ahead[c.Shard] = max(s.ahead[c.Shard], c.Gen)
 		}
 	}
 	s.Tick(now)
@@ -219,11 +228,12 @@
 		return
 	}
 	s.unsure = false
+	word := max(s.rec.Term, s.seenTerm, slices.Max(append(s.seenGen, 0))) >> half
 	s.next(func(r *Record) {
-		r.Leader = s.self
+		r.Leader, r.Term = s.self, ((word/2+1)*2+uint64(s.self))<<half
 		for i := range r.Homes {
 			if h := &r.Homes[i]; s.seenGen[i] > h.Gen {
-				h.Gen, h.Moved = s.seenGen[i]+1, s.seenGen[i]+1
+				h.Gen, h.Moved = r.Term, r.Term
 			}
 		}
 	})
@@ -267,6 +277,7 @@
 		copy(s.want.Shares, s.want.Split) // the other spends its part again
 	}
 	s.copied()
+	s.alone(now)
 	s.retreat(now)
 	if s.clear(now) || plant.Is(plant.ShareEarly) {
 		s.advance(now)
@@ -285,20 +296,45 @@
 	}
 }
 
-// copied makes a term of what disk servers said of their copies. A home that is to answer
-// alone does so under a new generation, so that no word of an older one counts.
+// copied makes a term of what disk servers said of their copies.
 func (s *Source) copied() {
-	if !slices.ContainsFunc(s.copies, func(c Copy) bool { return c.State != Drained && s.news(c) }) {
+	further := func(i int) bool { return s.ahead[i] > s.rec.Homes[i].Gen && s.rec.Homes[i].From != s.self }
+	any := slices.ContainsFunc(s.copies, func(c Copy) bool { return c.State != Drained && s.news(c) })
+	for i := range s.ahead {
+		any = any || further(i)
+	}
+	if !any {
 		return
 	}
 	s.next(func(r *Record) {
+		for i := range r.Homes { // what it did under that generation may have been alone
+			if further(i) {
+				h := &r.Homes[i]
+				h.Gen, h.Alone, h.Leaving = r.Term, true, false
+			}
+		}
 		for i, c := range s.copies {
 			if c.State == Drained || !s.news(c) {
 				continue
 			}
-			h := &r.Homes[i]
-			if h.Alone = c.State == Behind; h.Alone {
-				h.Gen++
+			if h := &r.Homes[i]; h.Gen == c.Gen {
+				h.Alone, h.Leaving = false, c.State == Behind
+			}
+		}
+	})
+}
+
+// alone lets homes answer alone that are about to, once the other region knows that its
+// cells must not take their place, or has been silent for long. They do so under a new
+// generation, so that no word on their copies of an older one counts.
+func (s *Source) alone(now float64) {
+	if !s.adopted && now < s.heard+s.cfg.Quiet || !slices.ContainsFunc(s.rec.Homes, func(h Home) bool { return h.Leaving }) {
+		return
+	}
+	s.next(func(r *Record) {
+		for i := range r.Homes {
+			if h := &r.Homes[i]; h.Leaving {
+				h.Leaving, h.Alone, h.Gen = false, true, r.Term
 			}
 		}
 	})
@@ -308,7 +344,7 @@
 // everything, unless that is given up.
 func (s *Source) leaves(i int) bool {
 	h := s.rec.Homes[i]
-	return h.Region != Nowhere && h.Region != s.want.Homes[i].Region && (!h.Alone || s.silent && s.given)
+	return h.Region != Nowhere && h.Region != s.want.Homes[i].Region && (!h.Alone && !h.Leaving || s.silent && s.given)
 }
 
 // retreat makes a term without what somebody is to give up.
@@ -326,7 +362,7 @@
 	s.next(func(r *Record) {
 		for i := range r.Homes {
 			if s.leaves(i) {
-				r.Homes[i].Region, s.leftAt[i] = Nowhere, now
+				r.Homes[i].Region, r.Homes[i].Leaving, s.leftAt[i] = Nowhere, false, now
 			}
 		}
 		for i := range r.Shares {
@@ -377,9 +413,9 @@
 	s.next(func(r *Record) {
 		for _, i := range come {
 			h, to := &r.Homes[i], s.want.Homes[i].Region
-			h.Gen++
+			h.Gen = r.Term
 			if to != h.From {
-				h.Moved, h.Alone = h.Gen, s.silent
+				h.Moved, h.Alone = r.Term, s.silent
 			}
 			h.Region, h.From = to, to
 		}
@@ -390,7 +426,7 @@
 // next makes the next term.
 func (s *Source) next(change func(*Record)) {
 	r := s.rec.Clone()
-	r.Term = (max(r.Term, s.seenTerm)/2+1)*2 + uint64(s.self) // two leaders never make the same
+	r.Term++ // in its upper half nobody else does
 	change(&r)
 	s.rec = r
 	s.granted, s.adopted = s.grantedAt, false
--- a/standin/source.go
+++ b/standin/source.go
@@ -131,13 +131,15 @@
 		case h.Region == region.Nowhere && o.Region != h.Region:
 			say("shard %d leaves region %d: every lease on it runs out first", i, h.From)
 		case h.Region != o.Region && h.From != o.From && h.Alone:
-			say("shard %d is at home in region %d under generation %d, alone: the other region is lost", i, h.Region, h.Gen)
+			say("shard %d is at home in region %d under generation %s, alone: the other region is lost", i, h.Region, region.TermText(h.Gen))
 		case h.Region != o.Region && h.From != o.From:
-			say("shard %d is at home in region %d under generation %d: moved, with all that its copy had", i, h.Region, h.Gen)
+			say("shard %d is at home in region %d under generation %s: moved, with all that its copy had", i, h.Region, region.TermText(h.Gen))
 		case h.Region != o.Region:
-			say("shard %d is at home in region %d again under generation %d", i, h.Region, h.Gen)
+			say("shard %d is at home in region %d again under generation %s", i, h.Region, region.TermText(h.Gen))
 		case h.Alone && !o.Alone:
-			say("shard %d answers alone under generation %d: its copy can't be reached", i, h.Gen)
+			say("shard %d answers alone under generation %s: its copy can't be reached", i, region.TermText(h.Gen))
+		case h.Leaving && !o.Leaving:
+			say("shard %d is to answer alone once the other region knows", i)
 		case !h.Alone && o.Alone:
 			say("shard %d: its copy has everything again", i)
 		}
