What came back with an old list learns from disk servers whose shard it is

Disk servers tell whether they are a shard's home under the generation that they know; a word to lead goes by that where a record is older, and the leader takes over what only a lost leader had decided.

--- a/lab/regionday.go
+++ b/lab/regionday.go
@@ -140,6 +140,7 @@
 	f       *Fleet
 	lostAt  [2]time.Duration // since when a region is gone; 0: it is not
 	calmAt  time.Duration
+	stuckAt time.Duration // since when no inventory grants although both are there
 	Said    map[string]int
 	returns bool // shards are brought back to where they prefer to be
 }
@@ -160,6 +161,8 @@
 			o.lostAt[r] = now
 		}
 	}
+	grants, there := false, 0
+	defer func() { o.stuck(now, grants, there) }()
 	for r := range 2 {
 		if o.lostAt[r] != 0 {
 			continue
@@ -168,6 +171,8 @@
 		if err != nil || l.Kind != inventory.Told || l.Status == nil {
 			continue
 		}
+		there++
+		grants = grants || l.Status.Grants
 		other := 1 - r
 		// A region that was cut off before it was lost may have answered alone: better wait.
 		heard := time.Duration(l.Status.HeardMS*float64(time.Millisecond))-(now-o.lostAt[other]) < heardUntil
@@ -180,6 +185,20 @@
 	}
 }
 
+// stuck has a region lead where both are there for long and neither grants: what came back
+// with an old list can't know that there is no newer one.
+func (o *operator) stuck(now time.Duration, grants bool, there int) {
+	switch {
+	case grants || there < 2:
+		o.stuckAt = 0
+	case o.stuckAt == 0:
+		o.stuckAt = now
+	case now-o.stuckAt > 3*operatorWaits:
+		o.stuckAt = 0
+		o.say(0, "lead")
+	}
+}
+
 // bringBack has shards return after some calm.
 func (o *operator) bringBack(now time.Duration, r int, l *inventory.List) {
 	away := false
--- a/region/model_test.go
+++ b/region/model_test.go
@@ -91,6 +91,7 @@
 	for i := range 2 {
 		x := *s.sources[i]
 		x.rec, x.want, x.sent = x.rec.Clone(), x.want.Clone(), append([]question(nil), x.sent...)
+		x.seenHome = append([]ID(nil), x.seenHome...)
 		x.seenGen, x.ahead = append([]uint64(nil), x.seenGen...), append([]uint64(nil), x.ahead...)
 		x.copies, x.leftAt = append([]Copy(nil), x.copies...), append([]float64(nil), x.leftAt...)
 		c.sources[i] = &x
@@ -133,7 +134,7 @@
 		put(near(x.contact, now), near(x.heard, now), near(x.adoptedAt, now), near(x.granted, now), near(x.grantedAt, now))
 		flag(x.adopted)
 		flag(x.unsure)
-		put(near(x.listenTill, now), float64(x.seenTerm), float64(x.seenGen[0]), float64(x.ahead[0]))
+		put(near(x.listenTill, now), float64(x.seenTerm), float64(x.seenGen[0]), float64(x.ahead[0]), float64(x.seenHome[0]))
 		flag(x.silent)
 		put(float64(x.copies[0].State), float64(x.copies[0].Gen), near(x.leftAt[0], now))
 		for _, q := range x.sent {
@@ -227,7 +228,7 @@
 		}
 		for i, x := range c.sources {
 			if h := x.rec.Homes[0]; h.Region == Nowhere && h.From == x.self { // its disk server
-				x.Report(c.clocks[i], Copy{0, h.Gen, Drained})
+				x.Report(c.clocks[i], Copy{Shard: 0, Gen: h.Gen, State: Drained})
 			}
 			x.Tick(c.clocks[i])
 			c.send(m.air, message{kind: 0, to: ID(1 - i), beat: x.Beat(c.clocks[i])})
--- a/region/region.go
+++ b/region/region.go
@@ -135,7 +135,8 @@
 type Copy struct {
 	Shard int       `json:"shard"`
 	Gen   uint64    `json:"gen"`
-	State CopyState `json:"state"`
+	State CopyState `json:"state,omitempty"`
+	Home  bool      `json:"home,omitempty"` // it is the home under Gen, not the copy
 }
 
 // Grant is what a source tells a host that asked.
--- a/region/region_test.go
+++ b/region/region_test.go
@@ -132,9 +132,9 @@
 			switch {
 			case h.From != s.self:
 			case h.Region == Nowhere:
-				s.Report(now, Copy{i, h.Gen, Drained})
+				s.Report(now, Copy{Shard: i, Gen: h.Gen, State: Drained})
 			case h.Alone:
-				s.Report(now, Copy{i, h.Gen, Whole})
+				s.Report(now, Copy{Shard: i, Gen: h.Gen, State: Whole})
 			}
 		}
 	}
@@ -218,8 +218,9 @@
 	}
 	a, b := service()
 	talk(a, b, 100)
-	b.Report(now, Copy{0, 1, Behind})
-	b.Report(now, Copy{0, 7, Whole}) // of no generation there is
+	b.Report(now, Copy{Shard: 0, Gen: 1, State: Behind})
+	b.Report(now, Copy{Shard: 0, Gen: 0, State: Whole}) // of a generation long past
+	b.Report(now, Copy{Shard: 9, Gen: 1, State: Whole}) // of no shard there is
 	talk(a, b, 50)
 	if h := b.Record().Homes[0]; !h.Alone || h.Gen == 1 {
 		t.Fatalf("a home whose copy is lost: %+v", h)
@@ -278,9 +279,9 @@
 				switch h := s.Record().Homes[0]; {
 				case h.From != s.self:
 				case h.Region == Nowhere:
-					s.Report(now, Copy{0, h.Gen, Drained})
+					s.Report(now, Copy{Shard: 0, Gen: h.Gen, State: Drained})
 				case h.Alone:
-					s.Report(now, Copy{0, h.Gen, Whole})
+					s.Report(now, Copy{Shard: 0, Gen: h.Gen, State: Whole})
 				}
 			}
 			if h := a.Record().Homes[0]; !h.Alone && h.Region == 0 {
@@ -317,7 +318,7 @@
 	}
 	for _, tell := range []func(s *Source, now float64){
 		func(s *Source, now float64) { s.Grant(now, 1, 9<<half) },
-		func(s *Source, now float64) { s.Report(now, Copy{Shard: 0, Gen: 9 << half}) },
+		func(s *Source, now float64) { s.Report(now, Copy{Shard: 0, Gen: 9 << half, Home: true}) },
 	} {
 		a := Restart(cfg, 0, 2, rec, 0)
 		a.Lead(0) // an operator's word: the other is lost
@@ -341,7 +342,7 @@
 	cfg := Config{Lease: 100, Quiet: 200, Drift: 0.01}
 	rec := Begin(0, []ID{0}, nil)
 	a, b, now := NewSource(cfg, 0, 1, rec, 0), NewSource(cfg, 1, 1, rec, 0), 0.0
-	a.Report(0, Copy{0, 1, Behind})
+	a.Report(0, Copy{Shard: 0, Gen: 1, State: Behind})
 	for ; now < 300; now += 10 {
 		a.Tick(now)
 	}
@@ -352,7 +353,7 @@
 	b.Lead(now) // and the shard's home is not heard of: its region comes back
 	a = Restart(cfg, 0, 2, a.Record(), now)
 	for end := now + 150; now < end; now += 10 {
-		a.Report(now, Copy{Shard: 0, Gen: alone.Gen})
+		a.Report(now, Copy{Shard: 0, Gen: alone.Gen, Home: true})
 		b.Heard(now, a.Beat(now))
 		a.Heard(now, b.Beat(now))
 	}
--- a/region/source.go
+++ b/region/source.go
@@ -53,6 +53,7 @@
 	listenTill float64
 	seenTerm   uint64
 	seenGen    []uint64 // by shard
+	seenHome   []ID     // whose home it is under that
 	ahead      []uint64 // by shard: a generation that the other's disk servers know
 }
 
@@ -61,7 +62,16 @@
 func NewSource(cfg Config, self ID, start uint64, rec Record, now float64) *Source {
 	rec, cfg = rec.Clone(), cfg.planted()
 	n := len(rec.Homes)
-	return &Source{seenGen: make([]uint64, n), ahead: make([]uint64, n), copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: rec.Clone(), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
+	return &Source{seenGen: make([]uint64, n), seenHome: make([]ID, n), ahead: make([]uint64, n), copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: wants(rec), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
+}
+
+// wants is a record as it stands, with a home for what has none: its last.
+func wants(r Record) Record {
+	r = r.Clone()
+	for i := range r.Homes {
+		r.Homes[i].Region = r.Homes[i].From
+	}
+	return r
 }
 
 // Restart returns a source that comes back with what it had saved. Its hosts may hold
@@ -105,22 +115,29 @@
 
 // words are what disk servers of this region said that the leader has still to hear.
 func (s *Source) words() (out []Copy) {
-	if s.Leads() {
-		return nil
-	}
 	for _, c := range s.copies {
-		if c.Gen > 0 && s.news(c) {
+		if c.Gen > 0 && s.news(c) && !s.Leads() {
 			out = append(out, c)
 		}
 	}
 	for i, h := range s.rec.Homes { // a term that was never heard of: its leader was lost with it
-		if s.seenGen[i] > h.Gen && h.From == s.self {
-			out = append(out, Copy{Shard: i, Gen: s.seenGen[i]})
+		if s.seenGen[i] > h.Gen {
+			out = append(out, Copy{Shard: i, Gen: s.seenGen[i], Home: s.seenHome[i] == s.self})
 		}
 	}
 	return out
 }
 
+// saw notes a generation that a disk server of that region knows, and whose home it is.
+func (s *Source) saw(c Copy, by ID) {
+	if c.Shard < 0 || c.Shard >= len(s.seenGen) || c.Gen <= s.seenGen[c.Shard] {
+		return
+	}
+	if s.seenGen[c.Shard], s.seenHome[c.Shard] = c.Gen, by; !c.Home {
+		s.seenHome[c.Shard] = by.Other()
+	}
+}
+
 // news tells whether a word on a copy is of the present record and changes it.
 func (s *Source) news(c Copy) bool {
 	if c.Shard < 0 || c.Shard >= len(s.rec.Homes) || c.Gen != s.rec.Homes[c.Shard].Gen {
@@ -141,9 +158,7 @@
 // Report takes a disk server's word on its copy; without a state it tells the generation
 // that it knows.
 func (s *Source) Report(now float64, c Copy) {
-	if c.Shard >= 0 && c.Shard < len(s.seenGen) {
-		s.seenGen[c.Shard] = max(s.seenGen[c.Shard], c.Gen)
-	}
+	s.saw(c, s.self)
 	if s.news(c) {
 		s.copies[c.Shard] = c
 	}
@@ -170,16 +185,17 @@
 		switch {
 		case s.news(c):
 			s.copies[c.Shard] = c
-		case c.Shard >= 0 && c.Shard < len(s.ahead):
+		case c.Shard >= 0 && c.Shard < len(s.ahead) && c.Home:
 			s.ahead[c.Shard] = max(s.ahead[c.Shard], c.Gen)
 		}
+		s.saw(c, s.self.Other())
 	}
 	s.Tick(now)
 }
 
 // adopt takes a newer record.
 func (s *Source) adopt(now float64, r Record) {
-	s.rec, s.want = r.Clone(), r.Clone()
+	s.rec, s.want = r.Clone(), wants(r)
 	s.granted = s.grantedAt
 	s.adopted, s.adoptedAt, s.silent = true, now, false
 }
@@ -220,23 +236,29 @@
 	s.Tick(now)
 }
 
-// Lead makes this source the leader on an operator's word that the other region is
-// lost, or that its disk servers refuse what is older, and has one that came back lead
-// with what it has. What the other had is taken over when its grants have run out.
+// Lead makes this source the leader on an operator's word that the other region is lost,
+// and has one that came back lead with what it has; where disk servers know of later
+// generations than its record, their homes are as they say. What the other had is taken over when its grants have run out.
 func (s *Source) Lead(now float64) {
 	if s.Leads() && s.Sure(now) {
 		return
 	}
 	s.unsure = false
-	word := max(s.rec.Term, s.seenTerm, slices.Max(append(s.seenGen, 0))) >> half
+	word := max(s.rec.Term, s.seenTerm)
+	for _, g := range s.seenGen {
+		word = max(word, g)
+	}
+	word >>= half
 	s.next(func(r *Record) {
 		r.Leader, r.Term = s.self, ((word/2+1)*2+uint64(s.self))<<half
 		for i := range r.Homes {
-			if h := &r.Homes[i]; s.seenGen[i] > h.Gen {
-				h.Gen, h.Moved = r.Term, r.Term
+			if h := &r.Homes[i]; s.seenGen[i] > h.Gen { // disk servers know better where it was
+				home := s.seenHome[i]
+				*h = Home{Region: home, From: home, Prefer: h.Prefer, Gen: r.Term, Moved: r.Term, Alone: true}
 			}
 		}
 	})
+	s.want.Homes = wants(s.rec).Homes
 	s.Tick(now)
 }
 
@@ -266,7 +288,11 @@
 
 // Tick does what has come due; only a leader has anything to do.
 func (s *Source) Tick(now float64) {
-	if !s.Leads() || !s.Sure(now) {
+	if !s.Leads() || s.unsure || now < s.listenTill {
+		return
+	}
+	s.takeWord()
+	if !s.Sure(now) {
 		return
 	}
 	switch lost := s.lost(now); {
@@ -296,10 +322,14 @@
 	}
 }
 
-// copied makes a term of what disk servers said of their copies.
-func (s *Source) copied() {
-	further := func(i int) bool { return s.ahead[i] > s.rec.Homes[i].Gen && s.rec.Homes[i].From != s.self }
-	any := slices.ContainsFunc(s.copies, func(c Copy) bool { return c.State != Drained && s.news(c) })
+// takeWord makes a term of generations that the other region's disk servers know and nobody
+// else: those of a leader that was lost. What homes there did under them may have been alone.
+func (s *Source) takeWord() {
+	further := func(i int) bool {
+		h := s.rec.Homes[i]
+		return s.ahead[i] > h.Gen && h.From != s.self && h.Region != Nowhere
+	}
+	any := false
 	for i := range s.ahead {
 		any = any || further(i)
 	}
@@ -307,12 +337,21 @@
 		return
 	}
 	s.next(func(r *Record) {
-		for i := range r.Homes { // what it did under that generation may have been alone
+		for i := range r.Homes {
 			if further(i) {
 				h := &r.Homes[i]
 				h.Gen, h.Alone, h.Leaving = r.Term, true, false
 			}
 		}
+	})
+}
+
+// copied makes a term of what disk servers said of their copies.
+func (s *Source) copied() {
+	if !slices.ContainsFunc(s.copies, func(c Copy) bool { return c.State != Drained && s.news(c) }) {
+		return
+	}
+	s.next(func(r *Record) {
 		for i, c := range s.copies {
 			if c.State == Drained || !s.news(c) {
 				continue
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -156,6 +156,7 @@
 	takenAt []int64
 	resent  []int64
 	diedAt  int64
+	ended   bool    // it was killed: what it had dialled may still open
 	lost    []Break // commands dropped by the host, unless it died
 	still   []span  // when it stood still
 }
@@ -249,8 +250,8 @@
 	case trail.LinkFault:
 		h := c.host(e.Host)
 		if e.Kind == trail.Died {
-			if h.diedAt == 0 { // once
-				h.diedAt = e.T
+			if !h.ended { // once
+				h.diedAt, h.ended = e.T, true
 			}
 			break
 		}
@@ -899,7 +900,9 @@
 			h.diedAt = e.T // the host's end closed; it comes again if it lives
 		}
 	case trail.Open:
-		h.diedAt = 0
+		if !h.ended {
+			h.diedAt = 0
+		}
 	case trail.List:
 		var l inventory.List
 		if json.Unmarshal([]byte(e.Detail), &l) == nil {
--- a/standin/copier.go
+++ b/standin/copier.go
@@ -183,8 +183,9 @@
 	c := inventory.NewCaller(d.world, d.Inventory)
 	defer c.Close()
 	for seam.Wait(d.world, reportEach, &d.stopped) {
-		state, gen := d.machine.cell.Word(d.now())
-		a := inventory.Ask{Op: "copies", Copies: []region.Copy{{Shard: d.Shard, Gen: gen, State: state}}}
+		word := d.machine.cell.Word(d.now())
+		word.Shard = d.Shard
+		a := inventory.Ask{Op: "copies", Copies: []region.Copy{word}}
 		l, err := c.Ask(a, reportTime)
 		if err == nil && l.Kind == inventory.Told && d.Shard < len(l.Record.Homes) {
 			d.machine.cell.Learn(l.Record.Homes[d.Shard])
--- a/standin/copies.go
+++ b/standin/copies.go
@@ -238,28 +238,29 @@
 	})
 }
 
-// Word is what the cell says of its copy, 0 if there is nothing to say, and the generation
-// that it knows.
-func (c *Cell) Word(now float64) (state region.CopyState, gen uint64) {
+// Word is what the cell says of its copy, if there is anything to say, and under which
+// generation it is what.
+func (c *Cell) Word(now float64) (out region.Copy) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := &c.rep
 	has := r.joined && r.copied >= r.at.Seq
+	out.Gen, out.Home = r.gen, r.side == home
 	switch {
 	case r.side != home:
 	case r.closed && has:
-		state = region.Drained
+		out.State = region.Drained
 	case r.closed:
 	case r.alone && has:
 		r.alone, r.wholeFor = false, r.gen // from here on nothing is answered alone
-		state = region.Whole
+		out.State = region.Whole
 	case r.alone:
 	case r.saidSo && r.wholeFor == r.gen:
-		state = region.Whole
+		out.State = region.Whole
 	case len(r.waits) > 0 && now-r.waits[0].since > behindAfter:
-		state = region.Behind
+		out.State = region.Behind
 	}
-	return state, r.gen
+	return out
 }
 
 // Home tells whether the cell is its shard's home, and under which generation.
--- a/standin/source.go
+++ b/standin/source.go
@@ -37,7 +37,11 @@
 	return &Saved{Record: s.Record.Clone(), Book: s.Book.Clone(), Starts: s.Starts}
 }
 
-const keepHistory = 64
+const (
+	keepHistory = 64
+	// neverHeard is told as the time since the other was heard while it was not in this run.
+	neverHeard = 24 * 3600 * 1000
+)
 
 // ServeRegion starts the inventory of one of two regions; other is the address of the
 // other's. start is greater than that of every earlier run; in saved is what an earlier
@@ -54,7 +58,7 @@
 		v.book = inventory.NewBook()
 		g.src = region.NewSource(cfg, self, start, saved.Record, now)
 	} else {
-		v.book = saved.Book.Clone()
+		v.book, g.heardAt = saved.Book.Clone(), now-neverHeard
 		g.src = region.Restart(cfg, self, start, saved.Record, now)
 	}
 	v.book.Own(self, start)
