A source that came back is no contact until it has listened

Region 1 granted as soon as a leader that came back with an old list had echoed it, before that leader's disk servers had told it of later generations.

--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -79,7 +79,7 @@
 type Status struct {
 	Region  region.ID `json:"region"`
 	Grants  bool      `json:"grants"`
-	HeardMS float64   `json:"heard_ms"` // ago, of the other
+	HeardMS float64   `json:"heard_ms"` // since the other was certainly alive
 	History []Event   `json:"history"`  // the last changes, oldest first
 }
 
--- a/region/source.go
+++ b/region/source.go
@@ -12,6 +12,7 @@
 	Seq       uint64 `json:"seq"`   // and its beat in that
 	EchoStart uint64 `json:"echo_start"`
 	EchoSeq   uint64 `json:"echo_seq"` // the newest of the receiver that the sender has heard
+	Sure      bool   `json:"sure"`     // see Source.Sure
 	Record    Record `json:"record"`
 	Copies    []Copy `json:"copies,omitempty"` // what disk servers said there
 }
@@ -46,15 +47,16 @@
 	leftAt    []float64 // by shard: since when it is nowhere
 	given     bool      // an operator gives up what only the lost region has
 	// After a restart with what may be an old record: nothing is granted and no term made
-	// until the other has echoed this run or an operator says so (unsure), nor for a moment
-	// (listenTill) in which hosts and disk servers tell what they know; nor while any of
-	// them is known to know more (seenTerm, seenGen).
-	unsure     bool
-	listenTill float64
-	seenTerm   uint64
-	seenGen    []uint64 // by shard
-	seenHome   []ID     // whose home it is under that
-	ahead      []uint64 // by shard: a generation that the other's disk servers know
+	// until the other has echoed this run or an operator says so (unsure), nor while it
+	// listens to what hosts and disk servers know (silentDisks: those that have not spoken),
+	// nor while any of them is known to know more (seenTerm, seenGen).
+	unsure      bool
+	listenFrom  float64
+	silentDisks map[int]bool
+	seenTerm    uint64
+	seenGen     []uint64 // by shard
+	seenHome    []ID     // whose home it is under that
+	ahead       []uint64 // by shard: a generation that the other's disk servers know
 }
 
 // NewSource returns a source of a new service, whose record both sources begin with.
@@ -79,17 +81,42 @@
 // before it has heard of the other, or, if it leads, before those leases are over.
 func Restart(cfg Config, self ID, start uint64, saved Record, now float64) *Source {
 	s := NewSource(cfg, self, start, saved, now)
-	s.contact, s.adopted, s.unsure, s.listenTill = now-2*cfg.Quiet, false, true, now+cfg.Lease/listenParts
+	s.contact, s.adopted, s.unsure, s.listenFrom = now-never, false, true, now
+	s.silentDisks = make(map[int]bool, len(saved.Homes))
+	for i := range saved.Homes {
+		s.silentDisks[i] = true
+	}
 	return s
 }
 
-// listenParts is the part of a lease for which a source that came back listens: a host's
-// lease outlasts it, and every host and disk server speaks several times in it.
+// listens tells whether a source that came back still waits for hosts and disk servers to
+// tell what they know: for a while that every host speaks in, and until every shard's disk
+// server here has spoken, but no longer than a lease.
+func (s *Source) listens(now float64) bool {
+	if s.silentDisks == nil {
+		return false
+	}
+	age := now - s.listenFrom
+	if age >= s.cfg.Lease || len(s.silentDisks) == 0 && age >= s.cfg.Lease/listenParts {
+		s.silentDisks = nil
+	}
+	return s.silentDisks != nil
+}
+
+// never is told as the time since a source had contact that it never had, ms.
+const never = 1e9
+
+// Contact is when the other region's source was alive for certain: when the newest beat
+// was sent that it has echoed. A beat of its own may come long after it was sent.
+func (s *Source) Contact() float64 { return s.contact }
+
+// listenParts is the part of a lease for which a source that came back listens at the
+// least: every host speaks in it.
 const listenParts = 5
 
 // Sure tells whether the source's record is the newest for all it knows.
 func (s *Source) Sure(now float64) bool {
-	if s.unsure || now < s.listenTill || s.seenTerm > s.rec.Term {
+	if s.unsure || s.listens(now) || s.seenTerm > s.rec.Term {
 		return false
 	}
 	for i, h := range s.rec.Homes {
@@ -110,7 +137,7 @@
 func (s *Source) Beat(now float64) Beat {
 	s.seq++
 	s.sent = remember(s.sent, question{s.seq, now}, s.cfg.Quiet)
-	return Beat{Start: s.start, Seq: s.seq, EchoStart: s.theirs[0], EchoSeq: s.theirs[1], Record: s.rec.Clone(), Copies: s.words()}
+	return Beat{Start: s.start, Seq: s.seq, EchoStart: s.theirs[0], EchoSeq: s.theirs[1], Sure: s.Sure(now), Record: s.rec.Clone(), Copies: s.words()}
 }
 
 // words are what disk servers of this region said that the leader has still to hear.
@@ -158,6 +185,7 @@
 // Report takes a disk server's word on its copy; without a state it tells the generation
 // that it knows.
 func (s *Source) Report(now float64, c Copy) {
+	delete(s.silentDisks, c.Shard)
 	s.saw(c, s.self)
 	if s.news(c) {
 		s.copies[c.Shard] = c
@@ -172,7 +200,9 @@
 	}
 	s.theirs, s.heard = [2]uint64{b.Start, b.Seq}, now
 	if i := slices.IndexFunc(s.sent, func(q question) bool { return b.EchoStart == s.start && q.id == b.EchoSeq }); i >= 0 {
-		s.contact, s.unsure = max(s.contact, s.sent[i].at), false
+		if s.unsure = false; b.Sure { // what grants by it must know no less
+			s.contact = max(s.contact, s.sent[i].at)
+		}
 		s.sent = slices.Delete(s.sent, 0, i+1)
 	}
 	switch {
@@ -288,7 +318,7 @@
 
 // Tick does what has come due; only a leader has anything to do.
 func (s *Source) Tick(now float64) {
-	if !s.Leads() || s.unsure || now < s.listenTill {
+	if !s.Leads() || s.unsure || s.listens(now) {
 		return
 	}
 	s.takeWord()
