--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -28,6 +28,7 @@
 	Conform      conformCmd      `cmd:"" help:"Hold a target to SPC-4, SBC-3 and RFC 7143, check by check."`
 	Bench        benchCmd        `cmd:"" help:"Measure the gateway beside a bare relay over the same hops."`
 	Plan         planCmd         `cmd:"" help:"Work out which volume lies on which nodes."`
+	Regions      regionsCmd      `cmd:"" help:"A service over two regions: who serves what, operators' words, and its days."`
 	Routes       routesCmd       `cmd:"" help:"Show what a gateway announces, to which routers, and why."`
 	Announce     announceCmd     `cmd:"" help:"Measure announcements."`
 	Trail        trailCmd        `cmd:"" help:"Check or read the trail of a day."`
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -50,6 +50,8 @@
 	// lateBy is how much later than its time a command may still take effect once its
 	// client has lost it, for what stands still on the way.
 	lateBy time.Duration
+	// fixedShares has parts of limits never move between regions.
+	fixedShares bool
 }
 
 // Result of a day.
@@ -211,6 +213,9 @@
 	var over seam.Gate
 	if d.fleet.Set.Regions != nil {
 		d.putBy = d.fleet.PutBy()
+		if d.opt.Progress != nil {
+			fmt.Fprintf(d.opt.Progress, "inventories of regions 0 and 1: %s %s\n", at(&d.fleet.invs[0].where), at(&d.fleet.invs[1].where))
+		}
 		d.operator = &operator{f: d.fleet, Said: map[string]int{}, returns: true}
 		d.fleet.World.Go(func() { d.operator.run(&over) })
 	}
--- a/lab/explore.go
+++ b/lab/explore.go
@@ -41,6 +41,9 @@
 	// Regions has the service run over two.
 	Regions bool `json:"regions,omitempty"`
 
+	change  func(*settings.Settings)          // what else is not the example's
+	fixed   bool                              // parts of limits never move
+	heard   func(*trail.Event)                // is told what passes
 	ended   func(at, took int64, served bool) // see rules.Table
 	Failure *Failure                          `json:"failure,omitempty"` // that it ends with
 	Digest  uint64                            `json:"digest,omitempty"`
@@ -152,6 +155,9 @@
 		Script: drawScript(which, rng, span*2/3)}
 }
 
+// shadows are the troubles that are drawn close to those of regions.
+var shadows = []string{"disk_stall", "slow", "link_cut", "host_stall"}
+
 // DrawRegions makes a scene of a service over two regions from a seed: one to three
 // troubles of regions, and some of the others.
 func DrawRegions(seed uint64, hosts, servers int, span time.Duration, rate float64) Scene {
@@ -172,6 +178,13 @@
 			script[i].Len *= 2
 		}
 	}
+	// What stands still as leases run out shows what relies on its being quick.
+	for _, t := range script {
+		if regionKinds[t.Kind] != nil && rng.IntN(2) == 0 {
+			script = append(script, Strike{Kind: shadows[rng.IntN(len(shadows))], At: t.At + time.Duration(rng.Float64()*9*float64(time.Second)),
+				Len: time.Duration((2 + 6*rng.Float64()) * float64(time.Second)), Seed: rng.Uint64()})
+		}
+	}
 	return Scene{Seed: seed, Hosts: hosts, Servers: servers, Commands: int(span.Seconds() * rate), Rate: rate, Regions: true, Script: script}
 }
 
@@ -197,7 +210,7 @@
 	out := &Outcome{Scene: s}
 	var fleet *Fleet
 	opt := Options{Seed: s.Seed, Commands: s.Commands, Rate: s.Rate, Hosts: s.Hosts, Servers: s.Servers, Script: s.Script, Log: zap.NewNop(),
-		lateBy: standMost}
+		lateBy: standMost, fixedShares: s.fixed}
 	if s.Regions {
 		opt.lateBy = 2 * standMost
 	}
@@ -207,7 +220,12 @@
 	opt.live = func(f *Fleet) *rules.Checker {
 		fleet, out.Check = f, rules.New(f.Meta)
 		out.Check.Table.Ended = s.ended
-		f.Rec.Tell(func(e *trail.Event) { out.hear(w, e) }, keep != "")
+		f.Rec.Tell(func(e *trail.Event) {
+			if s.heard != nil {
+				s.heard(e)
+			}
+			out.hear(w, e)
+		}, keep != "")
 		return out.Check
 	}
 	var res *Result
@@ -241,7 +259,11 @@
 // settings are the scene's: the example's with small blocks, its figures and its layout.
 func (s Scene) settings() (*settings.Settings, error) {
 	if s.Regions {
-		return withFigures(RegionSettings(s.Hosts, s.Servers), s.Figures)
+		set := RegionSettings(s.Hosts, s.Servers)
+		if s.change != nil {
+			s.change(set)
+		}
+		return withFigures(set, s.Figures)
 	}
 	set := SmallBlocks(settings.Example(s.Hosts, s.Servers))
 	for i := range set.Volumes {
@@ -466,7 +488,8 @@
 	Rate           float64
 	Swarm          bool
 	Planted        string
-	Regions        bool // scenes of a service over two
+	Regions        bool                    // scenes of a service over two
+	Draw           func(seed uint64) Scene // in place of those that are drawn
 	Parallel       int
 	StopAtFirst    bool
 	Out            string // folder for the scenes that fail, or none
@@ -505,7 +528,10 @@
 					return
 				}
 				s := Draw(seed, x.Hosts, x.Servers, x.Span, x.Rate, x.Swarm)
-				if x.Regions {
+				switch {
+				case x.Draw != nil:
+					s = x.Draw(seed)
+				case x.Regions:
 					s = DrawRegions(seed, x.Hosts, x.Servers, x.Span, x.Rate)
 				}
 				s.Planted = x.Planted
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -51,6 +51,7 @@
 	ran    map[effectKey]bool // keyed and unsafe requests that took effect, in either region
 	again  int
 	gone   [2]bool   // regions that are lost as a whole
+	fixed  bool      // parts of limits never move
 	calm   world.Net // of the ways between regions
 	losses []Loss
 	// counting guards what effects are counted in: disk servers call with locks held.
@@ -121,7 +122,7 @@
 func NewFleet(w seam.World, at site, s *settings.Settings, cfg standin.MachineConfig, opt Options) (*Fleet, error) {
 	seed := opt.Seed
 	f := &Fleet{World: w, site: at, Set: s, now: s, log: opt.Log, cfg: cfg, seed: seed,
-		Rec:  trail.NewRecorder(func() int64 { return int64(w.Now() / time.Microsecond) }),
+		fixed: opt.fixedShares, Rec: trail.NewRecorder(func() int64 { return int64(w.Now() / time.Microsecond) }),
 		Meta: &trail.Meta{Settings: s, Servers: map[string]trail.Server{}, Seed: seed}}
 	sizes, rates := map[string]int{}, map[string]float64{}
 	for i := range s.Volumes {
--- a/lab/regionday.go
+++ b/lab/regionday.go
@@ -1,12 +1,15 @@
 package lab
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"merlinhitch/inventory"
 	"merlinhitch/region"
 	"merlinhitch/rules"
@@ -21,6 +24,7 @@
 	"region_loss_two": regionLossTwice,
 	"region_cut":      regionCut,
 	"region_half":     regionHalf,
+	"region_hosts":    regionHosts,
 	"region_one_way":  regionOneWay,
 	"region_slow":     regionSlow,
 	"inventory_cut":   inventoryCut,
@@ -73,6 +77,15 @@
 	d.across(len, true, true, world.Net{Delay: late, Jitter: late})
 }
 
+// regionHosts ends every host of the region that leads as the day begins.
+func regionHosts(d *day, _ *rand.Rand, len time.Duration) {
+	for i := range d.fleet.hosts {
+		if d.fleet.regionOf(i) == 0 {
+			d.fleet.KillHost(i, len)
+		}
+	}
+}
+
 // across changes the ways between the regions for a while.
 func (d *day) across(len time.Duration, there, back bool, n world.Net) {
 	set := func(n world.Net) {
@@ -258,3 +271,42 @@
 		len(e.Outages), at(0), at(0.5), at(0.9), at(1))
 	fmt.Fprintf(w, "%d writes lost that were acknowledged before their copy; operators said lead %d and return %d times\n", e.Lost, e.Said["lead"], e.Said["return"])
 }
+
+// EveryRegionTrouble is a day with each trouble of regions in turn, so long each and with
+// so much calm between them.
+func EveryRegionTrouble(each, calm time.Duration, seed uint64) (script []Strike, span time.Duration) {
+	rng := rand.New(rand.NewPCG(seed, 23))
+	span = calm / 2
+	for _, k := range RegionKinds() {
+		script = append(script, Strike{Kind: k, At: span, Len: each, Seed: rng.Uint64()})
+		span += each + calm
+	}
+	return script, span
+}
+
+// RegionDay plays a day of a service over two regions on loopback.
+func RegionDay(ctx context.Context, opt Options) (*Result, error) {
+	if opt.Log == nil {
+		opt.Log = zap.NewNop()
+	}
+	if opt.Settings == nil {
+		opt.Settings = RegionSettings(opt.Hosts, opt.Servers)
+	}
+	w := seam.NewReal()
+	links := standin.NewLinks(w, opt.Seed)
+	defer links.Close()
+	return playDay(ctx, w, loopback{w, links}, opt.Settings, opt)
+}
+
+// PrintRegions writes what a day of two regions showed of them.
+func (r *Result) PrintRegions(w io.Writer) {
+	e := &Explored{Outages: outages(r), Lost: r.Lost, Said: r.Said}
+	e.PrintRegions(w)
+	writes := 0
+	for k, row := range r.Check.Table.Rows {
+		if k.Class == "txn-write" || k.Class == "claim-write" {
+			writes += row.Asked
+		}
+	}
+	fmt.Fprintf(w, "%d keyed writes asked for, %d took effect more than once at the disk servers of both regions\n", writes, r.Repeats)
+}
--- a/lab/regions.go
+++ b/lab/regions.go
@@ -116,7 +116,15 @@
 	// One clock runs fast and one slow, by what the bound leaves.
 	f.site.pace(p.world, 1+(0.9-1.8*float64(p.region))*regionDrift)
 	other := f.invs[1-p.region]
-	inv, err := standin.ServeRegion(p.world, "127.0.0.1:0", listLate, f.Set.Regions.Config(), region.ID(p.region), uint64(p.starts), p.saved, func() string { return at(&other.where) })
+	cfg := f.Set.Regions.Config()
+	cfg.Fixed = f.fixed
+	serve := func(addr string) (*standin.Inventory, error) {
+		return standin.ServeRegion(p.world, addr, listLate, cfg, region.ID(p.region), uint64(p.starts), p.saved, func() string { return at(&other.where) })
+	}
+	inv, err := serve(cmp.Or(at(&p.where), "127.0.0.1:0"))
+	if err != nil { // somebody else has the port that it had
+		inv, err = serve("127.0.0.1:0")
+	}
 	if err != nil {
 		return err
 	}
--- a/lab/site.go
+++ b/lab/site.go
@@ -60,14 +60,14 @@
 func (loopback) crash(seam.World, bool) bool { return false }
 func (loopback) remains() bool               { return true }
 func (loopback) admin() string               { return "127.0.0.1:0" }
-func (l loopback) wire(target string, _ bool, tap func(addr string) *standin.Tap) (wire, error) {
+func (l loopback) wire(target string, byDialler bool, tap func(addr string) *standin.Tap) (wire, error) {
+	if byDialler && l.links != nil {
+		return l.links.Wire(target, tap), nil
+	}
 	r, err := standin.ServeRelay(l.World, target, tap)
 	if err != nil {
 		return nil, err // not a wire that holds no relay
 	}
-	if l.links != nil {
-		l.links.Lead(r.Addr, target)
-	}
 	return r, nil
 }
 
--- a/lab/virtual_test.go
+++ b/lab/virtual_test.go
@@ -301,16 +301,22 @@
 	if !plant.Possible {
 		t.Skip("needs the build tag planted")
 	}
-	for _, name := range plant.All {
+	for _, name := range append(slices.Clone(plant.All), plant.OfRegions...) {
 		t.Run(name, func(t *testing.T) {
 			plant.Set(name)
 			defer plant.Set("")
-			span := 30 * time.Second
-			if name == plant.LimitMisread {
-				span *= 2 // a volume must stay above its limit until its burst is spent
+			x := Exploration{First: 1, Seeds: 200, Hosts: 3, Servers: 9, Span: 30 * time.Second, Rate: 300, Swarm: true,
+				Planted: name, Parallel: 4, StopAtFirst: true}
+			switch {
+			case slices.Contains(plant.OfRegions, name):
+				x.Regions, x.Hosts, x.Servers, x.Span, x.Rate = true, 4, 8, time.Minute, 120
+				if name == plant.LeaseNoDrift {
+					x.Draw = leaderWithoutHosts
+				}
+			case name == plant.LimitMisread:
+				x.Span *= 2 // a volume must stay above its limit until its burst is spent
 			}
-			sum, err := Explore(context.Background(), Exploration{First: 1, Seeds: 200, Hosts: 3, Servers: 9, Span: span, Rate: 300, Swarm: true,
-				Planted: name, Parallel: 4, StopAtFirst: true}, &strings.Builder{})
+			sum, err := Explore(context.Background(), x, &strings.Builder{})
 			if err != nil && len(sum.Failures) == 0 {
 				t.Fatal(err)
 			}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -61,8 +61,8 @@
 	pl := &Plan{Settings: s, Problem: &placement.Problem{Parts: parts, Survive: set.Survive && len(opt.Lost) == 0}, node: map[int]int{}}
 	for i, n := range s.Nodes {
 		pl.node[n.Shard] = i
-		node := placement.Node{Name: fmt.Sprintf("shard %d", n.Shard), Hall: n.Hall, Capacity: n.Capacity, Cost: n.Cost, Draining: n.Draining}
-		if slices.Contains(opt.Lost, n.Hall) {
+		node := placement.Node{Name: fmt.Sprintf("shard %d", n.Shard), Hall: s.DomainOf(&n), Capacity: n.Capacity, Cost: n.Cost, Draining: n.Draining}
+		if slices.Contains(opt.Lost, node.Hall) {
 			node.Capacity = 0
 		}
 		pl.Problem.Nodes = append(pl.Problem.Nodes, node)
@@ -99,7 +99,7 @@
 		v := &s.Volumes[i]
 		cut := pl.cut(v, pl.Problem.Parts)
 		now := pieces(cut)
-		out := placement.Volume{Name: v.Name, Rate: s.RateOf(v), Writes: v.Writes, MaxNodes: v.MaxNodes, Spread: v.Spread, Copies: max(v.Copies, 1),
+		out := placement.Volume{Name: v.Name, Rate: s.RateOf(v), Writes: v.Writes, MaxNodes: v.MaxNodes, Spread: spread(s, v), Copies: max(v.Copies, 1),
 			Tier: slices.IndexFunc(s.Plans, func(p settings.Plan) bool { return p.Name == v.Plan })}
 		if out.MaxNodes == 0 {
 			out.MaxNodes = max(len(now), 1)
@@ -244,7 +244,7 @@
 func FailOver(s *settings.Settings, hall string) (*settings.Settings, []string) {
 	in := map[int]bool{}
 	for _, n := range s.Nodes {
-		in[n.Shard] = n.Hall == hall
+		in[n.Shard] = s.DomainOf(&n) == hall
 	}
 	next := *s
 	next.Volumes = slices.Clone(s.Volumes)
@@ -267,3 +267,11 @@
 	}
 	return &next, stranded
 }
+
+// spread is how many domains a volume must lie in: there are two regions at most.
+func spread(s *settings.Settings, v *settings.Volume) int {
+	if s.Placement.Domain == settings.DomainRegion {
+		return min(v.Spread, 2)
+	}
+	return v.Spread
+}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -163,3 +163,49 @@
 		t.Fatal(err)
 	}
 }
+
+// With regions as what is lost at once, every copy lies in the other region and the load
+// of either fits into the one that is left; where it can't, the contradiction names the
+// region.
+func TestARegionIsSurvived(t *testing.T) {
+	s := settings.Example(3, 8)
+	for i := range s.Nodes {
+		s.Nodes[i].Region, s.Nodes[i].Capacity = i%2, 300
+	}
+	s.Placement.Domain, s.Placement.Survive = settings.DomainRegion, true
+	for i := range s.Volumes {
+		v := &s.Volumes[i]
+		v.Copies, v.Spread, v.Rate = 2, 0, 20
+	}
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	pl := from(t, s, plan.Options{})
+	r := solve(t, pl)
+	o, wrong := placement.Check(pl.Problem, r.Layout)
+	if len(wrong) > 0 || o.LossUse <= o.Use {
+		t.Fatal(o, wrong)
+	}
+	for v, pieces := range r.Layout {
+		for _, pc := range pieces {
+			if s.Nodes[pc.Node].Region == s.Nodes[pc.Copy].Region {
+				t.Errorf("volume %d: data and copy in one region", v)
+			}
+		}
+	}
+	for i := range s.Nodes {
+		s.Nodes[i].Capacity = 150 // enough for all, not for half of them alone
+	}
+	for i := range s.Plans {
+		s.Plans[i].Reserve = 0
+	}
+	pl = from(t, s, plan.Options{})
+	for i := range pl.Problem.Tiers {
+		pl.Problem.Tiers[i].Reserve = 1
+	}
+	if _, err := placement.Solve(pl.Problem, placement.Options{Steps: 200000}); err == nil {
+		t.Fatal("half of the nodes can't carry it all, and yet there is a layout")
+	}
+	pl.Problem.Survive = false
+	solve(t, pl) // it is the region's loss that does not fit
+}
--- a/region/region.go
+++ b/region/region.go
@@ -33,6 +33,9 @@
 	Lease float64 // that a grant lasts, by the clock of who grants
 	Quiet float64 // without word of the other, until a source that does not lead grants no more
 	Drift float64 // part by which a clock may run fast or slow
+	// Fixed leaves the parts of limits as they are whatever is lost: what a service has that
+	// does not lend them, to measure against.
+	Fixed bool
 }
 
 // planted is the bounds with the fault that is planted.
--- a/region/source.go
+++ b/region/source.go
@@ -346,6 +346,9 @@
 	for i := range s.want.Homes {
 		s.want.Homes[i].Region = s.self
 	}
+	if s.cfg.Fixed {
+		return
+	}
 	for i := range s.want.Shares {
 		s.want.Shares[i] = [2]float64{}
 		s.want.Shares[i][s.self] = 1
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -132,17 +132,35 @@
 type Node struct {
 	Shard    int     `json:"shard"`
 	Hall     string  `json:"hall"`
-	Capacity float64 `json:"capacity"` // units a second
+	Region   int     `json:"region,omitempty"` // 0 or 1
+	Capacity float64 `json:"capacity"`         // units a second
 	Cost     float64 `json:"cost,omitempty"`
 	// Draining keeps new data off; it says nothing on the server's process, whose
 	// drains the inventory tells.
 	Draining bool `json:"draining,omitempty"`
 }
 
+// Domains of failure.
+const (
+	DomainHall   = "hall"
+	DomainRegion = "region"
+)
+
+// DomainOf is the name of what a node is lost with.
+func (s *Settings) DomainOf(n *Node) string {
+	if s.Placement.Domain == DomainRegion {
+		return fmt.Sprintf("region-%d", n.Region)
+	}
+	return n.Hall
+}
+
 // Placement says how layouts are worked out. The zero value means DefaultPlacement.
 type Placement struct {
 	Parts   int  `json:"parts"` // into which a volume's extents are dealt
 	Survive bool `json:"survive,omitempty"`
+	// Domain is what is lost at once and what copies are kept apart by: "hall", also if
+	// empty, or "region".
+	Domain string `json:"domain,omitempty"`
 	// Margin adds so many times the spread of a measured rate to it.
 	Margin float64 `json:"margin"`
 	// MostMoved is the most that one step moves, in units a second.
@@ -535,6 +553,7 @@
 	if p := s.Placement; p != (Placement{}) {
 		c.between("placement.parts", float64(p.Parts), 1, 1024)
 		c.between("placement.margin", p.Margin, 0, 100)
+		c.when(p.Domain != "" && p.Domain != DomainHall && p.Domain != DomainRegion, "placement.domain", "%.20q is neither hall nor region", p.Domain)
 		c.between("placement.most_moved", p.MostMoved, 0.001, 1e9)
 	}
 	if len(s.Nodes) == 0 {
@@ -551,6 +570,7 @@
 			seen[n.Shard] = i
 		}
 		c.when(!nameForm.MatchString(n.Hall), at+"hall", "%.70q is not of small letters, digits, dots and dashes, at most 63", n.Hall)
+		c.when(n.Region != 0 && n.Region != 1, at+"region", "is %d, must be 0 or 1", n.Region)
 		c.between(at+"capacity", n.Capacity, 0, 1e9)
 		c.between(at+"cost", n.Cost, 0, 1e9)
 	}
--- a/standin/links.go
+++ b/standin/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -27,6 +28,7 @@
 	owner  map[string]string // program that listens at an address
 	ways   map[[2]string]*way
 	relays map[[2]string]*Relay // by who dials, and the address
+	wires  map[string]*Wire     // by the address that they stand for
 	rng    *rand.Rand
 }
 
@@ -37,19 +39,49 @@
 
 // NewLinks returns links that are whole.
 func NewLinks(w seam.World, seed uint64) *Links {
-	return &Links{world: w, owner: map[string]string{}, ways: map[[2]string]*way{}, relays: map[[2]string]*Relay{}, rng: rand.New(rand.NewPCG(seed, 9))}
+	return &Links{world: w, owner: map[string]string{}, ways: map[[2]string]*way{}, wires: map[string]*Wire{}, relays: map[[2]string]*Relay{}, rng: rand.New(rand.NewPCG(seed, 9))}
 }
 
 // Process is the world as the program of that name has it.
 func (l *Links) Process(name string) seam.World { return &linked{l.world, l, name} }
 
-// Lead says that an address leads to another.
-func (l *Links) Lead(addr, target string) {
+// Wire is an address that programs dial, behind which a listener can change, and on whose
+// connections each frame is recorded beside the side that dials.
+type Wire struct {
+	links  *Links
+	addr   string
+	target string
+	tap    func(addr string) *Tap
+}
+
+// Wire makes one. No other program can dial it.
+func (l *Links) Wire(target string, tap func(addr string) *Tap) *Wire {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.owner[addr] = l.owner[target]
+	w := &Wire{l, fmt.Sprintf("wire-%d", len(l.wires)), target, tap}
+	l.wires[w.addr], l.owner[w.addr] = w, l.owner[target]
+	return w
 }
 
+// Address is what programs dial.
+func (w *Wire) Address() string { return w.addr }
+
+// Point has connections from now on go to another address.
+func (w *Wire) Point(target string) {
+	l := w.links
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.target = target
+	for k, r := range l.relays {
+		if k[1] == w.addr {
+			r.Point(target)
+		}
+	}
+}
+
+// Close does nothing: relays end with their links.
+func (w *Wire) Close() {}
+
 // Set changes the way from one program to another.
 func (l *Links) Set(from, to string, s Way) {
 	l.mu.Lock()
@@ -125,7 +157,11 @@
 	if r := l.relays[k]; r != nil {
 		return r.Addr, nil
 	}
-	r, err := ServeRelay(l.world, addr, nil)
+	target, tap := addr, (func(string) *Tap)(nil)
+	if w := l.wires[addr]; w != nil {
+		target, tap = w.target, func(string) *Tap { return w.tap(addr) }
+	}
+	r, err := ServeRelay(l.world, target, tap)
 	if err != nil {
 		return "", err
 	}
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -103,11 +103,16 @@
 	buf := make([]byte, relayChunk)
 	for {
 		n, err := src.Read(buf)
+		if up && n > 0 { // the tap stands by the side that dials
+			t.Bytes(up, buf[:n])
+		}
 		if r.pass != nil && !r.pass(up, &r.over) {
 			break
 		}
 		if n > 0 {
-			t.Bytes(up, buf[:n])
+			if !up {
+				t.Bytes(up, buf[:n])
+			}
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				break
 			}
