--- a/lab/regionday.go
+++ b/lab/regionday.go
@@ -77,12 +77,15 @@
 	d.across(len, true, true, world.Net{Delay: late, Jitter: late})
 }
 
-// regionHosts ends every host of the region that leads as the day begins.
+// regionHosts ends every host of the region that leads as the day begins, and one of the
+// other.
 func regionHosts(d *day, _ *rand.Rand, len time.Duration) {
+	spared := false
 	for i := range d.fleet.hosts {
-		if d.fleet.regionOf(i) == 0 {
+		if d.fleet.regionOf(i) == 0 || !spared {
 			d.fleet.KillHost(i, len)
 		}
+		spared = spared || d.fleet.regionOf(i) == 1
 	}
 }
 
--- a/lab/regions.go
+++ b/lab/regions.go
@@ -114,7 +114,7 @@
 	p.starts++
 	p.world = f.site.process(fmt.Sprintf("%s#%d", p.name(), p.starts))
 	// One clock runs fast and one slow, by what the bound leaves.
-	f.site.pace(p.world, 1+(0.9-1.8*float64(p.region))*regionDrift)
+	f.site.pace(p.world, 1+(0.9-1.8*float64(p.region))*f.Set.Regions.Drift)
 	other := f.invs[1-p.region]
 	cfg := f.Set.Regions.Config()
 	cfg.Fixed = f.fixed
--- a/lab/regions_test.go
+++ b/lab/regions_test.go
@@ -20,7 +20,8 @@
 // with no lease of its own to wait for, it relies on the bounds of clocks alone.
 func leaderWithoutHosts(seed uint64) Scene {
 	s := regionScene(seed, 16, Strike{Kind: "region_cut", At: 5 * time.Second, Len: 9 * time.Second},
-		Strike{Kind: "region_hosts", At: 5 * time.Second, Len: time.Duration(3800+seed%7*100) * time.Millisecond})
+		Strike{Kind: "region_hosts", At: 5 * time.Second, Len: time.Duration(3950+seed%10*20) * time.Millisecond})
+	s.Figures = map[string]float64{"regions.drift": 0.15}
 	s.Rate, s.Commands = 300, 16*300
 	return s
 }
