--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -49,6 +49,13 @@
 		"volumes[3].block_size":     func(s *Settings) { s.Volumes[3].BlockSize = 1000 },
 		"volumes[4].layout[1]":      func(s *Settings) { s.Volumes[4].Layout[1] = 99 },
 		"volumes[4].hosts[1]":       func(s *Settings) { s.Volumes[4].Hosts[1] = s.Volumes[4].Hosts[0] },
+		"plans[0].copied":           func(s *Settings) { s.Plans[0].Copied = "sometimes" },
+		"regions.lease_ms":          func(s *Settings) { s.Regions = &Regions{Lease: 1, Quiet: 1000, Hosts: []int{0, 1, 0}} },
+		"regions.drift":             func(s *Settings) { s.Regions = &Regions{Lease: 3000, Quiet: 1000, Drift: 1, Hosts: []int{0, 1, 0}} },
+		"regions.hosts":             func(s *Settings) { s.Regions = &Regions{Lease: 3000, Quiet: 1000, Hosts: []int{0, 1}} },
+		"regions.hosts[1]":          func(s *Settings) { s.Regions = &Regions{Lease: 3000, Quiet: 1000, Hosts: []int{0, 2, 1}} },
+		"placement.domain":          func(s *Settings) { s.Placement.Domain = "rack" },
+		"nodes[2].region":           func(s *Settings) { s.Nodes[2].Region = 2 },
 		"target.prefix":             func(s *Settings) { s.Target.Prefix = "eui.1" },
 		"target.chap[0].secret":     func(s *Settings) { s.Target.Chap = []Chap{{"u", "short"}} },
 		"target.mutual.secret": func(s *Settings) {
