--- a/gateway/announcer_test.go
+++ b/gateway/announcer_test.go
@@ -8,7 +8,11 @@
 
 	"merlinhitch/announce"
 	"merlinhitch/gateway"
+	"merlinhitch/initiator"
 	"merlinhitch/inventory"
+	"merlinhitch/iscsi"
+	"merlinhitch/region"
+	"merlinhitch/scsi"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
 	"merlinhitch/standin"
@@ -184,3 +188,78 @@
 		t.Error("it started without one")
 	}
 }
+
+// A host of a service over two regions whose lease can't be renewed withdraws its
+// addresses, though its disk servers are well, and takes no work; with another it is back.
+func TestWithoutALeaseNothingIsAnnounced(t *testing.T) {
+	w := seam.NewReal()
+	r, err := standin.ServeRouter(w, "127.0.0.1:0", 65010)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	s := settings.Example(1, 1)
+	s.Regions = &settings.Regions{Lease: 600, Quiet: 300, Drift: 0.01, Hosts: []int{0}}
+	s.Announce = &settings.Announce{AS: 65001, HoldTime: 9000, Routers: []settings.Router{{Name: "r0", Addr: r.Addr, AS: r.AS}},
+		Steady: 100, SteadyMost: 100, ResortMost: 100, MoveTime: 50,
+		Groups: []settings.AddressGroup{{Name: "all", Prefixes: []string{mixed.String()}, Volumes: []string{s.Volumes[1].Name}}}}
+	saved := &standin.Saved{Record: region.Begin(0, []region.ID{0}, make([][2]float64, len(s.Plans)))}
+	serve := func(addr string, start uint64) *standin.Inventory {
+		v, err := standin.ServeRegion(w, addr, 0, s.Regions.Config(), 0, start, saved, func() string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	v := serve("127.0.0.1:0", 1)
+	d := &standin.DiskServer{Name: "d0", Shard: 0}
+	cell := standin.NewCell(func(string) int { return s.Volumes[0].BlockSize })
+	if err := standin.ServeDisk(w, standin.NewMachine(quickMachine(), 1, cell, standin.NewRack(6000), nil, 0, 0, false), d); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Kill)
+	v.ChangeNow(func(b *inventory.Book) { b.Set(inventory.Node{Addr: d.Addr, Health: inventory.Ready, Weight: 1}, 0) })
+	gate, err := gateway.Start(gateway.Config{World: w, Name: "h0", Listen: "127.0.0.1:0", Inventory: v.Addr, RouterID: 1, Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(gate.Kill)
+	if _, err := gate.Settings().Put(s); err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "announced", func() bool { return level(r, mixed) == announce.Announced })
+	v.Close()
+	until(t, w, "a withdrawal", func() bool { return level(r, mixed) == announce.Withdrawn })
+	c, err := initiator.Dial(context.Background(), initiator.Config{World: w, Addr: gate.Addr().String(), Name: "iqn.2026-11.example.client:x",
+		Target: s.TargetName(&s.Volumes[1]), ISID: iscsi.ISID{0x80}, Params: initiator.DefaultParams(), LoginTime: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	status := func() byte {
+		var done seam.Gate
+		var got byte
+		c.Submit(0, initiator.ReadCDB(0, 1), nil, s.Volumes[1].BlockSize, func(r iscsi.Result, err error) {
+			if got = r.Status; err != nil {
+				got = 0xff
+			}
+			done.Open()
+		})
+		done.Wait(w)
+		return got
+	}
+	if got := status(); got != scsi.Busy {
+		t.Errorf("without a lease a read is answered %#x", got)
+	}
+	v = serve(v.Addr, 2)
+	t.Cleanup(v.Close)
+	word := inventory.NewCaller(w, func() string { return v.Addr })
+	defer word.Close()
+	if l, err := word.Ask(inventory.Ask{Op: "lead"}, 5*time.Second); err != nil || l.Kind != inventory.Told {
+		t.Fatal(l, err) // it came back and hears nobody: an operator says that it leads
+	}
+	until(t, w, "announced again", func() bool { return level(r, mixed) == announce.Announced })
+	if got := status(); got != scsi.Good {
+		t.Errorf("with a lease again a read is answered %#x", got)
+	}
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -70,7 +70,6 @@
 	Grant  *region.Grant  `json:"grant,omitempty"`
 	Record *region.Record `json:"record,omitempty"`
 	Beat   *region.Beat   `json:"beat,omitempty"`
-	Known  [2]uint64      `json:"known,omitzero"`
 	Status *Status        `json:"status,omitempty"`
 	Reason string         `json:"reason,omitempty"` // of a refusal
 }
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -23,8 +23,7 @@
 	// Unfenced has the cell forget every fence: a broken server, for tests of checkers.
 	Unfenced bool
 
-	rep      replica
-	fillings int // whole states that came in
+	rep replica
 }
 
 // mark is what a cell keeps of a volume's reservations: the record, where it is the
--- a/standin/copies.go
+++ b/standin/copies.go
@@ -307,7 +307,6 @@
 		clear(c.marks)
 		clear(r.last)
 		r.log, r.base = nil, r.at
-		c.fillings++
 	}
 	if !r.filling && m.At.Seq != r.at.Seq+1 {
 		return diskproto.Copied{Result: diskproto.Failed}
--- a/standin/source.go
+++ b/standin/source.go
@@ -180,7 +180,7 @@
 	case a.Op == "beat":
 		v.heard(a.Beat, nil)
 		b := src.Beat(now)
-		return inventory.List{Kind: inventory.Heard, Beat: &b, Nodes: v.book.Since(a.Known, now), Known: v.book.Stamps()}
+		return inventory.List{Kind: inventory.Heard, Beat: &b, Nodes: v.book.Since(a.Known, now)}
 	case a.Op == "copies":
 		for _, c := range a.Copies {
 			src.Report(now, c)
