--- a/cmd/merlinhitch/regions.go
+++ b/cmd/merlinhitch/regions.go
@@ -151,7 +151,7 @@
 	Hosts   int     `default:"4" help:"Hosts, in turn of either region."`
 	Servers int     `default:"8" help:"Shards, each with a disk server in either region."`
 	Rate    float64 `default:"160" help:"Commands a second, in the mean of an ordinary day."`
-	Each    float64 `default:"9" help:"Seconds that each trouble lasts."`
+	Each    float64 `default:"14" help:"Seconds that each trouble lasts."`
 	Calm    float64 `default:"9" help:"Seconds between them."`
 	Out     string  `help:"Folder for the trail, or none." placeholder:"DIR"`
 }
