--- a/lab/virtual_test.go
+++ b/lab/virtual_test.go
@@ -140,7 +140,9 @@
 // strike is a scene of some troubles at given times, with the load of a calm day.
 func strike(seed uint64, seconds int, list ...Strike) Scene {
 	for i := range list {
-		list[i].Seed = seed*100 + uint64(i)
+		if list[i].Seed == 0 {
+			list[i].Seed = seed*100 + uint64(i)
+		}
 	}
 	return Scene{Seed: seed, Hosts: 3, Servers: 9, Commands: 120 * seconds, Rate: 120, Script: list}
 }
