--- a/standin/links.go
+++ b/standin/links.go
@@ -161,15 +161,14 @@
 	if w := l.wires[addr]; w != nil {
 		target, tap = w.target, func(string) *Tap { return w.tap(addr) }
 	}
-	r, err := ServeRelay(l.world, target, tap)
-	if err != nil {
-		return "", err
-	}
-	r.pass = func(up bool, over *seam.Gate) bool {
+	r, err := serveRelay(l.world, target, tap, func(up bool, over *seam.Gate) bool {
 		if up {
 			return l.pass(from, to, over)
 		}
 		return l.pass(to, from, over)
+	})
+	if err != nil {
+		return "", err
 	}
 	l.relays[k] = r
 	return r.Addr, nil
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -34,11 +34,16 @@
 
 // ServeRelay starts a relay to target; tap, if any, makes what reads a connection.
 func ServeRelay(w seam.World, target string, tap func(addr string) *Tap) (*Relay, error) {
+	return serveRelay(w, target, tap, nil)
+}
+
+// serveRelay is ServeRelay with a way that holds back what passes, if any.
+func serveRelay(w seam.World, target string, tap func(addr string) *Tap, pass func(up bool, over *seam.Gate) bool) (*Relay, error) {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Addr: l.Addr().String(), world: w, target: target, tap: tap, l: l}
+	r := &Relay{Addr: l.Addr().String(), world: w, target: target, tap: tap, pass: pass, l: l}
 	r.tasks.Go(w, r.accept)
 	return r, nil
 }
