A leader by word raises what its predecessor decided unheard of, once that region follows

When the old region follows again, its homes get a later generation and count as alone until their copies are whole.

--- a/region/model_test.go
+++ b/region/model_test.go
@@ -136,6 +136,7 @@
 		put(near(x.contact, now), near(x.heard, now), near(x.adoptedAt, now), near(x.granted, now), near(x.grantedAt, now))
 		flag(x.adopted)
 		flag(x.unsure)
+		flag(x.word)
 		flag(x.silentDisks != nil)
 		put(near(x.listenFrom, now), float64(len(x.silentDisks)), float64(x.seenTerm), float64(x.seenGen[0]), float64(x.ahead[0]), float64(x.seenHome[0]))
 		flag(x.silent)
--- a/region/region_test.go
+++ b/region/region_test.go
@@ -364,3 +364,25 @@
 		t.Fatal("the region that came back grants nothing")
 	}
 }
+
+// A leader has a shard leave its home and is lost before anybody but the home hears of it:
+// the home must be told of a later generation, or it stays closed for ever.
+func TestAWordOutranksARetreatNobodyHeardOf(t *testing.T) {
+	cfg := Config{Lease: 100, Quiet: 200, Drift: 0.01}
+	rec := Begin(0, []ID{0}, nil)
+	a, b := NewSource(cfg, 0, 1, rec, 0), NewSource(cfg, 1, 1, rec, 0)
+	a.Move(10, 0, 1)
+	left := a.Record().Homes[0]
+	if left.Region != Nowhere {
+		t.Fatalf("%+v", left)
+	}
+	b.Lead(20)
+	a = Restart(cfg, 0, 2, a.Record(), 30)
+	for now := 30.0; now < 60; now += 10 {
+		b.Heard(now, a.Beat(now))
+		a.Heard(now, b.Beat(now))
+	}
+	if h := a.Record().Homes[0]; h.Region != 0 || h.Gen <= left.Gen || !h.Alone {
+		t.Fatalf("the next leader has %+v", h)
+	}
+}
--- a/region/source.go
+++ b/region/source.go
@@ -45,6 +45,7 @@
 	silent    bool      // the other is held for lost, and was taken over from
 	copies    []Copy    // by shard: the last word on it
 	leftAt    []float64 // by shard: since when it is nowhere
+	word      bool      // it leads by an operator's word, and the other does not follow yet
 	given     bool      // an operator gives up what only the lost region has
 	// After a restart with what may be an old record: nothing is granted and no term made
 	// until the other has echoed this run or an operator says so (unsure), nor while it
@@ -211,6 +212,9 @@
 	case b.Record.Term == s.rec.Term && !s.adopted:
 		s.adopted, s.adoptedAt = true, now
 	}
+	if s.word && s.Leads() && b.Record.Term>>half == s.rec.Term>>half {
+		s.followed()
+	}
 	for _, c := range b.Copies {
 		switch {
 		case s.news(c):
@@ -288,7 +292,7 @@
 			}
 		}
 	})
-	s.want.Homes = wants(s.rec).Homes
+	s.want.Homes, s.word = wants(s.rec).Homes, true
 	s.Tick(now)
 }
 
@@ -355,6 +359,24 @@
 	}
 }
 
+// followed makes a term once the region of a leader before this one is back and follows.
+// What that leader decided unheard of, its disk servers may still go by: that a shard leaves
+// its home, or that this home answers alone.
+func (s *Source) followed() {
+	s.word = false
+	theirs := func(h Home) bool { return h.Region == s.self.Other() }
+	if !slices.ContainsFunc(s.rec.Homes, theirs) {
+		return
+	}
+	s.next(func(r *Record) {
+		for i := range r.Homes {
+			if h := &r.Homes[i]; theirs(*h) {
+				h.Gen, h.Alone, h.Leaving = r.Term, true, false
+			}
+		}
+	})
+}
+
 // takeWord makes a term of generations that the other region's disk servers know and nobody
 // else: those of a leader that was lost. What homes there did under them may have been alone.
 func (s *Source) takeWord() {
