--- a/lab/regioncost.go
+++ b/lab/regioncost.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -8,12 +9,10 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"sync"
 	"text/tabwriter"
 	"time"
 
 	"merlinhitch/chart"
-	"merlinhitch/seam"
 	"merlinhitch/settings"
 	"merlinhitch/trail"
 )
@@ -80,70 +79,31 @@
 // RegionCosts plays so many days of each kind in virtual worlds.
 func RegionCosts(ctx context.Context, seeds uint64, parallel int, progress io.Writer) (*RegionCost, error) {
 	c := &RegionCost{}
-	type play struct {
-		scene Scene
-		then  func(*Outcome)
-	}
-	var plays []play
 	for _, k := range costKinds {
-		row := &CostRow{Name: k.name, curve: make([]float64, int(costDay/time.Second))}
-		c.Rows = append(c.Rows, row)
-		for seed := range seeds {
-			s := costScene(seed)
-			for _, t := range k.script(rand.New(rand.NewPCG(seed, 41))) {
-				t.At, t.Len = costLoss, costGone
-				s.Script = append(s.Script, t)
-			}
-			plays = append(plays, play{s, row.add})
-		}
+		c.Rows = append(c.Rows, &CostRow{Name: k.name, curve: make([]float64, int(costDay/time.Second))})
 	}
 	for _, way := range []string{"parts that move", "parts fixed for ever"} {
-		row := &LimitRow{Name: way}
-		c.Limits = append(c.Limits, row)
-		for seed := range seeds {
-			s, units := limitScene(seed, way != "parts that move")
-			plays = append(plays, play{s, func(*Outcome) { row.add(units) }})
-		}
-	}
-	var mu sync.Mutex
-	var failed error
-	next := 0
-	w := seam.NewReal()
-	var all seam.Group
-	for range max(parallel, 1) {
-		all.Go(w, func() {
-			for {
-				mu.Lock()
-				k := next
-				next++
-				over := k >= len(plays) || failed != nil || ctx.Err() != nil
-				mu.Unlock()
-				if over {
-					return
-				}
-				out, err := plays[k].scene.Play(ctx, "")
-				mu.Lock()
-				if err != nil {
-					failed = err
-				} else {
-					plays[k].then(out)
-				}
-				if k%20 == 19 {
-					fmt.Fprintf(progress, "%d of %d days\n", k+1, len(plays))
-				}
-				mu.Unlock()
-			}
-		})
+		c.Limits = append(c.Limits, &LimitRow{Name: way})
 	}
-	all.Wait(w)
-	if failed == nil {
-		failed = ctx.Err()
-	}
-	return c, failed
+	err := overSeeds(len(c.Rows)+len(c.Limits), int(seeds), max(parallel, 1), progress, func(row int, seed uint64) (string, func(), error) {
+		if k := row - len(c.Rows); k >= 0 {
+			s, units := limitScene(seed, k == 1)
+			_, err := s.Play(ctx, "")
+			return c.Limits[k].Name, func() { c.Limits[k].add(units) }, cmp.Or(ctx.Err(), err)
+		}
+		s, r := costScene(seed), c.Rows[row]
+		for _, t := range costKinds[row].script(rand.New(rand.NewPCG(seed-1, 41))) {
+			t.At, t.Len = costLoss, costGone
+			s.Script = append(s.Script, t)
+		}
+		out, err := s.Play(ctx, "")
+		return r.Name, func() { r.add(out) }, cmp.Or(ctx.Err(), err)
+	})
+	return c, err
 }
 
 func costScene(seed uint64) Scene {
-	return Scene{Seed: seed + 1, Hosts: costHosts, Servers: costServers, Commands: int(costDay.Seconds() * costRate), Rate: costRate, Regions: true}
+	return Scene{Seed: seed, Hosts: costHosts, Servers: costServers, Commands: int(costDay.Seconds() * costRate), Rate: costRate, Regions: true}
 }
 
 func (r *CostRow) add(o *Outcome) {
--- a/region/source.go
+++ b/region/source.go
@@ -79,7 +79,7 @@
 
 // Restart returns a source that comes back with what it had saved. Its hosts may hold
 // leases that it does not remember, and the other may have gone on: it grants nothing
-// before it has heard of the other, or, if it leads, before those leases are over.
+// before it is sure of its record.
 func Restart(cfg Config, self ID, start uint64, saved Record, now float64) *Source {
 	s := NewSource(cfg, self, start, saved, now)
 	s.contact, s.adopted, s.unsure, s.listenFrom = now-never, false, true, now
