--- a/audit/record.go
+++ b/audit/record.go
@@ -7,6 +7,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,6 +21,15 @@
 // MarshalText writes a hash in hex.
 func (h Hash) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%x", h[:]), nil }
 
+// UnmarshalText reads what MarshalText writes.
+func (h *Hash) UnmarshalText(b []byte) error {
+	if len(b) != hex.EncodedLen(len(h)) {
+		return fmt.Errorf("audit: a hash of %d digits", len(b))
+	}
+	_, err := hex.Decode(h[:], b)
+	return err
+}
+
 // Record is one accepted change.
 type Record struct {
 	Seq     uint64   `json:"seq"`     // from 1, without gaps
--- a/cmd/merlinhitch/plan.go
+++ b/cmd/merlinhitch/plan.go
@@ -81,8 +81,8 @@
 
 func (c *planMakeCmd) read(ctx context.Context, hosts []*rollout.Host) (*plan.Plan, error) {
 	if c.Snapshot != "" {
-		s, err := settings.Load(c.Snapshot)
-		if err != nil {
+		s, err := settings.Load(c.Snapshot, nil)
+		if err != nil && !errors.Is(err, settings.ErrNoKey) { // a layout needs no secret
 			return nil, err
 		}
 		return plan.From(s, plan.Options{Lost: c.Lost})
--- a/cmd/merlinhitch/serve.go
+++ b/cmd/merlinhitch/serve.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -45,7 +44,8 @@
 	Listen    string `default:"127.0.0.1:3260" help:"Address for initiators."`
 	Inventory string `required:"" help:"Address of the node list."`
 	Admin     string `default:"127.0.0.1:8640" help:"Address of the admin API: HOST:PORT or unix:PATH."`
-	Snapshot  string `help:"File of the saved settings." placeholder:"FILE"`
+	Snapshot  string `help:"File of the saved settings; their record lies beside it." placeholder:"FILE"`
+	KeyFile   string `help:"Key that seals secrets in them: 32 bytes or more that nobody can guess." placeholder:"FILE"`
 	RouterID  string `help:"BGP identifier, in the form of an IPv4 address; needed where the settings announce." placeholder:"A.B.C.D"`
 	Hop4      string `help:"Next hop told for IPv4 addresses." placeholder:"ADDRESS"`
 	Hop6      string `help:"Next hop told for IPv6 addresses." placeholder:"ADDRESS"`
@@ -57,6 +57,11 @@
 	cfg := gateway.Config{World: seam.NewReal(), Log: log, Name: c.Name, Self: c.Self, Zone: c.Zone,
 		Listen: c.Listen, Inventory: c.Inventory, Admin: c.Admin, Snapshot: c.Snapshot, BGPListen: c.BGPListen}
 	var err error
+	if c.KeyFile != "" {
+		if cfg.Key, err = settings.ReadKey(c.KeyFile); err != nil {
+			return cfg, err
+		}
+	}
 	if c.RouterID != "" {
 		id, err := netip.ParseAddr(c.RouterID)
 		if err != nil || !id.Is4() || id.IsUnspecified() {
@@ -145,75 +150,6 @@
 	return nil
 }
 
-type settingsCmd struct {
-	Get     settingsGetCmd     `cmd:"" help:"Print the settings in force."`
-	Put     settingsPutCmd     `cmd:"" help:"Hand in new settings, made from those in force."`
-	Example settingsExampleCmd `cmd:"" help:"Print working settings to begin with."`
-}
-
-const apiTime = 10 * time.Second
-
-type settingsGetCmd struct {
-	Admin string `default:"127.0.0.1:8640" help:"Admin address of the gateway."`
-}
-
-func (c *settingsGetCmd) Run() error {
-	ctx, cancel := context.WithTimeout(context.Background(), apiTime)
-	defer cancel()
-	s, err := settings.NewAPI(c.Admin).Get(ctx)
-	if err != nil {
-		return err
-	}
-	return printJSON(s)
-}
-
-func printJSON(v any) error {
-	e := json.NewEncoder(os.Stdout)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
-}
-
-type settingsPutCmd struct {
-	Admin string `default:"127.0.0.1:8640" help:"Admin address of the gateway."`
-	File  string `arg:"" help:"The settings, or - for standard input."`
-}
-
-func (c *settingsPutCmd) Run() error {
-	var r io.Reader = os.Stdin
-	if c.File != "-" {
-		f, err := os.Open(c.File)
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		r = f
-	}
-	s, err := settings.Parse(r)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), apiTime)
-	defer cancel()
-	now, err := settings.NewAPI(c.Admin).Put(ctx, s)
-	if err != nil {
-		return err
-	}
-	fmt.Println("in force as version", now.Version)
-	return nil
-}
-
-type settingsExampleCmd struct {
-	Hosts  int `default:"3" help:"Hosts."`
-	Shards int `default:"9" help:"Shards."`
-}
-
-func (c *settingsExampleCmd) Run() error {
-	if c.Hosts < 1 || c.Shards < 1 {
-		return errors.New("settings example: needs a host and a shard")
-	}
-	return printJSON(settings.Example(c.Hosts, c.Shards))
-}
-
 type ioCmd struct {
 	Portal string        `default:"127.0.0.1:3260" help:"Address of the gateway."`
 	Name   string        `default:"iqn.2026-11.example.client:io" help:"Initiator name."`
--- /dev/null
+++ b/cmd/merlinhitch/settings.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"os/user"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"merlinhitch/audit"
+	"merlinhitch/settings"
+)
+
+type settingsCmd struct {
+	Get     settingsGetCmd     `cmd:"" help:"Print the settings in force."`
+	Put     settingsPutCmd     `cmd:"" help:"Hand in new settings, made from those in force."`
+	Log     settingsLogCmd     `cmd:"" help:"Who changed what, when and why."`
+	Show    settingsShowCmd    `cmd:"" help:"Print the settings of a former version."`
+	Diff    settingsDiffCmd    `cmd:"" help:"What was changed from one version to another."`
+	Revert  settingsRevertCmd  `cmd:"" help:"Put a former version in force again, as a change of its own."`
+	Verify  settingsVerifyCmd  `cmd:"" help:"Read the whole record again and name a broken one."`
+	Example settingsExampleCmd `cmd:"" help:"Print working settings to begin with."`
+}
+
+const apiTime = 10 * time.Second
+
+// adminFlag is where the gateway's admin API is.
+type adminFlag struct {
+	Admin string `default:"127.0.0.1:8640" help:"Admin address of the gateway."`
+}
+
+// with calls f with a client of the admin API, within its time.
+func (a adminFlag) with(f func(ctx context.Context, api *settings.API) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), apiTime)
+	defer cancel()
+	api := settings.NewAPI(a.Admin)
+	defer api.Close()
+	return f(ctx, api)
+}
+
+type settingsGetCmd struct{ adminFlag }
+
+func (c *settingsGetCmd) Run() error {
+	return c.with(func(ctx context.Context, api *settings.API) error {
+		s, err := api.Get(ctx)
+		if err != nil {
+			return err
+		}
+		return printJSON(s)
+	})
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// whyFlags go with a change.
+type whyFlags struct {
+	Why string `help:"Reason, for the record."`
+	Who string `help:"Name, recorded as claimed where the gateway knows no better; empty: the user's." `
+}
+
+func (w whyFlags) ask() settings.Ask {
+	if w.Who == "" {
+		if u, err := user.Current(); err == nil {
+			w.Who = u.Username
+		}
+	}
+	return settings.Ask{Why: w.Why, Who: w.Who}
+}
+
+type settingsPutCmd struct {
+	adminFlag
+	whyFlags
+	Merge bool   `help:"Merge with what was changed since, if the two touch nothing in common."`
+	File  string `arg:"" help:"The settings, or - for standard input."`
+}
+
+func (c *settingsPutCmd) Run() error {
+	s, err := readSettings(c.File)
+	if err != nil {
+		return err
+	}
+	ask := c.ask()
+	ask.Merge = c.Merge
+	return c.with(func(ctx context.Context, api *settings.API) error {
+		now, err := api.Put(ctx, s, ask)
+		if err != nil {
+			return err
+		}
+		fmt.Println("in force as version", now.Version)
+		return nil
+	})
+}
+
+func readSettings(file string) (*settings.Settings, error) {
+	if file == "-" {
+		return settings.Parse(os.Stdin)
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return settings.Parse(f)
+}
+
+type settingsLogCmd struct {
+	adminFlag
+	From    uint64 `default:"1" help:"First record."`
+	Changes bool   `help:"Each change, too."`
+	JSON    bool   `help:"As JSON lines."`
+}
+
+func (c *settingsLogCmd) Run() error {
+	return c.with(func(ctx context.Context, api *settings.API) error {
+		for from := c.From; ; {
+			var list []*audit.Record
+			if err := api.Read(ctx, "/settings/log?from="+strconv.FormatUint(from, 10), &list); err != nil || len(list) == 0 {
+				return err
+			}
+			from = list[len(list)-1].Seq + 1
+			if err := c.print(os.Stdout, list); err != nil {
+				return err
+			}
+		}
+	})
+}
+
+func (c *settingsLogCmd) print(w io.Writer, list []*audit.Record) error {
+	if c.JSON {
+		e := json.NewEncoder(w)
+		for _, r := range list {
+			if err := e.Encode(r); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, r := range list {
+		fmt.Fprintf(t, "%d\t%s\tversion %d from %d\t%s\t%d changes\t%s\n", r.Seq, time.UnixMilli(r.At).UTC().Format(time.RFC3339), r.Version, r.From, r.Who, len(r.Changes), r.Why)
+		for _, x := range r.Changes {
+			if c.Changes {
+				fmt.Fprintf(t, "\t\t%v\n", x)
+			}
+		}
+	}
+	return t.Flush()
+}
+
+type settingsShowCmd struct {
+	adminFlag
+	Version uint64 `arg:"" help:"The version."`
+}
+
+func (c *settingsShowCmd) Run() error {
+	return c.with(func(ctx context.Context, api *settings.API) error {
+		s := &settings.Settings{}
+		if err := api.Read(ctx, "/settings/at?version="+strconv.FormatUint(c.Version, 10), s); err != nil {
+			return err
+		}
+		return printJSON(s)
+	})
+}
+
+type settingsDiffCmd struct {
+	adminFlag
+	From uint64 `arg:"" help:"The earlier version."`
+	To   uint64 `arg:"" optional:"" help:"The later one; left out: that in force."`
+}
+
+func (c *settingsDiffCmd) Run() error {
+	return c.with(func(ctx context.Context, api *settings.API) error {
+		if c.To == 0 {
+			s, err := api.Get(ctx)
+			if err != nil {
+				return err
+			}
+			c.To = s.Version
+		}
+		var list []audit.Change
+		q := url.Values{"from": {strconv.FormatUint(c.From, 10)}, "to": {strconv.FormatUint(c.To, 10)}}
+		if err := api.Read(ctx, "/settings/diff?"+q.Encode(), &list); err != nil {
+			return err
+		}
+		for _, x := range list {
+			fmt.Println(x)
+		}
+		return nil
+	})
+}
+
+type settingsRevertCmd struct {
+	adminFlag
+	whyFlags
+	Version uint64 `arg:"" help:"The version to go back to."`
+}
+
+func (c *settingsRevertCmd) Run() error {
+	return c.with(func(ctx context.Context, api *settings.API) error {
+		now, err := api.Revert(ctx, c.Version, c.ask())
+		if err != nil {
+			return err
+		}
+		fmt.Printf("version %d is in force again, as version %d\n", c.Version, now.Version)
+		return nil
+	})
+}
+
+type settingsVerifyCmd struct {
+	adminFlag
+	Record string `help:"File of a record to verify instead, of a gateway that is stopped." placeholder:"FILE"`
+}
+
+func (c *settingsVerifyCmd) Run() error {
+	if c.Record != "" {
+		return verifyFile(c.Record)
+	}
+	return c.with(func(ctx context.Context, api *settings.API) error {
+		var v settings.Verified
+		if err := api.Read(ctx, "/settings/verify", &v); err != nil {
+			return err
+		}
+		fmt.Printf("%d records up to version %d, head %v: the chain holds; the clock stepped back %d times\n", v.Records, v.Version, v.Head, v.Back)
+		if v.Late != "" {
+			fmt.Println("the snapshot is behind the record:", v.Late)
+		}
+		return nil
+	})
+}
+
+func verifyFile(file string) error {
+	if _, err := os.Stat(file); err != nil {
+		return err
+	}
+	st, err := audit.OpenStore(file)
+	if err != nil {
+		return err
+	}
+	defer st.Close()
+	e := st.Chain()
+	fmt.Printf("%d records up to version %d, head %v: the chain holds; the clock stepped back %d times\n", e.Seq, e.Version, e.Hash, e.Back)
+	return nil
+}
+
+type settingsExampleCmd struct {
+	Hosts  int `default:"3" help:"Hosts."`
+	Shards int `default:"9" help:"Shards."`
+}
+
+func (c *settingsExampleCmd) Run() error {
+	if c.Hosts < 1 || c.Shards < 1 {
+		return errors.New("settings example: needs a host and a shard")
+	}
+	return printJSON(settings.Example(c.Hosts, c.Shards))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,10 +26,11 @@
 	Name      string // told to disk servers
 	Self      int    // this host's number in the service
 	Zone      string
-	Listen    string // for initiators
-	Inventory string // address of the node list
-	Admin     string // of the admin API: host:port, unix:PATH, or none
-	Snapshot  string // file of the saved settings, or none
+	Listen    string        // for initiators
+	Inventory string        // address of the node list
+	Admin     string        // of the admin API: host:port, unix:PATH, or none
+	Snapshot  string        // file of the saved settings, or none; its record lies beside it
+	Key       *settings.Key // seals secrets in them; nil: there must be none
 	// For announcements: the identifier, the next hops told for IPv4 and IPv6 (a
 	// family without one is not announced), and where routers may dial, or nowhere.
 	RouterID   uint32
@@ -63,12 +64,13 @@
 		cfg.Log = zap.NewNop()
 	}
 	cfg.Log = cfg.Log.With(zap.String("host", cfg.Name))
-	st, err := settings.Open(cfg.Snapshot)
+	st, err := settings.Open(cfg.Snapshot, cfg.Key)
 	if err != nil {
 		return nil, err
 	}
 	g := &Gateway{cfg: cfg, store: st}
 	if err := g.serveAdmin(); err != nil {
+		st.Close()
 		return nil, err
 	}
 	st.Watch(g.apply)
@@ -99,11 +101,13 @@
 	}
 	g.api = l
 	mux := http.NewServeMux()
-	mux.Handle("/settings", settings.Handler(g.store))
+	record := settings.Handler(g.store, caller, func() int64 { return g.cfg.World.Deadline(0).UnixMilli() })
+	mux.Handle("/settings", record)
+	mux.Handle("/settings/", record)
 	mux.HandleFunc("GET /routes", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Routes()) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Status()) })
 	mux.HandleFunc("GET /rates", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Rates()) })
-	g.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
+	g.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, ConnContext: peerContext}
 	go g.admin.Serve(l) // ends with Close; its error says only that
 	return nil
 }
@@ -309,6 +313,7 @@
 	if g.admin != nil {
 		g.admin.Close()
 	}
+	g.store.Close() // what it refuses from now on was not accepted
 	if a != nil {
 		a.close(text)
 	}
--- /dev/null
+++ b/gateway/peer_linux.go
@@ -0,0 +1,21 @@
+package gateway
+
+import (
+	"net"
+	"syscall"
+)
+
+// peerUser is the user at the other end of a Unix socket (SO_PEERCRED, unix(7)).
+func peerUser(c *net.UnixConn) (uint32, bool) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var cred *syscall.Ucred
+	if cerr := raw.Control(func(fd uintptr) {
+		cred, err = syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+	}); cerr != nil || err != nil {
+		return 0, false
+	}
+	return cred.Uid, true
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -117,7 +117,7 @@
 func (h *Host) put(ctx context.Context, volumes []settings.Volume) error {
 	s := *h.now
 	s.Volumes = volumes
-	now, err := h.API.Put(ctx, &s)
+	now, err := h.API.Put(ctx, &s, settings.Ask{Why: "a step of a new layout", Who: "rollout"})
 	if err != nil {
 		return err
 	}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -19,14 +20,14 @@
 	var hosts []*rollout.Host
 	var stores []*settings.Store
 	for i := range n {
-		st, err := settings.Open("")
+		st, err := settings.Open("", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if _, err := st.Put(settings.Example(n, 9)); err != nil {
 			t.Fatal(err)
 		}
-		srv := httptest.NewServer(settings.Handler(st))
+		srv := httptest.NewServer(settings.Handler(st, func(*http.Request) string { return "test" }, func() int64 { return 0 }))
 		t.Cleanup(srv.Close)
 		hosts = append(hosts, &rollout.Host{Name: string(rune('a' + i)), API: settings.NewAPI(srv.Listener.Addr().String())})
 		stores = append(stores, st)
--- a/settings/api.go
+++ b/settings/api.go
@@ -9,13 +9,21 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
+
+	"merlinhitch/audit"
 )
 
-// Handler serves the settings at /settings: GET returns those in force, PUT takes
-// new ones, made from the version that they carry. A stale version is answered
-// 409, faulty settings 422 with the list of faults.
-func Handler(st *Store) http.Handler {
+// Handler serves the settings. GET /settings returns those in force, PUT takes new ones,
+// made from the version that they carry; ?merge=1 merges them with what came between,
+// ?why= says the reason. A stale version is answered 409, faulty settings 422 with the
+// list of faults. /settings/log, /at, /diff, /verify and POST /settings/revert are over
+// the record. by tells who calls; the clock is the wall's, ms since 1970. No answer has
+// a secret in it.
+func Handler(st *Store, by func(*http.Request) string, clock func() int64) http.Handler {
+	h := &handler{st, by, clock}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /settings", func(w http.ResponseWriter, r *http.Request) {
 		s := st.Get()
@@ -23,33 +31,139 @@
 			Reply(w, http.StatusNotFound, refusal{Error: "no settings yet"})
 			return
 		}
-		Reply(w, http.StatusOK, s)
+		Reply(w, http.StatusOK, s.Redacted())
 	})
-	mux.HandleFunc("PUT /settings", func(w http.ResponseWriter, r *http.Request) {
-		s, err := Parse(r.Body)
-		if err == nil {
-			s, err = st.Put(s)
-		}
-		var faults *FaultsError
-		var stale *StaleError
-		switch {
-		case errors.As(err, &faults):
-			Reply(w, http.StatusUnprocessableEntity, refusal{Error: "faulty settings", Faults: faults.Faults})
-		case errors.As(err, &stale):
-			Reply(w, http.StatusConflict, refusal{Error: err.Error(), Stale: stale})
-		case err != nil:
-			Reply(w, http.StatusInternalServerError, refusal{Error: err.Error()})
-		default:
-			Reply(w, http.StatusOK, s)
+	mux.HandleFunc("PUT /settings", h.put)
+	mux.HandleFunc("POST /settings/revert", h.revert)
+	mux.HandleFunc("GET /settings/log", h.log)
+	mux.HandleFunc("GET /settings/at", h.at)
+	mux.HandleFunc("GET /settings/diff", h.diff)
+	mux.HandleFunc("GET /settings/verify", h.verify)
+	return mux
+}
+
+type handler struct {
+	st    *Store
+	by    func(*http.Request) string
+	clock func() int64
+}
+
+func (h *handler) author(r *http.Request) Author {
+	return Author{Who: h.by(r), Why: r.URL.Query().Get("why"), At: h.clock()}
+}
+
+func (h *handler) put(w http.ResponseWriter, r *http.Request) {
+	s, err := Parse(r.Body)
+	if err == nil {
+		s, err = h.st.Change(s, h.author(r), r.URL.Query().Get("merge") == "1")
+	}
+	answer(w, err, func() any { return s.Redacted() })
+}
+
+// number reads a version or the like from the query.
+func number(r *http.Request, name string, none uint64) (uint64, error) {
+	t := r.URL.Query().Get(name)
+	if t == "" {
+		return none, nil
+	}
+	n, err := strconv.ParseUint(t, 10, 64)
+	if err != nil {
+		return 0, &FaultsError{[]Fault{{name, fmt.Sprintf("%.40q is no number", t)}}}
+	}
+	return n, nil
+}
+
+func (h *handler) revert(w http.ResponseWriter, r *http.Request) {
+	to, err := number(r, "to", 0)
+	var s *Settings
+	if err == nil {
+		s, err = h.st.Revert(to, h.author(r))
+	}
+	answer(w, err, func() any { return s.Redacted() })
+}
+
+// mostLog bounds the records of one answer.
+const mostLog = 1000
+
+func (h *handler) log(w http.ResponseWriter, r *http.Request) {
+	from, err := number(r, "from", 1)
+	var list []*audit.Record
+	if err == nil {
+		list, err = h.st.Log(from, mostLog)
+	}
+	answer(w, err, func() any { return list })
+}
+
+func (h *handler) at(w http.ResponseWriter, r *http.Request) {
+	version, err := number(r, "version", 0)
+	var s *Settings
+	if err == nil {
+		s, err = h.st.At(version)
+	}
+	answer(w, err, func() any { return s.Redacted() })
+}
+
+func (h *handler) diff(w http.ResponseWriter, r *http.Request) {
+	from, err := number(r, "from", 0)
+	var to uint64
+	if err == nil {
+		to, err = number(r, "to", 0)
+	}
+	var changes []audit.Change
+	if err == nil {
+		changes, err = h.st.Between(from, to)
+	}
+	answer(w, err, func() any { return changes })
+}
+
+// Verified is what a sound record says of itself.
+type Verified struct {
+	Records uint64     `json:"records"`
+	Version uint64     `json:"version"`
+	Head    audit.Hash `json:"head"`
+	Back    int        `json:"clock_stepped_back"`
+	// Late says why the snapshot is behind the record, "" if it is not.
+	Late string `json:"snapshot_behind,omitempty"`
+}
+
+func (h *handler) verify(w http.ResponseWriter, r *http.Request) {
+	c, err := h.st.Verify()
+	answer(w, err, func() any {
+		v := Verified{Records: c.Seq, Version: c.Version, Head: c.Hash, Back: c.Back}
+		if late := h.st.Late(); late != nil {
+			v.Late = late.Error()
 		}
+		return v
 	})
-	return mux
+}
+
+// answer says what came of a call.
+func answer(w http.ResponseWriter, err error, good func() any) {
+	var faults *FaultsError
+	var stale *StaleError
+	var unknown *UnknownVersionError
+	var broken *audit.BrokenError
+	switch {
+	case errors.As(err, &faults):
+		Reply(w, http.StatusUnprocessableEntity, refusal{Error: "faulty settings", Faults: faults.Faults})
+	case errors.As(err, &stale):
+		Reply(w, http.StatusConflict, refusal{Error: "stale", Stale: stale})
+	case errors.As(err, &unknown):
+		Reply(w, http.StatusNotFound, refusal{Error: err.Error()})
+	case errors.As(err, &broken):
+		Reply(w, http.StatusInternalServerError, refusal{Error: err.Error(), Broken: broken})
+	case err != nil:
+		Reply(w, http.StatusInternalServerError, refusal{Error: err.Error()})
+	default:
+		Reply(w, http.StatusOK, good())
+	}
 }
 
 type refusal struct {
-	Error  string      `json:"error"`
-	Faults []Fault     `json:"faults,omitempty"`
-	Stale  *StaleError `json:"stale,omitempty"`
+	Error  string             `json:"error"`
+	Faults []Fault            `json:"faults,omitempty"`
+	Stale  *StaleError        `json:"stale,omitempty"`
+	Broken *audit.BrokenError `json:"broken,omitempty"`
 }
 
 // Reply answers a call of the admin API with JSON.
@@ -85,14 +199,35 @@
 	return s, a.call(ctx, http.MethodGet, "/settings", nil, s)
 }
 
+// Ask goes with a change.
+type Ask struct {
+	Why   string
+	Who   string // believed, and recorded as claimed, only where nothing better is known
+	Merge bool   // with what came between, if nothing collides
+}
+
+func (k Ask) query() string {
+	q := url.Values{"why": {k.Why}, "who": {k.Who}}
+	if k.Merge {
+		q.Set("merge", "1")
+	}
+	return "?" + q.Encode()
+}
+
 // Put hands in new settings and returns them as they are in force.
-func (a *API) Put(ctx context.Context, s *Settings) (*Settings, error) {
+func (a *API) Put(ctx context.Context, s *Settings, ask Ask) (*Settings, error) {
 	b, err := json.Marshal(s)
 	if err != nil {
 		return nil, err
 	}
 	now := &Settings{}
-	return now, a.call(ctx, http.MethodPut, "/settings", b, now)
+	return now, a.call(ctx, http.MethodPut, "/settings"+ask.query(), b, now)
+}
+
+// Revert puts a former version in force again.
+func (a *API) Revert(ctx context.Context, to uint64, ask Ask) (*Settings, error) {
+	now := &Settings{}
+	return now, a.call(ctx, http.MethodPost, fmt.Sprintf("/settings/revert%s&to=%d", ask.query(), to), nil, now)
 }
 
 // Read fetches another page of the API, such as /rates, into a value.
@@ -103,7 +238,8 @@
 // Close lets go of idle connections.
 func (a *API) Close() { a.client.CloseIdleConnections() }
 
-// call makes one call. A refused change is a *FaultsError or a *StaleError.
+// call makes one call. A refused change is a *FaultsError
+// or a *StaleError.
 func (a *API) call(ctx context.Context, method, path string, body []byte, into any) error {
 	req, err := http.NewRequestWithContext(ctx, method, a.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -127,6 +263,8 @@
 		return &FaultsError{r.Faults}
 	case r.Stale != nil:
 		return r.Stale
+	case r.Broken != nil:
+		return r.Broken
 	}
 	return fmt.Errorf("settings: %s: %s", resp.Status, r.Error)
 }
--- /dev/null
+++ b/settings/ledger.go
@@ -0,0 +1,367 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"merlinhitch/audit"
+)
+
+// Author says who changes something, when and why.
+type Author struct {
+	Who, Why string
+	At       int64 // wall clock, ms since 1970
+}
+
+// chain is where records are kept: audit.Store or audit.Memory.
+type chain interface {
+	Append(*audit.Record) error
+	Each(from uint64, f func(*audit.Record) error) error
+	Chain() audit.Chain
+	Close() error
+}
+
+// memoryRecords is how many records a store without a file knows.
+const memoryRecords = 1024
+
+// Store keeps the settings in force and the record of how they came about. A change is
+// accepted once its record is kept; the snapshot follows, and a start after a crash
+// between the two brings it up to the record.
+type Store struct {
+	mu    sync.Mutex
+	file  string
+	key   *Key
+	chain chain
+	now   *Settings
+	late  error // why the snapshot is behind the record
+	subs  []func(*Settings)
+}
+
+// auditSuffix goes behind a snapshot's name: the file of its record.
+const auditSuffix = ".audit"
+
+// Open reads the snapshot in file and the record beside it; without any the store is
+// empty. File "" keeps nothing beyond the process. Secrets are sealed with the key.
+func Open(file string, k *Key) (*Store, error) {
+	st := &Store{file: file, key: k}
+	if file == "" {
+		st.chain = audit.NewMemory(memoryRecords)
+		return st, nil
+	}
+	s, err := Load(file, k)
+	if err != nil && !errors.Is(err, ErrNone) {
+		return nil, err
+	}
+	kept, err := audit.OpenStore(file + auditSuffix)
+	if err != nil {
+		return nil, err
+	}
+	st.chain = kept
+	if st.now, err = st.catchUp(s); err != nil {
+		kept.Close()
+		return nil, err
+	}
+	return st, nil
+}
+
+// catchUp brings a snapshot up to the record.
+func (st *Store) catchUp(s *Settings) (*Settings, error) {
+	end := st.chain.Chain()
+	version := uint64(0)
+	if s != nil {
+		version = s.Version
+	}
+	if end.Seq == 0 && s != nil { // from before there were records
+		tree, err := s.tree(st.key)
+		if err != nil {
+			return nil, err
+		}
+		r := &audit.Record{From: 0, Version: version, Who: "this host", Why: "found in the snapshot",
+			Changes: audit.Diff(Keys, map[string]any{}, tree), State: audit.StateHash(tree)}
+		return s, st.chain.Append(r)
+	}
+	if version > end.Version {
+		return nil, &DamagedError{st.file, fmt.Sprintf("it is of version %d, its record ends at version %d", version, end.Version)}
+	}
+	if version == end.Version {
+		return s, nil
+	}
+	tree, err := s.tree(st.key)
+	if err != nil {
+		return nil, err
+	}
+	var last audit.Hash
+	err = st.chain.Each(1, func(r *audit.Record) error {
+		if r.From < version {
+			return nil
+		}
+		last = r.State
+		tree, err = audit.Apply(Keys, tree, r.Changes)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if audit.StateHash(tree) != last {
+		return nil, &DamagedError{st.file, "with its record it does not lead to what was in force"}
+	}
+	if s, err = fromTree(tree, end.Version, st.key); err != nil {
+		return nil, err
+	}
+	return s, Save(st.file, s, st.key)
+}
+
+// Close lets go of the record.
+func (st *Store) Close() error { return st.chain.Close() }
+
+// Get returns the settings in force, nil before the first. They don't change.
+func (st *Store) Get() *Settings {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.now
+}
+
+// Watch calls f with every settings put from now on, in order.
+func (st *Store) Watch(f func(*Settings)) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.subs = append(st.subs, f)
+}
+
+// Put is Change by the process itself.
+func (st *Store) Put(s *Settings) (*Settings, error) {
+	return st.Change(s, Author{Who: "this process"}, false)
+}
+
+// Change takes settings whose Version is the one that they were made from (0 for the
+// first). They are in force, and their record kept, when it returns without an error.
+// Where another change came first it is a *StaleError, unless merge is asked for and the
+// two touch nothing in common.
+func (st *Store) Change(s *Settings, by Author, merge bool) (*Settings, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if s.Version != st.version() {
+		stale, merged := st.meet(s)
+		if !merge || merged == nil {
+			return nil, stale
+		}
+		s = merged
+	}
+	return st.accept(s, by)
+}
+
+func (st *Store) version() uint64 {
+	if st.now == nil {
+		return 0
+	}
+	return st.now.Version
+}
+
+// accept checks, records and puts in force. Held: mu.
+func (st *Store) accept(s *Settings, by Author) (*Settings, error) {
+	next := s.keepSecrets(st.now)
+	if err := next.complete(); err != nil {
+		return nil, err
+	}
+	if st.file != "" && st.key == nil && next.HasSecrets() {
+		return nil, ErrNoKey
+	}
+	next.Version = st.version() + 1
+	old, err := st.now.tree(st.key)
+	if err != nil {
+		return nil, err
+	}
+	tree, err := next.tree(st.key)
+	if err != nil {
+		return nil, err
+	}
+	r := &audit.Record{At: by.At, From: st.version(), Version: next.Version, Who: by.Who, Why: by.Why,
+		Changes: audit.Diff(Keys, old, tree), State: audit.StateHash(tree)}
+	if err := st.chain.Append(r); err != nil {
+		return nil, err
+	}
+	if st.late = nil; st.file != "" {
+		st.late = Save(st.file, next, st.key) // it stands in the record: a start brings the snapshot up to it
+	}
+	st.now = next
+	for _, f := range st.subs {
+		f(next)
+	}
+	return next, nil
+}
+
+// Late says why the snapshot is behind the record, nil if it is not.
+func (st *Store) Late() error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.late
+}
+
+// complete checks settings from which no secret may be left out.
+func (s *Settings) complete() error {
+	_, at := s.secrets()
+	c := &checker{}
+	for i, x := range at {
+		path := fmt.Sprintf("target.chap[%d].secret", i)
+		if i >= len(s.Target.Chap) {
+			path = "target.mutual.secret"
+		}
+		c.when(x.Secret == Kept, path, "there is no secret of %.70q to keep", x.User)
+	}
+	if len(c.faults) > 0 {
+		return &FaultsError{c.faults}
+	}
+	return s.Check()
+}
+
+// meet compares a change that came late with what was changed since, and merges the two
+// if they touch nothing in common. Held: mu.
+func (st *Store) meet(s *Settings) (*StaleError, *Settings) {
+	stale := &StaleError{Against: s.Version, InForce: st.version()}
+	base, err := st.treeAt(s.Version)
+	if err != nil {
+		return stale, nil
+	}
+	was, err := fromTree(base, s.Version, st.key)
+	if err != nil {
+		return stale, nil
+	}
+	mine, err := s.keepSecrets(was).tree(st.key)
+	if err != nil {
+		return stale, nil
+	}
+	theirs, err := st.now.tree(st.key)
+	if err != nil {
+		return stale, nil
+	}
+	stale.Theirs = audit.Diff(Keys, base, theirs)
+	tree, collisions, err := audit.Merge(Keys, base, mine, theirs)
+	if stale.Collisions = collisions; err != nil || len(collisions) > 0 {
+		return stale, nil
+	}
+	merged, err := fromTree(tree, st.version(), st.key)
+	if err != nil {
+		return stale, nil
+	}
+	return stale, merged
+}
+
+// UnknownVersionError says that a version was never in force, or is not known any more.
+type UnknownVersionError struct{ Version uint64 }
+
+func (e *UnknownVersionError) Error() string {
+	return fmt.Sprintf("settings: version %d is not in the record", e.Version)
+}
+
+// treeAt walks back from what is in force. Held: mu.
+func (st *Store) treeAt(version uint64) (any, error) {
+	tree, err := st.now.tree(st.key)
+	if err != nil || version == st.version() {
+		return tree, err
+	}
+	var back []*audit.Record
+	first := st.version()
+	err = st.chain.Each(1, func(r *audit.Record) error {
+		if r.From >= version {
+			back = append(back, r)
+			first = min(first, r.From)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if first != version || len(back) == 0 {
+		return nil, &UnknownVersionError{version}
+	}
+	for i := len(back) - 1; i >= 0; i-- {
+		if tree, err = audit.Apply(Keys, tree, audit.Invert(back[i].Changes)); err != nil {
+			return nil, err
+		}
+	}
+	return tree, nil
+}
+
+// At returns the settings as they were in a version, an *UnknownVersionError if there was
+// none.
+func (st *Store) At(version uint64) (*Settings, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.now == nil || version == 0 {
+		return nil, &UnknownVersionError{version}
+	}
+	tree, err := st.treeAt(version)
+	if err != nil {
+		return nil, err
+	}
+	return fromTree(tree, version, st.key)
+}
+
+// Between lists what was changed from one version to another.
+func (st *Store) Between(from, to uint64) ([]audit.Change, error) {
+	a, err := st.At(from)
+	if err != nil {
+		return nil, err
+	}
+	b, err := st.At(to)
+	if err != nil {
+		return nil, err
+	}
+	return Diff(a, b, st.key)
+}
+
+// Revert puts a former version in force again, as a change of its own.
+func (st *Store) Revert(to uint64, by Author) (*Settings, error) {
+	s, err := st.At(to)
+	if err != nil {
+		return nil, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	s.Version = st.version()
+	if by.Why == "" {
+		by.Why = fmt.Sprintf("back to version %d", to)
+	}
+	return st.accept(s, by)
+}
+
+// Log returns at most so many records from a number on.
+func (st *Store) Log(from uint64, most int) (out []*audit.Record, err error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	err = st.chain.Each(from, func(r *audit.Record) error {
+		if len(out) == most {
+			return io.EOF
+		}
+		out = append(out, r)
+		return nil
+	})
+	return out, err
+}
+
+// Verify reads the whole record again, from its first entry to what is in force. A
+// broken chain is an *audit.BrokenError that names the record.
+func (st *Store) Verify() (audit.Chain, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var c audit.Chain
+	first := true
+	err := st.chain.Each(1, func(r *audit.Record) error {
+		if first { // a store in memory has forgotten what was before
+			c, first = audit.Chain{Seq: r.Seq - 1, Version: r.From, Hash: r.Prev, At: r.At}, false
+		}
+		return c.Next(r)
+	})
+	if err != nil {
+		return c, err
+	}
+	if end := st.chain.Chain(); c.Hash != end.Hash || c.Version != st.version() {
+		return c, &audit.BrokenError{Seq: c.Seq, Reason: "the record does not end at what is in force"}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/settings/ledger_test.go
@@ -0,0 +1,334 @@
+package settings
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"merlinhitch/audit"
+)
+
+func testKey(t *testing.T, b byte) *Key {
+	t.Helper()
+	k, err := NewKey(bytes.Repeat([]byte{b}, 32))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func withSecrets() *Settings {
+	s := Example(3, 9)
+	s.Target.Chap = []Chap{{"posto", "a secret that is long"}, {"balcao", "another that is long"}}
+	s.Target.Mutual = &Chap{"gateway", "the target's own secret"}
+	return s
+}
+
+func opened(t *testing.T, file string, k *Key) *Store {
+	t.Helper()
+	st, err := Open(file, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { st.Close() })
+	return st
+}
+
+func changed(t *testing.T, st *Store, f func(s *Settings)) *Settings {
+	t.Helper()
+	s := *st.Get()
+	s.Plans = append([]Plan(nil), s.Plans...)
+	f(&s)
+	now, err := st.Change(&s, Author{Who: "ines", Why: "test", At: 1}, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return now
+}
+
+// No secret stands in the snapshot, in the record or in an answer; with the key they are
+// there again, with another they are refused.
+func TestSecretsAreSealed(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "settings")
+	if _, err := opened(t, filepath.Join(dir, "other"), nil).Put(withSecrets()); !errors.Is(err, ErrNoKey) {
+		t.Errorf("without a key: %v", err)
+	}
+	st := opened(t, file, testKey(t, 1))
+	if _, err := st.Put(withSecrets()); err != nil {
+		t.Fatal(err)
+	}
+	changed(t, st, func(s *Settings) { s.Plans[0].Limit = 44 })
+	srv := httptest.NewServer(Handler(st, func(*http.Request) string { return "x" }, func() int64 { return 1 }))
+	defer srv.Close()
+	for _, page := range []string{"/settings", "/settings/log", "/settings/at?version=1", "/settings/diff?from=1&to=2"} {
+		r, err := http.Get(srv.URL + page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var b bytes.Buffer
+		b.ReadFrom(r.Body)
+		r.Body.Close()
+		if r.StatusCode != http.StatusOK || strings.Contains(b.String(), "that is long") || strings.Contains(b.String(), "own secret") {
+			t.Errorf("%s: %d %s", page, r.StatusCode, b.String())
+		}
+	}
+	st.Close()
+	for _, f := range []string{file, file + auditSuffix} {
+		b, err := os.ReadFile(f)
+		if err != nil || bytes.Contains(b, []byte("that is long")) || bytes.Contains(b, []byte("own secret")) {
+			t.Errorf("%s has a secret in clear, or %v", f, err)
+		}
+	}
+	var seal *SealError
+	if _, err := Open(file, testKey(t, 2)); !errors.As(err, &seal) {
+		t.Errorf("another key: %v", err)
+	}
+	if _, err := Open(file, nil); !errors.Is(err, ErrNoKey) {
+		t.Errorf("no key: %v", err)
+	}
+	s := opened(t, file, testKey(t, 1)).Get()
+	if s.Target.Chap[1].Secret != "another that is long" || s.Target.Mutual.Secret != "the target's own secret" {
+		t.Errorf("%+v", s.Target)
+	}
+}
+
+// Settings that were read and are handed in again keep their secrets; a new user without
+// one is a fault.
+func TestSecretsAreKept(t *testing.T) {
+	st := opened(t, "", testKey(t, 1))
+	now, err := st.Put(withSecrets())
+	if err != nil {
+		t.Fatal(err)
+	}
+	back := now.Redacted()
+	back.Target.Chap[0], back.Target.Chap[1] = back.Target.Chap[1], Chap{"posto", "a new secret for posto"}
+	if now, err = st.Put(back); err != nil || now.Target.Chap[0].Secret != "another that is long" || now.Target.Chap[1].Secret != "a new secret for posto" {
+		t.Fatalf("%v, %+v", err, now)
+	}
+	back = now.Redacted()
+	back.Target.Chap = append(back.Target.Chap, Chap{"novo", Kept})
+	var faults *FaultsError
+	if _, err := st.Put(back); !errors.As(err, &faults) || faults.Faults[0].Path != "target.chap[2].secret" {
+		t.Errorf("%v", err)
+	}
+}
+
+// A crash between the record and the snapshot: the change was accepted, and is there.
+func TestACrashBetweenRecordAndSnapshot(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings")
+	k := testKey(t, 1)
+	st := opened(t, file, k)
+	if _, err := st.Put(withSecrets()); err != nil {
+		t.Fatal(err)
+	}
+	old, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 5 {
+		changed(t, st, func(s *Settings) { s.Plans[0].Limit = float64(50 + n) })
+	}
+	want := st.Get()
+	st.Close()
+	for name, snapshot := range map[string][]byte{"the first snapshot": old, "no snapshot": nil} {
+		os.Remove(file)
+		if snapshot != nil {
+			if err := os.WriteFile(file, snapshot, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		st := opened(t, file, k)
+		got := st.Get()
+		if d, err := Diff(got, want, k); err != nil || len(d) > 0 || got.Version != want.Version {
+			t.Errorf("%s: version %d, %v, %v", name, got.Version, d, err)
+		}
+		if _, err := st.Verify(); err != nil {
+			t.Error(err)
+		}
+		st.Close()
+	}
+	var damaged *DamagedError
+	if err := os.Remove(file + auditSuffix); err != nil {
+		t.Fatal(err)
+	}
+	st = opened(t, file, k) // a snapshot from before there were records
+	if c, err := st.Verify(); err != nil || c.Seq != 1 || c.Version != want.Version {
+		t.Errorf("%+v, %v", c, err)
+	}
+	st.Close()
+	ahead := *want
+	ahead.Version += 3
+	if err := Save(file, &ahead, k); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(file, k); !errors.As(err, &damaged) {
+		t.Errorf("a snapshot ahead of its record: %v", err)
+	}
+}
+
+// A snapshot that can't be written keeps nothing from being accepted.
+func TestASnapshotThatCantBeWritten(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "d")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	st := opened(t, filepath.Join(dir, "settings"), nil)
+	if _, err := st.Put(Example(3, 9)); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	now := changed(t, st, func(s *Settings) { s.Plans[0].Limit = 44 })
+	if st.Late() == nil || now.Version != 2 {
+		t.Errorf("%v, version %d", st.Late(), now.Version)
+	}
+}
+
+// Two operators at once: the second is told what the first did, and where they collide;
+// what touches nothing in common is merged on request.
+func TestTwoOperators(t *testing.T) {
+	st := opened(t, "", nil)
+	if _, err := st.Put(Example(3, 9)); err != nil {
+		t.Fatal(err)
+	}
+	base := st.Get()
+	first, second, third := *base, *base, *base
+	first.Plans, second.Plans = append([]Plan(nil), base.Plans...), append([]Plan(nil), base.Plans...)
+	first.Plans[0].Limit, second.Plans[0].Limit = 41, 42
+	third.Limits.MaxOpen++
+	if _, err := st.Change(&first, Author{Who: "ines"}, false); err != nil {
+		t.Fatal(err)
+	}
+	var stale *StaleError
+	if _, err := st.Change(&second, Author{Who: "rui"}, true); !errors.As(err, &stale) || len(stale.Theirs) != 1 || len(stale.Collisions) != 1 ||
+		stale.Collisions[0].Theirs.Path != fmt.Sprintf("plans[%s].limit", base.Plans[0].Name) || string(stale.Collisions[0].Mine.New) != "42" {
+		t.Fatalf("%+v", err)
+	}
+	if _, err := st.Change(&third, Author{Who: "rui"}, false); !errors.As(err, &stale) || len(stale.Collisions) != 0 || !strings.Contains(err.Error(), "can be merged") {
+		t.Fatalf("%+v", err)
+	}
+	now, err := st.Change(&third, Author{Who: "rui"}, true)
+	if err != nil || now.Plans[0].Limit != 41 || now.Limits.MaxOpen != base.Limits.MaxOpen+1 || now.Version != 3 {
+		t.Fatalf("%v, %+v", err, now)
+	}
+	never := *base
+	never.Version = 77
+	if _, err := st.Change(&never, Author{}, true); !errors.As(err, &stale) || stale.Theirs != nil {
+		t.Errorf("a version that never was: %v", err)
+	}
+}
+
+// Many operators: each accepted change stands once in the record, no refused one does,
+// and every former version can be had again.
+func TestManyOperators(t *testing.T) {
+	st := opened(t, filepath.Join(t.TempDir(), "settings"), nil)
+	if _, err := st.Put(Example(3, 9)); err != nil {
+		t.Fatal(err)
+	}
+	srv := httptest.NewServer(Handler(st, func(r *http.Request) string { return r.URL.Query().Get("who") }, func() int64 { return 1 }))
+	defer srv.Close()
+	var mu sync.Mutex
+	accepted, refused := map[string]uint64{}, map[string]bool{}
+	var all sync.WaitGroup
+	for op := range 4 {
+		all.Go(func() {
+			api := NewAPI(strings.TrimPrefix(srv.URL, "http://"))
+			defer api.Close()
+			for n := range 25 {
+				s, err := api.Get(context.Background())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				s.Plans[op%len(s.Plans)].Limit = float64(1000 + 100*op + n)
+				why := fmt.Sprintf("%d/%d", op, n)
+				now, err := api.Put(context.Background(), s, Ask{Who: "op", Why: why, Merge: n%2 == 0})
+				mu.Lock()
+				if err == nil {
+					accepted[why] = now.Version
+				} else {
+					refused[why] = true
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	log, err := st.Log(1, 1000)
+	if err != nil || len(log) != len(accepted)+1 {
+		t.Fatalf("%d records for %d accepted, %v", len(log), len(accepted), err)
+	}
+	for _, r := range log[1:] {
+		if accepted[r.Why] != r.Version || refused[r.Why] {
+			t.Errorf("%+v: accepted as %d", r, accepted[r.Why])
+		}
+	}
+	var tree any = map[string]any{}
+	for _, r := range log {
+		if tree, err = audit.Apply(Keys, tree, r.Changes); err != nil || audit.StateHash(tree) != r.State {
+			t.Fatalf("record %d does not lead to its state: %v", r.Seq, err)
+		}
+		at, err := st.At(r.Version)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := at.tree(nil); err != nil || audit.StateHash(got) != r.State {
+			t.Errorf("version %d is not what was in force: %v", r.Version, err)
+		}
+	}
+	if now, err := st.Revert(1, Author{Who: "rui"}); err != nil || now.Version != uint64(len(log))+1 {
+		t.Fatal(now, err)
+	}
+	if d, err := st.Between(1, st.Get().Version); err != nil || len(d) > 0 {
+		t.Errorf("%v, %v", d, err)
+	}
+	var unknown *UnknownVersionError
+	if _, err := st.Revert(9999, Author{}); !errors.As(err, &unknown) {
+		t.Error(err)
+	}
+}
+
+// FuzzHandler: whatever is sent to the API, it answers, and puts nothing faulty in force.
+func FuzzHandler(f *testing.F) {
+	good, err := json.Marshal(Example(1, 1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("PUT", "/settings?merge=1&why=x", good)
+	f.Add("GET", "/settings/at?version=1", []byte{})
+	f.Add("GET", "/settings/diff?from=1&to=-1", []byte{})
+	f.Add("POST", "/settings/revert?to=18446744073709551615", []byte{})
+	f.Add("PUT", "/settings", []byte(`{"version":1,"plans":[{}]}`))
+	f.Fuzz(func(t *testing.T, method, target string, body []byte) {
+		st, err := Open("", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := Handler(st, func(*http.Request) string { return "" }, func() int64 { return 0 })
+		for range 2 {
+			r, err := http.NewRequest(method, "http://gateway"+target, bytes.NewReader(body))
+			if err != nil {
+				return
+			}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			if w.Code < 200 || w.Code > 599 {
+				t.Fatal(w.Code)
+			}
+			if s := st.Get(); s != nil && s.complete() != nil {
+				t.Fatal(s.complete())
+			}
+		}
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -674,6 +674,9 @@
 			path = "target.mutual"
 		}
 		c.when(k.User == "" || len(k.User) > 255, path+".user", "must have 1 to 255 bytes")
+		if k.Secret == Kept { // the store puts the secret in its place or says that there is none
+			continue
+		}
 		c.when(len(k.Secret) < 12 || len(k.Secret) > 255, path+".secret", "must have 12 to 255 bytes (RFC 7143 section 9.2.1 asks for 96 bits)")
 		c.when(i >= len(t.Chap) && slices.ContainsFunc(t.Chap, func(o Chap) bool { return o.Secret == k.Secret }), path+".secret", "is also a client's: each direction needs its own")
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -151,15 +152,15 @@
 // A snapshot is found whole, found missing, or found damaged, never half used.
 func TestSnapshot(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "settings")
-	if _, err := Load(file); !errors.Is(err, ErrNone) {
+	if _, err := Load(file, nil); !errors.Is(err, ErrNone) {
 		t.Fatalf("none: %v", err)
 	}
 	s := Example(3, 9)
 	s.Version = 4
-	if err := Save(file, s); err != nil {
+	if err := Save(file, s, nil); err != nil {
 		t.Fatal(err)
 	}
-	got, err := Load(file)
+	got, err := Load(file, nil)
 	if err != nil || got.Version != 4 || len(got.Volumes) != len(s.Volumes) {
 		t.Fatalf("%+v, %v", got, err)
 	}
@@ -167,16 +168,16 @@
 	var de *DamagedError
 	for n := 0; n < len(whole); n += 97 {
 		os.WriteFile(file, whole[:n], 0o666)
-		if _, err := Load(file); !errors.As(err, &de) {
+		if _, err := Load(file, nil); !errors.As(err, &de) {
 			t.Fatalf("torn at %d: %v", n, err)
 		}
 		turned := bytes.Clone(whole)
 		turned[n] ^= 0x10
 		os.WriteFile(file, turned, 0o666)
-		if _, err := Load(file); !errors.As(err, &de) {
+		if _, err := Load(file, nil); !errors.As(err, &de) {
 			t.Fatalf("a bit turned at %d: %v", n, err)
 		}
-		if _, err := Open(file); !errors.As(err, &de) {
+		if _, err := Open(file, nil); !errors.As(err, &de) {
 			t.Fatalf("opened though damaged: %v", err)
 		}
 	}
@@ -188,11 +189,11 @@
 // Of changes made from the same version, one is accepted.
 func TestStaleVersions(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "settings")
-	st, err := Open(file)
+	st, err := Open(file, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := httptest.NewServer(Handler(st))
+	srv := httptest.NewServer(Handler(st, func(r *http.Request) string { return r.URL.Query().Get("who") }, func() int64 { return 7 }))
 	defer srv.Close()
 	api := NewAPI(strings.TrimPrefix(srv.URL, "http://"))
 	defer api.Close()
@@ -207,7 +208,7 @@
 	var all sync.WaitGroup
 	for range 8 {
 		all.Go(func() {
-			if _, err := api.Put(ctx, Example(3, 9)); err == nil {
+			if _, err := api.Put(ctx, Example(3, 9), Ask{}); err == nil {
 				mu.Lock()
 				won++
 				mu.Unlock()
@@ -221,14 +222,15 @@
 	}
 	now.Plans[0].Limit = 1e12
 	var fe *FaultsError
-	if _, err := api.Put(ctx, now); !errors.As(err, &fe) || fe.Faults[0].Path != "plans[0].limit" {
+	if _, err := api.Put(ctx, now, Ask{}); !errors.As(err, &fe) || fe.Faults[0].Path != "plans[0].limit" {
 		t.Errorf("faulty: %v", err)
 	}
 	now.Plans[0].Limit = 44
-	if now, err = api.Put(ctx, now); err != nil || now.Version != 2 {
+	if now, err = api.Put(ctx, now, Ask{}); err != nil || now.Version != 2 {
 		t.Fatalf("%v", err)
 	}
-	if again, err := Open(file); err != nil || again.Get().Version != 2 || again.Get().Plans[0].Limit != 44 {
+	st.Close()
+	if again, err := Open(file, nil); err != nil || again.Close() != nil || again.Get().Version != 2 || again.Get().Plans[0].Limit != 44 {
 		t.Errorf("after a start: %v", err)
 	}
 }
--- a/settings/store.go
+++ b/settings/store.go
@@ -8,9 +8,11 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"sync"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"merlinhitch/audit"
 )
 
 // ErrNone says that there is no snapshot: nothing was ever saved there.
@@ -25,16 +27,35 @@
 }
 
 // StaleError says that a change was made against a version that is not in force.
-type StaleError struct{ Against, InForce uint64 }
+type StaleError struct {
+	Against, InForce uint64
+	// Theirs is what was changed since by others; nil where that is not known any more.
+	Theirs []audit.Change `json:",omitempty"`
+	// Collisions are where the refused change touches the same. Without any it can be
+	// merged.
+	Collisions []audit.Collision `json:",omitempty"`
+}
 
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("settings: change against version %d, version %d is in force", e.Against, e.InForce)
+	var b strings.Builder
+	fmt.Fprintf(&b, "settings: change against version %d, version %d is in force", e.Against, e.InForce)
+	for _, c := range e.Theirs {
+		fmt.Fprintf(&b, "\n  since then %v", c)
+	}
+	for _, c := range e.Collisions {
+		fmt.Fprintf(&b, "\n  collides at %s: yours %v, theirs %v", c.Theirs.Path, c.Mine, c.Theirs)
+	}
+	if e.Theirs != nil && len(e.Collisions) == 0 {
+		b.WriteString("\n  nothing collides: the change can be merged")
+	}
+	return b.String()
 }
 
 const snapshotHead = "merlinhitch-settings"
 
-// Load reads a snapshot.
-func Load(file string) (*Settings, error) {
+// Load reads a snapshot. Its secrets are opened with the key; without one it must have
+// none.
+func Load(file string, k *Key) (*Settings, error) {
 	b, err := os.ReadFile(file)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, ErrNone
@@ -61,13 +82,16 @@
 	if err != nil {
 		return nil, &DamagedError{file, err.Error()}
 	}
-	return s, nil
+	return s, s.open(k)
 }
 
 // Save writes a snapshot so that a reader, or a start after a crash at any point,
-// finds the old one or the new one, whole.
-func Save(file string, s *Settings) error {
-	body, err := json.MarshalIndent(s, "", " ")
+// finds the old one or the new one, whole. Secrets are sealed with the key.
+func Save(file string, s *Settings, k *Key) error {
+	if s.HasSecrets() && k == nil {
+		return ErrNoKey
+	}
+	body, err := json.MarshalIndent(s.sealed(k), "", " ")
 	if err != nil {
 		return err
 	}
@@ -99,69 +123,3 @@
 	defer d.Close()
 	return d.Sync()
 }
-
-// Store keeps the settings in force.
-type Store struct {
-	mu   sync.Mutex
-	file string
-	now  *Settings
-	subs []func(*Settings)
-}
-
-// Open reads the snapshot in file; without one the store is empty. File "" keeps
-// nothing beyond the process.
-func Open(file string) (*Store, error) {
-	st := &Store{file: file}
-	if file == "" {
-		return st, nil
-	}
-	s, err := Load(file)
-	if errors.Is(err, ErrNone) {
-		return st, nil
-	}
-	st.now = s
-	return st, err
-}
-
-// Get returns the settings in force, nil before the first. They don't change.
-func (st *Store) Get() *Settings {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	return st.now
-}
-
-// Watch calls f with every settings put from now on, in order.
-func (st *Store) Watch(f func(*Settings)) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.subs = append(st.subs, f)
-}
-
-// Put takes settings whose Version is the one that they were made from (0 for
-// the first). They are in force, and saved, when it returns without an error.
-func (st *Store) Put(s *Settings) (*Settings, error) {
-	if err := s.Check(); err != nil {
-		return nil, err
-	}
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	inForce := uint64(0)
-	if st.now != nil {
-		inForce = st.now.Version
-	}
-	if s.Version != inForce {
-		return nil, &StaleError{s.Version, inForce}
-	}
-	next := *s
-	next.Version++
-	if st.file != "" {
-		if err := Save(st.file, &next); err != nil {
-			return nil, err
-		}
-	}
-	st.now = &next
-	for _, f := range st.subs {
-		f(&next)
-	}
-	return &next, nil
-}
