The module takes other settings in flight and keeps what it has learnt

Classes, plans, limits and rules stayed those of the start. An event of settings now brings others: a request keeps the class, attempts, rest and slack that it was taken under; limits, budgets and cold nodes are held to what is in force, since they count over all requests. A limit's store keeps what is left of it as far as the new one holds it, and begins empty where there was none; depths, fits and shares stay, and a plan that is new gets a flow without a fit. Volumes whose plan or number of hosts changed are divided anew at their next request.

--- a/policy/api.go
+++ b/policy/api.go
@@ -188,6 +188,11 @@
 	Share  float64
 }
 
+// Revised brings other settings. Requests taken before end under the classes, attempts and
+// times that they were taken under; what is counted over all requests (limits, budget,
+// cold nodes) is held to those in force. What was learnt stays.
+type Revised struct{ Settings Settings }
+
 // Outcome ends an attempt. Done is set if the request is over with it.
 type Outcome struct {
 	ID         string
@@ -242,6 +247,7 @@
 func (TimerFired) event()    {}
 func (ClientGone) event()    {}
 func (Part) event()          {}
+func (Revised) event()       {}
 func (StreamStarted) event() {}
 func (Probed) event()        {}
 func (PeerMessage) event()   {}
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"gonum.org/v1/gonum/mat"
 )
@@ -24,6 +25,19 @@
 	return f
 }
 
+// grown is the fit with one more figure at that place, of which nothing is known.
+func (f *rls) grown(at int) *rls {
+	g := newRLS(slices.Insert(slices.Clone(f.theta), at, 0), f.forget, f.bound)
+	for i, row := range f.cov {
+		wider := slices.Insert(slices.Clone(row), at, 0)
+		if i >= at {
+			i++
+		}
+		g.cov[i] = wider
+	}
+	return g
+}
+
 // update takes one sample; one that would leave the fit non-finite is dropped.
 func (f *rls) update(x []float64, y float64) {
 	n := len(x)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -183,7 +183,7 @@
 // Requests.
 
 func (p *scheduler) take(q Request) {
-	r := &request{Request: q, arrived: p.now}
+	r := &request{Request: q, arrived: p.now, terms: p.s}
 	p.reqs[q.ID] = r
 	r.flow = max(slices.IndexFunc(p.s.Plans, func(pl Plan) bool { return pl.Name == q.Plan }), 0)
 	r.class = &Class{Worth: 1, Aim: q.Expires - p.now} // if never announced: the most careful kind
@@ -192,6 +192,9 @@
 	}
 	r.aimAt = min(p.now+r.class.Aim, q.Expires)
 	r.vol = p.volume(q, &p.s.Plans[r.flow])
+	if h := parts(q.Hosts, q.Share); r.vol.parts != h || r.vol.plan != &p.s.Plans[r.flow] {
+		p.redivide(r.vol, &p.s.Plans[r.flow], h)
+	}
 	if p.s.Rules.HasBudget {
 		p.taken.add(p.now, 1)
 		p.taken.since(p.now - p.s.Rules.BudgetSpan + p.s.Tick)
@@ -256,26 +259,24 @@
 // divide gives a volume this host's part of what its plan has.
 func (p *scheduler) divide(v *volume, h float64) {
 	plan := v.plan
+	v.parts = h
 	v.resFill, v.limFill, v.dueFill = plan.Reserve/h, plan.Limit/h, dueTimes*plan.Rate/h
 	v.resCap, v.limCap = plan.Reserve/h+p.s.MostUnits, plan.Burst/h
 	v.limFloor = min(plan.Limit*bunching/1000-plan.Slack, 0) / h
 	v.dueCap = max(v.dueFill*spread, 2*p.s.MostUnits)
 }
 
-// repart changes that part. What is left of the old one stays, as far as the new one
-// holds it: what it gains may have been spent elsewhere.
-func (p *scheduler) repart(e Part) {
-	v := p.vols[e.Volume]
-	if v == nil {
-		return
+// redivide gives a volume another part of its plan, or another plan. What is left of the
+// old one stays, as far as the new one holds it: what it gains may have been spent
+// elsewhere. Where nothing was limited, nothing is left that was counted.
+func (p *scheduler) redivide(v *volume, plan *Plan, h float64) {
+	left := v.limit - v.limFloor
+	if v.plan.Limit <= 0 {
+		left = 0
 	}
-	left := p.volume(Request{Volume: e.Volume}, v.plan).limit - v.limFloor
-	p.divide(v, parts(e.Hosts, e.Share))
+	v.plan = plan
+	p.divide(v, h)
 	v.limit = v.limFloor + min(left, v.limCap-v.limFloor)
-	for _, sh := range p.shards {
-		sh.forgetHeld()
-		p.pump(sh)
-	}
 }
 
 // rate sets what r's units are worth: in full inside the volume's reserve,
@@ -582,7 +583,7 @@
 	if r.done || n == nil || n.toldOff {
 		return false
 	}
-	if p.s.Limits.MaxAttempts > 0 && r.attempts >= p.s.Limits.MaxAttempts {
+	if most := r.terms.Limits.MaxAttempts; most > 0 && r.attempts >= most {
 		return false
 	}
 	if r.out > 0 || r.ran && !p.repeatable(r, n) {
@@ -647,11 +648,10 @@
 
 // limitOK holds a limited volume to this host's part of the limit.
 func (p *scheduler) limitOK(r *request, sh *shard) bool {
-	plan := &p.s.Plans[r.flow]
-	if plan.Limit <= 0 || r.attempts > 0 {
+	if r.vol.plan.Limit <= 0 || r.attempts > 0 {
 		return true
 	}
-	v := p.volume(r.Request, plan)
+	v := p.volume(r.Request, r.vol.plan)
 	if lack := v.limFloor + r.Units - v.limit; lack > 0 {
 		p.heldAt = p.now + lack/v.limFill*1000
 		p.wake(p.heldAt+guard, nil, sh)
@@ -664,7 +664,7 @@
 	n := sh.node
 	sh.remove(r)
 	if r.attempts == 0 {
-		if p.s.Plans[r.flow].Limit > 0 {
+		if r.vol.plan.Limit > 0 {
 			r.vol.limit -= r.Units
 		}
 	} else if p.s.Rules.HasBudget {
@@ -710,7 +710,7 @@
 	if c := p.chainOf(r); c != nil {
 		switch o.Result {
 		case NoAnswer, ConnectionLost, Cancelled:
-			c.restTo = max(c.restTo, p.now+p.s.Rules.KeyRest+p.s.Tick)
+			c.restTo = max(c.restTo, p.now+r.terms.Rules.KeyRest+p.s.Tick)
 		}
 	}
 	if o.Done {
@@ -782,7 +782,7 @@
 // again files r for a further attempt, or ends it if there can be none.
 func (p *scheduler) again(r *request) {
 	last := p.now >= r.Expires-p.s.Tick-guard
-	used := p.s.Limits.MaxAttempts > 0 && r.attempts >= p.s.Limits.MaxAttempts
+	used := r.terms.Limits.MaxAttempts > 0 && r.attempts >= r.terms.Limits.MaxAttempts
 	if last || used || r.ran && r.class.Effect == Unsafe {
 		p.end(r)
 		return
@@ -803,7 +803,7 @@
 		p.end(r)
 		return
 	}
-	late := r.Expires + p.s.Rules.AnswerSlack/2
+	late := r.Expires + r.terms.Rules.AnswerSlack/2
 	if p.now < late { // the attempt's own time-out comes first
 		p.wake(late, r, nil)
 		return
@@ -815,24 +815,13 @@
 func (p *scheduler) end(r *request) {
 	safe := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll
 	if safe || !r.ran && r.out == 0 {
-		p.do(Refuse{r.ID, p.s.Limits.RetryAfter})
+		p.do(Refuse{r.ID, r.terms.Limits.RetryAfter})
 	} else {
 		p.do(Fail{r.ID})
 	}
 	p.finish(r)
 }
 
-// finish lets go of what r holds; attempts still out keep only its record.
-func (p *scheduler) finish(r *request) {
-	r.done = true
-	r.shard.remove(r)
-	if r.out == 0 {
-		delete(p.reqs, r.ID)
-		p.stale++
-	}
-	p.release(r)
-}
-
 // The second: targets, model, shares, depths.
 
 func (p *scheduler) second() {
--- a/policy/state.go
+++ b/policy/state.go
@@ -12,6 +12,7 @@
 
 type request struct {
 	Request
+	terms    *Settings // that it was taken under
 	class    *Class
 	flow     int
 	shard    *shard
@@ -45,6 +46,7 @@
 	resFill, resCap float64
 	limFill, limCap float64
 	limFloor        float64
+	parts           float64 // of which this host has one
 	due, dueFill    float64
 	dueCap          float64
 	at              float64 // time of the levels
@@ -295,7 +297,7 @@
 }
 
 type scheduler struct {
-	s       Settings
+	s       *Settings // not altered once a request was taken under them
 	rng     *rand.Rand
 	born    float64
 	now     float64
@@ -516,7 +518,7 @@
 		heads[best] = heads[best][1:]
 	}
 }
-func newScheduler(s Settings, seed uint64) *scheduler {
+func (s Settings) filledIn() *Settings {
 	if len(s.Plans) == 0 {
 		s.Plans = []Plan{{Price: 1, Weight: 1}}
 	}
@@ -524,12 +526,16 @@
 	if s.MeanUnits <= 0 {
 		s.MeanUnits = 1
 	}
+	return &s
+}
+
+func newScheduler(s Settings, seed uint64) *scheduler {
 	p := &scheduler{
-		s: s, rng: rand.New(rand.NewPCG(seed, 0)), armed: math.Inf(1),
+		s: s.filledIn(), rng: rand.New(rand.NewPCG(seed, 0)), armed: math.Inf(1),
 		nodes: map[string]*node{}, reqs: map[string]*request{},
 		vols: map[string]*volume{}, chains: map[string]*chain{},
 	}
-	p.shares.init(s.Plans)
+	p.shares.init(p.s.Plans)
 	return p
 }
 
@@ -561,6 +567,8 @@
 		p.outcome(ev)
 	case Part:
 		p.repart(ev)
+	case Revised:
+		p.revise(ev.Settings)
 	case ClientGone:
 		if r := p.reqs[ev.ID]; r != nil {
 			p.finish(r)
@@ -575,3 +583,119 @@
 	p.due()
 	return p.acts
 }
+
+// finish lets go of what r holds; attempts still out keep only its record.
+func (p *scheduler) finish(r *request) {
+	r.done = true
+	r.shard.remove(r)
+	if r.out == 0 {
+		delete(p.reqs, r.ID)
+		p.stale++
+	}
+	p.release(r)
+}
+
+// repart gives a volume another part of what its plan has.
+func (p *scheduler) repart(e Part) {
+	v := p.vols[e.Volume]
+	if v == nil {
+		return
+	}
+	p.volume(Request{Volume: e.Volume}, v.plan) // levels of now
+	p.redivide(v, v.plan, parts(e.Hosts, e.Share))
+	p.lookAgain()
+}
+
+// lookAgain has everything looked at that a limit may have held.
+func (p *scheduler) lookAgain() {
+	for _, sh := range p.shards {
+		sh.forgetHeld()
+		p.pump(sh)
+	}
+}
+
+// revise takes other settings. Flows keep their numbers: those of a plan that is gone are
+// kept for what still waits in them, and then for a plan that is new.
+func (p *scheduler) revise(s Settings) {
+	old, next := p.s.Plans, s.filledIn()
+	next.Plans = p.slots(old, next.Plans)
+	p.s = next
+	byPlan := make(map[*Plan]*Plan, len(old))
+	for i := range old {
+		byPlan[&old[i]] = &next.Plans[i]
+	}
+	for id, v := range p.vols {
+		if plan := byPlan[v.plan]; plan != nil && plan.Name == v.plan.Name {
+			seen := v.seen
+			p.volume(Request{Volume: id}, v.plan) // levels of now, filled at the old rates
+			p.redivide(v, plan, v.parts)
+			v.seen = seen
+		}
+	}
+	for i, n := len(old), len(next.Plans); i < n; i++ {
+		p.shares.grow(next.Plans)
+		for _, sh := range p.shards {
+			sh.flows = append(sh.flows, flow{finish: sh.vtime})
+		}
+	}
+	p.lookAgain()
+}
+
+// slots gives the new plans numbers: their own where they had one, then those of plans
+// that nothing waits for any more, then further ones.
+func (p *scheduler) slots(old, next []Plan) []Plan {
+	used := make([]bool, len(old))
+	for _, r := range p.reqs {
+		used[r.flow] = true
+	}
+	for i := range old {
+		used[i] = used[i] || slices.ContainsFunc(next, func(n Plan) bool { return n.Name == old[i].Name })
+	}
+	out := slices.Clone(old)
+	for _, n := range next {
+		i := slices.IndexFunc(old, func(o Plan) bool { return o.Name == n.Name })
+		if i < 0 {
+			i = slices.Index(used, false)
+		}
+		if i < 0 {
+			out = append(out, n)
+			continue
+		}
+		out[i], used[i] = n, true
+	}
+	return out
+}
+
+// grow makes room for one more flow; what was learnt of the others stays.
+func (g *regulator) grow(plans []Plan) {
+	n := len(g.u)
+	sum := 0.0
+	for _, pl := range plans {
+		sum += max(pl.Weight, minShare)
+	}
+	g.u = append(g.u, max(plans[n].Weight, minShare)/sum)
+	rest := 1 - g.u[n]
+	for i := range n {
+		g.u[i] *= rest
+	}
+	fits, y := g.fits, g.y
+	g.fits, g.y = nil, make([]float64, 2*n+2)
+	for half := range 2 {
+		for i := range n {
+			g.y[half*(n+1)+i] = y[half*n+i]
+			g.fits = append(g.fits, fits[half*n+i].grown(n+1))
+		}
+		theta := make([]float64, n+3)
+		theta[0], theta[1+n] = ownStart, shareStart
+		g.fits = append(g.fits, newRLS(theta, forget, maxCov))
+	}
+	units, lat, count, worth, aims := g.units, g.lat, g.count, g.worth, g.aims
+	waits, waitN := g.waits, g.waitN
+	g.clear()
+	copy(g.units, units)
+	copy(g.lat, lat)
+	copy(g.count, count)
+	copy(g.worth, worth)
+	copy(g.aims, aims)
+	g.waits, g.waitN = waits, waitN
+}
