Settings change in flight at a running gateway, each request whole under one version

Classes, plans, limits and rules needed a restart, and a command could be split by one version and judged by another. A change now reaches the view and the module as one step against which commands are taken; each command to a disk server says the version that its request was taken under (protocol 4). A volume that is removed answers what comes after as a unit that there isn't, while what is out ends as it would have; a host says by path which settings it can't have. Block sizes, the target's prefix and the bounds of regions don't change in flight and are refused.

--- a/diskproto/diskproto.go
+++ b/diskproto/diskproto.go
@@ -17,7 +17,7 @@
 
 // Version is the newest version of the protocol; Oldest the oldest understood.
 const (
-	Version = 3
+	Version = 4
 	Oldest  = 3 // version 1 had no fences, version 2 no generations
 )
 
@@ -316,7 +316,10 @@
 	Fence uint64
 	// Gen is the generation of the shard's home that the host knows; 0 where the service
 	// has one region. A server that knows a later one answers Stale and does nothing.
-	Gen    uint64
+	Gen uint64
+	// Under is the version of the host's settings that the request was taken under; for
+	// the trail.
+	Under  uint64
 	Copied bool // to be answered only once the copy in the other region has it
 	Units  float64
 	Plan   string
@@ -334,7 +337,7 @@
 	b = be.AppendUint32(be.AppendUint16(b, m.Attempt), m.Shard)
 	b = be.AppendUint64(be.AppendUint64(b, m.Host), m.Seq)
 	b = be.AppendUint64(be.AppendUint64(be.AppendUint64(b, m.Origin), m.Deadline), m.Fence)
-	b = flag(be.AppendUint64(b, m.Gen), m.Copied)
+	b = flag(be.AppendUint64(be.AppendUint64(b, m.Gen), m.Under), m.Copied)
 	b = be.AppendUint32(b, math.Float32bits(float32(m.Units)))
 	b = text(text(text(b, m.Plan), m.Volume), m.Key)
 	b = be.AppendUint32(be.AppendUint64(b, m.LBA), m.Blocks)
@@ -351,7 +354,7 @@
 	d := decoder{b: b}
 	m.Op, m.Effect, m.Attempt, m.Shard = d.u8("op"), d.u8("effect"), d.u16("attempt"), d.u32("shard")
 	m.Host, m.Seq, m.Origin, m.Deadline = d.u64("host"), d.u64("seq"), d.u64("origin"), d.u64("deadline")
-	m.Fence, m.Gen, m.Copied = d.u64("fence"), d.u64("gen"), d.u8("copied") == 1
+	m.Fence, m.Gen, m.Under, m.Copied = d.u64("fence"), d.u64("gen"), d.u64("under"), d.u8("copied") == 1
 	m.Units = d.f32("units")
 	m.Plan, m.Volume, m.Key = d.text("plan"), d.text("volume"), d.text("key")
 	m.LBA, m.Blocks = d.u64("lba"), d.u32("blocks")
--- a/gateway/announcer_test.go
+++ b/gateway/announcer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"testing"
 	"time"
@@ -181,7 +182,8 @@
 	defer gate.Kill()
 	s := settings.Example(1, 1)
 	s.Announce = &settings.Announce{AS: 65001}
-	if _, err := gate.Settings().Put(s); err != nil {
+	var faults *settings.FaultsError
+	if _, err := gate.Settings().Put(s); !errors.As(err, &faults) || faults.Faults[0].Path != "announce" {
 		t.Fatal(err)
 	}
 	if gate.Addr() != nil {
--- a/gateway/answerer.go
+++ b/gateway/answerer.go
@@ -113,7 +113,7 @@
 	c.mu.Lock()
 	if !c.closed {
 		if x.fenced {
-			c.recheck(x.cmd.task, x.cmd.outcome, c.volume(c.front.view.Load()), x.cmd.class, x.cmd.partServed())
+			c.recheck(x.cmd.task, x.cmd.outcome, c.last(c.front.view.Load()).vol, x.cmd.class, x.cmd.partServed())
 		} else {
 			c.batch = true
 			c.sess.Respond(x.cmd.task, x.answer)
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,8 +24,8 @@
 	host   *host
 	id     uint64
 	name   string
-	dialIn time.Duration
-	drift  float64 // part by which clocks may run fast or slow
+	dialIn atomic.Int64 // time to connect and be greeted
+	drift  float64      // part by which clocks may run fast or slow
 	log    *zap.Logger
 
 	mu     sync.Mutex
@@ -46,7 +47,8 @@
 )
 
 func newBack(w seam.World, h *host, name string, dialIn time.Duration, log *zap.Logger) *back {
-	b := &back{world: w, host: h, id: w.Uint64(), name: name, dialIn: dialIn, log: log, links: map[string]*link{}}
+	b := &back{world: w, host: h, id: w.Uint64(), name: name, log: log, links: map[string]*link{}}
+	b.dialIn.Store(int64(dialIn))
 	b.ctx, b.stop = context.WithCancel(context.Background())
 	return b
 }
@@ -206,7 +208,7 @@
 
 // run dials, greets and reads until the connection ends.
 func (l *link) run() {
-	conn, err := l.back.world.Dial(l.back.ctx, "tcp", l.addr, l.back.dialIn)
+	conn, err := l.back.world.Dial(l.back.ctx, "tcp", l.addr, time.Duration(l.back.dialIn.Load()))
 	if err == nil {
 		err = l.serve(conn)
 	}
@@ -244,7 +246,7 @@
 func (l *link) greet(conn net.Conn, r *diskproto.Reader) error {
 	h := &diskproto.Hello{Oldest: diskproto.Oldest, Newest: diskproto.Version, Host: l.back.id, Name: l.back.name}
 	l.out.Put(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindHello, 0, h) })
-	conn.SetReadDeadline(l.back.world.Deadline(l.back.dialIn))
+	conn.SetReadDeadline(l.back.world.Deadline(time.Duration(l.back.dialIn.Load())))
 	f, err := r.Next()
 	if err != nil {
 		return err
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -49,8 +49,8 @@
 	}
 	v := c.front.view.Load()
 	var disk *scsi.Disk
-	if t.LUN == 0 {
-		disk = c.unit.disk
+	if u := c.at(v); t.LUN == 0 && u != nil {
+		disk = u.disk
 	}
 	out := scsi.Decode(disk, t.CDB, t.Data, []uint64{0})
 	switch {
@@ -64,58 +64,79 @@
 		// Every write that was acknowledged is on its disk server already.
 		c.respond(t, iscsi.Answer{})
 	default:
-		c.start(v, t, out)
+		c.start(t, out)
 	}
 }
 
 // flushes tells whether a flush needs no look at the reservations.
 func (c *conn) flushes(v *view) bool {
-	_, ok := c.front.keeper.judge(c.volume(v).Name, c.nexus(), true)
+	_, ok := c.front.keeper.judge(c.at(v).vol.Name, c.nexus(), true)
 	return ok
 }
 
-// volume is the session's volume as the settings have it now.
-func (c *conn) volume(v *view) *settings.Volume {
-	if u := v.targets[c.key.target]; u != nil {
-		return u.vol
+// at is the session's unit as settings have it, nil if they have it here no more: its
+// commands are then answered as those of a unit that there isn't, while what was taken
+// before ends as it would have.
+func (c *conn) at(v *view) *unit { return v.targets[c.key.target] }
+
+// last is the session's unit as settings have it or, if they don't, as they had it at its
+// login: for what was begun before.
+func (c *conn) last(v *view) *unit {
+	if u := c.at(v); u != nil {
+		return u
 	}
-	return c.unit.vol
+	return c.unit
 }
 
 func (c *conn) respond(t *iscsi.Task, a iscsi.Answer) { c.sess.Respond(t, a) }
 
 // start hands the command's parts to the host core. Held: conn.mu.
-func (c *conn) start(v *view, t *iscsi.Task, out scsi.Outcome) {
-	io := out.IO
-	vol := c.volume(v) // with the layout in force now
-	size := int(io.Blocks) * vol.BlockSize
+func (c *conn) start(t *iscsi.Task, out scsi.Outcome) {
+	if vol, class := c.take(t, out); class != nil {
+		c.recheck(t, out, vol, class, false)
+	}
+}
+
+// take hands them over under the settings in force, or answers the command itself. It
+// returns a volume and a class where the reservations must be looked at first.
+func (c *conn) take(t *iscsi.Task, out scsi.Outcome) (*settings.Volume, *settings.Class) {
+	f := c.front
+	f.taking.RLock()
+	defer f.taking.RUnlock()
+	v, io := f.view.Load(), out.IO
+	u := c.at(v)
+	if u == nil {
+		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.NoSuchLUN.Fixed()})
+		return nil, nil
+	}
+	size := int(io.Blocks) * u.vol.BlockSize
 	if io.Op == scsi.Unmap {
 		size = 0
 	}
-	class := v.Class(io.Op, size, vol.Plan)
+	class := v.Class(io.Op, size, u.vol.Plan)
 	if class == nil {
 		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.InvalidField.Fixed()})
-		return
+		return nil, nil
 	}
-	fence, may := c.front.keeper.judge(vol.Name, c.nexus(), io.Op.Writes() || io.Op == scsi.Flush)
+	fence, may := f.keeper.judge(u.vol.Name, c.nexus(), io.Op.Writes() || io.Op == scsi.Flush)
 	if !may {
-		c.recheck(t, out, vol, class, false)
-		return
+		return u.vol, class
 	}
-	cmd := &command{conn: c, task: t, blockSize: vol.BlockSize, outcome: out, class: class, fence: fence}
+	cmd := &command{conn: c, task: t, blockSize: u.vol.BlockSize, outcome: out, class: class, fence: fence}
 	if io.Op == scsi.Read {
 		cmd.held = size
 	}
-	if !c.front.host.serves() || int(c.front.open.Load()) >= v.Limits.MaxOpen || !c.front.reserve(cmd.held) {
+	if !f.host.serves() || int(f.open.Load()) >= v.Limits.MaxOpen || !f.reserve(cmd.held) {
 		c.respond(t, iscsi.Answer{Status: scsi.Busy}) // not taken: nothing was sent
-		return
+		return nil, nil
 	}
-	cmd.split(v, vol, class, io)
+	cmd.split(v, u.vol, class, io)
 	t.User = cmd
-	c.front.open.Add(int64(len(cmd.jobs)))
+	f.open.Add(int64(len(cmd.jobs)))
 	for _, j := range cmd.jobs {
-		c.front.host.post(event{kind: evTake, job: j})
+		f.host.post(event{kind: evTake, job: j})
 	}
+	return nil, nil
 }
 
 // split makes one request for each run of blocks on one shard.
@@ -336,7 +357,7 @@
 		c.respond(t, iscsi.Answer{})
 		return
 	}
-	c.start(c.front.view.Load(), t, out)
+	c.start(t, out)
 }
 
 // retryDelay is the advice of BUSY: tenths of a second, SAM-5 section 5.3.2.
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -53,6 +53,9 @@
 	log      *zap.Logger
 	listener net.Listener
 	view     atomic.Pointer[view]
+	// taking is held by who looks at the view and hands requests to the host core, and
+	// alone by who changes both: a request is taken under one or the other, whole.
+	taking   sync.RWMutex
 	memory   atomic.Int64 // bytes held for clients
 	open     atomic.Int64 // requests at the host core
 	nextTSIH atomic.Uint32
@@ -115,6 +118,15 @@
 	}
 }
 
+// revise puts settings in force for what is taken from now on.
+func (f *front) revise(s *settings.Settings) {
+	f.taking.Lock()
+	defer f.taking.Unlock()
+	f.host.back.dialIn.Store(int64(seam.Duration(s.Limits.DialTimeout)))
+	f.host.post(event{kind: evRevise, set: s})
+	f.view.Store(newView(s, f.host.self))
+}
+
 // reserve takes memory for a command's data; false when the bound is reached.
 func (f *front) reserve(n int) bool {
 	if f.memory.Add(int64(n)) <= int64(f.view.Load().Target.Memory) {
@@ -410,7 +422,7 @@
 		return
 	}
 	v := c.front.view.Load()
-	k := v.Class(scsi.Write, int(t.Length), c.unit.vol.Plan)
+	k := v.Class(scsi.Write, int(t.Length), c.last(v).vol.Plan)
 	if k == nil {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -73,6 +74,7 @@
 		st.Close()
 		return nil, err
 	}
+	st.Allow(g.allowed)
 	st.Watch(g.apply)
 	if s := st.Get(); s != nil {
 		g.apply(s)
@@ -120,9 +122,8 @@
 	return g.api.Addr()
 }
 
-// apply brings settings into force. The first start the gateway; later ones
-// change volumes, layouts and the target for commands taken from then on, while
-// classes, plans, limits and rules are the module's from its start to its end.
+// apply brings settings into force. The first start the gateway; later ones hold for
+// commands taken from then on.
 func (g *Gateway) apply(s *settings.Settings) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -130,7 +131,7 @@
 		return
 	}
 	if g.front != nil {
-		g.front.view.Store(newView(s, g.cfg.Self))
+		g.front.revise(s)
 		if g.ann != nil {
 			g.ann.apply(s)
 		}
@@ -144,6 +145,17 @@
 	g.ready.Open()
 }
 
+// allowed lists what keeps settings from coming into force at this host.
+func (g *Gateway) allowed(_, s *settings.Settings) (out []settings.Fault) {
+	if g.cfg.Self >= s.Hosts {
+		out = append(out, settings.Fault{Path: "hosts", Reason: fmt.Sprintf("is %d, and this is host %d", s.Hosts, g.cfg.Self)})
+	}
+	if s.Announce != nil && g.cfg.RouterID == 0 {
+		out = append(out, settings.Fault{Path: "announce", Reason: "needs a router identifier, which this host was not given"})
+	}
+	return out
+}
+
 func (g *Gateway) begin(s *settings.Settings) error {
 	if g.cfg.Self >= s.Hosts {
 		return errors.New("gateway: the settings know no host of this number")
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -53,6 +53,7 @@
 	evList
 	evAsk
 	evGrant
+	evRevise
 	evStop
 )
 
@@ -66,6 +67,7 @@
 	list    inventory.List
 	grant   *region.Grant
 	ask     func(*hostCore)
+	set     *settings.Settings
 }
 
 func newHost(w seam.World, s *settings.Settings, self int, name, zone string, log *zap.Logger) *host {
@@ -157,6 +159,8 @@
 		h.core.list(now, e.list)
 	case evGrant:
 		h.core.granted(now, e.grant)
+	case evRevise:
+		h.core.revise(now, e.set)
 	case evAsk:
 		e.ask(h.core)
 	}
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -113,6 +113,9 @@
 	limits  map[string]float64 // units a second of a plan's volumes, over all hosts
 	regions *regional          // nil: there is one
 	groups  map[string]policy.Group
+	self    int
+	zone    string
+	version uint64             // of the settings in force
 	held    uint64             // requests that were let go of unsent while their volume asked for more than its limit
 	saidAt  map[string]float64 // when that was last said of a volume
 	// Sends and Resends count attempts; for operators.
@@ -129,13 +132,21 @@
 const rateMemory = 300
 
 func newHostCore(now float64, s *settings.Settings, self int, zone string, seed uint64, eff effects) *hostCore {
-	limits := map[string]float64{}
+	h := &hostCore{regions: newRegional(s, self), self: self, zone: zone, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory),
+		eff: eff, jobs: map[string]*job{}, started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
+	h.mod = policy.New(h.learn(s), seed)
+	return h
+}
+
+// learn takes what the core itself needs of settings and returns what the module does.
+func (h *hostCore) learn(s *settings.Settings) policy.Settings {
+	h.version, h.limits, h.groups = s.Version, map[string]float64{}, map[string]policy.Group{}
 	for _, p := range s.Plans {
 		if p.Limit > 0 {
-			limits[p.Name] = p.Limit
+			h.limits[p.Name] = p.Limit
 		}
 	}
-	p := s.Policy(self, zone)
+	p := s.Policy(h.self, h.zone)
 	if plant.Is(plant.RepeatUnsafe) {
 		for i := range p.Classes {
 			if p.Classes[i].Effect == policy.Unsafe {
@@ -148,12 +159,20 @@
 			p.Plans[i].Limit *= 4
 		}
 	}
-	groups := map[string]policy.Group{}
 	for _, k := range p.Classes {
-		groups[k.Name] = k.Group
+		h.groups[k.Name] = k.Group
+	}
+	return p
+}
+
+// revise brings other settings for the requests that are taken from now on.
+func (h *hostCore) revise(now float64, s *settings.Settings) {
+	h.at(now)
+	p := h.learn(s)
+	if h.regions != nil {
+		h.regions.learn(s)
 	}
-	return &hostCore{regions: newRegional(s, self), groups: groups, limits: limits, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory), mod: policy.New(p, seed), eff: eff, jobs: map[string]*job{},
-		started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
+	h.tell(policy.Revised{Settings: p})
 }
 
 // at moves the clock, which never goes back.
@@ -163,6 +182,7 @@
 func (h *hostCore) take(now float64, j *job) {
 	h.at(now)
 	h.nextSeq++
+	j.do.Under = h.version
 	j.id = strconv.FormatUint(h.nextSeq, 36)
 	j.req.ID, j.do.Seq = j.id, h.nextSeq
 	if h.regions != nil {
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -221,6 +221,8 @@
 }
 
 func (f *front) errand(vol *settings.Volume, shard int, op byte, like scsi.Op, data []byte, fence uint64, expires float64, end func(*diskproto.Answer)) {
+	f.taking.RLock()
+	defer f.taking.RUnlock()
 	class := f.classAs(vol, like)
 	if class == nil {
 		f.world.AfterFunc(0, func() { end(nil) }) // the caller may hold a lock
@@ -304,7 +306,7 @@
 
 // reservation carries out a PERSISTENT RESERVE command. Held: conn.mu.
 func (c *conn) reservation(v *view, t *iscsi.Task, r *scsi.Reservation) {
-	vol := c.volume(v)
+	vol := c.at(v).vol
 	class := c.front.classAs(vol, scsi.CompareAndWrite)
 	if class == nil {
 		c.respond(t, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.InvalidOpcode.Fixed()})
--- a/gateway/regional.go
+++ b/gateway/regional.go
@@ -38,14 +38,20 @@
 		return nil
 	}
 	r := &regional{Host: region.NewHost(s.Regions.Config(), region.ID(s.Regions.Hosts[self])), self: region.ID(s.Regions.Hosts[self]),
-		drift: s.Regions.Drift, limits: map[string]int{}, copied: map[string]bool{}, parts: map[string]limitPart{}}
+		drift: s.Regions.Drift, parts: map[string]limitPart{}}
+	r.learn(s)
+	return r
+}
+
+// learn takes what settings say of plans.
+func (r *regional) learn(s *settings.Settings) {
+	r.limits, r.copied = map[string]int{}, map[string]bool{}
 	for i, p := range s.Plans {
 		r.copied[p.Name] = p.Copied != settings.AckBefore
 		if p.Limit > 0 {
 			r.limits[p.Name] = i
 		}
 	}
-	return r
 }
 
 // nothing stands for a share of nothing: no request ever fits it.
--- /dev/null
+++ b/gateway/revise_test.go
@@ -0,0 +1,137 @@
+package gateway_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/initiator"
+	"merlinhitch/iscsi"
+	"merlinhitch/scsi"
+	"merlinhitch/settings"
+)
+
+// change puts altered settings in force at the rig's gateway.
+func (r *rig) change(f func(s *settings.Settings)) *settings.Settings {
+	r.t.Helper()
+	s := *r.gate.Settings().Get()
+	s.Classes, s.Plans, s.Volumes = slices.Clone(s.Classes), slices.Clone(s.Plans), slices.Clone(s.Volumes)
+	f(&s)
+	now, err := r.gate.Settings().Put(&s)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return now
+}
+
+// A class whose deadline shrinks and a limit of attempts that falls while a write is out:
+// the write ends under what it was taken under, the next under the new.
+func TestAChangeWhileAWriteIsOut(t *testing.T) {
+	r := newRig(t, oneShard)
+	first := make(chan *scene, 1)
+	a := r.stage(func(c *scene, do diskproto.Do) {
+		if do.LBA == 0 && do.Attempt == 0 {
+			first <- c
+			return
+		}
+		c.say(ok(do))
+	})
+	c := r.client(normal, 1)
+	got := make(chan iscsi.Result, 1)
+	c.Submit(0, initiator.WriteCDB(0, 1), make([]byte, 4096), 0, func(res iscsi.Result, _ error) { got <- res })
+	s := <-first
+	was := r.gate.Settings().Get().Version
+	r.change(func(s *settings.Settings) {
+		s.Limits.MaxAttempts = 1
+		for i := range s.Classes {
+			s.Classes[i].Aim, s.Classes[i].Deadline = 10, 10
+		}
+	})
+	s.conn.Close() // a second attempt is allowed by the settings that it was taken under
+	if res := <-got; res.Status != scsi.Good {
+		t.Errorf("status %02x sense %x", res.Status, res.Sense)
+	}
+	r.change(func(s *settings.Settings) {
+		for i := range s.Classes {
+			s.Classes[i].Deadline = 1000
+		}
+	})
+	r.do(c, initiator.ReadCDB(1, 1), nil, 4096)
+	var under []uint64
+	for _, d := range a.did() {
+		under = append(under, d.Under)
+	}
+	if !slices.Equal(under, []uint64{was, was, was + 2}) {
+		t.Errorf("sent under %v, want twice %d and then %d", under, was, was+2)
+	}
+}
+
+// A volume that is removed with a write outstanding: the write has its one answer, and
+// what comes after is told that there is no such unit.
+func TestAVolumeIsRemovedWithAWriteOut(t *testing.T) {
+	r := newRig(t, oneShard)
+	out := make(chan *scene, 1)
+	r.stage(func(c *scene, do diskproto.Do) { out <- c })
+	c := r.client(normal, 1)
+	got := make(chan iscsi.Result, 1)
+	c.Submit(0, initiator.WriteCDB(0, 1), make([]byte, 4096), 0, func(res iscsi.Result, _ error) { got <- res })
+	s := <-out
+	r.change(func(s *settings.Settings) { s.Volumes = slices.Delete(s.Volumes, normal, normal+1) })
+	for _, cdb := range [][]byte{initiator.ReadCDB(0, 1), make([]byte, 6)} {
+		res := r.do(c, cdb, nil, 4096)
+		if sense, _ := scsi.ParseSense(res.Sense); res.Status != scsi.CheckCondition || sense != scsi.NoSuchLUN {
+			t.Errorf("command %02x: status %02x, sense %v", cdb[0], res.Status, sense)
+		}
+	}
+	s.say(diskproto.Answer{Result: diskproto.OK})
+	if res := <-got; res.Status != scsi.Good {
+		t.Errorf("status %02x sense %x", res.Status, res.Sense)
+	}
+}
+
+// A plan that is new, a volume that goes over to it, and a class that is new are there
+// for the next command, without a restart.
+func TestANewPlanAndClass(t *testing.T) {
+	r := newRig(t, oneShard)
+	a := r.stage(func(c *scene, do diskproto.Do) { c.say(ok(do)) })
+	c := r.client(normal, 1)
+	r.do(c, initiator.ReadCDB(0, 1), nil, 4096)
+	r.change(func(s *settings.Settings) {
+		p := s.Plans[0]
+		p.Name, p.Limit, p.Burst, p.Slack = "novo", 0, 0, 0
+		s.Plans = append(s.Plans, p)
+		s.Volumes[normal].Plan = "novo"
+		k := settings.Class{Name: "own", Match: settings.Match{Ops: []string{"write"}, Plans: []string{"novo"}}, Worth: 1, LateWorth: 0.1,
+			Aim: 500, Deadline: 5000, Effect: "unsafe"}
+		s.Classes = append([]settings.Class{k}, s.Classes...)
+	})
+	r.do(c, initiator.WriteCDB(0, 1), make([]byte, 4096), 0)
+	did := a.did()
+	if d := did[len(did)-1]; d.Plan != "novo" || d.Effect != diskproto.Unsafe {
+		t.Errorf("plan %s, effect %d", d.Plan, d.Effect)
+	}
+}
+
+// What can't change in flight is refused by path, and nothing of the change is in force.
+func TestWhatCantChange(t *testing.T) {
+	r := newRig(t, nil)
+	for path, f := range map[string]func(s *settings.Settings){
+		"target.prefix": func(s *settings.Settings) { s.Target.Prefix += "x" },
+		fmt.Sprintf("volumes[%d].block_size", normal): func(s *settings.Settings) {
+			s.Volumes = slices.Clone(s.Volumes)
+			s.Volumes[normal].BlockSize = 512
+		},
+	} {
+		s := *r.gate.Settings().Get()
+		f(&s)
+		var faults *settings.FaultsError
+		if _, err := r.gate.Settings().Put(&s); !errors.As(err, &faults) || faults.Faults[0].Path != path {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+	if v := r.gate.Settings().Get().Version; v != 1 {
+		t.Errorf("version %d", v)
+	}
+}
--- a/settings/ledger.go
+++ b/settings/ledger.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"sync"
 
 	"merlinhitch/audit"
@@ -37,6 +38,7 @@
 	now   *Settings
 	late  error // why the snapshot is behind the record
 	subs  []func(*Settings)
+	allow func(old, next *Settings) []Fault
 }
 
 // auditSuffix goes behind a snapshot's name: the file of its record.
@@ -130,6 +132,37 @@
 	st.subs = append(st.subs, f)
 }
 
+// Allow has f asked before a change is accepted; what it lists is refused as faults are.
+func (st *Store) Allow(f func(old, next *Settings) []Fault) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.allow = f
+}
+
+// fixed lists what can't change while there are settings in force: whoever holds a name
+// or a block of the old form would be told otherwise in the midst.
+func (s *Settings) fixed(old *Settings) (out []Fault) {
+	if old == nil {
+		return nil
+	}
+	if s.Target.Prefix != old.Target.Prefix {
+		out = append(out, Fault{"target.prefix", "can't change: clients hold the names that begin with it"})
+	}
+	sizes := make(map[string]int, len(old.Volumes))
+	for i := range old.Volumes {
+		sizes[old.Volumes[i].Name] = old.Volumes[i].BlockSize
+	}
+	for i := range s.Volumes {
+		if size, had := sizes[s.Volumes[i].Name]; had && size != s.Volumes[i].BlockSize {
+			out = append(out, Fault{fmt.Sprintf("volumes[%d].block_size", i), "can't change: make another volume"})
+		}
+	}
+	if !reflect.DeepEqual(s.Regions, old.Regions) {
+		out = append(out, Fault{"regions", "can't change in flight: the inventories have the same bounds from elsewhere"})
+	}
+	return out
+}
+
 // Put is Change by the process itself.
 func (st *Store) Put(s *Settings) (*Settings, error) {
 	return st.Change(s, Author{Who: "this process"}, false)
@@ -168,6 +201,13 @@
 	if err := next.complete(); err != nil {
 		return nil, err
 	}
+	faults := next.fixed(st.now)
+	if st.allow != nil {
+		faults = append(faults, st.allow(st.now, next)...)
+	}
+	if len(faults) > 0 {
+		return nil, &FaultsError{faults}
+	}
 	if st.file != "" && st.key == nil && next.HasSecrets() {
 		return nil, ErrNoKey
 	}
