--- a/settings/settings.go
+++ b/settings/settings.go
@@ -699,6 +699,13 @@
 			ColdTime: s.Rules.ColdTime, ColdUnits: s.Rules.ColdUnits, KeyRest: s.Rules.KeyRest,
 			SendLate: 2 * s.Limits.DialTimeout}, // to connect and to be greeted
 	}
+	if s.Regions != nil {
+		// Clocks may differ by twice the drift: what is short by this host's may still
+		// run by a disk server's, which goes by its own while it is cold.
+		apart := (1 + s.Regions.Drift) / (1 - s.Regions.Drift)
+		p.Rules.ColdTime *= apart
+		p.Rules.FallTime *= apart
+	}
 	if b := s.Rules.Budget; b != nil {
 		p.Rules.HasBudget, p.Rules.BudgetFree, p.Rules.BudgetShare, p.Rules.BudgetSpan = true, b.Free, b.Share, b.Span
 	}
