--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -19,6 +19,7 @@
 	Diskserver   diskserverCmd   `cmd:"" help:"Run a stand-in disk server."`
 	Inventory    inventoryCmd    `cmd:"" help:"Run a stand-in node list."`
 	Settings     settingsCmd     `cmd:"" help:"Read, change or draft the settings of a running gateway."`
+	Expect       expectCmd       `cmd:"" help:"Answer what operators expect of routing and limits, without sending anything."`
 	Io           ioCmd           `cmd:"" help:"Log in to a volume and read or write blocks."`
 	Badday       baddayCmd       `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
 	Explore      exploreCmd      `cmd:"" help:"Play days with drawn troubles in a virtual world and check every step."`
--- a/cmd/merlinhitch/settings.go
+++ b/cmd/merlinhitch/settings.go
@@ -80,8 +80,9 @@
 type settingsPutCmd struct {
 	adminFlag
 	whyFlags
-	Merge bool   `help:"Merge with what was changed since, if the two touch nothing in common."`
-	File  string `arg:"" help:"The settings, or - for standard input."`
+	Expect string `help:"Expectations that the settings must meet, or nothing is handed in." placeholder:"FILE"`
+	Merge  bool   `help:"Merge with what was changed since, if the two touch nothing in common."`
+	File   string `arg:"" help:"The settings, or - for standard input."`
 }
 
 func (c *settingsPutCmd) Run() error {
@@ -89,6 +90,11 @@
 	if err != nil {
 		return err
 	}
+	if c.Expect != "" {
+		if err := meets(s, c.Expect, false); err != nil {
+			return err
+		}
+	}
 	ask := c.ask()
 	ask.Merge = c.Merge
 	return c.with(func(ctx context.Context, api *settings.API) error {
--- /dev/null
+++ b/expect/expect_test.go
@@ -0,0 +1,197 @@
+package expect_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"merlinhitch/expect"
+	"merlinhitch/settings"
+)
+
+func check(t *testing.T, s *settings.Settings, text string) []expect.Answer {
+	t.Helper()
+	list, err := expect.Parse(strings.NewReader(text), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return expect.Check(s, list)
+}
+
+// Each line with whether it holds, and what is found where it does not.
+func TestAnswers(t *testing.T) {
+	s := settings.Example(3, 9)
+	s.Volumes[1].Copies, s.Volumes[1].Copy = 2, []int{2, 5}
+	lay := s.Volumes[1].Layout
+	for _, x := range []struct{ text, found string }{
+		{fmt.Sprintf("volume vol-001 write goes to n%d, n%d", lay[0], lay[1]), ""},
+		{"volume vol-001 write goes to n8", fmt.Sprintf("n%d, n%d", lay[0], lay[1])},
+		{fmt.Sprintf("volume vol-000 read goes to m0 when n%d draining, m0 ready at shard %d", s.Volumes[0].Layout[0], s.Volumes[0].Layout[0]), ""},
+		{fmt.Sprintf("volume vol-000 read goes to n0 when n%d draining, m0 ready at shard %d", s.Volumes[0].Layout[0], s.Volumes[0].Layout[0]), "m0"},
+		{fmt.Sprintf("volume vol-000 write is refused when n%d gone", s.Volumes[0].Layout[0]), ""},
+		{"volume vol-000 write is refused", "n0"},
+		{fmt.Sprintf("volume vol-000 write goes to n0 when n%d gone", s.Volumes[0].Layout[0]), "a refusal"},
+		{"volume vol-001 write is class txn-write", ""},
+		{"volume vol-000 write is class txn-write", "claim-write"},
+		{"volume vol-001 read of 65536 bytes is class card-read", ""},
+		{"volume vol-001 read of 65537 bytes is class card-read", "bulk-read"},
+		{"plan basico at 8 times its rate gets at most 40 and others lose none", ""},
+		{"plan basico at 16 times its rate gets at most 40 and others lose none", ""},
+		{"plan basico at 16 times its rate gets at most 20 and others lose none", "40.0 units a second of basico, 0 of "},
+		{"plan normal at 8 times its rate gets at most 40 and others lose none", "80.0 units a second of normal"},
+		{"hall hall-a lost keeps volume vol-001", ""},
+		{"hall hall-a lost keeps every volume", " more without a node"},
+	} {
+		got := check(t, s, x.text)
+		if len(got) != 1 || got[0].Held != (x.found == "") || !strings.Contains(got[0].Found, x.found) {
+			t.Errorf("%+v, want %q", got, x.found)
+		}
+	}
+}
+
+// Everything wrong with a file is named by line, a volume that there isn't as well.
+func TestFaults(t *testing.T) {
+	s := settings.Example(3, 9)
+	for text, reason := range map[string]string{
+		"volume vol-999 read goes to n0":                                         `there is no volume "vol-999"`,
+		"volume vol-000 reed goes to n0":                                         "unknown operation",
+		"volume vol-000 read goes n0":                                            `where "to" belongs`,
+		"volume vol-000 read goes to":                                            "names no node",
+		"volume vol-000 read goes to n0 n1":                                      `"n1" is too much`,
+		"volume vol-000 read goes to n0 when n99 draining":                       "there is no node",
+		"volume vol-000 read goes to n0 when m ready at shard 99":                "there is no shard 99",
+		"volume vol-000 read goes to n0 when n0 asleep":                          "not ready, draining or gone",
+		"volume vol-000 read of x bytes goes to n0":                              "is no number",
+		"plan ouro at 8 times its rate gets at most 4 and others lose none":      "there is no plan",
+		"plan basico at 1000 times its rate gets at most 4 and others lose none": "times is not from",
+		"hall hall-z lost keeps every volume":                                    "there is no hall",
+		"node n0 is well":                                                        "begins with",
+	} {
+		_, err := expect.Parse(strings.NewReader("# a remark\n\n"+text+"\n"), s)
+		var faults *settings.FaultsError
+		if !errors.As(err, &faults) || len(faults.Faults) != 1 || faults.Faults[0].Path != "line 3" || !strings.Contains(faults.Faults[0].Reason, reason) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	if _, err := expect.Parse(strings.NewReader(strings.Repeat("x", 5000)), s); err == nil {
+		t.Error("a line without end was read")
+	}
+}
+
+// big is 400 volumes over 47 nodes, with 500 expectations that hold of it.
+func big() (*settings.Settings, string) {
+	s := settings.Example(12, 47)
+	for len(s.Volumes) < 400 {
+		v := s.Volumes[len(s.Volumes)%188]
+		v.Name = fmt.Sprintf("vol-%03d", len(s.Volumes))
+		s.Volumes = append(s.Volumes, v)
+	}
+	s.Volumes = s.Volumes[:400]
+	var b strings.Builder
+	for i := range 400 {
+		v := &s.Volumes[i]
+		seen := map[int]bool{}
+		var to []string
+		for _, sh := range v.Layout {
+			if !seen[sh] {
+				to = append(to, expect.NodeOf(sh))
+			}
+			seen[sh] = true
+		}
+		fmt.Fprintf(&b, "volume %s read goes to %s\n", v.Name, strings.Join(to, ", "))
+		if i%4 == 0 {
+			sh := v.Layout[0]
+			fmt.Fprintf(&b, "volume %s write goes to %s when n%d draining, m%d ready at shard %d\n", v.Name,
+				strings.Join(append([]string{fmt.Sprintf("m%d", sh)}, to[1:]...), ", "), sh, sh, sh)
+		}
+	}
+	return s, b.String()
+}
+
+// Settings that are broken on purpose fail just the expectations that they touch, each
+// with one line.
+func TestBrokenSettingsFailTheirExpectations(t *testing.T) {
+	s, text := big()
+	began := time.Now()
+	for _, a := range check(t, s, text) {
+		if !a.Held {
+			t.Fatal(a)
+		}
+	}
+	t.Logf("500 expectations over 47 nodes and 400 volumes in %v", time.Since(began).Round(time.Millisecond))
+	broken := *s
+	broken.Volumes = append([]settings.Volume(nil), s.Volumes...)
+	for i := range 10 {
+		broken.Volumes[i*40].Layout = []int{(s.Volumes[i*40].Layout[0] + 20) % 47}
+	}
+	failed := 0
+	for _, a := range check(t, &broken, text) {
+		touched := false
+		for i := range 10 {
+			touched = touched || a.Volume == s.Volumes[i*40].Name
+		}
+		if a.Held == touched {
+			t.Errorf("%v", a)
+		}
+		if !a.Held {
+			failed++
+			if line := a.String(); strings.Contains(line, "\n") || !strings.Contains(line, a.Volume) || !strings.Contains(line, "found n") {
+				t.Errorf("%q", line)
+			}
+		}
+	}
+	t.Logf("%d failed for 10 broken volumes, as: %v", failed, check(t, &broken, text)[0])
+}
+
+func BenchmarkCheck500(b *testing.B) {
+	s, text := big()
+	list, err := expect.Parse(strings.NewReader(text), s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		expect.Check(s, list)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("volume vol-000 read goes to n0, n1 when n1 draining, m ready at shard 1")
+	f.Add("plan basico at 8 times its rate gets at most 40 and others lose none\nhall hall-a lost keeps every volume")
+	f.Add("volume vol-000 write of 1e9 bytes is refused")
+	s := settings.Example(1, 2)
+	f.Fuzz(func(t *testing.T, text string) {
+		list, err := expect.Parse(strings.NewReader(text), s)
+		if err != nil {
+			return
+		}
+		if len(list) > 3 { // answers take their time
+			list = list[:3]
+		}
+		for _, a := range expect.Check(s, list) {
+			if strings.Count(a.String(), "\n") > 0 {
+				t.Fatalf("%q", a.String())
+			}
+		}
+	})
+}
+
+func TestExampleFile(t *testing.T) {
+	f, err := os.Open("testdata/example.expect")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	s := settings.Example(3, 9)
+	list, err := expect.Parse(f, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range expect.Check(s, list) {
+		if !a.Held {
+			t.Error(a)
+		}
+	}
+}
