--- a/cmd/merlinhitch/settings.go
+++ b/cmd/merlinhitch/settings.go
@@ -8,12 +8,16 @@
 	"io"
 	"net/url"
 	"os"
+	"os/signal"
 	"os/user"
 	"strconv"
 	"text/tabwriter"
 	"time"
 
+	"go.uber.org/zap"
+
 	"merlinhitch/audit"
+	"merlinhitch/lab"
 	"merlinhitch/settings"
 )
 
@@ -25,6 +29,7 @@
 	Diff    settingsDiffCmd    `cmd:"" help:"What was changed from one version to another."`
 	Revert  settingsRevertCmd  `cmd:"" help:"Put a former version in force again, as a change of its own."`
 	Verify  settingsVerifyCmd  `cmd:"" help:"Read the whole record again and name a broken one."`
+	Day     settingsDayCmd     `cmd:"" help:"Play bad days on loopback on which operators change settings all the time, and check record and trail."`
 	Example settingsExampleCmd `cmd:"" help:"Print working settings to begin with."`
 }
 
@@ -258,6 +263,44 @@
 	return nil
 }
 
+type settingsDayCmd struct {
+	Seed      uint64   `default:"1" help:"First seed."`
+	Seeds     int      `default:"1" help:"Days."`
+	Hosts     int      `default:"4" help:"Hosts."`
+	Servers   int      `default:"9" help:"Disk servers, in three halls."`
+	Commands  int      `default:"4000" help:"Commands of a day."`
+	Rate      float64  `default:"220" help:"Commands a second."`
+	Operators int      `default:"4" help:"Operators at once."`
+	Changes   int      `default:"1000" help:"Changes that they ask for in a day, all together."`
+	Troubles  []string `help:"Kinds of trouble, all by default; none for a calm day." placeholder:"KIND,..."`
+}
+
+func (c *settingsDayCmd) Run(log *zap.Logger) error {
+	if c.Hosts < 1 || c.Servers < 3 || c.Commands < 1 || !(c.Rate > 0) || c.Operators < 1 || c.Changes < c.Operators {
+		return errors.New("settings day: needs a host, three servers, a command, a rate above 0 and a change of each operator")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	failed := 0
+	for i := range c.Seeds {
+		r, err := lab.ChangeDay(ctx, lab.Options{Seed: c.Seed + uint64(i), Commands: c.Commands, Rate: c.Rate, Hosts: c.Hosts, Servers: c.Servers,
+			Troubles: c.Troubles, Log: log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))}, c.Operators, c.Changes)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d\n", c.Seed+uint64(i))
+		r.Print(os.Stdout)
+		if !r.OK() {
+			failed++
+		}
+	}
+	fmt.Printf("%d days of %d changes by %d operators at %d hosts, %d failed\n", c.Seeds, c.Changes, c.Operators, c.Hosts, failed)
+	if failed > 0 {
+		return errSaid
+	}
+	return nil
+}
+
 type settingsExampleCmd struct {
 	Hosts  int `default:"3" help:"Hosts."`
 	Shards int `default:"9" help:"Shards."`
--- a/diskproto/diskproto.go
+++ b/diskproto/diskproto.go
@@ -18,7 +18,7 @@
 // Version is the newest version of the protocol; Oldest the oldest understood.
 const (
 	Version = 4
-	Oldest  = 3 // version 1 had no fences, version 2 no generations
+	Oldest  = 4 // version 1 had no fences, 2 no generations, 3 no version of the settings
 )
 
 const (
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -44,12 +44,17 @@
 	Routing string
 	// during is started with the day, for what is more than a kind of trouble.
 	during func(d *day, span time.Duration)
+	// after, if set, is given the trail once the hosts have stopped.
+	after func(d *day, events []trail.Event)
 	// live, if set, is given the fleet before the day begins and returns the checker that
 	// hears of each event as it happens.
 	live func(*Fleet) *rules.Checker
 	// lateBy is how much later than its time a command may still take effect once its
 	// client has lost it, for what stands still on the way.
 	lateBy time.Duration
+	// keep is a folder for the hosts' snapshots and records; "": a host that starts anew
+	// is given the settings anew.
+	keep string
 	// fixedShares has parts of limits never move between regions.
 	fixedShares bool
 }
@@ -229,6 +234,9 @@
 	d.crowd.Close()
 	d.fleet.StopHosts(ctx)
 	events := d.fleet.Rec.Stop()
+	if d.opt.after != nil {
+		d.opt.after(d, events)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if res.Steps = d.steps; d.err != nil {
--- /dev/null
+++ b/lab/changes_test.go
@@ -0,0 +1,66 @@
+package lab
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"merlinhitch/rules"
+	"merlinhitch/trail"
+)
+
+// Four operators change settings all through a bad day; no command is judged by a mixture
+// and the record is what they were answered. Then the trail is doctored in every way that
+// the checker is there for.
+func TestChangesAllDay(t *testing.T) {
+	r, err := ChangeDay(context.Background(), Options{Seed: 5, Commands: 600, Rate: 150, Hosts: 2, Servers: 6, Troubles: []string{"crash", "balancer_crash", "net_hang"}}, 4, 80)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	r.Print(&b)
+	t.Log("\n" + b.String())
+	if !r.OK() || r.Accepted < 20 || r.Versions.Commands < 200 {
+		t.Fatal("not kept, or too little happened")
+	}
+	for name, doctor := range map[string]func(e *trail.Event) bool{
+		"a version that never was": func(e *trail.Event) bool { e.Under = 9999; return true },
+		"another plan":             func(e *trail.Event) bool { e.Plan += "x"; return true },
+		"another effect":           func(e *trail.Event) bool { e.Effect = (e.Effect + 1) % 3; return true },
+		"more time":                func(e *trail.Event) bool { e.Deadline += 60e6; return true },
+		"more units":               func(e *trail.Event) bool { e.Units++; return e.Op == "read" || e.Op == "write" },
+		"an old version": func(e *trail.Event) bool {
+			was := e.Under
+			e.Under = 1
+			return was > 3
+		},
+		"a version to come": func(e *trail.Event) bool {
+			list := r.hosts[hostName(e.Host)]
+			last := list[len(list)-1]
+			e.Under = last.Set.Version
+			return last.Asked > e.T
+		},
+	} {
+		found := false
+		for i := range r.trail {
+			e := r.trail[i]
+			if e.Kind != trail.Do || e.Session == 0 || !doctor(&e) {
+				continue
+			}
+			events := append([]trail.Event(nil), r.trail...)
+			events[i] = e
+			v := rules.CheckVersions(r.meta, events, r.hosts)
+			if found = v.Broken > 0; found || i > len(r.trail)/2 {
+				break
+			}
+		}
+		if !found {
+			t.Errorf("%s was not found", name)
+		}
+	}
+}
+
+func hostName(process string) string {
+	name, _, _ := strings.Cut(process, "#")
+	return name
+}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,7 @@
 	ran    map[effectKey]bool // keyed and unsafe requests that took effect, in either region
 	again  int
 	gone   [2]bool   // regions that are lost as a whole
+	keep   string    // folder for the hosts' snapshots, or none
 	fixed  bool      // parts of limits never move
 	calm   world.Net // of the ways between regions
 	losses []Loss
@@ -122,7 +124,7 @@
 func NewFleet(w seam.World, at site, s *settings.Settings, cfg standin.MachineConfig, opt Options) (*Fleet, error) {
 	seed := opt.Seed
 	f := &Fleet{World: w, site: at, Set: s, now: s, log: opt.Log, cfg: cfg, seed: seed,
-		fixed: opt.fixedShares, Rec: trail.NewRecorder(func() int64 { return int64(w.Now() / time.Microsecond) }),
+		fixed: opt.fixedShares, keep: opt.keep, Rec: trail.NewRecorder(func() int64 { return int64(w.Now() / time.Microsecond) }),
 		Meta: &trail.Meta{Settings: s, Servers: map[string]trail.Server{}, Seed: seed}}
 	sizes, rates := map[string]int{}, map[string]float64{}
 	for i := range s.Volumes {
@@ -287,7 +289,7 @@
 		return err
 	}
 	h.gate, err = gateway.Start(gateway.Config{World: h.world, Log: f.log, Name: h.name, Self: h.self,
-		Zone: Halls[h.self%len(Halls)], Listen: "127.0.0.1:0", Inventory: h.list.Address(), Admin: f.site.admin(),
+		Zone: Halls[h.self%len(Halls)], Listen: "127.0.0.1:0", Inventory: h.list.Address(), Admin: f.site.admin(), Snapshot: f.snapshot(h.self),
 		RouterID: routerID(h.self), Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
 	if err != nil {
 		return err
@@ -300,9 +302,20 @@
 	return err
 }
 
+// snapshot is a host's file, "" where nothing is kept.
+func (f *Fleet) snapshot(self int) string {
+	if f.keep == "" {
+		return ""
+	}
+	return filepath.Join(f.keep, fmt.Sprintf("h%d", self))
+}
+
 // configure gives a new host its settings, as an operator would: by a call of the admin
 // API where there is one.
 func (f *Fleet) configure(g *gateway.Gateway) error {
+	if g.Settings().Get() != nil { // it has them from its snapshot
+		return nil
+	}
 	first := *f.now
 	first.Version = 0
 	if g.Admin() == nil {
--- /dev/null
+++ b/rules/versions.go
@@ -0,0 +1,227 @@
+package rules
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"merlinhitch/scsi"
+	"merlinhitch/settings"
+	"merlinhitch/trail"
+)
+
+// Version is settings as they were in force at a host: from a time after Asked and not
+// after Taken, the begin and the end of the call that brought them, until the next came.
+// Times are in us of the trail.
+type Version struct {
+	Set          *settings.Settings
+	Asked, Taken int64
+}
+
+// Versions judges from the sockets' trail whether each command was decided under one
+// version of the settings, whole, and under one that was in force while it was taken. It
+// shares nothing with the program's own bookkeeping but the number in each command to a
+// disk server.
+type Versions struct {
+	Commands int // with an attempt, and so with a version
+	Unsent   int // that have none, judged by every version that they may have met
+	Checks   int
+	Breaks   []string
+	Broken   int
+
+	hosts map[string]map[uint64]Version
+	after map[string]map[uint64]int64 // by host and version: when the next was surely in force
+	sizes map[string]int
+}
+
+// judged is a command under way.
+type judged struct {
+	host, volume string
+	conn         uint32
+	op           scsi.Op
+	lba          uint64
+	blocks       uint32
+	at           int64
+	under        uint64 // 0: nothing was sent
+	first        int64  // when its first attempt was
+}
+
+// CheckVersions reads a trail. The versions are by host, without the number of its start.
+func CheckVersions(m *trail.Meta, events []trail.Event, hosts map[string][]Version) *Versions {
+	v := &Versions{hosts: map[string]map[uint64]Version{}, after: map[string]map[uint64]int64{}, sizes: map[string]int{}}
+	for i := range m.Settings.Volumes {
+		v.sizes[m.Settings.Volumes[i].Name] = m.Settings.Volumes[i].BlockSize
+	}
+	for name, list := range hosts {
+		v.hosts[name], v.after[name] = map[uint64]Version{}, map[uint64]int64{}
+		for _, x := range list {
+			v.hosts[name][x.Set.Version] = x
+			if x.Set.Version > 1 {
+				v.after[name][x.Set.Version-1] = x.Taken
+			}
+		}
+	}
+	v.read(events)
+	return v
+}
+
+type commandKey struct {
+	host    string
+	session uint32
+	tag     uint32
+}
+
+func (v *Versions) read(events []trail.Event) {
+	open := map[commandKey]*judged{}
+	volumes := map[uint32]string{}
+	for i := range events {
+		e := &events[i]
+		switch {
+		case e.Link == trail.LinkClient && e.Kind == trail.Login:
+			volumes[e.Conn] = e.Volume
+		case e.Link == trail.LinkClient && e.Kind == trail.Command:
+			op := scsi.OpByName(e.Op)
+			if op == 0 || volumes[e.Conn] == "" {
+				continue
+			}
+			open[commandKey{e.Host, e.Session, e.Tag}] = &judged{host: e.Host, conn: e.Conn, volume: volumes[e.Conn], op: op, lba: e.LBA, blocks: e.Blocks, at: e.T}
+		case e.Link == trail.LinkClient && e.Kind == trail.Status:
+			k := commandKey{e.Host, e.Session, e.Tag}
+			if c := open[k]; c != nil {
+				v.answer(c, e)
+				delete(open, k)
+			}
+		case e.Link == trail.LinkDisk && e.Kind == trail.Do && e.Ref|e.Session != 0:
+			if c := open[commandKey{e.Host, e.Session, e.Ref}]; c != nil && c.volume == e.Volume {
+				v.attempt(c, e)
+			}
+		}
+	}
+}
+
+func (v *Versions) broke(e *trail.Event, format string, args ...any) {
+	v.Broken++
+	if len(v.Breaks) < keepBreaks {
+		v.Breaks = append(v.Breaks, fmt.Sprintf("%.3f s, %s: ", float64(e.T)/1e6, e.Host)+fmt.Sprintf(format, args...))
+	}
+}
+
+func hostOf(process string) string {
+	name, _, _ := strings.Cut(process, "#")
+	return name
+}
+
+// attempt holds one command to a disk server to the version that it names.
+func (v *Versions) attempt(c *judged, e *trail.Event) {
+	v.Checks++
+	if c.under == 0 {
+		c.under, c.first = e.Under, e.T
+		v.Commands++
+	}
+	host := hostOf(e.Host)
+	x, known := v.hosts[host][e.Under]
+	switch {
+	case !known:
+		v.broke(e, "attempt under version %d, which was never accepted", e.Under)
+		return
+	case e.Under != c.under:
+		v.broke(e, "one part of a command under version %d, another under %d", c.under, e.Under)
+		return
+	case x.Asked > e.T:
+		v.broke(e, "attempt under version %d, which was asked for only at %.3f s", e.Under, float64(x.Asked)/1e6)
+	}
+	if next, superseded := v.after[host][e.Under]; superseded && next < c.at-Margin {
+		v.broke(e, "command of %.3f s under version %d, which another had replaced by %.3f s", float64(c.at)/1e6, e.Under, float64(next)/1e6)
+	}
+	v.judge(c, e, x.Set)
+}
+
+// judge compares what an attempt says with what its version says of the command.
+func (v *Versions) judge(c *judged, e *trail.Event, set *settings.Settings) {
+	i := slices.IndexFunc(set.Volumes, func(x settings.Volume) bool { return x.Name == c.volume })
+	if i < 0 {
+		v.broke(e, "attempt for %s, which version %d does not have", c.volume, set.Version)
+		return
+	}
+	vol := &set.Volumes[i]
+	size := int(c.blocks) * v.sizes[c.volume]
+	if c.op == scsi.Unmap {
+		size = 0
+	}
+	k := set.Class(c.op, size, vol.Plan)
+	if k == nil {
+		v.broke(e, "attempt for %v of %s, which no class of version %d takes", c.op, c.volume, set.Version)
+		return
+	}
+	if e.Plan != vol.Plan {
+		v.broke(e, "attempt of plan %s, version %d has %s in %s", e.Plan, set.Version, c.volume, vol.Plan)
+	}
+	if want := map[string]int32{"unsafe": 0, "keyed": 1, "safe": 2}; e.Effect != want[k.Effect] {
+		v.broke(e, "attempt of effect %d, class %s of version %d is %s", e.Effect, k.Name, set.Version, k.Effect)
+	}
+	if most := c.first + int64(k.Deadline*1000) + Margin; e.Deadline > most {
+		v.broke(e, "attempt that may begin until %.3f s, class %s of version %d ends by %.3f s", float64(e.Deadline)/1e6, k.Name, set.Version, float64(most)/1e6)
+	}
+	if c.op == scsi.Read || c.op == scsi.Write {
+		if want := set.Units(int(e.Blocks) * v.sizes[c.volume]); e.Units != want {
+			v.broke(e, "attempt of %v units, version %d counts %v", e.Units, set.Version, want)
+		}
+	}
+}
+
+// answer holds a final answer to its command's version; one of which nothing was sent to
+// the kindest of those that it may have been taken under.
+func (v *Versions) answer(c *judged, e *trail.Event) {
+	v.Checks++
+	host := hostOf(c.host)
+	most, found := int64(math.MinInt64), false
+	for n, x := range v.hosts[host] {
+		if c.under != 0 && n != c.under || x.Asked > e.T {
+			continue
+		}
+		if next, superseded := v.after[host][n]; c.under == 0 && superseded && next < c.at-Margin {
+			continue
+		}
+		found = true
+		most = max(most, v.due(c, x.Set))
+	}
+	if c.under == 0 {
+		v.Unsent++
+	}
+	if found && e.T > most+Margin {
+		v.broke(e, "answer to a command of %.3f s that was due by %.3f s (version %d)", float64(c.at)/1e6, float64(most)/1e6, c.under)
+	}
+}
+
+// due is when a command's answer is by some settings; what they have no class for is
+// answered at once.
+func (v *Versions) due(c *judged, set *settings.Settings) int64 {
+	slack := int64(set.Rules.AnswerSlack * 1000)
+	i := slices.IndexFunc(set.Volumes, func(x settings.Volume) bool { return x.Name == c.volume })
+	if i < 0 {
+		return c.at + slack
+	}
+	k := set.Class(c.op, int(c.blocks)*v.sizes[c.volume], set.Volumes[i].Plan)
+	if k == nil {
+		return c.at + slack
+	}
+	return c.at + int64(k.Deadline*1000) + slack
+}
+
+// Summary is what was judged, in a line.
+func (v *Versions) Summary() string {
+	used := map[string]int{}
+	total := 0
+	for h, list := range v.hosts {
+		used[h] = len(list)
+		total += len(list)
+	}
+	names := make([]string, 0, len(used))
+	for h := range used {
+		names = append(names, h)
+	}
+	slices.SortFunc(names, cmp.Compare[string])
+	return fmt.Sprintf("%d commands each under one of %d versions at %d hosts, %d more answered unsent, %d checks, %d broken", v.Commands, total, len(names), v.Unsent, v.Checks, v.Broken)
+}
--- a/standin/tap.go
+++ b/standin/tap.go
@@ -321,7 +321,7 @@
 		}
 		e.Kind, e.Op, e.Effect, e.Attempt, e.Shard = trail.Do, scsi.Op(m.Op).String(), int32(m.Effect), uint32(m.Attempt), int32(m.Shard)
 		e.Seq, e.Deadline, e.Units, e.Volume, e.Key, e.Gen = m.Seq, int64(m.Deadline), m.Units, m.Volume, m.Key, m.Gen
-		e.LBA, e.Blocks, e.Length = m.LBA, m.Blocks, uint32(len(m.Data))
+		e.LBA, e.Blocks, e.Length, e.Under, e.Plan = m.LBA, m.Blocks, uint32(len(m.Data)), m.Under, m.Plan
 		e.Session, e.Ref = uint32(m.Origin>>32), uint32(m.Origin)
 	case diskproto.KindAnswer:
 		var m diskproto.Answer
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -79,7 +79,9 @@
 	Shard    int32   `parquet:"shard"`
 	Units    float64 `parquet:"units"`
 	Key      string  `parquet:"key,dict"`
-	Gen      uint64  `parquet:"gen"`      // of the shard's home, as the host knows it
+	Gen      uint64  `parquet:"gen"`   // of the shard's home, as the host knows it
+	Under    uint64  `parquet:"under"` // version of the settings that the request was taken under
+	Plan     string  `parquet:"plan,dict"`
 	Deadline int64   `parquet:"deadline"` // us of the same clock
 	Dropped  bool    `parquet:"dropped"`
 	Detail   string  `parquet:"detail,dict"` // of a list: its line
