A change rolls over all hosts in steps, under the stricter limits, and back where figures fall

Each host took changes by itself, and while hosts went by two versions a limit over all of them was the sum of parts of both. settings roll first gives every host the limits of both versions beside its own (the settings carry them, so they are recorded and outlive a restart), then the new version to one host, its hall and the rest, judging in-aim, refused and failed parts before and since by a stated rule, and lifts the limits of both at the end. A roll that is cut off is taken up, or back, by whoever names it; another operator's change in the midst stops it with the differences.

Tests: cut off at each of 36 calls, with the answer or with the call lost, up and down: taken up every time, and the sum over the hosts never above the stricter while two versions were in force.

--- a/cmd/merlinhitch/settings.go
+++ b/cmd/merlinhitch/settings.go
@@ -18,6 +18,8 @@
 
 	"merlinhitch/audit"
 	"merlinhitch/lab"
+	"merlinhitch/rollout"
+	"merlinhitch/seam"
 	"merlinhitch/settings"
 )
 
@@ -28,6 +30,7 @@
 	Show    settingsShowCmd    `cmd:"" help:"Print the settings of a former version."`
 	Diff    settingsDiffCmd    `cmd:"" help:"What was changed from one version to another."`
 	Revert  settingsRevertCmd  `cmd:"" help:"Put a former version in force again, as a change of its own."`
+	Roll    settingsRollCmd    `cmd:"" help:"Take all hosts to other settings in steps, and back where figures fall."`
 	Verify  settingsVerifyCmd  `cmd:"" help:"Read the whole record again and name a broken one."`
 	Day     settingsDayCmd     `cmd:"" help:"Play bad days on loopback on which operators change settings all the time, and check record and trail."`
 	Example settingsExampleCmd `cmd:"" help:"Print working settings to begin with."`
@@ -263,6 +266,47 @@
 	return nil
 }
 
+type settingsRollCmd struct {
+	whyFlags
+	Hosts  []string      `required:"" help:"Admin addresses of all hosts." placeholder:"ADDRESS,..."`
+	ID     string        `required:"" help:"Name of the roll; one that was cut off is taken up under the same."`
+	Watch  time.Duration `default:"10s" help:"How long figures are gathered before and after each step."`
+	Back   bool          `help:"Take a roll that was cut off back instead."`
+	Expect string        `help:"Expectations that the settings must meet, or nothing is begun." placeholder:"FILE"`
+	File   string        `arg:"" help:"The settings, or - for standard input."`
+}
+
+func (c *settingsRollCmd) Run() error {
+	to, err := readSettings(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Expect != "" {
+		if err := meets(to, c.Expect, false); err != nil {
+			return err
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var hosts []*rollout.Host
+	for _, a := range c.Hosts {
+		h := &rollout.Host{Name: a, API: settings.NewAPI(a)}
+		defer h.API.Close()
+		hosts = append(hosts, h)
+	}
+	from, err := rollout.From(ctx, hosts, to)
+	if err != nil {
+		return err
+	}
+	do := rollout.Roll
+	if c.Back {
+		do = rollout.Return
+	}
+	ask := c.ask()
+	return do(ctx, seam.NewReal(), hosts, from, to, rollout.RollOptions{ID: c.ID, Why: ask.Why, Who: ask.Who, Watch: c.Watch,
+		Progress: func(s string) { fmt.Fprintln(os.Stderr, s) }})
+}
+
 type settingsDayCmd struct {
 	Seed      uint64   `default:"1" help:"First seed."`
 	Seeds     int      `default:"1" help:"Days."`
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -35,12 +35,13 @@
 }
 
 func newView(s *settings.Settings, self int) *view {
+	s = s.Held()
 	v := &view{Settings: s, targets: map[string]*unit{}, hosts: map[string]int{}}
 	for i := range s.Volumes {
 		vol := &s.Volumes[i]
 		if slices.Contains(vol.Hosts, self) {
 			v.targets[s.TargetName(vol)] = &unit{vol, vol.Disk()}
-			v.hosts[vol.Name] = len(s.Near(self, vol.Hosts))
+			v.hosts[vol.Name] = s.Through(self, vol)
 		}
 	}
 	return v
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"merlinhitch/inventory"
 	"merlinhitch/rates"
+	"merlinhitch/roll"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
 )
@@ -209,6 +210,8 @@
 	Nodes            int
 	ListSeen         bool
 	ConnectedServers int
+	Zone             string       // hall that the host stands in
+	Figures          roll.Figures // of requests since the start
 }
 
 // Status reads the present figures.
@@ -216,6 +219,7 @@
 	g.mu.Lock()
 	f, h := g.front, g.host
 	g.mu.Unlock()
+	s.Zone = g.cfg.Zone
 	if f == nil {
 		return s
 	}
@@ -227,6 +231,7 @@
 	s.ConnectedServers = len(h.back.links)
 	h.back.mu.Unlock()
 	h.ask(func(c *hostCore) {
+		s.Figures = c.figures
 		s.Requests, s.Sends, s.Resends, s.LimitHeld, s.Nodes, s.ListSeen = c.nextSeq, c.sends, c.resends, c.held, len(c.nodes), c.listed
 	})
 	return s
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -17,6 +17,7 @@
 	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/rates"
+	"merlinhitch/roll"
 	"merlinhitch/settings"
 )
 
@@ -42,6 +43,7 @@
 	landBy  float64 // until then a lost attempt may still take effect
 	settled bool
 	gen     uint64 // of the shard's home when it was first sent
+	aimAt   float64
 	group   policy.Group
 	buffer  *[]byte // what the data of the answer under way lies in
 	spare   bool    // ended because the command's answer no longer depends on it
@@ -113,6 +115,7 @@
 	limits  map[string]float64 // units a second of a plan's volumes, over all hosts
 	regions *regional          // nil: there is one
 	groups  map[string]policy.Group
+	aims    map[string]float64 // by class, ms
 	self    int
 	zone    string
 	version uint64             // of the settings in force
@@ -120,6 +123,7 @@
 	saidAt  map[string]float64 // when that was last said of a volume
 	// Sends and Resends count attempts; for operators.
 	sends, resends uint64
+	figures        roll.Figures
 }
 
 type startKey struct {
@@ -140,7 +144,8 @@
 
 // learn takes what the core itself needs of settings and returns what the module does.
 func (h *hostCore) learn(s *settings.Settings) policy.Settings {
-	h.version, h.limits, h.groups = s.Version, map[string]float64{}, map[string]policy.Group{}
+	s = s.Held()
+	h.version, h.limits, h.groups, h.aims = s.Version, map[string]float64{}, map[string]policy.Group{}, map[string]float64{}
 	for _, p := range s.Plans {
 		if p.Limit > 0 {
 			h.limits[p.Name] = p.Limit
@@ -160,7 +165,7 @@
 		}
 	}
 	for _, k := range p.Classes {
-		h.groups[k.Name] = k.Group
+		h.groups[k.Name], h.aims[k.Name] = k.Group, k.Aim
 	}
 	return p
 }
@@ -190,6 +195,8 @@
 		j.group, j.do.Copied = h.groups[j.req.Class], h.regions.copied[j.req.Plan]
 	}
 	h.jobs[j.id] = j
+	h.figures.Taken++
+	j.aimAt = h.now + h.aims[j.req.Class]
 	h.usage.Add(h.now, j.req.Volume, j.req.Units, j.req.Write)
 	h.tell(j.req)
 }
@@ -274,6 +281,11 @@
 		return
 	}
 	j.ended = true
+	if how == endRefused {
+		h.figures.Refused++
+	} else {
+		h.figures.Failed++
+	}
 	h.heldBack(j)
 	h.eff.finish(j, how, after, nil)
 	h.tidy(j)
@@ -359,6 +371,9 @@
 	r := results[ans.Result]
 	if r == policy.Served && !a.job.ended {
 		a.job.ended = true
+		if h.figures.Served++; h.now <= a.job.aimAt {
+			h.figures.InAim++
+		}
 		h.eff.finish(a.job, endServed, 0, ans)
 	}
 	report := make([]policy.Reading, len(ans.Report))
--- a/settings/ledger.go
+++ b/settings/ledger.go
@@ -157,6 +157,12 @@
 			out = append(out, Fault{fmt.Sprintf("volumes[%d].block_size", i), "can't change: make another volume"})
 		}
 	}
+	for i := range old.Plans {
+		if s.Regions != nil && (i >= len(s.Plans) || s.Plans[i].Name != old.Plans[i].Name) {
+			out = append(out, Fault{fmt.Sprintf("plans[%d].name", i), "can't change: shares of limits between regions go by the plans' places"})
+			break
+		}
+	}
 	if !reflect.DeepEqual(s.Regions, old.Regions) {
 		out = append(out, Fault{"regions", "can't change in flight: the inventories have the same bounds from elsewhere"})
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,8 @@
 	Announce  *Announce `json:"announce,omitempty"`
 	// Regions has the service run over two.
 	Regions *Regions `json:"regions,omitempty"`
+	// Roll holds while hosts go by two versions.
+	Roll *Roll `json:"roll,omitempty"`
 }
 
 // Regions are the bounds of package region, and where each host is. Times of leases are
@@ -392,6 +394,7 @@
 	s.checkNodes(c)
 	s.checkAnnounce(c)
 	s.checkRegions(c)
+	s.checkRoll(c)
 	if len(c.faults) > 0 {
 		return &FaultsError{c.faults}
 	}
