--- a/audit/change.go
+++ b/audit/change.go
@@ -23,11 +23,21 @@
 	return fmt.Sprintf("%s: %s -> %s", c.Path, or(c.Old, "absent"), or(c.New, "absent"))
 }
 
+// mostShown bounds a value in a line for people, in bytes.
+const mostShown = 160
+
 func or(v json.RawMessage, none string) string {
 	if v == nil {
 		return none
 	}
-	return string(v)
+	var b bytes.Buffer
+	if json.Compact(&b, v) != nil {
+		return "what is no value"
+	}
+	if b.Len() > mostShown {
+		return b.String()[:mostShown] + "..."
+	}
+	return b.String()
 }
 
 // Keys says by which field the entries of a list are told apart; lists that it doesn't
--- a/cmd/merlinhitch/announce.go
+++ b/cmd/merlinhitch/announce.go
@@ -17,15 +17,13 @@
 )
 
 type routesCmd struct {
-	Admin string `default:"127.0.0.1:8640" help:"Admin address of the gateway."`
-	JSON  bool   `name:"json" help:"Print JSON."`
+	adminFlag
+	JSON bool `name:"json" help:"Print JSON."`
 }
 
 func (c *routesCmd) Run() error {
-	ctx, cancel := context.WithTimeout(context.Background(), apiTime)
-	defer cancel()
 	var r gateway.Routes
-	if err := settings.NewAPI(c.Admin).Read(ctx, "/routes", &r); err != nil {
+	if err := c.with(func(ctx context.Context, api *settings.API) error { return api.Read(ctx, "/routes", &r) }); err != nil {
 		return err
 	}
 	if c.JSON {
--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -19,6 +19,7 @@
 	Diskserver   diskserverCmd   `cmd:"" help:"Run a stand-in disk server."`
 	Inventory    inventoryCmd    `cmd:"" help:"Run a stand-in node list."`
 	Settings     settingsCmd     `cmd:"" help:"Read, change or draft the settings of a running gateway."`
+	Keys         keysCmd         `cmd:"" help:"The service's own authority: certificates of hosts, disk servers and operators."`
 	Expect       expectCmd       `cmd:"" help:"Answer what operators expect of routing and limits, without sending anything."`
 	Io           ioCmd           `cmd:"" help:"Log in to a volume and read or write blocks."`
 	Badday       baddayCmd       `cmd:"" help:"Play a scripted bad day on loopback and check the seven rules on what passed."`
@@ -40,7 +41,7 @@
 
 func main() {
 	var cl commandLine
-	k := kong.Parse(&cl, kong.Name("merlinhitch"), kong.Description("A storage gateway: iSCSI in front, the scheduler, disk servers behind."), kong.UsageOnError())
+	k := kong.Parse(&cl, kong.Name("merlinhitch"), kong.Description("A storage gateway: iSCSI in front, the scheduler, disk servers behind."), kong.UsageOnError(), kong.Vars{"admin": defaultAdmin()})
 	log, err := newLog(cl.LogLevel)
 	k.FatalIfErrorf(err)
 	if err := k.Run(log); err != nil {
--- a/cmd/merlinhitch/plan.go
+++ b/cmd/merlinhitch/plan.go
@@ -30,7 +30,8 @@
 }
 
 type planMakeCmd struct {
-	Admin    []string      `default:"127.0.0.1:8640" help:"Admin addresses of all gateways of the service."`
+	keysFlag
+	Admin    []string      `default:"${admin}" help:"Admin addresses of all gateways of the service."`
 	Snapshot string        `help:"Plan for a saved snapshot instead; nothing can be applied." placeholder:"FILE"`
 	Measured bool          `help:"Take the rates that the gateways measured instead of the typed ones."`
 	Lost     []string      `help:"Halls that are lost." placeholder:"HALL"`
@@ -48,10 +49,11 @@
 	if c.Snapshot != "" && (c.Apply || c.Measured) {
 		return errors.New("plan: a snapshot has no gateways to measure or apply with")
 	}
-	var hosts []*rollout.Host
-	for _, a := range c.Admin {
-		hosts = append(hosts, &rollout.Host{Name: a, API: settings.NewAPI(a)})
+	hosts, err := c.hosts(c.Admin)
+	if err != nil {
+		return err
 	}
+	defer closeAll(hosts)
 	pl, err := c.read(ctx, hosts)
 	if err != nil {
 		return err
--- a/cmd/merlinhitch/serve.go
+++ b/cmd/merlinhitch/serve.go
@@ -20,6 +20,7 @@
 	"merlinhitch/initiator"
 	"merlinhitch/inventory"
 	"merlinhitch/iscsi"
+	"merlinhitch/keys"
 	"merlinhitch/scsi"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
@@ -37,13 +38,25 @@
 	return ctx
 }
 
+// onHangUp calls f at each SIGHUP.
+func onHangUp(f func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	go func() {
+		for range c {
+			f()
+		}
+	}()
+}
+
 type gatewayCmd struct {
 	Name      string `default:"host" help:"Name told to disk servers and in logs."`
 	Self      int    `default:"0" help:"This host's number in the service, from 0."`
 	Zone      string `help:"Hall that the host stands in."`
 	Listen    string `default:"127.0.0.1:3260" help:"Address for initiators."`
 	Inventory string `required:"" help:"Address of the node list."`
-	Admin     string `default:"127.0.0.1:8640" help:"Address of the admin API: HOST:PORT or unix:PATH."`
+	Admin     string `default:"${admin}" help:"Address of the admin API: HOST:PORT or unix:PATH."`
+	Keys      string `help:"Folder of the host's keys: for the admin API and towards disk servers; SIGHUP reads it again." placeholder:"DIR"`
 	Snapshot  string `help:"File of the saved settings; their record lies beside it." placeholder:"FILE"`
 	KeyFile   string `help:"Key that seals secrets in them: 32 bytes or more that nobody can guess." placeholder:"FILE"`
 	RouterID  string `help:"BGP identifier, in the form of an IPv4 address; needed where the settings announce." placeholder:"A.B.C.D"`
@@ -57,6 +70,11 @@
 	cfg := gateway.Config{World: seam.NewReal(), Log: log, Name: c.Name, Self: c.Self, Zone: c.Zone,
 		Listen: c.Listen, Inventory: c.Inventory, Admin: c.Admin, Snapshot: c.Snapshot, BGPListen: c.BGPListen}
 	var err error
+	if c.Keys != "" {
+		if cfg.Keys, err = keys.Hold(c.Keys, time.Now); err != nil {
+			return cfg, err
+		}
+	}
 	if c.KeyFile != "" {
 		if cfg.Key, err = settings.ReadKey(c.KeyFile); err != nil {
 			return cfg, err
@@ -88,10 +106,20 @@
 	if err != nil {
 		return err
 	}
+	if err := socketFolder(c.Admin); err != nil {
+		return err
+	}
 	g, err := gateway.Start(cfg)
 	if err != nil {
 		return err
 	}
+	if c.Keys != "" {
+		onHangUp(func() {
+			if err := g.ReloadKeys(); err != nil {
+				log.Error("keys not reloaded", zap.Error(err))
+			}
+		})
+	}
 	ctx := untilSignal()
 	log.Info("stopping: what was taken is answered; a second signal ends at once")
 	g.Stop(ctx)
@@ -104,6 +132,7 @@
 	Work  float64 `default:"1" help:"Milliseconds that a unit takes on a core."`
 	Cores int     `default:"2" help:"Cores."`
 	Block int     `default:"4096" help:"Block size of the volumes."`
+	Keys  string  `help:"Folder of the server's keys; SIGHUP reads it again." placeholder:"DIR"`
 }
 
 func (c *diskserverCmd) Run(log *zap.Logger) error {
@@ -111,6 +140,17 @@
 	m := standin.NewMachine(standin.MachineConfig{Cores: c.Cores, Queue: 120, UnitWork: c.Work, WriteX: 1.5, ColdFrom: 1, FallTime: 1000, FallMultiple: 2},
 		w.Uint64(), standin.NewCell(func(string) int { return c.Block }), standin.NewRack(6000), nil, uint32(c.Shard), 0, false)
 	d := &standin.DiskServer{Name: fmt.Sprintf("d%d", c.Shard), Zone: c.Zone, Rack: fmt.Sprintf("d%d", c.Shard), Shard: c.Shard}
+	if c.Keys != "" {
+		var err error
+		if d.Keys, err = keys.Hold(c.Keys, time.Now); err != nil {
+			return err
+		}
+		onHangUp(func() {
+			if err := d.Keys.Reload(); err != nil {
+				log.Error("keys not reloaded", zap.Error(err))
+			}
+		})
+	}
 	if err := standin.ServeDisk(w, m, d); err != nil {
 		return err
 	}
--- a/cmd/merlinhitch/settings.go
+++ b/cmd/merlinhitch/settings.go
@@ -40,14 +40,21 @@
 
 // adminFlag is where the gateway's admin API is.
 type adminFlag struct {
-	Admin string `default:"127.0.0.1:8640" help:"Admin address of the gateway."`
+	keysFlag
+	Admin string `default:"${admin}" help:"Admin address of the gateway: HOST:PORT or unix:PATH."`
 }
 
+// callReload has a gateway read its keys again.
+func callReload(ctx context.Context, api *settings.API) error { return api.Call(ctx, "/keys/reload") }
+
 // with calls f with a client of the admin API, within its time.
 func (a adminFlag) with(f func(ctx context.Context, api *settings.API) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), apiTime)
 	defer cancel()
-	api := settings.NewAPI(a.Admin)
+	api, err := a.api(a.Admin)
+	if err != nil {
+		return err
+	}
 	defer api.Close()
 	return f(ctx, api)
 }
@@ -268,6 +275,7 @@
 
 type settingsRollCmd struct {
 	whyFlags
+	keysFlag
 	Hosts  []string      `required:"" help:"Admin addresses of all hosts." placeholder:"ADDRESS,..."`
 	ID     string        `required:"" help:"Name of the roll; one that was cut off is taken up under the same."`
 	Watch  time.Duration `default:"10s" help:"How long figures are gathered before and after each step."`
@@ -288,12 +296,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	var hosts []*rollout.Host
-	for _, a := range c.Hosts {
-		h := &rollout.Host{Name: a, API: settings.NewAPI(a)}
-		defer h.API.Close()
-		hosts = append(hosts, h)
+	hosts, err := c.hosts(c.Hosts)
+	if err != nil {
+		return err
 	}
+	defer closeAll(hosts)
 	from, err := rollout.From(ctx, hosts, to)
 	if err != nil {
 		return err
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/keys"
 	"merlinhitch/outbox"
 	"merlinhitch/plant"
 	"merlinhitch/policy"
@@ -25,6 +28,7 @@
 	id     uint64
 	name   string
 	dialIn atomic.Int64 // time to connect and be greeted
+	keys   *keys.Holder // nil: disk servers are spoken to in clear
 	drift  float64      // part by which clocks may run fast or slow
 	log    *zap.Logger
 
@@ -210,6 +214,9 @@
 func (l *link) run() {
 	conn, err := l.back.world.Dial(l.back.ctx, "tcp", l.addr, time.Duration(l.back.dialIn.Load()))
 	if err == nil {
+		if k := l.back.keys; k != nil {
+			conn = tls.Client(conn, k.Client("")) // it greets with the first frame, within its time
+		}
 		err = l.serve(conn)
 	}
 	l.finish()
@@ -345,7 +352,23 @@
 	f(l)
 }
 
-// retire closes the connection to a server that has left, once it has nothing out.
+// renew has every connection end once nothing is out on it: the next to each server is
+// made with the keys that there are now.
+func (b *back) renew() {
+	b.mu.Lock()
+	addrs := make([]string, 0, len(b.links))
+	for a := range b.links {
+		addrs = append(addrs, a)
+	}
+	b.mu.Unlock()
+	slices.Sort(addrs)
+	for _, a := range addrs {
+		b.retire(a)
+	}
+}
+
+// retire closes the connection to a server, as to one that has left, once it has nothing
+// out.
 func (b *back) retire(addr string) {
 	b.with(addr, func(l *link) {
 		l.bye = true
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -2,40 +2,144 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/keys"
+	"merlinhitch/settings"
 )
 
+// who is at the other end of a call of the admin API.
+type who struct {
+	name string
+	role keys.Role
+}
+
+type whoKey struct{}
+
 type peerKey struct{}
 
-// peerContext notes who is at the other end of a connection of the admin API.
+// peerContext notes the user at the other end of a Unix socket.
 func peerContext(ctx context.Context, c net.Conn) context.Context {
 	if u, ok := c.(*net.UnixConn); ok {
-		if uid, ok := peerUser(u); ok {
-			return context.WithValue(ctx, peerKey{}, fmt.Sprintf("uid %d", uid))
-		}
+		uid, known := peerUser(u)
+		return context.WithValue(ctx, peerKey{}, peer{uid, known})
 	}
 	return ctx
 }
 
-// caller names who makes a call, for the record. A name that the caller only says is
-// recorded as claimed.
-func caller(r *http.Request) string {
+type peer struct {
+	uid   uint32
+	known bool
+}
+
+// guard finds out who calls and holds them to their role: whoever shows a certificate to
+// that in it, as of now and not only as of when the connection began; users of a Unix
+// socket and callers in clear from this machine to all, the first only if they are the
+// gateway's own user or root.
+func (g *Gateway) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x, err := g.caller(r)
+		if err != nil {
+			settings.Reply(w, http.StatusUnauthorized, map[string]string{"error": err.Error()})
+			return
+		}
+		need := keys.Operate
+		switch {
+		case r.URL.Path == "/keys/reload":
+			need = keys.Administer
+		case r.Method == http.MethodGet:
+			need = keys.Read
+		}
+		if !x.role.May(need) {
+			settings.Reply(w, http.StatusForbidden, map[string]string{"error": fmt.Sprintf("%s has the role %q, this needs %q", x.name, x.role, need)})
+			return
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), whoKey{}, x)))
+	})
+}
+
+func (g *Gateway) caller(r *http.Request) (who, error) {
 	said := r.URL.Query().Get("who")
-	if who, ok := r.Context().Value(peerKey{}).(string); ok {
+	said = said[:min(len(said), mostName)]
+	if r.TLS != nil {
+		if len(r.TLS.PeerCertificates) == 0 {
+			return who{}, errors.New("no certificate")
+		}
+		c := r.TLS.PeerCertificates[0]
+		if err := g.cfg.Keys.Check(c); err != nil {
+			return who{}, err
+		}
+		name, role := keys.Name(c)
+		return who{name, role}, nil
+	}
+	if p, unix := r.Context().Value(peerKey{}).(peer); unix {
+		if p.known && p.uid != 0 && int(p.uid) != os.Getuid() {
+			return who{}, fmt.Errorf("uid %d is not the gateway's", p.uid)
+		}
 		if said != "" {
-			return who + ", claimed " + clip(said)
+			return who{fmt.Sprintf("uid %d, claimed %s", p.uid, said), keys.Administer}, nil
 		}
-		return who
+		return who{fmt.Sprintf("uid %d", p.uid), keys.Administer}, nil
 	}
 	if said != "" {
-		return "claimed " + clip(said)
+		return who{"claimed " + said, keys.Administer}, nil
 	}
-	return "unnamed at " + r.RemoteAddr
+	return who{"unnamed at " + r.RemoteAddr, keys.Administer}, nil
 }
 
 // mostName bounds a claimed name, in bytes.
 const mostName = 200
 
-func clip(s string) string { return s[:min(len(s), mostName)] }
+// author is who calls, as the record has it.
+func author(r *http.Request) settings.Author {
+	x, _ := r.Context().Value(whoKey{}).(who)
+	a := settings.Author{Who: x.name}
+	if !x.role.May(keys.Administer) {
+		a.Closed = settings.SecretPaths
+	}
+	return a
+}
+
+// reloadKeys reads the host's keys again and makes its connections anew, one by one as
+// each has nothing out.
+func (g *Gateway) reloadKeys(w http.ResponseWriter, r *http.Request) {
+	if err := g.ReloadKeys(); err != nil {
+		settings.Reply(w, http.StatusConflict, map[string]string{"error": err.Error()})
+		return
+	}
+	settings.Reply(w, http.StatusOK, map[string]string{"expires": g.cfg.Keys.Expires().UTC().Format("2006-01-02T15:04:05Z")})
+}
+
+// ReloadKeys reads the host's keys again. If they don't fit the old ones stay.
+func (g *Gateway) ReloadKeys() error {
+	if g.cfg.Keys == nil {
+		return errors.New("gateway: it was started without keys")
+	}
+	if err := g.cfg.Keys.Reload(); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	h := g.host
+	g.mu.Unlock()
+	if h != nil {
+		h.back.renew()
+	}
+	g.cfg.Log.Info("keys reloaded", zap.Time("expires", g.cfg.Keys.Expires()))
+	return nil
+}
+
+// onLoopback tells whether an address is reached from this machine alone.
+func onLoopback(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/inventory"
+	"merlinhitch/keys"
 	"merlinhitch/rates"
 	"merlinhitch/roll"
 	"merlinhitch/seam"
@@ -28,11 +30,14 @@
 	Name      string // told to disk servers
 	Self      int    // this host's number in the service
 	Zone      string
-	Listen    string        // for initiators
-	Inventory string        // address of the node list
-	Admin     string        // of the admin API: host:port, unix:PATH, or none
-	Snapshot  string        // file of the saved settings, or none; its record lies beside it
-	Key       *settings.Key // seals secrets in them; nil: there must be none
+	Listen    string // for initiators
+	Inventory string // address of the node list
+	Admin     string // of the admin API: host:port, unix:PATH, or none
+	Snapshot  string // file of the saved settings, or none; its record lies beside it
+	// Keys of this host; nil: the admin API is served in clear, to this machine alone, and
+	// disk servers are spoken to in clear.
+	Keys *keys.Holder
+	Key  *settings.Key // seals secrets in them; nil: there must be none
 	// For announcements: the identifier, the next hops told for IPv4 and IPv6 (a
 	// family without one is not announced), and where routers may dial, or nowhere.
 	RouterID   uint32
@@ -98,19 +103,30 @@
 		network, addr = "unix", p
 		os.Remove(p) // a socket that a killed process left
 	}
+	if network == "tcp" && g.cfg.Keys == nil && !onLoopback(addr) {
+		return errors.New("gateway: an admin address that others reach needs keys")
+	}
 	l, err := g.cfg.World.Listen(network, addr)
 	if err != nil {
 		return err
 	}
-	g.api = l
+	if g.api = l; network == "unix" {
+		if err := os.Chmod(addr, 0o600); err != nil {
+			return err
+		}
+	} else if g.cfg.Keys != nil {
+		l = tls.NewListener(l, g.cfg.Keys.Server(false))
+	}
 	mux := http.NewServeMux()
-	record := settings.Handler(g.store, caller, func() int64 { return g.cfg.World.Deadline(0).UnixMilli() })
+	record := settings.Handler(g.store, author, func() int64 { return g.cfg.World.Deadline(0).UnixMilli() })
 	mux.Handle("/settings", record)
 	mux.Handle("/settings/", record)
 	mux.HandleFunc("GET /routes", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Routes()) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Status()) })
 	mux.HandleFunc("GET /rates", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Rates()) })
-	g.admin = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, ConnContext: peerContext}
+	mux.HandleFunc("POST /keys/reload", g.reloadKeys)
+	g.admin = &http.Server{Handler: g.guard(mux), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, ConnContext: peerContext,
+		ErrorLog: zap.NewStdLog(g.cfg.Log)}
 	go g.admin.Serve(l) // ends with Close; its error says only that
 	return nil
 }
@@ -168,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	h := newHost(g.cfg.World, s, g.cfg.Self, g.cfg.Name, g.cfg.Zone, g.cfg.Log)
+	h := newHost(g.cfg.World, s, g.cfg.Self, g.cfg.Name, g.cfg.Zone, g.cfg.Keys, g.cfg.Log)
 	g.list = inventory.Follow(g.cfg.World, g.cfg.Inventory, func(l inventory.List) {
 		h.post(event{kind: evList, list: l})
 	})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"merlinhitch/initiator"
 	"merlinhitch/inventory"
 	"merlinhitch/iscsi"
+	"merlinhitch/keys"
 	"merlinhitch/scsi"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
@@ -37,6 +38,11 @@
 }
 
 func newRig(t *testing.T, edit func(*settings.Settings)) *rig {
+	return newKeyedRig(t, edit, func(*gateway.Config) {}, nil)
+}
+
+// newKeyedRig is a rig whose gateway and disk servers have keys.
+func newKeyedRig(t *testing.T, edit func(*settings.Settings), more func(*gateway.Config), k *keys.Holder) *rig {
 	r := &rig{t: t, world: seam.NewReal(), set: settings.Example(1, 3)}
 	if edit != nil {
 		edit(r.set)
@@ -49,7 +55,7 @@
 	for i := range r.set.Shards {
 		cell := standin.NewCell(func(string) int { return 4096 })
 		m := standin.NewMachine(quickMachine(), uint64(i), cell, standin.NewRack(6000), nil, uint32(i), 0, false)
-		d := &standin.DiskServer{Name: "disk", Zone: "hall-a", Rack: "r", Shard: i}
+		d := &standin.DiskServer{Name: "disk", Zone: "hall-a", Rack: "r", Shard: i, Keys: k}
 		if err := standin.ServeDisk(r.world, m, d); err != nil {
 			t.Fatal(err)
 		}
@@ -59,8 +65,10 @@
 			b.Set(inventory.Node{Addr: d.Addr, Health: inventory.Ready, Shard: i, Zone: "hall-a", Weight: 1, Incarnation: d.Started}, 0)
 		})
 	}
-	r.gate, err = gateway.Start(gateway.Config{World: r.world, Name: "h0", Zone: "hall-a", Listen: "127.0.0.1:0", Inventory: r.inv.Addr,
-		RouterID: 1, Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
+	cfg := gateway.Config{World: r.world, Name: "h0", Zone: "hall-a", Listen: "127.0.0.1:0", Inventory: r.inv.Addr,
+		RouterID: 1, Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})}
+	more(&cfg)
+	r.gate, err = gateway.Start(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -12,6 +12,7 @@
 
 	"merlinhitch/diskproto"
 	"merlinhitch/inventory"
+	"merlinhitch/keys"
 	"merlinhitch/outbox"
 	"merlinhitch/plant"
 	"merlinhitch/policy"
@@ -70,7 +71,7 @@
 	set     *settings.Settings
 }
 
-func newHost(w seam.World, s *settings.Settings, self int, name, zone string, log *zap.Logger) *host {
+func newHost(w seam.World, s *settings.Settings, self int, name, zone string, k *keys.Holder, log *zap.Logger) *host {
 	h := &host{world: w, log: log, self: self, wake: w.NewParker(), timerAt: math.Inf(1), fetch: func() {}}
 	h.core = newHostCore(seam.MS(w.Now()), s, self, zone, w.Uint64(), h)
 	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
@@ -79,6 +80,7 @@
 		h.leased(0)
 		h.back.drift = s.Regions.Drift
 	}
+	h.back.keys = k
 	w.Go(h.run)
 	return h
 }
--- /dev/null
+++ b/keys/authority.go
@@ -0,0 +1,350 @@
+// Package keys is the service's own small authority (X.509, RFC 5280): it makes
+// certificates for hosts, disk servers and operators, with an operator's role in them, and
+// holds what a program uses of them so that it can be renewed in place. It opens no
+// connection and decides on no request but by the role in a certificate.
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Role is what a certificate lets its holder do at the admin API.
+type Role string
+
+// The roles. Each may do what the one before may.
+const (
+	Read       Role = "read"       // look at everything but secrets
+	Operate    Role = "operate"    // change settings, but none that is about keys and secrets
+	Administer Role = "administer" // change all
+	Machine    Role = "machine"    // a host or a disk server towards the other; nothing at the API
+)
+
+var order = []Role{Read, Operate, Administer}
+
+// May tells whether a role includes another.
+func (r Role) May(need Role) bool {
+	i, j := slices.Index(order, r), slices.Index(order, need)
+	return i >= 0 && j >= 0 && i >= j
+}
+
+// Known tells whether r is one of the roles.
+func (r Role) Known() bool { return r == Machine || slices.Contains(order, r) }
+
+// Files of an authority and of a holder of a certificate.
+const (
+	authorityCert = "authority.crt"
+	authorityKey  = "authority.key"
+	// TrustFile has the certificates of the authorities that are trusted: two while one
+	// takes the other's place.
+	TrustFile   = "trusted.crt"
+	RevokedFile = "revoked.crl"
+	CertFile    = "own.crt"
+	KeyFile     = "own.key"
+)
+
+const (
+	authorityLife = 10 * 365 * 24 * time.Hour
+	// ClockSlack is how much earlier than now a certificate begins: clocks differ.
+	ClockSlack = 5 * time.Minute
+	// crlLife is long: a list that runs out would shut everybody out, and a stolen
+	// certificate is short-lived by itself.
+	crlLife = 10 * 365 * 24 * time.Hour
+)
+
+// Authority signs.
+type Authority struct {
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	now  func() time.Time
+}
+
+// ErrExists says that there is an authority in the folder already.
+var ErrExists = errors.New("keys: there is an authority in this folder")
+
+// Init makes a new authority in a folder.
+func Init(dir string, now func() time.Time) (*Authority, error) {
+	if _, err := os.Stat(filepath.Join(dir, authorityKey)); err == nil {
+		return nil, ErrExists
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	a := &Authority{dir: dir, now: now}
+	if err := a.renew(); err != nil {
+		return nil, err
+	}
+	if err := write(filepath.Join(dir, TrustFile), 0o644, certPEM(a.cert)); err != nil {
+		return nil, err
+	}
+	return a, a.list(nil)
+}
+
+// renew gives the authority a key and a certificate.
+func (a *Authority) renew() error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	t := &x509.Certificate{SerialNumber: serial(), Subject: pkix.Name{CommonName: "merlinhitch authority"},
+		NotBefore: a.now().Add(-ClockSlack), NotAfter: a.now().Add(authorityLife), IsCA: true, BasicConstraintsValid: true, MaxPathLenZero: true,
+		KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageCRLSign}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return err
+	}
+	if a.cert, err = x509.ParseCertificate(der); err != nil {
+		return err
+	}
+	a.key = key
+	k, err := keyPEM(key)
+	if err != nil {
+		return err
+	}
+	if err := write(filepath.Join(a.dir, authorityKey), 0o600, k); err != nil {
+		return err
+	}
+	return write(filepath.Join(a.dir, authorityCert), 0o644, certPEM(a.cert))
+}
+
+// Open reads the authority in a folder.
+func Open(dir string, now func() time.Time) (*Authority, error) {
+	certs, err := readCerts(filepath.Join(dir, authorityCert))
+	if err != nil {
+		return nil, err
+	}
+	b, err := os.ReadFile(filepath.Join(dir, authorityKey))
+	if err != nil {
+		return nil, err
+	}
+	p, _ := pem.Decode(b)
+	if p == nil {
+		return nil, fmt.Errorf("keys: %s has no key", authorityKey)
+	}
+	k, err := x509.ParsePKCS8PrivateKey(p.Bytes)
+	if err != nil {
+		return nil, err
+	}
+	key, ok := k.(*ecdsa.PrivateKey)
+	if !ok || !key.PublicKey.Equal(certs[0].PublicKey) {
+		return nil, fmt.Errorf("keys: %s does not belong to %s", authorityKey, authorityCert)
+	}
+	return &Authority{dir, certs[0], key, now}, nil
+}
+
+// Issue makes a key and a certificate for a name, in a folder of its holder with what is
+// trusted beside them. Addresses are those at which a server is reached.
+func (a *Authority) Issue(name string, role Role, life time.Duration, addresses []string, out string) (*x509.Certificate, error) {
+	if !role.Known() || name == "" || len(name) > 64 || strings.ContainsAny(name, "/\\\x00") {
+		return nil, fmt.Errorf("keys: %q of role %q can't have a certificate", name, role)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	t := &x509.Certificate{SerialNumber: serial(), Subject: pkix.Name{CommonName: name, OrganizationalUnit: []string{string(role)}},
+		NotBefore: a.now().Add(-ClockSlack), NotAfter: a.now().Add(life), KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}}
+	if role == Machine {
+		t.ExtKeyUsage = append(t.ExtKeyUsage, x509.ExtKeyUsageServerAuth)
+		t.DNSNames = []string{serverName}
+	}
+	for _, x := range addresses {
+		if ip := net.ParseIP(x); ip != nil {
+			t.IPAddresses = append(t.IPAddresses, ip)
+		} else {
+			t.DNSNames = append(t.DNSNames, x)
+		}
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, err
+	}
+	k, err := keyPEM(key)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(out, 0o700); err != nil {
+		return nil, err
+	}
+	// The certificate comes last: a holder that is read in between has the old pair or
+	// none that fits, and stays with what it has.
+	if err := write(filepath.Join(out, KeyFile), 0o600, k); err != nil {
+		return nil, err
+	}
+	if err := write(filepath.Join(out, CertFile), 0o644, certPEM(cert)); err != nil {
+		return nil, err
+	}
+	return cert, a.Hand(out)
+}
+
+// Hand copies what is trusted and what is revoked to a holder's folder.
+func (a *Authority) Hand(out string) error {
+	for _, f := range []string{TrustFile, RevokedFile} {
+		b, err := os.ReadFile(filepath.Join(a.dir, f))
+		if err != nil {
+			return err
+		}
+		if err := write(filepath.Join(out, f), 0o644, b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Rotate gives the authority another key. What the old one signed stays trusted until
+// Forget; holders must be handed the new list before anything that the new one signs.
+func (a *Authority) Rotate() error {
+	old, err := os.ReadFile(filepath.Join(a.dir, TrustFile))
+	if err != nil {
+		return err
+	}
+	revoked, err := readRevoked(filepath.Join(a.dir, RevokedFile))
+	if err != nil {
+		return err
+	}
+	if err := a.renew(); err != nil {
+		return err
+	}
+	if err := write(filepath.Join(a.dir, TrustFile), 0o644, append(certPEM(a.cert), old...)); err != nil {
+		return err
+	}
+	return a.list(revoked)
+}
+
+// Forget ends the trust in all authorities but the present one.
+func (a *Authority) Forget() error {
+	return write(filepath.Join(a.dir, TrustFile), 0o644, certPEM(a.cert))
+}
+
+// Revoke puts a certificate's number on the list of those that count no more.
+func (a *Authority) Revoke(number *big.Int) error {
+	revoked, err := readRevoked(filepath.Join(a.dir, RevokedFile))
+	if err != nil {
+		return err
+	}
+	for _, r := range revoked {
+		if r.SerialNumber.Cmp(number) == 0 {
+			return nil
+		}
+	}
+	return a.list(append(revoked, x509.RevocationListEntry{SerialNumber: number, RevocationTime: a.now()}))
+}
+
+// list signs the list of revoked certificates.
+func (a *Authority) list(revoked []x509.RevocationListEntry) error {
+	t := &x509.RevocationList{Number: big.NewInt(a.now().UnixNano()), ThisUpdate: a.now().Add(-ClockSlack), NextUpdate: a.now().Add(crlLife),
+		RevokedCertificateEntries: revoked}
+	der, err := x509.CreateRevocationList(rand.Reader, t, a.cert, a.key)
+	if err != nil {
+		return err
+	}
+	return write(filepath.Join(a.dir, RevokedFile), 0o644, pem.EncodeToMemory(&pem.Block{Type: "X509 CRL", Bytes: der}))
+}
+
+// Certificate reads a holder's, for its number.
+func Certificate(dir string) (*x509.Certificate, error) {
+	c, err := readCerts(filepath.Join(dir, CertFile))
+	if err != nil {
+		return nil, err
+	}
+	return c[0], nil
+}
+
+func serial() *big.Int {
+	b := make([]byte, 16)
+	rand.Read(b) // never fails
+	b[0] &= 0x7f
+	return new(big.Int).SetBytes(b)
+}
+
+func certPEM(c *x509.Certificate) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c.Raw})
+}
+
+func keyPEM(k *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(k)
+	if err != nil {
+		return nil, err
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}), nil
+}
+
+// write replaces a file by rename: a reader finds the old one or the new one.
+func write(file string, mode fs.FileMode, b []byte) error {
+	tmp, err := os.CreateTemp(filepath.Dir(file), ".keys-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name()) // gone already where the rename was reached
+	if err = tmp.Chmod(mode); err == nil {
+		_, err = tmp.Write(b)
+	}
+	if err == nil {
+		err = tmp.Sync()
+	}
+	if cerr := tmp.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(tmp.Name(), file)
+}
+
+func readCerts(file string) (out []*x509.Certificate, err error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	for p, rest := pem.Decode(b); p != nil; p, rest = pem.Decode(rest) {
+		c, err := x509.ParseCertificate(p.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("keys: %s: %w", file, err)
+		}
+		out = append(out, c)
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("keys: %s has no certificate", file)
+	}
+	return out, nil
+}
+
+func readRevoked(file string) ([]x509.RevocationListEntry, error) {
+	l, err := readList(file)
+	if err != nil {
+		return nil, err
+	}
+	return l.RevokedCertificateEntries, nil
+}
+
+func readList(file string) (*x509.RevocationList, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	p, _ := pem.Decode(b)
+	if p == nil {
+		return nil, fmt.Errorf("keys: %s is no list", file)
+	}
+	return x509.ParseRevocationList(p.Bytes)
+}
--- /dev/null
+++ b/keys/holder.go
@@ -0,0 +1,140 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+)
+
+// serverName is in every machine's certificate: disk servers are found by the inventory's
+// addresses, which change, so that a name tells only that it is one.
+const serverName = "machine.merlinhitch.internal"
+
+// Holder is what a program has of keys, renewed in place by Reload. Connections that are
+// up stay up; new ones use the new keys.
+type Holder struct {
+	dir string
+	now func() time.Time
+	set atomic.Pointer[held]
+}
+
+type held struct {
+	cert    tls.Certificate
+	pool    *x509.CertPool
+	trusted []*x509.Certificate
+	revoked map[string]bool // by number
+}
+
+// Errors of a peer's certificate.
+var (
+	ErrRevoked = errors.New("keys: the certificate is revoked")
+	ErrExpired = errors.New("keys: the certificate has run out")
+	ErrRole    = errors.New("keys: the certificate is of another role")
+)
+
+// Hold reads a holder's folder.
+func Hold(dir string, now func() time.Time) (*Holder, error) {
+	h := &Holder{dir: dir, now: now}
+	return h, h.Reload()
+}
+
+// Reload reads the folder again. If anything in it does not fit, the old keys stay.
+func (h *Holder) Reload() error {
+	cert, err := tls.LoadX509KeyPair(filepath.Join(h.dir, CertFile), filepath.Join(h.dir, KeyFile))
+	if err != nil {
+		return fmt.Errorf("keys: %w", err)
+	}
+	s := &held{cert: cert, pool: x509.NewCertPool(), revoked: map[string]bool{}}
+	if s.trusted, err = readCerts(filepath.Join(h.dir, TrustFile)); err != nil {
+		return err
+	}
+	for _, c := range s.trusted {
+		s.pool.AddCert(c)
+	}
+	list, err := readList(filepath.Join(h.dir, RevokedFile))
+	if err != nil {
+		return err
+	}
+	if err := s.signedByTrusted(list); err != nil {
+		return err
+	}
+	for _, r := range list.RevokedCertificateEntries {
+		s.revoked[r.SerialNumber.String()] = true
+	}
+	h.set.Store(s)
+	return nil
+}
+
+// signedByTrusted refuses a list of revoked certificates that no trusted authority made.
+func (s *held) signedByTrusted(l *x509.RevocationList) error {
+	for _, c := range s.trusted {
+		if l.CheckSignatureFrom(c) == nil {
+			return nil
+		}
+	}
+	return errors.New("keys: the list of revoked certificates is not signed by a trusted authority")
+}
+
+// Expires is when the holder's own certificate runs out.
+func (h *Holder) Expires() time.Time { return h.set.Load().cert.Leaf.NotAfter }
+
+// Check judges a peer's certificate as of now, also in the midst of a session.
+func (h *Holder) Check(c *x509.Certificate) error {
+	switch now := h.now(); {
+	case now.After(c.NotAfter) || now.Before(c.NotBefore):
+		return ErrExpired
+	case h.set.Load().revoked[c.SerialNumber.String()]:
+		return ErrRevoked
+	}
+	return nil
+}
+
+// Name and role of a certificate.
+func Name(c *x509.Certificate) (string, Role) {
+	if len(c.Subject.OrganizationalUnit) != 1 {
+		return c.Subject.CommonName, ""
+	}
+	return c.Subject.CommonName, Role(c.Subject.OrganizationalUnit[0])
+}
+
+// peer verifies what a peer shows: the chain was verified, what is left is the list of
+// revoked ones and the role.
+func (h *Holder) peer(s tls.ConnectionState, machine bool) error {
+	if len(s.PeerCertificates) == 0 {
+		return errors.New("keys: no certificate was shown")
+	}
+	c := s.PeerCertificates[0]
+	if _, role := Name(c); machine && role != Machine {
+		return ErrRole
+	}
+	return h.Check(c)
+}
+
+// Server is for listeners: TLS 1.3 (RFC 8446) and a certificate of every client. Where
+// machine is set the client must be one.
+func (h *Holder) Server(machine bool) *tls.Config {
+	base := &tls.Config{MinVersion: tls.VersionTLS13, Time: h.now, ClientAuth: tls.RequireAndVerifyClientCert}
+	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		s := h.set.Load()
+		return &tls.Config{MinVersion: tls.VersionTLS13, Time: h.now, Certificates: []tls.Certificate{s.cert}, ClientAuth: tls.RequireAndVerifyClientCert,
+			ClientCAs: s.pool, SessionTicketsDisabled: true, // a ticket would outlive a revocation
+			VerifyConnection: func(c tls.ConnectionState) error { return h.peer(c, machine) }}, nil
+	}
+	return base
+}
+
+// Client is for connections that are dialled: to machines by their common name, where
+// name is "", or to a server of a name or address.
+func (h *Holder) Client(name string) *tls.Config {
+	s := h.set.Load()
+	machine := name == ""
+	if machine {
+		name = serverName
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, Time: h.now, Certificates: []tls.Certificate{s.cert}, RootCAs: s.pool, ServerName: name,
+		VerifyConnection: func(c tls.ConnectionState) error { return h.peer(c, machine) }}
+}
--- /dev/null
+++ b/keys/keys_test.go
@@ -0,0 +1,253 @@
+package keys
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// fixture is an authority with a clock of its own.
+type fixture struct {
+	t   *testing.T
+	dir string
+	at  time.Time
+	a   *Authority
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{t: t, dir: filepath.Join(t.TempDir(), "authority"), at: time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)}
+	var err error
+	if f.a, err = Init(f.dir, f.now); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func (f *fixture) now() time.Time { return f.at }
+
+func (f *fixture) holder(name string, role Role, life time.Duration) *Holder {
+	f.t.Helper()
+	dir := filepath.Join(f.t.TempDir(), name)
+	if _, err := f.a.Issue(name, role, life, []string{"127.0.0.1"}, dir); err != nil {
+		f.t.Fatal(err)
+	}
+	h, err := Hold(dir, f.now)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return h
+}
+
+// meet has a client and a server of these keys greet each other over a pipe, and says
+// how the server and the client found it.
+func meet(server, client *tls.Config) (s, c error) {
+	a, b := net.Pipe()
+	end := make(chan error, 1)
+	go func() {
+		x := tls.Server(a, server)
+		err := x.Handshake()
+		if err == nil {
+			_, err = x.Write([]byte{1})
+		}
+		a.Close()
+		end <- err
+	}()
+	x := tls.Client(b, client)
+	err := x.Handshake()
+	if err == nil {
+		_, err = io.ReadFull(x, make([]byte, 1))
+	}
+	b.Close()
+	return <-end, err
+}
+
+func TestMachinesMeetMachines(t *testing.T) {
+	f := newFixture(t)
+	host, disk := f.holder("h0", Machine, time.Hour), f.holder("d0", Machine, time.Hour)
+	if s, c := meet(disk.Server(true), host.Client("")); s != nil || c != nil {
+		t.Fatal(s, c)
+	}
+	other := newFixture(t)
+	ines := f.holder("ines", Administer, time.Hour)
+	for name, x := range map[string]struct{ server, client *Holder }{
+		"an operator as a host":            {disk, ines},
+		"an operator as a disk server":     {ines, host},
+		"a host of another authority":      {disk, other.holder("h0", Machine, time.Hour)},
+		"a disk server of another, as one": {other.holder("d0", Machine, time.Hour), host},
+	} {
+		if s, c := meet(x.server.Server(true), x.client.Client("")); s == nil && c == nil {
+			t.Errorf("%s was let in", name)
+		}
+	}
+	plain := &tls.Config{InsecureSkipVerify: true}
+	if s, _ := meet(disk.Server(true), plain); s == nil {
+		t.Error("a client without a certificate was let in")
+	}
+	old := host.Client("")
+	old.MinVersion, old.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+	if s, _ := meet(disk.Server(true), old); s == nil {
+		t.Error("TLS 1.2 was spoken")
+	}
+}
+
+// A certificate that runs out or is revoked counts no more, in the midst of a session as
+// well, where Check is asked.
+func TestExpiryAndRevocation(t *testing.T) {
+	f := newFixture(t)
+	host, disk := f.holder("h0", Machine, time.Hour), f.holder("d0", Machine, 24*time.Hour)
+	cert, err := Certificate(host.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := disk.Check(cert); err != nil {
+		t.Error(err)
+	}
+	f.at = f.at.Add(61 * time.Minute)
+	if err := disk.Check(cert); !errors.Is(err, ErrExpired) {
+		t.Error(err)
+	}
+	if s, _ := meet(disk.Server(true), host.Client("")); s == nil {
+		t.Error("an expired certificate was let in")
+	}
+	f.at = f.at.Add(-2 * time.Hour) // a clock that steps back: not begun yet
+	if err := disk.Check(cert); !errors.Is(err, ErrExpired) {
+		t.Error(err)
+	}
+	f.at = f.at.Add(time.Hour)
+	if err := f.a.Revoke(cert.SerialNumber); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.a.Hand(disk.dir); err != nil {
+		t.Fatal(err)
+	}
+	if err := disk.Check(cert); err != nil {
+		t.Error("before the reload:", err)
+	}
+	if err := disk.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	if err := disk.Check(cert); !errors.Is(err, ErrRevoked) {
+		t.Error(err)
+	}
+	if s, _ := meet(disk.Server(true), host.Client("")); s == nil {
+		t.Error("a revoked certificate was let in")
+	}
+}
+
+// The authority's key is replaced without a moment at which old and new holders can't
+// meet.
+func TestTheAuthorityIsRotated(t *testing.T) {
+	f := newFixture(t)
+	host, disk := f.holder("h0", Machine, time.Hour), f.holder("d0", Machine, time.Hour)
+	ok := func(when string) {
+		t.Helper()
+		if s, c := meet(disk.Server(true), host.Client("")); s != nil || c != nil {
+			t.Errorf("%s: %v, %v", when, s, c)
+		}
+	}
+	revoked := f.holder("ines", Operate, time.Hour)
+	cert, _ := Certificate(revoked.dir)
+	if err := f.a.Revoke(cert.SerialNumber); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.a.Rotate(); err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range []*Holder{host, disk} {
+		if err := f.a.Hand(h.dir); err != nil {
+			t.Fatal(err)
+		}
+		if err := h.Reload(); err != nil {
+			t.Fatal(err)
+		}
+		ok("handed the new list")
+	}
+	for _, h := range []*Holder{host, disk} {
+		if _, err := f.a.Issue("anew", Machine, time.Hour, nil, h.dir); err != nil {
+			t.Fatal(err)
+		}
+		if err := h.Reload(); err != nil {
+			t.Fatal(err)
+		}
+		ok("one has a new certificate")
+	}
+	if err := f.a.Forget(); err != nil {
+		t.Fatal(err)
+	}
+	for _, h := range []*Holder{host, disk} {
+		f.a.Hand(h.dir)
+		if err := h.Reload(); err != nil {
+			t.Fatal(err)
+		}
+		ok("the old authority is forgotten")
+	}
+	if err := disk.Check(cert); !errors.Is(err, ErrRevoked) {
+		t.Errorf("a rotation forgot what was revoked: %v", err)
+	}
+	if again, err := Open(f.dir, f.now); err != nil || !again.key.Equal(f.a.key) {
+		t.Error(err)
+	}
+	if _, err := Init(f.dir, f.now); !errors.Is(err, ErrExists) {
+		t.Error(err)
+	}
+}
+
+// A reload that finds anything wrong leaves the keys that there are.
+func TestAReloadThatDoesNotFit(t *testing.T) {
+	f := newFixture(t)
+	host, disk := f.holder("h0", Machine, time.Hour), f.holder("d0", Machine, time.Hour)
+	other := newFixture(t).holder("x", Machine, time.Hour)
+	for _, file := range []string{CertFile, KeyFile, TrustFile, RevokedFile} {
+		sound, err := os.ReadFile(filepath.Join(host.dir, file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		strange, err := os.ReadFile(filepath.Join(other.dir, file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, b := range map[string][]byte{"cut short": sound[:len(sound)/2], "empty": nil, "of another authority": strange} {
+			if err := os.WriteFile(filepath.Join(host.dir, file), b, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := host.Reload(); err == nil {
+				t.Errorf("%s %s was taken", file, name)
+			}
+			if s, c := meet(disk.Server(true), host.Client("")); s != nil || c != nil {
+				t.Errorf("%s %s: %v, %v", file, name, s, c)
+			}
+		}
+		if err := os.WriteFile(filepath.Join(host.dir, file), sound, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := host.Reload(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestRoles(t *testing.T) {
+	for _, x := range []struct {
+		has, need Role
+		may       bool
+	}{{Read, Read, true}, {Read, Operate, false}, {Operate, Read, true}, {Operate, Administer, false}, {Administer, Operate, true}, {Machine, Read, false}, {"", Read, false}} {
+		if x.has.May(x.need) != x.may {
+			t.Errorf("%q may %q: %v", x.has, x.need, !x.may)
+		}
+	}
+	f := newFixture(t)
+	for _, name := range []string{"", "a/b", string(make([]byte, 80))} {
+		if _, err := f.a.Issue(name, Read, time.Hour, nil, t.TempDir()); err == nil {
+			t.Errorf("%q has a certificate", name)
+		}
+	}
+	if _, err := f.a.Issue("x", "root", time.Hour, nil, t.TempDir()); err == nil {
+		t.Error("an unknown role has a certificate")
+	}
+}
--- a/rollout/roll_test.go
+++ b/rollout/roll_test.go
@@ -41,7 +41,7 @@
 		if _, err := st.Put(settings.Example(n, 3)); err != nil {
 			t.Fatal(err)
 		}
-		inner := settings.Handler(st, func(r *http.Request) string { return r.URL.Query().Get("who") }, func() int64 { return 0 })
+		inner := settings.Handler(st, func(r *http.Request) settings.Author { return settings.Author{Who: r.URL.Query().Get("who")} }, func() int64 { return 0 })
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(i, inner, w, r) }))
 		t.Cleanup(srv.Close)
 		api := settings.NewAPI(srv.Listener.Addr().String())
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -27,7 +27,7 @@
 		if _, err := st.Put(settings.Example(n, 9)); err != nil {
 			t.Fatal(err)
 		}
-		srv := httptest.NewServer(settings.Handler(st, func(*http.Request) string { return "test" }, func() int64 { return 0 }))
+		srv := httptest.NewServer(settings.Handler(st, func(*http.Request) settings.Author { return settings.Author{Who: "test"} }, func() int64 { return 0 }))
 		t.Cleanup(srv.Close)
 		hosts = append(hosts, &rollout.Host{Name: string(rune('a' + i)), API: settings.NewAPI(srv.Listener.Addr().String())})
 		stores = append(stores, st)
--- a/settings/api.go
+++ b/settings/api.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,7 +23,7 @@
 // list of faults. /settings/log, /at, /diff, /verify and POST /settings/revert are over
 // the record. by tells who calls; the clock is the wall's, ms since 1970. No answer has
 // a secret in it.
-func Handler(st *Store, by func(*http.Request) string, clock func() int64) http.Handler {
+func Handler(st *Store, by func(*http.Request) Author, clock func() int64) http.Handler {
 	h := &handler{st, by, clock}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /settings", func(w http.ResponseWriter, r *http.Request) {
@@ -44,12 +45,14 @@
 
 type handler struct {
 	st    *Store
-	by    func(*http.Request) string
+	by    func(*http.Request) Author
 	clock func() int64
 }
 
 func (h *handler) author(r *http.Request) Author {
-	return Author{Who: h.by(r), Why: r.URL.Query().Get("why"), At: h.clock()}
+	a := h.by(r)
+	a.Why, a.At = r.URL.Query().Get("why"), h.clock()
+	return a
 }
 
 func (h *handler) put(w http.ResponseWriter, r *http.Request) {
@@ -143,7 +146,10 @@
 	var stale *StaleError
 	var unknown *UnknownVersionError
 	var broken *audit.BrokenError
+	var closed *ClosedError
 	switch {
+	case errors.As(err, &closed):
+		Reply(w, http.StatusForbidden, refusal{Error: err.Error()})
 	case errors.As(err, &faults):
 		Reply(w, http.StatusUnprocessableEntity, refusal{Error: "faulty settings", Faults: faults.Faults})
 	case errors.As(err, &stale):
@@ -193,6 +199,11 @@
 	return &API{"http://" + addr, &http.Client{Transport: &http.Transport{}}}
 }
 
+// NewTLSAPI returns a client of an admin address that is served over TLS.
+func NewTLSAPI(addr string, c *tls.Config) *API {
+	return &API{"https://" + addr, &http.Client{Transport: &http.Transport{TLSClientConfig: c, ForceAttemptHTTP2: false}}}
+}
+
 // Get returns the settings in force.
 func (a *API) Get(ctx context.Context) (*Settings, error) {
 	s := &Settings{}
@@ -235,6 +246,12 @@
 	return a.call(ctx, http.MethodGet, path, nil, into)
 }
 
+// Call has the gateway do something that needs nothing more than its path.
+func (a *API) Call(ctx context.Context, path string) error {
+	var said map[string]string
+	return a.call(ctx, http.MethodPost, path, nil, &said)
+}
+
 // Close lets go of idle connections.
 func (a *API) Close() { a.client.CloseIdleConnections() }
 
--- a/settings/ledger.go
+++ b/settings/ledger.go
@@ -1,10 +1,13 @@
 package settings
 
 import (
+	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"reflect"
+	"strings"
 	"sync"
 
 	"merlinhitch/audit"
@@ -14,8 +17,39 @@
 type Author struct {
 	Who, Why string
 	At       int64 // wall clock, ms since 1970
+	// Closed are paths at and below which the author may change nothing.
+	Closed []string
 }
 
+// ClosedError says that an author may not change something.
+type ClosedError struct{ Who, Path string }
+
+func (e *ClosedError) Error() string {
+	return fmt.Sprintf("settings: %s may not change %s", e.Who, e.Path)
+}
+
+// closed finds a change that its author may not make.
+func (by *Author) closed(changes []audit.Change) error {
+	for _, c := range changes {
+		for _, p := range by.Closed {
+			below, above := strings.CutPrefix(p, c.Path+".")
+			if strings.HasPrefix(c.Path, p) || above && (has(c.Old, below) || has(c.New, below)) {
+				return &ClosedError{by.Who, p}
+			}
+		}
+	}
+	return nil
+}
+
+// has tells whether an object has a field.
+func has(object json.RawMessage, field string) bool {
+	var m map[string]json.RawMessage
+	return json.Unmarshal(object, &m) == nil && m[field] != nil
+}
+
+// SecretPaths are where secrets stand.
+var SecretPaths = []string{"target.chap", "target.mutual"}
+
 // chain is where records are kept: audit.Store or audit.Memory.
 type chain interface {
 	Append(*audit.Record) error
@@ -50,6 +84,11 @@
 	st := &Store{file: file, key: k}
 	if file == "" {
 		st.chain = audit.NewMemory(memoryRecords)
+		if k == nil { // nobody reads the seals later, but a changed secret must show
+			var b [minKey]byte
+			rand.Read(b[:]) // never fails
+			st.key, _ = NewKey(b[:])
+		}
 		return st, nil
 	}
 	s, err := Load(file, k)
@@ -228,6 +267,9 @@
 	}
 	r := &audit.Record{At: by.At, From: st.version(), Version: next.Version, Who: by.Who, Why: by.Why,
 		Changes: audit.Diff(Keys, old, tree), State: audit.StateHash(tree)}
+	if err := by.closed(r.Changes); err != nil {
+		return nil, err
+	}
 	if err := st.chain.Append(r); err != nil {
 		return nil, err
 	}
--- a/settings/ledger_test.go
+++ b/settings/ledger_test.go
@@ -68,7 +68,7 @@
 		t.Fatal(err)
 	}
 	changed(t, st, func(s *Settings) { s.Plans[0].Limit = 44 })
-	srv := httptest.NewServer(Handler(st, func(*http.Request) string { return "x" }, func() int64 { return 1 }))
+	srv := httptest.NewServer(Handler(st, func(*http.Request) Author { return Author{Who: "x"} }, func() int64 { return 1 }))
 	defer srv.Close()
 	for _, page := range []string{"/settings", "/settings/log", "/settings/at?version=1", "/settings/diff?from=1&to=2"} {
 		r, err := http.Get(srv.URL + page)
@@ -236,7 +236,7 @@
 	if _, err := st.Put(Example(3, 9)); err != nil {
 		t.Fatal(err)
 	}
-	srv := httptest.NewServer(Handler(st, func(r *http.Request) string { return r.URL.Query().Get("who") }, func() int64 { return 1 }))
+	srv := httptest.NewServer(Handler(st, func(r *http.Request) Author { return Author{Who: r.URL.Query().Get("who")} }, func() int64 { return 1 }))
 	defer srv.Close()
 	var mu sync.Mutex
 	accepted, refused := map[string]uint64{}, map[string]bool{}
@@ -315,7 +315,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		h := Handler(st, func(*http.Request) string { return "" }, func() int64 { return 0 })
+		h := Handler(st, func(*http.Request) Author { return Author{Who: ""} }, func() int64 { return 0 })
 		for range 2 {
 			r, err := http.NewRequest(method, "http://gateway"+target, bytes.NewReader(body))
 			if err != nil {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -193,7 +193,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := httptest.NewServer(Handler(st, func(r *http.Request) string { return r.URL.Query().Get("who") }, func() int64 { return 7 }))
+	srv := httptest.NewServer(Handler(st, func(r *http.Request) Author { return Author{Who: r.URL.Query().Get("who")} }, func() int64 { return 7 }))
 	defer srv.Close()
 	api := NewAPI(strings.TrimPrefix(srv.URL, "http://"))
 	defer api.Close()
--- a/standin/copier.go
+++ b/standin/copier.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
@@ -40,6 +41,9 @@
 		if err != nil {
 			continue
 		}
+		if d.Keys != nil {
+			conn = tls.Client(conn, d.Keys.Client(""))
+		}
 		c := &copier{d: d, cell: d.machine.cell, gen: gen, conn: conn, wake: d.world.NewParker()}
 		c.run()
 		d.machine.cell.parted(gen)
--- a/standin/diskserver.go
+++ b/standin/diskserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -9,6 +10,7 @@
 	"time"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/keys"
 	"merlinhitch/outbox"
 	"merlinhitch/seam"
 )
@@ -48,6 +50,8 @@
 	// in the other region; "" while there is none.
 	Inventory func() string
 	Peer      func() string
+	// Keys of the server; nil: it is spoken to in clear.
+	Keys *keys.Holder
 	// OnFall is called once, from a goroutine of its own, when the server falls over.
 	OnFall func()
 }
@@ -87,6 +91,9 @@
 		if err != nil {
 			return
 		}
+		if d.Keys != nil {
+			c = tls.Server(c, d.Keys.Server(true))
+		}
 		o := outbox.New(d.world, c, diskOut, diskTimeout)
 		if !d.keep(o) {
 			o.Cut()
@@ -113,6 +120,17 @@
 	d.conns.Remove(o)
 }
 
+// trusts tells whether the peer's certificate still counts: it may run out or be revoked
+// in the midst of a connection.
+func (d *DiskServer) trusts(c net.Conn) bool {
+	t, ok := c.(*tls.Conn)
+	if !ok {
+		return true
+	}
+	certs := t.ConnectionState().PeerCertificates
+	return len(certs) > 0 && d.Keys.Check(certs[0]) == nil
+}
+
 func (d *DiskServer) serve(c net.Conn, o *outbox.Outbox) {
 	defer d.leave(o)
 	defer o.Wait()
@@ -129,7 +147,7 @@
 	var gen uint64 // under which a home copies to here by this connection
 	for {
 		f, err := r.Next()
-		if err != nil {
+		if err != nil || !d.trusts(c) {
 			return
 		}
 		ok := false
