--- a/lab/bench.go
+++ b/lab/bench.go
@@ -21,6 +21,7 @@
 	"merlinhitch/initiator"
 	"merlinhitch/inventory"
 	"merlinhitch/iscsi"
+	"merlinhitch/keys"
 	"merlinhitch/scsi"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
@@ -71,7 +72,7 @@
 
 // Bench measures all three and writes the tables.
 func Bench(opt BenchOptions, out io.Writer) error {
-	gate, closeAll, err := benchGateway()
+	gate, closeAll, err := benchGateway(nil)
 	if err != nil {
 		return err
 	}
@@ -84,8 +85,11 @@
 	return benchAll(opt, gate, pipe, fan, out)
 }
 
-// benchGateway is a gateway before servers that answer at once.
-func benchGateway() (gate *subject, closeAll func(), err error) {
+// benchKeys are those of the host and of its disk servers.
+type benchKeys struct{ host, disks *keys.Holder }
+
+// benchGateway is a gateway before servers that answer at once; k nil: they speak in clear.
+func benchGateway(k *benchKeys) (gate *subject, closeAll func(), err error) {
 	w := seam.NewReal()
 	var disks []*standin.QuickDisk
 	closeAll = func() {
@@ -96,16 +100,19 @@
 			q.Close()
 		}
 	}
+	if k == nil {
+		k = &benchKeys{}
+	}
 	var addrs []string
 	for range benchShards {
-		q, err := standin.ServeQuick(w, benchBlock)
+		q, err := standin.ServeQuick(w, benchBlock, k.disks)
 		if err != nil {
 			closeAll()
 			return nil, nil, err
 		}
 		disks, addrs = append(disks, q), append(addrs, q.Addr)
 	}
-	if gate, err = gatewaySubject(w, addrs); err != nil {
+	if gate, err = gatewaySubject(w, addrs, k.host); err != nil {
 		closeAll()
 		return nil, nil, err
 	}
@@ -154,6 +161,8 @@
 	return fmt.Sprintf("%.2f/%.2f/%.2f", q(50), q(99), q(99.9))
 }
 
+func p99(p *Point) float64 { return float64(p.Latency.ValueAtQuantile(99)) }
+
 // halfLoad compares the tails at half of the gateway's best rate.
 func halfLoad(opt BenchOptions, gate, relay *subject, rate float64, out io.Writer) error {
 	a, err := measure(relay, 64, 0, rate, opt)
@@ -164,7 +173,6 @@
 	if err != nil {
 		return err
 	}
-	p99 := func(p *Point) float64 { return float64(p.Latency.ValueAtQuantile(99)) }
 	fmt.Fprintf(out, "\nat half load, %.0f op/s over 64 connections: fan %s ms, gateway %s ms, p99 ratio %.2f\n", rate, quantiles(a), quantiles(b), p99(b)/p99(a))
 	return nil
 }
@@ -393,7 +401,7 @@
 }
 
 // gatewaySubject is one host before servers that answer at once.
-func gatewaySubject(w seam.World, disks []string) (*subject, error) {
+func gatewaySubject(w seam.World, disks []string, k *keys.Holder) (*subject, error) {
 	set := settings.Example(1, benchShards)
 	set.Volumes = []settings.Volume{{Name: "bench", Plan: "prioritario", Blocks: 1 << 20, BlockSize: benchBlock, Extent: 32, Hosts: []int{0}}}
 	for i := range benchShards {
@@ -410,7 +418,7 @@
 			b.Set(inventory.Node{Addr: addr, Health: inventory.Ready, Shard: i, Weight: 1, Incarnation: 1}, 0)
 		}
 	})
-	g, err := gateway.Start(gateway.Config{World: w, Log: zap.NewNop(), Name: "bench", Listen: "127.0.0.1:0", Inventory: inv.Addr})
+	g, err := gateway.Start(gateway.Config{World: w, Log: zap.NewNop(), Name: "bench", Listen: "127.0.0.1:0", Inventory: inv.Addr, Keys: k})
 	if err != nil {
 		return nil, err
 	}
--- a/lab/bench_test.go
+++ b/lab/bench_test.go
@@ -8,7 +8,7 @@
 // BenchmarkGateway is the gateway's cost for a 4 KiB read at 100 connections of 8
 // outstanding, clients and servers included.
 func BenchmarkGateway(b *testing.B) {
-	gate, closeAll, err := benchGateway()
+	gate, closeAll, err := benchGateway(nil)
 	if err != nil {
 		b.Fatal(err)
 	}
--- /dev/null
+++ b/lab/benchkeys.go
@@ -0,0 +1,110 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"merlinhitch/keys"
+)
+
+// keysRounds is how often each pair is measured; the median of the ratios is shown.
+const keysRounds = 3
+
+// BenchKeys measures what keys between host and disk servers cost: two gateways, one in
+// clear and one over TLS, before servers that answer at once, in turn and in one run.
+func BenchKeys(opt BenchOptions, out io.Writer) error {
+	k, dir, err := makeBenchKeys()
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	clear, closeClear, err := benchGateway(nil)
+	if err != nil {
+		return err
+	}
+	defer closeClear()
+	sealed, closeSealed, err := benchGateway(k)
+	if err != nil {
+		return err
+	}
+	defer closeSealed()
+	clear.name, sealed.name = "in clear", "over TLS"
+	tw := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(tw, "| conns\t| out\t| in clear op/s\t| over TLS op/s\t| ratio\t| p50/p99/p99.9 ms in clear\t| over TLS\t| p99 ratio\t| cpu us/op in clear, over TLS\t|")
+	fmt.Fprintln(tw, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	for _, conns := range opt.Conns {
+		for _, depth := range opt.Depths {
+			if err := benchPair(tw, clear, sealed, conns, depth, 0, opt); err != nil {
+				return err
+			}
+		}
+	}
+	most, err := measure(sealed, 64, 8, 0, opt)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(tw, "| 64\t| half load, %.0f op/s\t| \t| \t| \t| \t| \t| \t| \t|\n", most.Rate/2)
+	if err := benchPair(tw, clear, sealed, 64, 0, most.Rate/2, opt); err != nil {
+		return err
+	}
+	return tw.Flush()
+}
+
+// benchPair measures two subjects in turn and prints the pair whose ratio of rates is the
+// median.
+func benchPair(w io.Writer, a, b *subject, conns, depth int, rate float64, opt BenchOptions) error {
+	type pair struct{ a, b *Point }
+	var list []pair
+	for range keysRounds {
+		x, err := measure(a, conns, depth, rate, opt)
+		if err != nil {
+			return err
+		}
+		y, err := measure(b, conns, depth, rate, opt)
+		if err != nil {
+			return err
+		}
+		list = append(list, pair{x, y})
+	}
+	slices.SortFunc(list, func(x, y pair) int {
+		if x.b.Rate/x.a.Rate < y.b.Rate/y.a.Rate {
+			return -1
+		}
+		return 1
+	})
+	m := list[len(list)/2]
+	note := ""
+	if n := m.a.Failed + m.b.Failed; n > 0 {
+		note = fmt.Sprintf(" (%d not GOOD)", n)
+	}
+	_, err := fmt.Fprintf(w, "| %d\t| %d\t| %.0f\t| %.0f%s\t| %.2f\t| %s\t| %s\t| %.2f\t| %.1f, %.1f\t|\n", conns, depth, m.a.Rate, m.b.Rate, note, m.b.Rate/m.a.Rate,
+		quantiles(m.a), quantiles(m.b), p99(m.b)/p99(m.a), m.a.CPU, m.b.CPU)
+	return err
+}
+
+func makeBenchKeys() (*benchKeys, string, error) {
+	dir, err := os.MkdirTemp("", "bench-keys-")
+	if err != nil {
+		return nil, "", err
+	}
+	a, err := keys.Init(filepath.Join(dir, "authority"), time.Now)
+	var held [2]*keys.Holder
+	for i, name := range []string{"host", "disks"} {
+		if err == nil {
+			_, err = a.Issue(name, keys.Machine, time.Hour, nil, filepath.Join(dir, name))
+		}
+		if err == nil {
+			held[i], err = keys.Hold(filepath.Join(dir, name), time.Now)
+		}
+	}
+	if err != nil {
+		os.RemoveAll(dir)
+		return nil, "", err
+	}
+	return &benchKeys{held[0], held[1]}, dir, nil
+}
--- a/standin/quick.go
+++ b/standin/quick.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/keys"
 	"merlinhitch/seam"
 )
 
@@ -22,12 +24,15 @@
 	tasks seam.Group
 }
 
-// ServeQuick starts one that answers with so many bytes.
-func ServeQuick(w seam.World, bytes int) (*QuickDisk, error) {
+// ServeQuick starts one that answers with so many bytes, in clear where it has no keys.
+func ServeQuick(w seam.World, bytes int, k *keys.Holder) (*QuickDisk, error) {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
+	if k != nil {
+		l = tls.NewListener(l, k.Server(true))
+	}
 	q := &QuickDisk{Addr: l.Addr().String(), world: w, l: l, block: make([]byte, bytes)}
 	q.tasks.Go(w, q.accept)
 	return q, nil
