--- a/cmd/merlinhitch/settings.go
+++ b/cmd/merlinhitch/settings.go
@@ -33,6 +33,7 @@
 	Roll    settingsRollCmd    `cmd:"" help:"Take all hosts to other settings in steps, and back where figures fall."`
 	Verify  settingsVerifyCmd  `cmd:"" help:"Read the whole record again and name a broken one."`
 	Day     settingsDayCmd     `cmd:"" help:"Play bad days on loopback on which operators change settings all the time, and check record and trail."`
+	Limits  settingsLimitsCmd  `cmd:"" help:"Change a limit every 100 ms on loopback at eight times its rate, and count what passes."`
 	Example settingsExampleCmd `cmd:"" help:"Print working settings to begin with."`
 }
 
@@ -352,6 +353,25 @@
 	return nil
 }
 
+type settingsLimitsCmd struct {
+	Seed uint64        `default:"1" help:"Draws the limits and what clients ask for."`
+	Span time.Duration `default:"1m" help:"How long."`
+}
+
+func (c *settingsLimitsCmd) Run(log *zap.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	r, err := lab.LimitDay(ctx, lab.Options{Seed: c.Seed, Log: log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))}, c.Span)
+	if err != nil {
+		return err
+	}
+	r.Print(os.Stdout)
+	if !r.OK() {
+		return errSaid
+	}
+	return nil
+}
+
 type settingsExampleCmd struct {
 	Hosts  int `default:"3" help:"Hosts."`
 	Shards int `default:"9" help:"Shards."`
