--- a/rollout/roll.go
+++ b/rollout/roll.go
@@ -69,17 +69,10 @@
 // both are lifted. One that was cut off is taken up again by a call with the same from,
 // to and ID, whoever makes it.
 func Roll(ctx context.Context, w seam.World, hosts []*Host, from, to *settings.Settings, opt RollOptions) error {
-	r, err := roll.New(opt.ID, from, to)
+	x, err := newRoller(ctx, w, hosts, from, to, opt)
 	if err != nil {
 		return err
 	}
-	if opt.Progress == nil {
-		opt.Progress = func(string) {}
-	}
-	x := &roller{w: w, hosts: hosts, opt: opt, Roll: r, stages: make([]roll.Stage, len(hosts)), halls: make([]string, len(hosts))}
-	if err := x.look(ctx); err != nil {
-		return err
-	}
 	if err := x.lead(ctx, all(len(hosts)), roll.Prepared); err != nil {
 		return err
 	}
@@ -91,6 +84,19 @@
 	return x.lead(ctx, all(len(hosts)), roll.Done)
 }
 
+// newRoller reads how far the hosts are with a roll.
+func newRoller(ctx context.Context, w seam.World, hosts []*Host, from, to *settings.Settings, opt RollOptions) (*roller, error) {
+	r, err := roll.New(opt.ID, from, to)
+	if err != nil {
+		return nil, err
+	}
+	if opt.Progress == nil {
+		opt.Progress = func(string) {}
+	}
+	x := &roller{w: w, hosts: hosts, opt: opt, Roll: r, stages: make([]roll.Stage, len(hosts)), halls: make([]string, len(hosts))}
+	return x, x.look(ctx)
+}
+
 func all(n int) []int {
 	out := make([]int, n)
 	for i := range out {
@@ -242,17 +248,10 @@
 
 // Return takes a roll back that was cut off, whoever began it.
 func Return(ctx context.Context, w seam.World, hosts []*Host, from, to *settings.Settings, opt RollOptions) error {
-	r, err := roll.New(opt.ID, from, to)
+	x, err := newRoller(ctx, w, hosts, from, to, opt)
 	if err != nil {
 		return err
 	}
-	if opt.Progress == nil {
-		opt.Progress = func(string) {}
-	}
-	x := &roller{w: w, hosts: hosts, opt: opt, Roll: r, stages: make([]roll.Stage, len(hosts)), halls: make([]string, len(hosts))}
-	if err := x.look(ctx); err != nil {
-		return err
-	}
 	for i, s := range x.stages { // done hosts hold the limits of both again first
 		if s == roll.Done {
 			if err := x.put(ctx, i, roll.Committed); err != nil {
