--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,6 +125,23 @@
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Status()) })
 	mux.HandleFunc("GET /rates", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Rates()) })
 	mux.HandleFunc("POST /keys/reload", g.reloadKeys)
+	mux.Handle("GET /metrics", g.metricsHandler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, "lives") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if why := g.notReady(); why != "" {
+			settings.Reply(w, http.StatusServiceUnavailable, why)
+			return
+		}
+		settings.Reply(w, http.StatusOK, "ready")
+	})
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		r, ok := g.read()
+		if !ok {
+			settings.Reply(w, http.StatusServiceUnavailable, "no settings are in force")
+			return
+		}
+		settings.Reply(w, http.StatusOK, map[string]any{"status": r.status, "module": r.view, "settings_version": r.version, "serves": r.leased})
+	})
 	g.admin = &http.Server{Handler: g.guard(mux), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, ConnContext: peerContext,
 		ErrorLog: zap.NewStdLog(g.cfg.Log)}
 	go g.admin.Serve(l) // ends with Close; its error says only that
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -43,6 +43,7 @@
 	landBy  float64 // until then a lost attempt may still take effect
 	settled bool
 	gen     uint64 // of the shard's home when it was first sent
+	takenAt float64
 	aimAt   float64
 	group   policy.Group
 	buffer  *[]byte // what the data of the answer under way lies in
@@ -124,6 +125,7 @@
 	// Sends and Resends count attempts; for operators.
 	sends, resends uint64
 	figures        roll.Figures
+	tally          tally
 }
 
 type startKey struct {
@@ -137,7 +139,7 @@
 
 func newHostCore(now float64, s *settings.Settings, self int, zone string, seed uint64, eff effects) *hostCore {
 	h := &hostCore{regions: newRegional(s, self), self: self, zone: zone, saidAt: map[string]float64{}, now: now, usage: rates.New(now, rateMemory),
-		eff: eff, jobs: map[string]*job{}, started: map[startKey]float64{}, nodes: map[string]inventory.Node{}}
+		eff: eff, jobs: map[string]*job{}, started: map[startKey]float64{}, nodes: map[string]inventory.Node{}, tally: newTally()}
 	h.mod = policy.New(h.learn(s), seed)
 	return h
 }
@@ -196,6 +198,8 @@
 	}
 	h.jobs[j.id] = j
 	h.figures.Taken++
+	h.tally.of(&j.req).taken++
+	j.takenAt = h.now
 	j.aimAt = h.now + h.aims[j.req.Class]
 	h.usage.Add(h.now, j.req.Volume, j.req.Units, j.req.Write)
 	h.tell(j.req)
@@ -286,6 +290,7 @@
 	} else {
 		h.figures.Failed++
 	}
+	h.tally.ended(j, how, h.now)
 	h.heldBack(j)
 	h.eff.finish(j, how, after, nil)
 	h.tidy(j)
@@ -341,6 +346,7 @@
 		return
 	}
 	j.ended = true
+	h.tally.ended(j, endGone, h.now)
 	h.eff.finish(j, endGone, 0, nil)
 	h.tell(policy.ClientGone{ID: j.id})
 	h.tidy(j)
@@ -374,6 +380,7 @@
 		if h.figures.Served++; h.now <= a.job.aimAt {
 			h.figures.InAim++
 		}
+		h.tally.ended(a.job, endServed, h.now)
 		h.eff.finish(a.job, endServed, 0, ans)
 	}
 	report := make([]policy.Reading, len(ans.Report))
@@ -400,6 +407,7 @@
 	h.dues.remove(&a.due)
 	j := a.job
 	j.out--
+	h.tally.outcome(a.node, r)
 	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed, o.Result = j.id, a.node, a.n, j.ended, h.now-a.sentAt, r
 	h.tell(o)
 	h.tidy(j)
@@ -470,6 +478,7 @@
 	for _, n := range l.Nodes {
 		if n.Health == inventory.Gone {
 			delete(h.nodes, n.Addr)
+			delete(h.tally.attempts, n.Addr) // an address is not used again soon; the list bounds the nodes that are counted
 			delete(h.started, startKey{n.Addr, n.Incarnation})
 			h.eff.retire(n.Addr)
 		}
--- a/gateway/hostcore_test.go
+++ b/gateway/hostcore_test.go
@@ -220,3 +220,5 @@
 		t.Error("a failure was not told")
 	}
 }
+
+func (s *script) View(float64) policy.View { return policy.View{} }
--- a/policy/api.go
+++ b/policy/api.go
@@ -12,6 +12,8 @@
 	// Handle takes one event that happened at time now and returns the actions
 	// to carry out, in order. The slice is valid until the next call.
 	Handle(now float64, ev Event) []Action
+	// View tells what the instance holds at a time that is not before the last event's.
+	View(now float64) View
 }
 
 // New returns a fresh instance. The same seed and events give the same actions.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -636,14 +636,17 @@
 }
 
 func (p *scheduler) inBudget() bool {
+	used, may := p.budget()
+	return !p.s.Rules.HasBudget || used+1 <= may
+}
+
+// budget is how many attempts beyond the first there were, and may be, within its span.
+func (p *scheduler) budget() (used, may float64) {
 	ru := &p.s.Rules
-	if !ru.HasBudget {
-		return true
-	}
 	old := p.now - ru.BudgetSpan
 	resends, _ := p.resends.since(old - p.s.Tick - ru.SendLate) // they count where they pass
 	taken, _ := p.taken.since(old + p.s.Tick)
-	return float64(resends+1) <= ru.BudgetFree+ru.BudgetShare*float64(taken)
+	return float64(resends), ru.BudgetFree + ru.BudgetShare*float64(taken)
 }
 
 // limitOK holds a limited volume to this host's part of the limit.
--- /dev/null
+++ b/policy/view.go
@@ -0,0 +1,89 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+)
+
+// View is what an instance holds and knows at a moment, for operators. Reading it decides
+// nothing and changes nothing. Times are in milliseconds.
+type View struct {
+	Median, Base float64 // answers' times over all nodes; the same with nothing waiting
+	// Budget is how many attempts beyond the first may still go now; -1: there is no bound.
+	Budget  float64
+	Held    int // requests without an end, or with an attempt out
+	Shards  []ShardView
+	Shares  []ShareView
+	Nodes   []NodeView
+	Limited []LimitView
+}
+
+// ShardView is the queue of one shard.
+type ShardView struct {
+	Shard   int
+	Node    string  // that has it; "": none may be sent to
+	Depth   float64 // attempts that may be out, a part below 1
+	Out     int
+	Waiting int // parked ones included
+	Parked  int
+	Service float64 // service time to expect
+}
+
+// ShareView is a plan's share in force.
+type ShareView struct {
+	Plan  string
+	Share float64
+}
+
+// NodeView is what is known of a node.
+type NodeView struct {
+	Addr    string
+	Shard   int
+	Off     bool    // draining or gone
+	Suspect bool    // its last attempt found no process
+	HeldFor float64 // nothing goes there for so long
+	Cold    float64 // part of what is asked that may go there while it warms up; 1: all
+}
+
+// LimitView is what is left of a limited volume's part here.
+type LimitView struct {
+	Volume, Plan string
+	Left         float64 // units that may go at once
+	Rate         float64 // units a second at which it fills
+}
+
+// View implements Scheduler.
+func (p *scheduler) View(now float64) View {
+	p.now = max(p.now, now)
+	v := View{Median: p.median, Base: p.base, Budget: -1, Held: len(p.reqs)}
+	if p.s.Rules.HasBudget {
+		used, may := p.budget()
+		v.Budget = max(may-used, 0)
+	}
+	for _, sh := range p.shards {
+		x := ShardView{Shard: sh.id, Depth: sh.depth, Out: len(sh.out), Waiting: sh.waiting, Parked: sh.parked.len(), Service: p.serviceOf(sh)}
+		if sh.node != nil && !sh.node.toldOff {
+			x.Node = sh.node.Addr
+		}
+		v.Shards = append(v.Shards, x)
+	}
+	for i, pl := range p.s.Plans {
+		v.Shares = append(v.Shares, ShareView{pl.Name, p.shares.u[i]})
+	}
+	for addr, n := range p.nodes {
+		x := NodeView{Addr: addr, Shard: n.Shard, Off: n.toldOff, Suspect: n.suspect, HeldFor: max(n.holdTill-p.now, 0), Cold: 1}
+		if _, part, cold := p.cold(n); cold {
+			x.Cold = part
+		}
+		v.Nodes = append(v.Nodes, x)
+	}
+	slices.SortFunc(v.Nodes, func(a, b NodeView) int { return cmp.Compare(a.Addr, b.Addr) })
+	for id, vol := range p.vols {
+		if vol.plan.Limit > 0 {
+			level := min(vol.limit+vol.limFill*(p.now-vol.at)/1000, vol.limCap)
+			v.Limited = append(v.Limited, LimitView{id, vol.plan.Name, max(level-vol.limFloor, 0), vol.limFill})
+		}
+	}
+	slices.SortFunc(v.Limited, func(a, b LimitView) int { return cmp.Compare(a.Volume, b.Volume) })
+	return v
+}
