--- a/cmd/merlinhitch/badday.go
+++ b/cmd/merlinhitch/badday.go
@@ -24,6 +24,7 @@
 	Servers  int      `default:"9" help:"Disk servers, in three halls."`
 	Sweep    int      `help:"Play each kind of trouble alone, all together and none, over so many seeds." placeholder:"SEEDS"`
 	Parallel int      `default:"4" help:"Days of a sweep at once."`
+	Counters bool     `help:"Hold the hosts' counters to what passed on their sockets."`
 	Out      string   `help:"Folder for the trail; by default a temporary one." placeholder:"DIR"`
 }
 
@@ -43,8 +44,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	res, err := lab.BadDay(ctx, lab.Options{Seed: c.Seed, Commands: c.Commands, Troubles: c.Troubles, Hosts: c.Hosts,
-		Servers: c.Servers, Rate: c.Rate, Out: c.Out, Log: log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)), Progress: os.Stderr})
+	opt := lab.Options{Seed: c.Seed, Commands: c.Commands, Troubles: c.Troubles, Hosts: c.Hosts,
+		Servers: c.Servers, Rate: c.Rate, Out: c.Out, Log: log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)), Progress: os.Stderr}
+	if c.Counters {
+		return c.counted(ctx, opt)
+	}
+	res, err := lab.BadDay(ctx, opt)
 	if err != nil {
 		return err
 	}
@@ -63,6 +68,18 @@
 	return errSaid
 }
 
+func (c *baddayCmd) counted(ctx context.Context, opt lab.Options) error {
+	r, err := lab.CountDay(ctx, opt)
+	if err != nil {
+		return err
+	}
+	r.Print(os.Stdout)
+	if !r.OK() {
+		return errSaid
+	}
+	return nil
+}
+
 func (c *baddayCmd) sweep(log *zap.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -408,7 +408,7 @@
 	h.dues.remove(&a.due)
 	j := a.job
 	j.out--
-	h.tally.outcome(a.node, r)
+	h.tally.outcome(a.node, r, h.nodes)
 	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed, o.Result = j.id, a.node, a.n, j.ended, h.now-a.sentAt, r
 	h.tell(o)
 	h.tidy(j)
@@ -479,7 +479,6 @@
 	for _, n := range l.Nodes {
 		if n.Health == inventory.Gone {
 			delete(h.nodes, n.Addr)
-			delete(h.tally.attempts, n.Addr) // an address is not used again soon; the list bounds the nodes that are counted
 			delete(h.started, startKey{n.Addr, n.Incarnation})
 			h.eff.retire(n.Addr)
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"sort"
@@ -9,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"merlinhitch/inventory"
 	"merlinhitch/policy"
 )
 
@@ -80,10 +82,17 @@
 	}
 }
 
+// mostNodes bounds the nodes that are counted. A node that left the list keeps its counters
+// until there are so many: it may come back under its address.
+const mostNodes = 4096
+
 // outcome notes the end of an attempt.
-func (t *tally) outcome(node string, r policy.Result) {
+func (t *tally) outcome(node string, r policy.Result, listed map[string]inventory.Node) {
 	a := t.attempts[node]
 	if a == nil {
+		if len(t.attempts) >= mostNodes {
+			maps.DeleteFunc(t.attempts, func(n string, _ *attempts) bool { _, ok := listed[n]; return !ok })
+		}
 		a = &attempts{}
 		t.attempts[node] = a
 	}
--- a/lab/badday.go
+++ b/lab/badday.go
@@ -44,6 +44,8 @@
 	Routing string
 	// during is started with the day, for what is more than a kind of trouble.
 	during func(d *day, span time.Duration)
+	// still, if set, is called once nothing is under way, before the hosts stop.
+	still func(d *day)
 	// after, if set, is given the trail once the hosts have stopped.
 	after func(d *day, events []trail.Event)
 	// live, if set, is given the fleet before the day begins and returns the checker that
@@ -232,6 +234,9 @@
 	res.Missed = d.crowd.ReadBack(ctx, 60*time.Second)
 	progress()
 	d.crowd.Close()
+	if d.opt.still != nil {
+		d.opt.still(d)
+	}
 	d.fleet.StopHosts(ctx)
 	events := d.fleet.Rec.Stop()
 	if d.opt.after != nil {
--- /dev/null
+++ b/lab/counters.go
@@ -0,0 +1,179 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"merlinhitch/diskproto"
+	"merlinhitch/trail"
+)
+
+// nodeKey is a disk server's address as one start of a host knows it.
+type nodeKey struct{ host, node string }
+
+// counters are what hosts' /metrics say of their attempts, by result.
+type counters struct {
+	attempts map[nodeKey]map[string]float64
+}
+
+// Counted is what came of holding counters to the trail of the sockets.
+type Counted struct {
+	*Result
+	Hosts, Nodes int
+	Exact        int // of the nodes: the trail knows each figure
+	Attempts     float64
+	Wrong        []string
+	got          counters
+	seen         map[nodeKey]*seenAt
+}
+
+// OK tells whether no counter was wrong and all else was kept.
+func (c *Counted) OK() bool { return c.Result.OK() && len(c.Wrong) == 0 }
+
+// seenAt is what the trail has of a node.
+type seenAt struct {
+	sent    float64
+	answers map[string]float64
+}
+
+// CountDay plays a bad day and holds the counters of the hosts that are up at its end to
+// what passed on their sockets.
+func CountDay(ctx context.Context, opt Options) (*Counted, error) {
+	out := &Counted{got: counters{map[nodeKey]map[string]float64{}}, seen: map[nodeKey]*seenAt{}}
+	var failed error
+	opt.still = func(d *day) {
+		for _, h := range d.fleet.hosts {
+			if h.clients == nil {
+				continue
+			}
+			if err := out.got.fetch(ctx, h.name, h.gate.Admin().String()); err != nil {
+				failed = err
+			}
+			out.Hosts++
+		}
+	}
+	opt.after = func(_ *day, events []trail.Event) { out.read(events) }
+	res, err := BadDay(ctx, opt)
+	if err == nil {
+		err = failed
+	}
+	if err != nil {
+		return nil, err
+	}
+	out.Result = res
+	out.Wrong = out.compare()
+	return out, nil
+}
+
+// fetch parses a host's /metrics with a parser that the project did not write.
+func (c *counters) fetch(ctx context.Context, host, addr string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	defer http.DefaultClient.CloseIdleConnections()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	if err != nil {
+		return err
+	}
+	p := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := p.TextToMetricFamilies(bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	for _, m := range families["merlinhitch_attempts_total"].GetMetric() {
+		k := nodeKey{host, label(m, "node")}
+		if c.attempts[k] == nil {
+			c.attempts[k] = map[string]float64{}
+		}
+		c.attempts[k][label(m, "result")] = m.GetCounter().GetValue()
+	}
+	return nil
+}
+
+func label(m *dto.Metric, name string) string {
+	for _, l := range m.GetLabel() {
+		if l.GetName() == name {
+			return l.GetValue()
+		}
+	}
+	return ""
+}
+
+// answerNames are the results of answers as the counters name them.
+var answerNames = map[diskproto.Result]string{
+	diskproto.OK: "served", diskproto.Miscompare: "served", diskproto.Fenced: "served", diskproto.Failed: "server_error",
+	diskproto.Full: "turned_away", diskproto.Draining: "turned_away", diskproto.Expired: "turned_away",
+	diskproto.WrongShard: "not_sent", diskproto.Stale: "not_sent",
+}
+
+// read counts what passed, on its own.
+func (c *Counted) read(events []trail.Event) {
+	for i := range events {
+		e := &events[i]
+		if e.Link != trail.LinkDisk || e.Kind != trail.Do && e.Kind != trail.Answer {
+			continue
+		}
+		k := nodeKey{e.Host, e.Peer}
+		s := c.seen[k]
+		if s == nil {
+			s = &seenAt{answers: map[string]float64{}}
+			c.seen[k] = s
+		}
+		if e.Kind == trail.Do {
+			s.sent++
+		} else {
+			s.answers[answerNames[diskproto.Result(e.Status)]]++
+		}
+	}
+}
+
+// compare holds each counter to the trail. An attempt that the host gave up, or whose
+// connection it lost, may have passed or not, and its answer too: by so many a figure may
+// differ. Where there are none it must be the same.
+func (c *Counted) compare() (wrong []string) {
+	for k, by := range c.got.attempts {
+		s := c.seen[k]
+		if s == nil {
+			s = &seenAt{answers: map[string]float64{}}
+		}
+		c.Nodes++
+		open := by["no_answer"] + by["connection_lost"] + by["cancelled"]
+		total := by["served"] + by["server_error"] + by["turned_away"]
+		c.Attempts += total + open
+		if open == 0 {
+			c.Exact++
+		}
+		if s.sent < total || s.sent > total+open+s.answers["not_sent"] {
+			wrong = append(wrong, fmt.Sprintf("%s to %s: %v attempts counted with an answer and %v without, %v passed", k.host, k.node, total, open, s.sent))
+		}
+		for _, r := range []string{"served", "server_error", "turned_away"} {
+			if n := s.answers[r]; by[r] > n || by[r] < n-open {
+				wrong = append(wrong, fmt.Sprintf("%s to %s: %v counted as %s, %v such answers passed, %v may have come too late", k.host, k.node, by[r], r, n, open))
+			}
+		}
+	}
+	return wrong
+}
+
+// Print writes what was compared.
+func (c *Counted) Print(w io.Writer) {
+	c.Check.Print(w)
+	fmt.Fprintf(w, "%d hosts, %d nodes as they know them, %v attempts counted; at %d nodes every figure is known from the trail; %d figures wrong\n",
+		c.Hosts, c.Nodes, c.Attempts, c.Exact, len(c.Wrong))
+	for _, t := range c.Wrong[:min(len(c.Wrong), 5)] {
+		fmt.Fprintln(w, "WRONG:", t)
+	}
+}
