--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -32,6 +32,7 @@
 	Plan         planCmd         `cmd:"" help:"Work out which volume lies on which nodes."`
 	Regions      regionsCmd      `cmd:"" help:"A service over two regions: who serves what, operators' words, and its days."`
 	Top          topCmd          `cmd:"" help:"What many hosts do at once, and what holds each back."`
+	Report       reportCmd       `cmd:"" help:"A page of charts and tables of what hosts served."`
 	Routes       routesCmd       `cmd:"" help:"Show what a gateway announces, to which routers, and why."`
 	Announce     announceCmd     `cmd:"" help:"Measure announcements."`
 	Trail        trailCmd        `cmd:"" help:"Check or read the trail of a day."`
--- a/cmd/merlinhitch/serve.go
+++ b/cmd/merlinhitch/serve.go
@@ -58,6 +58,7 @@
 	Admin     string `default:"${admin}" help:"Address of the admin API: HOST:PORT or unix:PATH."`
 	Keys      string `help:"Folder of the host's keys: for the admin API and towards disk servers; SIGHUP reads it again." placeholder:"DIR"`
 	Snapshot  string `help:"File of the saved settings; their record lies beside it." placeholder:"FILE"`
+	History   string `help:"Folder for what the host counted, second by second." placeholder:"DIR"`
 	KeyFile   string `help:"Key that seals secrets in them: 32 bytes or more that nobody can guess." placeholder:"FILE"`
 	RouterID  string `help:"BGP identifier, in the form of an IPv4 address; needed where the settings announce." placeholder:"A.B.C.D"`
 	Hop4      string `help:"Next hop told for IPv4 addresses." placeholder:"ADDRESS"`
@@ -68,7 +69,7 @@
 // config turns the arguments into a gateway's.
 func (c *gatewayCmd) config(log *zap.Logger) (gateway.Config, error) {
 	cfg := gateway.Config{World: seam.NewReal(), Log: log, Name: c.Name, Self: c.Self, Zone: c.Zone,
-		Listen: c.Listen, Inventory: c.Inventory, Admin: c.Admin, Snapshot: c.Snapshot, BGPListen: c.BGPListen}
+		Listen: c.Listen, Inventory: c.Inventory, Admin: c.Admin, Snapshot: c.Snapshot, History: c.History, BGPListen: c.BGPListen}
 	var err error
 	if c.Keys != "" {
 		if cfg.Keys, err = keys.Hold(c.Keys, time.Now); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,8 @@
 	Inventory string // address of the node list
 	Admin     string // of the admin API: host:port, unix:PATH, or none
 	Snapshot  string // file of the saved settings, or none; its record lies beside it
+	// History is a folder for what the host counted, or none.
+	History string
 	// Keys of this host; nil: the admin API is served in clear, to this machine alone, and
 	// disk servers are spoken to in clear.
 	Keys *keys.Holder
@@ -53,16 +55,17 @@
 	admin *http.Server
 	api   net.Listener
 
-	mu      sync.Mutex
-	front   *front
-	host    *host
-	list    *inventory.Client
-	lease   *leaser    // nil in a service of one region
-	ann     *announcer // nil where nothing is to be announced at the start
-	addr    net.Addr
-	stopped bool
-	ready   seam.Gate
-	failed  error
+	mu       sync.Mutex
+	front    *front
+	host     *host
+	list     *inventory.Client
+	lease    *leaser    // nil in a service of one region
+	recorder *recorder  // nil: no history is kept
+	ann      *announcer // nil where nothing is to be announced at the start
+	addr     net.Addr
+	stopped  bool
+	ready    seam.Gate
+	failed   error
 }
 
 // Start starts a gateway.
@@ -76,8 +79,14 @@
 		return nil, err
 	}
 	g := &Gateway{cfg: cfg, store: st}
+	if cfg.History != "" {
+		if g.recorder, err = startRecorder(g, cfg.History); err != nil {
+			st.Close()
+			return nil, err
+		}
+	}
 	if err := g.serveAdmin(); err != nil {
-		st.Close()
+		g.Kill()
 		return nil, err
 	}
 	st.Allow(g.allowed)
@@ -126,6 +135,7 @@
 	mux.HandleFunc("GET /rates", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Rates()) })
 	mux.HandleFunc("POST /keys/reload", g.reloadKeys)
 	mux.Handle("GET /metrics", g.metricsHandler())
+	mux.HandleFunc("GET /history", g.history)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, "lives") })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if why := g.notReady(); why != "" {
@@ -363,6 +373,9 @@
 	if g.admin != nil {
 		g.admin.Close()
 	}
+	if g.recorder != nil {
+		g.recorder.close()
+	}
 	g.store.Close() // what it refuses from now on was not accepted
 	if a != nil {
 		a.close(text)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"merlinhitch/history"
 	"merlinhitch/inventory"
 	"merlinhitch/policy"
 )
@@ -23,6 +24,7 @@
 	served, inAim, refused, failed, gone uint64
 	units                                float64                // of those served
 	ended                                [policy.Reasons]uint64 // by the module, by its reason
+	latency                              [history.Buckets]uint64
 }
 
 // attempts counts how attempts at a node ended.
@@ -73,6 +75,7 @@
 			t.latency[j.req.Class] = h
 		}
 		h.Observe((now - j.takenAt) / 1000)
+		e.latency[history.Bucket(now-j.takenAt)]++
 	case endRefused:
 		e.refused++
 	case endFailed:
--- /dev/null
+++ b/gateway/recorder.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/history"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+)
+
+// recorder keeps a host's counters as history, once a second.
+type recorder struct {
+	g     *Gateway
+	mu    sync.Mutex
+	store *history.Store
+	was   map[counted]history.Counts
+	over  seam.Gate
+	tasks seam.Group
+}
+
+// flushEvery is how many seconds may be lost in a crash.
+const flushEvery = 10
+
+func startRecorder(g *Gateway, dir string) (*recorder, error) {
+	st, err := history.Open(dir)
+	if err != nil {
+		return nil, err
+	}
+	r := &recorder{g: g, store: st, was: map[counted]history.Counts{}}
+	r.tasks.Go(g.cfg.World, r.run)
+	return r, nil
+}
+
+func (r *recorder) run() {
+	w := r.g.cfg.World
+	for n := 1; seam.Wait(w, time.Second, &r.over); n++ {
+		r.second(w.Deadline(0).Unix(), n%flushEvery == 0)
+	}
+	r.second(w.Deadline(0).Unix(), true)
+}
+
+// second adds what was counted since the last.
+func (r *recorder) second(at int64, flush bool) {
+	now, ok := r.g.read()
+	if !ok {
+		return
+	}
+	var rows []history.Row
+	for k, e := range now.ends {
+		c := history.Counts{Taken: e.taken, Served: e.served, InAim: e.inAim, Refused: e.refused, Failed: e.failed,
+			Latency: append([]uint64(nil), e.latency[:]...), Reasons: append([]uint64(nil), e.ended[:]...)}
+		was, had := r.was[k]
+		d := c
+		if had {
+			d = c.Since(&was)
+		}
+		r.was[k] = c
+		rows = append(rows, history.Row{At: at, Span: 1, Key: history.Key{Class: k.class, Plan: k.plan}, Counts: d})
+	}
+	history.Sort(rows)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	err := r.store.Add(rows)
+	if flush {
+		if e := r.store.Flush(); err == nil {
+			err = e
+		}
+	}
+	if err != nil {
+		r.g.cfg.Log.Warn("history not written", zap.Error(err), zap.Int("failed", r.store.Failed), zap.Int("lost", r.store.Lost))
+	}
+}
+
+// read returns rows from what is written.
+func (r *recorder) read(from, to int64) ([]history.Row, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Read(from, to)
+}
+
+func (r *recorder) close() {
+	r.over.Open()
+	r.tasks.Wait(r.g.cfg.World)
+}
+
+// history serves /history?from=&to=, in seconds since 1970.
+func (g *Gateway) history(w http.ResponseWriter, r *http.Request) {
+	if g.recorder == nil {
+		settings.Reply(w, http.StatusNotFound, "no history is kept")
+		return
+	}
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	to, e := strconv.ParseInt(r.URL.Query().Get("to"), 10, 64)
+	if err != nil || e != nil || to < from {
+		settings.Reply(w, http.StatusUnprocessableEntity, "from and to must be seconds since 1970, in order")
+		return
+	}
+	rows, err := g.recorder.read(from, to)
+	if err != nil {
+		w.Header().Set("Warning", `199 - "`+err.Error()+`"`) // RFC 9111 section 5.5: rows of the sound files
+	}
+	settings.Reply(w, http.StatusOK, rows)
+}
