--- a/lab/bench.go
+++ b/lab/bench.go
@@ -57,6 +57,7 @@
 type subject struct {
 	name  string
 	addr  string
+	admin string
 	greet func(c net.Conn, r *bufio.Reader) (cmdSN uint32, err error)
 	close func()
 }
@@ -85,11 +86,16 @@
 	return benchAll(opt, gate, pipe, fan, out)
 }
 
-// benchKeys are those of the host and of its disk servers.
-type benchKeys struct{ host, disks *keys.Holder }
+// benchSetup is what a measured gateway has beside the usual: keys of it and of its disk
+// servers, a history.
+type benchSetup struct {
+	host, disks *keys.Holder
+	history     string // folder
+	admin       string
+}
 
-// benchGateway is a gateway before servers that answer at once; k nil: they speak in clear.
-func benchGateway(k *benchKeys) (gate *subject, closeAll func(), err error) {
+// benchGateway is a gateway before servers that answer at once; nil: the usual.
+func benchGateway(k *benchSetup) (gate *subject, closeAll func(), err error) {
 	w := seam.NewReal()
 	var disks []*standin.QuickDisk
 	closeAll = func() {
@@ -101,7 +107,7 @@
 		}
 	}
 	if k == nil {
-		k = &benchKeys{}
+		k = &benchSetup{}
 	}
 	var addrs []string
 	for range benchShards {
@@ -112,7 +118,7 @@
 		}
 		disks, addrs = append(disks, q), append(addrs, q.Addr)
 	}
-	if gate, err = gatewaySubject(w, addrs, k.host); err != nil {
+	if gate, err = gatewaySubject(w, addrs, k); err != nil {
 		closeAll()
 		return nil, nil, err
 	}
@@ -401,7 +407,7 @@
 }
 
 // gatewaySubject is one host before servers that answer at once.
-func gatewaySubject(w seam.World, disks []string, k *keys.Holder) (*subject, error) {
+func gatewaySubject(w seam.World, disks []string, k *benchSetup) (*subject, error) {
 	set := settings.Example(1, benchShards)
 	set.Volumes = []settings.Volume{{Name: "bench", Plan: "prioritario", Blocks: 1 << 20, BlockSize: benchBlock, Extent: 32, Hosts: []int{0}}}
 	for i := range benchShards {
@@ -418,7 +424,7 @@
 			b.Set(inventory.Node{Addr: addr, Health: inventory.Ready, Shard: i, Weight: 1, Incarnation: 1}, 0)
 		}
 	})
-	g, err := gateway.Start(gateway.Config{World: w, Log: zap.NewNop(), Name: "bench", Listen: "127.0.0.1:0", Inventory: inv.Addr, Keys: k})
+	g, err := gateway.Start(gateway.Config{World: w, Log: zap.NewNop(), Name: "bench", Listen: "127.0.0.1:0", Inventory: inv.Addr, Keys: k.host, History: k.history, Admin: k.admin})
 	if err != nil {
 		return nil, err
 	}
@@ -427,6 +433,9 @@
 	}
 	<-g.Ready().Chan()
 	s := &subject{name: "gateway", addr: g.Addr().String()}
+	if a := g.Admin(); a != nil {
+		s.admin = a.String()
+	}
 	s.close = func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
--- a/lab/benchkeys.go
+++ b/lab/benchkeys.go
@@ -34,22 +34,27 @@
 	}
 	defer closeSealed()
 	clear.name, sealed.name = "in clear", "over TLS"
+	return benchPairs(opt, clear, sealed, out)
+}
+
+// benchPairs measures two gateways at all points and at half of the second's best load.
+func benchPairs(opt BenchOptions, plain, other *subject, out io.Writer) error {
 	tw := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
-	fmt.Fprintln(tw, "| conns\t| out\t| in clear op/s\t| over TLS op/s\t| ratio\t| p50/p99/p99.9 ms in clear\t| over TLS\t| p99 ratio\t| cpu us/op in clear, over TLS\t|")
+	fmt.Fprintf(tw, "| conns\t| out\t| %s op/s\t| %s op/s\t| ratio\t| p50/p99/p99.9 ms %s\t| %s\t| p99 ratio\t| cpu us/op %s, %s\t|\n", plain.name, other.name, plain.name, other.name, plain.name, other.name)
 	fmt.Fprintln(tw, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
 	for _, conns := range opt.Conns {
 		for _, depth := range opt.Depths {
-			if err := benchPair(tw, clear, sealed, conns, depth, 0, opt); err != nil {
+			if err := benchPair(tw, plain, other, conns, depth, 0, opt); err != nil {
 				return err
 			}
 		}
 	}
-	most, err := measure(sealed, 64, 8, 0, opt)
+	most, err := measure(other, 64, 8, 0, opt)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(tw, "| 64\t| half load, %.0f op/s\t| \t| \t| \t| \t| \t| \t| \t|\n", most.Rate/2)
-	if err := benchPair(tw, clear, sealed, 64, 0, most.Rate/2, opt); err != nil {
+	if err := benchPair(tw, plain, other, 64, 0, most.Rate/2, opt); err != nil {
 		return err
 	}
 	return tw.Flush()
@@ -87,7 +92,7 @@
 	return err
 }
 
-func makeBenchKeys() (*benchKeys, string, error) {
+func makeBenchKeys() (*benchSetup, string, error) {
 	dir, err := os.MkdirTemp("", "bench-keys-")
 	if err != nil {
 		return nil, "", err
@@ -106,5 +111,5 @@
 		os.RemoveAll(dir)
 		return nil, "", err
 	}
-	return &benchKeys{held[0], held[1]}, dir, nil
+	return &benchSetup{host: held[0], disks: held[1]}, dir, nil
 }
