--- a/rollout/roll_test.go
+++ b/rollout/roll_test.go
@@ -52,6 +52,13 @@
 	return s
 }
 
+// mend has calls answered again.
+func (s *rolling) mend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = -1
+}
+
 func (s *rolling) serve(i int, inner http.Handler, w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,9 +163,7 @@
 				s.cut, s.lose = cut, lose
 				err := rollout.Roll(context.Background(), w, s.hosts, from, to, rollout.RollOptions{ID: "r1", Who: "ines"})
 				whole := err == nil
-				s.mu.Lock()
-				s.cut = -1
-				s.mu.Unlock()
+				s.mend()
 				if err := rollout.Roll(context.Background(), w, s.hosts, from, to, rollout.RollOptions{ID: "r1", Who: "rui"}); err != nil {
 					t.Fatalf("limit %v, cut %d: %v", limit, cut, err)
 				}
@@ -191,7 +196,7 @@
 	if rollout.Roll(context.Background(), seam.NewReal(), s.hosts, from, to, rollout.RollOptions{ID: "r1"}) == nil {
 		t.Fatal("it was not cut off")
 	}
-	s.cut = -1
+	s.mend()
 	if err := rollout.Return(context.Background(), seam.NewReal(), s.hosts, from, to, rollout.RollOptions{ID: "r1", Who: "rui"}); err != nil {
 		t.Fatal(err)
 	}
