Requests are counted in one place, and what stood twice is called

Read over: a host core counted each request in two sets of counters, copied a third time for /metrics, and looked them up two or three times a request. A class and plan has one set now (metrics.Ends), found once as the request is taken; status figures are its sum, and /state, /metrics and history read it in one moment of the host core in place of two. Sorted keys, the host of a process and the line of a verified record are called where they were written again; an unused function and two unused fields are gone.

A class's latency histogram shows from its first request on, not its first answer.

--- a/cmd/merlinhitch/settings.go
+++ b/cmd/merlinhitch/settings.go
@@ -252,14 +252,18 @@
 		if err := api.Read(ctx, "/settings/verify", &v); err != nil {
 			return err
 		}
-		fmt.Printf("%d records up to version %d, head %v: the chain holds; the clock stepped back %d times\n", v.Records, v.Version, v.Head, v.Back)
-		if v.Late != "" {
-			fmt.Println("the snapshot is behind the record:", v.Late)
-		}
+		printVerified(v)
 		return nil
 	})
 }
 
+func printVerified(v settings.Verified) {
+	fmt.Printf("%d records up to version %d, head %v: the chain holds; the clock stepped back %d times\n", v.Records, v.Version, v.Head, v.Back)
+	if v.Late != "" {
+		fmt.Println("the snapshot is behind the record:", v.Late)
+	}
+}
+
 func verifyFile(file string) error {
 	if _, err := os.Stat(file); err != nil {
 		return err
@@ -269,8 +273,7 @@
 		return err
 	}
 	defer st.Close()
-	e := st.Chain()
-	fmt.Printf("%d records up to version %d, head %v: the chain holds; the clock stepped back %d times\n", e.Seq, e.Version, e.Hash, e.Back)
+	printVerified(settings.VerifiedBy(st.Chain()))
 	return nil
 }
 
--- a/expect/answer.go
+++ b/expect/answer.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -124,26 +125,17 @@
 	for _, n := range e.Nodes {
 		want[n] = true
 	}
-	return fmt.Sprint(sorted(to)) == fmt.Sprint(sorted(want)) && d.refused == 0, c.said(to, d)
+	return fmt.Sprint(slices.Sorted(maps.Keys(to))) == fmt.Sprint(slices.Sorted(maps.Keys(want))) && d.refused == 0, c.said(to, d)
 }
 
 func (c *checker) said(to map[string]bool, d *driver) string {
-	parts := sorted(to)
+	parts := slices.Sorted(maps.Keys(to))
 	if d.refused > 0 {
 		parts = append(parts, "a refusal")
 	}
 	return strings.Join(parts, ", ")
 }
 
-func sorted(m map[string]bool) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // rush is a plan asked for so many times its rate.
 type rush struct {
 	plan  string
@@ -263,7 +255,7 @@
 		}
 		return true, ""
 	}
-	names := sorted(lost)
+	names := slices.Sorted(maps.Keys(lost))
 	if len(names) > 3 {
 		names = append(names[:3], fmt.Sprintf("%d more", len(lost)-3))
 	}
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -356,12 +357,8 @@
 // made with the keys that there are now.
 func (b *back) renew() {
 	b.mu.Lock()
-	addrs := make([]string, 0, len(b.links))
-	for a := range b.links {
-		addrs = append(addrs, a)
-	}
+	addrs := slices.Sorted(maps.Keys(b.links))
 	b.mu.Unlock()
-	slices.Sort(addrs)
 	for _, a := range addrs {
 		b.retire(a)
 	}
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -82,10 +82,11 @@
 		if p.known && p.uid != 0 && int(p.uid) != os.Getuid() {
 			return who{}, fmt.Errorf("uid %d is not the gateway's", p.uid)
 		}
+		name := fmt.Sprintf("uid %d", p.uid)
 		if said != "" {
-			return who{fmt.Sprintf("uid %d, claimed %s", p.uid, said), keys.Administer}, nil
+			name += ", claimed " + said
 		}
-		return who{fmt.Sprintf("uid %d", p.uid), keys.Administer}, nil
+		return who{name, keys.Administer}, nil
 	}
 	if said != "" {
 		return who{"claimed " + said, keys.Administer}, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -259,13 +259,20 @@
 }
 
 // Status reads the present figures.
-func (g *Gateway) Status() (s Status) {
+func (g *Gateway) Status() Status {
+	s, _ := g.look(func(*hostCore) {})
+	return s
+}
+
+// look reads the present figures and, in the same moment of the host core, more; false if
+// there is no host, or no longer.
+func (g *Gateway) look(more func(*hostCore)) (s Status, ok bool) {
 	g.mu.Lock()
 	f, h := g.front, g.host
 	g.mu.Unlock()
 	s.Zone = g.cfg.Zone
 	if f == nil {
-		return s
+		return s, false
 	}
 	f.mu.Lock()
 	s.Sessions = len(f.sessions)
@@ -274,11 +281,12 @@
 	h.back.mu.Lock()
 	s.ConnectedServers = len(h.back.links)
 	h.back.mu.Unlock()
-	h.ask(func(c *hostCore) {
-		s.Figures = c.figures
+	ok = h.ask(func(c *hostCore) {
+		more(c)
+		s.Figures = c.tally.figures()
 		s.Requests, s.Sends, s.Resends, s.LimitHeld, s.Nodes, s.ListSeen = c.nextSeq, c.sends, c.resends, c.held, len(c.nodes), c.listed
 	})
-	return s
+	return s, ok
 }
 
 // Rates is what each volume asked this host for.
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -17,7 +17,6 @@
 	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/rates"
-	"merlinhitch/roll"
 	"merlinhitch/settings"
 )
 
@@ -42,7 +41,8 @@
 	ended   bool
 	landBy  float64 // until then a lost attempt may still take effect
 	settled bool
-	gen     uint64 // of the shard's home when it was first sent
+	gen     uint64  // of the shard's home when it was first sent
+	counts  *counts // that it goes to
 	takenAt float64
 	aimAt   float64
 	group   policy.Group
@@ -124,7 +124,6 @@
 	saidAt  map[string]float64 // when that was last said of a volume
 	// Sends and Resends count attempts; for operators.
 	sends, resends uint64
-	figures        roll.Figures
 	tally          tally
 }
 
@@ -197,8 +196,8 @@
 		j.group, j.do.Copied = h.groups[j.req.Class], h.regions.copied[j.req.Plan]
 	}
 	h.jobs[j.id] = j
-	h.figures.Taken++
-	h.tally.of(&j.req).taken++
+	j.counts = h.tally.of(&j.req)
+	j.counts.Taken++
 	j.takenAt = h.now
 	j.aimAt = h.now + h.aims[j.req.Class]
 	h.usage.Add(h.now, j.req.Volume, j.req.Units, j.req.Write)
@@ -285,13 +284,8 @@
 		return
 	}
 	j.ended = true
-	if how == endRefused {
-		h.figures.Refused++
-	} else {
-		h.figures.Failed++
-	}
-	h.tally.ended(j, how, h.now)
-	h.tally.of(&j.req).ended[why]++
+	j.counts.ended(j, how, h.now)
+	j.counts.Reasons[why]++
 	h.heldBack(j)
 	h.eff.finish(j, how, after, nil)
 	h.tidy(j)
@@ -347,7 +341,7 @@
 		return
 	}
 	j.ended = true
-	h.tally.ended(j, endGone, h.now)
+	j.counts.ended(j, endGone, h.now)
 	h.eff.finish(j, endGone, 0, nil)
 	h.tell(policy.ClientGone{ID: j.id})
 	h.tidy(j)
@@ -378,10 +372,7 @@
 	r := results[ans.Result]
 	if r == policy.Served && !a.job.ended {
 		a.job.ended = true
-		if h.figures.Served++; h.now <= a.job.aimAt {
-			h.figures.InAim++
-		}
-		h.tally.ended(a.job, endServed, h.now)
+		a.job.counts.ended(a.job, endServed, h.now)
 		h.eff.finish(a.job, endServed, 0, ans)
 	}
 	report := make([]policy.Reading, len(ans.Report))
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,7 +2,7 @@
 
 import (
 	"maps"
-	"sort"
+	"slices"
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,66 +11,71 @@
 	"merlinhitch/inventory"
 	"merlinhitch/metrics"
 	"merlinhitch/policy"
+	"merlinhitch/roll"
 )
 
 // counted is a class and a plan, of which settings bound the number.
 type counted struct{ class, plan string }
 
-// ends counts how requests ended.
-type ends struct {
-	taken                                uint64
-	served, inAim, refused, failed, gone uint64
-	units                                float64                // of those served
-	ended                                [policy.Reasons]uint64 // by the module, by its reason
-	latency                              [history.Buckets]uint64
+// counts are what is counted of a class and a plan.
+type counts struct {
+	metrics.Ends
+	latency prometheus.Histogram // the class's
 }
 
 // tally is what a host core counts for operators: a few additions for each request, and
 // nothing that grows with volumes or connections.
 type tally struct {
-	ends     map[counted]*ends
+	ends     map[counted]*counts
 	latency  map[string]prometheus.Histogram // by class
 	attempts map[string]*metrics.Attempts    // by node of the list
-	refusals uint64                          // of commands that were not taken
 }
 
 func newTally() tally {
-	return tally{ends: map[counted]*ends{}, latency: map[string]prometheus.Histogram{}, attempts: map[string]*metrics.Attempts{}}
+	return tally{ends: map[counted]*counts{}, latency: map[string]prometheus.Histogram{}, attempts: map[string]*metrics.Attempts{}}
 }
 
-func (t *tally) of(q *policy.Request) *ends {
+// of are the counts that a request goes to.
+func (t *tally) of(q *policy.Request) *counts {
 	k := counted{q.Class, q.Plan}
-	e := t.ends[k]
-	if e == nil {
-		e = &ends{}
-		t.ends[k] = e
+	c := t.ends[k]
+	if c == nil {
+		h := t.latency[q.Class]
+		if h == nil {
+			h = metrics.Latency(q.Class)
+			t.latency[q.Class] = h
+		}
+		c = &counts{metrics.Ends{Class: q.Class, Plan: q.Plan}, h}
+		t.ends[k] = c
 	}
-	return e
+	return c
+}
+
+// figures sums over classes and plans.
+func (t *tally) figures() (f roll.Figures) {
+	for _, c := range t.ends {
+		f = f.Add(roll.Figures{Taken: c.Taken, Served: c.Served, InAim: c.InAim, Refused: c.Refused, Failed: c.Failed})
+	}
+	return f
 }
 
 // ended notes the end of a request.
-func (t *tally) ended(j *job, how endKind, now float64) {
-	e := t.of(&j.req)
+func (c *counts) ended(j *job, how endKind, now float64) {
 	switch how {
 	case endServed:
-		e.served++
-		e.units += j.req.Units
+		c.Served++
+		c.Units += j.req.Units
 		if now <= j.aimAt {
-			e.inAim++
-		}
-		h := t.latency[j.req.Class]
-		if h == nil {
-			h = metrics.Latency(j.req.Class)
-			t.latency[j.req.Class] = h
+			c.InAim++
 		}
-		h.Observe((now - j.takenAt) / 1000)
-		e.latency[history.Bucket(now-j.takenAt)]++
+		c.latency.Observe((now - j.takenAt) / 1000)
+		c.Times[history.Bucket(now-j.takenAt)]++
 	case endRefused:
-		e.refused++
+		c.Refused++
 	case endFailed:
-		e.failed++
+		c.Failed++
 	case endGone:
-		e.gone++
+		c.Gone++
 	}
 }
 
@@ -94,50 +99,29 @@
 // reading is all that /metrics and /state show, of one moment.
 type reading struct {
 	metrics.Reading
-	ended  map[counted]ends
 	status Status
 }
 
 // read copies the tally on the host's goroutine.
 func (g *Gateway) read() (r reading, ok bool) {
-	g.mu.Lock()
-	h, f := g.host, g.front
-	g.mu.Unlock()
-	if f == nil {
-		return r, false
-	}
-	r.status = g.Status()
-	ok = h.ask(func(c *hostCore) {
-		r.ended, r.Attempts = make(map[counted]ends, len(c.tally.ends)), make(map[string]metrics.Attempts, len(c.tally.attempts))
-		for k, e := range c.tally.ends {
-			r.ended[k] = *e
+	r.status, ok = g.look(func(c *hostCore) {
+		r.Attempts = make(map[string]metrics.Attempts, len(c.tally.attempts))
+		for _, e := range c.tally.ends {
+			r.Ends = append(r.Ends, e.Ends)
 		}
 		for n, a := range c.tally.attempts {
 			r.Attempts[n] = *a
 		}
-		for _, class := range sortedKeys(c.tally.latency) {
+		for _, class := range slices.Sorted(maps.Keys(c.tally.latency)) {
 			r.Latency = append(r.Latency, c.tally.latency[class])
 		}
-		r.View, r.Version = c.mod.View(c.now), c.version
+		r.View, r.Version, r.Leased = c.mod.View(c.now), c.version, g.host.serves()
 	})
-	for k, e := range r.ended {
-		r.Ends = append(r.Ends, metrics.Ends{Class: k.class, Plan: k.plan, Taken: e.taken, Served: e.served, InAim: e.inAim, Refused: e.refused,
-			Failed: e.failed, Gone: e.gone, Units: e.units, Reasons: e.ended})
-	}
-	r.Leased, r.LimitHeld, r.Open, r.Bytes = h.serves(), r.status.LimitHeld, r.status.Open, r.status.Memory
+	r.LimitHeld, r.Open, r.Bytes = r.status.LimitHeld, r.status.Open, r.status.Memory
 	r.Sessions, r.Connections = r.status.Sessions, r.status.ConnectedServers
 	return r, ok
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
-
 // notReady says what keeps the gateway from serving, "" if nothing does.
 func (g *Gateway) notReady() string {
 	g.mu.Lock()
--- a/gateway/recorder.go
+++ b/gateway/recorder.go
@@ -18,7 +18,7 @@
 	g     *Gateway
 	mu    sync.Mutex
 	store *history.Store
-	was   map[counted]history.Counts
+	was   map[history.Key]history.Counts
 	over  seam.Gate
 	tasks seam.Group
 }
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &recorder{g: g, store: st, was: map[counted]history.Counts{}}
+	r := &recorder{g: g, store: st, was: map[history.Key]history.Counts{}}
 	r.tasks.Go(g.cfg.World, r.run)
 	return r, nil
 }
@@ -51,16 +51,13 @@
 		return
 	}
 	var rows []history.Row
-	for k, e := range now.ended {
-		c := history.Counts{Taken: e.taken, Served: e.served, InAim: e.inAim, Refused: e.refused, Failed: e.failed,
-			Latency: append([]uint64(nil), e.latency[:]...), Reasons: append([]uint64(nil), e.ended[:]...)}
-		was, had := r.was[k]
-		d := c
-		if had {
-			d = c.Since(&was)
-		}
+	for i := range now.Ends {
+		e := &now.Ends[i]
+		c := history.Counts{Taken: e.Taken, Served: e.Served, InAim: e.InAim, Refused: e.Refused, Failed: e.Failed, Latency: e.Times[:], Reasons: e.Reasons[:]}
+		k := history.Key{Class: e.Class, Plan: e.Plan}
+		was := r.was[k]
 		r.was[k] = c
-		rows = append(rows, history.Row{At: at, Span: 1, Key: history.Key{Class: k.class, Plan: k.plan}, Counts: d})
+		rows = append(rows, history.Row{At: at, Span: 1, Key: k, Counts: c.Since(&was)})
 	}
 	history.Sort(rows)
 	r.mu.Lock()
--- a/history/history.go
+++ b/history/history.go
@@ -20,6 +20,8 @@
 	growth     = 1.25
 )
 
+var logGrowth = math.Log(growth)
+
 // Bound is the upper end of a bucket, ms.
 func Bound(i int) float64 { return leastBound * math.Pow(growth, float64(i)) }
 
@@ -28,7 +30,7 @@
 	if !(ms >= leastBound) {
 		return 0
 	}
-	i := int(math.Log(ms/leastBound)/math.Log(growth)) + 1
+	i := int(math.Log(ms/leastBound)/logGrowth) + 1
 	return min(i, Buckets-1)
 }
 
@@ -82,7 +84,7 @@
 // Since is c less an earlier reading of the same counters. Counters that have fallen began
 // anew: all they have is new.
 func (c Counts) Since(o *Counts) Counts {
-	if o == nil || c.Taken < o.Taken || c.Served < o.Served {
+	if c.Taken < o.Taken || c.Served < o.Served {
 		return c
 	}
 	return Counts{c.Taken - o.Taken, c.Served - o.Served, c.InAim - o.InAim, c.Refused - o.Refused, c.Failed - o.Failed,
--- a/lab/changes.go
+++ b/lab/changes.go
@@ -7,8 +7,8 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -43,7 +43,6 @@
 	host        string
 	why         string
 	version     uint64 // 0: refused
-	set         *settings.Settings
 	asked, said int64
 	unknown     bool
 	merged      bool
@@ -112,14 +111,14 @@
 	}
 	ch.alter(s, rng)
 	seam.Pause(ctx, ch.f.World, time.Duration(float64(2*ch.gap)*rng.Float64())) // meanwhile others change things
-	c := change{host: name[:strings.IndexByte(name, '#')], why: why, asked: ch.now()}
+	c := change{host: trail.HostOf(name), why: why, asked: ch.now()}
 	now, err := api.Put(ctx, s, settings.Ask{Why: why, Who: "operator", Merge: rng.IntN(2) == 0})
 	c.said = ch.now()
 	var stale *settings.StaleError
 	var faults *settings.FaultsError
 	switch {
 	case err == nil:
-		c.version, c.set, c.merged = now.Version, now, now.Version != s.Version+1
+		c.version, c.merged = now.Version, now.Version != s.Version+1
 	case errors.As(err, &stale), errors.As(err, &faults):
 	default:
 		c.unknown = true
@@ -200,7 +199,7 @@
 // record holds a host's record to what its operators were answered, and takes from it
 // which version was in force when.
 func (r *ChangeResult) record(dir, name string, made map[string]change) error {
-	st, err := settings.Open(dir+"/"+name, nil)
+	st, err := settings.Open(filepath.Join(dir, name), nil)
 	if err != nil {
 		return err
 	}
--- a/lab/changes_test.go
+++ b/lab/changes_test.go
@@ -39,7 +39,7 @@
 			return was > 3
 		},
 		"a version to come": func(e *trail.Event) bool {
-			list := r.hosts[hostName(e.Host)]
+			list := r.hosts[trail.HostOf(e.Host)]
 			last := list[len(list)-1]
 			e.Under = last.Set.Version
 			return last.Asked > e.T
@@ -63,8 +63,3 @@
 		}
 	}
 }
-
-func hostName(process string) string {
-	name, _, _ := strings.Cut(process, "#")
-	return name
-}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"merlinhitch/history"
 	"merlinhitch/policy"
 )
 
@@ -35,6 +36,7 @@
 	Taken, Served, InAim, Refused, Failed, Gone uint64
 	Units                                       float64 // of those served
 	Reasons                                     [policy.Reasons]uint64
+	Times                                       [history.Buckets]uint64 // of the served
 }
 
 // Attempts is how attempts at a node ended, by policy.Result.
--- a/report/report.go
+++ b/report/report.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -64,7 +65,7 @@
 	for _, r := range rows {
 		byClass[r.Class] = append(byClass[r.Class], r)
 	}
-	for _, class := range sorted(byClass) {
+	for _, class := range slices.Sorted(maps.Keys(byClass)) {
 		p.Classes = append(p.Classes, line(class, history.Total(byClass[class])))
 	}
 	total := history.Total(rows)
@@ -88,15 +89,6 @@
 
 func clock(at int64) string { return time.Unix(at, 0).UTC().Format("2006-01-02 15:04:05") }
 
-func sorted(m map[string][]history.Row) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func line(name string, c history.Counts) Line {
 	l := Line{Name: name, Taken: c.Taken, Served: c.Served, InAim: c.InAim, Refused: c.Refused, Failed: c.Failed,
 		P50: c.Quantile(0.5), P99: c.Quantile(0.99), P999: c.Quantile(0.999)}
@@ -122,7 +114,7 @@
 	}
 	each := func(n uint64) float64 { return float64(n) / float64(span) }
 	var served []chart.Series
-	for _, class := range sorted(byClass) {
+	for _, class := range slices.Sorted(maps.Keys(byClass)) {
 		rows := slices.Clone(byClass[class])
 		for i := range rows {
 			rows[i].Key = history.Key{}
--- a/roll/roll.go
+++ b/roll/roll.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"merlinhitch/audit"
 	"merlinhitch/settings"
@@ -177,9 +176,3 @@
 	}
 	return out
 }
-
-// Mixed tells whether two versions are in force over some hosts.
-func Mixed(stages []Stage) bool {
-	return slices.ContainsFunc(stages, func(s Stage) bool { return s <= Prepared }) &&
-		slices.ContainsFunc(stages, func(s Stage) bool { return s == Committed || s == Done })
-}
--- a/rules/versions.go
+++ b/rules/versions.go
@@ -1,11 +1,9 @@
 package rules
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
-	"strings"
 
 	"merlinhitch/scsi"
 	"merlinhitch/settings"
@@ -39,9 +37,7 @@
 // judged is a command under way.
 type judged struct {
 	host, volume string
-	conn         uint32
 	op           scsi.Op
-	lba          uint64
 	blocks       uint32
 	at           int64
 	under        uint64 // 0: nothing was sent
@@ -86,7 +82,7 @@
 			if op == 0 || volumes[e.Conn] == "" {
 				continue
 			}
-			open[commandKey{e.Host, e.Session, e.Tag}] = &judged{host: e.Host, conn: e.Conn, volume: volumes[e.Conn], op: op, lba: e.LBA, blocks: e.Blocks, at: e.T}
+			open[commandKey{e.Host, e.Session, e.Tag}] = &judged{host: e.Host, volume: volumes[e.Conn], op: op, blocks: e.Blocks, at: e.T}
 		case e.Link == trail.LinkClient && e.Kind == trail.Status:
 			k := commandKey{e.Host, e.Session, e.Tag}
 			if c := open[k]; c != nil {
@@ -108,11 +104,6 @@
 	}
 }
 
-func hostOf(process string) string {
-	name, _, _ := strings.Cut(process, "#")
-	return name
-}
-
 // attempt holds one command to a disk server to the version that it names.
 func (v *Versions) attempt(c *judged, e *trail.Event) {
 	v.Checks++
@@ -120,7 +111,7 @@
 		c.under, c.first = e.Under, e.T
 		v.Commands++
 	}
-	host := hostOf(e.Host)
+	host := trail.HostOf(e.Host)
 	x, known := v.hosts[host][e.Under]
 	switch {
 	case !known:
@@ -175,7 +166,7 @@
 // the kindest of those that it may have been taken under.
 func (v *Versions) answer(c *judged, e *trail.Event) {
 	v.Checks++
-	host := hostOf(c.host)
+	host := trail.HostOf(c.host)
 	most, found := int64(math.MinInt64), false
 	for n, x := range v.hosts[host] {
 		if c.under != 0 && n != c.under || x.Asked > e.T {
@@ -212,16 +203,9 @@
 
 // Summary is what was judged, in a line.
 func (v *Versions) Summary() string {
-	used := map[string]int{}
 	total := 0
-	for h, list := range v.hosts {
-		used[h] = len(list)
+	for _, list := range v.hosts {
 		total += len(list)
 	}
-	names := make([]string, 0, len(used))
-	for h := range used {
-		names = append(names, h)
-	}
-	slices.SortFunc(names, cmp.Compare[string])
-	return fmt.Sprintf("%d commands each under one of %d versions at %d hosts, %d more answered unsent, %d checks, %d broken", v.Commands, total, len(names), v.Unsent, v.Checks, v.Broken)
+	return fmt.Sprintf("%d commands each under one of %d versions at %d hosts, %d more answered unsent, %d checks, %d broken", v.Commands, total, len(v.hosts), v.Unsent, v.Checks, v.Broken)
 }
--- a/settings/api.go
+++ b/settings/api.go
@@ -129,10 +129,15 @@
 	Late string `json:"snapshot_behind,omitempty"`
 }
 
+// VerifiedBy is what the end of a sound chain says.
+func VerifiedBy(c audit.Chain) Verified {
+	return Verified{Records: c.Seq, Version: c.Version, Head: c.Hash, Back: c.Back}
+}
+
 func (h *handler) verify(w http.ResponseWriter, r *http.Request) {
 	c, err := h.st.Verify()
 	answer(w, err, func() any {
-		v := Verified{Records: c.Seq, Version: c.Version, Head: c.Hash, Back: c.Back}
+		v := VerifiedBy(c)
 		if late := h.st.Late(); late != nil {
 			v.Late = late.Error()
 		}
--- a/trail/trail.go
+++ b/trail/trail.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"sync"
 
 	"github.com/parquet-go/parquet-go"
@@ -109,6 +110,12 @@
 	Layouts map[string][][]int `json:"layouts,omitempty"`
 }
 
+// HostOf is the host of which a process is one start: "h0" of "h0#2".
+func HostOf(process string) string {
+	name, _, _ := strings.Cut(process, "#")
+	return name
+}
+
 // Recorder gathers events. It is safe for concurrent use: time is read and the
 // event is entered as one step, so the order is that of the times.
 type Recorder struct {
