A scheduler in service: HTTP/1.1 in front and behind, the same module between

The subcommand `scheduler` of merlinhitch is what `run` starts. New rooms: http1 (messages of RFC 9112, every length bounded before it allocates), due (times that come due, with removal), scheduler (configuration, core, front, back, discovery, lifecycle). Settings are decoded by internal/wire for both ways in.

--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -16,6 +16,7 @@
 	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines (debug, info, warn, error)."`
 
 	Gateway      gatewayCmd      `cmd:"" help:"Run a host: iSCSI towards clients, the module, disk servers behind."`
+	Scheduler    schedulerCmd    `cmd:"" help:"Run a scheduler in service: HTTP towards clients, the module, disk servers behind."`
 	Diskserver   diskserverCmd   `cmd:"" help:"Run a stand-in disk server."`
 	Inventory    inventoryCmd    `cmd:"" help:"Run a stand-in node list."`
 	Settings     settingsCmd     `cmd:"" help:"Read, change or draft the settings of a running gateway."`
--- /dev/null
+++ b/cmd/merlinhitch/scheduler.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/scheduler"
+	"merlinhitch/seam"
+)
+
+type schedulerCmd struct {
+	Config string `env:"ROUTER_CONFIG" required:"" help:"File of the configuration; SIGHUP reads it again." placeholder:"FILE"`
+}
+
+// heapPart of the machine's memory is what Go may take before it collects harder; the
+// rest is for the program itself and the kernel's buffers.
+const heapPart = 0.6
+
+// Run serves until SIGTERM, and then until all that was taken is answered.
+func (c *schedulerCmd) Run(log *zap.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	conf, err := c.read()
+	if err != nil {
+		return err
+	}
+	if mb := conf.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(heapPart * float64(mb<<20)))
+	}
+	log = log.Named(conf.Name)
+	s, err := scheduler.Start(seam.NewReal(), conf, log)
+	if err != nil {
+		return err
+	}
+	log.Info("listening", zap.String("address", conf.Listen), zap.Int("memory_mb", conf.Limits.MemoryMB), zap.Int("sockets", conf.Limits.Sockets), zap.Float64("cores", conf.Limits.Cores))
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			s.Drain()
+			return nil
+		}
+		if conf, err = c.read(); err != nil {
+			log.Error("the new configuration is not taken", zap.Error(err))
+			continue
+		}
+		s.Reload(conf)
+	}
+	return nil
+}
+
+func (c *schedulerCmd) read() (*scheduler.Config, error) {
+	b, err := os.ReadFile(c.Config)
+	if err != nil {
+		return nil, err
+	}
+	return scheduler.ParseConfig(b, os.Getenv)
+}
--- /dev/null
+++ b/due/due.go
@@ -0,0 +1,73 @@
+// Package due is a heap of what comes due at a time, from which an entry can be taken
+// out, so that it holds only what is still awaited. It knows no clock.
+package due
+
+import "container/heap"
+
+// Entry is something to do at a time, in whatever unit its owner counts. An entry is in
+// one heap at a time.
+type Entry[T any] struct {
+	At   float64
+	What T
+	seq  uint64 // equals come due in the order in which they were set
+	slot int    // its place in the heap and one more; 0 when it is in none
+}
+
+// Heap orders entries by time. The zero value is empty.
+type Heap[T any] struct {
+	all entries[T]
+	seq uint64
+}
+
+// Push enters e.
+func (h *Heap[T]) Push(e *Entry[T]) {
+	h.seq++
+	e.seq = h.seq
+	heap.Push(&h.all, e)
+}
+
+// Remove takes e out, if it is in.
+func (h *Heap[T]) Remove(e *Entry[T]) {
+	if e.slot > 0 {
+		heap.Remove(&h.all, e.slot-1)
+	}
+}
+
+// First is the earliest entry, nil if there is none.
+func (h *Heap[T]) First() *Entry[T] {
+	if len(h.all) == 0 {
+		return nil
+	}
+	return h.all[0]
+}
+
+// All lists the entries, in no order that means anything. It is the heap's own.
+func (h *Heap[T]) All() []*Entry[T] { return h.all }
+
+type entries[T any] []*Entry[T]
+
+func (h entries[T]) Len() int { return len(h) }
+
+func (h entries[T]) Less(i, k int) bool {
+	return h[i].At < h[k].At || h[i].At == h[k].At && h[i].seq < h[k].seq
+}
+
+func (h entries[T]) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].slot, h[k].slot = i+1, k+1
+}
+
+func (h *entries[T]) Push(x any) {
+	e := x.(*Entry[T])
+	*h = append(*h, e)
+	e.slot = len(*h)
+}
+
+func (h *entries[T]) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	e.slot = 0
+	return e
+}
--- /dev/null
+++ b/http1/body.go
@@ -0,0 +1,214 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// Framing is how the end of a body is told (RFC 9112, section 6).
+type Framing struct {
+	Chunked bool
+	Length  int  // where it is not chunked
+	ToClose bool // of a response: neither length nor chunks say
+}
+
+// Framing of a request; one that carries both a length and a transfer coding may hide
+// another in its body (section 11.2) and is refused.
+func (r *Request) Framing(lim Limits) (Framing, error) {
+	return framing(r.Fields, lim.Body)
+}
+
+// Framing of a response.
+func (r *Response) Framing(lim Limits) (Framing, error) {
+	if r.Status == 204 || r.Status == 304 {
+		return Framing{}, nil
+	}
+	fr, err := framing(r.Fields, lim.Body)
+	fr.ToClose = r.Fields.Count("content-length") == 0 && !fr.Chunked
+	return fr, err
+}
+
+func framing(f Fields, most int) (fr Framing, err error) {
+	lengths, codings := f.Count("content-length"), f.Count("transfer-encoding")
+	switch {
+	case codings > 0 && lengths > 0, lengths > 1, codings > 1:
+		return fr, &Error{Ambiguous, "length"}
+	case codings == 1:
+		if !strings.EqualFold(f.Get("transfer-encoding"), "chunked") {
+			return fr, &Error{Unsupported, "transfer coding"}
+		}
+		fr.Chunked = true
+	case lengths == 1:
+		fr.Length, err = length(f.Get("content-length"), most)
+	}
+	return fr, err
+}
+
+// mostDigits keeps lengths within an int.
+const mostDigits = 18
+
+func length(s string, most int) (int, error) {
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return 0, &Error{Malformed, "length"}
+		}
+	}
+	if s == "" {
+		return 0, &Error{Malformed, "length"}
+	}
+	if len(s) > mostDigits {
+		return 0, &Error{TooLarge, "body"}
+	}
+	n, _ := strconv.Atoi(s)
+	if n > most {
+		return 0, &Error{TooLarge, "body"}
+	}
+	return n, nil
+}
+
+// ReadBody reads a body that fr frames. One that lasts to the close of the connection is
+// not read: nothing would tell that it is whole.
+func ReadBody(br *bufio.Reader, fr Framing, lim Limits) ([]byte, error) {
+	switch {
+	case fr.ToClose:
+		return nil, &Error{Unsupported, "body up to the close"}
+	case fr.Chunked:
+		return readChunks(br, lim)
+	}
+	return readMore(br, nil, fr.Length)
+}
+
+// step is how much room is made at a time: what a peer only promises takes none.
+const step = 4 << 10
+
+func readMore(br *bufio.Reader, b []byte, n int) ([]byte, error) {
+	for n > 0 {
+		k := min(n, step)
+		at := len(b)
+		b = append(b, make([]byte, k)...)
+		if _, err := io.ReadFull(br, b[at:]); err != nil {
+			return nil, cut(err)
+		}
+		n -= k
+	}
+	return b, nil
+}
+
+// cut is err within a message.
+func cut(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readChunks reads a chunked body (section 7.1). Extensions and trailers are passed over.
+func readChunks(br *bufio.Reader, lim Limits) ([]byte, error) {
+	var b []byte
+	h := head{br: br, left: lim.Head, read: true}
+	for {
+		line, err := h.line("chunk size")
+		if err != nil {
+			return nil, err
+		}
+		digits, _, _ := strings.Cut(line, ";")
+		n, err := chunkSize(strings.TrimRight(digits, " \t"), lim.Body-len(b))
+		if err != nil {
+			return nil, err
+		}
+		if n == 0 {
+			_, err := h.fields(lim.Fields)
+			return b, err
+		}
+		if b, err = readMore(br, b, n); err != nil {
+			return nil, err
+		}
+		if end, err := h.line("chunk"); err != nil || end != "" {
+			if err == nil {
+				err = &Error{Malformed, "chunk"}
+			}
+			return nil, err
+		}
+	}
+}
+
+func chunkSize(s string, left int) (int, error) {
+	if s == "" || strings.Trim(s, "0123456789abcdefABCDEF") != "" {
+		return 0, &Error{Malformed, "chunk size"}
+	}
+	n, err := strconv.ParseUint(s, 16, 31)
+	if err != nil || int(n) > left {
+		return 0, &Error{TooLarge, "body"}
+	}
+	return int(n), nil
+}
+
+// Stream reads a chunked body that goes on, piece by piece as it comes. It holds one
+// piece at a time.
+type Stream struct {
+	br      *bufio.Reader
+	framing Framing
+	lim     Limits
+	left    int // of the present chunk
+	buf     [step]byte
+	begun   bool
+	over    bool
+}
+
+// NewStream reads the body that fr frames. Limits bound the lines between chunks.
+func NewStream(br *bufio.Reader, fr Framing, lim Limits) *Stream {
+	return &Stream{br: br, framing: fr, lim: lim}
+}
+
+// Next returns what has come, valid until the next call, and io.EOF at the body's end.
+func (s *Stream) Next() ([]byte, error) {
+	if !s.framing.Chunked {
+		n, err := s.br.Read(s.buf[:])
+		return s.buf[:n], err
+	}
+	if s.left == 0 {
+		if err := s.nextChunk(); err != nil {
+			return nil, err
+		}
+	}
+	n, err := s.br.Read(s.buf[:min(s.left, step)])
+	s.left -= n
+	return s.buf[:n], cut(err)
+}
+
+func (s *Stream) nextChunk() error {
+	if s.over {
+		return io.EOF
+	}
+	h := head{br: s.br, left: s.lim.Head, read: true}
+	if s.begun {
+		if end, err := h.line("chunk"); err != nil || end != "" {
+			if err == nil {
+				err = &Error{Malformed, "chunk"}
+			}
+			return err
+		}
+	}
+	line, err := h.line("chunk size")
+	if err != nil {
+		return err
+	}
+	digits, _, _ := strings.Cut(line, ";")
+	if s.left, err = chunkSize(strings.TrimRight(digits, " \t"), mostChunk); err != nil {
+		return err
+	}
+	if s.begun = true; s.left == 0 {
+		s.over = true
+		_, err := h.fields(s.lim.Fields)
+		if err == nil {
+			err = io.EOF
+		}
+		return err
+	}
+	return nil
+}
+
+// mostChunk bounds one chunk of a stream, which is never held whole.
+const mostChunk = 1 << 30
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -233,7 +233,7 @@
 			}
 			ev.Seed = uint64(v)
 		}
-		if ev.Boot, err = parseSettings(f.rest()); err != nil {
+		if ev.Boot, _, err = ParseSettings([]byte(f.rest())); err != nil {
 			return ev, false, err
 		}
 	case "detach":
@@ -365,6 +365,9 @@
 		MayDuplicate    bool    `json:"may_duplicate"`
 		RetryAfter      bool    `json:"retry_after"`
 		MaxRetryAfterMs float64 `json:"max_retry_after_ms"`
+		DialTimeoutMs   float64 `json:"dial_timeout_ms"`
+		ConnIdleMs      float64 `json:"conn_idle_ms"`
+		MaxOpen         int     `json:"max_open"`
 	}
 	Safety struct {
 		AnswerSlackMs       float64  `json:"answer_slack_ms"`
@@ -398,11 +401,21 @@
 	return *p
 }
 
-func parseSettings(s string) (*policy.Settings, error) {
+// Bounds are what the settings say of connections, which the module has no part in.
+type Bounds struct {
+	DialTimeout float64 // ms within which a connection must be up
+	ConnIdle    float64 // ms after which a disk server closes an idle connection at the latest
+	MaxOpen     int     // requests that one instance may have open
+}
+
+// ParseSettings decodes the settings of an instance, as the first message and the
+// configuration of a scheduler in service hold them.
+func ParseSettings(b []byte) (*policy.Settings, Bounds, error) {
 	var o options
-	if err := json.Unmarshal([]byte(s), &o); err != nil {
-		return nil, fmt.Errorf("bad settings: %w", err)
+	if err := json.Unmarshal(b, &o); err != nil {
+		return nil, Bounds{}, fmt.Errorf("bad settings: %w", err)
 	}
+	bounds := Bounds{o.Limits.DialTimeoutMs, o.Limits.ConnIdleMs, o.Limits.MaxOpen}
 	set := &policy.Settings{
 		Hosts: o.Balancers, Self: o.Me, Zone: o.Zone, Tick: o.TickMs,
 		OnRequest: o.Discovery == "on_request", Shards: o.Extra.SlotsTotal,
@@ -453,7 +466,7 @@
 	if o.Safety.ExtraRatio != nil {
 		set.Rules.BudgetShare = *o.Safety.ExtraRatio
 	}
-	return set, nil
+	return set, bounds, nil
 }
 
 // Writer prints replies.
--- /dev/null
+++ b/scheduler/config.go
@@ -0,0 +1,175 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"merlinhitch/internal/wire"
+	"merlinhitch/policy"
+)
+
+// Config is what a scheduler is told at its start, and again at a reload.
+type Config struct {
+	Name      string
+	Listen    string // address for clients
+	Discovery string // address of discovery
+	Seed      uint64
+	Limits    Limits
+	Known     List // the disk servers as this scheduler last held them
+	Settings  policy.Settings
+	Bounds    wire.Bounds
+	Writes    []bool // by class of the settings: whether it writes; empty: not told
+}
+
+// Limits are the machine's.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int // file descriptors
+}
+
+// ConfigError names a fault of the configuration by its path.
+type ConfigError struct {
+	Path string
+	Err  error
+}
+
+func (e *ConfigError) Error() string { return "configuration: " + e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns the fault without its path.
+func (e *ConfigError) Unwrap() error { return e.Err }
+
+// The variables that a scheduler is started with. What the file says goes before them:
+// a reload brings another file, never another environment.
+const (
+	envName      = "ROUTER_NAME"
+	envListen    = "ROUTER_LISTEN"
+	envDiscovery = "ROUTER_DISCOVERY"
+	// EnvConfig names the file.
+	EnvConfig = "ROUTER_CONFIG"
+)
+
+type configFile struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+var errMissing = errors.New("is missing")
+
+// ParseConfig reads the configuration file's JSON and, for what it leaves out, the
+// environment.
+func ParseConfig(b []byte, env func(string) string) (*Config, error) {
+	var f configFile
+	if err := json.Unmarshal(b, &f); err != nil {
+		return nil, atPath("", err)
+	}
+	c := &Config{
+		Name: orElse(f.Name, env(envName)), Listen: orElse(f.Listen, env(envListen)),
+		Discovery: orElse(f.Discovery, env(envDiscovery)),
+		Limits:    Limits{f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets},
+	}
+	var err error
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, &ConfigError{"seed", err}
+		}
+	}
+	if len(f.Known) > 0 {
+		if c.Known, err = parseList(f.Known); err != nil {
+			return nil, atPath("known", err)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return nil, &ConfigError{"settings", errMissing}
+	}
+	set, bounds, err := wire.ParseSettings(f.Settings)
+	if err != nil {
+		return nil, atPath("settings", err)
+	}
+	c.Settings, c.Bounds = *set, bounds
+	return c, c.check()
+}
+
+func orElse(s, other string) string {
+	if s == "" {
+		return other
+	}
+	return s
+}
+
+// atPath names the field that JSON of the wrong type stands at.
+func atPath(path string, err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		if path != "" {
+			path += "."
+		}
+		return &ConfigError{path + wrong.Field, fmt.Errorf("holds a %s", wrong.Value)}
+	}
+	return &ConfigError{orElse(path, "file"), err}
+}
+
+func (c *Config) check() error {
+	for _, must := range []struct{ path, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if must.value == "" {
+			return &ConfigError{must.path, errMissing}
+		}
+	}
+	if len(c.Settings.Classes) == 0 {
+		return &ConfigError{"settings.request_classes", errMissing}
+	}
+	for i, k := range c.Settings.Classes {
+		if !(k.Aim > 0) || math.IsInf(k.Aim, 0) {
+			return &ConfigError{fmt.Sprintf("settings.request_classes[%d].aim_ms", i), fmt.Errorf("is %v", k.Aim)}
+		}
+	}
+	if len(c.Settings.Plans) == 0 {
+		return &ConfigError{"settings.grades", errMissing}
+	}
+	return nil
+}
+
+// List is the list of disk servers, or what changed of it.
+type List struct {
+	Seq   uint64  `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []Entry `json:"hosts"`
+}
+
+// Entry is a disk server in discovery's words.
+type Entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  int     `json:"block"` // the shard that it holds
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms"` // Unix time of its last start; 0: long ago
+}
+
+var health = map[string]policy.Health{"active": policy.Ready, "leaving": policy.Draining, "left": policy.Gone}
+
+func parseList(b []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(b, &l); err != nil {
+		return List{}, err
+	}
+	for i, e := range l.Hosts {
+		if _, ok := health[e.Health]; !ok || e.Host == "" {
+			return List{}, &ConfigError{fmt.Sprintf("hosts[%d].health", i), fmt.Errorf("is %q", e.Health)}
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/scheduler/core.go
@@ -0,0 +1,374 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"merlinhitch/due"
+	"merlinhitch/policy"
+)
+
+// how a call ended.
+type how int
+
+const (
+	served how = iota
+	refused
+	failed
+)
+
+// message is what a client sent, as it goes on to disk servers.
+type message struct {
+	method, target string
+	id, key        string // Request-Id, Idempotency-Key
+	body           []byte
+}
+
+// call is one request of a client, from its last byte to its one answer.
+type call struct {
+	message
+	req   policy.Request
+	owner answerer
+	sends int
+	out   int
+	ended bool
+}
+
+// answerer is who a call was taken for. It is told once, on the core's goroutine, unless
+// the client went away first.
+type answerer interface {
+	answer(h how, after float64, body []byte)
+}
+
+// attempt is one sending of a call. Its link is the back's.
+type attempt struct {
+	call   *call
+	n      int
+	host   string
+	sentAt float64
+	until  float64
+	over   bool
+	link   *link
+	due    due.Entry[pending]
+}
+
+// pending is what comes due: an attempt's time-out, or else the module's timer.
+type pending struct {
+	a         *attempt
+	cancelled bool
+	timer     string
+}
+
+// effects is what a core has done. The calls neither block nor call back.
+type effects interface {
+	send(a *attempt)
+	drop(a *attempt) bool // its outcome is known; tells whether it may have reached its server
+	reach(e Entry)        // the server stands at this address
+	retire(host string)   // nothing new goes there
+	note(text string)
+}
+
+// core owns the module's instance and all that the module was told and has said. It is
+// given times and events and does no I/O. Times are in ms on the module's clock.
+type core struct {
+	mod   policy.Scheduler
+	eff   effects
+	now   float64
+	born  int64 // Unix time, ms, of the clock's zero
+	calls map[string]*call
+	past  ring
+	dues  due.Heap[pending]
+	hosts map[string]Entry
+	tally Tally
+}
+
+// Tally counts what a core did since its start.
+type Tally struct {
+	Taken, Served, Refused, Failed, Gone uint64
+	Sends, Resends                       uint64
+	Outcomes                             [policy.NotSent + 1]uint64 // by policy.Result
+}
+
+// epoch is what the clock shows at the start, ms: disk servers that started up to so long
+// before have a time on it. Longer ago is long ago.
+const epoch = 3_600_000
+
+func newCore(born int64, c *Config, eff effects) *core {
+	k := &core{eff: eff, now: epoch, born: born, calls: map[string]*call{}, hosts: map[string]Entry{}}
+	k.mod = policy.New(c.Settings, c.Seed)
+	known := c.Known
+	known.Whole = true
+	k.list(epoch, known, true)
+	return k
+}
+
+// at moves the clock, which never goes back.
+func (k *core) at(now float64) { k.now = max(k.now, now) }
+
+// tell gives the module an event and carries out what it says; doing so tells it nothing.
+func (k *core) tell(ev policy.Event) {
+	for _, a := range k.mod.Handle(k.now, ev) {
+		k.do(a)
+	}
+}
+
+func (k *core) do(a policy.Action) {
+	switch a := a.(type) {
+	case policy.Send:
+		k.send(a)
+	case policy.Refuse:
+		k.end(a.ID, refused, a.After)
+	case policy.Fail:
+		k.end(a.ID, failed, 0)
+	case policy.CancelAttempt:
+		k.cancel(a)
+	case policy.SetTimer:
+		k.dues.Push(&due.Entry[pending]{At: k.now + a.Delay, What: pending{timer: a.Name}})
+	case policy.CloseIdle:
+		k.eff.retire(a.Node)
+	case policy.Log:
+		k.eff.note(a.Text)
+	}
+}
+
+// take hands a call to the module; false if its id was used before: an id names one
+// request, and a second of it is not the client's.
+func (k *core) take(now float64, c *call) bool {
+	k.at(now)
+	if k.calls[c.req.ID] != nil || k.past.has(c.req.ID) {
+		return false
+	}
+	k.calls[c.req.ID] = c
+	k.past.add(c.req.ID)
+	k.tally.Taken++
+	k.tell(c.req)
+	return true
+}
+
+func (k *core) send(s policy.Send) {
+	c := k.calls[s.ID]
+	if c == nil || c.ended {
+		k.eff.note("send for a request that is over: " + s.ID)
+		return
+	}
+	a := &attempt{call: c, n: c.sends, host: s.Node, sentAt: k.now, until: c.req.Expires}
+	if s.Until > 0 {
+		a.until = min(a.until, s.Until)
+	}
+	c.sends++
+	c.out++
+	k.tally.Sends++
+	if a.n > 0 {
+		k.tally.Resends++
+	}
+	a.due = due.Entry[pending]{At: a.until, What: pending{a: a}}
+	k.dues.Push(&a.due)
+	k.eff.send(a)
+}
+
+// cancel stops waiting for an attempt; its outcome comes with the next tick, for the
+// module is in the midst of an event.
+func (k *core) cancel(x policy.CancelAttempt) {
+	for _, d := range k.dues.All() {
+		if a := d.What.a; a != nil && a.call.req.ID == x.ID && a.n == x.Attempt {
+			k.dues.Remove(d)
+			d.At, d.What.cancelled = k.now, true
+			k.dues.Push(d)
+			return
+		}
+	}
+}
+
+// end is a final answer by the module.
+func (k *core) end(id string, h how, after float64) {
+	c := k.calls[id]
+	if c == nil || c.ended {
+		return
+	}
+	if h == refused {
+		k.tally.Refused++
+	} else {
+		k.tally.Failed++
+	}
+	k.finish(c, h, after, nil)
+}
+
+func (k *core) finish(c *call, h how, after float64, body []byte) {
+	c.ended = true
+	c.owner.answer(h, after, body)
+	k.tidy(c)
+}
+
+func (k *core) tidy(c *call) {
+	if c.ended && c.out == 0 {
+		delete(k.calls, c.req.ID)
+	}
+}
+
+// gone ends a call from the client's side. What is out of it may finish.
+func (k *core) gone(now float64, c *call) {
+	k.at(now)
+	if c.ended || k.calls[c.req.ID] != c {
+		return
+	}
+	c.ended = true
+	k.tally.Gone++
+	k.tell(policy.ClientGone{ID: c.req.ID})
+	k.tidy(c)
+}
+
+// reply is what a disk server answered.
+type reply struct {
+	result     policy.Result
+	body       []byte
+	use, other float64
+}
+
+// replied brings an answer. Of an attempt that is over already it changes nothing.
+func (k *core) replied(now float64, a *attempt, r reply) {
+	k.at(now)
+	if a.over {
+		return
+	}
+	if r.result == policy.Served && !a.call.ended {
+		k.tally.Served++
+		a.call.ended = true
+		a.call.owner.answer(served, 0, r.body)
+	}
+	k.outcome(a, policy.Outcome{Result: r.result, Use: r.use, FromOthers: r.other})
+}
+
+// lost ends an attempt without an answer.
+func (k *core) lost(now float64, a *attempt, r policy.Result) {
+	k.at(now)
+	if !a.over {
+		k.outcome(a, policy.Outcome{Result: r})
+	}
+}
+
+func (k *core) outcome(a *attempt, o policy.Outcome) {
+	a.over = true
+	k.dues.Remove(&a.due)
+	c := a.call
+	c.out--
+	k.tally.Outcomes[o.Result]++
+	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed = c.req.ID, a.host, a.n, c.ended, k.now-a.sentAt
+	k.tell(o)
+	k.tidy(c)
+}
+
+// next is when tick has something to do, +Inf if never.
+func (k *core) next() float64 {
+	if d := k.dues.First(); d != nil {
+		return d.At
+	}
+	return math.Inf(1)
+}
+
+// tick does what has come due.
+func (k *core) tick(now float64) {
+	k.at(now)
+	for k.next() <= k.now {
+		d := k.dues.First()
+		k.dues.Remove(d)
+		if d.What.a != nil {
+			k.timeOut(d.What.a, d.What.cancelled)
+		} else {
+			k.tell(policy.TimerFired{Name: d.What.timer})
+		}
+	}
+}
+
+func (k *core) timeOut(a *attempt, cancelled bool) {
+	switch mayRun := k.eff.drop(a); {
+	case cancelled && mayRun:
+		k.outcome(a, policy.Outcome{Result: policy.Cancelled})
+	case cancelled:
+		k.outcome(a, policy.Outcome{Result: policy.NotSent})
+	case mayRun:
+		k.outcome(a, policy.Outcome{Result: policy.NoAnswer})
+	default: // it waited for a connection that never came up
+		k.outcome(a, policy.Outcome{Result: policy.NoConnection})
+	}
+}
+
+// revise brings other settings for the requests that are taken from now on.
+func (k *core) revise(now float64, s policy.Settings) {
+	k.at(now)
+	k.tell(policy.Revised{Settings: s})
+}
+
+// list brings the list of disk servers, or what changed. What a whole list leaves out is
+// named as gone, so that nothing keeps a record of it.
+func (k *core) list(now float64, l List, cached bool) {
+	k.at(now)
+	if l.Whole {
+		l.Hosts = append(slices.Clone(l.Hosts), k.missing(l.Hosts)...)
+	}
+	nodes := make([]policy.Node, len(l.Hosts))
+	for i, e := range l.Hosts {
+		nodes[i] = policy.Node{Addr: e.Host, Health: health[e.Health], Shard: e.Block, Started: k.startOf(e), Zone: e.Site, Weight: e.Share}
+		if nodes[i].Health == policy.Gone {
+			delete(k.hosts, e.Host)
+		} else {
+			k.hosts[e.Host] = e
+			k.eff.reach(e)
+		}
+	}
+	k.tell(policy.NodeList{Full: l.Whole, Cached: cached, Nodes: nodes})
+	for _, n := range nodes {
+		if n.Health == policy.Gone {
+			k.eff.retire(n.Addr)
+		}
+	}
+}
+
+// missing lists as gone what is held and not in a whole list, in an order of its own.
+func (k *core) missing(whole []Entry) (gone []Entry) {
+	left := maps.Clone(k.hosts)
+	for _, e := range whole {
+		delete(left, e.Host)
+	}
+	for _, e := range left {
+		e.Health = "left"
+		gone = append(gone, e)
+	}
+	slices.SortFunc(gone, func(a, b Entry) int { return cmp.Compare(a.Host, b.Host) })
+	return gone
+}
+
+// startOf puts a start on the clock; every machine reads one clock.
+func (k *core) startOf(e Entry) float64 {
+	if e.BornMS == 0 {
+		return 0
+	}
+	return max(float64(e.BornMS-k.born), 0)
+}
+
+// ring remembers the last ids.
+type ring struct {
+	in   map[string]struct{}
+	last []string
+	next int
+}
+
+// ringSize is more than are taken within the longest deadlines at hundreds a second.
+const ringSize = 4096
+
+func (r *ring) has(id string) bool { _, ok := r.in[id]; return ok }
+
+func (r *ring) add(id string) {
+	if r.in == nil {
+		r.in = make(map[string]struct{}, ringSize)
+	}
+	if len(r.last) < ringSize {
+		r.last = append(r.last, id)
+	} else {
+		delete(r.in, r.last[r.next])
+		r.last[r.next] = id
+		r.next = (r.next + 1) % ringSize
+	}
+	r.in[id] = struct{}{}
+}
--- /dev/null
+++ b/scheduler/front.go
@@ -0,0 +1,408 @@
+package scheduler
+
+import (
+	"bufio"
+	"io"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"merlinhitch/http1"
+	"merlinhitch/outbox"
+	"merlinhitch/policy"
+	"merlinhitch/seam"
+)
+
+const (
+	// firstTime is how long a client may say nothing after it has connected, and headTime
+	// how long a request may take from its first byte to its last.
+	firstTime = 2 * time.Second
+	headTime  = 2 * time.Second
+	// idleTime is how long a connection without a request is kept.
+	idleTime = 6 * time.Second
+	// At the bound of connections those give way that have said nothing for freshTime or
+	// have had no request for spareTime; until there is one, nothing new is accepted.
+	freshTime   = 100.0  // ms
+	spareTime   = 2000.0 // ms
+	acceptPause = 5 * time.Millisecond
+	clientOut   = 2 * messageBytes
+	outTimeout  = 3 * time.Second
+)
+
+// front is the listener and the clients' connections.
+type front struct {
+	world    seam.World
+	loop     *loop
+	core     *core
+	check    *checker
+	most     int   // connections
+	bytes    int64 // of bodies that are held at once
+	held     atomic.Int64
+	ready    atomic.Bool
+	draining atomic.Bool
+	stop     seam.Gate
+	tasks    seam.Group
+	listener net.Listener
+
+	mu      sync.Mutex
+	clients seam.Roster[*client]
+}
+
+// client is one connection. Between its requests nothing is read ahead but what bufio holds.
+type client struct {
+	front *front
+	conn  net.Conn
+	in    *bufio.Reader
+	out   *outbox.Outbox
+	// Under the front's lock.
+	asked bool    // it has sent a request's first byte
+	busy  bool    // one is being read or is open
+	since float64 // when that last changed, ms
+}
+
+// asking is a call's answer on its way to the client.
+type asking struct {
+	client *client
+	close  bool // the client's wish
+	done   seam.Gate
+}
+
+func (f *front) accept() {
+	for {
+		for !f.roomy() {
+			if !seam.Wait(f.world, acceptPause, &f.stop) {
+				return
+			}
+		}
+		conn, err := f.listener.Accept()
+		if err != nil {
+			if f.stop.Opened() || !seam.Wait(f.world, acceptPause, &f.stop) {
+				return
+			}
+			continue
+		}
+		c := &client{front: f, conn: conn, since: f.loop.now(), in: bufio.NewReaderSize(conn, linkBuffer)}
+		c.out = outbox.New(f.world, conn, clientOut, outTimeout)
+		f.mu.Lock()
+		f.clients.Add(c)
+		f.mu.Unlock()
+		f.tasks.Go(f.world, c.serve)
+	}
+}
+
+// roomy tells whether one more connection may be accepted.
+func (f *front) roomy() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.clients.Len() < f.most {
+		return true
+	}
+	now := f.loop.now()
+	var pick *client
+	for _, c := range f.clients.All() {
+		idle := now - c.since
+		spare := !c.busy && (!c.asked && idle > freshTime || idle > spareTime)
+		if spare && (pick == nil || pick.asked && !c.asked || pick.asked == c.asked && c.since < pick.since) {
+			pick = c
+		}
+	}
+	if pick == nil {
+		return false
+	}
+	pick.out.Cut()
+	f.clients.Remove(pick)
+	return true
+}
+
+func (f *front) mark(c *client, busy bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.busy, c.since, c.asked = busy, f.loop.now(), true
+}
+
+// shutIdle closes connections without a request.
+func (f *front) shutIdle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.clients.All() {
+		if !c.busy {
+			c.out.Cut()
+		}
+	}
+}
+
+// close ends the listener and all connections.
+func (f *front) close() {
+	f.stop.Open()
+	f.listener.Close()
+	f.mu.Lock()
+	all := f.clients.All()
+	f.mu.Unlock()
+	for _, c := range all {
+		c.out.Finish()
+	}
+	for _, c := range all {
+		c.out.Wait()
+	}
+	f.tasks.Wait(f.world)
+}
+
+// serve reads requests until the connection ends.
+func (c *client) serve() {
+	f := c.front
+	defer func() {
+		f.mu.Lock()
+		f.clients.Remove(c)
+		f.mu.Unlock()
+	}()
+	defer c.out.Finish()
+	c.conn.SetReadDeadline(f.world.Deadline(firstTime))
+	for {
+		if _, err := c.in.Peek(1); err != nil {
+			return
+		}
+		f.mark(c, true)
+		c.conn.SetReadDeadline(f.world.Deadline(headTime))
+		r, err := c.request()
+		if err != nil {
+			c.say(statusOf(err), true)
+			return
+		}
+		if !c.handle(r) {
+			return
+		}
+	}
+}
+
+// request is a request as read.
+type request struct {
+	*http1.Request
+	body []byte
+	at   float64 // of its last byte
+}
+
+func (c *client) request() (*request, error) {
+	head, err := http1.ReadRequest(c.in, messageLimits)
+	if err != nil {
+		return nil, err
+	}
+	fr, err := head.Framing(messageLimits)
+	if err != nil {
+		return nil, err
+	}
+	if head.Continues() && c.in.Buffered() == 0 {
+		c.out.Put(func(b []byte) []byte { return append(b, "HTTP/1.1 100 Continue\r\n\r\n"...) })
+	}
+	body, err := http1.ReadBody(c.in, fr, messageLimits)
+	return &request{Request: head, body: body, at: c.front.loop.now()}, err
+}
+
+// statusOf is the answer to what could not be read; 0: none, for the stream is at fault.
+func statusOf(err error) int {
+	if e, ok := err.(*http1.Error); ok {
+		return e.Status()
+	}
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		return 408
+	}
+	if err == io.ErrUnexpectedEOF {
+		return 400
+	}
+	return 0
+}
+
+// say writes an answer of the shell's own.
+func (c *client) say(status int, last bool, more ...http1.Field) {
+	if status == 0 {
+		return
+	}
+	c.write(status, last, http1.Fields(more), nil)
+}
+
+func (c *client) write(status int, last bool, f http1.Fields, body []byte) {
+	if last {
+		f = append(f, http1.Field{Name: "Connection", Value: "close"})
+	}
+	c.conn.SetReadDeadline(c.front.world.Deadline(idleTime))
+	c.front.mark(c, false)
+	c.out.Put(func(b []byte) []byte { return http1.AppendResponse(b, status, f, body) })
+	if last {
+		c.out.Finish()
+	}
+}
+
+const readyPath = "/up"
+
+// handle answers a request; false if the connection ends with it.
+func (c *client) handle(r *request) bool {
+	f := c.front
+	last := r.Close() || f.draining.Load()
+	if r.Target == readyPath {
+		status := 503
+		if f.ready.Load() && !f.draining.Load() {
+			status = 200
+		}
+		c.say(status, last)
+		return !last
+	}
+	call, status := f.check.read(r)
+	if status != 0 {
+		// Who sends what cannot be served is not listened to further.
+		c.say(status, true)
+		return false
+	}
+	size := int64(len(r.body))
+	if f.held.Add(size) > f.bytes {
+		f.held.Add(-size)
+		c.say(503, last, http1.Field{Name: "Retry-After", Value: "1"})
+		return !last
+	}
+	defer f.held.Add(-size)
+	return c.ask(call, r.at, last)
+}
+
+// ask has the core take the call and waits for its answer, or for the client to leave.
+func (c *client) ask(call *call, at float64, last bool) bool {
+	q := &asking{client: c, close: last}
+	call.owner = q
+	c.conn.SetReadDeadline(time.Time{})
+	f := c.front
+	ok := f.loop.post(at, func(at float64) {
+		if !f.core.take(at, call) {
+			q.close = true
+			c.write(409, true, nil, nil)
+			q.done.Open()
+		}
+	})
+	if !ok {
+		return false
+	}
+	if _, err := c.in.Peek(1); err != nil {
+		if !q.done.Opened() {
+			f.loop.post(f.loop.now(), func(at float64) { f.core.gone(at, call) })
+		}
+		return false
+	}
+	q.done.Wait(f.world) // the client has sent more before it had its answer
+	return !q.close
+}
+
+// answer implements answerer, on the loop.
+func (q *asking) answer(h how, after float64, body []byte) {
+	q.close = q.close || q.client.front.draining.Load()
+	switch h {
+	case served:
+		q.client.write(200, q.close, nil, body)
+	case refused:
+		var f http1.Fields
+		if after > 0 {
+			f = http1.Fields{{Name: "Retry-After", Value: strconv.FormatFloat(after/1000, 'f', 3, 64)}}
+		}
+		q.client.write(503, q.close, f, nil)
+	case failed:
+		q.client.write(504, q.close, nil, nil)
+	}
+	q.done.Open()
+}
+
+// checker tells requests that can be served from those that cannot.
+type checker struct {
+	classes map[string]policy.Class
+	plans   map[string]bool
+	shards  int
+	most    float64
+}
+
+func newChecker(s *policy.Settings) *checker {
+	k := &checker{classes: map[string]policy.Class{}, plans: map[string]bool{}, shards: s.Shards, most: s.MostUnits}
+	for _, c := range s.Classes {
+		k.classes[c.Name] = c
+	}
+	for _, p := range s.Plans {
+		k.plans[p.Name] = true
+	}
+	return k
+}
+
+const (
+	hexDigits  = 16
+	mostID     = 64
+	mostKey    = 256
+	mostWaitMS = 600_000
+)
+
+// read makes a call of a request, or says what to answer.
+func (k *checker) read(r *request) (*call, int) {
+	path, _, _ := strings.Cut(r.Target, "?")
+	parts := strings.Split(path, "/")
+	if len(parts) != 4 {
+		return nil, 404
+	}
+	class, known := k.classes[parts[1]]
+	if !known || !isHex(parts[2]) || !isHex(parts[3]) {
+		return nil, 404
+	}
+	write := r.Method == "PUT"
+	if !write && r.Method != "GET" {
+		return nil, 405
+	}
+	f := r.Fields
+	for _, name := range []string{"request-id", "request-timeout", "x-qos-policy", "x-placement"} {
+		if f.Count(name) != 1 {
+			return nil, 400
+		}
+	}
+	c := &call{message: message{method: r.Method, target: r.Target, id: f.Get("request-id"), key: f.Get("idempotency-key"), body: r.body}}
+	q := policy.Request{ID: c.id, Class: class.Name, Plan: f.Get("x-qos-policy"), Volume: parts[2], Key: parts[3],
+		Write: write, Repeat: f.Get("client-retry") == "1"}
+	left, err := strconv.ParseFloat(f.Get("request-timeout"), 64)
+	switch {
+	case err != nil, !(left > 0), left*1000 > mostWaitMS,
+		!isID(q.ID), len(c.key) > mostKey, f.Count("idempotency-key") > 1,
+		class.Effect == policy.Keyed && c.key == "",
+		!write && len(r.body) > 0,
+		!k.plans[q.Plan], !k.place(f.Get("x-placement"), &q):
+		return nil, 400
+	}
+	q.Expires = r.at + left*1000
+	c.req = q
+	return c, 0
+}
+
+// place reads units, shard and hosts.
+func (k *checker) place(s string, q *policy.Request) bool {
+	q.Units, q.Shard, q.Hosts = math.NaN(), math.MinInt, 0
+	for part := range strings.SplitSeq(s, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		var err error
+		switch name {
+		case "units":
+			q.Units, err = strconv.ParseFloat(value, 64)
+		case "shard":
+			q.Shard, err = strconv.Atoi(value)
+		case "hosts":
+			q.Hosts, err = strconv.Atoi(value)
+		}
+		if err != nil {
+			return false
+		}
+	}
+	return q.Units > 0 && (k.most <= 0 || q.Units <= k.most) &&
+		q.Shard >= -1 && (k.shards <= 0 || q.Shard < k.shards) && q.Hosts >= 1
+}
+
+func isHex(s string) bool {
+	return len(s) == hexDigits && strings.Trim(s, "0123456789abcdefABCDEF") == ""
+}
+
+// isID takes what can be an id: it goes on to disk servers as it is.
+func isID(s string) bool {
+	return s != "" && len(s) <= mostID && !slices.ContainsFunc([]byte(s), func(b byte) bool {
+		return !(b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b == '-' || b == '_')
+	})
+}
--- /dev/null
+++ b/scheduler/loop.go
@@ -0,0 +1,142 @@
+// Package scheduler is the scheduler in service on a platform whose clients, disk servers
+// and discovery speak HTTP/1.1: the configuration, the core that owns the module's
+// instance, and the shells around it. Every decision on order, depth, sending, repeats,
+// refusals, health, drains, cold disk servers and limits is the module's (package
+// policy); what stands here tells it what happened and carries out what it says, and
+// bounds descriptors, bytes and the time that a peer has to finish what it began.
+package scheduler
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"merlinhitch/seam"
+)
+
+// loop is the one goroutine that owns the core, and what is posted to it.
+type loop struct {
+	world  seam.World
+	start  time.Duration // when the core's clock showed epoch
+	wake   seam.Parker
+	done   seam.Gate
+	ticked func()
+
+	mu      sync.Mutex
+	mail    []event
+	waiting []seam.Parker // who has something to post and finds no room
+	stopped bool
+
+	timer   seam.Timer
+	timerAt float64
+}
+
+// event is something to do on the loop, at the time at which it happened.
+type event struct {
+	at float64
+	do func(at float64)
+}
+
+// mostMail bounds what waits for the loop: its posters wait once it is reached.
+const mostMail = 1024
+
+func newLoop(w seam.World) *loop {
+	return &loop{world: w, start: w.Now(), wake: w.NewParker(), timerAt: math.Inf(1)}
+}
+
+// now is the present time on the core's clock, ms.
+func (l *loop) now() float64 { return epoch + seam.MS(l.world.Now()-l.start) }
+
+// post has f done on the loop. It waits while too much waits already, so the loop itself
+// never calls it. It tells whether the loop takes events still.
+func (l *loop) post(at float64, f func(at float64)) bool {
+	var p seam.Parker
+	for {
+		l.mu.Lock()
+		if l.stopped {
+			l.mu.Unlock()
+			return false
+		}
+		if len(l.mail) < mostMail {
+			l.mail = append(l.mail, event{at, f})
+			l.mu.Unlock()
+			l.wake.Unpark()
+			return true
+		}
+		if p == nil {
+			p = l.world.NewParker()
+		}
+		l.waiting = append(l.waiting, p)
+		l.mu.Unlock()
+		p.Park()
+	}
+}
+
+// collect takes what was posted and lets those post who waited.
+func (l *loop) collect(room []event) []event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mail := l.mail
+	l.mail = room[:0]
+	for _, p := range l.waiting {
+		p.Unpark()
+	}
+	l.waiting = l.waiting[:0]
+	return mail
+}
+
+func (l *loop) halted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopped
+}
+
+// run serves the core until stop.
+func (l *loop) run(k *core) {
+	defer l.done.Open()
+	var mail []event
+	for !l.halted() {
+		l.wake.Park()
+		mail = l.collect(mail)
+		for i := range mail {
+			mail[i].do(mail[i].at)
+			mail[i] = event{}
+		}
+		k.tick(l.now())
+		l.ticked()
+		l.arm(k.next())
+	}
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
+
+// arm has the loop woken when the core next has something to do.
+func (l *loop) arm(at float64) {
+	now := l.now()
+	if at >= l.timerAt && l.timerAt > now || math.IsInf(at, 1) {
+		return
+	}
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	l.timerAt = at
+	if at <= now {
+		l.wake.Unpark()
+		return
+	}
+	l.timer = l.world.AfterFunc(seam.Duration(at-now)+time.Microsecond, l.wake.Unpark)
+}
+
+// stop ends the loop, from another goroutine.
+func (l *loop) stop() {
+	l.mu.Lock()
+	l.stopped = true
+	for _, p := range l.waiting {
+		p.Unpark()
+	}
+	l.waiting = nil
+	l.mu.Unlock()
+	l.wake.Unpark()
+	l.done.Wait(l.world)
+}
