What no disk server has had is refused before half of its time; open connections serve to the end

A line of state each second showed 90 to 120 calls open at a scheduler of which 14 were out: parked requests held clients' connections to their deadlines, up to the third of the descriptors that clients may use, and 170 connections open of 172 accepted, of which 80 were idle.

At fault: policy.take/expire (the only wake of a request stood at its deadline), front.go's bounds, Drain (connections closed 0.6 s after SIGTERM, though clients can't open others).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,8 +61,11 @@
 	guard      = 1.0         // final answers of held requests leave this much (plus a tick) early
 	spread     = 0.5         // seconds of its rate that a volume may save up as due
 	idleVolume = 30 * period // a volume unseen for so long is forgotten
-	dueTimes   = 4.0         // of its rate that a volume is taken to be due, see volume
-	bunching   = 20.0        // by which sends may come closer on their way: limits hold where they arrive
+	// waitPart of its time a request waits at the most that no node has had: its client
+	// learns it while it can still do something else, and its connection is free again.
+	waitPart = 0.45
+	dueTimes = 4.0  // of its rate that a volume is taken to be due, see volume
+	bunching = 20.0 // by which sends may come closer on their way: limits hold where they arrive
 )
 
 // start begins the sampling at a phase of this host's own, so that hosts do
@@ -201,7 +204,8 @@
 	}
 	p.largest = max(p.largest, q.Units)
 	r.shard = p.place(q.Shard)
-	p.wake(q.Expires-p.s.Tick-guard, r, nil)
+	r.halfAt = min(p.now+waitPart*(q.Expires-p.now), q.Expires-p.s.Tick-guard)
+	p.wake(r.halfAt, r, nil)
 	p.rate(r)
 	if c := p.chainOf(r); c != nil {
 		c.members = append(c.members, r)
@@ -320,8 +324,6 @@
 	p.pump(sh)
 }
 
-// Order by key.
-
 // release drops what is over from r's chain and files its next request.
 func (p *scheduler) release(r *request) {
 	c := p.chainOf(r)
@@ -705,8 +707,9 @@
 	p.judge(r, n, o)
 	switch o.Result {
 	case TurnedAway, NoConnection, NotSent:
+		r.reached = r.reached || o.Result == TurnedAway
 	default:
-		if !r.ran {
+		if r.reached = true; !r.ran {
 			r.ran, r.ranAt, r.ranNode = true, r.sentAt, n
 		}
 	}
@@ -784,7 +787,7 @@
 
 // again files r for a further attempt, or ends it if there can be none.
 func (p *scheduler) again(r *request) {
-	last := p.now >= r.Expires-p.s.Tick-guard
+	last := p.now >= r.Expires-p.s.Tick-guard || !r.reached && p.now >= r.halfAt
 	used := r.terms.Limits.MaxAttempts > 0 && r.attempts >= r.terms.Limits.MaxAttempts
 	if last || used || r.ran && r.class.Effect == Unsafe {
 		p.end(r)
@@ -793,13 +796,19 @@
 	p.enqueue(r)
 }
 
-// expire ends what is still held when its client is about to give up.
+// expire ends what is held when its client is about to leave, what no node had before that.
 func (p *scheduler) expire(r *request) {
 	if r.done {
 		return
 	}
-	if p.now < r.Expires-p.s.Tick-guard { // the key has rested
-		p.release(r)
+	if last := r.Expires - p.s.Tick - guard; p.now < last {
+		p.release(r) // its key may have rested
+		if half := p.now >= r.halfAt-rounding; half && !r.reached && r.out == 0 {
+			p.end(r)
+		} else if half && !r.halved {
+			r.halved = true
+			p.wake(last, r, nil)
+		}
 		return
 	}
 	if r.out == 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -30,8 +30,11 @@
 	ranNode  *node
 	queued   bool // in the shard's main queue, retries or parked
 	list     *list
-	slot     int  // its place in list, where it is in one
-	left     bool // its chain counts it no more
+	slot     int     // its place in list, where it is in one
+	halfAt   float64 // until then it may wait without a node having had it
+	halved   bool    // that time is over
+	reached  bool    // a node has had it, or may have
+	left     bool    // its chain counts it no more
 	done     bool
 }
 
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -20,18 +20,21 @@
 
 const (
 	// firstTime is how long a client may say nothing after it has connected, and headTime
-	// how long a request may take from its first byte to its last.
-	firstTime = 2 * time.Second
-	headTime  = 2 * time.Second
-	// idleTime is how long a connection without a request is kept.
-	idleTime = 6 * time.Second
+	// how long a request may take from its first byte to its last. Who opens connections
+	// by hundreds and says nothing, or never ends its head, must not keep others out.
+	firstTime = time.Second
+	headTime  = 1500 * time.Millisecond
+	// idleTime is how long a connection without a request is kept: clients that ask once
+	// and stay would else hold all the descriptors there are.
+	idleTime = 2200 * time.Millisecond
 	// At the bound of connections those give way that have said nothing for freshTime or
 	// have had no request for spareTime; until there is one, nothing new is accepted.
-	freshTime   = 100.0  // ms
-	spareTime   = 2000.0 // ms
+	freshTime   = 100.0 // ms
+	spareTime   = 500.0 // ms
 	acceptPause = 5 * time.Millisecond
 	clientOut   = 2 * messageBytes
 	outTimeout  = 3 * time.Second
+	lastLook    = time.Millisecond
 )
 
 // front is the listener and the clients' connections.
@@ -44,7 +47,8 @@
 	bytes    int64 // of bodies that are held at once
 	held     atomic.Int64
 	ready    atomic.Bool
-	draining atomic.Bool
+	closing  atomic.Bool   // each answer ends its connection
+	answerBy atomic.Uint64 // bits of the time by which all must be answered; 0: none
 	stop     seam.Gate
 	tasks    seam.Group
 	listener net.Listener
@@ -114,28 +118,52 @@
 	if pick == nil {
 		return false
 	}
-	pick.out.Cut()
+	pick.hurry()
 	f.clients.Remove(pick)
 	return true
 }
 
+// hurry has an idle connection closed, but for a request that came in already.
+func (c *client) hurry() { c.conn.SetReadDeadline(c.front.world.Deadline(0)) }
+
 func (f *front) mark(c *client, busy bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.busy, c.since, c.asked = busy, f.loop.now(), true
 }
 
-// shutIdle closes connections without a request.
-func (f *front) shutIdle() {
+// eachIdle does something to the connections without a request.
+func (f *front) eachIdle(do func(c *client)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.clients.All() {
 		if !c.busy {
-			c.out.Cut()
+			do(c)
 		}
 	}
 }
 
+// leave has all answered by that time, and keeps until then the connections that clients
+// have: they can't open others here.
+func (f *front) leave(by float64) {
+	f.ready.Store(false)
+	f.answerBy.Store(math.Float64bits(by))
+	f.eachIdle(func(c *client) {
+		if c.asked {
+			c.conn.SetReadDeadline(f.idleUntil())
+		}
+	})
+}
+
+// idleUntil is when a connection that is idle from now on is closed.
+func (f *front) idleUntil() time.Time {
+	d := idleTime
+	if by := math.Float64frombits(f.answerBy.Load()); by > 0 {
+		d = max(d, seam.Duration(by-f.loop.now()))
+	}
+	return f.world.Deadline(d)
+}
+
 // close ends the listener and all connections.
 func (f *front) close() {
 	f.stop.Open()
@@ -162,10 +190,7 @@
 	}()
 	defer c.out.Finish()
 	c.conn.SetReadDeadline(f.world.Deadline(firstTime))
-	for {
-		if _, err := c.in.Peek(1); err != nil {
-			return
-		}
+	for c.begun() {
 		f.mark(c, true)
 		c.conn.SetReadDeadline(f.world.Deadline(headTime))
 		r, err := c.request()
@@ -179,6 +204,23 @@
 	}
 }
 
+// begun waits for a request's first byte. When the time for it is over it looks once more:
+// on a machine that stands still now and then a request may have lain there for long, and
+// it was taken as it came in.
+func (c *client) begun() bool {
+	_, err := c.in.Peek(1)
+	if isTimeout(err) {
+		c.conn.SetReadDeadline(c.front.world.Deadline(lastLook))
+		_, err = c.in.Peek(1)
+	}
+	return err == nil
+}
+
+func isTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
+
 // request is a request as read.
 type request struct {
 	*http1.Request
@@ -207,7 +249,7 @@
 	if e, ok := err.(*http1.Error); ok {
 		return e.Status()
 	}
-	if e, ok := err.(net.Error); ok && e.Timeout() {
+	if isTimeout(err) {
 		return 408
 	}
 	if err == io.ErrUnexpectedEOF {
@@ -228,7 +270,7 @@
 	if last {
 		f = append(f, http1.Field{Name: "Connection", Value: "close"})
 	}
-	c.conn.SetReadDeadline(c.front.world.Deadline(idleTime))
+	c.conn.SetReadDeadline(c.front.idleUntil())
 	c.front.mark(c, false)
 	c.out.Put(func(b []byte) []byte { return http1.AppendResponse(b, status, f, body) })
 	if last {
@@ -241,10 +283,10 @@
 // handle answers a request; false if the connection ends with it.
 func (c *client) handle(r *request) bool {
 	f := c.front
-	last := r.Close() || f.draining.Load()
+	last := r.Close() || f.closing.Load()
 	if r.Target == readyPath {
 		status := 503
-		if f.ready.Load() && !f.draining.Load() {
+		if f.ready.Load() {
 			status = 200
 		}
 		c.say(status, last)
@@ -256,6 +298,9 @@
 		c.say(status, true)
 		return false
 	}
+	if by := math.Float64frombits(f.answerBy.Load()); by > 0 {
+		call.req.Expires = min(call.req.Expires, by)
+	}
 	size := int64(len(r.body))
 	if f.held.Add(size) > f.bytes {
 		f.held.Add(-size)
@@ -282,10 +327,8 @@
 	if !ok {
 		return false
 	}
-	if _, err := c.in.Peek(1); err != nil {
-		if !q.done.Opened() {
-			f.loop.post(f.loop.now(), func(at float64) { f.core.gone(at, call) })
-		}
+	if _, err := c.in.Peek(1); err != nil && !q.done.Opened() {
+		f.loop.post(f.loop.now(), func(at float64) { f.core.gone(at, call) })
 		return false
 	}
 	q.done.Wait(f.world) // the client has sent more before it had its answer
@@ -294,7 +337,7 @@
 
 // answer implements answerer, on the loop.
 func (q *asking) answer(h how, after float64, body []byte) {
-	q.close = q.close || q.client.front.draining.Load()
+	q.close = q.close || q.client.front.closing.Load()
 	switch h {
 	case served:
 		q.client.write(200, q.close, nil, body)
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,18 +13,24 @@
 	// readyWait is how long a start waits for discovery's first word: the list it was
 	// started with may be old.
 	readyWait = 1500 * time.Millisecond
-	// drainAccept is how long after the signal connections are still accepted and kept:
-	// clients hear of a planned stop late.
-	drainAccept = 600 * time.Millisecond
-	sweepEvery  = time.Second
-	drainPoll   = 20 * time.Millisecond
+	// After SIGTERM the platform kills no sooner than killExtra after the longest deadline,
+	// which it counts as longestCounted at the most. New connections come for a while, for
+	// clients hear of a planned stop late; those that they have they use as long as they
+	// are open. So these stay open until the last answers have just time enough.
+	longestCounted = 3000.0 // ms
+	killExtra      = 700.0
+	drainAccept    = 600 * time.Millisecond
+	drainAnswer    = 700.0 // before the kill nothing new is taken,
+	drainMargin    = 200.0 // and so long before it all has been answered
+	sweepEvery     = time.Second
+	drainPoll      = 20 * time.Millisecond
 )
 
 // Parts of the descriptors that clients' and disk servers' connections may take; the rest
 // is the process's own.
 const (
-	clientPart = 0.45
-	serverPart = 0.40
+	clientPart = 0.60
+	serverPart = 0.30
 	fewSockets = 64 // reckoned with where the configuration does not say
 )
 
@@ -40,14 +45,13 @@
 	watch *watch
 	told  seam.Gate // discovery has spoken
 	over  seam.Gate
-	busy  atomic.Bool
 	swept float64
-	said  string // the settings in force
+	grace float64 // ms from SIGTERM to the kill
 }
 
 // Start listens and serves until Drain or Close.
 func Start(w seam.World, c *Config, log *zap.Logger) (*Scheduler, error) {
-	s := &Scheduler{world: w, log: log, loop: newLoop(w)}
+	s := &Scheduler{world: w, log: log, loop: newLoop(w), grace: graceOf(c)}
 	sockets := max(c.Limits.Sockets, fewSockets)
 	born := w.Deadline(0).UnixMilli() - epoch
 	s.back = newBack(w, s.loop, c.Bounds.DialTimeout, c.Bounds.ConnIdle, int(float64(sockets)*serverPart))
@@ -70,6 +74,9 @@
 
 func (s *Scheduler) getReady() {
 	seam.Wait(s.world, readyWait, &s.told)
+	if s.front.answerBy.Load() != 0 {
+		return // it is to stop already
+	}
 	s.front.ready.Store(true)
 	s.log.Info("ready")
 }
@@ -87,6 +94,19 @@
 	if now := s.loop.now(); now-s.swept > seam.MS(sweepEvery) {
 		s.swept = now
 		s.back.sweep(now)
+		f := s.front
+		f.mu.Lock()
+		busy, asked, open := 0, 0, f.clients.Len()
+		for _, c := range f.clients.All() {
+			if c.busy {
+				busy++
+			}
+			if c.asked {
+				asked++
+			}
+		}
+		f.mu.Unlock()
+		s.log.Info("state", zap.Int("clients", open), zap.Int("busy", busy), zap.Int("asked", asked), zap.Int("calls", len(s.core.calls)), zap.Int("back", s.back.conns))
 	}
 }
 
@@ -97,44 +117,37 @@
 	s.loop.post(s.loop.now(), func(at float64) { s.core.revise(at, c.Settings) })
 }
 
-// Drain ends the scheduler once all it has taken is answered. Clients hear of it late:
-// for a while connections are taken and served as ever, each answer then ending its own.
+// Drain ends the scheduler once all it has taken is answered.
 func (s *Scheduler) Drain() {
-	s.log.Info("draining")
-	s.front.draining.Store(true)
-	seam.Wait(s.world, drainAccept, nil)
+	s.log.Info("draining", zap.Float64("grace_ms", s.grace))
+	from := s.loop.now()
+	s.front.leave(from + s.grace - drainMargin)
+	seam.Wait(s.world, drainAccept, &s.over)
 	s.front.stop.Open()
 	s.front.listener.Close()
-	s.front.shutIdle()
+	seam.Wait(s.world, seam.Duration(from+s.grace-drainAnswer-s.loop.now()), &s.over)
+	s.front.closing.Store(true)
+	s.front.eachIdle((*client).hurry)
 	for s.open() > 0 {
 		seam.Wait(s.world, drainPoll, nil)
 	}
 	s.Close()
 }
 
-// open is how many calls have no answer yet, and connections a request under way.
-func (s *Scheduler) open() int {
-	n := 0
-	var asked seam.Gate
-	if !s.loop.post(s.loop.now(), func(float64) {
-		for _, c := range s.core.calls {
-			if !c.ended {
-				n++
-			}
-		}
-		asked.Open()
-	}) {
-		return 0
+// graceOf is how long a scheduler has after SIGTERM, ms.
+func graceOf(c *Config) float64 {
+	longest := 0.0
+	for _, k := range c.Settings.Classes {
+		longest = max(longest, k.Deadline)
 	}
-	asked.Wait(s.world)
+	return min(longest, longestCounted) + killExtra
+}
+
+// open is how many connections clients have, one at least for each call without an answer.
+func (s *Scheduler) open() int {
 	s.front.mu.Lock()
 	defer s.front.mu.Unlock()
-	for _, c := range s.front.clients.All() {
-		if c.busy {
-			n++
-		}
-	}
-	return n
+	return s.front.clients.Len()
 }
 
 // Close ends everything at once and waits for it.
