New objects keep away from disk servers that fail; idle connections are kept while few

A probe counted outcomes by disk server: one of twelve failed three of four requests and got 84 of 327 first sends of new objects (an even part would be 27), for quick errors leave its queue empty.

Ruled out: retries (they go where the data is and can go nowhere else), restarts (writes fail before the first of them).

At fault: policy.place, which weighs waits and service times alone; judge, which learnt nothing of errors. Now a node's wait is divided by the square of what it serves of its late answers, with a prior of none failed.

Idle connections of clients go after 20 s, or 2.2 s where more than half of the bound are open: at a restart clients can only use what is open.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -231,6 +231,9 @@
 		}
 		// What a cold or busy node may take is for what must go there.
 		w := (p.waitFor(sh, float64(sh.waiting)) + p.serviceOf(sh)) / max(min(p.part(sh), 1), minPart)
+		// Quick errors leave a node's queue empty: what it fails would else come there first.
+		well := 1 - sh.node.failing(p.now)
+		w /= well * well
 		if w < low {
 			best, low = sh, w
 		}
@@ -739,11 +742,14 @@
 		p.learn(sh, max(o.Elapsed-p.extra(r), 0))
 		sh.took.add(o.Elapsed)
 		n.easy.add(p.now, easySpan)
+		n.good.add(p.now, poolSpan)
 		p.shares.served(r, p.now-r.arrived)
 		if n.suspect && n.pause > maxPause/2 {
 			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
 		}
 		n.suspect, n.pause = false, 0
+	case ServerError:
+		n.bad.add(p.now, poolSpan)
 	case NoAnswer: // it took at least so long
 		p.learn(sh, max(o.Elapsed, p.meanAt(sh)))
 		if o.Elapsed >= p.tightest() {
@@ -944,14 +950,6 @@
 	return g.worth[i] / g.units[i] * g.predict(i, u) * min(g.predict(len(u)+i, u), 1)
 }
 
-// with is the utility of flow i with so much more share.
-func (g *regulator) with(i int, u []float64, more float64) float64 {
-	old := u[i]
-	u[i] += more
-	defer func() { u[i] = old }()
-	return g.utility(i, u)
-}
-
 // targets is the greedy optimizer of the paper's figure 4.
 func (g *regulator) targets(total float64) []float64 {
 	n := len(g.u)
--- a/policy/state.go
+++ b/policy/state.go
@@ -143,6 +143,14 @@
 	sends    window // within the last Rules.FallTime and a tick
 	easy     fading // of late answers that it served
 	hard     fading // and that it turned away
+	good     fading // of attempts within some poolSpan that it served
+	bad      fading // and that it failed
+}
+
+// failing is the part of its late answers that were errors, with a prior of none.
+func (n *node) failing(now float64) float64 {
+	bad := n.bad.value(now, poolSpan)
+	return bad / (bad + n.good.value(now, poolSpan) + poolWeight)
 }
 
 // flow is a plan at a shard.
@@ -703,3 +711,11 @@
 	copy(g.aims, aims)
 	g.waits, g.waitN = waits, waitN
 }
+
+// with is the utility of flow i with so much more share.
+func (g *regulator) with(i int, u []float64, more float64) float64 {
+	old := u[i]
+	u[i] += more
+	defer func() { u[i] = old }()
+	return g.utility(i, u)
+}
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -24,8 +24,9 @@
 	// by hundreds and says nothing, or never ends its head, must not keep others out.
 	firstTime = time.Second
 	headTime  = 1500 * time.Millisecond
-	// idleTime is how long a connection without a request is kept: clients that ask once
-	// and stay would else hold all the descriptors there are.
+	// keepTime is how long a connection without a request is kept, and idleTime where many
+	// are open: clients that ask once and stay would else hold all the descriptors there are.
+	keepTime = 20 * time.Second
 	idleTime = 2200 * time.Millisecond
 	// At the bound of connections those give way that have said nothing for freshTime or
 	// have had no request for spareTime; until there is one, nothing new is accepted.
@@ -143,6 +144,24 @@
 	}
 }
 
+// thin closes what has been idle for long while more than half of the connections that
+// there may be are open, and forgets nothing that came in already.
+func (f *front) thin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	over := f.clients.Len() - f.most/2
+	if over <= 0 || f.answerBy.Load() != 0 {
+		return
+	}
+	now := f.loop.now()
+	for _, c := range f.clients.All() {
+		if over > 0 && !c.busy && now-c.since > seam.MS(idleTime) {
+			c.hurry()
+			over--
+		}
+	}
+}
+
 // leave has all answered by that time, and keeps until then the connections that clients
 // have: they can't open others here.
 func (f *front) leave(by float64) {
@@ -157,7 +176,7 @@
 
 // idleUntil is when a connection that is idle from now on is closed.
 func (f *front) idleUntil() time.Time {
-	d := idleTime
+	d := keepTime
 	if by := math.Float64frombits(f.answerBy.Load()); by > 0 {
 		d = max(d, seam.Duration(by-f.loop.now()))
 	}
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -94,19 +94,7 @@
 	if now := s.loop.now(); now-s.swept > seam.MS(sweepEvery) {
 		s.swept = now
 		s.back.sweep(now)
-		f := s.front
-		f.mu.Lock()
-		busy, asked, open := 0, 0, f.clients.Len()
-		for _, c := range f.clients.All() {
-			if c.busy {
-				busy++
-			}
-			if c.asked {
-				asked++
-			}
-		}
-		f.mu.Unlock()
-		s.log.Info("state", zap.Int("clients", open), zap.Int("busy", busy), zap.Int("asked", asked), zap.Int("calls", len(s.core.calls)), zap.Int("back", s.back.conns))
+		s.front.thin()
 	}
 }
 
