A connection that breaks alone no longer keeps a scheduler from its disk server

Ruled out: processor, connections' number, the list.

At fault: policy.judge, which took each break for a dead node. A break now counts as a failed answer; the node is held when more than 0.3 of its late answers failed, or a connection can't be had at all. A dead process refuses the next connection, so it is still held after one more attempt.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,6 +55,7 @@
 	easyTimes  = 8.0         // served so many times what it turns away, it is not full
 	idleTimes  = 1.3         // a node this near its own unloaded service time has nothing waiting
 	baseGain   = 0.05        // a second's pull on the unloaded service time from above
+	lonePart   = 0.3         // of a node's answers failed, up to which it is well but for that
 	retryPause = 60.0        // wait after a refused connection or a full node, doubled each time
 	maxPause   = 1000        // and at most this
 	askAgain   = 700.0       // wait before asking again for the node list
@@ -357,8 +358,6 @@
 	p.enqueue(h)
 }
 
-// Dispatch.
-
 // serviceOf is the service time to expect at sh: no less than what the oldest
 // attempt out there has already taken, so a pause or a dead node shows at once.
 func (p *scheduler) serviceOf(sh *shard) float64 {
@@ -764,8 +763,11 @@
 			p.hold(n, p.crowd())
 		}
 	case NoConnection, ConnectionLost:
-		n.suspect = true
-		p.hold(n, 1)
+		n.bad.add(p.now, poolSpan)
+		if o.Result == NoConnection || n.failing(p.now) > lonePart { // a connection also breaks alone
+			n.suspect = true
+			p.hold(n, 1)
+		}
 	}
 }
 
--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -79,3 +80,32 @@
 		t.Error("it is not forgotten")
 	}
 }
+
+// A connection that breaks alone costs its attempt and no more; one that can't be had, or
+// breaks again and again, keeps the host away for a while.
+func TestALoneBreakKeepsNobodyFromItsNode(t *testing.T) {
+	sendsAfter := func(results ...Result) int {
+		g := newRig(settings())
+		for i := range 20 {
+			id := g.ask("read", "high", fmt.Sprint(i), 2)
+			g.pass(20)
+			g.end(id, Served)
+		}
+		for i, res := range results {
+			id := g.ask("read", "high", fmt.Sprint("x", i), 2)
+			g.pass(1)
+			g.end(id, res)
+			g.do(ClientGone{ID: id})
+		}
+		return g.sends(g.ask("read", "high", "y", 2))
+	}
+	if n := sendsAfter(ConnectionLost); n != 1 {
+		t.Error("held after a lone break")
+	}
+	if n := sendsAfter(NoConnection); n != 0 {
+		t.Error("not held after a refused connection")
+	}
+	if n := sendsAfter(slices.Repeat([]Result{ConnectionLost}, 30)...); n != 0 {
+		t.Error("not held after nothing but breaks")
+	}
+}
