An attempt that later ones have overtaken no longer tells the service time

At fault: policy.serviceOf, which takes half of the oldest attempt's age for the service time of all: one silent connection shed a shard's queue for 450 ms. What a later one has overtaken no longer counts there; a pause, which nothing overtakes, still shows at once.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -111,24 +111,6 @@
 	}
 }
 
-func (p *scheduler) setNode(e Node) {
-	n := p.nodes[e.Addr]
-	if n == nil {
-		n = &node{coldAt: math.Inf(-1)}
-		p.nodes[e.Addr] = n
-	}
-	if e.Started > 0 && e.Started != n.Started {
-		n.coldAt = max(n.coldAt, e.Started)
-	}
-	if e.Health == Gone {
-		e.Shard = n.Shard
-	}
-	n.Node, n.toldOff = e, e.Health != Ready
-	if e.Health == Ready {
-		p.shard(e.Shard)
-	}
-}
-
 func (p *scheduler) resetDepth(sh *shard) {
 	sh.depth = max(p.floor(), 1)
 	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
@@ -363,7 +345,9 @@
 func (p *scheduler) serviceOf(sh *shard) float64 {
 	s := p.meanAt(sh)
 	for _, r := range sh.out {
-		s = max(s, (p.now-r.sentAt)/2)
+		if r.sentAt >= sh.passed { // what later ones have overtaken is stuck by itself
+			s = max(s, (p.now-r.sentAt)/2)
+		}
 	}
 	return s
 }
@@ -742,6 +726,7 @@
 		sh.took.add(o.Elapsed)
 		n.easy.add(p.now, easySpan)
 		n.good.add(p.now, poolSpan)
+		sh.passed = max(sh.passed, r.sentAt)
 		p.shares.served(r, p.now-r.arrived)
 		if n.suspect && n.pause > maxPause/2 {
 			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -109,3 +109,28 @@
 		t.Error("not held after nothing but breaks")
 	}
 }
+
+// An attempt that later ones have overtaken is stuck by itself: what waits behind is not
+// shed for it. One that nothing has overtaken tells of a pause at once.
+func TestAnOvertakenAttemptTellsNoServiceTime(t *testing.T) {
+	g := newRig(settings())
+	stuck := g.ask("read", "high", "a", 2)
+	if g.pass(5); g.sends(stuck) != 1 {
+		t.Fatal("not sent")
+	}
+	g.pass(250)
+	g.do(TimerFired{Name: "wake"})
+	sh := g.p.shards[0]
+	if s := g.p.serviceOf(sh); s < 120 {
+		t.Errorf("a pause shows as %.0f ms", s)
+	}
+	id := g.ask("read", "high", "b", 2)
+	g.pass(20)
+	if g.sends(id) == 0 {
+		t.Fatal("there is no room for a second one")
+	}
+	g.do(Outcome{ID: id, Node: "n0", Elapsed: 20, Result: Served, Done: true})
+	if s := g.p.serviceOf(sh); s > 100 {
+		t.Errorf("overtaken, it shows as %.0f ms", s)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -248,6 +248,7 @@
 	quick     bool     // what the ceiling would put there still meets the aim, one by one
 	wasFull   bool     // depth held something back in this second
 	lastY     float64
+	passed    float64 // when the last that was served was sent
 }
 
 // gathered is a fading sum of answers' times.
@@ -719,3 +720,22 @@
 	defer func() { u[i] = old }()
 	return g.utility(i, u)
 }
+
+// setNode keeps what the list says of a node.
+func (p *scheduler) setNode(e Node) {
+	n := p.nodes[e.Addr]
+	if n == nil {
+		n = &node{coldAt: math.Inf(-1)}
+		p.nodes[e.Addr] = n
+	}
+	if e.Started > 0 && e.Started != n.Started {
+		n.coldAt = max(n.coldAt, e.Started)
+	}
+	if e.Health == Gone {
+		e.Shard = n.Shard
+	}
+	n.Node, n.toldOff = e, e.Health != Ready
+	if e.Health == Ready {
+		p.shard(e.Shard)
+	}
+}
