Attempts that others overtook by far are given up and sent again

The change: policy.strays cancels an attempt once one that was sent five mean service times later has been served. In a pause nothing overtakes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -665,7 +665,7 @@
 	n.sends.since(p.now - p.s.Rules.FallTime - p.s.Tick)
 	r.attempts++
 	r.out++
-	r.sentAt, r.sentTo = p.now, n
+	r.sentAt, r.sentTo, r.stray = p.now, n, false
 	sh.out = append(sh.out, r)
 	p.do(Send{ID: r.ID, Node: n.Addr, Until: p.until(r, sh)})
 }
@@ -727,6 +727,7 @@
 		n.easy.add(p.now, easySpan)
 		n.good.add(p.now, poolSpan)
 		sh.passed = max(sh.passed, r.sentAt)
+		p.strays(sh)
 		p.shares.served(r, p.now-r.arrived)
 		if n.suspect && n.pause > maxPause/2 {
 			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
@@ -756,6 +757,18 @@
 	}
 }
 
+// strays gives up what others have overtaken that were sent several service times later:
+// its answer, or its connection, is lost. In a pause nothing overtakes.
+func (p *scheduler) strays(sh *shard) {
+	for _, r := range sh.out {
+		lost := r.sentAt+stuckTimes*p.meanAt(sh) < sh.passed && r.class.Effect != Unsafe
+		if lost && p.s.Limits.Cancel && !r.stray && !r.done && !r.class.Streamed {
+			r.stray = true
+			p.do(CancelAttempt{r.ID, r.attempts - 1})
+		}
+	}
+}
+
 // extra is what r's size adds to the service time of a mean request, or takes off.
 func (p *scheduler) extra(r *request) float64 {
 	return p.base * (r.Units/p.s.MeanUnits - 1)
--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -134,3 +134,50 @@
 		t.Errorf("overtaken, it shows as %.0f ms", s)
 	}
 }
+
+// What others have overtaken that were sent well after it is given up, once, and sent
+// again; not where it must not run twice, nor where the site forbids it.
+func TestStraysAreGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		class  string
+		cancel bool
+		want   int
+	}{{"read", true, 1}, {"write", true, 1}, {"once", true, 0}, {"read", false, 0}} {
+		set := settings()
+		set.Limits.Cancel = c.cancel
+		set.Classes[0].Aim, set.Classes[1].Aim = 1000, 1000
+		g := newRig(set)
+		for i := range 20 { // it is known to answer in 10 ms
+			id := g.ask("read", "high", fmt.Sprint(i), 2)
+			g.pass(10)
+			g.do(Outcome{ID: id, Node: "n0", Elapsed: 10, Result: Served, Done: true})
+		}
+		given := func(id string) (n int) {
+			for _, a := range g.acts {
+				if x, ok := a.(CancelAttempt); ok && x.ID == id && x.Attempt == 0 {
+					n++
+				}
+			}
+			return n
+		}
+		stray := g.ask(c.class, "high", "s", 2)
+		mean := g.p.meanAt(g.p.shards[0])
+		for i := range 12 {
+			if before := given(stray); i < 3 && before > 0 {
+				t.Errorf("%s: given up at once", c.class)
+			}
+			id := g.ask("read", "high", fmt.Sprint("x", i), 2)
+			g.pass(mean)
+			g.do(Outcome{ID: id, Node: "n0", Elapsed: mean, Result: Served, Done: true})
+		}
+		if n := given(stray); n != c.want {
+			t.Errorf("%s, cancel %v: given up %d times", c.class, c.cancel, n)
+		}
+		if c.want == 1 {
+			g.do(Outcome{ID: stray, Node: "n0", Elapsed: 12 * mean, Result: Cancelled})
+			if g.sends(stray) != 2 {
+				t.Errorf("%s: not sent again", c.class)
+			}
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -33,6 +33,7 @@
 	slot     int     // its place in list, where it is in one
 	halfAt   float64 // until then it may wait without a node having had it
 	halved   bool    // that time is over
+	stray    bool    // its attempt was given up as lost
 	reached  bool    // a node has had it, or may have
 	left     bool    // its chain counts it no more
 	done     bool
