A client's further try counts its aim from the first; what is out counts in placing

At fault: policy.take, which counted each try's aim from its arrival. A try that has less time than requests of its class had of late has spent the difference (longest, which fades; never beyond the class's deadline).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,11 +62,10 @@
 	guard      = 1.0         // final answers of held requests leave this much (plus a tick) early
 	spread     = 0.5         // seconds of its rate that a volume may save up as due
 	idleVolume = 30 * period // a volume unseen for so long is forgotten
-	// waitPart of its time a request waits at the most that no node has had: its client
-	// learns it while it can still do something else, and its connection is free again.
-	waitPart = 0.45
-	dueTimes = 4.0  // of its rate that a volume is taken to be due, see volume
-	bunching = 20.0 // by which sends may come closer on their way: limits hold where they arrive
+	waitPart   = 0.45        // of its time that a request may wait which no node has had: see expire
+	longFade   = 0.02        // of the difference that longest loses to a try with less time
+	dueTimes   = 4.0         // of its rate that a volume is taken to be due, see volume
+	bunching   = 20.0        // by which sends may come closer on their way: limits hold where they arrive
 )
 
 // start begins the sampling at a phase of this host's own, so that hosts do
@@ -176,7 +175,9 @@
 	if i := slices.IndexFunc(p.s.Classes, func(c Class) bool { return c.Name == q.Class }); i >= 0 {
 		r.class = &p.s.Classes[i]
 	}
-	r.aimAt = min(p.now+r.class.Aim, q.Expires)
+	// A client's further try has less time than its first, and its aim counts from that.
+	left := min(q.Expires-p.now, r.class.Deadline)
+	r.aimAt = min(p.now+r.class.Aim-(p.longest.see(q.Class, left, longFade)-left), q.Expires)
 	r.vol = p.volume(q, &p.s.Plans[r.flow])
 	if h := parts(q.Hosts, q.Share); r.vol.parts != h || r.vol.plan != &p.s.Plans[r.flow] {
 		p.redivide(r.vol, &p.s.Plans[r.flow], h)
@@ -213,10 +214,10 @@
 			continue
 		}
 		// What a cold or busy node may take is for what must go there.
-		w := (p.waitFor(sh, float64(sh.waiting)) + p.serviceOf(sh)) / max(min(p.part(sh), 1), minPart)
+		ahead := float64(sh.waiting + len(sh.out))
+		w := (p.waitFor(sh, ahead) + p.serviceOf(sh)) / max(min(p.part(sh), 1), minPart)
 		// Quick errors leave a node's queue empty: what it fails would else come there first.
-		well := 1 - sh.node.failing(p.now)
-		w /= well * well
+		w /= math.Pow(1-sh.node.failing(p.now), 2)
 		if w < low {
 			best, low = sh, w
 		}
--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 )
@@ -181,3 +182,36 @@
 		}
 	}
 }
+
+// A client's further try has less time left than first tries have: its aim counts from the
+// first, so once that has gone by it goes after those that can still be in time. When all
+// get less time, that is soon no sign any more.
+func TestFurtherTriesCountFromTheFirst(t *testing.T) {
+	g := newRig(settings())
+	ask := func(id string, left float64) *request {
+		g.do(Request{ID: id, Class: "read", Plan: "high", Volume: "v", Units: 2, Key: id, Expires: g.now + left, Hosts: 1})
+		return g.p.reqs[id]
+	}
+	first, later, late := ask("a", 1000), ask("b", 800), ask("c", 500)
+	for _, c := range []struct {
+		r    *request
+		want float64
+	}{{first, 300}, {later, 100}, {late, -200}} {
+		if got := c.r.aimAt - g.now; math.Abs(got-c.want) > 20 {
+			t.Errorf("%s: its aim is %.0f ms away, want %.0f", c.r.ID, got, c.want)
+		}
+	}
+	if late.list != &late.shard.parked {
+		t.Error("a try whose aim has gone by is not set aside")
+	}
+	for i := range 300 {
+		ask(fmt.Sprint("d", i), 500)
+		g.do(ClientGone{ID: fmt.Sprint("d", i)})
+	}
+	if r := ask("e", 500); r.aimAt-g.now < 290 {
+		t.Errorf("where all have so much time, the aim is %.0f ms away", r.aimAt-g.now)
+	}
+	if ask("f", 1e9); g.p.longest["read"] > 1000 {
+		t.Error("a client's time beyond the class's deadline counts")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -310,6 +310,18 @@
 	restTo  float64
 }
 
+// peaks are the largest of late values by name; each fades towards the smaller ones.
+type peaks map[string]float64
+
+// see notes a value, loses a part of what the peak is above it, and returns the peak.
+func (k peaks) see(name string, v, fade float64) float64 {
+	if v <= 0 {
+		return v
+	}
+	k[name] = max(v, k[name]-fade*(k[name]-v))
+	return k[name]
+}
+
 type scheduler struct {
 	s       *Settings // not altered once a request was taken under them
 	rng     *rand.Rand
@@ -327,6 +339,7 @@
 	armed   float64
 	resends window
 	taken   window
+	longest peaks   // time that requests of a class had
 	largest float64 // units of a request so far
 	heldAt  float64 // when the request just looked at may go by its limit; 0: that does not hold it
 	subOn   bool
@@ -547,7 +560,7 @@
 	p := &scheduler{
 		s: s.filledIn(), rng: rand.New(rand.NewPCG(seed, 0)), armed: math.Inf(1),
 		nodes: map[string]*node{}, reqs: map[string]*request{},
-		vols: map[string]*volume{}, chains: map[string]*chain{},
+		vols: map[string]*volume{}, chains: map[string]*chain{}, longest: peaks{},
 	}
 	p.shares.init(p.s.Plans)
 	return p
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -20,7 +20,7 @@
 	longestCounted = 3000.0 // ms
 	killExtra      = 700.0
 	drainAccept    = 600 * time.Millisecond
-	drainAnswer    = 700.0 // before the kill nothing new is taken,
+	drainAnswer    = 400.0 // before the kill nothing new is taken,
 	drainMargin    = 200.0 // and so long before it all has been answered
 	sweepEvery     = time.Second
 	drainPoll      = 20 * time.Millisecond
@@ -101,7 +101,6 @@
 		s.swept = now
 		s.back.sweep(now)
 		s.front.thin()
-		s.log.Info("tally", zap.Any("t", s.core.tally), zap.Int("back", s.back.conns), zap.Float64("idle", s.back.idle))
 	}
 }
 
