Further tries are known by the piece they ask for, not by the time they have

At fault: policy.take read little time left as a further try, but clients also give up early from the start.

A request that ends unserved is now remembered by class, volume and piece for its class's deadline; the next for that piece counts its aim from the first. What no node has had is kept for half an aim beyond its aim at the least, so that short tries are not ended while they can be in time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,7 +63,7 @@
 	spread     = 0.5         // seconds of its rate that a volume may save up as due
 	idleVolume = 30 * period // a volume unseen for so long is forgotten
 	waitPart   = 0.45        // of its time that a request may wait which no node has had: see expire
-	longFade   = 0.02        // of the difference that longest loses to a try with less time
+	waitAims   = 0.5         // but that long beyond its aim in any case: short tries can be in time
 	dueTimes   = 4.0         // of its rate that a volume is taken to be due, see volume
 	bunching   = 20.0        // by which sends may come closer on their way: limits hold where they arrive
 )
@@ -175,9 +175,8 @@
 	if i := slices.IndexFunc(p.s.Classes, func(c Class) bool { return c.Name == q.Class }); i >= 0 {
 		r.class = &p.s.Classes[i]
 	}
-	// A client's further try has less time than its first, and its aim counts from that.
-	left := min(q.Expires-p.now, r.class.Deadline)
-	r.aimAt = min(p.now+r.class.Aim-(p.longest.see(q.Class, left, longFade)-left), q.Expires)
+	r.first = p.firstTry(q) // a client's further try counts its aim from its first
+	r.aimAt = min(r.first+r.class.Aim, q.Expires)
 	r.vol = p.volume(q, &p.s.Plans[r.flow])
 	if h := parts(q.Hosts, q.Share); r.vol.parts != h || r.vol.plan != &p.s.Plans[r.flow] {
 		p.redivide(r.vol, &p.s.Plans[r.flow], h)
@@ -188,7 +187,7 @@
 	}
 	p.largest = max(p.largest, q.Units)
 	r.shard = p.place(q.Shard)
-	r.halfAt = min(p.now+waitPart*(q.Expires-p.now), q.Expires-p.s.Tick-guard)
+	r.halfAt = min(max(p.now+waitPart*(q.Expires-p.now), r.aimAt+waitAims*r.class.Aim), q.Expires-p.s.Tick-guard)
 	p.wake(r.halfAt, r, nil)
 	p.rate(r)
 	if c := p.chainOf(r); c != nil {
@@ -838,6 +837,7 @@
 	} else {
 		p.do(Fail{r.ID, p.why(r)})
 	}
+	p.turnOff(r)
 	p.finish(r)
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -18,6 +19,7 @@
 	shard    *shard
 	vol      *volume
 	arrived  float64
+	first    float64 // when its client first tried it
 	aimAt    float64
 	value    float64 // worth for each unit, as far as due
 	rank     float64 // value, with equals spread
@@ -310,16 +312,30 @@
 	restTo  float64
 }
 
-// peaks are the largest of late values by name; each fades towards the smaller ones.
-type peaks map[string]float64
+// tried tells a client's further try, which has an id of its own, by what it asks for.
+type tried struct{ class, volume, key string }
 
-// see notes a value, loses a part of what the peak is above it, and returns the peak.
-func (k peaks) see(name string, v, fade float64) float64 {
-	if v <= 0 {
-		return v
+// turn is when a request that was not served was first tried, and until when its client
+// may try it again.
+type turn struct{ first, till float64 }
+
+// firstTry is when the client first tried what q asks for; each that was not served has
+// one further try at the most.
+func (p *scheduler) firstTry(q Request) float64 {
+	k := tried{q.Class, q.Volume, q.Key}
+	t, ok := p.turned[k]
+	delete(p.turned, k)
+	if !ok || p.now >= t.till {
+		return p.now
+	}
+	return t.first
+}
+
+// turnOff notes that r ends without having been served.
+func (p *scheduler) turnOff(r *request) {
+	if r.Key != "" && r.class.Deadline > 0 {
+		p.turned[tried{r.Class, r.Volume, r.Key}] = turn{r.first, r.first + r.class.Deadline}
 	}
-	k[name] = max(v, k[name]-fade*(k[name]-v))
-	return k[name]
 }
 
 type scheduler struct {
@@ -339,9 +355,9 @@
 	armed   float64
 	resends window
 	taken   window
-	longest peaks   // time that requests of a class had
-	largest float64 // units of a request so far
-	heldAt  float64 // when the request just looked at may go by its limit; 0: that does not hold it
+	turned  map[tried]turn // requests that were not served, while their clients may try again
+	largest float64        // units of a request so far
+	heldAt  float64        // when the request just looked at may go by its limit; 0: that does not hold it
 	subOn   bool
 	askedAt float64
 	shares  regulator
@@ -517,6 +533,7 @@
 			delete(p.vols, id)
 		}
 	}
+	maps.DeleteFunc(p.turned, func(_ tried, t turn) bool { return p.now >= t.till })
 	for k, c := range p.chains {
 		if c.live == 0 && p.now >= c.restTo {
 			delete(p.chains, k)
@@ -560,7 +577,7 @@
 	p := &scheduler{
 		s: s.filledIn(), rng: rand.New(rand.NewPCG(seed, 0)), armed: math.Inf(1),
 		nodes: map[string]*node{}, reqs: map[string]*request{},
-		vols: map[string]*volume{}, chains: map[string]*chain{}, longest: peaks{},
+		vols: map[string]*volume{}, chains: map[string]*chain{}, turned: map[tried]turn{},
 	}
 	p.shares.init(p.s.Plans)
 	return p
