Strays are given up only where two attempts may be out; the gateway's dues are the room's

At fault: policy.strays. Towards the gateway's disk servers a cancel leaves the attempt at work, and the gateway's settings forbid two at once; it had been tried on the platform's settings alone, where two may be out and a cancel closes the connection. It now asks for that.

due stood twice, in gateway and in its room; the gateway calls the room's.

--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -266,7 +266,8 @@
 // cancel stops waiting for an attempt; the outcome comes with the next tick, for
 // the module is in the middle of an event.
 func (h *hostCore) cancel(j *job, n int) {
-	for _, d := range h.dues.heap { // rare: the module's own time-outs do most
+	for _, e := range h.dues.All() { // rare: the module's own time-outs do most
+		d := e.What
 		if d.a != nil && d.a.job == j && d.a.n == n {
 			h.dues.remove(d)
 			d.at, d.cancelled = h.now, true
--- a/gateway/hostcore_test.go
+++ b/gateway/hostcore_test.go
@@ -28,20 +28,16 @@
 			h.remove(live[i]) // twice does no harm
 			live = slices.Delete(live, i, i+1)
 		default:
-			want := slices.MinFunc(live, func(a, b *due) int {
-				if a.at != b.at {
-					return int(a.at - b.at)
-				}
-				return int(a.seq) - int(b.seq)
-			})
+			// Of equals the first, which was set before the others.
+			want := slices.MinFunc(live, func(a, b *due) int { return int(a.at - b.at) })
 			if got := h.first(); got != want {
 				t.Fatalf("first is due at %v, want %v", got.at, want.at)
 			}
 			h.remove(want)
 			live = slices.DeleteFunc(live, func(d *due) bool { return d == want })
 		}
-		if len(h.heap) != len(live) {
-			t.Fatalf("%d entries, want %d", len(h.heap), len(live))
+		if len(h.All()) != len(live) {
+			t.Fatalf("%d entries, want %d", len(h.All()), len(live))
 		}
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -187,7 +187,8 @@
 	}
 	p.largest = max(p.largest, q.Units)
 	r.shard = p.place(q.Shard)
-	r.halfAt = min(max(p.now+waitPart*(q.Expires-p.now), r.aimAt+waitAims*r.class.Aim), q.Expires-p.s.Tick-guard)
+	most := max(p.now+waitPart*(q.Expires-p.now), r.aimAt+waitAims*r.class.Aim)
+	r.halfAt = min(most, q.Expires-p.s.Tick-guard)
 	p.wake(r.halfAt, r, nil)
 	p.rate(r)
 	if c := p.chainOf(r); c != nil {
@@ -757,12 +758,12 @@
 	}
 }
 
-// strays gives up what others have overtaken that were sent several service times later:
-// its answer, or its connection, is lost. In a pause nothing overtakes.
+// strays gives up what others overtook that were sent several service times later: its answer
+// is lost. In a pause nothing overtakes. A cancel may leave a copy at work: only where two may.
 func (p *scheduler) strays(sh *shard) {
 	for _, r := range sh.out {
 		lost := r.sentAt+stuckTimes*p.meanAt(sh) < sh.passed && r.class.Effect != Unsafe
-		if lost && p.s.Limits.Cancel && !r.stray && !r.done && !r.class.Streamed {
+		if lost && p.s.Limits.Cancel && p.s.Limits.Copies && !r.stray && !r.done && !r.class.Streamed {
 			r.stray = true
 			p.do(CancelAttempt{r.ID, r.attempts - 1})
 		}
--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -142,10 +142,11 @@
 	for _, c := range []struct {
 		class  string
 		cancel bool
+		copies bool
 		want   int
-	}{{"read", true, 1}, {"write", true, 1}, {"once", true, 0}, {"read", false, 0}} {
+	}{{"read", true, true, 1}, {"write", true, true, 1}, {"once", true, true, 0}, {"read", false, true, 0}, {"read", true, false, 0}} {
 		set := settings()
-		set.Limits.Cancel = c.cancel
+		set.Limits.Cancel, set.Limits.Copies = c.cancel, c.copies
 		set.Classes[0].Aim, set.Classes[1].Aim = 1000, 1000
 		g := newRig(set)
 		for i := range 20 { // it is known to answer in 10 ms
@@ -172,7 +173,7 @@
 			g.do(Outcome{ID: id, Node: "n0", Elapsed: mean, Result: Served, Done: true})
 		}
 		if n := given(stray); n != c.want {
-			t.Errorf("%s, cancel %v: given up %d times", c.class, c.cancel, n)
+			t.Errorf("%s, cancel %v, copies %v: given up %d times", c.class, c.cancel, c.copies, n)
 		}
 		if c.want == 1 {
 			g.do(Outcome{ID: stray, Node: "n0", Elapsed: 12 * mean, Result: Cancelled})
