What waits for a connection keeps the drain; a restarted disk server's connections are retired

An attempt that still waits for its connection is not sent once half of the drain's grace is over; its outcome says that it never ran. Another start or another address of a disk server retires the idle connections to it.

--- a/cmd/merlinhitch/scheduler.go
+++ b/cmd/merlinhitch/scheduler.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"fmt"
+	"math"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -16,6 +19,9 @@
 	Config string `env:"ROUTER_CONFIG" required:"" help:"File of the configuration; SIGHUP reads it again." placeholder:"FILE"`
 }
 
+// badConfig is the exit status at a fault of the configuration.
+const badConfig = 2
+
 // heapPart of the machine's memory is what Go may take before it collects harder; the
 // rest is for the program itself and the kernel's buffers.
 const heapPart = 0.6
@@ -26,8 +32,10 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	conf, err := c.read()
 	if err != nil {
-		return err
+		fmt.Fprintln(os.Stderr, "merlinhitch:", err)
+		os.Exit(badConfig)
 	}
+	runtime.GOMAXPROCS(max(int(math.Ceil(conf.Limits.Cores)), 1))
 	if mb := conf.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(heapPart * float64(mb<<20)))
 	}
--- a/scheduler/back.go
+++ b/scheduler/back.go
@@ -45,6 +45,7 @@
 	core    *core
 	dialIn  time.Duration
 	idle    float64 // ms that an idle connection is kept
+	drain   float64 // ms after which what waited goes no more to a server that is leaving
 	most    int     // connections that are open or dialled
 	bytes   int64   // of answers that are held at once
 	held    atomic.Int64
@@ -65,6 +66,8 @@
 	waiting    []*attempt
 	links      int
 	gone       bool
+	born       int64
+	barredAt   float64 // when this scheduler was told that nothing new may go there; 0: it may
 	heardAt    float64 // when it last answered or took a connection
 }
 
@@ -97,8 +100,14 @@
 		b.servers[e.Host] = s
 	}
 	s.gone = false
-	if s.dial != e.Dial {
-		s.dial = e.Dial
+	switch {
+	case e.Health == "active":
+		s.barredAt = 0
+	case s.barredAt == 0:
+		s.barredAt = b.core.now
+	}
+	if s.dial != e.Dial || s.born != e.BornMS { // another process answers there
+		s.dial, s.born = e.Dial, e.BornMS
 		b.shutFree(s)
 	}
 }
@@ -106,6 +115,9 @@
 func (b *back) retire(host string) {
 	if s := b.servers[host]; s != nil {
 		s.gone = true
+		if s.barredAt == 0 {
+			s.barredAt = b.core.now
+		}
 		b.shutFree(s)
 		b.forget(s)
 	}
@@ -209,6 +221,12 @@
 // offer gives a free connection to who waited longest for one.
 func (b *back) offer(at float64, l *link) {
 	s := l.srv
+	// What waited for its connection past the time to stop must not go any more.
+	for s.barredAt > 0 && at > s.barredAt+b.drain && len(s.waiting) > 0 {
+		a := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		b.core.lost(at, a, policy.NotSent)
+	}
 	if len(s.waiting) > 0 {
 		a := s.waiting[0]
 		s.waiting = s.waiting[1:]
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -24,6 +24,7 @@
 	drainMargin    = 200.0 // and so long before it all has been answered
 	sweepEvery     = time.Second
 	drainPoll      = 20 * time.Millisecond
+	drainPart      = 0.5 // of the grace of drains, for what waits for a connection
 )
 
 // Parts of the descriptors that clients' and disk servers' connections may take; the rest
@@ -61,8 +62,10 @@
 	sockets := max(c.Limits.Sockets, fewSockets)
 	born := w.Deadline(0).UnixMilli() - epoch
 	s.back = newBack(w, s.loop, c.Bounds.DialTimeout, c.Bounds.ConnIdle, int(float64(sockets)*serverPart), bytesOf(c))
-	s.core = newCore(born, c, s)
+	s.back.drain = c.Settings.Rules.DrainGrace * drainPart
+	s.core = &core{now: epoch} // the back asks it for the time while the first list comes
 	s.back.core = s.core
+	*s.core = *newCore(born, c, s)
 	s.loop.ticked = s.sweep
 	s.front = &front{world: w, loop: s.loop, core: s.core, check: newChecker(&c.Settings), most: int(float64(sockets) * clientPart),
 		bytes: bytesOf(c)}
--- a/scheduler/wear_test.go
+++ b/scheduler/wear_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"merlinhitch/policy"
 	"merlinhitch/seam"
 	"merlinhitch/standin"
 )
@@ -66,3 +67,30 @@
 		}
 	})
 }
+
+// What waited for its connection while its disk server was told to leave goes no more
+// once half of the grace is over; before that it does.
+func TestWaitingAttemptsKeepTheDrain(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		play(t, answering(ok200), func(sc *scene) {
+			b, k := sc.s.back, sc.s.core
+			sc.s.loop.post(sc.s.loop.now(), func(at float64) {
+				c := &call{message: message{method: "GET", target: "/x", id: "i"}, req: policy.Request{ID: "i", Expires: at + 900}, owner: clientOf{&played{answers: map[string]int{}}, "i"}}
+				k.calls["i"] = c
+				c.out = 1
+				a := &attempt{call: c, host: "s0", sentAt: at, until: at + 900}
+				s := b.servers["s0"]
+				s.waiting = append(s.waiting, a)
+				s.barredAt = at - 1
+				if late {
+					s.barredAt = at - 2*b.drain
+				}
+				b.dialFor(s)
+			})
+			seam.Wait(sc.w, 100*time.Millisecond, nil)
+			if n := len(sc.disk.Asked()); late == (n == 1) {
+				t.Errorf("late %v: %d were sent", late, n)
+			}
+		})
+	}
+}
