One alarm and one listener for shells and stand-ins; attempts waiting leave by one call

What comes due is taken by one call of due; the alarm that wakes a core stands in seam for gateway and scheduler; stand-ins share their listener. Names held twice (the id of a request) are held once.

--- a/due/due.go
+++ b/due/due.go
@@ -2,7 +2,10 @@
 // out, so that it holds only what is still awaited. It knows no clock.
 package due
 
-import "container/heap"
+import (
+	"container/heap"
+	"math"
+)
 
 // Entry is something to do at a time, in whatever unit its owner counts. An entry is in
 // one heap at a time.
@@ -41,6 +44,24 @@
 	return h.all[0]
 }
 
+// Next is when the earliest entry comes due, +Inf where there is none.
+func (h *Heap[T]) Next() float64 {
+	if len(h.all) == 0 {
+		return math.Inf(1)
+	}
+	return h.all[0].At
+}
+
+// Take takes out the earliest entry that is due by now, nil if there is none.
+func (h *Heap[T]) Take(now float64) *Entry[T] {
+	e := h.First()
+	if e == nil || e.At > now {
+		return nil
+	}
+	h.Remove(e)
+	return e
+}
+
 // All lists the entries, in no order that means anything. It is the heap's own.
 func (h *Heap[T]) All() []*Entry[T] { return h.all }
 
--- a/due/due_test.go
+++ b/due/due_test.go
@@ -1,6 +1,7 @@
 package due
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -36,5 +37,16 @@
 		if h.First() != nil || len(h.All()) != 0 {
 			t.Fatal("something is left")
 		}
+		for _, e := range want {
+			h.Push(e)
+		}
+		for _, e := range want {
+			if h.Next() != e.At || h.Take(e.At-1) != nil || h.Take(e.At) != e {
+				t.Fatal("not taken when it is due")
+			}
+		}
+		if !math.IsInf(h.Next(), 1) || h.Take(math.MaxFloat64) != nil {
+			t.Fatal("something is due still")
+		}
 	})
 }
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -6,7 +6,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -39,8 +38,7 @@
 
 	lease   atomic.Uint64 // bits of the lease's end; without regions it never ends
 	sooner  func()        // has a lease asked for at once
-	timer   seam.Timer
-	timerAt float64
+	alarm   seam.Alarm
 	buffers sync.Pool
 	said    []*outbox.Outbox // what the present batch of events left to be written
 }
@@ -72,7 +70,7 @@
 }
 
 func newHost(w seam.World, s *settings.Settings, self int, name, zone string, k *keys.Holder, log *zap.Logger) *host {
-	h := &host{world: w, log: log, self: self, wake: w.NewParker(), timerAt: math.Inf(1), fetch: func() {}}
+	h := &host{world: w, log: log, self: self, wake: w.NewParker(), fetch: func() {}}
 	h.core = newHostCore(seam.MS(w.Now()), s, self, zone, w.Uint64(), h)
 	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
 	h.sooner = func() {}
@@ -171,19 +169,10 @@
 // arm has the goroutine woken when the core next has something to do.
 func (h *host) arm() {
 	at := h.core.next()
-	now := seam.MS(h.world.Now())
-	if at >= h.timerAt && (h.timerAt > now || plant.Is(plant.WakeupLost)) || math.IsInf(at, 1) {
+	if plant.Is(plant.WakeupLost) && h.alarm.At() > 0 && at >= h.alarm.At() {
 		return
 	}
-	if h.timer != nil {
-		h.timer.Stop()
-	}
-	h.timerAt = at
-	if at <= now {
-		h.wake.Unpark()
-		return
-	}
-	h.timer = h.world.AfterFunc(seam.Duration(at-now)+time.Microsecond, h.wake.Unpark)
+	h.alarm.Set(h.world, seam.MS(h.world.Now()), at, h.wake.Unpark)
 }
 
 // ask runs f on the host's goroutine and waits for it; false if the host stopped.
@@ -205,9 +194,7 @@
 	h.mu.Unlock()
 	h.wake.Unpark()
 	h.done.Wait(h.world)
-	if h.timer != nil {
-		h.timer.Stop()
-	}
+	h.alarm.Stop()
 	h.back.close()
 }
 
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -226,7 +226,7 @@
 			h.cancel(j, a.Attempt)
 		}
 	case policy.SetTimer:
-		h.dues.push(&due{at: h.now + a.Delay, name: a.Name})
+		h.dues.Push(&due{At: h.now + a.Delay, What: awaited{name: a.Name}})
 	case policy.FetchList:
 		h.eff.fetchList() // Subscribe needs nothing: the client always is
 	case policy.CloseIdle:
@@ -254,25 +254,24 @@
 	if a.n > 0 {
 		h.resends++
 	}
-	a.due = due{at: a.until, a: a}
+	a.due = due{At: a.until, What: awaited{a: a}}
 	if goes {
 		h.eff.send(a)
 	} else {
-		a.due.at, a.due.cancelled = h.now, true // the module is in the midst of an event
+		a.due.At, a.due.What.cancelled = h.now, true // the module is in the midst of an event
 	}
-	h.dues.push(&a.due)
+	h.dues.Push(&a.due)
 }
 
 // cancel stops waiting for an attempt; the outcome comes with the next tick, for
 // the module is in the middle of an event.
 func (h *hostCore) cancel(j *job, n int) {
-	for _, e := range h.dues.All() { // rare: the module's own time-outs do most
-		d := e.What
-		if d.a != nil && d.a.job == j && d.a.n == n {
-			h.dues.remove(d)
-			d.at, d.cancelled = h.now, true
-			h.dues.push(d)
-			h.eff.cancel(d.a)
+	for _, d := range h.dues.All() { // rare: the module's own time-outs do most
+		if a := d.What.a; a != nil && a.job == j && a.n == n {
+			h.dues.Remove(d)
+			d.At, d.What.cancelled = h.now, true
+			h.dues.Push(d)
+			h.eff.cancel(a)
 			return
 		}
 	}
@@ -328,7 +327,7 @@
 		return
 	}
 	if j.landBy > h.now {
-		h.dues.push(&due{at: j.landBy, j: j})
+		h.dues.Push(&due{At: j.landBy, What: awaited{j: j}})
 		return
 	}
 	j.settled = true
@@ -397,7 +396,7 @@
 
 func (h *hostCore) outcome(a *attempt, r policy.Result, o policy.Outcome) {
 	a.over = true
-	h.dues.remove(&a.due)
+	h.dues.Remove(&a.due)
 	j := a.job
 	j.out--
 	h.tally.outcome(a.node, r, h.nodes)
@@ -407,20 +406,13 @@
 }
 
 // next is when tick has something to do, +Inf if never.
-func (h *hostCore) next() float64 {
-	if d := h.dues.first(); d != nil {
-		return d.at
-	}
-	return math.Inf(1)
-}
+func (h *hostCore) next() float64 { return h.dues.Next() }
 
 // tick does what has come due.
 func (h *hostCore) tick(now float64) {
 	h.at(now)
-	for h.next() <= h.now {
-		d := h.dues.first()
-		h.dues.remove(d)
-		switch {
+	for e := h.dues.Take(h.now); e != nil; e = h.dues.Take(h.now) {
+		switch d := e.What; {
 		case d.a != nil:
 			h.timeOut(d.a, d.cancelled)
 		case d.j != nil:
--- a/gateway/hostcore_test.go
+++ b/gateway/hostcore_test.go
@@ -19,21 +19,21 @@
 	for range 20000 {
 		switch {
 		case len(live) == 0 || rng.IntN(3) > 0:
-			d := &due{at: float64(rng.IntN(50))}
-			h.push(d)
+			d := &due{At: float64(rng.IntN(50))}
+			h.Push(d)
 			live = append(live, d)
 		case rng.IntN(2) == 0:
 			i := rng.IntN(len(live))
-			h.remove(live[i])
-			h.remove(live[i]) // twice does no harm
+			h.Remove(live[i])
+			h.Remove(live[i]) // twice does no harm
 			live = slices.Delete(live, i, i+1)
 		default:
 			// Of equals the first, which was set before the others.
-			want := slices.MinFunc(live, func(a, b *due) int { return int(a.at - b.at) })
-			if got := h.first(); got != want {
-				t.Fatalf("first is due at %v, want %v", got.at, want.at)
+			want := slices.MinFunc(live, func(a, b *due) int { return int(a.At - b.At) })
+			if got := h.First(); got != want {
+				t.Fatalf("first is due at %v, want %v", got.At, want.At)
 			}
-			h.remove(want)
+			h.Remove(want)
 			live = slices.DeleteFunc(live, func(d *due) bool { return d == want })
 		}
 		if len(h.All()) != len(live) {
--- a/gateway/regional.go
+++ b/gateway/regional.go
@@ -81,7 +81,7 @@
 		return
 	}
 	h.eff.leased(r.Until())
-	h.dues.push(&due{at: r.Until(), name: leaseEnd})
+	h.dues.Push(&due{At: r.Until(), What: awaited{name: leaseEnd}})
 	if r.held && r.Known().Term == r.term {
 		return
 	}
--- a/http1/body.go
+++ b/http1/body.go
@@ -109,12 +109,7 @@
 	var b []byte
 	h := head{br: br, left: lim.Head, read: true}
 	for {
-		line, err := h.line("chunk size")
-		if err != nil {
-			return nil, err
-		}
-		digits, _, _ := strings.Cut(line, ";")
-		n, err := chunkSize(strings.TrimRight(digits, " \t"), lim.Body-len(b))
+		n, err := h.chunkSize(lim.Body - len(b))
 		if err != nil {
 			return nil, err
 		}
@@ -125,15 +120,31 @@
 		if b, err = readMore(br, b, n); err != nil {
 			return nil, err
 		}
-		if end, err := h.line("chunk"); err != nil || end != "" {
-			if err == nil {
-				err = &Error{Malformed, "chunk"}
-			}
+		if err := h.chunkEnd(); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// chunkSize reads the line before a chunk, of which at most left bytes may come.
+func (h *head) chunkSize(left int) (int, error) {
+	line, err := h.line("chunk size")
+	if err != nil {
+		return 0, err
+	}
+	digits, _, _ := strings.Cut(line, ";")
+	return chunkSize(strings.TrimRight(digits, " \t"), left)
+}
+
+// chunkEnd reads what ends a chunk's data.
+func (h *head) chunkEnd() error {
+	end, err := h.line("chunk")
+	if err == nil && end != "" {
+		err = &Error{Malformed, "chunk"}
+	}
+	return err
+}
+
 func chunkSize(s string, left int) (int, error) {
 	if s == "" || strings.Trim(s, "0123456789abcdefABCDEF") != "" {
 		return 0, &Error{Malformed, "chunk size"}
@@ -184,19 +195,12 @@
 	}
 	h := head{br: s.br, left: s.lim.Head, read: true}
 	if s.begun {
-		if end, err := h.line("chunk"); err != nil || end != "" {
-			if err == nil {
-				err = &Error{Malformed, "chunk"}
-			}
+		if err := h.chunkEnd(); err != nil {
 			return err
 		}
 	}
-	line, err := h.line("chunk size")
-	if err != nil {
-		return err
-	}
-	digits, _, _ := strings.Cut(line, ";")
-	if s.left, err = chunkSize(strings.TrimRight(digits, " \t"), mostChunk); err != nil {
+	var err error
+	if s.left, err = h.chunkSize(mostChunk); err != nil {
 		return err
 	}
 	if s.begun = true; s.left == 0 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -367,7 +367,6 @@
 		MaxRetryAfterMs float64 `json:"max_retry_after_ms"`
 		DialTimeoutMs   float64 `json:"dial_timeout_ms"`
 		ConnIdleMs      float64 `json:"conn_idle_ms"`
-		MaxOpen         int     `json:"max_open"`
 	}
 	Safety struct {
 		AnswerSlackMs       float64  `json:"answer_slack_ms"`
@@ -405,7 +404,6 @@
 type Bounds struct {
 	DialTimeout float64 // ms within which a connection must be up
 	ConnIdle    float64 // ms after which a disk server closes an idle connection at the latest
-	MaxOpen     int     // requests that one instance may have open
 }
 
 // ParseSettings decodes the settings of an instance, as the first message and the
@@ -415,7 +413,7 @@
 	if err := json.Unmarshal(b, &o); err != nil {
 		return nil, Bounds{}, fmt.Errorf("bad settings: %w", err)
 	}
-	bounds := Bounds{o.Limits.DialTimeoutMs, o.Limits.ConnIdleMs, o.Limits.MaxOpen}
+	bounds := Bounds{o.Limits.DialTimeoutMs, o.Limits.ConnIdleMs}
 	set := &policy.Settings{
 		Hosts: o.Balancers, Self: o.Me, Zone: o.Zone, Tick: o.TickMs,
 		OnRequest: o.Discovery == "on_request", Shards: o.Extra.SlotsTotal,
--- a/scheduler/back.go
+++ b/scheduler/back.go
@@ -35,6 +35,8 @@
 	// idlePart of the time after which disk servers close idle connections is how long
 	// they are kept here: a request that crosses the close would be lost to a reset.
 	idlePart = 0.6
+	// drainPart of the grace of drains is how long what waits for a connection may still go.
+	drainPart = 0.5
 )
 
 // back keeps connections to disk servers, each for one request at a time. Its methods run
@@ -71,6 +73,16 @@
 	heardAt    float64 // when it last answered or took a connection
 }
 
+// next takes out the attempt that has waited longest for a connection, nil if none does.
+func (s *server) next() *attempt {
+	if len(s.waiting) == 0 {
+		return nil
+	}
+	a := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	return a
+}
+
 // link is one connection.
 type link struct {
 	back    *back
@@ -86,8 +98,11 @@
 	down    bool
 }
 
-func newBack(w seam.World, l *loop, dialIn, idle float64, most int, bytes int64) *back {
-	b := &back{world: w, loop: l, dialIn: seam.Duration(dialIn), idle: idle * idlePart, most: most, bytes: bytes, servers: map[string]*server{}}
+// spare tells whether it waits for a request.
+func (l *link) spare() bool { return l.a == nil && !l.resting && !l.down }
+
+func newBack(w seam.World, l *loop, c *Config, most int) *back {
+	b := &back{world: w, loop: l, dialIn: seam.Duration(c.Bounds.DialTimeout), idle: c.Bounds.ConnIdle * idlePart, drain: c.Settings.Rules.DrainGrace * drainPart, most: most, bytes: bytesOf(c), servers: map[string]*server{}}
 	b.ctx, b.stop = context.WithCancel(context.Background())
 	return b
 }
@@ -173,7 +188,7 @@
 	}
 	var oldest *link
 	for _, l := range b.all.All() {
-		if l.a == nil && !l.resting && !l.down && (oldest == nil || l.freeAt < oldest.freeAt) {
+		if l.spare() && (oldest == nil || l.freeAt < oldest.freeAt) {
 			oldest = l
 		}
 	}
@@ -195,9 +210,7 @@
 	s.coming--
 	if err != nil {
 		b.conns--
-		if len(s.waiting) > 0 {
-			a := s.waiting[0]
-			s.waiting = s.waiting[1:]
+		if a := s.next(); a != nil {
 			b.core.lost(at, a, policy.NoConnection)
 		}
 		b.dialFor(s)
@@ -210,9 +223,8 @@
 	s.links++
 	b.all.Add(l)
 	b.tasks.Go(b.world, l.read)
-	if s.gone && len(s.waiting) == 0 || s.dial != addr {
+	if s.dial != addr {
 		b.shut(l)
-		b.dialFor(s)
 		return
 	}
 	b.offer(at, l)
@@ -223,13 +235,9 @@
 	s := l.srv
 	// What waited for its connection past the time to stop must not go any more.
 	for s.barredAt > 0 && at > s.barredAt+b.drain && len(s.waiting) > 0 {
-		a := s.waiting[0]
-		s.waiting = s.waiting[1:]
-		b.core.lost(at, a, policy.NotSent)
+		b.core.lost(at, s.next(), policy.NotSent)
 	}
-	if len(s.waiting) > 0 {
-		a := s.waiting[0]
-		s.waiting = s.waiting[1:]
+	if a := s.next(); a != nil {
 		b.put(l, a)
 		return
 	}
@@ -248,7 +256,7 @@
 	}
 	l.asked.Store(a)
 	c := a.call
-	f := http1.Fields{{Name: "Host", Value: serviceHost}, {Name: "Request-Id", Value: c.id}}
+	f := http1.Fields{{Name: "Host", Value: serviceHost}, {Name: "Request-Id", Value: c.req.ID}}
 	if c.key != "" {
 		f = append(f, http1.Field{Name: "Idempotency-Key", Value: c.key})
 	}
@@ -305,7 +313,7 @@
 // sweep closes connections that have been idle for too long.
 func (b *back) sweep(now float64) {
 	for _, l := range b.all.All() {
-		if l.a == nil && !l.resting && !l.down && now-l.freeAt > b.idle {
+		if l.spare() && now-l.freeAt > b.idle {
 			b.shut(l)
 		}
 	}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -21,7 +21,6 @@
 	Known     List // the disk servers as this scheduler last held them
 	Settings  policy.Settings
 	Bounds    wire.Bounds
-	Writes    []bool // by class of the settings: whether it writes; empty: not told
 }
 
 // Limits are the machine's.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 
 	"merlinhitch/due"
@@ -22,7 +21,7 @@
 // message is what a client sent, as it goes on to disk servers.
 type message struct {
 	method, target string
-	id, key        string // Request-Id, Idempotency-Key
+	key            string // Idempotency-Key
 	body           []byte
 }
 
@@ -99,10 +98,13 @@
 func newCore(born int64, c *Config, eff effects) *core {
 	k := &core{eff: eff, now: epoch, born: born, calls: map[string]*call{}, hosts: map[string]Entry{}, tally: Tally{Reasons: map[string]uint64{}}}
 	k.mod = policy.New(c.Settings, c.Seed)
-	known := c.Known
+	return k
+}
+
+// start tells the module the list from before the start, which may be old.
+func (k *core) start(known List) {
 	known.Whole = true
 	k.list(epoch, known, true)
-	return k
 }
 
 // at moves the clock, which never goes back.
@@ -237,8 +239,7 @@
 	}
 	if r.result == policy.Served && !a.call.ended {
 		k.tally.Served++
-		a.call.ended = true
-		a.call.owner.answer(served, 0, r.body)
+		k.finish(a.call, served, 0, r.body)
 	}
 	k.outcome(a, policy.Outcome{Result: r.result, Use: r.use, FromOthers: r.other})
 }
@@ -263,19 +264,12 @@
 }
 
 // next is when tick has something to do, +Inf if never.
-func (k *core) next() float64 {
-	if d := k.dues.First(); d != nil {
-		return d.At
-	}
-	return math.Inf(1)
-}
+func (k *core) next() float64 { return k.dues.Next() }
 
 // tick does what has come due.
 func (k *core) tick(now float64) {
 	k.at(now)
-	for k.next() <= k.now {
-		d := k.dues.First()
-		k.dues.Remove(d)
+	for d := k.dues.Take(k.now); d != nil; d = k.dues.Take(k.now) {
 		if d.What.a != nil {
 			k.timeOut(d.What.a, d.What.cancelled)
 		} else {
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -36,7 +36,9 @@
 		t.Fatal(err)
 	}
 	p := &played{sent: map[*attempt]bool{}, answers: map[string]int{}}
-	return newCore(1_000_000, c, p), p
+	k := newCore(1_000_000, c, p)
+	k.start(c.Known)
+	return k, p
 }
 
 func (p *played) call(k *core, id, class string, now, left float64) *call {
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -31,7 +31,6 @@
 	mu    sync.Mutex
 	addr  string
 	conn  net.Conn
-	moved seam.Gate // of the present address; open once there is another
 	seq   uint64
 	tasks seam.Group
 	ctx   context.Context
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -135,6 +135,13 @@
 	c.busy, c.since, c.asked = busy, f.loop.now(), true
 }
 
+// open is how many connections clients have, one at least for each call without an answer.
+func (f *front) open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clients.Len()
+}
+
 // eachIdle does something to the connections without a request.
 func (f *front) eachIdle(do func(c *client)) {
 	f.mu.Lock()
@@ -147,23 +154,24 @@
 }
 
 // thin closes what has been idle for long while more than half of the connections that
-// there may be are open, and forgets nothing that came in already.
+// there may be are open.
 func (f *front) thin() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	over := f.clients.Len() - f.most/2
-	if over <= 0 || f.answerBy.Load() != 0 {
+	over := f.open() - f.most/2
+	if over <= 0 || f.leaving() > 0 {
 		return
 	}
 	now := f.loop.now()
-	for _, c := range f.clients.All() {
-		if over > 0 && !c.busy && now-c.since > seam.MS(idleTime) {
+	f.eachIdle(func(c *client) {
+		if over > 0 && now-c.since > seam.MS(idleTime) {
 			c.hurry()
 			over--
 		}
-	}
+	})
 }
 
+// leaving is the time by which all must be answered, 0 while the scheduler stays.
+func (f *front) leaving() float64 { return math.Float64frombits(f.answerBy.Load()) }
+
 // leave has all answered by that time, and keeps until then the connections that clients
 // have: they can't open others here.
 func (f *front) leave(by float64) {
@@ -179,7 +187,7 @@
 // idleUntil is when a connection that is idle from now on is closed.
 func (f *front) idleUntil() time.Time {
 	d := keepTime
-	if by := math.Float64frombits(f.answerBy.Load()); by > 0 {
+	if by := f.leaving(); by > 0 {
 		d = max(d, seam.Duration(by-f.loop.now()))
 	}
 	return f.world.Deadline(d)
@@ -319,7 +327,7 @@
 		c.say(status, true)
 		return false
 	}
-	if by := math.Float64frombits(f.answerBy.Load()); by > 0 {
+	if by := f.leaving(); by > 0 {
 		call.req.Expires = min(call.req.Expires, by)
 	}
 	size := int64(len(r.body))
@@ -341,7 +349,7 @@
 	ok := f.loop.post(at, func(at float64) {
 		if !f.core.take(at, call) {
 			q.close = true
-			c.write(409, true, nil, nil)
+			c.say(409, true)
 			q.done.Open()
 		}
 	})
@@ -425,8 +433,8 @@
 			return nil, 400
 		}
 	}
-	c := &call{message: message{method: r.Method, target: r.Target, id: f.Get("request-id"), key: f.Get("idempotency-key"), body: r.body}}
-	q := policy.Request{ID: c.id, Class: class.Name, Plan: f.Get("x-qos-policy"), Volume: parts[2], Key: parts[3],
+	c := &call{message: message{method: r.Method, target: r.Target, key: f.Get("idempotency-key"), body: r.body}}
+	q := policy.Request{ID: f.Get("request-id"), Class: class.Name, Plan: f.Get("x-qos-policy"), Volume: parts[2], Key: parts[3],
 		Write: write, Repeat: f.Get("client-retry") == "1"}
 	left, err := strconv.ParseFloat(f.Get("request-timeout"), 64)
 	switch {
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -24,7 +24,6 @@
 	drainMargin    = 200.0 // and so long before it all has been answered
 	sweepEvery     = time.Second
 	drainPoll      = 20 * time.Millisecond
-	drainPart      = 0.5 // of the grace of drains, for what waits for a connection
 )
 
 // Parts of the descriptors that clients' and disk servers' connections may take; the rest
@@ -61,11 +60,10 @@
 	s := &Scheduler{world: w, log: log, loop: newLoop(w), grace: graceOf(c)}
 	sockets := max(c.Limits.Sockets, fewSockets)
 	born := w.Deadline(0).UnixMilli() - epoch
-	s.back = newBack(w, s.loop, c.Bounds.DialTimeout, c.Bounds.ConnIdle, int(float64(sockets)*serverPart), bytesOf(c))
-	s.back.drain = c.Settings.Rules.DrainGrace * drainPart
-	s.core = &core{now: epoch} // the back asks it for the time while the first list comes
+	s.back = newBack(w, s.loop, c, int(float64(sockets)*serverPart))
+	s.core = newCore(born, c, s)
 	s.back.core = s.core
-	*s.core = *newCore(born, c, s)
+	s.core.start(c.Known)
 	s.loop.ticked = s.sweep
 	s.front = &front{world: w, loop: s.loop, core: s.core, check: newChecker(&c.Settings), most: int(float64(sockets) * clientPart),
 		bytes: bytesOf(c)}
@@ -83,7 +81,7 @@
 
 func (s *Scheduler) getReady() {
 	seam.Wait(s.world, readyWait, &s.told)
-	if s.front.answerBy.Load() != 0 {
+	if s.front.leaving() > 0 {
 		return // it is to stop already
 	}
 	s.front.ready.Store(true)
@@ -125,7 +123,7 @@
 	seam.Wait(s.world, seam.Duration(from+s.grace-drainAnswer-s.loop.now()), &s.over)
 	s.front.closing.Store(true)
 	s.front.eachIdle((*client).hurry)
-	for s.open() > 0 {
+	for s.front.open() > 0 {
 		seam.Wait(s.world, drainPoll, nil)
 	}
 	s.Close()
@@ -140,13 +138,6 @@
 	return min(longest, longestCounted) + killExtra
 }
 
-// open is how many connections clients have, one at least for each call without an answer.
-func (s *Scheduler) open() int {
-	s.front.mu.Lock()
-	defer s.front.mu.Unlock()
-	return s.front.clients.Len()
-}
-
 // Close ends everything at once and waits for it.
 func (s *Scheduler) Close() {
 	s.watch.close()
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -7,7 +7,6 @@
 package scheduler
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -27,8 +26,7 @@
 	waiting []seam.Parker // who has something to post and finds no room
 	stopped bool
 
-	timer   seam.Timer
-	timerAt float64
+	alarm seam.Alarm
 }
 
 // event is something to do on the loop, at the time at which it happened.
@@ -41,7 +39,7 @@
 const mostMail = 1024
 
 func newLoop(w seam.World) *loop {
-	return &loop{world: w, start: w.Now(), wake: w.NewParker(), timerAt: math.Inf(1)}
+	return &loop{world: w, start: w.Now(), wake: w.NewParker()}
 }
 
 // now is the present time on the core's clock, ms.
@@ -104,28 +102,9 @@
 		}
 		k.tick(l.now())
 		l.ticked()
-		l.arm(k.next())
+		l.alarm.Set(l.world, l.now(), k.next(), l.wake.Unpark)
 	}
-	if l.timer != nil {
-		l.timer.Stop()
-	}
-}
-
-// arm has the loop woken when the core next has something to do.
-func (l *loop) arm(at float64) {
-	now := l.now()
-	if at >= l.timerAt && l.timerAt > now || math.IsInf(at, 1) {
-		return
-	}
-	if l.timer != nil {
-		l.timer.Stop()
-	}
-	l.timerAt = at
-	if at <= now {
-		l.wake.Unpark()
-		return
-	}
-	l.timer = l.world.AfterFunc(seam.Duration(at-now)+time.Microsecond, l.wake.Unpark)
+	l.alarm.Stop()
 }
 
 // stop ends the loop, from another goroutine.
--- a/scheduler/scene_test.go
+++ b/scheduler/scene_test.go
@@ -314,7 +314,7 @@
 		if got := sc.connect().ask(sc.get()); got.status != 200 || got.took > time.Second {
 			t.Error(got)
 		}
-		if n := sc.s.open(); n > sc.s.front.most {
+		if n := sc.s.front.open(); n > sc.s.front.most {
 			t.Errorf("%d connections of %d", n, sc.s.front.most)
 		}
 	})
@@ -397,7 +397,7 @@
 		seam.Wait(sc.w, 5*time.Millisecond, nil)
 		p.conn.Close()
 		seam.Wait(sc.w, 200*time.Millisecond, nil)
-		if n := sc.s.open(); n != 0 {
+		if n := sc.s.front.open(); n != 0 {
 			t.Errorf("%d connections are left", n)
 		}
 		if k := sc.s.core; len(k.calls) != 0 || k.tally.Gone != 1 {
--- a/scheduler/wear_test.go
+++ b/scheduler/wear_test.go
@@ -75,7 +75,7 @@
 		play(t, answering(ok200), func(sc *scene) {
 			b, k := sc.s.back, sc.s.core
 			sc.s.loop.post(sc.s.loop.now(), func(at float64) {
-				c := &call{message: message{method: "GET", target: "/x", id: "i"}, req: policy.Request{ID: "i", Expires: at + 900}, owner: clientOf{&played{answers: map[string]int{}}, "i"}}
+				c := &call{message: message{method: "GET", target: "/x"}, req: policy.Request{ID: "i", Expires: at + 900}, owner: clientOf{&played{answers: map[string]int{}}, "i"}}
 				k.calls["i"] = c
 				c.out = 1
 				a := &attempt{call: c, host: "s0", sentAt: at, until: at + 900}
--- /dev/null
+++ b/standin/door.go
@@ -0,0 +1,49 @@
+package standin
+
+import (
+	"net"
+	"sync"
+
+	"merlinhitch/seam"
+)
+
+// door is a listener and the connections that came in by it, each served on a goroutine
+// of its own until its other end or Close ends it.
+type door struct {
+	Addr  string
+	world seam.World
+	l     net.Listener
+	tasks seam.Group
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// open starts to accept; serve is given each connection and its number, from 0.
+func (d *door) open(w seam.World, l net.Listener, serve func(c net.Conn, n int)) {
+	d.Addr, d.world, d.l = l.Addr().String(), w, l
+	d.tasks.Go(w, func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			n := len(d.conns)
+			d.conns = append(d.conns, c)
+			d.mu.Unlock()
+			d.tasks.Go(w, func() { serve(c, n) })
+		}
+	})
+}
+
+// Close ends the server and its connections.
+func (d *door) Close() {
+	d.l.Close()
+	d.mu.Lock()
+	for _, c := range d.conns {
+		c.Close()
+	}
+	d.mu.Unlock()
+	d.tasks.Wait(d.world)
+}
--- a/standin/http.go
+++ b/standin/http.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"net"
-	"sync"
 	"time"
 
 	"merlinhitch/http1"
@@ -30,15 +29,9 @@
 // HTTPDisk is a disk server that speaks HTTP/1.1, one request at a time on a connection,
 // and answers as it is told, however wrong that is.
 type HTTPDisk struct {
-	Addr  string
-	world seam.World
-	l     net.Listener
-	do    func(HTTPAsk) HTTPAnswer
-	tasks seam.Group
-
-	mu    sync.Mutex
-	conns []net.Conn
-	asks  []HTTPAsk
+	door
+	do   func(HTTPAsk) HTTPAnswer
+	asks []HTTPAsk // under the door's lock
 }
 
 // ServeHTTPDisk starts one.
@@ -47,25 +40,11 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &HTTPDisk{Addr: l.Addr().String(), world: w, l: l, do: do}
-	d.tasks.Go(w, d.accept)
+	d := &HTTPDisk{do: do}
+	d.open(w, l, d.serve)
 	return d, nil
 }
 
-func (d *HTTPDisk) accept() {
-	for {
-		c, err := d.l.Accept()
-		if err != nil {
-			return
-		}
-		d.mu.Lock()
-		n := len(d.conns)
-		d.conns = append(d.conns, c)
-		d.mu.Unlock()
-		d.tasks.Go(d.world, func() { d.serve(c, n) })
-	}
-}
-
 var httpLimits = http1.Limits{Head: 16 << 10, Fields: 64, Body: 64 << 10}
 
 func (d *HTTPDisk) serve(c net.Conn, conn int) {
@@ -107,25 +86,11 @@
 	return append([]HTTPAsk(nil), d.asks...)
 }
 
-// Close ends it and its connections.
-func (d *HTTPDisk) Close() {
-	d.l.Close()
-	d.mu.Lock()
-	for _, c := range d.conns {
-		c.Close()
-	}
-	d.mu.Unlock()
-	d.tasks.Wait(d.world)
-}
-
 // HTTPList is discovery over HTTP/1.1: each watch gets a chunked answer that stays open.
 type HTTPList struct {
-	Addr  string
-	world seam.World
-	l     net.Listener
-	tasks seam.Group
+	door
 
-	mu      sync.Mutex
+	// Under the door's lock.
 	whole   string // the first line of every watch
 	watches []net.Conn
 	targets []string
@@ -137,22 +102,12 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &HTTPList{Addr: l.Addr().String(), world: w, l: l, whole: whole}
-	h.tasks.Go(w, h.accept)
+	h := &HTTPList{whole: whole}
+	h.open(w, l, h.serve)
 	return h, nil
 }
 
-func (h *HTTPList) accept() {
-	for {
-		c, err := h.l.Accept()
-		if err != nil {
-			return
-		}
-		h.tasks.Go(h.world, func() { h.serve(c) })
-	}
-}
-
-func (h *HTTPList) serve(c net.Conn) {
+func (h *HTTPList) serve(c net.Conn, _ int) {
 	r, err := http1.ReadRequest(bufio.NewReader(c), httpLimits)
 	if err != nil {
 		c.Close()
@@ -188,14 +143,3 @@
 	defer h.mu.Unlock()
 	return append([]string(nil), h.targets...)
 }
-
-// Close ends it and its watches.
-func (h *HTTPList) Close() {
-	h.l.Close()
-	h.mu.Lock()
-	for _, c := range h.watches {
-		c.Close()
-	}
-	h.mu.Unlock()
-	h.tasks.Wait(h.world)
-}
--- a/standin/quick.go
+++ b/standin/quick.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"crypto/tls"
 	"net"
-	"sync"
 	"time"
 
 	"merlinhitch/diskproto"
@@ -15,13 +14,8 @@
 // QuickDisk is a disk server without a machine: it answers every read at once, on
 // the goroutine of its connection. It serves measurements of what stands before it.
 type QuickDisk struct {
-	Addr  string
-	world seam.World
-	l     net.Listener
+	door
 	block []byte
-	mu    sync.Mutex
-	conns []net.Conn
-	tasks seam.Group
 }
 
 // ServeQuick starts one that answers with so many bytes, in clear where it has no keys.
@@ -33,27 +27,14 @@
 	if k != nil {
 		l = tls.NewListener(l, k.Server(true))
 	}
-	q := &QuickDisk{Addr: l.Addr().String(), world: w, l: l, block: make([]byte, bytes)}
-	q.tasks.Go(w, q.accept)
+	q := &QuickDisk{block: make([]byte, bytes)}
+	q.open(w, l, q.serve)
 	return q, nil
 }
 
-func (q *QuickDisk) accept() {
-	for {
-		c, err := q.l.Accept()
-		if err != nil {
-			return
-		}
-		q.mu.Lock()
-		q.conns = append(q.conns, c)
-		q.mu.Unlock()
-		q.tasks.Go(q.world, func() { q.serve(c) })
-	}
-}
-
 // serve answers what has come in one write, so that a busy connection costs few
 // calls of the system.
-func (q *QuickDisk) serve(c net.Conn) {
+func (q *QuickDisk) serve(c net.Conn, _ int) {
 	defer c.Close()
 	br := bufio.NewReaderSize(c, 64<<10)
 	r := diskproto.NewReader(br)
@@ -79,14 +60,3 @@
 		out = out[:0]
 	}
 }
-
-// Close ends the server.
-func (q *QuickDisk) Close() {
-	q.l.Close()
-	q.mu.Lock()
-	for _, c := range q.conns {
-		c.Close()
-	}
-	q.mu.Unlock()
-	q.tasks.Wait(q.world)
-}
