The module takes back attempts that have not begun and says by when one must begin

Ruled out: the front noticed the close (the request counted as gone at once); the attempt was decided before it and written when its connection came up.

Lines at fault: finish (ClientGone with an attempt out left it to its host), list (a node told off or restarted kept what waited for it), repeatable (the window was held when decided, not when begun), cold (sends counted when decided).

Change: Withdraw for what is over, told off or restarted; Send.By; sends at a cold node count SendLate longer; Stop has all that is held answered.

--- a/policy/api.go
+++ b/policy/api.go
@@ -113,7 +113,7 @@
 	BudgetShare  float64
 	BudgetSpan   float64
 	// SendLate is how long an attempt may wait at this host once it was decided, ms: for
-	// its connection. 0: it goes at once.
+	// its connection. 0: it goes at once, or whoever carries it out holds no By.
 	SendLate float64
 }
 
@@ -220,6 +220,9 @@
 // ClientGone ends a request from the client's side.
 type ClientGone struct{ ID string }
 
+// Stop says that this host ends: what it holds gets its final answer now.
+type Stop struct{}
+
 // StreamStarted says that the answer to an attempt has begun.
 type StreamStarted struct {
 	ID      string
@@ -248,6 +251,7 @@
 func (Outcome) event()       {}
 func (TimerFired) event()    {}
 func (ClientGone) event()    {}
+func (Stop) event()          {}
 func (Part) event()          {}
 func (Revised) event()       {}
 func (StreamStarted) event() {}
@@ -257,10 +261,18 @@
 // Action is one of the types below that have an action method.
 type Action interface{ action() }
 
-// Send starts an attempt; Until 0 leaves its time-out to the deadline.
+// Send starts an attempt; Until 0 leaves its time-out to the deadline. One that waits for
+// its connection has to begin by By; if it has not, it ends as never sent.
 type Send struct {
-	ID, Node string
-	Until    float64
+	ID, Node  string
+	Until, By float64
+}
+
+// Withdraw takes an attempt back that has not begun, for it waits for its connection still;
+// it ends as never sent. One that has begun goes on.
+type Withdraw struct {
+	ID      string
+	Attempt int
 }
 
 // Refuse is a final answer that promises that trying again is harmless.
@@ -313,6 +325,7 @@
 func (Refuse) action()        {}
 func (Fail) action()          {}
 func (CancelAttempt) action() {}
+func (Withdraw) action()      {}
 func (SetTimer) action()      {}
 func (Subscribe) action()     {}
 func (FetchList) action()     {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -105,11 +105,22 @@
 		}
 	}
 	for _, sh := range p.shards {
+		p.recall(sh)
 		p.assign(sh)
 		p.pump(sh)
 	}
 }
 
+// recall takes back what still waits for its connection to a node that was told off, or has
+// started anew, since it was decided: drains and cold nodes are held to when bytes leave.
+func (p *scheduler) recall(sh *shard) {
+	for _, r := range sh.out {
+		if r.sentTo.toldOff || r.sentTo.coldAt != r.sentCold {
+			p.do(Withdraw{r.ID, r.attempts - 1})
+		}
+	}
+}
+
 func (p *scheduler) resetDepth(sh *shard) {
 	sh.depth = max(p.floor(), 1)
 	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
@@ -311,36 +322,6 @@
 	p.pump(sh)
 }
 
-// release drops what is over from r's chain and files its next request.
-func (p *scheduler) release(r *request) {
-	c := p.chainOf(r)
-	if c == nil {
-		return
-	}
-	if r.done && r.out == 0 && !r.left {
-		r.left = true
-		c.live--
-	}
-	for len(c.members) > 0 && c.members[0].left {
-		c.members = c.members[1:]
-	}
-	if len(c.members) == 0 {
-		if p.now >= c.restTo {
-			delete(p.chains, r.Key)
-		}
-		return
-	}
-	h := c.members[0]
-	if h.done || h.queued || h.out > 0 || h.attempts > 0 {
-		return
-	}
-	if p.now < c.restTo {
-		p.wake(c.restTo, h, nil)
-		return
-	}
-	p.enqueue(h)
-}
-
 // serviceOf is the service time to expect at sh: no less than what the oldest
 // attempt out there has already taken, so a pause or a dead node shows at once.
 func (p *scheduler) serviceOf(sh *shard) float64 {
@@ -568,7 +549,7 @@
 
 // may is the one gate before every send: it holds each rule.
 func (p *scheduler) may(r *request, sh *shard) bool {
-	n, ru := sh.node, &p.s.Rules
+	n := sh.node
 	if r.done || n == nil || n.toldOff {
 		return false
 	}
@@ -592,12 +573,12 @@
 	if !cold {
 		return true
 	}
-	sends, units := n.sends.since(p.now - ru.FallTime - p.s.Tick)
+	sends, units := n.sends.since(p.now - p.fallSpan())
 	if units+r.Units <= budget {
 		return true
 	}
 	if sends > 0 {
-		p.wake(n.sends.oldest()+ru.FallTime+2*p.s.Tick, nil, sh)
+		p.wake(n.sends.oldest()+p.fallSpan()+p.s.Tick, nil, sh)
 		return false
 	}
 	return r.attempts == 0 && r.rank >= p.priceFor(part) && part > 0
@@ -609,7 +590,7 @@
 	case Safe:
 		return true
 	case Keyed:
-		if p.now > r.ranAt+r.class.Window-p.s.Tick-guard {
+		if p.now > p.dropped(r) {
 			return false
 		}
 		switch r.class.Group {
@@ -663,14 +644,33 @@
 		p.resends.add(p.now, 1)
 	}
 	n.sends.add(p.now, r.Units)
-	n.sends.since(p.now - p.s.Rules.FallTime - p.s.Tick)
+	n.sends.since(p.now - p.fallSpan())
 	r.attempts++
 	r.out++
-	r.sentAt, r.sentTo, r.stray = p.now, n, false
+	r.sentAt, r.sentTo, r.sentCold, r.stray = p.now, n, n.coldAt, false
 	sh.out = append(sh.out, r)
-	p.do(Send{ID: r.ID, Node: n.Addr, Until: p.until(r, sh)})
+	p.do(Send{ID: r.ID, Node: n.Addr, Until: p.until(r, sh), By: p.by(r)})
 }
 
+// by is when an attempt has to have begun that may wait for its connection: what was counted
+// as sent now is not to pass much later, and no repeat goes when none is dropped any more.
+func (p *scheduler) by(r *request) float64 {
+	by := math.Inf(1)
+	if late := p.s.Rules.SendLate; late > 0 {
+		by = p.now + late
+	}
+	if r.ran && r.class.Effect == Keyed {
+		by = min(by, p.dropped(r))
+	}
+	return by
+}
+
+// dropped is until when repeats of r, which may have run, are surely dropped.
+func (p *scheduler) dropped(r *request) float64 { return r.ranAt + r.class.Window - p.s.Tick - guard }
+
+// fallSpan is how long ago an attempt may have been decided that still counts at a cold node.
+func (p *scheduler) fallSpan() float64 { return p.s.Rules.FallTime + p.s.Rules.SendLate + p.s.Tick }
+
 // until is when to give an attempt up that may be repeated: an answer lost on its
 // way, or a process that hangs, would else hold depth until the client leaves,
 // and make the node look as slow. Where only this node is slow it costs work.
--- a/policy/state.go
+++ b/policy/state.go
@@ -27,7 +27,8 @@
 	out      int
 	sentAt   float64
 	sentTo   *node
-	ran      bool // an attempt may have run, first sent at ranAt to ranNode
+	sentCold float64 // the node's coldAt then
+	ran      bool    // an attempt may have run, first sent at ranAt to ranNode
 	ranAt    float64
 	ranNode  *node
 	queued   bool // in the shard's main queue, retries or parked
@@ -617,6 +618,12 @@
 		if r := p.reqs[ev.ID]; r != nil {
 			p.finish(r)
 		}
+	case Stop:
+		for _, id := range slices.Sorted(maps.Keys(p.reqs)) {
+			if r := p.reqs[id]; r != nil && !r.done {
+				p.end(r)
+			}
+		}
 	case TimerFired:
 		if ev.Name == "second" {
 			p.second()
@@ -635,10 +642,42 @@
 	if r.out == 0 {
 		delete(p.reqs, r.ID)
 		p.stale++
+	} else {
+		p.do(Withdraw{r.ID, r.attempts - 1}) // nothing begins for what is over
 	}
 	p.release(r)
 }
 
+// release drops what is over from r's chain and files its next request.
+func (p *scheduler) release(r *request) {
+	c := p.chainOf(r)
+	if c == nil {
+		return
+	}
+	if r.done && r.out == 0 && !r.left {
+		r.left = true
+		c.live--
+	}
+	for len(c.members) > 0 && c.members[0].left {
+		c.members = c.members[1:]
+	}
+	if len(c.members) == 0 {
+		if p.now >= c.restTo {
+			delete(p.chains, r.Key)
+		}
+		return
+	}
+	h := c.members[0]
+	if h.done || h.queued || h.out > 0 || h.attempts > 0 {
+		return
+	}
+	if p.now < c.restTo {
+		p.wake(c.restTo, h, nil)
+		return
+	}
+	p.enqueue(h)
+}
+
 // repart gives a volume another part of what its plan has.
 func (p *scheduler) repart(e Part) {
 	v := p.vols[e.Volume]
--- /dev/null
+++ b/scheduler/staleness_test.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"merlinhitch/seam"
+	"merlinhitch/standin"
+)
+
+// Ages at which connections break are avoided, others are not, and they are tried again.
+func TestAgesThatBreakAreAvoided(t *testing.T) {
+	var w staleness
+	for i := range 10 {
+		now := float64(i)
+		w.saw(now, 20, false)
+		w.saw(now, 300, i%2 == 0)
+	}
+	if w.stale(10, 20) || !w.stale(10, 300) || w.stale(10, 100_000) || w.stale(10, 0) {
+		t.Errorf("%+v", w.ages)
+	}
+	if w.stale(10+5*ageSpan, 300) {
+		t.Error("never tried again")
+	}
+}
+
+// A disk server that drops connections which were idle for 100 ms, and says so only to the
+// next request, costs few attempts.
+func TestConnectionsDroppedWithoutAWord(t *testing.T) {
+	last := map[int]time.Duration{}
+	do := func(a standin.HTTPAsk) standin.HTTPAnswer {
+		idle := a.At - last[a.Conn]
+		if last[a.Conn] = a.At; a.Nth > 0 && idle > 100*time.Millisecond {
+			return standin.HTTPAnswer{Close: true}
+		}
+		return standin.HTTPAnswer{Raw: []byte(ok200)}
+	}
+	play(t, do, func(sc *scene) {
+		p := sc.connect()
+		for range 100 {
+			if got := p.ask(sc.get()); got.status != 200 {
+				t.Error(got)
+			}
+			seam.Wait(sc.w, 150*time.Millisecond, nil)
+		}
+		if n := sc.s.core.counters.Resends; n > 10 {
+			t.Errorf("%d of 100 were sent again", n)
+		}
+	})
+}
+
+// An answer larger than requests may be is passed on whole, to the bound of answers.
+func TestLargeAnswers(t *testing.T) {
+	body := make([]byte, 400_000)
+	for i := range body {
+		body[i] = 'a' + byte(i%26)
+	}
+	raw := "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + string(body)
+	play(t, answering(raw), func(sc *scene) {
+		got := sc.connect().ask(sc.get())
+		if got.status != 200 || got.body != string(body) {
+			t.Error(got.status, len(got.body))
+		}
+		if b := sc.s.back; b.held.Load() != 0 || sc.s.front.queued.Load() != 0 {
+			t.Errorf("%d and %d bytes are still counted", b.held.Load(), sc.s.front.queued.Load())
+		}
+	})
+}
--- /dev/null
+++ b/seam/stream.go
@@ -0,0 +1,56 @@
+package seam
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+)
+
+// ErrNothing says that nothing has come on a connection that was not read already.
+var ErrNothing = errors.New("nothing has come")
+
+// ReadNow reads what has come on a stream and waits for nothing: ErrNothing where nothing
+// has, io.EOF where its other end has closed. Nobody else reads the stream meanwhile, and
+// its deadline for reading is not over.
+func ReadNow(c net.Conn, b []byte) (int, error) {
+	switch c := c.(type) {
+	case interface{ ReadNow(b []byte) (int, error) }:
+		return c.ReadNow(b)
+	case syscall.Conn:
+		return readNow(c, b)
+	}
+	return 0, ErrNothing
+}
+
+func readNow(c syscall.Conn, b []byte) (n int, fault error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		n, fault = syscall.Read(int(fd), b)
+		for fault == syscall.EINTR {
+			n, fault = syscall.Read(int(fd), b)
+		}
+		return true // whatever it was: never wait
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case fault == syscall.EAGAIN:
+		return 0, ErrNothing
+	case fault != nil:
+		return 0, fault
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// CloseWrite ends what this side sends and leaves the stream open for what comes. It tells
+// whether the stream can do that.
+func CloseWrite(c net.Conn) bool {
+	half, ok := c.(interface{ CloseWrite() error })
+	return ok && half.CloseWrite() == nil
+}
