Streams: bodies up to the close, half-closes, a look at what has come without waiting

Bodies ask for room before they are held. An outbox can leave the closing of its connection to the owner.

--- a/http1/body.go
+++ b/http1/body.go
@@ -69,25 +69,49 @@
 }
 
 // ReadBody reads a body that fr frames. One that lasts to the close of the connection is
-// not read: nothing would tell that it is whole.
+// whole where the stream ends cleanly (RFC 9112, section 6.3): a reset is no end.
 func ReadBody(br *bufio.Reader, fr Framing, lim Limits) ([]byte, error) {
 	switch {
 	case fr.ToClose:
-		return nil, &Error{Unsupported, "body up to the close"}
+		return readToClose(br, lim)
 	case fr.Chunked:
 		return readChunks(br, lim)
 	}
-	return readMore(br, nil, fr.Length)
+	return readMore(br, nil, fr.Length, lim)
+}
+
+func readToClose(br *bufio.Reader, lim Limits) (b []byte, err error) {
+	for {
+		if len(b) == cap(b) {
+			n := len(b)
+			if b, err = lim.grow(b, step); err != nil {
+				return nil, err
+			}
+			b = b[: n : n+step]
+		}
+		n, err := br.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case len(b) > lim.Body:
+			return nil, &Error{TooLarge, "body"}
+		case err == io.EOF:
+			return b, nil
+		case err != nil:
+			return nil, err
+		}
+	}
 }
 
 // step is how much room is made at a time: what a peer only promises takes none.
 const step = 4 << 10
 
-func readMore(br *bufio.Reader, b []byte, n int) ([]byte, error) {
+func readMore(br *bufio.Reader, b []byte, n int, lim Limits) (_ []byte, err error) {
 	for n > 0 {
 		k := min(n, step)
 		at := len(b)
-		b = append(b, make([]byte, k)...)
+		if b, err = lim.grow(b, k); err != nil {
+			return nil, err
+		}
 		if _, err := io.ReadFull(br, b[at:]); err != nil {
 			return nil, cut(err)
 		}
@@ -96,6 +120,14 @@
 	return b, nil
 }
 
+// grow makes room for n more bytes of a body.
+func (lim Limits) grow(b []byte, n int) ([]byte, error) {
+	if lim.Room != nil && !lim.Room(n) {
+		return nil, &Error{TooLarge, "bodies held"}
+	}
+	return append(b, make([]byte, n)...), nil
+}
+
 // cut is err within a message.
 func cut(err error) error {
 	if err == io.EOF {
@@ -117,7 +149,7 @@
 			_, err := h.fields(lim.Fields)
 			return b, err
 		}
-		if b, err = readMore(br, b, n); err != nil {
+		if b, err = readMore(br, b, n, lim); err != nil {
 			return nil, err
 		}
 		if err := h.chunkEnd(); err != nil {
--- a/outbox/outbox.go
+++ b/outbox/outbox.go
@@ -19,6 +19,10 @@
 	// Idle, if set before the first Put, is called from the outbox's goroutine each
 	// time that all was written.
 	Idle func()
+	// HalfClose, if set before the first Put, leaves a connection that was finished open
+	// for what its other end still sends: only what is sent from here ends. Who set it
+	// closes the connection after Wait.
+	HalfClose bool
 
 	world   seam.World
 	conn    net.Conn
@@ -79,8 +83,8 @@
 	}
 }
 
-// Finish takes nothing more, writes what waits and closes the connection. It does
-// not wait for that; Wait does.
+// Finish takes nothing more, writes what waits and closes the connection, or its sending
+// half. It does not wait for that; Wait does.
 func (o *Outbox) Finish() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -101,7 +105,7 @@
 	o.wake.Unpark()
 }
 
-// Wait returns once the goroutine has ended and the connection is closed.
+// Wait returns once the goroutine has ended and the connection, or its half, is closed.
 func (o *Outbox) Wait() { o.drained.Wait(o.world) }
 
 func (o *Outbox) empty() bool {
@@ -110,9 +114,19 @@
 	return len(o.buf) == 0 && !o.closed
 }
 
+// end closes the connection, or the half of it that is this outbox's.
+func (o *Outbox) end() {
+	o.mu.Lock()
+	cut := o.cut
+	o.mu.Unlock()
+	if cut || !o.HalfClose || !seam.CloseWrite(o.conn) {
+		o.conn.Close()
+	}
+}
+
 func (o *Outbox) run() {
 	defer o.drained.Open()
-	defer o.conn.Close()
+	defer o.end()
 	var out []byte
 	for {
 		o.mu.Lock()
--- a/seam/stream.go
+++ b/seam/stream.go
@@ -48,6 +48,41 @@
 	return n, nil
 }
 
+// Readable waits until bytes have come on a stream, which it leaves there: nil. The error is
+// the stream's end, io.EOF where the other end has closed, or a deadline for reading.
+func Readable(c net.Conn) error {
+	switch c := c.(type) {
+	case interface{ Readable() error }:
+		return c.Readable()
+	case syscall.Conn:
+		return readable(c)
+	}
+	return ErrNothing
+}
+
+func readable(c syscall.Conn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var n int
+	var fault error
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, fault = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return fault != syscall.EAGAIN && fault != syscall.EINTR
+	})
+	switch {
+	case err != nil:
+		return err
+	case fault != nil:
+		return fault
+	case n == 0:
+		return io.EOF
+	}
+	return nil
+}
+
 // CloseWrite ends what this side sends and leaves the stream open for what comes. It tells
 // whether the stream can do that.
 func CloseWrite(c net.Conn) bool {
