--- a/cmd/merlinhitch/scheduler.go
+++ b/cmd/merlinhitch/scheduler.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"go.uber.org/zap"
@@ -45,18 +46,35 @@
 		return err
 	}
 	log.Info("listening", zap.String("address", conf.Listen), zap.Int("memory_mb", conf.Limits.MemoryMB), zap.Int("sockets", conf.Limits.Sockets), zap.Float64("cores", conf.Limits.Cores))
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
+	ended := make(chan struct{})
+	drain := sync.OnceFunc(func() {
+		go func() {
+			defer close(ended)
 			s.Drain()
+		}()
+	})
+	for {
+		select {
+		case <-ended:
 			return nil
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				c.reload(s, log)
+			} else {
+				drain()
+			}
 		}
-		if conf, err = c.read(); err != nil {
-			log.Error("the new configuration is not taken", zap.Error(err))
-			continue
-		}
-		s.Reload(conf)
 	}
-	return nil
+}
+
+// reload reads the configuration again; one with a fault changes nothing.
+func (c *schedulerCmd) reload(s *scheduler.Scheduler, log *zap.Logger) {
+	conf, err := c.read()
+	if err != nil {
+		log.Error("the new configuration is not taken", zap.Error(err))
+		return
+	}
+	s.Reload(conf)
 }
 
 func (c *schedulerCmd) read() (*scheduler.Config, error) {
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -9,6 +9,7 @@
 
 	"merlinhitch/internal/wire"
 	"merlinhitch/policy"
+	"merlinhitch/seam"
 )
 
 // Config is what a scheduler is told at its start, and again at a reload.
@@ -98,9 +99,21 @@
 		return nil, atPath("settings", err)
 	}
 	c.Settings, c.Bounds = *set, bounds
+	c.Settings.Rules.SendLate = lateOf(bounds)
 	return c, c.check()
 }
 
+// lateMargin is how much later than its connection may be up, ms, an attempt may begin.
+const lateMargin = 50.0
+
+// lateOf is how long an attempt may wait for its connection.
+func lateOf(b wire.Bounds) float64 {
+	if b.DialTimeout > 0 {
+		return b.DialTimeout + lateMargin
+	}
+	return seam.MS(usualDial) + lateMargin
+}
+
 func orElse(s, other string) string {
 	if s == "" {
 		return other
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"merlinhitch/due"
@@ -31,6 +32,7 @@
 	req   policy.Request
 	owner answerer
 	sends int
+	last  *attempt // the one sent last
 	out   int
 	ended bool
 }
@@ -41,13 +43,16 @@
 	answer(h how, after float64, body []byte)
 }
 
-// attempt is one sending of a call. Its link is the back's.
+// attempt is one sending of a call: it waits for its connection, has begun on it, or is
+// over. Its link is the back's.
 type attempt struct {
 	call   *call
 	n      int
 	host   string
 	sentAt float64
-	until  float64
+	by     float64 // it has to have begun by then
+	until  float64 // its answer is awaited until then
+	begun  bool
 	over   bool
 	link   *link
 	due    due.Entry[pending]
@@ -72,19 +77,19 @@
 // core owns the module's instance and all that the module was told and has said. It is
 // given times and events and does no I/O. Times are in ms on the module's clock.
 type core struct {
-	mod   policy.Scheduler
-	eff   effects
-	now   float64
-	born  int64 // Unix time, ms, of the clock's zero
-	calls map[string]*call
-	past  ring
-	dues  due.Heap[pending]
-	hosts map[string]Entry
-	tally Tally
-}
-
-// Tally counts what a core did since its start.
-type Tally struct {
+	mod      policy.Scheduler
+	eff      effects
+	now      float64
+	born     int64 // Unix time, ms, of the clock's zero
+	calls    map[string]*call
+	past     ring
+	dues     due.Heap[pending]
+	hosts    map[string]Entry
+	counters Counters
+}
+
+// Counters count what a core did since its start.
+type Counters struct {
 	Taken, Served, Refused, Failed, Gone uint64
 	Sends, Resends                       uint64
 	Outcomes                             [policy.NotSent + 1]uint64 // by policy.Result
@@ -96,7 +101,7 @@
 const epoch = 3_600_000
 
 func newCore(born int64, c *Config, eff effects) *core {
-	k := &core{eff: eff, now: epoch, born: born, calls: map[string]*call{}, hosts: map[string]Entry{}, tally: Tally{Reasons: map[string]uint64{}}}
+	k := &core{eff: eff, now: epoch, born: born, calls: map[string]*call{}, hosts: map[string]Entry{}, counters: Counters{Reasons: map[string]uint64{}}}
 	k.mod = policy.New(c.Settings, c.Seed)
 	return k
 }
@@ -126,7 +131,13 @@
 	case policy.Fail:
 		k.end(a.ID, failed, 0, a.Why)
 	case policy.CancelAttempt:
-		k.cancel(a)
+		if x := k.attempt(a.ID, a.Attempt); x != nil {
+			k.cancel(x)
+		}
+	case policy.Withdraw:
+		if x := k.attempt(a.ID, a.Attempt); x != nil && !x.begun {
+			k.cancel(x)
+		}
 	case policy.SetTimer:
 		k.dues.Push(&due.Entry[pending]{At: k.now + a.Delay, What: pending{timer: a.Name}})
 	case policy.CloseIdle:
@@ -145,7 +156,7 @@
 	}
 	k.calls[c.req.ID] = c
 	k.past.add(c.req.ID)
-	k.tally.Taken++
+	k.counters.Taken++
 	k.tell(c.req)
 	return true
 }
@@ -156,31 +167,62 @@
 		k.eff.note("send for a request that is over: " + s.ID)
 		return
 	}
-	a := &attempt{call: c, n: c.sends, host: s.Node, sentAt: k.now, until: c.req.Expires}
+	a := &attempt{call: c, n: c.sends, host: s.Node, sentAt: k.now, by: math.Inf(1), until: c.req.Expires}
 	if s.Until > 0 {
 		a.until = min(a.until, s.Until)
 	}
+	if s.By > 0 {
+		a.by = s.By
+	}
 	c.sends++
 	c.out++
-	k.tally.Sends++
+	c.last = a
+	k.counters.Sends++
 	if a.n > 0 {
-		k.tally.Resends++
+		k.counters.Resends++
 	}
-	a.due = due.Entry[pending]{At: a.until, What: pending{a: a}}
+	a.due = due.Entry[pending]{At: min(a.by, a.until), What: pending{a: a}}
 	k.dues.Push(&a.due)
 	k.eff.send(a)
 }
 
+// begin tells whether an attempt may begin now that it has a connection, and takes it as
+// begun. What may not ends as never sent.
+func (k *core) begin(now float64, a *attempt) bool {
+	k.at(now)
+	if a.over || a.due.What.cancelled {
+		return false
+	}
+	if k.now > a.by || k.now >= a.until {
+		k.cancel(a)
+		return false
+	}
+	a.begun = true
+	k.rearm(a, a.until)
+	return true
+}
+
+func (k *core) rearm(a *attempt, at float64) {
+	k.dues.Remove(&a.due)
+	a.due.At = at
+	k.dues.Push(&a.due)
+}
+
+// attempt is the one of that number that is out, nil if there is none.
+func (k *core) attempt(id string, n int) *attempt {
+	c := k.calls[id]
+	if c == nil || c.last == nil || c.last.n != n || c.last.over {
+		return nil
+	}
+	return c.last
+}
+
 // cancel stops waiting for an attempt; its outcome comes with the next tick, for the
 // module is in the midst of an event.
-func (k *core) cancel(x policy.CancelAttempt) {
-	for _, d := range k.dues.All() {
-		if a := d.What.a; a != nil && a.call.req.ID == x.ID && a.n == x.Attempt {
-			k.dues.Remove(d)
-			d.At, d.What.cancelled = k.now, true
-			k.dues.Push(d)
-			return
-		}
+func (k *core) cancel(a *attempt) {
+	if !a.over {
+		a.due.What.cancelled = true
+		k.rearm(a, k.now)
 	}
 }
 
@@ -190,11 +232,11 @@
 	if c == nil || c.ended {
 		return
 	}
-	k.tally.Reasons[why.String()]++
+	k.counters.Reasons[why.String()]++
 	if h == refused {
-		k.tally.Refused++
+		k.counters.Refused++
 	} else {
-		k.tally.Failed++
+		k.counters.Failed++
 	}
 	k.finish(c, h, after, nil)
 }
@@ -218,11 +260,17 @@
 		return
 	}
 	c.ended = true
-	k.tally.Gone++
+	k.counters.Gone++
 	k.tell(policy.ClientGone{ID: c.req.ID})
 	k.tidy(c)
 }
 
+// stop has all that is open answered now.
+func (k *core) stop(now float64) {
+	k.at(now)
+	k.tell(policy.Stop{})
+}
+
 // reply is what a disk server answered.
 type reply struct {
 	result     policy.Result
@@ -238,7 +286,7 @@
 		return
 	}
 	if r.result == policy.Served && !a.call.ended {
-		k.tally.Served++
+		k.counters.Served++
 		k.finish(a.call, served, 0, r.body)
 	}
 	k.outcome(a, policy.Outcome{Result: r.result, Use: r.use, FromOthers: r.other})
@@ -257,7 +305,7 @@
 	k.dues.Remove(&a.due)
 	c := a.call
 	c.out--
-	k.tally.Outcomes[o.Result]++
+	k.counters.Outcomes[o.Result]++
 	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed = c.req.ID, a.host, a.n, c.ended, k.now-a.sentAt
 	k.tell(o)
 	k.tidy(c)
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -2,8 +2,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -14,15 +14,22 @@
 )
 
 const (
-	watchPath = "/discovery/hosts"
-	// An open watch says something every 2 s; one that said nothing for so long is asked anew.
-	watchSilence = 5 * time.Second
-	watchDial    = time.Second
-	watchPause   = 100 * time.Millisecond
-	watchLine    = 1 << 20 // bytes of one message, at most
+	listPath = "/discovery/hosts"
+	// An open watch says something every 2 s: a message, or an empty line. One that has
+	// said neither for so long has fallen silent and is opened anew; what is missed counts
+	// as told 6 s after the silence began, so that one more may fall silent. Discovery
+	// answers at once, if at all.
+	watchSilence = 2700 * time.Millisecond
+	watchAnswer  = 400 * time.Millisecond
+	// A watch that ended is followed by the next after a pause, twice as long each time
+	// that nothing came of it.
+	watchPause     = 50 * time.Millisecond
+	watchPauseMost = 200 * time.Millisecond
+	mostMessage    = 1 << 20 // bytes
 )
 
-// watch follows discovery: one connection at a time, each from the version held on.
+// watch follows discovery: one connection at a time, each from the version held on. After
+// a message that could not be read it fetches the whole list first.
 type watch struct {
 	world seam.World
 	told  func(List)
@@ -31,14 +38,16 @@
 	mu    sync.Mutex
 	addr  string
 	conn  net.Conn
-	seq   uint64
+	seq   uint64 // its goroutine's, as whole is
+	whole bool   // what is held may lack something
+	pause time.Duration
 	tasks seam.Group
 	ctx   context.Context
 	stop  context.CancelFunc
 }
 
 func newWatch(w seam.World, addr string, seq uint64, told func(List), note func(string, error)) *watch {
-	d := &watch{world: w, told: told, note: note, addr: addr, seq: seq}
+	d := &watch{world: w, told: told, note: note, addr: addr, seq: seq, pause: watchPause}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.tasks.Go(w, d.run)
 	return d
@@ -72,15 +81,34 @@
 		d.mu.Lock()
 		addr := d.addr
 		d.mu.Unlock()
-		err := d.once(addr)
+		var err error
+		if d.whole {
+			err = d.fetch(addr)
+		}
+		if err == nil {
+			err = d.follow(addr)
+		}
 		if d.ctx.Err() != nil {
 			return
 		}
+		d.whole = d.whole || isUnreadable(err)
 		d.note("watch ended", err)
-		seam.Pause(d.ctx, d.world, watchPause)
+		seam.Pause(d.ctx, d.world, d.pause)
+		d.pause = min(2*d.pause, watchPauseMost)
 	}
 }
 
+// unreadable is a message of discovery that says nothing that can be taken.
+type unreadable struct{ err error }
+
+func (e *unreadable) Error() string { return "discovery: " + e.err.Error() }
+func (e *unreadable) Unwrap() error { return e.err }
+
+func isUnreadable(err error) bool {
+	var e *unreadable
+	return errors.As(err, &e)
+}
+
 // hold keeps conn to be closed by a move; false if there was one already.
 func (d *watch) hold(addr string, conn net.Conn) bool {
 	d.mu.Lock()
@@ -89,9 +117,10 @@
 	return d.addr == addr && d.ctx.Err() == nil
 }
 
-// once holds one watch until it ends.
-func (d *watch) once(addr string) error {
-	conn, err := d.world.Dial(d.ctx, "tcp", addr, watchDial)
+// ask sends a request and reads the head of its answer; what comes of it is read from the
+// stream, until use returns.
+func (d *watch) ask(addr, target string, use func(net.Conn, *http1.Stream) error) error {
+	conn, err := d.world.Dial(d.ctx, "tcp", addr, watchAnswer)
 	if err != nil {
 		return err
 	}
@@ -99,8 +128,7 @@
 	if !d.hold(addr, conn) {
 		return nil
 	}
-	conn.SetDeadline(d.world.Deadline(watchSilence))
-	target := fmt.Sprintf("%s?stream=1&index=%d", watchPath, d.seq)
+	conn.SetDeadline(d.world.Deadline(watchAnswer))
 	if _, err := conn.Write(http1.AppendRequest(nil, "GET", target, http1.Fields{{Name: "Host", Value: addr}}, nil)); err != nil {
 		return err
 	}
@@ -112,47 +140,83 @@
 	if m.Status != 200 {
 		return fmt.Errorf("discovery answered %d", m.Status)
 	}
-	fr, err := m.Framing(http1.Limits{Body: watchLine})
+	fr, err := m.Framing(http1.Limits{Body: mostMessage})
 	if err != nil {
 		return err
 	}
-	return d.follow(conn, http1.NewStream(in, fr, messageLimits))
+	conn.SetReadDeadline(d.world.Deadline(watchSilence))
+	return use(conn, http1.NewStream(in, fr, messageLimits))
 }
 
-// follow reads messages, one a line.
-func (d *watch) follow(conn net.Conn, s *http1.Stream) error {
-	var line []byte
-	for {
-		conn.SetReadDeadline(d.world.Deadline(watchSilence))
-		b, err := s.Next()
-		if err != nil {
-			return err
-		}
-		for len(b) > 0 {
-			part, rest, whole := bytes.Cut(b, []byte("\n"))
-			if line = append(line, part...); len(line) > watchLine {
-				return &http1.Error{Kind: http1.TooLarge, Part: "watch"}
+// fetch brings the whole list.
+func (d *watch) fetch(addr string) error {
+	return d.ask(addr, listPath, func(_ net.Conn, s *http1.Stream) error {
+		var m messages
+		for {
+			b, err := s.Next()
+			if err != nil {
+				return err // before a whole message came
 			}
-			if b = rest; !whole {
-				break
+			for len(b) > 0 {
+				n, what, err := m.next(b)
+				if err != nil {
+					return err
+				}
+				if b = b[n:]; what == gotMessage {
+					return d.message(m.take(), true)
+				}
 			}
-			if err := d.message(bytes.TrimSpace(line)); err != nil {
+		}
+	})
+}
+
+// follow holds one watch until it ends.
+func (d *watch) follow(addr string) error {
+	target := fmt.Sprintf("%s?stream=1&index=%d", listPath, d.seq)
+	return d.ask(addr, target, func(conn net.Conn, s *http1.Stream) error {
+		var m messages
+		heard := false
+		for {
+			b, err := s.Next()
+			if err != nil {
 				return err
 			}
-			line = line[:0]
+			for len(b) > 0 {
+				n, what, err := m.next(b)
+				if err != nil {
+					return err
+				}
+				if b = b[n:]; what == gotPart {
+					continue // half a message is no sign of life
+				}
+				conn.SetReadDeadline(d.world.Deadline(watchSilence))
+				if what == gotMessage {
+					err = d.message(m.take(), false)
+				} else if !heard {
+					d.told(List{Seq: d.seq}) // nothing has changed
+				}
+				if err != nil {
+					return err
+				}
+				heard, d.pause = true, watchPause
+			}
 		}
-	}
+	})
 }
 
-func (d *watch) message(line []byte) error {
-	if len(line) == 0 {
-		return nil
-	}
-	l, err := parseList(line)
+// message takes a message. One that goes back in the versions leaves open what is missing.
+func (d *watch) message(b []byte, fetched bool) error {
+	l, err := parseList(b)
 	if err != nil {
-		return err
+		return &unreadable{err}
+	}
+	if fetched && !l.Whole {
+		return &unreadable{errors.New("the list is not whole")}
+	}
+	if !l.Whole && l.Seq < d.seq {
+		return &unreadable{fmt.Errorf("version %d after %d", l.Seq, d.seq)}
 	}
-	d.seq = l.Seq
+	d.seq, d.whole = l.Seq, d.whole && !l.Whole
 	d.told(l)
 	return nil
 }
--- /dev/null
+++ b/scheduler/discovery_test.go
@@ -0,0 +1,309 @@
+package scheduler
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"merlinhitch/http1"
+	"merlinhitch/seam"
+	"merlinhitch/world"
+)
+
+// agent is discovery that does with each connection what a test says.
+type agent struct {
+	w       seam.World
+	l       net.Listener
+	tasks   seam.Group
+	conns   []net.Conn
+	targets []string
+	times   []time.Duration
+	do      func(n int, target string, c net.Conn)
+}
+
+func serveAgent(w seam.World, do func(n int, target string, c net.Conn)) *agent {
+	l, err := w.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	a := &agent{w: w, l: l, do: do}
+	a.tasks.Go(w, func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := len(a.conns)
+			a.conns = append(a.conns, c)
+			a.tasks.Go(w, func() { a.serve(n, c) })
+		}
+	})
+	return a
+}
+
+func (a *agent) serve(n int, c net.Conn) {
+	r, err := http1.ReadRequest(bufio.NewReader(c), messageLimits)
+	if err != nil {
+		return
+	}
+	a.targets = append(a.targets, r.Target)
+	a.times = append(a.times, a.w.Now())
+	a.do(n, r.Target, c)
+}
+
+func (a *agent) close() {
+	a.l.Close()
+	for _, c := range a.conns {
+		c.Close()
+	}
+	a.tasks.Wait(a.w)
+}
+
+const watchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunkOf(s string) []byte { return fmt.Appendf(nil, "%x\r\n%s\r\n", len(s), s) }
+
+// told is what a watch told, and when.
+type told struct {
+	lists []List
+	at    []time.Duration
+}
+
+func (t *told) last() time.Duration {
+	if len(t.at) == 0 {
+		return 0
+	}
+	return t.at[len(t.at)-1]
+}
+
+// watching plays f on a watch of an agent, in a virtual world.
+func watching(t *testing.T, do func(n int, target string, c net.Conn), f func(w seam.World, d *watch, got *told, a *agent)) {
+	t.Helper()
+	v := world.New(1)
+	err := v.Run("n0", 10*time.Minute, func(p *world.Process) {
+		a := serveAgent(p, do)
+		got := &told{}
+		d := newWatch(p, a.l.Addr().String(), 7, func(l List) {
+			got.lists = append(got.lists, l)
+			got.at = append(got.at, p.Now())
+		}, func(string, error) {})
+		f(p, d, got, a)
+		d.close()
+		a.close()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func diff(seq int) string { return fmt.Sprintf(`{"seq":%d,"whole":false,"hosts":[]}`, seq) }
+
+// What a silent watch misses is known within 6 s of when it fell silent, whatever the next
+// one meets.
+func TestASilentWatchIsLeftInTime(t *testing.T) {
+	// Each is what the second watch meets; the first falls silent at once, the third works.
+	for name, second := range map[string]func(w seam.World, c net.Conn){
+		"works":          nil,
+		"says nothing":   func(seam.World, net.Conn) {},
+		"a head alone":   func(_ seam.World, c net.Conn) { c.Write([]byte(watchHead)) },
+		"is closed":      func(_ seam.World, c net.Conn) { c.Close() },
+		"is no HTTP":     func(_ seam.World, c net.Conn) { c.Write([]byte("nonsense\r\n\r\n")) },
+		"answers 503":    func(_ seam.World, c net.Conn) { c.Write([]byte("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")) },
+		"is half a head": func(_ seam.World, c net.Conn) { c.Write([]byte(watchHead[:20])) },
+		"drips": func(w seam.World, c net.Conn) { // bytes that are no line are no sign of life
+			c.Write([]byte(watchHead))
+			for range 100 {
+				if _, err := c.Write(chunkOf(" ")); err != nil {
+					return
+				}
+				seam.Wait(w, 500*time.Millisecond, nil)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var w seam.World
+			silentAt := time.Duration(0)
+			do := func(n int, _ string, c net.Conn) {
+				switch {
+				case n == 0:
+					c.Write([]byte(watchHead))
+					c.Write(chunkOf(diff(7) + "\n"))
+					silentAt = w.Now()
+				case n == 1 && second != nil:
+					second(w, c)
+				default:
+					c.Write([]byte(watchHead))
+					c.Write(chunkOf(diff(9) + "\n"))
+				}
+			}
+			watching(t, do, func(p seam.World, d *watch, got *told, a *agent) {
+				w = p
+				for w.Now() < 7*time.Second && (len(got.lists) == 0 || got.lists[len(got.lists)-1].Seq != 9) {
+					seam.Wait(w, 10*time.Millisecond, nil)
+				}
+				if took := got.last() - silentAt; len(got.lists) < 2 || took > 5900*time.Millisecond {
+					t.Errorf("%d messages, the last %s after the silence; asked %v at %v", len(got.lists), took, a.targets, a.times)
+				}
+			})
+		})
+	}
+}
+
+// A watch that says an empty line every 2 s is kept.
+func TestEmptyLinesKeepAWatch(t *testing.T) {
+	var w seam.World
+	do := func(n int, _ string, c net.Conn) {
+		c.Write([]byte(watchHead))
+		for range 20 {
+			if _, err := c.Write(chunkOf("\n")); err != nil {
+				return
+			}
+			seam.Wait(w, 2*time.Second, nil)
+		}
+	}
+	watching(t, do, func(p seam.World, d *watch, got *told, a *agent) {
+		w = p
+		seam.Wait(w, 30*time.Second, nil)
+		if len(a.conns) != 1 || len(got.lists) != 1 || got.lists[0].Seq != 7 {
+			t.Errorf("%d watches, %+v", len(a.conns), got.lists)
+		}
+	})
+}
+
+// A message that can't be read, or goes back in the versions, costs one fetch of the whole
+// list, and then the watch goes on from there. Where it lasts, the rate is bounded.
+func TestAnUnreadableMessageCostsAWholeList(t *testing.T) {
+	for name, line := range map[string]string{
+		"noise":         "nonsense\n",
+		"another type":  `{"seq":"x"}` + "\n",
+		"health":        `{"seq":9,"hosts":[{"host":"s","health":"well"}]}` + "\n",
+		"back":          diff(3) + "\n",
+		"too long":      `{"seq":9,"hosts":[` + strings.Repeat(" ", mostMessage) + "]}\n",
+		"closed by it":  `{"seq":9]` + "\n" + `}`,
+		"an array only": "[]\n",
+	} {
+		for _, always := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, always), func(t *testing.T) {
+				whole := `{"seq":11,"whole":true,"hosts":[]}`
+				watches := 0
+				do := func(_ int, target string, c net.Conn) {
+					if target == listPath {
+						fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)
+						return
+					}
+					c.Write([]byte(watchHead))
+					if watches++; watches == 1 || always {
+						c.Write(chunkOf(line))
+					}
+				}
+				watching(t, do, func(w seam.World, d *watch, got *told, a *agent) {
+					seam.Wait(w, 1900*time.Millisecond, nil)
+					want := []string{listPath + "?stream=1&index=7", listPath, listPath + "?stream=1&index=11"}
+					if len(a.targets) < 3 || !slices.Equal(a.targets[:3], want) || len(got.lists) == 0 || got.lists[0].Seq != 11 || !got.lists[0].Whole {
+						t.Fatalf("asked %q, told %+v", a.targets, got.lists)
+					}
+					if n := len(a.targets); !always && n != 3 || n > 25 {
+						t.Errorf("asked %d times", n)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Messages may be indented and come in any pieces: an object is one message.
+func TestMessagesInWhateverForm(t *testing.T) {
+	one := List{Seq: 9, Hosts: []Entry{{Host: `a "\}{`, Dial: "x:1", Health: "active", Share: 1}}}
+	two := List{Seq: 10, Whole: true, Hosts: []Entry{{Host: "b", Dial: "x:2", Health: "leaving", Share: 1}}}
+	flat1, _ := json.Marshal(one)
+	wide1, _ := json.MarshalIndent(one, "", "  ")
+	wide2, _ := json.MarshalIndent(two, "\t", "\t")
+	for name, stream := range map[string]string{
+		"indented":     string(wide1) + "\n\n" + string(wide2) + "\n",
+		"crlf":         strings.ReplaceAll(string(wide1)+"\n"+string(wide2)+"\n", "\n", "\r\n"),
+		"no line ends": string(flat1) + string(wide2),
+	} {
+		for _, size := range []int{1, 2, 7, 1 << 20} {
+			t.Run(fmt.Sprint(name, size), func(t *testing.T) {
+				do := func(_ int, _ string, c net.Conn) {
+					c.Write([]byte(watchHead))
+					for b := stream; b != ""; {
+						n := min(size, len(b))
+						c.Write(chunkOf(b[:n]))
+						b = b[n:]
+					}
+				}
+				watching(t, do, func(w seam.World, d *watch, got *told, a *agent) {
+					seam.Wait(w, time.Second, nil)
+					if len(got.lists) != 2 || got.lists[0].Hosts[0] != one.Hosts[0] || !got.lists[1].Whole || got.lists[1].Hosts[0] != two.Hosts[0] {
+						t.Errorf("%+v", got.lists)
+					}
+				})
+			})
+		}
+	}
+}
+
+// A move during a dial, during a silence, or twice at once ends at the last address.
+func TestMovesOfTheWatch(t *testing.T) {
+	answer := func(seq int) func(int, string, net.Conn) {
+		return func(_ int, _ string, c net.Conn) {
+			c.Write([]byte(watchHead))
+			c.Write(chunkOf(diff(seq) + "\n"))
+		}
+	}
+	silent := func(int, string, net.Conn) {}
+	for name, first := range map[string]func(int, string, net.Conn){"silent": silent, "open": answer(8)} {
+		t.Run(name, func(t *testing.T) {
+			watching(t, first, func(w seam.World, d *watch, got *told, a *agent) {
+				seam.Wait(w, 20*time.Millisecond, nil)
+				b, c := serveAgent(w, answer(9)), serveAgent(w, answer(10))
+				from := w.Now()
+				d.move(b.l.Addr().String())
+				d.move(c.l.Addr().String())
+				seam.Wait(w, time.Second, nil)
+				if len(got.lists) == 0 || got.lists[len(got.lists)-1].Seq != 10 || got.last()-from > 500*time.Millisecond {
+					t.Errorf("%+v after %s", got.lists, got.last()-from)
+				}
+				b.close()
+				c.close()
+			})
+		})
+	}
+}
+
+// However a stream is cut, the same messages come of it, and what is taken is bounded.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte("{\"seq\":1}\n\n{\"a\":\"}\\\"\"}"), 3)
+	f.Add([]byte("[]"), 1)
+	f.Fuzz(func(t *testing.T, in []byte, cut int) {
+		read := func(pieces ...[]byte) (out []string) {
+			var m messages
+			for _, b := range pieces {
+				for len(b) > 0 {
+					n, what, err := m.next(b)
+					if err != nil {
+						return append(out, "unreadable")
+					}
+					if n <= 0 || n > len(b) {
+						t.Fatal("no progress")
+					}
+					if b = b[n:]; what != gotPart {
+						out = append(out, fmt.Sprint(what, string(m.take())))
+					}
+				}
+			}
+			return out
+		}
+		at := min(max(cut, 0), len(in))
+		whole := read(in)
+		if parts := read(in[:at], in[at:]); !slices.Equal(whole, parts) {
+			t.Fatalf("%q cut at %d: %q, whole %q", in, at, parts, whole)
+		}
+	})
+}
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -35,7 +35,10 @@
 	acceptPause = 5 * time.Millisecond
 	clientOut   = mostAnswer + messageBytes
 	outTimeout  = 3 * time.Second
-	lastLook    = time.Millisecond
+	// lingerTime is how long a connection that was just answered on stays open once nothing
+	// more is sent on it (RFC 9112, section 9.6), or until its client ends its side too:
+	// what lies there unread turns a close into a reset, which overtakes the answer.
+	lingerTime = 200 * time.Millisecond
 )
 
 // front is the listener and the clients' connections.
@@ -43,32 +46,45 @@
 	world    seam.World
 	loop     *loop
 	core     *core
-	check    *checker
-	most     int          // connections
-	bytes    int64        // of bodies that are held at once
-	held     atomic.Int64 // of requests
-	queued   atomic.Int64 // of answers on their way out
+	check    atomic.Pointer[checker]
+	most     int // connections that stay,
+	ending   int // and that are ending beside them
+	bytes    atomic.Int64
+	held     atomic.Int64 // of requests, of which there may be so many bytes
+	queued   atomic.Int64 // of answers on their way out, likewise
 	ready    atomic.Bool
-	closing  atomic.Bool   // each answer ends its connection
 	answerBy atomic.Uint64 // bits of the time by which all must be answered; 0: none
-	stop     seam.Gate
+	stop     seam.Gate     // nothing more is accepted
+	ended    seam.Gate     // nothing is waited for any more
 	tasks    seam.Group
 	listener net.Listener
 
 	mu      sync.Mutex
 	clients seam.Roster[*client]
+	closing bool // each answer ends its connection, and there are no idle ones
 }
 
-// client is one connection. Between its requests nothing is read ahead but what bufio holds.
+// clientState is what a client's connection is at, under the front's lock.
+type clientState int
+
+const (
+	clientNew    clientState = iota // it has said nothing
+	clientIdle                      // it has had its answer
+	clientActive                    // a request is being read or is open
+	clientEnding                    // it was told to end while it was idle
+)
+
+// client is one connection. Its goroutine reads it, and alone closes it; its outbox writes.
 type client struct {
 	front *front
 	conn  net.Conn
+	ahead *ahead
 	in    *bufio.Reader
 	out   *outbox.Outbox
 	// Under the front's lock.
-	asked bool    // it has sent a request's first byte
-	busy  bool    // one is being read or is open
-	since float64 // when that last changed, ms
+	state clientState
+	since float64 // when it came to that state, ms
+	spoke float64 // when it last was answered
 }
 
 // asking is a call's answer on its way to the client.
@@ -86,53 +102,94 @@
 			}
 		}
 		conn, err := f.listener.Accept()
-		if err != nil {
+		if err != nil { // where there are no descriptors left, there may be again
 			if f.stop.Opened() || !seam.Wait(f.world, acceptPause, &f.stop) {
 				return
 			}
 			continue
 		}
-		c := &client{front: f, conn: conn, since: f.loop.now(), in: bufio.NewReaderSize(conn, linkBuffer)}
-		c.out = outbox.New(f.world, conn, clientOut, outTimeout)
-		c.out.Gauge = func(delta int) { f.queued.Add(int64(delta)) }
-		f.mu.Lock()
-		f.clients.Add(c)
-		f.mu.Unlock()
-		f.tasks.Go(f.world, c.serve)
+		f.tasks.Go(f.world, f.client(conn).serve)
 	}
 }
 
-// roomy tells whether one more connection may be accepted.
+func (f *front) client(conn net.Conn) *client {
+	c := &client{front: f, conn: conn, ahead: &ahead{conn: conn, now: f.loop.now}, since: f.loop.now()}
+	c.in = bufio.NewReaderSize(c.ahead, linkBuffer)
+	c.out = outbox.New(f.world, conn, clientOut, outTimeout)
+	c.out.HalfClose = true
+	c.out.Gauge = func(delta int) { f.queued.Add(int64(delta)) }
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.clients.Add(c)
+	return c
+}
+
+// roomy tells whether one more connection may be accepted. At the bound the one that can
+// be spared best is told to end; while many are ending still, nothing is accepted.
 func (f *front) roomy() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.clients.Len() < f.most {
-		return true
-	}
 	now := f.loop.now()
+	staying := 0
 	var pick *client
 	for _, c := range f.clients.All() {
-		idle := now - c.since
-		spare := !c.busy && (!c.asked && idle > freshTime || idle > spareTime)
-		if spare && (pick == nil || pick.asked && !c.asked || pick.asked == c.asked && c.since < pick.since) {
+		if c.state == clientEnding {
+			continue
+		}
+		staying++
+		if c.spare(now) && (pick == nil || c.sparedBefore(pick)) {
 			pick = c
 		}
 	}
-	if pick == nil {
-		return false
+	if staying >= f.most && pick != nil {
+		pick.end(now)
+		staying--
 	}
-	pick.hurry()
-	f.clients.Remove(pick)
-	return true
+	return staying < f.most && f.clients.Len() < f.most+f.ending
+}
+
+// spare tells whether a connection may be ended for another's sake.
+func (c *client) spare(now float64) bool {
+	return c.state == clientNew && now-c.since > freshTime || c.state == clientIdle && now-c.since > spareTime
 }
 
-// hurry has an idle connection closed, but for a request that came in already.
-func (c *client) hurry() { c.conn.SetReadDeadline(c.front.world.Deadline(0)) }
+func (c *client) sparedBefore(other *client) bool {
+	if c.state != other.state {
+		return c.state == clientNew
+	}
+	return c.since < other.since
+}
 
-func (f *front) mark(c *client, busy bool) {
+// end has an idle connection closed, but for a request that has come already: its goroutine
+// looks for one. The front's lock is held.
+func (c *client) end(now float64) {
+	c.state, c.since = clientEnding, now
+	c.conn.SetReadDeadline(c.front.world.Deadline(0))
+}
+
+// active takes a request's first byte.
+func (c *client) active() {
+	f := c.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c.busy, c.since, c.asked = busy, f.loop.now(), true
+	c.state, c.since = clientActive, f.loop.now()
+	c.conn.SetReadDeadline(f.world.Deadline(headTime))
+}
+
+// rest makes an answered connection idle; false where it ends. Then nothing is read on it
+// any more: what a client sends now is unread, and so the client's to send elsewhere.
+func (c *client) rest(last bool) bool {
+	f := c.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.spoke = f.loop.now()
+	if last || f.closing {
+		c.conn.SetReadDeadline(f.world.Deadline(0))
+		return false
+	}
+	c.state, c.since = clientIdle, c.spoke
+	c.conn.SetReadDeadline(f.idleUntil())
+	return true
 }
 
 // open is how many connections clients have, one at least for each call without an answer.
@@ -142,28 +199,28 @@
 	return f.clients.Len()
 }
 
-// eachIdle does something to the connections without a request.
+// eachIdle does something to the connections without a request. The lock is held.
 func (f *front) eachIdle(do func(c *client)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	for _, c := range f.clients.All() {
-		if !c.busy {
+		if c.state == clientNew || c.state == clientIdle {
 			do(c)
 		}
 	}
 }
 
-// thin closes what has been idle for long while more than half of the connections that
-// there may be are open.
-func (f *front) thin() {
-	over := f.open() - f.most/2
+// trim ends what has been idle for long while more than half of the connections that there
+// may be are open.
+func (f *front) trim() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	over := f.clients.Len() - f.most/2
 	if over <= 0 || f.leaving() > 0 {
 		return
 	}
 	now := f.loop.now()
 	f.eachIdle(func(c *client) {
 		if over > 0 && now-c.since > seam.MS(idleTime) {
-			c.hurry()
+			c.end(now)
 			over--
 		}
 	})
@@ -177,13 +234,30 @@
 func (f *front) leave(by float64) {
 	f.ready.Store(false)
 	f.answerBy.Store(math.Float64bits(by))
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.eachIdle(func(c *client) {
-		if c.asked {
+		if c.state == clientIdle {
 			c.conn.SetReadDeadline(f.idleUntil())
 		}
 	})
 }
 
+// finish has each answer from now on end its connection, and ends the idle ones.
+func (f *front) finish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closing = true
+	now := f.loop.now()
+	f.eachIdle(func(c *client) { c.end(now) })
+}
+
+func (f *front) finishing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closing
+}
+
 // idleUntil is when a connection that is idle from now on is closed.
 func (f *front) idleUntil() time.Time {
 	d := keepTime
@@ -193,10 +267,11 @@
 	return f.world.Deadline(d)
 }
 
-// close ends the listener and all connections.
+// close ends the listener and all connections at once; what was said is still written.
 func (f *front) close() {
 	f.stop.Open()
 	f.listener.Close()
+	f.finish()
 	f.mu.Lock()
 	all := f.clients.All()
 	f.mu.Unlock()
@@ -205,23 +280,18 @@
 	}
 	for _, c := range all {
 		c.out.Wait()
+		c.conn.Close()
 	}
+	f.ended.Open()
 	f.tasks.Wait(f.world)
 }
 
 // serve reads requests until the connection ends.
 func (c *client) serve() {
-	f := c.front
-	defer func() {
-		f.mu.Lock()
-		f.clients.Remove(c)
-		f.mu.Unlock()
-	}()
-	defer c.out.Finish()
-	c.conn.SetReadDeadline(f.world.Deadline(firstTime))
+	defer c.close()
+	c.conn.SetReadDeadline(c.front.world.Deadline(firstTime))
 	for c.begun() {
-		f.mark(c, true)
-		c.conn.SetReadDeadline(f.world.Deadline(headTime))
+		c.active()
 		r, err := c.request()
 		if err != nil {
 			c.say(statusOf(err), true)
@@ -233,14 +303,48 @@
 	}
 }
 
+// close ends the connection so that no answer is lost to a reset. What comes once nothing
+// more is sent is left unread: a client may send that again elsewhere.
+func (c *client) close() {
+	f := c.front
+	c.out.Finish()
+	c.out.Wait()
+	if c.answeredSince(f.loop.now() - seam.MS(lingerTime)) {
+		c.linger()
+	}
+	c.conn.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.clients.Remove(c)
+}
+
+func (c *client) linger() {
+	w := c.front.world
+	until := w.Now() + lingerTime
+	c.conn.SetReadDeadline(w.Deadline(lingerTime))
+	if seam.Readable(c.conn) == nil { // it will be reset, but not before its answer is there
+		seam.Wait(w, until-w.Now(), &c.front.ended)
+	}
+}
+
+// answeredSince tells whether an answer may still be on its way, and the client still there.
+func (c *client) answeredSince(t float64) bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	return c.ahead.err == nil && c.spoke > t
+}
+
 // begun waits for a request's first byte. When the time for it is over it looks once more:
 // on a machine that stands still now and then a request may have lain there for long, and
 // it was taken as it came in.
 func (c *client) begun() bool {
 	_, err := c.in.Peek(1)
 	if isTimeout(err) {
-		c.conn.SetReadDeadline(c.front.world.Deadline(lastLook))
-		_, err = c.in.Peek(1)
+		c.conn.SetReadDeadline(time.Time{})
+		c.ahead.look()
+		if len(c.ahead.kept) > 0 {
+			_, err = c.in.Peek(1)
+		}
 	}
 	return err == nil
 }
@@ -270,7 +374,7 @@
 		c.out.Put(func(b []byte) []byte { return append(b, "HTTP/1.1 100 Continue\r\n\r\n"...) })
 	}
 	body, err := http1.ReadBody(c.in, fr, messageLimits)
-	return &request{Request: head, body: body, at: c.front.loop.now()}, err
+	return &request{Request: head, body: body, at: c.ahead.since(c.in.Buffered())}, err
 }
 
 // statusOf is the answer to what could not be read; 0: none, for the stream is at fault.
@@ -295,16 +399,18 @@
 	c.write(status, last, http1.Fields(more), nil)
 }
 
-func (c *client) write(status int, last bool, f http1.Fields, body []byte) {
+// write answers and makes the connection idle, or ends it: it tells whether it goes on.
+func (c *client) write(status int, last bool, f http1.Fields, body []byte) bool {
+	last = last || c.front.finishing()
 	if last {
 		f = append(f, http1.Field{Name: "Connection", Value: "close"})
 	}
-	c.conn.SetReadDeadline(c.front.idleUntil())
-	c.front.mark(c, false)
 	c.out.Put(func(b []byte) []byte { return http1.AppendResponse(b, status, f, body) })
-	if last {
-		c.out.Finish()
+	if c.rest(last) {
+		return true
 	}
+	c.out.Finish()
+	return false
 }
 
 const readyPath = "/up"
@@ -312,16 +418,15 @@
 // handle answers a request; false if the connection ends with it.
 func (c *client) handle(r *request) bool {
 	f := c.front
-	last := r.Close() || f.closing.Load()
+	last := r.Close()
 	if r.Target == readyPath {
 		status := 503
 		if f.ready.Load() {
 			status = 200
 		}
-		c.say(status, last)
-		return !last
+		return c.write(status, last, nil, nil)
 	}
-	call, status := f.check.read(r)
+	call, status := f.check.Load().read(r)
 	if status != 0 {
 		// Who sends what cannot be served is not listened to further.
 		c.say(status, true)
@@ -331,20 +436,23 @@
 		call.req.Expires = min(call.req.Expires, by)
 	}
 	size := int64(len(r.body))
-	if f.held.Add(size) > f.bytes {
+	if f.held.Add(size) > f.bytes.Load() {
 		f.held.Add(-size)
-		c.say(503, last, http1.Field{Name: "Retry-After", Value: "1"})
-		return !last
+		return c.write(503, last, http1.Fields{{Name: "Retry-After", Value: "1"}}, nil)
 	}
 	defer f.held.Add(-size)
 	return c.ask(call, r.at, last)
 }
 
-// ask has the core take the call and waits for its answer, or for the client to leave.
+// ask has the core take the call and waits for its answer, or for the client to leave. Who
+// has left already is not served: nothing is to begin for it.
 func (c *client) ask(call *call, at float64, last bool) bool {
 	q := &asking{client: c, close: last}
 	call.owner = q
 	c.conn.SetReadDeadline(time.Time{})
+	if c.ahead.look() != nil {
+		return false
+	}
 	f := c.front
 	ok := f.loop.post(at, func(at float64) {
 		if !f.core.take(at, call) {
@@ -356,33 +464,36 @@
 	if !ok {
 		return false
 	}
-	if _, err := c.in.Peek(1); err != nil && !q.done.Opened() {
-		f.loop.post(f.loop.now(), func(at float64) { f.core.gone(at, call) })
-		return false
+	for !q.done.Opened() && !c.ahead.full() {
+		if err := c.ahead.more(); err != nil && !isTimeout(err) {
+			f.loop.post(f.loop.now(), func(at float64) { f.core.gone(at, call) })
+			return false
+		} else if err != nil {
+			break // it is answered: only then is there a deadline
+		}
 	}
-	q.done.Wait(f.world) // the client has sent more before it had its answer
-	return !q.close
+	seam.WaitAny(f.world, &q.done, &f.ended)
+	return q.done.Opened() && !q.close
 }
 
 // answer implements answerer, on the loop.
 func (q *asking) answer(h how, after float64, body []byte) {
-	q.close = q.close || q.client.front.closing.Load()
+	status, f := 504, http1.Fields(nil)
 	switch h {
 	case served:
-		if f := q.client.front; f.queued.Load()+int64(len(body)) > f.bytes {
-			q.client.write(504, q.close, nil, nil) // clients that don't read hold all the room
-			break
+		// Clients that don't read may hold all the room.
+		if fr := q.client.front; fr.queued.Load()+int64(len(body)) <= fr.bytes.Load() {
+			status = 200
+		} else {
+			body = nil
 		}
-		q.client.write(200, q.close, nil, body)
 	case refused:
-		var f http1.Fields
+		status = 503
 		if after > 0 {
 			f = http1.Fields{{Name: "Retry-After", Value: strconv.FormatFloat(after/1000, 'f', 3, 64)}}
 		}
-		q.client.write(503, q.close, f, nil)
-	case failed:
-		q.client.write(504, q.close, nil, nil)
 	}
+	q.close = !q.client.write(status, q.close, f, body)
 	q.done.Open()
 }
 
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,15 +23,17 @@
 	killExtra      = 700.0
 	drainAccept    = 600 * time.Millisecond
 	drainAnswer    = 400.0 // before the kill nothing new is taken,
-	drainMargin    = 200.0 // and so long before it all has been answered
+	drainMargin    = 200.0 // so long before it all has been answered,
+	drainEnd       = 80.0  // and so long before it the program ends, whoever lingers
 	sweepEvery     = time.Second
 	drainPoll      = 20 * time.Millisecond
 )
 
-// Parts of the descriptors that clients' and disk servers' connections may take; the rest
-// is the process's own.
+// Parts of the descriptors that clients' connections, those of them that are ending, and
+// disk servers' may take; the rest is the process's own.
 const (
 	clientPart = 0.60
+	endingPart = 0.05
 	serverPart = 0.30
 	fewSockets = 64 // reckoned with where the configuration does not say
 	fewMB      = 32
@@ -52,12 +56,12 @@
 	told  seam.Gate // discovery has spoken
 	over  seam.Gate
 	swept float64
-	grace float64 // ms from SIGTERM to the kill
+	grace atomic.Uint64 // bits of the ms from SIGTERM to the kill
 }
 
 // Start listens and serves until Drain or Close.
 func Start(w seam.World, c *Config, log *zap.Logger) (*Scheduler, error) {
-	s := &Scheduler{world: w, log: log, loop: newLoop(w), grace: graceOf(c)}
+	s := &Scheduler{world: w, log: log, loop: newLoop(w)}
 	sockets := max(c.Limits.Sockets, fewSockets)
 	born := w.Deadline(0).UnixMilli() - epoch
 	s.back = newBack(w, s.loop, c, int(float64(sockets)*serverPart))
@@ -65,8 +69,8 @@
 	s.back.core = s.core
 	s.core.start(c.Known)
 	s.loop.ticked = s.sweep
-	s.front = &front{world: w, loop: s.loop, core: s.core, check: newChecker(&c.Settings), most: int(float64(sockets) * clientPart),
-		bytes: bytesOf(c)}
+	s.front = &front{world: w, loop: s.loop, core: s.core, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
+	s.know(c)
 	var err error
 	if s.front.listener, err = w.Listen("tcp", c.Listen); err != nil {
 		return nil, err
@@ -79,6 +83,13 @@
 	return s, nil
 }
 
+// know takes what the front and a stop need of the configuration.
+func (s *Scheduler) know(c *Config) {
+	s.front.check.Store(newChecker(&c.Settings))
+	s.front.bytes.Store(bytesOf(c))
+	s.grace.Store(math.Float64bits(graceOf(c)))
+}
+
 func (s *Scheduler) getReady() {
 	seam.Wait(s.world, readyWait, &s.told)
 	if s.front.leaving() > 0 {
@@ -101,32 +112,45 @@
 	if now := s.loop.now(); now-s.swept > seam.MS(sweepEvery) {
 		s.swept = now
 		s.back.sweep(now)
-		s.front.thin()
+		s.front.trim()
 	}
 }
 
-// Reload takes another configuration: where discovery is, and the settings.
+// Reload takes another configuration: where discovery is, and the settings. The module has
+// them before a request that was read under them can come to it.
 func (s *Scheduler) Reload(c *Config) {
 	s.log.Info("configuration read again", zap.String("discovery", c.Discovery))
 	s.watch.move(c.Discovery)
-	s.loop.post(s.loop.now(), func(at float64) { s.core.revise(at, c.Settings) })
+	s.loop.post(s.loop.now(), func(at float64) {
+		s.back.configure(c)
+		s.core.revise(at, c.Settings)
+	})
+	s.know(c)
 }
 
 // Drain ends the scheduler once all it has taken is answered.
 func (s *Scheduler) Drain() {
-	s.log.Info("draining", zap.Float64("grace_ms", s.grace))
+	grace := math.Float64frombits(s.grace.Load())
+	s.log.Info("draining", zap.Float64("grace_ms", grace))
 	from := s.loop.now()
-	s.front.leave(from + s.grace - drainMargin)
+	s.front.leave(from + grace - drainMargin)
 	seam.Wait(s.world, drainAccept, &s.over)
 	s.front.stop.Open()
 	s.front.listener.Close()
-	seam.Wait(s.world, seam.Duration(from+s.grace-drainAnswer-s.loop.now()), &s.over)
-	s.front.closing.Store(true)
-	s.front.eachIdle((*client).hurry)
-	for s.front.open() > 0 {
+	seam.Wait(s.world, seam.Duration(from+grace-drainAnswer-s.loop.now()), &s.over)
+	s.front.finish()
+	s.awaitClients(from + grace - drainMargin)
+	// What was taken before the signal may have longer than there is.
+	s.loop.post(s.loop.now(), s.core.stop)
+	s.awaitClients(from + grace - drainEnd)
+	s.Close()
+}
+
+// awaitClients waits until clients have no connections any more, or until a time.
+func (s *Scheduler) awaitClients(until float64) {
+	for s.front.open() > 0 && s.loop.now() < until {
 		seam.Wait(s.world, drainPoll, nil)
 	}
-	s.Close()
 }
 
 // graceOf is how long a scheduler has after SIGTERM, ms.
@@ -145,7 +169,7 @@
 	s.back.stop()
 	s.loop.stop()
 	s.back.close()
-	s.log.Info("ended", zap.String("tally", fmt.Sprintf("%+v", s.core.tally)))
+	s.log.Info("ended", zap.String("counters", fmt.Sprintf("%+v", s.core.counters)))
 	s.over.Open()
 }
 
