--- a/scheduler/crossing_test.go
+++ b/scheduler/crossing_test.go
@@ -86,8 +86,25 @@
 	return c, err
 }
 
-// real plays f on a scheduler, a simulated disk server and discovery on real sockets.
-func real(t *testing.T, settings func(string) string, do func(standin.HTTPAsk) standin.HTTPAnswer, f func(sc *scene, h *held)) {
+// watched tells when this side of a connection ended what it sends, and when it closed.
+type watched struct {
+	*net.TCPConn
+	ended, closed *seam.Gate
+}
+
+func (c *watched) CloseWrite() error {
+	defer c.ended.Open()
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *watched) Close() error {
+	defer c.closed.Open()
+	defer c.ended.Open()
+	return c.TCPConn.Close()
+}
+
+// playReal plays f on a scheduler, a simulated disk server and discovery on real sockets.
+func playReal(t *testing.T, settings func(string) string, do func(standin.HTTPAsk) standin.HTTPAnswer, f func(sc *scene, h *held)) {
 	t.Helper()
 	h := &held{Real: seam.NewReal()}
 	sc := &scene{t: t, w: h, addr: "127.0.0.1:0"}
@@ -145,6 +162,16 @@
 	done.Wait(sc.w)
 }
 
+// hookAccept has f called for what is accepted from now on.
+func (sc *scene) hookAccept(h *held, f func(net.Conn) net.Conn) {
+	h.mu.Lock()
+	h.accept = f
+	h.mu.Unlock()
+	p := sc.connect() // it is accepted by the call that was under way
+	p.ask("GET /up HTTP/1.1\r\n\r\n")
+	p.conn.Close()
+}
+
 // core asks something of the core, on its loop.
 func (sc *scene) core(f func(k *core) bool) func() bool {
 	return func() (ok bool) {
@@ -208,7 +235,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			real(t, nil, answering(ok200), func(sc *scene, h *held) {
+			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
 				came, release := sc.heldDial(h)
 				p := sc.connect()
 				defer p.conn.Close()
@@ -230,29 +257,19 @@
 // A client that has gone before its request is read is not served at all: its connection
 // waited to be accepted.
 func TestAClientThatLeftBeforeItWasRead(t *testing.T) {
-	real(t, nil, answering(ok200), func(sc *scene, h *held) {
-		gate, at := sc.gate(), sc.gate()
-		accepted := 0
-		h.mu.Lock()
-		h.accept = func(c net.Conn) net.Conn {
-			if accepted++; accepted == 2 { // the first was waited for before the hook was there
-				at.Open()
-				gate.Wait(h)
-			}
-			return c
-		}
-		h.mu.Unlock()
-		for range 2 { // one for the accept that is under way, one that passes the hook
-			p := sc.connect()
-			p.ask("GET /up HTTP/1.1\r\n\r\n")
-			p.conn.Close()
-		}
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+		gate, at, closed := sc.gate(), sc.gate(), sc.gate()
+		sc.hookAccept(h, func(c net.Conn) net.Conn {
+			at.Open()
+			gate.Wait(h)
+			return &watched{c.(*net.TCPConn), &seam.Gate{}, closed}
+		})
 		p := sc.connect()
 		sc.until("the hook", at.Opened)
 		io.WriteString(p.conn, sc.get())
 		p.conn.Close()
 		gate.Open()
-		sc.until("it is closed here", func() bool { return sc.s.front.open() == 0 })
+		sc.until("it is closed here", closed.Opened)
 		sc.until("all is over", settled(sc))
 		if n := len(sc.disk.Asked()); n != 0 || sc.s.core.counters.Taken != 0 {
 			t.Errorf("%d attempts, %+v", n, sc.s.core.counters)
@@ -271,7 +288,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			real(t, nil, answering(ok200), func(sc *scene, h *held) {
+			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
 				came, release := sc.heldDial(h)
 				p := sc.connect()
 				raw := strings.Replace(sc.get(), "0.480", "1.900", 1)
@@ -304,7 +321,7 @@
 		return strings.Replace(s, `"dial_timeout_ms":250`, `"dial_timeout_ms":3000`, 1)
 	}
 	do := func(a standin.HTTPAsk) standin.HTTPAnswer { return standin.HTTPAnswer{Reset: true} }
-	real(t, short, do, func(sc *scene, h *held) {
+	playReal(t, short, do, func(sc *scene, h *held) {
 		second, gate := sc.gate(), sc.gate()
 		h.holdDials(func(n int) error {
 			if n > 0 { // the first goes
@@ -316,7 +333,9 @@
 		p := sc.connect()
 		io.WriteString(p.conn, sc.request("PUT", "txn-write", "00000000000000aa", "1.900", "x", "Idempotency-Key: k1\r\n"))
 		sc.until("the repeat's dial", second.Opened)
-		sc.until("its window is over", sc.core(func(k *core) bool { return k.counters.Outcomes[policy.NoConnection] > 0 }))
+		until := 0.0
+		sc.on(func() { until = sc.s.core.calls["00000000000000aa"].req.Expires - 1900 + 160 })
+		sc.until("its window is over", func() bool { return sc.s.loop.now() > until })
 		gate.Open()
 		if got := p.hear(0); got.status != 504 {
 			t.Errorf("%+v", got)
@@ -330,7 +349,7 @@
 
 // An attempt for a host that no list names is over at once: nothing left this machine.
 func TestAnAttemptForAHostThatIsUnknown(t *testing.T) {
-	real(t, nil, answering(ok200), func(sc *scene, h *held) {
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
 		sc.on(func() { delete(sc.s.back.servers, "s0") })
 		got := sc.connect().ask(sc.get())
 		if got.status != 503 || sc.s.core.counters.Outcomes[policy.NotSent] == 0 || sc.s.core.counters.Outcomes[policy.NoConnection] > 0 {
@@ -409,7 +428,7 @@
 		"a copy and end": func(c net.Conn) { io.WriteString(c, ok200); c.Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			real(t, nil, answering(ok200), func(sc *scene, h *held) {
+			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
 				d := rawDisk(t, sc)
 				defer d.close()
 				p := sc.connect()
@@ -461,7 +480,7 @@
 			}
 			return standin.HTTPAnswer{Raw: []byte(raw), Close: !reset, Reset: reset}
 		}
-		real(t, nil, do, func(sc *scene, h *held) {
+		playReal(t, nil, do, func(sc *scene, h *held) {
 			got := sc.connect().ask(strings.Replace(sc.get(), "0.480", "1.900", 1))
 			c := sc.s.core.counters
 			if got.status != 200 || got.body != "hi" || reset != (c.Sends == 2) || reset != (c.Outcomes[policy.ConnectionLost] == 1) {
@@ -479,23 +498,24 @@
 		"asked to end": "GET /up HTTP/1.1\r\nConnection: close\r\n\r\n" + strings.Repeat("x", 60<<10),
 	} {
 		t.Run(name, func(t *testing.T) {
-			real(t, nil, answering(ok200), func(sc *scene, h *held) {
+			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+				ended := sc.gate()
+				sc.hookAccept(h, func(c net.Conn) net.Conn {
+					return &watched{c.(*net.TCPConn), ended, &seam.Gate{}}
+				})
 				p := sc.connect()
 				defer p.conn.Close()
 				if _, err := io.WriteString(p.conn, raw); err != nil {
 					t.Fatal(err)
 				}
-				// Everything is written, and so is the answer: what is read now is what a
-				// client finds who looks only then.
-				var peeked [1]byte
-				if _, err := io.ReadFull(p.conn, peeked[:]); err != nil {
-					t.Fatal("no answer:", err)
-				}
-				p.in = bufio.NewReader(io.MultiReader(strings.NewReader(string(peeked[:])), p.conn))
+				sc.until("the end", ended.Opened) // only then does the client look
 				got := p.hear(0)
 				if got.status == 0 || !got.close {
 					t.Errorf("%+v", got)
 				}
+				if _, err := p.in.ReadByte(); err != io.EOF {
+					t.Error("no clean end behind the answer:", err)
+				}
 			})
 		})
 	}
@@ -506,7 +526,7 @@
 // Where descriptors run out, the accept loop goes on once there are some, and a disk server
 // is not blamed for a dial that this machine had no descriptor for.
 func TestDescriptorsRunOut(t *testing.T) {
-	real(t, nil, answering(ok200), func(sc *scene, h *held) {
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
 		var mu sync.Mutex
 		left := 5
 		h.mu.Lock()
