A new process hears discovery before its first send; outcomes, reloads and starts have tests

Requests that come before discovery was heard (1.5 s at the most) wait: what it knows counts as told from the first moment, and the list of the start may be older. /up no longer says 200 once a stop has begun, whichever of the two lines came first.

--- a/scheduler/crossing_test.go
+++ b/scheduler/crossing_test.go
@@ -138,7 +138,7 @@
 	}()
 	sc.addr = sc.s.front.listener.Addr().String()
 	sc.until("discovery was heard", sc.s.told.Opened)
-	sc.until("ready", sc.s.front.ready.Load)
+	sc.until("ready", sc.s.front.ready.Opened)
 	f(sc, h)
 }
 
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -50,9 +50,9 @@
 	most     int // connections that stay,
 	ending   int // and that are ending beside them
 	bytes    atomic.Int64
-	held     atomic.Int64 // of requests, of which there may be so many bytes
-	queued   atomic.Int64 // of answers on their way out, likewise
-	ready    atomic.Bool
+	held     atomic.Int64  // of requests, of which there may be so many bytes
+	queued   atomic.Int64  // of answers on their way out, likewise
+	ready    seam.Gate     // discovery has spoken, or was waited for
 	answerBy atomic.Uint64 // bits of the time by which all must be answered; 0: none
 	stop     seam.Gate     // nothing more is accepted
 	ended    seam.Gate     // nothing is waited for any more
@@ -232,7 +232,6 @@
 // leave has all answered by that time, and keeps until then the connections that clients
 // have: they can't open others here.
 func (f *front) leave(by float64) {
-	f.ready.Store(false)
 	f.answerBy.Store(math.Float64bits(by))
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -421,7 +420,7 @@
 	last := r.Close()
 	if r.Target == readyPath {
 		status := 503
-		if f.ready.Load() {
+		if f.ready.Opened() && f.leaving() == 0 {
 			status = 200
 		}
 		return c.write(status, last, nil, nil)
@@ -449,11 +448,14 @@
 func (c *client) ask(call *call, at float64, last bool) bool {
 	q := &asking{client: c, close: last}
 	call.owner = q
+	f := c.front
+	// Discovery may know already what the list of the start does not: nothing goes by that
+	// list until discovery was heard, or has had the time for it.
+	seam.WaitAny(f.world, &f.ready, &f.ended)
 	c.conn.SetReadDeadline(time.Time{})
 	if c.ahead.look() != nil {
 		return false
 	}
-	f := c.front
 	ok := f.loop.post(at, func(at float64) {
 		if !f.core.take(at, call) {
 			q.close = true
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -92,11 +92,8 @@
 
 func (s *Scheduler) getReady() {
 	seam.Wait(s.world, readyWait, &s.told)
-	if s.front.leaving() > 0 {
-		return // it is to stop already
-	}
-	s.front.ready.Store(true)
-	s.log.Info("ready")
+	s.front.ready.Open()
+	s.log.Info("ready", zap.Bool("discovery", s.told.Opened()))
 }
 
 // listed passes on what discovery told.
--- /dev/null
+++ b/scheduler/outcome_test.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"merlinhitch/policy"
+	"merlinhitch/standin"
+)
+
+// Each way in which an attempt can end is told to the module as what it is: whether it may
+// have run follows from it, and with it whether a write may go again.
+func TestEachEndOfAnAttempt(t *testing.T) {
+	const noStart = "Not-Started: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		do   standin.HTTPAnswer
+		want policy.Result
+	}{
+		"a whole answer":           {standin.HTTPAnswer{Raw: []byte(ok200)}, policy.Served},
+		"a whole answer and end":   {standin.HTTPAnswer{Raw: []byte(ok200), Close: true}, policy.Served},
+		"in chunks":                {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: y\r\n\r\n")}, policy.Served},
+		"after 1xx":                {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 102 Wait\r\n\r\n" + ok200)}, policy.Served},
+		"up to the close":          {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 200 OK\r\n\r\nhi"), Close: true}, policy.Served},
+		"500":                      {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")}, policy.ServerError},
+		"404":                      {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")}, policy.ServerError},
+		"503":                      {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")}, policy.ServerError},
+		"503 not started":          {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 503 No\r\n" + noStart)}, policy.TurnedAway},
+		"504 not started":          {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 504 No\r\n" + noStart)}, policy.TurnedAway},
+		"500 not started":          {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 500 No\r\n" + noStart)}, policy.ServerError},
+		"noise":                    {standin.HTTPAnswer{Raw: []byte("\x00\x01\r\n\r\n")}, policy.ServerError},
+		"its end":                  {standin.HTTPAnswer{Close: true}, policy.ConnectionLost},
+		"a reset":                  {standin.HTTPAnswer{Reset: true}, policy.ConnectionLost},
+		"half a head and end":      {standin.HTTPAnswer{Raw: []byte(ok200[:12]), Close: true}, policy.ConnectionLost},
+		"half a body and end":      {standin.HTTPAnswer{Raw: []byte(ok200[:len(ok200)-1]), Close: true}, policy.ConnectionLost},
+		"half a body and reset":    {standin.HTTPAnswer{Raw: []byte(ok200[:len(ok200)-1]), Reset: true}, policy.ConnectionLost},
+		"chunks without the last":  {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"), Close: true}, policy.ConnectionLost},
+		"up to a reset":            {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 200 OK\r\n\r\nhi"), Reset: true}, policy.ConnectionLost},
+		"nothing":                  {standin.HTTPAnswer{After: time.Hour}, policy.NoAnswer},
+		"a body that never ends":   {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 200 OK\r\n\r\nhi")}, policy.NoAnswer},
+		"a body beyond the bounds": {standin.HTTPAnswer{Raw: []byte("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", mostAnswer+1))}, policy.ServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			do := c.do
+			if do.After > 0 {
+				do = standin.HTTPAnswer{}
+			}
+			// A write that may have run and that nothing may repeat: one attempt tells it all.
+			unsafe := func(s string) string {
+				s = strings.Replace(s, `"effect":"idempotency_key","group":"cell","key_ttl_ms":6000`, `"effect":"unsafe"`, 1)
+				return strings.Replace(s, `"attempts_cap":4`, `"attempts_cap":1`, 1)
+			}
+			playReal(t, unsafe, func(standin.HTTPAsk) standin.HTTPAnswer { return do }, func(sc *scene, h *held) {
+				got := sc.connect().ask(sc.request("PUT", "txn-write", "00000000000000aa", "0.300", "x"))
+				want := map[policy.Result]int{policy.Served: 200, policy.TurnedAway: 503}[c.want]
+				if want == 0 {
+					want = 504
+				}
+				if got.status != want {
+					t.Errorf("%+v, want %d", got, want)
+				}
+				sc.until("it is over", settled(sc))
+				if k := sc.s.core.counters; k.Sends != 1 || k.Outcomes[c.want] != 1 {
+					t.Errorf("%+v, want one of %d", k, c.want)
+				}
+			})
+		})
+	}
+}
+
+// A disk server that can't be reached has run nothing.
+func TestAServerThatRefusesConnections(t *testing.T) {
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+		sc.disk.Close()
+		got := sc.connect().ask(sc.request("PUT", "txn-write", "00000000000000aa", "0.300", "x", "Idempotency-Key: k\r\n"))
+		if k := sc.s.core.counters; got.status != 503 || k.Outcomes[policy.NoConnection] == 0 || k.Outcomes[policy.NoConnection] != k.Sends {
+			t.Errorf("%+v, %+v", got, k)
+		}
+	})
+}
+
+// A reload brings classes, plans and deadlines that were not there; what is under way ends
+// under those it was taken with, and what the file leaves out is served no more.
+func TestAReloadReachesTheFront(t *testing.T) {
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+		before := testConfig(sc.addr, sc.list.Addr, listOf(7))
+		after := strings.NewReplacer(`"name":"txn-write"`, `"name":"audit-write"`, `"name":"gold"`, `"name":"iron"`, `"give_up_ms":4000`, `"give_up_ms":700`,
+			`"give_up_ms":2000`, `"give_up_ms":600`, `"dial_timeout_ms":250`, `"dial_timeout_ms":400`, `"memory_mb":64`, `"memory_mb":32`).Replace(before)
+		old := sc.request("PUT", "txn-write", "00000000000000aa", "3", "x", "Idempotency-Key: k\r\n")
+		renewed := strings.NewReplacer("txn-write", "audit-write", "gold", "iron", "aa", "ab").Replace(old)
+		p := sc.connect()
+		if got := sc.connect().ask(renewed); got.status != 404 {
+			t.Error("before the reload:", got)
+		}
+		came, release := sc.heldDial(h)
+		fmt.Fprint(p.conn, old)
+		sc.until("the dial", came)
+		c, err := ParseConfig([]byte(after), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		sc.s.Reload(c)
+		release()
+		if got := p.hear(0); got.status != 200 {
+			t.Error("taken before the reload:", got)
+		}
+		if got := sc.connect().ask(strings.Replace(renewed, "ab", "ac", 1)); got.status != 200 {
+			t.Error("a new class and plan:", got)
+		}
+		if got := sc.connect().ask(strings.Replace(old, "aa", "ad", 1)); got.status != 404 {
+			t.Error("a class that is gone:", got)
+		}
+		var within time.Duration
+		sc.on(func() { within = sc.s.back.dialIn })
+		if within != 400*time.Millisecond || sc.s.front.bytes.Load() != 4<<20 {
+			t.Errorf("dials within %s, %d bytes of bodies", within, sc.s.front.bytes.Load())
+		}
+		from := time.Now()
+		sc.s.Drain()
+		if took := time.Since(from); took > 1400*time.Millisecond {
+			t.Errorf("the drain took %s, as with the deadlines of the start", took)
+		}
+	})
+}
