--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,129 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// fleet is many instances that don't talk, before one node that has just started.
+type fleet struct {
+	s       Settings
+	rng     *rand.Rand
+	now     float64
+	hosts   []*rig
+	done    []outcomeAt
+	arrived []float64 // requests of mean work at the node
+	sent    int
+}
+
+type outcomeAt struct {
+	at   float64
+	host *rig
+	o    Outcome
+}
+
+const coldStart = 999.0
+
+func (f *fleet) host() *rig {
+	f.sent++
+	g := &rig{p: newScheduler(f.s, uint64(f.sent)), now: f.now, at: map[string]float64{}}
+	g.list(Node{Addr: "n0", Health: Ready, Shard: 0, Started: coldStart})
+	return g
+}
+
+// step has time go by at one host and its sends arrive, some of them late: they wait for
+// their connection.
+func (f *fleet) step(g *rig, ask bool) {
+	g.pass(f.now - g.now)
+	if ask {
+		g.ask("read", "high", "", f.s.MeanUnits)
+	}
+	for _, a := range g.acts {
+		s, ok := a.(Send)
+		if !ok {
+			continue
+		}
+		at := f.now
+		if f.rng.IntN(3) == 0 {
+			at += f.rng.Float64() * f.s.Rules.SendLate
+		}
+		if at > s.By {
+			f.done = append(f.done, outcomeAt{at, g, Outcome{ID: s.ID, Node: s.Node, Result: NotSent}})
+			continue
+		}
+		f.arrived = append(f.arrived, at)
+		f.done = append(f.done, outcomeAt{at + 30, g, Outcome{ID: s.ID, Node: s.Node, Done: true, Elapsed: at + 30 - f.now}})
+	}
+	g.acts = g.acts[:0]
+}
+
+func (f *fleet) run(span, rate float64, restart func(now float64, i int) bool) {
+	const dt = 5.0
+	for end := f.now + span; f.now < end; f.now += dt {
+		for i := range f.hosts {
+			if restart(f.now, i) {
+				f.hosts[i] = f.host()
+			}
+			f.step(f.hosts[i], f.rng.Float64() < rate*dt/1000/float64(len(f.hosts)))
+		}
+		f.done = slices.DeleteFunc(f.done, func(d outcomeAt) bool {
+			if d.at > f.now {
+				return false
+			}
+			d.host.now = max(d.host.now, f.now)
+			d.host.do(d.o)
+			return true
+		})
+	}
+}
+
+// worst is by how many requests a window of the fall's length passed what may be put down
+// to chance.
+func (f *fleet) worst() (over float64) {
+	over = math.Inf(-1)
+	slices.Sort(f.arrived)
+	r := f.s.Rules
+	for i, from := range f.arrived {
+		j, _ := slices.BinarySearch(f.arrived, from+r.FallTime)
+		grown := 1 + (1-r.ColdFrom)/r.ColdFrom*(from-coldStart)/r.ColdTime
+		n := r.ColdUnits * grown / f.s.MeanUnits
+		over = max(over, float64(j-i)-(n+2*math.Sqrt(n)+2))
+	}
+	return over
+}
+
+// What all hosts together send to a node that has just started stays within what it bears
+// and chance, however many they are, where attempts wait for connections, and through
+// restarts that forget what was sent.
+func TestAFleetAtAColdNode(t *testing.T) {
+	for _, hosts := range []int{3, 25, 120} {
+		for name, restart := range map[string]func(now float64, i int) bool{
+			"calm":        func(float64, int) bool { return false },
+			"killed":      func(now float64, i int) bool { return now == 2500 && i%10 < 7 },
+			"one by one":  func(now float64, i int) bool { return now == 1500+float64(i*5*(1000/hosts/5)) },
+			"twice a bit": func(now float64, i int) bool { return (now == 1800 || now == 2400) && i%3 == 0 },
+		} {
+			t.Run(fmt.Sprint(hosts, name), func(t *testing.T) {
+				for seed := range uint64(20) {
+					s := settings()
+					s.Hosts, s.Shards, s.MeanUnits = hosts, 1, 1
+					s.Rules.FallTime, s.Rules.ColdUnits, s.Rules.SendLate = 1000, 60, 300
+					f := &fleet{s: s, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000}
+					for range hosts {
+						f.hosts = append(f.hosts, f.host())
+					}
+					f.run(4000, 600, restart)
+					if over := f.worst(); over > 0 {
+						t.Errorf("seed %d: %.1f requests over, of %d", seed, over, len(f.arrived))
+					}
+					if len(f.arrived) < 40 {
+						t.Errorf("seed %d: only %d sends to the cold node", seed, len(f.arrived))
+					}
+				}
+			})
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -121,12 +121,6 @@
 	}
 }
 
-func (p *scheduler) resetDepth(sh *shard) {
-	sh.depth = max(p.floor(), 1)
-	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
-	sh.got, sh.took = gathered{}, gathered{}
-}
-
 // assign gives the shard the node that holds it now: of those that may be sent
 // to, the one started last. What is gone is forgotten once it owes nothing.
 func (p *scheduler) assign(sh *shard) {
@@ -573,6 +567,10 @@
 	if !cold {
 		return true
 	}
+	if rest := p.born + p.fallSpan(); n.coldAt < p.born && p.now < rest { // this host may have been restarted
+		p.wake(rest, nil, sh)
+		return false
+	}
 	sends, units := n.sends.since(p.now - p.fallSpan())
 	if units+r.Units <= budget {
 		return true
--- a/policy/state.go
+++ b/policy/state.go
@@ -486,6 +486,13 @@
 	}
 }
 
+// resetDepth forgets what was learnt of the shard's node.
+func (p *scheduler) resetDepth(sh *shard) {
+	sh.depth = max(p.floor(), 1)
+	sh.fit = newRLS([]float64{0, depthGain, depthGain}, forget, maxCov)
+	sh.got, sh.took = gathered{}, gathered{}
+}
+
 // shard returns the queue of shard id, made if need be.
 func (p *scheduler) shard(id int) *shard {
 	i, ok := slices.BinarySearchFunc(p.shards, id, func(sh *shard, id int) int { return cmp.Compare(sh.id, id) })
