The watch waits by a gate of its world; tests read counters on the loop; more under -race

The race detector found context's own goroutine waking the watch of a virtual world (seam.Pause in discovery.go), and tests that read counters beside the loop.

--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -42,7 +42,8 @@
 	whole bool   // what is held may lack something
 	pause time.Duration
 	tasks seam.Group
-	ctx   context.Context
+	ended seam.Gate
+	ctx   context.Context // of its dials
 	stop  context.CancelFunc
 }
 
@@ -67,6 +68,7 @@
 }
 
 func (d *watch) close() {
+	d.ended.Open()
 	d.stop()
 	d.mu.Lock()
 	if d.conn != nil {
@@ -77,7 +79,7 @@
 }
 
 func (d *watch) run() {
-	for d.ctx.Err() == nil {
+	for !d.ended.Opened() {
 		d.mu.Lock()
 		addr := d.addr
 		d.mu.Unlock()
@@ -88,12 +90,12 @@
 		if err == nil {
 			err = d.follow(addr)
 		}
-		if d.ctx.Err() != nil {
+		if d.ended.Opened() {
 			return
 		}
 		d.whole = d.whole || isUnreadable(err)
 		d.note("watch ended", err)
-		seam.Pause(d.ctx, d.world, d.pause)
+		seam.Wait(d.world, d.pause, &d.ended)
 		d.pause = min(2*d.pause, watchPauseMost)
 	}
 }
@@ -114,7 +116,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conn = conn
-	return d.addr == addr && d.ctx.Err() == nil
+	return d.addr == addr && !d.ended.Opened()
 }
 
 // ask sends a request and reads the head of its answer; what comes of it is read from the
--- a/scheduler/discovery_test.go
+++ b/scheduler/discovery_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	w       seam.World
 	l       net.Listener
 	tasks   seam.Group
+	mu      sync.Mutex
 	conns   []net.Conn
 	targets []string
 	times   []time.Duration
@@ -41,8 +43,10 @@
 			if err != nil {
 				return
 			}
+			a.mu.Lock()
 			n := len(a.conns)
 			a.conns = append(a.conns, c)
+			a.mu.Unlock()
 			a.tasks.Go(w, func() { a.serve(n, c) })
 		}
 	})
@@ -54,16 +58,20 @@
 	if err != nil {
 		return
 	}
+	a.mu.Lock()
 	a.targets = append(a.targets, r.Target)
 	a.times = append(a.times, a.w.Now())
+	a.mu.Unlock()
 	a.do(n, r.Target, c)
 }
 
 func (a *agent) close() {
 	a.l.Close()
+	a.mu.Lock()
 	for _, c := range a.conns {
 		c.Close()
 	}
+	a.mu.Unlock()
 	a.tasks.Wait(a.w)
 }
 
