--- a/scheduler/back.go
+++ b/scheduler/back.go
@@ -31,7 +31,7 @@
 	// restTime is how long a connection is listened to after an answer before it takes
 	// another request: what a disk server sends behind its answer, a second copy some
 	// milliseconds later even, must not be taken for the answer to the next.
-	restTime = 25 * time.Millisecond
+	restTime = 8 * time.Millisecond
 	// idlePart of the time after which disk servers close idle connections is how long
 	// they are kept here: a request that crosses the close would be lost to a reset.
 	idlePart = 0.6
