Clients that had an answer may write a request for 4 s; first ones are bound from the connect

Ruled out: 413 and other faults. Lines at fault: headTime, 1.5 s for all. A first request is bound by 2.7 s from its connection, within the platform's 3 s.

--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -19,11 +19,13 @@
 )
 
 const (
-	// firstTime is how long a client may say nothing after it has connected, and headTime
-	// how long a request may take from its first byte to its last. Who opens connections
-	// by hundreds and says nothing, or never ends its head, must not keep others out.
+	// firstTime is how long a client may say nothing after it has connected, and newTime how
+	// long its first request may take from then: who opens connections by hundreds and says
+	// nothing, or never ends its head, is turned away within the platform's 3 s. Who had an
+	// answer may write slowly: slowTime from a request's first byte to its last.
 	firstTime = time.Second
-	headTime  = 1500 * time.Millisecond
+	newTime   = 2700 * time.Millisecond
+	slowTime  = 4 * time.Second
 	// keepTime is how long a connection without a request is kept, and idleTime where many
 	// are open: clients that ask once and stay would else hold all the descriptors there are.
 	keepTime = 20 * time.Second
@@ -172,8 +174,12 @@
 	f := c.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	within := slowTime
+	if c.spoke == 0 {
+		within = newTime - seam.Duration(f.loop.now()-c.since)
+	}
 	c.state, c.since = clientActive, f.loop.now()
-	c.conn.SetReadDeadline(f.world.Deadline(headTime))
+	c.conn.SetReadDeadline(f.world.Deadline(within))
 }
 
 // rest makes an answered connection idle; false where it ends. Then nothing is read on it
--- a/scheduler/scene_test.go
+++ b/scheduler/scene_test.go
@@ -286,6 +286,40 @@
 	})
 }
 
+// Who had an answer may write slowly; who has not is turned away within 3 s, however it
+// spreads its bytes.
+func TestSlowWriters(t *testing.T) {
+	play(t, answering(ok200), func(sc *scene) {
+		drip := func(p *peer, raw string, over time.Duration) said {
+			from := sc.w.Now()
+			for i := range raw {
+				if _, err := io.WriteString(p.conn, raw[i:i+1]); err != nil {
+					break
+				}
+				seam.Wait(sc.w, over/time.Duration(len(raw)), nil)
+			}
+			return p.hear(from)
+		}
+		p := sc.connect()
+		if got := p.ask(sc.get()); got.status != 200 {
+			t.Fatal(got)
+		}
+		if got := drip(p, sc.get(), 3*time.Second); got.status != 200 {
+			t.Error("after an answer:", got)
+		}
+		if got := drip(sc.connect(), sc.get(), 2*time.Second); got.status != 200 {
+			t.Error("a first request in time:", got)
+		}
+		q := sc.connect()
+		from := sc.w.Now()
+		seam.Wait(sc.w, 900*time.Millisecond, nil)
+		io.WriteString(q.conn, "GET /up HT")
+		if got := q.hear(from); got.status != 408 || got.took > 3*time.Second {
+			t.Errorf("a first request that never ends: %+v", got)
+		}
+	})
+}
+
 // The id of a request that is open, or was, is not served for another client.
 func TestAnIdNamesOneRequest(t *testing.T) {
 	play(t, answering(ok200), func(sc *scene) {
