--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -142,6 +142,36 @@
 	}
 }
 
+// Messages that come a byte at a time are the same messages.
+func TestByteByByte(t *testing.T) {
+	for _, in := range []string{
+		"PUT /a HTTP/1.1\r\nContent-Length: 3\r\nX: y\r\n\r\nabc",
+		"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: v\r\n\r\n",
+	} {
+		br := bufio.NewReader(iotest.OneByteReader(strings.NewReader(in)))
+		r, err := ReadRequest(br, lim)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fr, err := r.Framing(lim)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b, err := ReadBody(br, fr, lim); err != nil || string(b) != "abc" || r.Target != "/a" {
+			t.Errorf("%q: %+v %q %v", in, r, b, err)
+		}
+	}
+	br := bufio.NewReader(iotest.OneByteReader(strings.NewReader("HTTP/1.1 103 H\r\nA: b\r\n\r\nHTTP/1.1 200\r\n\r\nabc")))
+	m, err := ReadResponse(br, lim)
+	if err != nil || m.Interim != 1 {
+		t.Fatal(m, err)
+	}
+	fr, _ := m.Framing(lim)
+	if b, err := ReadBody(br, fr, lim); err != nil || string(b) != "abc" {
+		t.Errorf("%q %v", b, err)
+	}
+}
+
 // A body up to the close is whole only where the stream ends cleanly, and is given no more
 // room than there is.
 func TestBodyUpToTheClose(t *testing.T) {
--- a/scheduler/crossing_test.go
+++ b/scheduler/crossing_test.go
@@ -323,6 +323,114 @@
 	}
 }
 
+// An attempt that waits for a connection to an address that is another's by then goes to
+// the one that its disk server has now.
+func TestAnAddressThatChangesDuringADial(t *testing.T) {
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+		other, err := standin.ServeHTTPDisk(h.Real, answering(ok200))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer other.Close()
+		came, release := sc.heldDial(h)
+		p := sc.connect()
+		io.WriteString(p.conn, strings.Replace(sc.get(), "0.480", "1.900", 1))
+		sc.until("the dial", came)
+		sc.list.Say(fmt.Sprintf(`{"seq":8,"whole":false,"hosts":[%s]}`, entry("s0", other.Addr, "active", 0)))
+		sc.until("the list", sc.core(func(k *core) bool { return k.hosts["s0"].Dial == other.Addr }))
+		release()
+		if got := p.hear(0); got.status != 200 || len(sc.disk.Asked()) != 0 || len(other.Asked()) != 1 {
+			t.Errorf("%+v, %d at the old address, %d at the new", got, len(sc.disk.Asked()), len(other.Asked()))
+		}
+	})
+}
+
+// lateBytes is a connection on which a request lands just as its reader was told that the
+// time is over.
+type lateBytes struct {
+	*net.TCPConn
+	land func()
+}
+
+func (c *lateBytes) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if isTimeout(err) {
+		c.land()
+	}
+	return n, err
+}
+
+// A request that lands in the moment in which its idle connection is to end was taken: it
+// is served, and at a stop with the connection's last answer.
+func TestARequestLandsAsItsConnectionEnds(t *testing.T) {
+	for name, end := range map[string]func(sc *scene){
+		"a stop": func(sc *scene) { sc.s.front.finish() },
+		"for another's sake": func(sc *scene) {
+			sc.s.front.mu.Lock()
+			defer sc.s.front.mu.Unlock()
+			sc.s.front.eachIdle(func(c *client) { c.end(sc.s.loop.now()) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+				var p *peer
+				landed := sc.gate()
+				sc.hookAccept(h, func(c net.Conn) net.Conn {
+					return &lateBytes{c.(*net.TCPConn), func() {
+						if !landed.Opened() {
+							io.WriteString(p.conn, sc.get())
+							landed.Open()
+						}
+					}}
+				})
+				p = sc.connect()
+				defer p.conn.Close()
+				if got := p.ask("GET /up HTTP/1.1\r\n\r\n"); got.status != 200 {
+					t.Fatal(got)
+				}
+				sc.until("it is idle", func() bool {
+					idle := 0
+					sc.s.front.mu.Lock()
+					defer sc.s.front.mu.Unlock()
+					sc.s.front.eachIdle(func(*client) { idle++ })
+					return idle == 1
+				})
+				end(sc)
+				if got := p.hear(0); got.status != 200 || got.close != (name == "a stop") {
+					t.Errorf("%+v", got)
+				}
+				if !landed.Opened() {
+					t.Error("nothing was crossed")
+				}
+			})
+		})
+	}
+}
+
+// Settings that leave out the times of connections get usual ones.
+func TestSettingsWithoutTimesOfConnections(t *testing.T) {
+	bare := func(s string) string {
+		return strings.Replace(s, `"dial_timeout_ms":250,"conn_idle_ms":30000`, `"x":0`, 1)
+	}
+	playReal(t, bare, answering(ok200), func(sc *scene, h *held) {
+		p := sc.connect()
+		for range 3 {
+			if got := p.ask(sc.get()); got.status != 200 {
+				t.Error(got)
+			}
+			sc.until("the connection is free", sc.core(func(*core) bool { return len(sc.s.back.servers["s0"].free) == 1 }))
+		}
+		if asked := sc.disk.Asked(); asked[len(asked)-1].Conn != 0 {
+			t.Error("a connection was not used again")
+		}
+		sc.on(func() {
+			if b := sc.s.back; b.dialIn != usualDial || b.idle != usualIdle*idlePart {
+				t.Error(b.dialIn, b.idle)
+			}
+		})
+	})
+}
+
 // A repeat that waits for its connection past the time in which repeats are dropped does
 // not begin.
 func TestRepeatsWaitNoLongerThanTheirWindow(t *testing.T) {
