A connection accepted as the others end, ends; attempts begin by the time of the write

client() set the first deadline after it had entered the connection, so that an end in between was overwritten; begin() judged by when the connection came up, not by when the loop had come to it.

--- a/scheduler/back.go
+++ b/scheduler/back.go
@@ -254,7 +254,7 @@
 		return
 	}
 	for a := s.next(); a != nil; a = s.next() {
-		if b.core.begin(at, a) {
+		if b.core.begin(b.loop.now(), a) { // not when its connection came up: bytes leave now
 			b.put(l, a)
 			return
 		}
--- a/scheduler/crossing_test.go
+++ b/scheduler/crossing_test.go
@@ -407,6 +407,27 @@
 	}
 }
 
+// A connection that is accepted just after the idle ones were told to end ends too, and at
+// once.
+func TestAConnectionAcceptedAfterTheOthersEnded(t *testing.T) {
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+		gate, at := sc.gate(), sc.gate()
+		sc.hookAccept(h, func(c net.Conn) net.Conn {
+			at.Open()
+			gate.Wait(h)
+			return c
+		})
+		p := sc.connect()
+		defer p.conn.Close()
+		sc.until("the hook", at.Opened)
+		sc.s.front.finish()
+		gate.Open()
+		if got := p.hear(sc.w.Now()); got.status != 0 || got.took > firstTime/2 {
+			t.Errorf("%+v", got)
+		}
+	})
+}
+
 // Settings that leave out the times of connections get usual ones.
 func TestSettingsWithoutTimesOfConnections(t *testing.T) {
 	bare := func(s string) string {
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -123,6 +123,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.clients.Add(c)
+	if conn.SetReadDeadline(f.world.Deadline(firstTime)); f.closing {
+		c.end(c.since)
+	}
 	return c
 }
 
@@ -131,6 +134,9 @@
 func (f *front) roomy() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.clients.Len() < f.most {
+		return true
+	}
 	now := f.loop.now()
 	staying := 0
 	var pick *client
@@ -294,7 +300,6 @@
 // serve reads requests until the connection ends.
 func (c *client) serve() {
 	defer c.close()
-	c.conn.SetReadDeadline(c.front.world.Deadline(firstTime))
 	for c.begun() {
 		c.active()
 		r, err := c.request()
