--- a/scheduler/day_test.go
+++ b/scheduler/day_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"bufio"
 	"cmp"
 	"context"
 	"fmt"
@@ -231,7 +232,7 @@
 			if err != nil {
 				return // nobody listens any more
 			}
-			p = &peer{d.w, c, newReader(c)}
+			p = &peer{d.w, c, bufio.NewReader(c)}
 		}
 		d.mu.Lock()
 		d.n++
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -304,7 +304,7 @@
 		c.active()
 		r, err := c.request()
 		if err != nil {
-			c.say(statusOf(err), true)
+			c.turnAway(statusOf(err))
 			return
 		}
 		if !c.handle(r) {
@@ -401,12 +401,12 @@
 	return 0
 }
 
-// say writes an answer of the shell's own.
-func (c *client) say(status int, last bool, more ...http1.Field) {
-	if status == 0 {
-		return
+// turnAway answers what is no request that can be served, and ends the connection: who
+// sends such is not listened to further. Status 0 says nothing.
+func (c *client) turnAway(status int) {
+	if status != 0 {
+		c.write(status, true, nil, nil)
 	}
-	c.write(status, last, http1.Fields(more), nil)
 }
 
 // write answers and makes the connection idle, or ends it: it tells whether it goes on.
@@ -438,8 +438,7 @@
 	}
 	call, status := f.check.Load().read(r)
 	if status != 0 {
-		// Who sends what cannot be served is not listened to further.
-		c.say(status, true)
+		c.turnAway(status)
 		return false
 	}
 	if by := f.leaving(); by > 0 {
@@ -470,7 +469,7 @@
 	ok := f.loop.post(at, func(at float64) {
 		if !f.core.take(at, call) {
 			q.close = true
-			c.say(409, true)
+			c.turnAway(409)
 			q.done.Open()
 		}
 	})
--- a/scheduler/scene_test.go
+++ b/scheduler/scene_test.go
@@ -103,8 +103,6 @@
 	in   *bufio.Reader
 }
 
-func newReader(c net.Conn) *bufio.Reader { return bufio.NewReader(c) }
-
 func (sc *scene) connect() *peer {
 	c, err := sc.w.Dial(context.Background(), "tcp", sc.addr, time.Second)
 	if err != nil {
