Messages are read in one place; times that settings leave out are filled in once

Found on reading the whole change again: fetch and follow had the same loop over a stream (messages.read serves both), and the usual dial time was decided in config.go and again in back.go (usual fills the bounds as they are parsed). A comment of shut said more than holds. Behaviour is as it was.

--- a/scheduler/back.go
+++ b/scheduler/back.go
@@ -114,14 +114,8 @@
 
 // configure takes what the configuration says; what is under way goes on.
 func (b *back) configure(c *Config) {
-	b.dialIn, b.idle = usualDial, usualIdle*idlePart
+	b.dialIn, b.idle = seam.Duration(c.Bounds.DialTimeout), c.Bounds.ConnIdle*idlePart
 	b.bytes.Store(bytesOf(c))
-	if d := c.Bounds.DialTimeout; d > 0 {
-		b.dialIn = seam.Duration(d)
-	}
-	if idle := c.Bounds.ConnIdle; idle > 0 {
-		b.idle = idle * idlePart
-	}
 }
 
 // reach notes a server's address; at another one, what is open to the old one is left.
@@ -315,7 +309,8 @@
 	return true
 }
 
-// shut closes a connection and takes it out of the books. It is the only one to close it.
+// shut closes a connection and takes it out of the books. While the loop runs nothing else
+// closes it.
 func (b *back) shut(l *link) {
 	if l.state == linkClosed {
 		return
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -98,20 +98,23 @@
 	if err != nil {
 		return nil, atPath("settings", err)
 	}
-	c.Settings, c.Bounds = *set, bounds
-	c.Settings.Rules.SendLate = lateOf(bounds)
+	c.Settings, c.Bounds = *set, usual(bounds)
+	c.Settings.Rules.SendLate = c.Bounds.DialTimeout + lateMargin
 	return c, c.check()
 }
 
 // lateMargin is how much later than its connection may be up, ms, an attempt may begin.
 const lateMargin = 50.0
 
-// lateOf is how long an attempt may wait for its connection.
-func lateOf(b wire.Bounds) float64 {
-	if b.DialTimeout > 0 {
-		return b.DialTimeout + lateMargin
+// usual fills in the times of connections that the settings leave out.
+func usual(b wire.Bounds) wire.Bounds {
+	if !(b.DialTimeout > 0) {
+		b.DialTimeout = seam.MS(usualDial)
 	}
-	return seam.MS(usualDial) + lateMargin
+	if !(b.ConnIdle > 0) {
+		b.ConnIdle = usualIdle
+	}
+	return b
 }
 
 func orElse(s, other string) string {
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -154,21 +154,12 @@
 func (d *watch) fetch(addr string) error {
 	return d.ask(addr, listPath, func(_ net.Conn, s *http1.Stream) error {
 		var m messages
-		for {
-			b, err := s.Next()
-			if err != nil {
-				return err // before a whole message came
+		return m.read(s, func(what got) (more bool, err error) {
+			if what != gotMessage {
+				return true, nil
 			}
-			for len(b) > 0 {
-				n, what, err := m.next(b)
-				if err != nil {
-					return err
-				}
-				if b = b[n:]; what == gotMessage {
-					return d.message(m.take(), true)
-				}
-			}
-		}
+			return false, d.message(m.take(), true)
+		})
 	})
 }
 
@@ -178,31 +169,21 @@
 	return d.ask(addr, target, func(conn net.Conn, s *http1.Stream) error {
 		var m messages
 		heard := false
-		for {
-			b, err := s.Next()
-			if err != nil {
-				return err
+		return m.read(s, func(what got) (more bool, err error) {
+			if what == gotPart {
+				return true, nil // half a message is no sign of life
 			}
-			for len(b) > 0 {
-				n, what, err := m.next(b)
-				if err != nil {
-					return err
-				}
-				if b = b[n:]; what == gotPart {
-					continue // half a message is no sign of life
-				}
-				conn.SetReadDeadline(d.world.Deadline(watchSilence))
-				if what == gotMessage {
-					err = d.message(m.take(), false)
-				} else if !heard {
-					d.told(List{Seq: d.seq}) // nothing has changed
-				}
-				if err != nil {
-					return err
-				}
+			conn.SetReadDeadline(d.world.Deadline(watchSilence))
+			if what == gotMessage {
+				err = d.message(m.take(), false)
+			} else if !heard {
+				d.told(List{Seq: d.seq}) // nothing has changed
+			}
+			if err == nil {
 				heard, d.pause = true, watchPause
 			}
-		}
+			return true, err
+		})
 	})
 }
 
--- a/scheduler/messages.go
+++ b/scheduler/messages.go
@@ -49,6 +49,27 @@
 	return len(b), gotPart, nil
 }
 
+// read has do called for each thing in a stream, until it wants no more or the stream ends;
+// then the error says how.
+func (m *messages) read(s *http1.Stream, do func(what got) (more bool, err error)) error {
+	for {
+		b, err := s.Next()
+		if err != nil {
+			return err
+		}
+		for len(b) > 0 {
+			n, what, err := m.next(b)
+			if err != nil {
+				return err
+			}
+			b = b[n:]
+			if more, err := do(what); err != nil || !more {
+				return err
+			}
+		}
+	}
+}
+
 func (m *messages) inside(c byte) {
 	switch {
 	case m.escape:
