The scheduler logs late events, refusals, failed attempts, lists and closes, with reasons

Change: eventLog writes, at most 20 lines of a message a second: events of the loop that came 50 ms late or took 25 ms, final answers that are no disk server's with request id, reason, attempts and time left, failed attempts with their result, lists with what they changed, and each client connection that the scheduler ends, with reason, bytes read, requests and answers. The type how is callOutcome now.

--- a/scheduler/back.go
+++ b/scheduler/back.go
@@ -203,7 +203,7 @@
 
 func (b *back) dial(s *server, addr string, within time.Duration) {
 	conn, err := b.world.Dial(b.ctx, "tcp", addr, within)
-	if !b.loop.post(b.loop.now(), func(at float64) { b.dialled(at, s, addr, conn, err) }) && err == nil {
+	if !b.loop.post(b.loop.now(), eventDialled, func(at float64) { b.dialled(at, s, addr, conn, err) }) && err == nil {
 		conn.Close()
 	}
 }
@@ -356,25 +356,25 @@
 		if n < len(message) { // without its last byte it is no request
 			r = policy.NoConnection
 		}
-		b.loop.post(b.loop.now(), func(at float64) { b.broke(at, l, a, r) })
+		b.loop.post(b.loop.now(), eventBroken, func(at float64) { b.broke(at, l, a, r) })
 		return
 	}
 	l.conn.SetDeadline(time.Time{})
 	r, clean, err := l.answer()
 	if err != nil && !http1.IsError(err) {
 		b.held.Add(-r.size)
-		b.loop.post(b.loop.now(), func(at float64) { b.broke(at, l, a, policy.ConnectionLost) })
+		b.loop.post(b.loop.now(), eventBroken, func(at float64) { b.broke(at, l, a, policy.ConnectionLost) })
 		return
 	}
 	clean = clean && err == nil && l.in.Buffered() == 0
-	if !b.loop.post(b.loop.now(), func(at float64) {
+	if !b.loop.post(b.loop.now(), eventAnswered, func(at float64) {
 		b.answered(at, l, a, r, clean)
 		b.held.Add(-r.size)
 	}) || !clean {
 		return
 	}
 	quiet := l.rest()
-	b.loop.post(b.loop.now(), func(at float64) { b.rested(at, l, quiet) })
+	b.loop.post(b.loop.now(), eventRested, func(at float64) { b.rested(at, l, quiet) })
 }
 
 // rest listens for a while whether anything follows the answer; false if so.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -10,15 +10,17 @@
 	"merlinhitch/policy"
 )
 
-// how a call ended.
-type how int
+// callOutcome says how a call ended.
+type callOutcome int
 
 const (
-	served how = iota
+	served callOutcome = iota
 	refused
 	failed
 )
 
+func (o callOutcome) String() string { return [...]string{"served", "refused", "failed"}[o] }
+
 // message is what a client sent, as it goes on to disk servers.
 type message struct {
 	method, target string
@@ -40,7 +42,7 @@
 // answerer is who a call was taken for. It is told once, on the core's goroutine, unless
 // the client went away first.
 type answerer interface {
-	answer(h how, after float64, body []byte)
+	answer(outcome callOutcome, after float64, body []byte)
 }
 
 // attempt is one sending of a call: it waits for its connection, has begun on it, or is
@@ -79,6 +81,7 @@
 type core struct {
 	mod      policy.Scheduler
 	eff      effects
+	log      *eventLog // nil: nothing is logged
 	now      float64
 	born     int64 // Unix time, ms, of the clock's zero
 	calls    map[string]*call
@@ -227,23 +230,24 @@
 }
 
 // end is a final answer by the module.
-func (k *core) end(id string, h how, after float64, why policy.Reason) {
+func (k *core) end(id string, outcome callOutcome, after float64, why policy.Reason) {
 	c := k.calls[id]
 	if c == nil || c.ended {
 		return
 	}
 	k.counters.Reasons[why.String()]++
-	if h == refused {
+	if outcome == refused {
 		k.counters.Refused++
 	} else {
 		k.counters.Failed++
 	}
-	k.finish(c, h, after, nil)
+	k.log.refused(c, k.now, outcome, why)
+	k.finish(c, outcome, after, nil)
 }
 
-func (k *core) finish(c *call, h how, after float64, body []byte) {
+func (k *core) finish(c *call, outcome callOutcome, after float64, body []byte) {
 	c.ended = true
-	c.owner.answer(h, after, body)
+	c.owner.answer(outcome, after, body)
 	k.tidy(c)
 }
 
@@ -261,6 +265,7 @@
 	}
 	c.ended = true
 	k.counters.Gone++
+	k.log.clientLeft(c)
 	k.tell(policy.ClientGone{ID: c.req.ID})
 	k.tidy(c)
 }
@@ -307,6 +312,9 @@
 	c.out--
 	k.counters.Outcomes[o.Result]++
 	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed = c.req.ID, a.host, a.n, c.ended, k.now-a.sentAt
+	if o.Result != policy.Served {
+		k.log.attemptFailed(a, o.Result, o.Elapsed)
+	}
 	k.tell(o)
 	k.tidy(c)
 }
@@ -353,8 +361,12 @@
 		l.Hosts = append(slices.Clone(l.Hosts), k.missing(l.Hosts)...)
 	}
 	nodes := make([]policy.Node, len(l.Hosts))
+	draining := 0
 	for i, e := range l.Hosts {
 		nodes[i] = policy.Node{Addr: e.Host, Health: health[e.Health], Shard: e.Block, Started: k.startOf(e), Zone: e.Site, Weight: e.Share}
+		if nodes[i].Health == policy.Draining {
+			draining++
+		}
 		if nodes[i].Health == policy.Gone {
 			delete(k.hosts, e.Host)
 		} else {
@@ -368,6 +380,7 @@
 			k.eff.retire(n.Addr)
 		}
 	}
+	k.log.listTaken(l, len(nodes), draining)
 }
 
 // missing lists as gone what is held and not in a whole list, in an order of its own.
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -28,7 +28,7 @@
 	id string
 }
 
-func (c clientOf) answer(how, float64, []byte) { c.p.answers[c.id]++ }
+func (c clientOf) answer(callOutcome, float64, []byte) { c.p.answers[c.id]++ }
 
 func coreFor(t interface{ Fatal(...any) }) (*core, *played) {
 	c, err := ParseConfig([]byte(testConfig("a:1", "b:1", listOf(1, entry("s0", "x:1", "active", 0), entry("s1", "x:2", "active", 1)))), func(string) string { return "" })
--- a/scheduler/crossing_test.go
+++ b/scheduler/crossing_test.go
@@ -156,7 +156,7 @@
 // on runs f on the loop and waits for it.
 func (sc *scene) on(f func()) {
 	var done seam.Gate
-	sc.s.loop.post(sc.s.loop.now(), func(float64) {
+	sc.s.loop.post(sc.s.loop.now(), eventStop, func(float64) {
 		f()
 		done.Open()
 	})
--- /dev/null
+++ b/scheduler/eventlog.go
@@ -0,0 +1,122 @@
+package scheduler
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"merlinhitch/policy"
+)
+
+const (
+	// logBurst is how many lines of one message are written a second; the others are
+	// dropped, so that a fleet in trouble costs its schedulers no more than that.
+	logBurst = 20
+	// lateEvent is the delay from which the loop's lateness is logged, and slowEvent the
+	// time that handling one event may take before that is, ms.
+	lateEvent = 50.0
+	slowEvent = 25.0
+)
+
+// eventLog writes what happens to requests, attempts, connections and lists, with the
+// request's id and the reason, at a bounded rate. The nil log writes nothing.
+type eventLog struct{ log *zap.Logger }
+
+func newEventLog(log *zap.Logger) *eventLog {
+	bounded := zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, logBurst, 0)
+	})
+	return &eventLog{log.WithOptions(bounded)}
+}
+
+// eventKind says what an event of the loop is about.
+type eventKind int
+
+const (
+	eventRequest eventKind = iota
+	eventClientGone
+	eventDialled
+	eventAnswered
+	eventRested
+	eventBroken
+	eventList
+	eventReload
+	eventStop
+	eventTick
+)
+
+var eventNames = [...]string{"request", "client gone", "dialled", "answered", "rested", "broken", "list", "reload", "stop", "tick"}
+
+func (k eventKind) String() string { return eventNames[k] }
+
+// handled notes an event that came late or took long, ms.
+func (l *eventLog) handled(kind eventKind, delay, took float64) {
+	if l == nil || delay < lateEvent && took < slowEvent {
+		return
+	}
+	l.log.Warn("event loop late", zap.Stringer("event", kind), zap.Float64("delay_ms", delay), zap.Float64("took_ms", took))
+}
+
+// refused notes a final answer that is not a disk server's.
+func (l *eventLog) refused(c *call, now float64, outcome callOutcome, why policy.Reason) {
+	if l == nil {
+		return
+	}
+	l.log.Info("request not served", zap.String("request", c.req.ID), zap.Stringer("answer", outcome), zap.Stringer("reason", why),
+		zap.Int("attempts", c.sends), zap.Float64("left_ms", c.req.Expires-now))
+}
+
+// clientLeft notes a client that went away before its answer.
+func (l *eventLog) clientLeft(c *call) {
+	if l == nil {
+		return
+	}
+	l.log.Info("client left", zap.String("request", c.req.ID), zap.Int("attempts", c.sends))
+}
+
+// attemptFailed notes an attempt that was not served.
+func (l *eventLog) attemptFailed(a *attempt, result policy.Result, elapsed float64) {
+	if l == nil {
+		return
+	}
+	l.log.Info("attempt failed", zap.String("request", a.call.req.ID), zap.Int("attempt", a.n), zap.String("server", a.host),
+		zap.Stringer("result", result), zap.Float64("elapsed_ms", elapsed))
+}
+
+// listTaken notes a list of disk servers that came into force.
+func (l *eventLog) listTaken(list List, changed, draining int) {
+	if l == nil || changed == 0 {
+		return
+	}
+	l.log.Info("list taken", zap.Uint64("seq", list.Seq), zap.Bool("whole", list.Whole), zap.Int("entries", len(list.Hosts)),
+		zap.Int("changed", changed), zap.Int("draining", draining))
+}
+
+// closeReason says why the scheduler ended a client's connection.
+type closeReason int
+
+const (
+	closeUnreadable   closeReason = iota // what came could not be read as a request
+	closeRejected                        // the request names what this scheduler does not serve
+	closeDuplicateID                     // the id was used before
+	closeAsked                           // the client asked for it, or left
+	closeLastAnswer                      // the scheduler drains: each answer ends its connection
+	closeIdle                            // nothing came in its time, or it gave way to others
+	closeClientEnded                     // the client ended it between requests
+	closeUnanswerable                    // the loop had ended
+)
+
+var closeNames = [...]string{"unreadable", "rejected", "duplicate id", "client's wish", "last answer", "idle", "client ended", "loop ended"}
+
+func (r closeReason) String() string { return closeNames[r] }
+
+// connectionClosed notes a client's connection that ends, unless it rested or its client ended it.
+func (l *eventLog) connectionClosed(c *client, err error) {
+	if l == nil || c.reason == closeClientEnded || c.reason == closeIdle && c.ahead.read == 0 {
+		return
+	}
+	l.log.Info("client connection closed", zap.Stringer("reason", c.reason), zap.String("client", c.conn.RemoteAddr().String()),
+		zap.Int64("read", c.ahead.read), zap.Int("requests", c.requests), zap.Int("answers", c.answers),
+		zap.String("request", c.lastID), zap.NamedError("cause", err))
+}
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -48,6 +48,7 @@
 	world    seam.World
 	loop     *loop
 	core     *core
+	log      *eventLog
 	check    atomic.Pointer[checker]
 	most     int // connections that stay,
 	ending   int // and that are ending beside them
@@ -87,6 +88,13 @@
 	state clientState
 	since float64 // when it came to that state, ms
 	spoke float64 // when it last was answered
+
+	answers int // that were written, under the front's lock
+
+	// Its goroutine's own.
+	reason   closeReason
+	requests int    // that were read whole
+	lastID   string // of the last of them
 }
 
 // asking is a call's answer on its way to the client.
@@ -94,6 +102,8 @@
 	client *client
 	close  bool // the client's wish
 	done   seam.Gate
+
+	duplicate bool // its id was used before
 }
 
 func (f *front) accept() {
@@ -195,6 +205,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.spoke = f.loop.now()
+	c.answers++
 	if last || f.closing {
 		c.conn.SetReadDeadline(f.world.Deadline(0))
 		return false
@@ -299,23 +310,38 @@
 
 // serve reads requests until the connection ends.
 func (c *client) serve() {
-	defer c.close()
-	for c.begun() {
+	c.close(c.serveRequests())
+}
+
+// serveRequests reads and answers until the connection is to end; it leaves the reason in
+// the client and returns the error that ended the stream, if one did.
+func (c *client) serveRequests() error {
+	for {
+		if err := c.begun(); err != nil {
+			c.reason = closeClientEnded
+			if isTimeout(err) {
+				c.reason = closeIdle
+			}
+			return err
+		}
 		c.active()
 		r, err := c.request()
 		if err != nil {
+			c.reason = closeUnreadable
 			c.turnAway(statusOf(err))
-			return
+			return err
 		}
+		c.requests++
+		c.reason = closeAsked
 		if !c.handle(r) {
-			return
+			return c.ahead.err
 		}
 	}
 }
 
 // close ends the connection so that no answer is lost to a reset. What comes once nothing
 // more is sent is left unread: a client may send that again elsewhere.
-func (c *client) close() {
+func (c *client) close(cause error) {
 	f := c.front
 	c.out.Finish()
 	c.out.Wait()
@@ -326,6 +352,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.clients.Remove(c)
+	f.log.connectionClosed(c, cause)
 }
 
 func (c *client) linger() {
@@ -347,7 +374,7 @@
 // begun waits for a request's first byte. When the time for it is over it looks once more:
 // on a machine that stands still now and then a request may have lain there for long, and
 // it was taken as it came in.
-func (c *client) begun() bool {
+func (c *client) begun() error {
 	_, err := c.in.Peek(1)
 	if isTimeout(err) {
 		c.conn.SetReadDeadline(time.Time{})
@@ -356,7 +383,7 @@
 			_, err = c.in.Peek(1)
 		}
 	}
-	return err == nil
+	return err
 }
 
 func isTimeout(err error) bool {
@@ -438,6 +465,7 @@
 	}
 	call, status := f.check.Load().read(r)
 	if status != 0 {
+		c.reason = closeRejected
 		c.turnAway(status)
 		return false
 	}
@@ -458,6 +486,7 @@
 func (c *client) ask(call *call, at float64, last bool) bool {
 	q := &asking{client: c, close: last}
 	call.owner = q
+	c.lastID = call.req.ID
 	f := c.front
 	// Discovery may know already what the list of the start does not: nothing goes by that
 	// list until discovery was heard, or has had the time for it.
@@ -466,32 +495,41 @@
 	if c.ahead.look() != nil {
 		return false
 	}
-	ok := f.loop.post(at, func(at float64) {
+	ok := f.loop.post(at, eventRequest, func(at float64) {
 		if !f.core.take(at, call) {
-			q.close = true
+			q.close, q.duplicate = true, true
 			c.turnAway(409)
 			q.done.Open()
 		}
 	})
 	if !ok {
+		c.reason = closeUnanswerable
 		return false
 	}
 	for !q.done.Opened() && !c.ahead.full() {
 		if err := c.ahead.more(); err != nil && !isTimeout(err) {
-			f.loop.post(f.loop.now(), func(at float64) { f.core.gone(at, call) })
+			f.loop.post(f.loop.now(), eventClientGone, func(at float64) { f.core.gone(at, call) })
 			return false
 		} else if err != nil {
 			break // it is answered: only then is there a deadline
 		}
 	}
 	seam.WaitAny(f.world, &q.done, &f.ended)
+	switch {
+	case !q.done.Opened():
+		c.reason = closeUnanswerable
+	case q.duplicate:
+		c.reason = closeDuplicateID
+	case q.close && !last:
+		c.reason = closeLastAnswer
+	}
 	return q.done.Opened() && !q.close
 }
 
 // answer implements answerer, on the loop.
-func (q *asking) answer(h how, after float64, body []byte) {
+func (q *asking) answer(outcome callOutcome, after float64, body []byte) {
 	status, f := 504, http1.Fields(nil)
-	switch h {
+	switch outcome {
 	case served:
 		// Clients that don't read may hold all the room.
 		if fr := q.client.front; fr.queued.Load()+int64(len(body)) <= fr.bytes.Load() {
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -67,9 +67,11 @@
 	s.back = newBack(w, s.loop, c, int(float64(sockets)*serverPart))
 	s.core = newCore(born, c, s)
 	s.back.core = s.core
+	events := newEventLog(log)
+	s.core.log, s.loop.log = events, events
 	s.core.start(c.Known)
 	s.loop.ticked = s.sweep
-	s.front = &front{world: w, loop: s.loop, core: s.core, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
+	s.front = &front{world: w, loop: s.loop, core: s.core, log: events, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
 	s.know(c)
 	var err error
 	if s.front.listener, err = w.Listen("tcp", c.Listen); err != nil {
@@ -98,7 +100,7 @@
 
 // listed passes on what discovery told.
 func (s *Scheduler) listed(l List) {
-	s.loop.post(s.loop.now(), func(at float64) {
+	s.loop.post(s.loop.now(), eventList, func(at float64) {
 		s.core.list(at, l, false)
 		s.told.Open()
 	})
@@ -118,7 +120,7 @@
 func (s *Scheduler) Reload(c *Config) {
 	s.log.Info("configuration read again", zap.String("discovery", c.Discovery))
 	s.watch.move(c.Discovery)
-	s.loop.post(s.loop.now(), func(at float64) {
+	s.loop.post(s.loop.now(), eventReload, func(at float64) {
 		s.back.configure(c)
 		s.core.revise(at, c.Settings)
 	})
@@ -138,7 +140,7 @@
 	s.front.finish()
 	s.awaitClients(from + grace - drainMargin)
 	// What was taken before the signal may have longer than there is.
-	s.loop.post(s.loop.now(), s.core.stop)
+	s.loop.post(s.loop.now(), eventStop, s.core.stop)
 	s.awaitClients(from + grace - drainEnd)
 	s.Close()
 }
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -20,6 +20,7 @@
 	wake   seam.Parker
 	done   seam.Gate
 	ticked func()
+	log    *eventLog
 
 	mu      sync.Mutex
 	mail    []event
@@ -31,8 +32,9 @@
 
 // event is something to do on the loop, at the time at which it happened.
 type event struct {
-	at float64
-	do func(at float64)
+	at   float64
+	kind eventKind
+	do   func(at float64)
 }
 
 // mostMail bounds what waits for the loop: its posters wait once it is reached.
@@ -47,7 +49,7 @@
 
 // post has f done on the loop. It waits while too much waits already, so the loop itself
 // never calls it. It tells whether the loop takes events still.
-func (l *loop) post(at float64, f func(at float64)) bool {
+func (l *loop) post(at float64, kind eventKind, f func(at float64)) bool {
 	var p seam.Parker
 	for {
 		l.mu.Lock()
@@ -56,7 +58,7 @@
 			return false
 		}
 		if len(l.mail) < mostMail {
-			l.mail = append(l.mail, event{at, f})
+			l.mail = append(l.mail, event{at, kind, f})
 			l.mu.Unlock()
 			l.wake.Unpark()
 			return true
@@ -97,16 +99,24 @@
 		l.wake.Park()
 		mail = l.collect(mail)
 		for i := range mail {
-			mail[i].do(mail[i].at)
+			l.handle(&mail[i])
 			mail[i] = event{}
 		}
-		k.tick(l.now())
+		due := min(k.next(), l.now())
+		l.handle(&event{due, eventTick, func(float64) { k.tick(l.now()) }})
 		l.ticked()
 		l.alarm.Set(l.world, l.now(), k.next(), l.wake.Unpark)
 	}
 	l.alarm.Stop()
 }
 
+// handle does one event and logs it if it was late.
+func (l *loop) handle(e *event) {
+	began := l.now()
+	e.do(e.at)
+	l.log.handled(e.kind, began-e.at, l.now()-began)
+}
+
 // stop ends the loop, from another goroutine.
 func (l *loop) stop() {
 	l.mu.Lock()
--- a/scheduler/scene_test.go
+++ b/scheduler/scene_test.go
@@ -417,7 +417,7 @@
 			t.Error(got)
 		}
 		var held []string
-		sc.s.loop.post(sc.s.loop.now(), func(float64) {
+		sc.s.loop.post(sc.s.loop.now(), eventStop, func(float64) {
 			for h := range sc.s.core.hosts {
 				held = append(held, h)
 			}
