--- /dev/null
+++ b/soak/clients.go
@@ -0,0 +1,241 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"merlinhitch/http1"
+)
+
+// Class is a kind of request that clients send.
+type Class struct {
+	Name    string
+	Write   bool
+	Keyed   bool
+	Timeout time.Duration
+	Share   float64 // of the requests
+}
+
+// Clients send requests to one scheduler at a mean rate, whatever becomes of them, and keep
+// the connections that they have.
+type Clients struct {
+	record    *Record
+	scheduler int
+	address   string
+	classes   []Class
+	shards    int
+	rate      float64 // requests a second
+	leaves    float64 // part of the clients that leave before their answer
+	rng       *rand.Rand
+	number    atomic.Int64
+	prefix    string
+	tasks     sync.WaitGroup
+	open      atomic.Bool // new connections are made
+
+	mu   sync.Mutex
+	idle []*clientConn
+}
+
+type clientConn struct {
+	net.Conn
+	in   *bufio.Reader
+	used bool
+}
+
+// graceAfterTimeout is how long a client listens beyond its time, to see a late answer.
+const graceAfterTimeout = 1500 * time.Millisecond
+
+// Run sends requests until the context ends, and waits for their ends.
+func (c *Clients) Run(ctx context.Context) {
+	c.open.Store(true)
+	for ctx.Err() == nil {
+		pause := time.Duration(c.rng.ExpFloat64() / c.rate * float64(time.Second))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+			c.send()
+		}
+	}
+	c.tasks.Wait()
+	c.closeIdle()
+}
+
+// StayOnOpen has clients use only the connections that they have: their scheduler was told
+// to end. Reopen has them make new ones again.
+func (c *Clients) StayOnOpen() { c.open.Store(false) }
+
+// Reopen undoes StayOnOpen.
+func (c *Clients) Reopen() { c.open.Store(true) }
+
+func (c *Clients) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.idle {
+		x.Close()
+	}
+	c.idle = nil
+}
+
+func (c *Clients) send() {
+	class := c.draw()
+	q := &Request{ID: fmt.Sprintf("%s%010x", c.prefix, c.number.Add(1)), Scheduler: c.scheduler, Class: class.Name, Timeout: class.Timeout}
+	shard := c.rng.IntN(c.shards)
+	raw := c.message(q, class, shard, c.rng.Uint64(), c.rng.Uint64())
+	leave := time.Duration(0)
+	if c.rng.Float64() < c.leaves {
+		leave = time.Duration(c.rng.Float64() * 0.3 * float64(class.Timeout))
+	}
+	c.tasks.Add(1)
+	go func() {
+		defer c.tasks.Done()
+		c.exchange(q, raw, leave)
+	}()
+}
+
+func (c *Clients) draw() Class {
+	x := c.rng.Float64()
+	for _, k := range c.classes {
+		if x -= k.Share; x < 0 {
+			return k
+		}
+	}
+	return c.classes[0]
+}
+
+func (c *Clients) message(q *Request, class Class, shard int, volume, key uint64) []byte {
+	method := "GET"
+	f := http1.Fields{{Name: "Host", Value: "api.internal"}, {Name: "Request-Id", Value: q.ID}, {Name: "X-Qos-Policy", Value: plan},
+		{Name: "Request-Timeout", Value: strconv.FormatFloat(class.Timeout.Seconds(), 'f', 3, 64)},
+		{Name: "X-Placement", Value: fmt.Sprintf("units=%d,shard=%d,hosts=1", unitMean, shard)}}
+	var body []byte
+	if class.Write {
+		method, body = "PUT", []byte("block of "+q.ID)
+	}
+	if class.Keyed {
+		f = append(f, http1.Field{Name: "Idempotency-Key", Value: q.ID})
+	}
+	return http1.AppendRequest(nil, method, fmt.Sprintf("/%s/%016x/%016x", class.Name, volume%volumes, key), f, body)
+}
+
+// take returns an idle connection, or a new one; nil where there is none.
+func (c *Clients) take(fresh bool) *clientConn {
+	c.mu.Lock()
+	if n := len(c.idle); n > 0 && !fresh {
+		x := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		c.mu.Unlock()
+		return x
+	}
+	c.mu.Unlock()
+	if !c.open.Load() {
+		return nil
+	}
+	conn, err := net.DialTimeout("tcp", c.address, time.Second)
+	if err != nil {
+		return nil
+	}
+	return &clientConn{Conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (c *Clients) put(x *clientConn) {
+	x.used = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = append(c.idle, x)
+}
+
+// exchange sends a request and waits for its answer. One that crossed the end of its
+// connection goes once more on a new one.
+func (c *Clients) exchange(q *Request, raw []byte, leave time.Duration) {
+	x := c.take(false)
+	if x == nil {
+		return
+	}
+	if _, err := x.Write(raw); err != nil {
+		x.Close()
+		if x = c.take(true); x == nil {
+			return
+		}
+		if _, err := x.Write(raw); err != nil {
+			x.Close()
+			return
+		}
+	}
+	q.Sent = c.record.Now()
+	c.record.addRequest(q)
+	if c.hear(x, q, leave) || q.Mid || q.Left > 0 {
+		return
+	}
+	// It ended without a byte of an answer.
+	if x = c.take(true); x == nil {
+		return
+	}
+	if _, err := x.Write(raw); err != nil {
+		x.Close()
+		return
+	}
+	c.record.mu.Lock()
+	q.Resent, q.Ended = true, 0
+	c.record.mu.Unlock()
+	c.hear(x, q, leave)
+}
+
+// hear waits for an answer, or leaves; false if the connection ended without one.
+func (c *Clients) hear(x *clientConn, q *Request, leave time.Duration) bool {
+	until := q.Sent + q.Timeout + graceAfterTimeout
+	if leave > 0 {
+		until = q.Sent + leave
+	}
+	x.SetReadDeadline(time.Now().Add(until - c.record.Now()))
+	first, err := x.in.Peek(1)
+	var m *http1.Response
+	var body []byte
+	if err == nil {
+		m, body, err = readAnswer(x.in)
+	}
+	c.record.mu.Lock()
+	defer c.record.mu.Unlock()
+	now := c.record.Now()
+	switch {
+	case err == nil:
+		q.Answered, q.Status, q.Body = now, m.Status, string(body)
+		if m.Close() {
+			x.Close()
+		} else {
+			c.put(x)
+		}
+		return true
+	case isTimeout(err):
+		q.Left = now
+		x.Close()
+		return true
+	default:
+		q.Ended, q.Mid = now, len(first) > 0
+		x.Close()
+		return false
+	}
+}
+
+func readAnswer(in *bufio.Reader) (*http1.Response, []byte, error) {
+	m, err := http1.ReadResponse(in, messageLimits)
+	if err != nil {
+		return nil, nil, err
+	}
+	framing, err := m.Framing(messageLimits)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := http1.ReadBody(in, framing, messageLimits)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return m, body, err
+}
--- /dev/null
+++ b/soak/settings.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+)
+
+// What the schedulers under soak are set to.
+const (
+	plan          = "gold"
+	unitMean      = 2
+	volumes       = 512
+	drainGrace    = 500 * time.Millisecond
+	keyWindow     = 6 * time.Second
+	mostAttempts  = 4
+	longestCounts = 3 * time.Second // of the longest deadline, that the platform counts at a stop
+	killExtra     = 700 * time.Millisecond
+	coldUnits     = 52.0
+	coldFrom      = 0.25
+	fallTime      = 1500 * time.Millisecond
+	coldTime      = 10 * time.Second
+)
+
+// classes are the kinds of request; the bulk ones may take longer than the schedulers have
+// after SIGTERM.
+var classes = []Class{
+	{Name: "card-read", Timeout: 1200 * time.Millisecond, Share: 0.5},
+	{Name: "txn-write", Timeout: 2500 * time.Millisecond, Write: true, Keyed: true, Share: 0.3},
+	{Name: "bulk-read", Timeout: 4 * time.Second, Share: 0.2},
+}
+
+const settingsForm = `{"balancers":%d,"me":%d,"tick_ms":2,"discovery":"pushed",
+"request_classes":[
+ {"name":"card-read","aim_ms":300,"give_up_ms":1200,"effect":"read_like","group":"all","worth":2},
+ {"name":"txn-write","aim_ms":500,"give_up_ms":2500,"effect":"idempotency_key","group":"cell","key_ttl_ms":%d,"worth":3},
+ {"name":"bulk-read","aim_ms":1500,"give_up_ms":4000,"effect":"read_like","group":"all","worth":1}],
+"grades":[{"name":"gold","price":1,"proportion":1,"rate":1000}],
+"limits":{"attempts_cap":%d,"cancel":true,"may_duplicate":true,"retry_after":true,"max_retry_after_ms":2000,"dial_timeout_ms":250,"conn_idle_ms":30000},
+"safety":{"answer_slack_ms":8,"stop_sending_within_ms":%d,"fall_multiple":2,"overload_for_ms":%d,"cold_from":%g,"cold_ms":%d,
+ "free_resends":3,"extra_ratio":0.25,"resend_span_ms":5000},
+"extra":{"cold_units":%g,"unit_mean":%d,"largest":6,"slots_total":%d}}`
+
+// config is a scheduler's configuration.
+func (o Options) config(scheduler int, listen, discovery string, known []byte) []byte {
+	settings := fmt.Sprintf(settingsForm, o.Schedulers, scheduler, keyWindow.Milliseconds(), mostAttempts,
+		drainGrace.Milliseconds(), fallTime.Milliseconds(), coldFrom, coldTime.Milliseconds(), coldUnits, unitMean, o.Servers)
+	return fmt.Appendf(nil, `{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`,
+		scheduler, listen, discovery, o.Seed<<16+uint64(scheduler)+1, o.MemoryMB, o.Sockets, known, settings)
+}
+
+// Terms are what a run of these options is held to.
+func (o Options) Terms() Terms {
+	return Terms{DrainGrace: drainGrace, KeyWindow: keyWindow, MostAttempts: mostAttempts,
+		ColdUnits: coldUnits, ColdFrom: coldFrom, FallTime: fallTime, ColdTime: coldTime, Slack: o.Slack}
+}
+
+// stopGrace is the least time from SIGTERM to SIGKILL.
+func stopGrace() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Timeout)
+	}
+	return min(longest, longestCounts) + killExtra
+}
