A list costs what it changes and a request what it touches, whatever the fleet's size

The scheduler told the module every entry of a whole list, also those that it knew. A new object looked at all shards.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -86,64 +86,6 @@
 	}
 }
 
-// Node list.
-
-func (p *scheduler) list(l NodeList) {
-	if !l.Cached {
-		p.subOn = true
-	}
-	named := map[string]bool{}
-	for _, e := range l.Nodes {
-		named[e.Addr] = true
-		p.setNode(e)
-	}
-	if l.Full {
-		for _, n := range p.nodes {
-			if !named[n.Addr] {
-				n.toldOff = true
-			}
-		}
-	}
-	for _, sh := range p.shards {
-		p.recall(sh)
-		p.assign(sh)
-		p.pump(sh)
-	}
-}
-
-// recall takes back what still waits for its connection to a node that was told off, or has
-// started anew, since it was decided: drains and cold nodes are held to when bytes leave.
-func (p *scheduler) recall(sh *shard) {
-	for _, r := range sh.out {
-		if r.sentTo.toldOff || r.sentTo.coldAt != r.sentCold {
-			p.do(Withdraw{r.ID, r.attempts - 1})
-		}
-	}
-}
-
-// assign gives the shard the node that holds it now: of those that may be sent
-// to, the one started last. What is gone is forgotten once it owes nothing.
-func (p *scheduler) assign(sh *shard) {
-	var best *node
-	for addr, n := range p.nodes {
-		if n.toldOff && n != sh.node && n.Health == Gone {
-			delete(p.nodes, addr)
-		}
-		if n.Shard != sh.id || n.toldOff {
-			continue
-		}
-		if best == nil || n.Started > best.Started || n.Started == best.Started && n.Addr < best.Addr {
-			best = n
-		}
-	}
-	if best != sh.node {
-		if sh.node != nil && best != nil {
-			p.resetDepth(sh)
-		}
-		sh.node = best
-	}
-}
-
 // cold tells whether n is still warming up, and the units that this host may
 // send it within any Rules.FallTime. All hosts together may send ColdUnits at
 // the least capacity; that capacity grows no slower than evenly over ColdTime.
@@ -206,33 +148,6 @@
 	p.enqueue(r)
 }
 
-// place picks the queue: the shard's own, or for a new object the one where
-// the wait is shortest.
-func (p *scheduler) place(id int) *shard {
-	if id >= 0 {
-		return p.shard(id)
-	}
-	var best *shard
-	low := math.Inf(1)
-	for _, sh := range p.shards {
-		if sh.node == nil || sh.node.suspect {
-			continue
-		}
-		// What a cold or busy node may take is for what must go there.
-		ahead := float64(sh.waiting + len(sh.out))
-		w := (p.waitFor(sh, ahead) + p.serviceOf(sh)) / max(min(p.part(sh), 1), minPart)
-		// Quick errors leave a node's queue empty: what it fails would else come there first.
-		w /= math.Pow(1-sh.node.failing(p.now), 2)
-		if w < low {
-			best, low = sh, w
-		}
-	}
-	if best == nil {
-		return p.shard(0)
-	}
-	return best
-}
-
 func (p *scheduler) volume(q Request, plan *Plan) *volume {
 	v := p.vols[q.Volume]
 	if v == nil {
@@ -434,8 +349,16 @@
 	return float64(len(sh.out)+1) <= max(math.Round(sh.depth), 1)
 }
 
+// pumpWaiting is pump where something waits.
+func (p *scheduler) pumpWaiting(sh *shard) {
+	if sh.waiting > 0 {
+		p.pump(sh)
+	}
+}
+
 // pump sends what may go to sh's node.
 func (p *scheduler) pump(sh *shard) {
+	p.visits++
 	p.shed(sh)
 	for sh.waiting > 0 {
 		n := sh.node
@@ -610,6 +533,7 @@
 
 func (p *scheduler) send(sh *shard, r *request) {
 	n := sh.node
+	p.touch(sh)
 	sh.remove(r)
 	if r.vol.plan.Limit > 0 && !r.charged {
 		r.vol.limit -= r.Units
@@ -665,6 +589,7 @@
 	sh, n := r.shard, r.sentTo // the list may have dropped the node since
 	r.out--
 	sh.out = slices.DeleteFunc(sh.out, func(x *request) bool { return x == r })
+	p.touch(sh)
 	p.judge(r, n, o)
 	switch o.Result {
 	case TurnedAway, NoConnection, NotSent:
@@ -718,6 +643,7 @@
 		p.shares.served(r, p.now-r.arrived)
 		if n.suspect && n.pause > maxPause/2 {
 			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
+			p.recall(sh)
 		}
 		n.suspect, n.pause = false, 0
 	case ServerError:
@@ -846,8 +772,9 @@
 	}
 	for _, sh := range p.shards {
 		p.setDepth(sh)
-		p.pump(sh)
+		p.pumpWaiting(sh)
 	}
+	p.reindex()
 	p.pool = slices.DeleteFunc(p.pool, func(a answer) bool { return p.now-a.at > poolSpan })
 	p.shares.step()
 	p.dropIdle(idleVolume)
@@ -877,12 +804,12 @@
 	if known < minSample || sh.node == nil || sh.node.suspect {
 		return
 	}
-	x := []float64{sh.lastY, sh.depth / maxDepth * depthScale, 1}
+	last := sh.lastY
 	sh.lastY = y
 	if !full && sh.depth >= 1 && y < aimPart {
 		return
 	}
-	sh.fit.update(x, y)
+	sh.fit.update([]float64{last, sh.depth / maxDepth * depthScale, 1}, y)
 	sh.fit.theta[1] = max(sh.fit.theta[1], minGain)
 	b := sh.fit.theta[1] * depthScale / maxDepth
 	ref := partAim
--- a/policy/state.go
+++ b/policy/state.go
@@ -154,6 +154,9 @@
 
 // failing is the part of its late answers that were errors, with a prior of none.
 func (n *node) failing(now float64) float64 {
+	if n.bad.n == 0 {
+		return 0
+	}
 	bad := n.bad.value(now, poolSpan)
 	return bad / (bad + n.good.value(now, poolSpan) + poolWeight)
 }
@@ -226,6 +229,11 @@
 type shard struct {
 	id      int
 	node    *node
+	ready   []*node // that hold the shard and may be sent to
+	listed  bool    // the list that is being taken in changes something here
+	touched bool    // what a new object would wait here has changed since cost was reckoned
+	cost    float64 // see shardIndex
+	slot    int     // its place among the quiet ones and one more; 0: it is none
 	flows   []flow
 	vtime   float64
 	retries list
@@ -349,6 +357,9 @@
 	acts    []Action
 	nodes   map[string]*node
 	shards  []*shard // by id
+	listed  []*shard // that the list being taken in changes
+	index   shardIndex
+	visits  int // nodes and shards looked at one by one: what an event costs as a fleet grows
 	reqs    map[string]*request
 	vols    map[string]*volume
 	chains  map[string]*chain
@@ -388,6 +399,7 @@
 	sh := r.shard
 	r.queued = true
 	sh.waiting++
+	p.touch(sh)
 	if r.attempts > 0 {
 		sh.retries.add(r)
 	} else {
@@ -724,7 +736,7 @@
 func (p *scheduler) lookAgain() {
 	for _, sh := range p.shards {
 		sh.forgetHeld()
-		p.pump(sh)
+		p.pumpWaiting(sh)
 	}
 }
 
@@ -822,21 +834,9 @@
 	return g.utility(i, u)
 }
 
-// setNode keeps what the list says of a node.
-func (p *scheduler) setNode(e Node) {
-	n := p.nodes[e.Addr]
-	if n == nil {
-		n = &node{coldAt: math.Inf(-1)}
-		p.nodes[e.Addr] = n
-	}
-	if e.Started > 0 && e.Started != n.Started {
-		n.coldAt = max(n.coldAt, e.Started)
-	}
-	if e.Health == Gone {
-		e.Shard = n.Shard
-	}
-	n.Node, n.toldOff = e, e.Health != Ready
-	if e.Health == Ready {
-		p.shard(e.Shard)
-	}
+// newNode is a node's record before the list's entry is taken in.
+func newNode(e Node) *node {
+	n := &node{coldAt: math.Inf(-1), toldOff: true}
+	n.Addr, n.Shard = e.Addr, e.Shard
+	return n
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -353,28 +353,34 @@
 	k.tell(policy.Revised{Settings: s})
 }
 
-// list brings the list of disk servers, or what changed. What a whole list leaves out is
-// named as gone, so that nothing keeps a record of it.
+// list brings the list of disk servers, or what changed. The module is told only what
+// differs from what it was told before; what a whole list leaves out is named as gone, so
+// that nothing keeps a record of it.
 func (k *core) list(now float64, l List, cached bool) {
 	k.at(now)
-	if l.Whole {
-		l.Hosts = append(slices.Clone(l.Hosts), k.missing(l.Hosts)...)
+	entries := l.Hosts
+	if l.Whole && len(k.hosts) > 0 {
+		entries = append(slices.Clone(entries), k.missing(entries)...)
 	}
-	nodes := make([]policy.Node, len(l.Hosts))
+	var nodes []policy.Node
 	draining := 0
-	for i, e := range l.Hosts {
-		nodes[i] = policy.Node{Addr: e.Host, Health: health[e.Health], Shard: e.Block, Started: k.startOf(e), Zone: e.Site, Weight: e.Share}
-		if nodes[i].Health == policy.Draining {
-			draining++
+	for _, e := range entries {
+		if old, known := k.hosts[e.Host]; known && old == e {
+			continue
 		}
-		if nodes[i].Health == policy.Gone {
+		n := policy.Node{Addr: e.Host, Health: health[e.Health], Shard: e.Block, Started: k.startOf(e), Zone: e.Site, Weight: e.Share}
+		nodes = append(nodes, n)
+		switch n.Health {
+		case policy.Gone:
 			delete(k.hosts, e.Host)
-		} else {
-			k.hosts[e.Host] = e
-			k.eff.reach(e)
+			continue
+		case policy.Draining:
+			draining++
 		}
+		k.hosts[e.Host] = e
+		k.eff.reach(e)
 	}
-	k.tell(policy.NodeList{Full: l.Whole, Cached: cached, Nodes: nodes})
+	k.tell(policy.NodeList{Cached: cached, Nodes: nodes})
 	for _, n := range nodes {
 		if n.Health == policy.Gone {
 			k.eff.retire(n.Addr)
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -25,7 +25,8 @@
 	// that nothing came of it.
 	watchPause     = 50 * time.Millisecond
 	watchPauseMost = 200 * time.Millisecond
-	mostMessage    = 1 << 20 // bytes
+	// mostMessage bounds one message, bytes: a whole list of some thousand disk servers, indented.
+	mostMessage = 4 << 20
 )
 
 // watch follows discovery: one connection at a time, each from the version held on. After
--- a/scheduler/eventlog.go
+++ b/scheduler/eventlog.go
@@ -1,18 +1,18 @@
 package scheduler
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"merlinhitch/policy"
+	"merlinhitch/seam"
 )
 
 const (
-	// logBurst is how many lines of one message are written a second; the others are
+	// logBurst is how many lines of one message are written in a logPeriod, ms; the others are
 	// dropped, so that a fleet in trouble costs its schedulers no more than that.
-	logBurst = 20
+	logBurst  = 20
+	logPeriod = 1000.0
 	// lateEvent is the delay from which the loop's lateness is logged, and slowEvent the
 	// time that handling one event may take before that is, ms.
 	lateEvent = 50.0
@@ -25,7 +25,7 @@
 
 func newEventLog(log *zap.Logger) *eventLog {
 	bounded := zap.WrapCore(func(c zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(c, time.Second, logBurst, 0)
+		return zapcore.NewSamplerWithOptions(c, seam.Duration(logPeriod), logBurst, 0)
 	})
 	return &eventLog{log.WithOptions(bounded)}
 }
--- /dev/null
+++ b/scheduler/listsize_test.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"merlinhitch/policy"
+)
+
+func listOfSize(n int, health string) List {
+	l := List{Seq: 1, Whole: true}
+	for i := range n {
+		l.Hosts = append(l.Hosts, Entry{Host: fmt.Sprintf("s-%08x", i*2654435761%(1<<32)), Dial: fmt.Sprintf("10.1.%d.%d:5000", i/250, i%250), Site: "hall-a", Block: i, Health: health, Share: 1, BornMS: 1764691200000})
+	}
+	return l
+}
+
+// What a whole list of 3,200 disk servers costs to read, and to take where all is known:
+// go test -run xxx -bench List ./scheduler
+func BenchmarkListOfThousands(b *testing.B) {
+	l := listOfSize(3200, "active")
+	raw, err := json.MarshalIndent(l, "", "    ")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("read", func(b *testing.B) {
+		b.SetBytes(int64(len(raw)))
+		for b.Loop() {
+			var m messages
+			for rest := raw; ; {
+				n, what, err := m.next(rest)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if rest = rest[n:]; what == gotMessage {
+					break
+				}
+			}
+			if _, err := parseList(m.take()); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("known", func(b *testing.B) {
+		k, _ := coreFor(b)
+		k.list(k.now, l, false)
+		for b.Loop() {
+			k.list(k.now, l, false)
+		}
+	})
+}
+
+// The module is told what a list changes: nothing where it repeats what is known, in whatever
+// form, and the last of two entries of one server.
+func TestOnlyChangesComeToTheModule(t *testing.T) {
+	k, _ := coreFor(t)
+	spy := &spyModule{Scheduler: k.mod}
+	k.mod = spy
+	l := listOfSize(40, "active")
+	k.list(k.now, l, false)
+	if n := len(spy.nodes); n != 42 { // the two of before are gone
+		t.Errorf("%d of the first list", n)
+	}
+	k.list(k.now, l, false)
+	if n := len(spy.nodes); n != 0 {
+		t.Errorf("%d of the same list again", n)
+	}
+	drained := l.Hosts[7]
+	drained.Health = "leaving"
+	k.list(k.now, List{Seq: 2, Hosts: []Entry{drained, l.Hosts[7], l.Hosts[8]}}, false)
+	if n := len(spy.nodes); n != 2 || spy.nodes[0].Health != policy.Draining || spy.nodes[1].Health != policy.Ready {
+		t.Error(spy.nodes)
+	}
+	short := List{Seq: 3, Whole: true, Hosts: append([]Entry{l.Hosts[0]}, l.Hosts[:39]...)}
+	k.list(k.now, short, false)
+	if n := len(spy.nodes); n != 1 || spy.nodes[0].Addr != l.Hosts[39].Host || spy.nodes[0].Health != policy.Gone {
+		t.Error(spy.nodes)
+	}
+	if len(k.hosts) != 39 {
+		t.Errorf("%d are held", len(k.hosts))
+	}
+}
+
+// spyModule keeps the nodes of the last list.
+type spyModule struct {
+	policy.Scheduler
+	nodes []policy.Node
+}
+
+func (s *spyModule) Handle(now float64, ev policy.Event) []policy.Action {
+	if l, ok := ev.(policy.NodeList); ok {
+		s.nodes = l.Nodes
+	}
+	return s.Scheduler.Handle(now, ev)
+}
