What binds a send is looked at when its first byte goes; who waits for a connection stands in line

An attempt that found no room for its connection was dialled for only when its own disk server's connections changed, and then counted as that server's fault; a dial that failed for want of descriptors cost an attempt, other faults of this machine (ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH) were the server's. Change: back.permits looks at clock, client and discovery's last word (notices, kept by the goroutine that reads discovery) just before the write; what may not go is not sent, and its connection stays. The loop looks at its timers between events. Servers that wait for a connection stand in line, the longest idle connection gives way without a walk; after a fault of this machine nothing is dialled for 20 ms and the attempt keeps waiting.

--- a/scheduler/back.go
+++ b/scheduler/back.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -47,13 +48,18 @@
 	loop    *loop
 	core    *core
 	dialIn  time.Duration
-	idle    float64      // ms that an idle connection is kept
+	keep    float64      // ms that an idle connection is kept
 	most    int          // connections that are open or dialled
 	bytes   atomic.Int64 // of answers that are held at once
 	held    atomic.Int64
 	ages    staleness
+	notices notices
+	log     *eventLog
 	conns   int
 	servers map[string]*server
+	idle    list.List // of free links, the one that has been free for longest first
+	starved []*server // that something waits for, and nothing could be dialled
+	pausing bool      // a dial failed by this machine's own fault just now
 	tasks   seam.Group
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -68,8 +74,11 @@
 	waiting    []*attempt
 	links      int
 	gone       bool
+	starved    bool // it is among the back's starved ones
 	born       int64
 	heardAt    float64 // when it last answered or took a connection
+	dialledAt  float64 // when a connection was last dialled
+	ownFault   bool    // which failed by this machine's own fault
 }
 
 // next takes out the attempt that has waited longest for a connection, nil if none does.
@@ -103,6 +112,7 @@
 	a      *attempt // while it is busy
 	freeAt float64  // 0: it has had no request
 	idle   float64  // before the request it has; 0: none
+	place  *list.Element
 }
 
 func newBack(w seam.World, l *loop, c *Config, most int) *back {
@@ -114,7 +124,7 @@
 
 // configure takes what the configuration says; what is under way goes on.
 func (b *back) configure(c *Config) {
-	b.dialIn, b.idle = seam.Duration(c.Bounds.DialTimeout), c.Bounds.ConnIdle*idlePart
+	b.dialIn, b.keep = seam.Duration(c.Bounds.DialTimeout), c.Bounds.ConnIdle*idlePart
 	b.bytes.Store(bytesOf(c))
 }
 
@@ -142,7 +152,7 @@
 
 // forget drops a server that is gone and has nothing open any more.
 func (b *back) forget(s *server) {
-	if s.gone && s.links == 0 && s.coming == 0 && len(s.waiting) == 0 && b.servers[s.host] == s {
+	if s.gone && s.links == 0 && s.coming == 0 && len(s.waiting) == 0 && !s.starved && b.servers[s.host] == s {
 		delete(b.servers, s.host)
 	}
 }
@@ -160,45 +170,94 @@
 		return
 	}
 	if n := len(s.free); n > 0 {
-		if idle := b.core.now - s.free[n-1].freeAt; idle > b.idle || b.ages.stale(b.core.now, idle) {
+		if idle := b.core.now - s.free[n-1].freeAt; idle > b.keep || b.ages.stale(b.core.now, idle) {
 			b.shutFree(s) // the others have been idle for longer still
 		}
 	}
 	s.waiting = append(s.waiting, a)
 	for n := len(s.free); n > 0 && len(s.waiting) > 0; n = len(s.free) {
 		l := s.free[n-1]
-		s.free = s.free[:n-1]
+		b.unfree(l)
 		b.offer(b.core.now, l)
 	}
 	b.dialFor(s)
 }
 
-// dialFor dials as long as more wait for a connection than are coming.
+// dialFor dials as long as more wait for a connection than are coming. Where this machine
+// has none to spare, the server stands in line for the next.
 func (b *back) dialFor(s *server) {
-	for len(s.waiting) > s.coming && b.room() {
+	for len(s.waiting) > s.coming {
+		if b.pausing || !b.room() {
+			if !s.starved {
+				s.starved = true
+				b.starved = append(b.starved, s)
+			}
+			return
+		}
 		s.coming++
+		s.dialledAt = b.core.now
 		b.conns++
 		addr, within := s.dial, b.dialIn
 		b.tasks.Go(b.world, func() { b.dial(s, addr, within) })
 	}
 }
 
-// room tells whether one more connection may be opened; an idle one elsewhere gives way.
+// feed dials for the servers that stand in line, the first one first.
+func (b *back) feed() {
+	for len(b.starved) > 0 && !b.pausing && (b.conns < b.most || b.idle.Len() > 0) {
+		s := b.starved[0]
+		b.starved = b.starved[1:]
+		s.starved = false
+		b.dialFor(s)
+		b.forget(s)
+	}
+}
+
+// room tells whether one more connection may be opened; the one that has been idle for
+// longest gives way.
 func (b *back) room() bool {
-	if b.conns < b.most {
-		return true
+	if b.conns >= b.most && b.idle.Len() > 0 {
+		l := b.idle.Front().Value.(*link)
+		b.closeLink(l)
+		b.forget(l.srv)
 	}
-	var oldest *link
-	for _, l := range b.all.All() {
-		if l.state == linkFree && (oldest == nil || l.freeAt < oldest.freeAt) {
-			oldest = l
-		}
+	return b.conns < b.most
+}
+
+// free makes a link wait for its next request.
+func (b *back) free(l *link, since float64) {
+	l.state, l.freeAt = linkFree, since
+	l.srv.free = append(l.srv.free, l)
+	l.place = b.idle.PushBack(l)
+}
+
+// unfree takes a link out of those that wait.
+func (b *back) unfree(l *link) {
+	if l.place == nil {
+		return
 	}
-	if oldest == nil {
-		return false
+	b.idle.Remove(l.place)
+	l.place = nil
+	s := l.srv
+	s.free = slices.DeleteFunc(s.free, func(x *link) bool { return x == l })
+}
+
+// dialPause is how long nothing is dialled after a dial failed by this machine's own fault:
+// what waits keeps waiting, and neither attempts nor processor time are spent on it.
+const dialPause = 20 * time.Millisecond
+
+func (b *back) pause() {
+	if b.pausing {
+		return
 	}
-	b.shut(oldest)
-	return true
+	b.pausing = true
+	b.tasks.Go(b.world, func() {
+		seam.Wait(b.world, dialPause, nil)
+		b.loop.post(b.loop.now(), eventDialled, func(float64) {
+			b.pausing = false
+			b.feed()
+		})
+	})
 }
 
 func (b *back) dial(s *server, addr string, within time.Duration) {
@@ -212,14 +271,18 @@
 	s.coming--
 	if err != nil {
 		b.conns--
-		if len(s.waiting) > s.coming { // else another connection is coming for each that waits
-			b.core.lost(at, s.next(), unconnected(err))
+		b.log.dialFailed(s.host, err)
+		if s.ownFault = ownFault(err); s.ownFault {
+			b.pause()
+		} else if len(s.waiting) > s.coming { // else another connection is coming for each that waits
+			b.core.lost(at, s.next(), policy.NoConnection)
 		}
 		b.dialFor(s)
+		b.feed()
 		b.forget(s)
 		return
 	}
-	s.heardAt = at
+	s.heardAt, s.ownFault = at, false
 	l := &link{back: b, srv: s, conn: conn, in: bufio.NewReaderSize(conn, linkBuffer)}
 	s.links++
 	b.all.Add(l)
@@ -230,13 +293,15 @@
 	b.offer(at, l)
 }
 
-// unconnected is what a failed dial says of the disk server: nothing where this machine has
-// no descriptors left.
-func unconnected(err error) policy.Result {
-	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		return policy.NotSent
-	}
-	return policy.NoConnection
+// ownFaults are the errors of socket(2) and connect(2) that tell of this machine's
+// shortages and settings, not of the other end.
+var ownFaults = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+	syscall.EADDRINUSE, syscall.EAGAIN, syscall.EINTR, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EACCES, syscall.EPERM}
+
+// ownFault tells whether a dial failed by this machine's own fault: that says nothing of the
+// disk server, and may be over soon.
+func ownFault(err error) bool {
+	return slices.ContainsFunc(ownFaults, func(own error) bool { return errors.Is(err, own) })
 }
 
 // offer gives a connection that is free to who waited longest for one and may begin still.
@@ -253,11 +318,11 @@
 			return
 		}
 	}
-	l.freeAt = at
-	s.free = append(s.free, l)
+	b.free(l, at)
 	if s.gone {
 		b.shut(l)
 	}
+	b.feed()
 }
 
 // quiet tells that nothing has come on a free connection, neither bytes that nobody asked
@@ -274,30 +339,43 @@
 	if l.freeAt > 0 {
 		l.idle = b.core.now - l.freeAt
 	}
+	born := l.srv.born
+	b.tasks.Go(b.world, func() { l.exchange(a, born) })
+}
+
+// message is an attempt as it goes to its disk server with so much time left, ms.
+func (a *attempt) message(left float64) []byte {
 	c := a.call
 	f := http1.Fields{{Name: "Host", Value: serviceHost}, {Name: "Request-Id", Value: c.req.ID}}
 	if c.key != "" {
 		f = append(f, http1.Field{Name: "Idempotency-Key", Value: c.key})
 	}
-	left := max(a.until-b.core.now, 1) / 1000
-	f = append(f, http1.Field{Name: "Request-Timeout", Value: strconv.FormatFloat(left, 'f', 3, 64)})
-	message := http1.AppendRequest(nil, c.method, c.target, f, c.body)
-	b.tasks.Go(b.world, func() { l.exchange(a, message) })
+	f = append(f, http1.Field{Name: "Request-Timeout", Value: strconv.FormatFloat(max(left, 1)/1000, 'f', 3, 64)})
+	return http1.AppendRequest(nil, c.method, c.target, f, c.body)
+}
+
+// permits tells whether an attempt that the loop let begin may still begin now, on the
+// goroutine that is about to write it: this process may have been held up since.
+func (b *back) permits(a *attempt, now float64, born int64) bool {
+	return now <= a.by && now < a.until && !a.call.over.Load() && b.notices.admits(a.host, born)
 }
 
 const serviceHost = "api.internal"
 
-// drop lets go of an attempt whose outcome is known; it tells whether it may have reached
-// its server. A connection that it is out on is closed, for that gives it up there; so are
+// drop lets go of an attempt whose outcome is known; it tells how far it had come. A connection that it is out on is closed, for that gives it up there; so are
 // the free ones to a server that was silent all the while, which may be gone without a word.
-func (b *back) drop(a *attempt) bool {
+func (b *back) drop(a *attempt) fate {
 	s := b.servers[a.host]
 	if a.link == nil {
-		if s != nil {
-			s.waiting = slices.DeleteFunc(s.waiting, func(x *attempt) bool { return x == a })
-			b.forget(s)
+		if s == nil {
+			return fateNotDialled
+		}
+		s.waiting = slices.DeleteFunc(s.waiting, func(x *attempt) bool { return x == a })
+		b.forget(s)
+		if s.coming == 0 && (s.dialledAt < a.sentAt || s.ownFault) {
+			return fateNotDialled
 		}
-		return false
+		return fateNotConnected
 	}
 	l := a.link
 	if l.a == a {
@@ -306,15 +384,23 @@
 	if s = l.srv; s.heardAt < a.sentAt {
 		b.shutFree(s)
 	}
-	return true
+	return fateSent
 }
 
-// shut closes a connection and takes it out of the books. While the loop runs nothing else
-// closes it.
+// shut closes a connection, and dials for who waits.
 func (b *back) shut(l *link) {
 	if l.state == linkClosed {
 		return
 	}
+	b.closeLink(l)
+	b.dialFor(l.srv)
+	b.feed()
+	b.forget(l.srv)
+}
+
+// closeLink closes a connection and takes it out of the books. While the loop runs nothing
+// else closes it.
+func (b *back) closeLink(l *link) {
 	s := l.srv
 	if l.state == linkResting {
 		s.coming--
@@ -324,15 +410,13 @@
 	s.links--
 	b.conns--
 	b.all.Remove(l)
-	s.free = slices.DeleteFunc(s.free, func(x *link) bool { return x == l })
-	b.dialFor(s)
-	b.forget(s)
+	b.unfree(l)
 }
 
 // sweep closes connections that have been idle for too long, or that their servers closed.
 func (b *back) sweep(now float64) {
 	for _, l := range b.all.All() {
-		if l.state == linkFree && (now-l.freeAt > b.idle || !l.quiet()) {
+		if l.state == linkFree && (now-l.freeAt > b.keep || !l.quiet()) {
 			b.shut(l)
 		}
 	}
@@ -348,9 +432,15 @@
 }
 
 // exchange sends a request and brings its answer, on a goroutine of its own.
-func (l *link) exchange(a *attempt, message []byte) {
+func (l *link) exchange(a *attempt, born int64) {
 	b := l.back
 	l.conn.SetDeadline(b.world.Deadline(writeTimeout))
+	now := b.loop.now()
+	if !b.permits(a, now, born) {
+		b.loop.post(now, eventWithheld, func(at float64) { b.withheld(at, l, a) })
+		return
+	}
+	message := a.message(a.until - now)
 	if n, err := l.conn.Write(message); err != nil {
 		r := policy.ConnectionLost
 		if n < len(message) { // without its last byte it is no request
@@ -468,6 +558,20 @@
 	}
 }
 
+// withheld takes back a link whose attempt did not begin after all.
+func (b *back) withheld(at float64, l *link, a *attempt) {
+	if l.state == linkBusy {
+		l.a = nil
+		l.conn.SetDeadline(time.Time{})
+		since := l.freeAt
+		b.offer(at, l)
+		if l.state == linkFree && since > 0 {
+			l.freeAt = since
+		}
+	}
+	b.core.lost(at, a, policy.NotSent)
+}
+
 func (b *back) broke(at float64, l *link, a *attempt, r policy.Result) {
 	b.shut(l)
 	if a.over {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync/atomic"
 
 	"merlinhitch/due"
 	"merlinhitch/policy"
@@ -37,6 +38,9 @@
 	last  *attempt // the one sent last
 	out   int
 	ended bool
+	// over says the same to other goroutines, and from the moment in which the client's
+	// leaving was seen: nothing begins for it any more.
+	over atomic.Bool
 }
 
 // answerer is who a call was taken for. It is told once, on the core's goroutine, unless
@@ -67,10 +71,19 @@
 	timer     string
 }
 
+// fate is how far an attempt had come that is given up.
+type fate int
+
+const (
+	fateSent         fate = iota // it may have reached its server
+	fateNotConnected             // a connection was dialled for it and did not come up
+	fateNotDialled               // nothing was dialled: this machine had no connection to spare
+)
+
 // effects is what a core has done. The calls neither block nor call back.
 type effects interface {
 	send(a *attempt)
-	drop(a *attempt) bool // its outcome is known; tells whether it may have reached its server
+	drop(a *attempt) fate // its outcome is known; tells how far it had come
 	reach(e Entry)        // the server stands at this address
 	retire(host string)   // nothing new goes there
 	note(text string)
@@ -111,7 +124,6 @@
 
 // start tells the module the list from before the start, which may be old.
 func (k *core) start(known List) {
-	known.Whole = true
 	k.list(epoch, known, true)
 }
 
@@ -247,6 +259,7 @@
 
 func (k *core) finish(c *call, outcome callOutcome, after float64, body []byte) {
 	c.ended = true
+	c.over.Store(true)
 	c.owner.answer(outcome, after, body)
 	k.tidy(c)
 }
@@ -264,6 +277,7 @@
 		return
 	}
 	c.ended = true
+	c.over.Store(true)
 	k.counters.Gone++
 	k.log.clientLeft(c)
 	k.tell(policy.ClientGone{ID: c.req.ID})
@@ -335,16 +349,16 @@
 }
 
 func (k *core) timeOut(a *attempt, cancelled bool) {
-	switch mayRun := k.eff.drop(a); {
-	case cancelled && mayRun:
-		k.outcome(a, policy.Outcome{Result: policy.Cancelled})
-	case cancelled:
-		k.outcome(a, policy.Outcome{Result: policy.NotSent})
-	case mayRun:
-		k.outcome(a, policy.Outcome{Result: policy.NoAnswer})
-	default: // it waited for a connection that never came up
-		k.outcome(a, policy.Outcome{Result: policy.NoConnection})
+	result := policy.NotSent
+	switch came := k.eff.drop(a); {
+	case cancelled && came == fateSent:
+		result = policy.Cancelled
+	case came == fateSent:
+		result = policy.NoAnswer
+	case !cancelled && came == fateNotConnected:
+		result = policy.NoConnection
 	}
+	k.outcome(a, policy.Outcome{Result: result})
 }
 
 // revise brings other settings for the requests that are taken from now on.
--- a/scheduler/eventlog.go
+++ b/scheduler/eventlog.go
@@ -39,6 +39,7 @@
 	eventDialled
 	eventAnswered
 	eventRested
+	eventWithheld
 	eventBroken
 	eventList
 	eventReload
@@ -46,7 +47,7 @@
 	eventTick
 )
 
-var eventNames = [...]string{"request", "client gone", "dialled", "answered", "rested", "broken", "list", "reload", "stop", "tick"}
+var eventNames = [...]string{"request", "client gone", "dialled", "answered", "rested", "withheld", "broken", "list", "reload", "stop", "tick"}
 
 func (k eventKind) String() string { return eventNames[k] }
 
@@ -93,6 +94,22 @@
 		zap.Int("changed", changed), zap.Int("draining", draining))
 }
 
+// acceptFailed notes a connection that this machine could not take.
+func (l *eventLog) acceptFailed(err error) {
+	if l == nil {
+		return
+	}
+	l.log.Warn("accept failed", zap.Error(err))
+}
+
+// dialFailed notes a connection to a disk server that did not come up.
+func (l *eventLog) dialFailed(host string, err error) {
+	if l == nil {
+		return
+	}
+	l.log.Info("dial failed", zap.String("server", host), zap.Error(err))
+}
+
 // closeReason says why the scheduler ended a client's connection.
 type closeReason int
 
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -115,6 +115,7 @@
 		}
 		conn, err := f.listener.Accept()
 		if err != nil { // where there are no descriptors left, there may be again
+			f.log.acceptFailed(err)
 			if f.stop.Opened() || !seam.Wait(f.world, acceptPause, &f.stop) {
 				return
 			}
@@ -508,6 +509,7 @@
 	}
 	for !q.done.Opened() && !c.ahead.full() {
 		if err := c.ahead.more(); err != nil && !isTimeout(err) {
+			call.over.Store(true)
 			f.loop.post(f.loop.now(), eventClientGone, func(at float64) { f.core.gone(at, call) })
 			return false
 		} else if err != nil {
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -68,8 +68,11 @@
 	s.core = newCore(born, c, s)
 	s.back.core = s.core
 	events := newEventLog(log)
-	s.core.log, s.loop.log = events, events
-	s.core.start(c.Known)
+	s.core.log, s.loop.log, s.back.log = events, events, events
+	known := c.Known
+	known.Whole = true
+	s.back.notices.take(known)
+	s.core.start(known)
 	s.loop.ticked = s.sweep
 	s.front = &front{world: w, loop: s.loop, core: s.core, log: events, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
 	s.know(c)
@@ -100,6 +103,7 @@
 
 // listed passes on what discovery told.
 func (s *Scheduler) listed(l List) {
+	s.back.notices.take(l)
 	s.loop.post(s.loop.now(), eventList, func(at float64) {
 		s.core.list(at, l, false)
 		s.told.Open()
@@ -178,7 +182,7 @@
 // The effects of the core, on the loop.
 
 func (s *Scheduler) send(a *attempt)      { s.back.send(a) }
-func (s *Scheduler) drop(a *attempt) bool { return s.back.drop(a) }
+func (s *Scheduler) drop(a *attempt) fate { return s.back.drop(a) }
 func (s *Scheduler) reach(e Entry)        { s.back.reach(e) }
 func (s *Scheduler) retire(host string)   { s.back.retire(host) }
 func (s *Scheduler) note(text string)     { s.log.Warn(text) }
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -101,15 +101,22 @@
 		for i := range mail {
 			l.handle(&mail[i])
 			mail[i] = event{}
+			l.tick(k)
 		}
-		due := min(k.next(), l.now())
-		l.handle(&event{due, eventTick, func(float64) { k.tick(l.now()) }})
+		l.tick(k)
 		l.ticked()
 		l.alarm.Set(l.world, l.now(), k.next(), l.wake.Unpark)
 	}
 	l.alarm.Stop()
 }
 
+// tick does what has come due: before new work, for it is owed by its time.
+func (l *loop) tick(k *core) {
+	if due := k.next(); due <= l.now() {
+		l.handle(&event{due, eventTick, func(float64) { k.tick(l.now()) }})
+	}
+}
+
 // handle does one event and logs it if it was late.
 func (l *loop) handle(e *event) {
 	began := l.now()
--- /dev/null
+++ b/scheduler/permit_test.go
@@ -0,0 +1,183 @@
+package scheduler
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"merlinhitch/policy"
+	"merlinhitch/seam"
+	"merlinhitch/standin"
+)
+
+// An attempt that the loop let begin is looked at once more when its first byte is to go:
+// its process may have been held up in between.
+func TestPermitAtTheFirstByte(t *testing.T) {
+	two := List{Seq: 1, Whole: true, Hosts: []Entry{{Host: "s0", Health: "active", BornMS: 7}, {Host: "s1", Health: "active"}}}
+	changed := func(e Entry) List { return List{Seq: 2, Hosts: []Entry{e}} }
+	for name, tt := range map[string]struct {
+		do   func(b *back, a *attempt)
+		now  float64
+		want bool
+	}{
+		"nothing happened":     {func(*back, *attempt) {}, 100, true},
+		"too late to begin":    {func(*back, *attempt) {}, 151, false},
+		"its time is over":     {func(_ *back, a *attempt) { a.by, a.until = 300, 120 }, 120, false},
+		"its client left":      {func(_ *back, a *attempt) { a.call.over.Store(true) }, 100, false},
+		"drains":               {func(b *back, _ *attempt) { b.notices.take(changed(Entry{Host: "s0", Health: "leaving", BornMS: 7})) }, 100, false},
+		"gone":                 {func(b *back, _ *attempt) { b.notices.take(changed(Entry{Host: "s0", Health: "left", BornMS: 7})) }, 100, false},
+		"started anew":         {func(b *back, _ *attempt) { b.notices.take(changed(Entry{Host: "s0", Health: "active", BornMS: 9})) }, 100, false},
+		"another one drains":   {func(b *back, _ *attempt) { b.notices.take(changed(Entry{Host: "s1", Health: "leaving"})) }, 100, true},
+		"not on a whole list":  {func(b *back, _ *attempt) { b.notices.take(List{Seq: 3, Whole: true, Hosts: two.Hosts[1:]}) }, 100, false},
+		"on a whole list anew": {func(b *back, _ *attempt) { b.notices.take(two) }, 100, true},
+	} {
+		b := &back{}
+		b.notices.take(two)
+		a := &attempt{call: &call{}, host: "s0", by: 150, until: 200}
+		tt.do(b, a)
+		if got := b.permits(a, tt.now, 7); got != tt.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+// A dial that fails by this machine's own fault says nothing of the disk server: the attempt
+// waits, at a pace, and goes once there is a connection.
+func TestOwnFaultsOfDials(t *testing.T) {
+	for _, fault := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH} {
+		playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+			var dials atomic.Int32
+			h.holdDials(func(int) error {
+				if dials.Add(1) <= 4 {
+					return &net.OpError{Op: "dial", Err: fault}
+				}
+				return nil
+			})
+			from := time.Now()
+			got := sc.connect().ask(strings.Replace(sc.get(), "0.480", "1.900", 1))
+			c := sc.counters()
+			if got.status != 200 || c.Sends != 1 || c.Outcomes[policy.NoConnection]+c.Outcomes[policy.NotSent] != 0 {
+				t.Errorf("%v: %+v, %+v", fault, got, c)
+			}
+			if n, took := dials.Load(), time.Since(from); n != 5 || took < 4*dialPause {
+				t.Errorf("%v: %d dials in %s", fault, n, took)
+			}
+		})
+	}
+}
+
+// Faults of the other end count against the disk server at once.
+func TestFaultsOfTheOtherEnd(t *testing.T) {
+	for _, fault := range []error{syscall.ECONNREFUSED, syscall.EHOSTUNREACH, syscall.ETIMEDOUT, syscall.ECONNRESET} {
+		if ownFault(&net.OpError{Op: "dial", Err: fault}) {
+			t.Errorf("%v is taken for this machine's own", fault)
+		}
+	}
+}
+
+// Where every connection that there may be is busy, who waits for one gets the next that
+// ends elsewhere, in the order in which they came; no disk server is blamed meanwhile.
+func TestWaitingForRoom(t *testing.T) {
+	const most = 3
+	var work [8]seam.Gate
+	var disks []*standin.HTTPDisk
+	play(t, answering(ok200), func(sc *scene) {
+		var entries []string
+		for i := range work {
+			d, err := standin.ServeHTTPDisk(sc.w, func(standin.HTTPAsk) standin.HTTPAnswer {
+				work[i].Wait(sc.w)
+				return standin.HTTPAnswer{Raw: []byte(strings.Replace(ok200, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))}
+			})
+			if err != nil {
+				panic(err)
+			}
+			disks = append(disks, d)
+			entries = append(entries, entry(fmt.Sprintf("d%d", i), d.Addr, "active", i))
+		}
+		c, err := ParseConfig([]byte(strings.Replace(testConfig(sc.addr, sc.list.Addr, listOf(7)), `"slots_total":2`, fmt.Sprintf(`"slots_total":%d`, len(work)), 1)), func(string) string { return "" })
+		if err != nil {
+			panic(err)
+		}
+		sc.s.Reload(c)
+		sc.s.loop.post(sc.s.loop.now(), eventReload, func(float64) { sc.s.back.most = most })
+		sc.list.Say(fmt.Sprintf(`{"seq":8,"whole":true,"hosts":[%s]}`, strings.Join(entries, ",")))
+		seam.Wait(sc.w, 20*time.Millisecond, nil)
+		status := make([]int, len(work))
+		var done seam.Group
+		for i := range work {
+			raw := strings.Replace(sc.request("GET", "card-read", fmt.Sprintf("%016x", 0xa0+i), "1.900", ""), "shard=0", fmt.Sprintf("shard=%d", i), 1)
+			done.Go(sc.w, func() { status[i] = sc.connect().ask(raw).status })
+			seam.Wait(sc.w, 5*time.Millisecond, nil)
+		}
+		for i := range work {
+			work[i].Open()
+			seam.Wait(sc.w, 15*time.Millisecond, nil)
+		}
+		done.Wait(sc.w)
+		for i, s := range status {
+			if s != 200 {
+				t.Errorf("request %d: %d", i, s)
+			}
+		}
+		if c := sc.s.core.counters; c.Outcomes[policy.NoConnection] != 0 {
+			t.Errorf("%+v", c)
+		}
+		for _, d := range disks {
+			d.Close()
+		}
+	})
+}
+
+// gatedConn is a connection that is held up just before a request is written on it.
+type gatedConn struct {
+	*net.TCPConn
+	reached, gate *seam.Gate
+}
+
+func (c *gatedConn) SetDeadline(t time.Time) error {
+	if !t.IsZero() {
+		c.reached.Open()
+		<-c.gate.Chan()
+	}
+	return c.TCPConn.SetDeadline(t)
+}
+
+// What happens while the goroutine that writes is held up holds for its first byte: nothing
+// is sent for a client that left, to a disk server that drains, or too late to begin.
+func TestHeldUpBeforeTheFirstByte(t *testing.T) {
+	for name, happen := range map[string]func(sc *scene, p *peer){
+		"client leaves": func(sc *scene, p *peer) {
+			p.conn.Close()
+			sc.until("its leaving was seen", func() bool { return sc.counters().Gone == 1 })
+		},
+		"server drains": func(sc *scene, _ *peer) {
+			sc.list.Say(fmt.Sprintf(`{"seq":8,"whole":false,"hosts":[%s]}`, entry("s0", sc.disk.Addr, "leaving", 0)))
+			sc.until("the list was read", func() bool { return !sc.s.back.notices.admits("s0", 0) })
+		},
+		"time to begin is over": func(sc *scene, _ *peer) { seam.Wait(sc.w, 320*time.Millisecond, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+				var reached, gate seam.Gate
+				sc.gates = append(sc.gates, &gate)
+				h.mu.Lock()
+				h.wrap = func(c net.Conn) net.Conn { return &gatedConn{c.(*net.TCPConn), &reached, &gate} }
+				h.mu.Unlock()
+				h.holdDials(func(int) error { return nil })
+				p := sc.connect()
+				fmt.Fprint(p.conn, sc.get())
+				sc.until("the write was reached", reached.Opened)
+				happen(sc, p)
+				gate.Open()
+				sc.until("the attempt was taken back", func() bool { return sc.counters().Outcomes[policy.NotSent] > 0 })
+				if n := len(sc.disk.Asked()); n > 0 && name != "time to begin is over" {
+					t.Errorf("%d requests came to the disk server", n)
+				}
+			})
+		})
+	}
+}
