Slow start holds with hundreds of hosts: the part that goes is unbiased and leaves room for chance

Cause: where hosts are many each lets go a part of what it is asked for at a cold node. That part was the cut between its last requests, and of few of those the cut leaves more above it (of one request a half); its rate was the count of a first part of a second; and the mean of the sum stood at the budget itself, so that chance passed it with hundreds of cold nodes.

--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -125,17 +125,17 @@
 	return b, miss
 }
 
-// cut is the worth above which lies that part of the units, of asks sorted from
-// the dearest down.
-func cut(asks []ask, part float64) float64 {
+// cut is the worth above which lies that part of the units, of asks sorted from the
+// dearest down, and the part of further such asks that is expected to lie above it.
+func cut(asks []ask, part float64) (price, above float64) {
 	left := 0.0
 	for _, a := range asks {
 		left += part * a.units
 	}
-	for _, a := range asks {
+	for i, a := range asks {
 		if left -= a.units; left < 0 {
-			return a.worth
+			return a.worth, float64(i+1) / float64(len(asks)+1)
 		}
 	}
-	return 0
+	return 0, 1
 }
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -17,6 +17,7 @@
 	done    []outcomeAt
 	arrived []float64 // requests of mean work at the node
 	sent    int
+	shards  int // of which the node has the first; nobody has the others
 }
 
 type outcomeAt struct {
@@ -38,7 +39,10 @@
 // their connection.
 func (f *fleet) step(g *rig, ask bool) {
 	g.pass(f.now - g.now)
-	if ask {
+	if ask && f.shards > 1 {
+		g.n++
+		g.do(Request{ID: fmt.Sprint("many", g.n), Class: "read", Plan: "high", Volume: "v", Shard: f.rng.IntN(f.shards), Units: f.s.MeanUnits, Expires: f.now + 2000, Hosts: 1})
+	} else if ask {
 		g.ask("read", "high", "", f.s.MeanUnits)
 	}
 	for _, a := range g.acts {
@@ -128,6 +132,51 @@
 	}
 }
 
+// The same holds for hundreds of hosts that send hardly anything to the node each, so that
+// its budget is kept by chance alone: whatever it bears, as rates rise, and as most hosts
+// forget what they learnt. And what goes there is not much less than it bears.
+func TestHundredsOfHostsAtAColdNode(t *testing.T) {
+	const hosts, seeds = 900, 5
+	none := func(float64, int) bool { return false }
+	for name, tt := range map[string]struct {
+		units, rate, burst float64
+		shards             int
+		restart            func(now float64, i int) bool
+		least              int // sends of all seeds
+	}{
+		"calm":       {60, 600, 600, 1, none, 500},
+		"few":        {6, 200, 200, 1, none, 20},
+		"many":       {200, 1500, 1500, 1, none, 1500},
+		"burst":      {60, 60, 130, 160, none, 500},
+		"killed":     {60, 600, 600, 16, func(now float64, i int) bool { return now == 2500 && i%10 < 7 }, 300},
+		"all anew":   {60, 600, 600, 16, func(now float64, i int) bool { return now == 2500 }, 100},
+		"under part": {60, 50, 50, 16, none, 300},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sends := 0
+			for seed := range uint64(seeds) {
+				s := settings()
+				s.Hosts, s.Shards, s.MeanUnits = hosts, tt.shards, 1
+				s.Rules.FallTime, s.Rules.ColdUnits, s.Rules.SendLate = 1000, tt.units, 300
+				f := &fleet{s: s, rng: rand.New(rand.NewPCG(seed, 11)), now: 1000, shards: tt.shards}
+				for range hosts {
+					f.hosts = append(f.hosts, f.host())
+				}
+				f.run(2000, tt.rate*float64(tt.shards), tt.restart)
+				f.run(2000, tt.burst*float64(tt.shards), tt.restart)
+				if over := f.worst(); over > 0 {
+					t.Errorf("seed %d: %.1f requests over, of %d", seed, over, len(f.arrived))
+				}
+				sends += len(f.arrived)
+			}
+			if sends < tt.least {
+				t.Errorf("only %d sends to the cold node", sends)
+			}
+			t.Log(sends, "sends")
+		})
+	}
+}
+
 // A limited volume's units are taken when they pass. A request that found no connection
 // takes them when it is sent in earnest: while it waited the store has filled again, and
 // what it was let go by then would pass beside what the store lets go now.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,8 +25,6 @@
 	minPart     = 0.2    // of what is asked, that goes at the least: who sends nothing learns nothing
 	blindPull   = 0.2    // a second's pull of a part back to the whole while nothing is learnt
 	recentMost  = 63     // requests before the newest whose worths tell what is asked
-	coldMargin  = 1.0    // demand reckoned with at a cold node, in means; hunts reached a third of the limit
-	ratePull    = 0.1    // a second's pull on this host's own rate
 	// aimPart of the tightest aim is what wait and mean service may take
 	// together; the rest is for the spread of service times and for pauses.
 	aimPart    = 0.3
@@ -71,7 +69,7 @@
 // start begins the sampling at a phase of this host's own, so that hosts do
 // not all move at once, and asks for the list where it must be asked.
 func (p *scheduler) start() {
-	p.started, p.born = true, p.now
+	p.started, p.born, p.ratedAt = true, p.now, p.now
 	p.median = p.tightest() * aimPart / 2
 	p.base = p.median
 	p.do(SetTimer{period * (0.5 + p.rng.Float64()/2), "second"})
@@ -86,32 +84,6 @@
 	}
 }
 
-// cold tells whether n is still warming up, and the units that this host may
-// send it within any Rules.FallTime. All hosts together may send ColdUnits at
-// the least capacity; that capacity grows no slower than evenly over ColdTime.
-//
-// With many hosts that is less than a request. Then a host lets go that part of
-// what it is asked for which the budget bears of the demand to expect at a node,
-// one request at a time: its own rate over all nodes, for all hosts. Hosts that
-// have more than others to send let a smaller part go, so the sum holds.
-func (p *scheduler) cold(n *node) (budget, part float64, yes bool) {
-	age, r := p.now-n.coldAt, p.s.Rules
-	if age >= r.ColdTime {
-		return 0, 1, false
-	}
-	grown := 1.0
-	if r.ColdFrom > 0 && r.ColdTime > 0 {
-		grown += (1 - r.ColdFrom) / r.ColdFrom * max(age-r.FallTime, 0) / r.ColdTime
-	}
-	bears, hosts := r.ColdUnits*grown, float64(p.s.Hosts)
-	demand := p.ownRate * hosts / float64(max(p.s.Shards, len(p.shards))) * r.FallTime / period
-	part = 0
-	if p.ownRate > 0 {
-		part = min(bears/(coldMargin*demand), 1)
-	}
-	return bears / hosts, part, true
-}
-
 // Requests.
 
 func (p *scheduler) take(q Request) {
@@ -205,6 +177,7 @@
 	r.value = r.class.Worth * plan.Price * part
 	r.rank = r.value * (1 + worthDither*p.rng.Float64())
 	p.asked += r.Units
+	p.recentUnits.addSome(r.Units, p.now, burstSpan)
 	p.recent = append(p.recent[max(len(p.recent)-recentMost, 0):], ask{r.rank, r.Units})
 }
 
@@ -230,13 +203,8 @@
 // part is how much of what this host is asked for at sh may go, dearest first: a
 // depth below 1, or what a node that warms up bears of the demand to expect.
 func (p *scheduler) part(sh *shard) float64 {
-	part := sh.depth
-	if sh.node != nil {
-		if _, bears, cold := p.cold(sh.node); cold {
-			part = min(part, bears)
-		}
-	}
-	return part
+	_, bears, _ := p.coldAt(sh)
+	return min(sh.depth, bears)
 }
 
 // priceFor is the worth above which lies that part of what was asked of late.
@@ -244,7 +212,8 @@
 	if part >= 1 {
 		return 0
 	}
-	return cut(p.ranked, part)
+	price, _ := cut(p.ranked, part)
+	return price
 }
 
 // waitFor is the wait of a request with `ahead` mean requests before it.
@@ -279,6 +248,7 @@
 }
 
 func (p *scheduler) shedQueues(sh *shard, service, price float64) {
+	_, bears, warming := p.coldAt(sh)
 	room := sh.room
 	sh.room = nil // what is let go of may bring another walk in the midst of this one
 	all := sh.dearest(room)
@@ -287,7 +257,7 @@
 	look := func(r *request) {
 		switch {
 		case r == nil || !r.queued: // ended or sent while an earlier one was let go of
-		case r.rank < price:
+		case r.rank < price, warming && !p.amongDearest(r, bears):
 			sh.wasFull = true
 			p.park(sh, r)
 		case p.now+ahead*service/max(sh.depth, 1)+service+p.extra(r) > r.aimAt:
@@ -479,7 +449,7 @@
 		p.wake(n.sends.oldest()+p.fallSpan()+p.s.Tick, nil, sh)
 		return false
 	}
-	return r.attempts == 0 && r.rank >= p.priceFor(part) && part > 0
+	return r.attempts == 0 && p.amongDearest(r, part)
 }
 
 // repeatable tells whether r, which may have run, may be sent to n.
@@ -759,11 +729,7 @@
 func (p *scheduler) second() {
 	p.do(SetTimer{period, "second"})
 	p.subscribe()
-	if p.ownRate == 0 {
-		p.ownRate = p.asked
-	}
-	p.ownRate += ratePull * (p.asked - p.ownRate)
-	p.asked = 0
+	p.learnRate()
 	p.ranked = append(p.ranked[:0], p.recent...)
 	slices.SortFunc(p.ranked, func(a, b ask) int { return cmp.Compare(b.worth, a.worth) })
 	p.median = medianOf(p.pool, p.tightest()*aimPart/2)
--- a/policy/state.go
+++ b/policy/state.go
@@ -39,6 +39,7 @@
 	stray    bool    // its attempt was given up as lost
 	reached  bool    // a node has had it, or may have
 	charged  bool    // its volume's limit has given the units for it
+	drawn    float64 // its lot among requests of its worth, see amongDearest; 0: none yet
 	left     bool    // its chain counts it no more
 	done     bool
 }
@@ -134,7 +135,9 @@
 // fading is a count that halves and halves again with time.
 type fading struct{ n, at float64 }
 
-func (c *fading) add(now, span float64) { c.n, c.at = c.value(now, span)+1, now }
+func (c *fading) add(now, span float64) { c.addSome(1, now, span) }
+
+func (c *fading) addSome(n, now, span float64) { c.n, c.at = c.value(now, span)+n, now }
 
 func (c *fading) value(now, span float64) float64 { return c.n * math.Exp((c.at-now)/span) }
 
@@ -377,10 +380,13 @@
 	pool    []answer // answers of all nodes
 	median  float64  // of their times
 	base    float64  // the same when nothing waits
-	asked   float64  // units taken in this second
-	ownRate float64  // the same, smoothed
-	recent  []ask
-	ranked  []ask // recent, dearest first
+	asked   float64  // units taken since ratedAt
+	ratedAt float64
+	ownRate float64 // units taken a second, smoothed over some ten seconds
+	// recentUnits are the units taken, fading with burstSpan.
+	recentUnits fading
+	recent      []ask
+	ranked      []ask // recent, dearest first
 }
 
 // mark changes with whatever comes to the parked or leaves them.
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -123,7 +123,7 @@
 				t.Errorf("request %d: %d", i, s)
 			}
 		}
-		if c := sc.s.core.counters; c.Outcomes[policy.NoConnection] != 0 {
+		if c := sc.s.core.counters; c.Sends != uint64(len(work)) || c.Outcomes[policy.NoConnection]+c.Outcomes[policy.NotSent] != 0 {
 			t.Errorf("%+v", c)
 		}
 		for _, d := range disks {
