A disk server's start that is heard of in service counts from then, whatever its stamp says

Cause: born_ms is wall time of another machine and was read against this process's wall at its start: a process started with its wall an hour ahead took a cold disk server for a warm one, an hour behind for one that is cold for an hour. Change: core.startOf: in service a start counts from when it was heard of, on the monotonic clock; only the lists at this process's own start have nothing but the stamp, and one of the future counts from now. Measured: TestStartsWhereWallClocksWereStepped over steps of 5 s and an hour, both ways; tests of scheduler passed.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -100,7 +100,8 @@
 	calls    map[string]*call
 	past     ring
 	dues     due.Heap[pending]
-	hosts    map[string]Entry
+	hosts    map[string]heldEntry
+	heard    bool // discovery has spoken
 	counters Counters
 }
 
@@ -112,12 +113,18 @@
 	Reasons                              map[string]uint64          // of refusals and failures
 }
 
+// heldEntry is a disk server as the module was told of it.
+type heldEntry struct {
+	Entry
+	started float64 // on the module's clock; 0: long ago
+}
+
 // epoch is what the clock shows at the start, ms: disk servers that started up to so long
 // before have a time on it. Longer ago is long ago.
 const epoch = 3_600_000
 
 func newCore(born int64, c *Config, eff effects) *core {
-	k := &core{eff: eff, now: epoch, born: born, calls: map[string]*call{}, hosts: map[string]Entry{}, counters: Counters{Reasons: map[string]uint64{}}}
+	k := &core{eff: eff, now: epoch, born: born, calls: map[string]*call{}, hosts: map[string]heldEntry{}, counters: Counters{Reasons: map[string]uint64{}}}
 	k.mod = policy.New(c.Settings, c.Seed)
 	return k
 }
@@ -379,10 +386,15 @@
 	var nodes []policy.Node
 	draining := 0
 	for _, e := range entries {
-		if old, known := k.hosts[e.Host]; known && old == e {
+		old, known := k.hosts[e.Host]
+		if known && old.Entry == e {
 			continue
 		}
-		n := policy.Node{Addr: e.Host, Health: health[e.Health], Shard: e.Block, Started: k.startOf(e), Zone: e.Site, Weight: e.Share}
+		started := old.started
+		if !known || old.BornMS != e.BornMS {
+			started = k.startOf(e)
+		}
+		n := policy.Node{Addr: e.Host, Health: health[e.Health], Shard: e.Block, Started: started, Zone: e.Site, Weight: e.Share}
 		nodes = append(nodes, n)
 		switch n.Health {
 		case policy.Gone:
@@ -391,9 +403,10 @@
 		case policy.Draining:
 			draining++
 		}
-		k.hosts[e.Host] = e
+		k.hosts[e.Host] = heldEntry{e, started}
 		k.eff.reach(e)
 	}
+	k.heard = k.heard || !cached
 	k.tell(policy.NodeList{Cached: cached, Nodes: nodes})
 	for _, n := range nodes {
 		if n.Health == policy.Gone {
@@ -409,7 +422,8 @@
 	for _, e := range whole {
 		delete(left, e.Host)
 	}
-	for _, e := range left {
+	for _, held := range left {
+		e := held.Entry
 		e.Health = "left"
 		gone = append(gone, e)
 	}
@@ -417,12 +431,18 @@
 	return gone
 }
 
-// startOf puts a start on the clock; every machine reads one clock.
+// startOf is when a disk server started, on the module's clock. A start that is heard of in
+// service counts from when it was: wall clocks may be stepped, here and at the disk server,
+// and a start that is taken for an older one has its server overloaded. Of the lists at this
+// process's own start there is only the stamp; one in the future counts from now.
 func (k *core) startOf(e Entry) float64 {
-	if e.BornMS == 0 {
+	switch {
+	case e.BornMS == 0:
 		return 0
+	case k.heard:
+		return k.now
 	}
-	return max(float64(e.BornMS-k.born), 0)
+	return min(max(float64(e.BornMS-k.born), 0), k.now)
 }
 
 // ring remembers the last ids.
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -147,6 +147,34 @@
 	}
 }
 
+// The wall clock of this machine or of a disk server may have been stepped, by seconds or an
+// hour: in service a start counts from when it was heard of, whatever its stamp says, and
+// keeps that time; at this process's own start a stamp of the future counts from now.
+func TestStartsWhereWallClocksWereStepped(t *testing.T) {
+	const hour = int64(3_600_000)
+	wall := int64(1_000_000 + epoch)
+	for _, step := range []int64{-hour, -5000, 0, 5000, hour} {
+		k, _ := coreFor(t)
+		spy := &spyModule{Scheduler: k.mod}
+		k.mod = spy
+		one := Entry{Host: "s9", Dial: "x:9", Block: 0, Health: "active", BornMS: wall + step}
+		k.list(epoch+10, List{Seq: 1, Hosts: []Entry{one}}, false)
+		if got := spy.nodes[0].Started; got > epoch+10 || step <= 0 && got != max(float64(epoch+step), 0) {
+			t.Errorf("step %d: the first list's start is %v", step, got-epoch)
+		}
+		one.BornMS++
+		k.list(epoch+5000, List{Seq: 2, Hosts: []Entry{one}}, false)
+		if got := spy.nodes[0].Started; got != epoch+5000 {
+			t.Errorf("step %d: a start in service is at %v", step, got-epoch)
+		}
+		one.Health = "leaving"
+		k.list(epoch+9000, List{Seq: 3, Hosts: []Entry{one}}, false)
+		if got := spy.nodes[0].Started; got != epoch+5000 {
+			t.Errorf("step %d: it has moved to %v", step, got-epoch)
+		}
+	}
+}
+
 // The last ids are known, and no more than that are held.
 func TestRingIsBounded(t *testing.T) {
 	var r ring
