--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -19,6 +19,7 @@
 	Scheduler    schedulerCmd    `cmd:"" help:"Run a scheduler in service: HTTP towards clients, the module, disk servers behind."`
 	Diskserver   diskserverCmd   `cmd:"" help:"Run a stand-in disk server."`
 	Inventory    inventoryCmd    `cmd:"" help:"Run a stand-in node list."`
+	Soak         soakCmd         `cmd:"" help:"Play real schedulers on loopback through drawn faults and judge what passed."`
 	Settings     settingsCmd     `cmd:"" help:"Read, change or draft the settings of a running gateway."`
 	Keys         keysCmd         `cmd:"" help:"The service's own authority: certificates of hosts, disk servers and operators."`
 	Expect       expectCmd       `cmd:"" help:"Answer what operators expect of routing and limits, without sending anything."`
--- a/cmd/merlinhitch/soak_test.go
+++ b/cmd/merlinhitch/soak_test.go
@@ -33,10 +33,10 @@
 	}
 	run, broken, err := soak.Play(o, []soak.Fault{
 		{At: 1000 * time.Millisecond, Name: "discovery falls silent", Do: func(r *soak.Run) {
-			r.Agents[0].SetDown(true)
-			r.Agents[0].ResetWatches()
+			r.Agent(0).SetDown(true)
+			r.Agent(0).ResetWatches()
 		}},
-		{At: 2500 * time.Millisecond, Name: "discovery is back", Do: func(r *soak.Run) { r.Agents[0].SetDown(false) }},
+		{At: 2500 * time.Millisecond, Name: "discovery is back", Do: func(r *soak.Run) { r.Agent(0).SetDown(false) }},
 		{At: 2600 * time.Millisecond, Name: "a tenth drains", Do: release(0, "leaving")},
 		{At: 3000 * time.Millisecond, Name: "the next tenth drains", Do: release(1, "leaving")},
 		{At: 3400 * time.Millisecond, Name: "the first tenth is gone", Do: release(0, "left")},
--- a/soak/discovery.go
+++ b/soak/discovery.go
@@ -107,12 +107,22 @@
 	tasks     sync.WaitGroup
 	done      chan struct{}
 
-	mu      sync.Mutex
-	down    bool // it is silent and learns nothing
-	knows   int  // version that it has
-	watches map[net.Conn]*watchState
+	mu       sync.Mutex
+	down     bool // it is silent and learns nothing
+	knows    int  // version that it has
+	watches  map[net.Conn]*watchState
+	silent   time.Duration // since when the open watches have been silent; 0: they are not
+	missed   []Change      // that count as told by silentCounts after that, or with the next watch
+	notUntil time.Duration // nothing counts as told before that: the scheduler was just sent here
 }
 
+// What counts as told when: silentCounts after an open watch fell silent at the latest, and
+// not before movedCounts after the word to go to another discovery.
+const (
+	silentCounts = 6 * time.Second
+	movedCounts  = 4 * time.Second
+)
+
 type watchState struct {
 	sent   int // version
 	silent bool
@@ -135,6 +145,15 @@
 	return a, nil
 }
 
+// Follow has nothing count as told until a scheduler that was just sent here must have come.
+func (a *Agent) Follow() {
+	a.directory.mu.Lock()
+	defer a.directory.mu.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.knows, a.notUntil = a.directory.seq, a.record.Now()+movedCounts
+}
+
 // Address is where the agent listens.
 func (a *Agent) Address() string { return a.listener.Addr().String() }
 
@@ -162,6 +181,9 @@
 	for _, w := range a.watches {
 		w.silent = true
 	}
+	if len(a.watches) > 0 && a.silent == 0 {
+		a.silent = a.record.Now()
+	}
 }
 
 // SetDown has the agent fall silent and learn nothing, or come back: what it gets then
@@ -185,9 +207,20 @@
 		return
 	}
 	now := a.record.Now()
+	late := max(now, a.notUntil) // what forbids counts as told no sooner, what allows may be known now
+	if a.silent > 0 {
+		late = max(late, a.silent+silentCounts)
+	}
 	for ; a.knows < a.directory.seq; a.knows++ {
 		for _, e := range a.directory.log[a.knows] {
-			a.record.addChanges(Change{Scheduler: a.scheduler, Server: e.Block, Health: e.Health, At: now, Born: a.bornAt(e)})
+			c := Change{Scheduler: a.scheduler, Server: e.Block, Health: e.Health, At: late, Born: a.bornAt(e)}
+			if e.Health == "active" {
+				c.At = now
+			}
+			a.record.addChanges(c)
+			if a.silent > 0 {
+				a.missed = append(a.missed, c)
+			}
 		}
 	}
 	for c, w := range a.watches {
@@ -294,6 +327,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	now := a.record.Now()
+	for _, c := range a.missed {
+		c.At = min(c.At, now)
+		a.record.addChanges(c)
+	}
+	a.silent, a.missed = 0, nil
 	if !watches || a.whole || held > a.knows {
 		a.write(c, a.line(a.known()))
 		held = a.knows
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -109,7 +109,7 @@
 	case q.Left > 0 && q.Left <= last, j.diedUnder(q):
 	case q.Left > 0:
 		lost(q.Left, "no final answer in its time")
-	case q.Ended > 0 && (len(tries) > 0 || q.Resent):
+	case q.Ended > 0 && len(tries) > 0:
 		lost(q.Ended, "its connection ended without an answer after it was sent on")
 	case q.Mid:
 		lost(q.Ended, "its connection ended within the answer")
@@ -181,15 +181,15 @@
 	}
 }
 
-// lastBefore is the change in force at a time, nil if there is none.
+// lastBefore is the last change, in the order of their versions, that counts as told at a
+// time; nil if none does.
 func lastBefore(changes []Change, at time.Duration) *Change {
-	var last *Change
-	for i := range changes {
-		if changes[i].At <= at && (last == nil || changes[i].At >= last.At) {
-			last = &changes[i]
+	for i := len(changes) - 1; i >= 0; i-- {
+		if changes[i].At <= at {
+			return &changes[i]
 		}
 	}
-	return last
+	return nil
 }
 
 // coldServers holds what all schedulers together send to a server that has just started to
--- a/soak/process.go
+++ b/soak/process.go
@@ -25,6 +25,7 @@
 	record    *Record
 	scheduler int
 	cmd       *exec.Cmd
+	file      string // of its configuration
 	done      chan struct{}
 
 	mu     sync.Mutex
@@ -44,7 +45,7 @@
 	if err := os.WriteFile(file, config, 0o600); err != nil {
 		return nil, err
 	}
-	p := &Process{record: r, scheduler: scheduler, done: make(chan struct{}), ready: make(chan struct{})}
+	p := &Process{record: r, scheduler: scheduler, file: file, done: make(chan struct{}), ready: make(chan struct{})}
 	p.cmd = exec.Command(c.Path, c.Args...)
 	p.cmd.Env = append(append(os.Environ(), c.Env...), "ROUTER_CONFIG="+file)
 	out, err := p.cmd.StderrPipe()
--- a/soak/run.go
+++ b/soak/run.go
@@ -66,18 +66,20 @@
 	Record    *Record
 	Servers   *Servers
 	Directory *Directory
-	Agents    []*Agent
 	Rand      *rand.Rand // of the faults; one fault at a time uses it
 
 	folder    string
+	agents    []*Agent // by scheduler, the one that it follows; under mu
 	addresses []string
 	clients   []*Clients
+	retired   []*Agent
 	stop      chan struct{} // of the throttles
 	tasks     sync.WaitGroup
 
 	mu        sync.Mutex
 	processes []*Process
 	events    []string
+	fault     error // that kept the run from being played
 }
 
 // Play starts all parts, sends traffic while the faults come, and judges what passed. The
@@ -98,6 +100,9 @@
 	}
 	r.traffic(faults)
 	r.endAll()
+	if r.fault != nil {
+		return r, nil, r.fault
+	}
 	return r, o.Terms().Judge(r.Record), nil
 }
 
@@ -114,7 +119,7 @@
 		if err != nil {
 			return err
 		}
-		r.Agents = append(r.Agents, a)
+		r.agents = append(r.agents, a)
 		address, err := freeAddress()
 		if err != nil {
 			return err
@@ -142,7 +147,7 @@
 
 // StartScheduler starts a scheduler's process, under its own address.
 func (r *Run) StartScheduler(i int) error {
-	config := r.Options.config(i, r.addresses[i], r.Agents[i].Address(), r.Directory.Whole())
+	config := r.Options.config(i, r.addresses[i], r.Agent(i).Address(), r.Directory.Whole())
 	p, err := StartProcess(r.Options.Command, i, r.folder, config, r.Record)
 	if err != nil {
 		return err
@@ -167,10 +172,80 @@
 	return r.processes[i]
 }
 
+// Agent is the discovery that a scheduler follows.
+func (r *Run) Agent(i int) *Agent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.agents[i]
+}
+
+func (r *Run) following() []*Agent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*Agent(nil), r.agents...)
+}
+
+// must notes what kept a fault from being played.
+func (r *Run) must(err error) {
+	if err != nil {
+		r.mu.Lock()
+		r.fault = err
+		r.mu.Unlock()
+	}
+}
+
+// stillOpens is how long clients open new connections to a scheduler that was told to end.
+const stillOpens = 300 * time.Millisecond
+
+// MoveDiscovery sends a scheduler to another discovery with a new configuration.
+func (r *Run) MoveDiscovery(i int) error {
+	old := r.Agent(i)
+	next, err := StartAgent(r.Directory, i, r.Options.WholeLists, r.Options.Indented, r.Record)
+	if err != nil {
+		return err
+	}
+	next.Follow()
+	r.mu.Lock()
+	r.agents[i] = next
+	r.retired = append(r.retired, old)
+	r.mu.Unlock()
+	config := r.Options.config(i, r.addresses[i], next.Address(), r.Directory.Whole())
+	if err := os.WriteFile(r.Process(i).file, config, 0o600); err != nil {
+		return err
+	}
+	r.Process(i).Signal(syscall.SIGHUP)
+	old.SetDown(true)
+	return nil
+}
+
+// Stall holds a scheduler's process up for a time.
+func (r *Run) Stall(i int, lasts time.Duration) {
+	p := r.Process(i)
+	p.Signal(syscall.SIGSTOP)
+	time.Sleep(lasts)
+	p.Signal(syscall.SIGCONT)
+}
+
+// Crowd opens so many connections to a scheduler that say nothing, for a time.
+func (r *Run) Crowd(i, n int, lasts time.Duration) {
+	var idle []net.Conn
+	for range n {
+		if c, err := net.DialTimeout("tcp", r.addresses[i], 100*time.Millisecond); err == nil {
+			idle = append(idle, c)
+		}
+	}
+	time.Sleep(lasts)
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
 // Restart tells a scheduler to end as the platform does, and starts it again.
 func (r *Run) Restart(i int) error {
-	r.clients[i].StayOnOpen()
+	timer := time.AfterFunc(stillOpens, r.clients[i].StayOnOpen)
 	r.Process(i).Stop(stopGrace())
+	timer.Stop()
+	r.clients[i].StayOnOpen()
 	err := r.StartScheduler(i)
 	r.clients[i].Reopen()
 	return err
@@ -252,7 +327,7 @@
 			p.Kill()
 		}
 	}
-	for _, a := range r.Agents {
+	for _, a := range append(r.retired, r.agents...) {
 		a.Close()
 	}
 	if r.Servers != nil {
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -25,6 +25,10 @@
 	Down                // it resets each connection that comes
 )
 
+var behaviourNames = [...]string{"well", "hung", "erring", "resetting", "rejecting", "down"}
+
+func (b Behaviour) String() string { return behaviourNames[b] }
+
 // Servers are the stand-in disk servers, each at an address of its own.
 type Servers struct {
 	record  *Record
