--- a/soak/run.go
+++ b/soak/run.go
@@ -120,10 +120,7 @@
 			return err
 		}
 		r.agents = append(r.agents, a)
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
+		address := schedulerAddress(i)
 		r.addresses = append(r.addresses, address)
 		r.clients = append(r.clients, &Clients{record: r.Record, scheduler: i, address: address, classes: classes, shards: o.Servers,
 			rate: o.Rate, leaves: o.Leaves, rng: rand.New(rand.NewPCG(o.Seed, uint64(2+i))), prefix: fmt.Sprintf("%06x", i)})
@@ -136,13 +133,15 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+// firstPort is the first scheduler's.
+const firstPort = 18000
+
+// schedulerAddress is a scheduler's. Its host is one of loopback's that only this process
+// uses, so that no connection on its way out has the port, also while the scheduler is down.
+func schedulerAddress(i int) string {
+	const others = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid%others, pid/others%others, 1+pid/others/others%others, firstPort+i)
 }
 
 // StartScheduler starts a scheduler's process, under its own address.
