--- a/cmd/merlinhitch/soak.go
+++ b/cmd/merlinhitch/soak.go
@@ -18,6 +18,7 @@
 	Share      float64       `default:"1" help:"Share of a core of each scheduler, held by stopping it now and then (0.01 to 1)."`
 	Whole      bool          `help:"Every watch begins with the whole list."`
 	Indented   bool          `help:"Discovery's messages are indented."`
+	Beside     int           `help:"Play each seed also with so many disk servers, and compare what the schedulers need."`
 	Program    string        `type:"existingfile" help:"Build of merlinhitch whose schedulers are played; this one if none is named."`
 }
 
@@ -60,14 +61,12 @@
 	bad := 0
 	for seed := c.From; seed < c.From+uint64(c.Seeds); seed++ {
 		o.Seed = seed
-		run, broken, err := soak.Play(o, soak.Draw(o))
+		ok, err := c.play(o)
 		if err != nil {
 			return err
 		}
-		fmt.Println(run.Summary(broken))
-		if len(broken) > 0 {
+		if !ok {
 			bad++
-			run.Explain(os.Stdout, broken)
 		}
 	}
 	fmt.Printf("%d of %d seeds kept all rules\n", c.Seeds-bad, c.Seeds)
@@ -76,3 +75,31 @@
 	}
 	return nil
 }
+
+// play plays one seed, and with Beside the same with fewer disk servers; false if a rule was
+// broken or a bound passed.
+func (c *soakCmd) play(o soak.Options) (bool, error) {
+	large, ok, err := playOnce(o)
+	if err != nil || c.Beside == 0 {
+		return ok, err
+	}
+	o.Servers = c.Beside
+	small, smallOK, err := playOnce(o)
+	if err != nil {
+		return false, err
+	}
+	within := soak.Compare(os.Stdout, small, large)
+	return ok && smallOK && within, nil
+}
+
+func playOnce(o soak.Options) (*soak.Run, bool, error) {
+	run, broken, err := soak.Play(o, soak.Draw(o))
+	if err != nil {
+		return nil, false, err
+	}
+	fmt.Println(run.Summary(broken))
+	if len(broken) > 0 {
+		run.Explain(os.Stdout, broken)
+	}
+	return run, len(broken) == 0, nil
+}
--- a/soak/discovery.go
+++ b/soak/discovery.go
@@ -255,6 +255,7 @@
 
 // write sends one chunk; the kernel takes what the scheduler does not read yet.
 func (a *Agent) write(c net.Conn, b []byte) {
+	a.record.listBytes.Add(int64(len(b)))
 	c.SetWriteDeadline(time.Now().Add(pulse))
 	head := strconv.AppendInt(nil, int64(len(b)), 16)
 	c.Write(append(append(append(head, '\r', '\n'), b...), '\r', '\n'))
--- a/soak/process.go
+++ b/soak/process.go
@@ -33,7 +33,8 @@
 	ready  chan struct{}
 	told   time.Duration
 	killed bool
-	err    error
+
+	descriptors int // most at once
 }
 
 // readyWithin is how long a scheduler may take to be ready, as the platform says.
@@ -48,6 +49,7 @@
 	p := &Process{record: r, scheduler: scheduler, file: file, done: make(chan struct{}), ready: make(chan struct{})}
 	p.cmd = exec.Command(c.Path, c.Args...)
 	p.cmd.Env = append(append(os.Environ(), c.Env...), "ROUTER_CONFIG="+file)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing is left behind
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		return nil, err
@@ -56,6 +58,7 @@
 		return nil, err
 	}
 	go p.follow(bufio.NewScanner(out))
+	go p.countDescriptors()
 	select {
 	case <-p.ready:
 		return p, nil
@@ -81,10 +84,10 @@
 		}
 	}
 	err := p.cmd.Wait()
+	cpu, peak := p.usage()
 	p.mu.Lock()
-	p.err = err
 	end := ProcessEnd{Scheduler: p.scheduler, Told: p.told, Ended: p.record.Now(), Killed: p.killed,
-		Crashed: !p.killed && (p.told == 0 || err != nil), Log: p.log.String()}
+		Crashed: !p.killed && (p.told == 0 || err != nil), Log: p.log.String(), CPU: cpu, PeakMB: peak, Descriptors: p.descriptors}
 	p.mu.Unlock()
 	p.record.addEnd(end)
 	close(p.done)
--- a/soak/record.go
+++ b/soak/record.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -53,11 +54,16 @@
 	Killed    bool
 	Crashed   bool // it ended by itself without being told
 	Log       string
+
+	CPU         time.Duration
+	PeakMB      float64
+	Descriptors int // most at once
 }
 
 // Record is what passed in a run. It is safe for concurrent use.
 type Record struct {
-	start time.Time
+	start     time.Time
+	listBytes atomic.Int64 // that discovery wrote
 
 	mu       sync.Mutex
 	Requests []*Request
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -35,6 +35,8 @@
 	service time.Duration // mean time of a request
 	all     []*diskServer
 	tasks   sync.WaitGroup
+
+	accepted atomic.Int64 // connections
 }
 
 type diskServer struct {
@@ -108,6 +110,7 @@
 		if err != nil {
 			return
 		}
+		s.accepted.Add(1)
 		d.mu.Lock()
 		d.conns[c] = true
 		d.mu.Unlock()
