A client that leaves is seen behind 256 KiB sent ahead; a start waits for its address

Cause: a client that had sent 16 KiB ahead of its answers was not read further, so its leaving lay unseen behind that, and what it had sent went on to disk servers: an attempt begun after its client closed is a lost request, with no free cases. A start ended at once where its address was taken still or the machine was short for a moment. Checked: TestALeaverBehindManyRequests fails with the bound of before. Measured: tests of scheduler and world passed.

--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -2,14 +2,17 @@
 
 import (
 	"net"
+	"sync/atomic"
 
 	"merlinhitch/seam"
 )
 
 const (
 	// mostAhead bounds what a client may send ahead of its answers; what is beyond that
-	// stays with the kernel, and the client's end behind it unseen.
-	mostAhead = 16 << 10
+	// stays with the kernel, and the client's end behind it unseen. Where all clients together
+	// have sent more than their budget, one may have sureAhead still.
+	mostAhead = 256 << 10
+	sureAhead = 16 << 10
 	aheadStep = 2 << 10
 	// markGap is how exactly times are known, ms: it bounds the marks of a request that
 	// comes byte by byte.
@@ -22,12 +25,20 @@
 type ahead struct {
 	conn  net.Conn
 	now   func() float64
+	held  *aheadBudget
 	kept  []byte
 	read  int64 // bytes of the stream so far
 	marks []mark
 	err   error // the stream's end
 }
 
+// aheadBudget bounds what all clients together may have sent ahead, in bytes.
+type aheadBudget struct{ held, most atomic.Int64 }
+
+func (b *aheadBudget) add(n int) { b.held.Add(int64(n)) }
+
+func (b *aheadBudget) spent() bool { return b.held.Load() >= b.most.Load() }
+
 // mark says when the stream had come up to a byte.
 type mark struct {
 	upTo int64
@@ -38,6 +49,7 @@
 func (a *ahead) Read(b []byte) (int, error) {
 	if len(a.kept) > 0 {
 		n := copy(b, a.kept)
+		a.held.add(-n)
 		if a.kept = a.kept[n:]; len(a.kept) == 0 {
 			a.kept = nil
 		}
@@ -67,7 +79,15 @@
 	}
 }
 
-func (a *ahead) full() bool { return len(a.kept) >= mostAhead }
+func (a *ahead) full() bool {
+	return len(a.kept) >= mostAhead || len(a.kept) >= sureAhead && a.held.spent()
+}
+
+// drop forgets what was kept.
+func (a *ahead) drop() {
+	a.held.add(-len(a.kept))
+	a.kept = nil
+}
 
 // more waits until more has come and keeps it.
 func (a *ahead) more() error { return a.keep(a.conn.Read) }
@@ -89,6 +109,7 @@
 	var b [aheadStep]byte
 	n, err := read(b[:])
 	a.kept = append(a.kept, b[:n]...)
+	a.held.add(n)
 	a.came(n, err)
 	return err
 }
--- /dev/null
+++ b/scheduler/ahead_test.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/seam"
+	"merlinhitch/standin"
+)
+
+// A client that leaves is seen behind much that it sent ahead: nothing of that is sent on.
+func TestALeaverBehindManyRequests(t *testing.T) {
+	var gate seam.Gate
+	slow := func(standin.HTTPAsk) standin.HTTPAnswer {
+		<-gate.Chan()
+		return standin.HTTPAnswer{Raw: []byte(ok200)}
+	}
+	playReal(t, nil, slow, func(sc *scene, _ *held) {
+		sc.gates = append(sc.gates, &gate)
+		p := sc.connect()
+		var many strings.Builder
+		for many.Len() < 5*sureAhead {
+			many.WriteString(strings.Replace(sc.get(), "0.480", "19.0", 1))
+		}
+		io.WriteString(p.conn, many.String())
+		sc.until("the first went out", func() bool { return len(sc.disk.Asked()) == 1 })
+		p.conn.Close()
+		sc.until("its leaving was seen", func() bool { return sc.counters().Gone == 1 })
+		gate.Open()
+		sc.until("its connection is gone", func() bool { return sc.s.front.open() == 0 })
+		if c := sc.counters(); c.Sends != 1 || sc.s.front.ahead.held.Load() != 0 {
+			t.Errorf("%+v, %d bytes are held", c, sc.s.front.ahead.held.Load())
+		}
+	})
+}
+
+// Where clients together sent too much ahead, each may still send sureAhead.
+func TestAheadBudget(t *testing.T) {
+	var b aheadBudget
+	b.most.Store(40 << 10)
+	now := func() float64 { return 0 }
+	one, two := &ahead{held: &b, now: now}, &ahead{held: &b, now: now}
+	keep := func(a *ahead, n int) {
+		a.keep(func(p []byte) (int, error) { return min(n, len(p)), nil })
+	}
+	for range 20 {
+		keep(one, aheadStep)
+	}
+	if !one.full() || two.full() {
+		t.Errorf("full: %v, %v", one.full(), two.full())
+	}
+	for range sureAhead / aheadStep {
+		keep(two, aheadStep)
+	}
+	if !two.full() {
+		t.Error("the second one goes on")
+	}
+	if one.drop(); two.full() || b.held.Load() != sureAhead {
+		t.Errorf("%d bytes are held after one left", b.held.Load())
+	}
+}
+
+// lateListener is a world in which the first tries to listen fail.
+type lateListener struct {
+	*seam.Real
+	fault error
+	left  int
+}
+
+func (w *lateListener) Listen(network, address string) (net.Listener, error) {
+	if w.left--; w.left >= 0 {
+		return nil, &net.OpError{Op: "listen", Err: w.fault}
+	}
+	return w.Real.Listen(network, address)
+}
+
+// A start waits for an address that is still taken, and for a machine short of memory; any
+// other fault ends it at once.
+func TestListenIsTriedAgain(t *testing.T) {
+	for fault, waits := range map[error]bool{syscall.EADDRINUSE: true, syscall.ENOBUFS: true, syscall.EMFILE: true, syscall.EINVAL: false} {
+		w := &lateListener{Real: seam.NewReal(), fault: fault, left: 3}
+		from := time.Now()
+		l, err := listen(w, "127.0.0.1:0", zap.NewNop())
+		if got := err == nil; got != waits || waits && time.Since(from) < 3*listenPause {
+			t.Error(fmt.Errorf("%w: %v", fault, err))
+		}
+		if err == nil {
+			l.Close()
+		}
+	}
+}
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -55,6 +55,7 @@
 	bytes    atomic.Int64
 	held     atomic.Int64  // of requests, of which there may be so many bytes
 	queued   atomic.Int64  // of answers on their way out, likewise
+	ahead    aheadBudget   // of what clients send ahead of their answers
 	ready    seam.Gate     // discovery has spoken, or was waited for
 	answerBy atomic.Uint64 // bits of the time by which all must be answered; 0: none
 	stop     seam.Gate     // nothing more is accepted
@@ -126,7 +127,7 @@
 }
 
 func (f *front) client(conn net.Conn) *client {
-	c := &client{front: f, conn: conn, ahead: &ahead{conn: conn, now: f.loop.now}, since: f.loop.now()}
+	c := &client{front: f, conn: conn, ahead: &ahead{conn: conn, now: f.loop.now, held: &f.ahead}, since: f.loop.now()}
 	c.in = bufio.NewReaderSize(c.ahead, linkBuffer)
 	c.out = outbox.New(f.world, conn, clientOut, outTimeout)
 	c.out.HalfClose = true
@@ -350,6 +351,7 @@
 		c.linger()
 	}
 	c.conn.Close()
+	c.ahead.drop()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.clients.Remove(c)
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,11 @@
 	drainMargin    = 200.0 // so long before it all has been answered,
 	drainEnd       = 80.0  // and so long before it the program ends, whoever lingers
 	sweepEvery     = time.Second
-	drainPoll      = 20 * time.Millisecond
+	// A start waits for its address for so long, and asks for it that often: the platform
+	// gives a scheduler 30 s to be ready.
+	listenWithin = 10 * time.Second
+	listenPause  = 20 * time.Millisecond
+	drainPoll    = 20 * time.Millisecond
 )
 
 // Parts of the descriptors that clients' connections, those of them that are ending, and
@@ -77,7 +82,7 @@
 	s.front = &front{world: w, loop: s.loop, core: s.core, log: events, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
 	s.know(c)
 	var err error
-	if s.front.listener, err = w.Listen("tcp", c.Listen); err != nil {
+	if s.front.listener, err = listen(w, c.Listen, log); err != nil {
 		return nil, err
 	}
 	w.Go(func() { s.loop.run(s.core) })
@@ -88,10 +93,24 @@
 	return s, nil
 }
 
+// listen listens for clients. A fault that may be over soon (an address that the process of
+// before still holds, a machine short of memory) is waited out for a while.
+func listen(w seam.World, address string, log *zap.Logger) (net.Listener, error) {
+	for until := w.Now() + listenWithin; ; {
+		l, err := w.Listen("tcp", address)
+		if err == nil || !ownFault(err) || w.Now() >= until {
+			return l, err
+		}
+		log.Warn("cannot listen yet", zap.String("address", address), zap.Error(err))
+		seam.Wait(w, listenPause, nil)
+	}
+}
+
 // know takes what the front and a stop need of the configuration.
 func (s *Scheduler) know(c *Config) {
 	s.front.check.Store(newChecker(&c.Settings))
 	s.front.bytes.Store(bytesOf(c))
+	s.front.ahead.most.Store(bytesOf(c))
 	s.grace.Store(math.Float64bits(graceOf(c)))
 }
 
