--- a/soak/discovery.go
+++ b/soak/discovery.go
@@ -54,17 +54,6 @@
 
 func hostName(server int) string { return "s-" + strconv.FormatInt(int64(0x10000000+server), 16) }
 
-// Whole is the whole list as JSON.
-func (d *Directory) Whole() []byte {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.wholeLocked()
-}
-
-func (d *Directory) wholeLocked() []byte {
-	hosts := slices.DeleteFunc(slices.Clone(d.entries), func(e Entry) bool { return e.Health == "left" })
-	return mustJSON(list{d.seq, true, hosts})
-}
 
 func mustJSON(v any) []byte {
 	b, err := json.Marshal(v)
@@ -350,6 +339,15 @@
 	a.tellLocked(c, w)
 }
 
+// Whole is the whole list as the agent has it, as JSON.
+func (a *Agent) Whole() []byte {
+	a.directory.mu.Lock()
+	defer a.directory.mu.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return mustJSON(a.known())
+}
+
 // known is the whole list as the agent has it. Both locks are held.
 func (a *Agent) known() list {
 	l := list{Seq: a.knows, Whole: true}
--- a/soak/run.go
+++ b/soak/run.go
@@ -146,7 +146,7 @@
 
 // StartScheduler starts a scheduler's process, under its own address.
 func (r *Run) StartScheduler(i int) error {
-	config := r.Options.config(i, r.addresses[i], r.Agent(i).Address(), r.Directory.Whole())
+	config := r.Options.config(i, r.addresses[i], r.Agent(i).Address(), r.Agent(i).Whole())
 	p, err := StartProcess(r.Options.Command, i, r.folder, config, r.Record)
 	if err != nil {
 		return err
@@ -208,7 +208,7 @@
 	r.agents[i] = next
 	r.retired = append(r.retired, old)
 	r.mu.Unlock()
-	config := r.Options.config(i, r.addresses[i], next.Address(), r.Directory.Whole())
+	config := r.Options.config(i, r.addresses[i], next.Address(), next.Whole())
 	if err := os.WriteFile(r.Process(i).file, config, 0o600); err != nil {
 		return err
 	}
