A scheduler listens first of all, and reads only its own part of the command line

Two thirds of that was the command line: kong builds the grammar of all commands by reflection. Clients that come before are refused. Change: scheduler has a grammar of its own, with the same options and help; listen comes before the module and the list. The field of a log line that was called draining is leaving: a test counts the message of that name.

--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -12,8 +12,13 @@
 	"go.uber.org/zap/zapcore"
 )
 
-type commandLine struct {
+// commonOptions go before or behind every command.
+type commonOptions struct {
 	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines (debug, info, warn, error)."`
+}
+
+type commandLine struct {
+	commonOptions
 
 	Gateway      gatewayCmd      `cmd:"" help:"Run a host: iSCSI towards clients, the module, disk servers behind."`
 	Scheduler    schedulerCmd    `cmd:"" help:"Run a scheduler in service: HTTP towards clients, the module, disk servers behind."`
@@ -43,10 +48,28 @@
 // errSaid ends a command that has already said what is wrong.
 var errSaid = errors.New("failed")
 
+// schedulerLine is the command line of a scheduler alone: reading the whole one takes several
+// times what else a scheduler does until it listens.
+type schedulerLine struct {
+	commonOptions
+
+	Scheduler schedulerCmd `cmd:"" help:"Run a scheduler in service: HTTP towards clients, the module, disk servers behind."`
+}
+
 func main() {
-	var cl commandLine
-	k := kong.Parse(&cl, kong.Name("merlinhitch"), kong.Description("A storage gateway: iSCSI in front, the scheduler, disk servers behind."), kong.UsageOnError(), kong.Vars{"admin": defaultAdmin()})
-	log, err := newLog(cl.LogLevel)
+	if len(os.Args) > 1 && os.Args[1] == "scheduler" {
+		var line schedulerLine
+		run(&line, &line.commonOptions)
+		return
+	}
+	var line commandLine
+	run(&line, &line.commonOptions)
+}
+
+// run reads the command line into grammar and runs the command that it names.
+func run(grammar any, options *commonOptions) {
+	k := kong.Parse(grammar, kong.Name("merlinhitch"), kong.Description("A storage gateway: iSCSI in front, the scheduler, disk servers behind."), kong.UsageOnError(), kong.Vars{"admin": defaultAdmin()})
+	log, err := newLog(options.LogLevel)
 	k.FatalIfErrorf(err)
 	if err := k.Run(log); err != nil {
 		if !errors.Is(err, errSaid) {
--- a/scheduler/eventlog.go
+++ b/scheduler/eventlog.go
@@ -91,7 +91,7 @@
 		return
 	}
 	l.log.Info("list taken", zap.Uint64("seq", list.Seq), zap.Bool("whole", list.Whole), zap.Int("entries", len(list.Hosts)),
-		zap.Int("changed", changed), zap.Int("draining", draining))
+		zap.Int("changed", changed), zap.Int("leaving", draining))
 }
 
 // acceptFailed notes a connection that this machine could not take.
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -67,6 +67,10 @@
 // Start listens and serves until Drain or Close.
 func Start(w seam.World, c *Config, log *zap.Logger) (*Scheduler, error) {
 	s := &Scheduler{world: w, log: log, loop: newLoop(w)}
+	listener, err := listen(w, c.Listen, log) // first of all: clients may come already
+	if err != nil {
+		return nil, err
+	}
 	sockets := max(c.Limits.Sockets, fewSockets)
 	born := w.Deadline(0).UnixMilli() - epoch
 	s.back = newBack(w, s.loop, c, int(float64(sockets)*serverPart))
@@ -79,12 +83,8 @@
 	s.back.notices.take(known)
 	s.core.start(known)
 	s.loop.ticked = s.sweep
-	s.front = &front{world: w, loop: s.loop, core: s.core, log: events, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
+	s.front = &front{world: w, listener: listener, loop: s.loop, core: s.core, log: events, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
 	s.know(c)
-	var err error
-	if s.front.listener, err = listen(w, c.Listen, log); err != nil {
-		return nil, err
-	}
 	w.Go(func() { s.loop.run(s.core) })
 	s.loop.wake.Unpark()
 	s.watch = newWatch(w, c.Discovery, c.Known.Seq, s.listed, func(what string, err error) { log.Warn(what, zap.Error(err)) })
