Requests that came together are answered one after the other; slow readers get answers whole

Answers to a client that sends ahead and reads slowly gathered in the outbox until its bound cut the connection, with all of them. Change: an answer always wakes the reader, which sets the idle time itself before it waits for the next request; the next request is taken once the answer before it is written (Outbox.Settle). Checked: TestRequestsThatCameTogether gets no second answer within 20 s, and TestLargeAnswersToASlowReader loses the fifth of twelve, without their mends.

--- a/outbox/outbox.go
+++ b/outbox/outbox.go
@@ -32,6 +32,8 @@
 	mu      sync.Mutex
 	wake    seam.Parker
 	buf     []byte
+	writing bool          // what was taken out of buf is not written yet
+	settle  []seam.Parker // who waits until all is written
 	closed  bool // nothing more is taken
 	cut     bool // what waits is dropped
 	drained seam.Gate
@@ -89,6 +91,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closed = true
+	o.settled()
 	o.wake.Unpark()
 }
 
@@ -101,6 +104,7 @@
 
 func (o *Outbox) cutLocked() {
 	o.closed, o.cut = true, true
+	o.settled()
 	o.conn.Close()
 	o.wake.Unpark()
 }
@@ -108,6 +112,32 @@
 // Wait returns once the goroutine has ended and the connection, or its half, is closed.
 func (o *Outbox) Wait() { o.drained.Wait(o.world) }
 
+// Settle returns once all that was put is written, or the outbox takes nothing more.
+func (o *Outbox) Settle() {
+	var p seam.Parker
+	for {
+		o.mu.Lock()
+		if o.closed || len(o.buf) == 0 && !o.writing {
+			o.mu.Unlock()
+			return
+		}
+		if p == nil {
+			p = o.world.NewParker()
+		}
+		o.settle = append(o.settle, p)
+		o.mu.Unlock()
+		p.Park()
+	}
+}
+
+// settled lets those go on that wait in Settle. The lock is held.
+func (o *Outbox) settled() {
+	for _, p := range o.settle {
+		p.Unpark()
+	}
+	o.settle = o.settle[:0]
+}
+
 func (o *Outbox) empty() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -140,11 +170,16 @@
 			o.mu.Unlock()
 			return
 		}
-		out, o.buf = o.buf, out[:0]
+		out, o.buf, o.writing = o.buf, out[:0], true
 		o.mu.Unlock()
 		o.conn.SetWriteDeadline(o.world.Deadline(o.timeout))
 		_, err := o.conn.Write(out)
 		o.gauge(-len(out))
+		o.mu.Lock()
+		if o.writing = false; len(o.buf) == 0 {
+			o.settled()
+		}
+		o.mu.Unlock()
 		if err != nil {
 			o.Cut()
 			continue // to settle what waits still
--- a/scheduler/ahead_test.go
+++ b/scheduler/ahead_test.go
@@ -96,3 +96,41 @@
 		}
 	}
 }
+
+// Requests that came together are answered one after the other, each as soon as the one before
+// it is, also where nothing more comes.
+func TestRequestsThatCameTogether(t *testing.T) {
+	play(t, answering(ok200), func(sc *scene) {
+		p, n := sc.connect(), 6
+		var all strings.Builder
+		for range n {
+			all.WriteString(sc.get())
+		}
+		from := sc.w.Now()
+		io.WriteString(p.conn, all.String())
+		for i := range n {
+			if got := p.hear(from); got.status != 200 || got.took > time.Duration(i+1)*40*time.Millisecond {
+				t.Fatalf("answer %d: %+v", i, got)
+			}
+		}
+	})
+}
+
+// A client that sends requests ahead and reads slowly gets every answer whole, however much
+// they are together.
+func TestLargeAnswersToASlowReader(t *testing.T) {
+	const requests, size = 12, 900 << 10
+	large := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	playReal(t, nil, answering(large), func(sc *scene, _ *held) {
+		p := sc.connect()
+		for range requests {
+			io.WriteString(p.conn, strings.Replace(sc.get(), "0.480", "19.0", 1))
+		}
+		seam.Wait(sc.w, 300*time.Millisecond, nil) // it reads nothing meanwhile
+		for i := range requests {
+			if got := p.hear(p.w.Now()); got.status != 200 || len(got.body) != size {
+				t.Fatalf("answer %d: %d, %d bytes", i, got.status, len(got.body))
+			}
+		}
+	})
+}
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -201,22 +201,32 @@
 }
 
 // rest makes an answered connection idle; false where it ends. Then nothing is read on it
-// any more: what a client sends now is unread, and so the client's to send elsewhere.
+// any more: what a client sends now is unread, and so the client's to send elsewhere. Either
+// way its goroutine stops waiting for bytes: the next request may have come long ago.
 func (c *client) rest(last bool) bool {
 	f := c.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.spoke = f.loop.now()
 	c.answers++
+	c.conn.SetReadDeadline(f.world.Deadline(0))
 	if last || f.closing {
-		c.conn.SetReadDeadline(f.world.Deadline(0))
 		return false
 	}
 	c.state, c.since = clientIdle, c.spoke
-	c.conn.SetReadDeadline(f.idleUntil())
 	return true
 }
 
+// await lets an idle connection wait for its next request, unless it was told to end.
+func (c *client) await() {
+	f := c.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.state == clientIdle {
+		c.conn.SetReadDeadline(f.idleUntil())
+	}
+}
+
 // open is how many connections clients have, one at least for each call without an answer.
 func (f *front) open() int {
 	f.mu.Lock()
@@ -319,6 +329,7 @@
 // the client and returns the error that ended the stream, if one did.
 func (c *client) serveRequests() error {
 	for {
+		c.await()
 		if err := c.begun(); err != nil {
 			c.reason = closeClientEnded
 			if isTimeout(err) {
@@ -335,6 +346,7 @@
 		}
 		c.requests++
 		c.reason = closeAsked
+		c.out.Settle() // a client that reads slowly gets each answer whole before the next is made
 		if !c.handle(r) {
 			return c.ahead.err
 		}
