--- a/soak/clients.go
+++ b/soak/clients.go
@@ -34,6 +34,7 @@
 	shards    int
 	rate      float64 // requests a second
 	leaves    float64 // part of the clients that leave before their answer
+	together  float64 // part of the sendings that are of several requests at once
 	rng       *rand.Rand
 	number    atomic.Int64
 	prefix    string
@@ -46,8 +47,8 @@
 
 type clientConn struct {
 	net.Conn
-	in   *bufio.Reader
-	used bool
+	in      *bufio.Reader
+	closing bool // its scheduler said that it ends it
 }
 
 // graceAfterTimeout is how long a client listens beyond its time, to see a late answer.
@@ -84,11 +85,27 @@
 	c.idle = nil
 }
 
+// sending is one request on its way.
+type sending struct {
+	*Request
+	raw []byte
+}
+
+// mostTogether is how many requests of one class a client may send at once.
+const mostTogether = 5
+
+// send sends a request, or several of one class at once on one connection.
 func (c *Clients) send() {
 	class := c.draw()
-	q := &Request{ID: fmt.Sprintf("%s%010x", c.prefix, c.number.Add(1)), Scheduler: c.scheduler, Class: class.Name, Timeout: class.Timeout}
-	shard := c.rng.IntN(c.shards)
-	raw := c.message(q, class, shard, c.rng.Uint64(), c.rng.Uint64())
+	n := 1
+	if c.rng.Float64() < c.together {
+		n = 2 + c.rng.IntN(mostTogether-1)
+	}
+	all := make([]sending, n)
+	for i := range all {
+		q := &Request{ID: fmt.Sprintf("%s%010x", c.prefix, c.number.Add(1)), Scheduler: c.scheduler, Class: class.Name, Timeout: class.Timeout}
+		all[i] = sending{q, c.message(q, class, c.rng.IntN(c.shards), c.rng.Uint64(), c.rng.Uint64())}
+	}
 	leave := time.Duration(0)
 	if c.rng.Float64() < c.leaves {
 		leave = time.Duration(c.rng.Float64() * 0.3 * float64(class.Timeout))
@@ -96,7 +113,7 @@
 	c.tasks.Add(1)
 	go func() {
 		defer c.tasks.Done()
-		c.exchange(q, raw, leave)
+		c.exchange(all, leave)
 	}()
 }
 
@@ -146,49 +163,85 @@
 }
 
 func (c *Clients) put(x *clientConn) {
-	x.used = true
+	if x.closing {
+		x.Close()
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = append(c.idle, x)
 }
 
-// exchange sends a request and waits for its answer. One that crossed the end of its
+// exchange sends requests and waits for their answers. What crossed the end of its
 // connection goes once more on a new one.
-func (c *Clients) exchange(q *Request, raw []byte, leave time.Duration) {
-	x := c.take(false)
+func (c *Clients) exchange(all []sending, leave time.Duration) {
+	var raw []byte
+	for _, s := range all {
+		raw = append(raw, s.raw...)
+	}
+	x := c.write(raw)
 	if x == nil {
 		return
 	}
-	if _, err := x.Write(raw); err != nil {
-		x.Close()
-		if x = c.take(true); x == nil {
-			return
+	now := c.record.Now()
+	for _, s := range all {
+		s.Sent = now
+		c.record.addRequest(s.Request)
+	}
+	for i, s := range all {
+		if c.hear(x, s.Request, leave) {
+			continue
 		}
-		if _, err := x.Write(raw); err != nil {
-			x.Close()
-			return
+		for _, late := range all[i:] {
+			c.leftBehind(late, s.Request, leave)
 		}
+		return
 	}
-	q.Sent = c.record.Now()
-	c.record.addRequest(q)
-	if c.hear(x, q, leave) || q.Mid || q.Left > 0 {
+	c.put(x)
+}
+
+// write puts bytes on an idle connection, or on a new one; nil if neither takes them.
+func (c *Clients) write(raw []byte) *clientConn {
+	for _, fresh := range []bool{false, true} {
+		x := c.take(fresh)
+		if x == nil {
+			return nil
+		}
+		if _, err := x.Write(raw); err == nil {
+			return x
+		}
+		x.Close()
+	}
+	return nil
+}
+
+// leftBehind deals with a request whose connection ended, with it or with one before it:
+// unless its client left, it goes once more, alone.
+func (c *Clients) leftBehind(s sending, ended *Request, leave time.Duration) {
+	c.record.mu.Lock()
+	s.Left, s.Ended = ended.Left, ended.Ended
+	again := ended.Left == 0 && !s.Mid
+	c.record.mu.Unlock()
+	if !again {
 		return
 	}
-	// It ended without a byte of an answer.
-	if x = c.take(true); x == nil {
+	x := c.take(true)
+	if x == nil {
 		return
 	}
-	if _, err := x.Write(raw); err != nil {
+	if _, err := x.Write(s.raw); err != nil {
 		x.Close()
 		return
 	}
 	c.record.mu.Lock()
-	q.Resent, q.Ended = true, 0
+	s.Resent, s.Ended = true, 0
 	c.record.mu.Unlock()
-	c.hear(x, q, leave)
+	if c.hear(x, s.Request, leave) {
+		c.put(x)
+	}
 }
 
-// hear waits for an answer, or leaves; false if the connection ended without one.
+// hear waits for an answer, or leaves; false if the connection is over without one.
 func (c *Clients) hear(x *clientConn, q *Request, leave time.Duration) bool {
 	until := q.Sent + q.Timeout + graceAfterTimeout
 	if leave > 0 {
@@ -208,15 +261,13 @@
 	case err == nil:
 		q.Answered, q.Status, q.Body = now, m.Status, string(body)
 		if m.Close() {
-			x.Close()
-		} else {
-			c.put(x)
+			x.closing = true
 		}
 		return true
 	case isTimeout(err):
 		q.Left = now
 		x.Close()
-		return true
+		return false
 	default:
 		q.Ended, q.Mid = now, len(first) > 0
 		x.Close()
--- a/soak/discovery.go
+++ b/soak/discovery.go
@@ -54,7 +54,6 @@
 
 func hostName(server int) string { return "s-" + strconv.FormatInt(int64(0x10000000+server), 16) }
 
-
 func mustJSON(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -25,6 +25,7 @@
 	MemoryMB   int
 	Sockets    int
 	Leaves     float64 // part of the clients that leave before their answer
+	Together   float64 // part of the sendings that are of several requests at once
 	WholeLists bool    // each watch begins with the whole list
 	Indented   bool
 }
@@ -32,7 +33,7 @@
 // Defaults are what Options are where nothing else is asked for.
 func Defaults() Options {
 	return Options{Seed: 1, Schedulers: 3, Servers: 40, Rate: 60, Lasts: 15 * time.Second, Share: 1, Service: 15 * time.Millisecond,
-		Slack: 150 * time.Millisecond, MemoryMB: 96, Sockets: 512, Leaves: 0.05}
+		Slack: 150 * time.Millisecond, MemoryMB: 96, Sockets: 512, Leaves: 0.05, Together: 0.05}
 }
 
 // Check names what is out of range.
@@ -44,7 +45,7 @@
 	}{
 		{"schedulers", float64(o.Schedulers), 1, 200}, {"servers", float64(o.Servers), 1, 5000},
 		{"rate", o.Rate, 0.1, 2000}, {"lasts", o.Lasts.Seconds(), 1, 3600}, {"share", o.Share, 0.01, 1},
-		{"memory", float64(o.MemoryMB), 16, 4096}, {"sockets", float64(o.Sockets), 32, 16384}, {"leaves", o.Leaves, 0, 1},
+		{"memory", float64(o.MemoryMB), 16, 4096}, {"sockets", float64(o.Sockets), 32, 16384}, {"leaves", o.Leaves, 0, 1}, {"together", o.Together, 0, 1},
 	} {
 		if !(c.value >= c.low && c.value <= c.high) {
 			return fmt.Errorf("%s is %g; it goes from %g to %g", c.name, c.value, c.low, c.high)
@@ -123,7 +124,7 @@
 		address := schedulerAddress(i)
 		r.addresses = append(r.addresses, address)
 		r.clients = append(r.clients, &Clients{record: r.Record, scheduler: i, address: address, classes: classes, shards: o.Servers,
-			rate: o.Rate, leaves: o.Leaves, rng: rand.New(rand.NewPCG(o.Seed, uint64(2+i))), prefix: fmt.Sprintf("%06x", i)})
+			rate: o.Rate, leaves: o.Leaves, together: o.Together, rng: rand.New(rand.NewPCG(o.Seed, uint64(2+i))), prefix: fmt.Sprintf("%06x", i)})
 	}
 	for i := range o.Schedulers {
 		if err := r.StartScheduler(i); err != nil {
