--- a/scheduler/listsize_test.go
+++ b/scheduler/listsize_test.go
@@ -94,3 +94,24 @@
 	}
 	return s.Scheduler.Handle(now, ev)
 }
+
+// The whole list of the largest fleet is read, however it is indented.
+func TestLargestListIsRead(t *testing.T) {
+	raw, err := json.MarshalIndent(listOfSize(3200, "active"), "", "        ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m messages
+	for rest := raw; len(rest) > 0; {
+		n, what, err := m.next(rest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rest = rest[n:]; what == gotMessage {
+			break
+		}
+	}
+	if l, err := parseList(m.take()); err != nil || len(l.Hosts) != 3200 {
+		t.Errorf("%d bytes: %d entries, %v", len(raw), len(l.Hosts), err)
+	}
+}
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -181,3 +182,68 @@
 		})
 	}
 }
+
+// The time that a disk server is told is reckoned when it is written.
+func TestTheTimeToldIsThatOfTheWrite(t *testing.T) {
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+		var reached, gate seam.Gate
+		sc.gates = append(sc.gates, &gate)
+		h.mu.Lock()
+		h.wrap = func(c net.Conn) net.Conn { return &gatedConn{c.(*net.TCPConn), &reached, &gate} }
+		h.mu.Unlock()
+		h.holdDials(func(int) error { return nil })
+		fmt.Fprint(sc.connect().conn, sc.get())
+		sc.until("the write was reached", reached.Opened)
+		from := sc.w.Now()
+		seam.Wait(sc.w, 150*time.Millisecond, nil)
+		heldUp := sc.w.Now() - from
+		gate.Open()
+		sc.until("it came to the disk server", func() bool { return len(sc.disk.Asked()) > 0 })
+		told, err := time.ParseDuration(sc.disk.Asked()[0].Fields.Get("request-timeout") + "s")
+		if most := 480*time.Millisecond - heldUp; err != nil || told > most {
+			t.Errorf("told %s, %s are left", told, most)
+		}
+	})
+}
+
+// A timer that comes due while one event is handled goes before the next event.
+func TestTimersGoBetweenEvents(t *testing.T) {
+	k, _ := coreFor(t)
+	l := newLoop(seam.NewReal())
+	l.ticked = func() {}
+	fired := false
+	k.mod = firing{k.mod, &fired}
+	due := l.now() + 2
+	k.do(policy.SetTimer{Delay: due - k.now, Name: "test"})
+	var order []bool
+	l.post(l.now(), eventStop, func(float64) {
+		for l.now() < due {
+			runtime.Gosched()
+		}
+	})
+	var done seam.Gate
+	l.post(l.now(), eventStop, func(float64) {
+		order = append(order, fired)
+		done.Open()
+	})
+	go l.run(k)
+	done.Wait(l.world)
+	l.stop()
+	if len(order) != 1 || !order[0] {
+		t.Error("the second event came before the timer:", order)
+	}
+}
+
+// firing notes that the test's timer fired.
+type firing struct {
+	policy.Scheduler
+	fired *bool
+}
+
+func (f firing) Handle(now float64, ev policy.Event) []policy.Action {
+	if t, ok := ev.(policy.TimerFired); ok && t.Name == "test" {
+		*f.fired = true
+		return nil
+	}
+	return f.Scheduler.Handle(now, ev)
+}
