--- a/policy/api.go
+++ b/policy/api.go
@@ -153,7 +153,8 @@
 )
 
 func (r Result) String() string {
-	return [...]string{"served", "server_error", "turned_away", "no_answer", "no_connection", "connection_lost", "cancelled", "not_sent"}[r]
+	return [...]string{"served", "server_error", "turned_away", "no_answer",
+		"no_connection", "connection_lost", "cancelled", "not_sent"}[r]
 }
 
 // Event is one of the types below that have an event method.
--- a/policy/reason.go
+++ b/policy/reason.go
@@ -25,7 +25,8 @@
 const Reasons = int(reasons)
 
 func (r Reason) String() string {
-	return [Reasons]string{"none", "attempt_out", "outcome_unknown", "attempts_used", "no_node", "limit", "budget", "key",
+	return [Reasons]string{"none", "attempt_out", "outcome_unknown", "attempts_used",
+		"no_node", "limit", "budget", "key",
 		"node_held", "cold", "overload", "time"}[r]
 }
 
--- /dev/null
+++ b/policy/retries.go
@@ -0,0 +1,53 @@
+package policy
+
+// Retries: when a request may be sent again, and the budget of that.
+
+// repeatable tells whether r, which may have run, may be sent to n.
+func (p *scheduler) repeatable(r *request, n *node) bool {
+	switch r.class.Effect {
+	case Safe:
+		return true
+	case Keyed:
+		if p.now > p.dropped(r) {
+			return false
+		}
+		switch r.class.Group {
+		case GroupAll:
+			return true
+		case GroupZone:
+			return n == r.ranNode || n.Zone != "" && n.Zone == r.ranNode.Zone
+		default:
+			return n.Shard == r.ranNode.Shard
+		}
+	}
+	return false
+}
+
+func (p *scheduler) inBudget() bool {
+	used, may := p.budget()
+	return !p.s.Rules.HasBudget || used+1 <= may
+}
+
+// budget is how many attempts beyond the first there were, and may be, within its span.
+func (p *scheduler) budget() (used, may float64) {
+	ru := &p.s.Rules
+	old := p.now - ru.BudgetSpan
+	resends, _ := p.resends.since(old - p.s.Tick - ru.SendLate) // they count where they pass
+	taken, _ := p.taken.since(old + p.s.Tick)
+	return float64(resends), ru.BudgetFree + ru.BudgetShare*float64(taken)
+}
+
+// dropped is until when repeats of r, which may have run, are surely dropped.
+func (p *scheduler) dropped(r *request) float64 { return r.ranAt + r.class.Window - p.s.Tick - guard }
+
+// strays gives up what others overtook that were sent several service times later: its answer
+// is lost. In a pause nothing overtakes. A cancel may leave a copy at work: only where two may.
+func (p *scheduler) strays(sh *shard) {
+	for _, r := range sh.out {
+		lost := r.sentAt+stuckTimes*p.meanAt(sh) < sh.passed && r.class.Effect != Unsafe
+		if lost && p.s.Limits.Cancel && p.s.Limits.Copies && !r.stray && !r.done && !r.class.Streamed {
+			r.stray = true
+			p.do(CancelAttempt{r.ID, r.attempts - 1})
+		}
+	}
+}
--- /dev/null
+++ b/policy/revise.go
@@ -0,0 +1,57 @@
+package policy
+
+import "slices"
+
+// Other settings while the instance runs.
+
+// revise takes other settings. Flows keep their numbers: those of a plan that is gone are
+// kept for what still waits in them, and then for a plan that is new.
+func (p *scheduler) revise(s Settings) {
+	old, next := p.s.Plans, s.filledIn()
+	next.Plans = p.slots(old, next.Plans)
+	p.s = next
+	byPlan := make(map[*Plan]*Plan, len(old))
+	for i := range old {
+		byPlan[&old[i]] = &next.Plans[i]
+	}
+	for id, v := range p.vols {
+		if plan := byPlan[v.plan]; plan != nil && plan.Name == v.plan.Name {
+			seen := v.seen
+			p.volume(Request{Volume: id}, v.plan) // levels of now, filled at the old rates
+			p.redivide(v, plan, v.parts)
+			v.seen = seen
+		}
+	}
+	for i, n := len(old), len(next.Plans); i < n; i++ {
+		p.shares.grow(next.Plans)
+		for _, sh := range p.shards {
+			sh.flows = append(sh.flows, flow{finish: sh.vtime})
+		}
+	}
+	p.lookAgain()
+}
+
+// slots gives the new plans numbers: their own where they had one, then those of plans
+// that nothing waits for any more, then further ones.
+func (p *scheduler) slots(old, next []Plan) []Plan {
+	used := make([]bool, len(old))
+	for _, r := range p.reqs {
+		used[r.flow] = true
+	}
+	for i := range old {
+		used[i] = used[i] || slices.ContainsFunc(next, func(n Plan) bool { return n.Name == old[i].Name })
+	}
+	out := slices.Clone(old)
+	for _, n := range next {
+		i := slices.IndexFunc(old, func(o Plan) bool { return o.Name == n.Name })
+		if i < 0 {
+			i = slices.Index(used, false)
+		}
+		if i < 0 {
+			out = append(out, n)
+			continue
+		}
+		out[i], used[i] = n, true
+	}
+	return out
+}
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -104,3 +104,6 @@
 	chance := math.Sqrt(requests * period / (2 * burstSpan)) // of a fading sum
 	return max(p.ownRate+p.s.MeanUnits*period/known, recent-p.s.MeanUnits*chance)
 }
+
+// fallSpan is how long ago an attempt may have been decided that still counts at a cold node.
+func (p *scheduler) fallSpan() float64 { return p.s.Rules.FallTime + p.s.Rules.SendLate + p.s.Tick }
--- a/policy/view.go
+++ b/policy/view.go
@@ -61,7 +61,10 @@
 		v.Budget = max(may-used, 0)
 	}
 	for _, sh := range p.shards {
-		x := ShardView{Shard: sh.id, Depth: sh.depth, Out: len(sh.out), Waiting: sh.waiting, Parked: sh.parked.len(), Service: p.serviceOf(sh)}
+		x := ShardView{
+			Shard: sh.id, Depth: sh.depth, Out: len(sh.out), Waiting: sh.waiting,
+			Parked: sh.parked.len(), Service: p.serviceOf(sh),
+		}
 		if sh.node != nil && !sh.node.toldOff {
 			x.Node = sh.node.Addr
 		}
@@ -71,7 +74,10 @@
 		v.Shares = append(v.Shares, ShareView{pl.Name, p.shares.u[i]})
 	}
 	for addr, n := range p.nodes {
-		x := NodeView{Addr: addr, Shard: n.Shard, Off: n.toldOff, Suspect: n.suspect, HeldFor: max(n.holdTill-p.now, 0), Cold: 1}
+		x := NodeView{
+			Addr: addr, Shard: n.Shard, Off: n.toldOff, Suspect: n.suspect,
+			HeldFor: max(n.holdTill-p.now, 0), Cold: 1,
+		}
 		if _, part, cold := p.cold(n); cold {
 			x.Cold = part
 		}
@@ -81,7 +87,8 @@
 	for id, vol := range p.vols {
 		if vol.plan.Limit > 0 {
 			level := min(vol.limit+vol.limFill*(p.now-vol.at)/1000, vol.limCap)
-			v.Limited = append(v.Limited, LimitView{id, vol.plan.Name, max(level-vol.limFloor, 0), vol.limFill})
+			left := max(level-vol.limFloor, 0)
+			v.Limited = append(v.Limited, LimitView{id, vol.plan.Name, left, vol.limFill})
 		}
 	}
 	slices.SortFunc(v.Limited, func(a, b LimitView) int { return cmp.Compare(a.Volume, b.Volume) })
