--- a/soak/clients.go
+++ b/soak/clients.go
@@ -235,6 +235,7 @@
 	}
 	c.record.mu.Lock()
 	s.Resent, s.Ended = true, 0
+	s.Sent = c.record.Now() // it says how long its client waits from now on
 	c.record.mu.Unlock()
 	if c.hear(x, s.Request, leave) {
 		c.put(x)
