A request that lay in the listener's queue has its time from when it came

Change: seam.SinceData asks the kernel since when the last bytes are there (TCP_INFO); where it does not tell, what was in the queue before the accept loop first waited counts from when the scheduler began to listen. Checked: TestARequestThatCameDuringTheStart fails (told 8.999 of 8.7 s) without it.

--- a/scheduler/ahead.go
+++ b/scheduler/ahead.go
@@ -26,6 +26,7 @@
 	conn  net.Conn
 	now   func() float64
 	held  *aheadBudget
+	from  float64 // since when the first bytes may have lain unread
 	kept  []byte
 	read  int64 // bytes of the stream so far
 	marks []mark
@@ -66,8 +67,11 @@
 // came notes bytes and the end of the stream.
 func (a *ahead) came(n int, err error) {
 	if n > 0 {
-		a.read += int64(n)
 		now := a.now()
+		if a.read == 0 {
+			now = min(now, a.from)
+		}
+		a.read += int64(n)
 		if k := len(a.marks); k > 0 && now-a.marks[k-1].at < markGap {
 			a.marks[k-1].upTo = a.read
 		} else {
--- a/scheduler/ahead_test.go
+++ b/scheduler/ahead_test.go
@@ -134,3 +134,48 @@
 		}
 	})
 }
+
+// slowStart is a world in which a request comes as soon as the scheduler listens, and the
+// scheduler's start is held up behind that.
+type slowStart struct {
+	*seam.Real
+	raw    string
+	heldUp time.Duration
+	conn   net.Conn
+}
+
+func (w *slowStart) Listen(network, address string) (net.Listener, error) {
+	l, err := w.Real.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	if w.conn, err = net.Dial("tcp", l.Addr().String()); err == nil {
+		_, err = io.WriteString(w.conn, w.raw)
+	}
+	seam.Wait(w.Real, w.heldUp, nil)
+	return l, err
+}
+
+// A request that lay in the listener's queue while the scheduler started has its time from
+// when it came: the disk server is told no more than the client has left.
+func TestARequestThatCameDuringTheStart(t *testing.T) {
+	playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
+		w := &slowStart{Real: h.Real, raw: strings.Replace(sc.get(), "0.480", "9.000", 1), heldUp: 300 * time.Millisecond}
+		config := patient.Replace(testConfig("127.0.0.1:0", sc.list.Addr, listOf(7, entry("s0", sc.disk.Addr, "active", 0))))
+		c, err := ParseConfig([]byte(config), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := Start(w, c, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		defer w.conn.Close()
+		sc.until("it came to the disk server", func() bool { return len(sc.disk.Asked()) == 1 })
+		told, err := time.ParseDuration(sc.disk.Asked()[0].Fields.Get("request-timeout") + "s")
+		if err != nil || told > 9*time.Second-w.heldUp {
+			t.Errorf("told %s", told)
+		}
+	})
+}
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -35,6 +35,7 @@
 	freshTime   = 100.0 // ms
 	spareTime   = 500.0 // ms
 	acceptPause = 5 * time.Millisecond
+	queueEmpty  = 1.0 // ms that an accept waits where no connection was there already
 	clientOut   = mostAnswer + messageBytes
 	outTimeout  = 3 * time.Second
 	// lingerTime is how long a connection that was just answered on stays open once nothing
@@ -63,6 +64,8 @@
 	tasks    seam.Group
 	listener net.Listener
 
+	listenedAt float64 // when it began to listen at the earliest
+
 	mu      sync.Mutex
 	clients seam.Roster[*client]
 	closing bool // each answer ends its connection, and there are no idle ones
@@ -107,14 +110,25 @@
 	duplicate bool // its id was used before
 }
 
+// accept takes connections. Those that lay in the listener's queue while this process was
+// still starting may have come at any time since it listened, and count from then.
 func (f *front) accept() {
+	starting := true
 	for {
 		for !f.roomy() {
 			if !seam.Wait(f.world, acceptPause, &f.stop) {
 				return
 			}
 		}
+		from := f.loop.now()
 		conn, err := f.listener.Accept()
+		came := f.loop.now()
+		if starting = starting && came-from < queueEmpty; starting {
+			came = f.listenedAt
+		}
+		if err == nil {
+			came = min(came, f.cameAt(conn))
+		}
 		if err != nil { // where there are no descriptors left, there may be again
 			f.log.acceptFailed(err)
 			if f.stop.Opened() || !seam.Wait(f.world, acceptPause, &f.stop) {
@@ -122,12 +136,26 @@
 			}
 			continue
 		}
-		f.tasks.Go(f.world, f.client(conn).serve)
+		f.tasks.Go(f.world, f.client(conn, came).serve)
+	}
+}
+
+// client is the connection's, which may have come as early as that.
+// mostQueued bounds how long a connection is taken to have lain in the listener's queue, ms.
+const mostQueued = 60_000.0
+
+// cameAt is when the first bytes came on a connection that was just accepted, as far as the
+// kernel tells: it may have lain in the listener's queue, behind others.
+func (f *front) cameAt(conn net.Conn) float64 {
+	since, known := seam.SinceData(conn)
+	if !known || seam.MS(since) > mostQueued {
+		return f.loop.now()
 	}
+	return f.loop.now() - seam.MS(since)
 }
 
-func (f *front) client(conn net.Conn) *client {
-	c := &client{front: f, conn: conn, ahead: &ahead{conn: conn, now: f.loop.now, held: &f.ahead}, since: f.loop.now()}
+func (f *front) client(conn net.Conn, came float64) *client {
+	c := &client{front: f, conn: conn, ahead: &ahead{conn: conn, now: f.loop.now, held: &f.ahead, from: came}, since: f.loop.now()}
 	c.in = bufio.NewReaderSize(c.ahead, linkBuffer)
 	c.out = outbox.New(f.world, conn, clientOut, outTimeout)
 	c.out.HalfClose = true
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -67,6 +67,7 @@
 // Start listens and serves until Drain or Close.
 func Start(w seam.World, c *Config, log *zap.Logger) (*Scheduler, error) {
 	s := &Scheduler{world: w, log: log, loop: newLoop(w)}
+	listenedAt := s.loop.now()
 	listener, err := listen(w, c.Listen, log) // first of all: clients may come already
 	if err != nil {
 		return nil, err
@@ -83,7 +84,7 @@
 	s.back.notices.take(known)
 	s.core.start(known)
 	s.loop.ticked = s.sweep
-	s.front = &front{world: w, listener: listener, loop: s.loop, core: s.core, log: events, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
+	s.front = &front{world: w, listener: listener, listenedAt: listenedAt, loop: s.loop, core: s.core, log: events, most: int(float64(sockets) * clientPart), ending: int(float64(sockets) * endingPart)}
 	s.know(c)
 	w.Go(func() { s.loop.run(s.core) })
 	s.loop.wake.Unpark()
--- a/seam/stream.go
+++ b/seam/stream.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // ErrNothing says that nothing has come on a connection that was not read already.
@@ -83,6 +86,27 @@
 	return nil
 }
 
+// SinceData is how long ago the last bytes came on a stream, or the stream itself if none have:
+// what lay in a listener's queue, or with the kernel, is older than the moment in which it is
+// read. False where that can't be known.
+func SinceData(c net.Conn) (time.Duration, bool) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var fault error
+	err = raw.Control(func(fd uintptr) { info, fault = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || fault != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
 // CloseWrite ends what this side sends and leaves the stream open for what comes. It tells
 // whether the stream can do that.
 func CloseWrite(c net.Conn) bool {
