--- /dev/null
+++ b/scheduler/client.go
@@ -0,0 +1,256 @@
+package scheduler
+
+import (
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"merlinhitch/http1"
+	"merlinhitch/seam"
+)
+
+// One connection of a client, from its first request to its close.
+
+// serve reads requests until the connection ends.
+func (c *client) serve() {
+	c.close(c.serveRequests())
+}
+
+// serveRequests reads and answers until the connection is to end; it leaves the reason in
+// the client and returns the error that ended the stream, if one did.
+func (c *client) serveRequests() error {
+	for {
+		c.await()
+		if err := c.begun(); err != nil {
+			c.reason = closeClientEnded
+			if isTimeout(err) {
+				c.reason = closeIdle
+			}
+			return err
+		}
+		c.active()
+		r, err := c.request()
+		if err != nil {
+			c.reason = closeUnreadable
+			c.turnAway(statusOf(err))
+			return err
+		}
+		c.requests++
+		c.reason = closeAsked
+		c.out.Settle() // a client that reads slowly gets each answer whole before the next is made
+		if !c.handle(r) {
+			return c.ahead.err
+		}
+	}
+}
+
+// close ends the connection so that no answer is lost to a reset. What comes once nothing
+// more is sent is left unread: a client may send that again elsewhere.
+func (c *client) close(cause error) {
+	f := c.front
+	c.out.Finish()
+	c.out.Wait()
+	if c.answeredSince(f.loop.now() - seam.MS(lingerTime)) {
+		c.linger()
+	}
+	c.conn.Close()
+	c.ahead.drop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.clients.Remove(c)
+	f.log.connectionClosed(c, cause)
+}
+
+func (c *client) linger() {
+	w := c.front.world
+	until := w.Now() + lingerTime
+	c.conn.SetReadDeadline(w.Deadline(lingerTime))
+	if seam.Readable(c.conn) == nil { // it will be reset, but not before its answer is there
+		seam.Wait(w, until-w.Now(), &c.front.ended)
+	}
+}
+
+// answeredSince tells whether an answer may still be on its way, and the client still there.
+func (c *client) answeredSince(t float64) bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	return c.ahead.err == nil && c.spoke > t
+}
+
+// begun waits for a request's first byte. When the time for it is over it looks once more:
+// on a machine that stands still now and then a request may have lain there for long, and
+// it was taken as it came in.
+func (c *client) begun() error {
+	_, err := c.in.Peek(1)
+	if isTimeout(err) {
+		c.conn.SetReadDeadline(time.Time{})
+		c.ahead.look()
+		if len(c.ahead.kept) > 0 {
+			_, err = c.in.Peek(1)
+		}
+	}
+	return err
+}
+
+func isTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
+
+// request is a request as read.
+type request struct {
+	*http1.Request
+	body []byte
+	at   float64 // of its last byte
+}
+
+func (c *client) request() (*request, error) {
+	head, err := http1.ReadRequest(c.in, messageLimits)
+	if err != nil {
+		return nil, err
+	}
+	fr, err := head.Framing(messageLimits)
+	if err != nil {
+		return nil, err
+	}
+	if head.Continues() && c.in.Buffered() == 0 {
+		c.out.Put(func(b []byte) []byte { return append(b, "HTTP/1.1 100 Continue\r\n\r\n"...) })
+	}
+	body, err := http1.ReadBody(c.in, fr, messageLimits)
+	return &request{Request: head, body: body, at: c.ahead.since(c.in.Buffered())}, err
+}
+
+// statusOf is the answer to what could not be read; 0: none, for the stream is at fault.
+func statusOf(err error) int {
+	if e, ok := err.(*http1.Error); ok {
+		return e.Status()
+	}
+	if isTimeout(err) {
+		return 408
+	}
+	if err == io.ErrUnexpectedEOF {
+		return 400
+	}
+	return 0
+}
+
+// turnAway answers what is no request that can be served, and ends the connection: who
+// sends such is not listened to further. Status 0 says nothing.
+func (c *client) turnAway(status int) {
+	if status != 0 {
+		c.write(status, true, nil, nil)
+	}
+}
+
+// write answers and makes the connection idle, or ends it: it tells whether it goes on.
+func (c *client) write(status int, last bool, f http1.Fields, body []byte) bool {
+	last = last || c.front.finishing()
+	if last {
+		f = append(f, http1.Field{Name: "Connection", Value: "close"})
+	}
+	c.out.Put(func(b []byte) []byte { return http1.AppendResponse(b, status, f, body) })
+	if c.rest(last) {
+		return true
+	}
+	c.out.Finish()
+	return false
+}
+
+const readyPath = "/up"
+
+// handle answers a request; false if the connection ends with it.
+func (c *client) handle(r *request) bool {
+	f := c.front
+	last := r.Close()
+	if r.Target == readyPath {
+		status := 503
+		if f.ready.Opened() && f.leaving() == 0 {
+			status = 200
+		}
+		return c.write(status, last, nil, nil)
+	}
+	call, status := f.check.Load().read(r)
+	if status != 0 {
+		c.reason = closeRejected
+		c.turnAway(status)
+		return false
+	}
+	if by := f.leaving(); by > 0 {
+		call.req.Expires = min(call.req.Expires, by)
+	}
+	size := int64(len(r.body))
+	if f.held.Add(size) > f.bytes.Load() {
+		f.held.Add(-size)
+		return c.write(503, last, http1.Fields{{Name: "Retry-After", Value: "1"}}, nil)
+	}
+	defer f.held.Add(-size)
+	return c.ask(call, r.at, last)
+}
+
+// ask has the core take the call and waits for its answer, or for the client to leave. Who
+// has left already is not served: nothing is to begin for it.
+func (c *client) ask(call *call, at float64, last bool) bool {
+	q := &asking{client: c, close: last}
+	call.owner = q
+	c.lastID = call.req.ID
+	f := c.front
+	// Discovery may know already what the list of the start does not: nothing goes by that
+	// list until discovery was heard, or has had the time for it.
+	seam.WaitAny(f.world, &f.ready, &f.ended)
+	c.conn.SetReadDeadline(time.Time{})
+	if c.ahead.look() != nil {
+		return false
+	}
+	ok := f.loop.post(at, eventRequest, func(at float64) {
+		if !f.core.take(at, call) {
+			q.close, q.duplicate = true, true
+			c.turnAway(409)
+			q.done.Open()
+		}
+	})
+	if !ok {
+		c.reason = closeUnanswerable
+		return false
+	}
+	for !q.done.Opened() && !c.ahead.full() {
+		if err := c.ahead.more(); err != nil && !isTimeout(err) {
+			call.over.Store(true)
+			f.loop.post(f.loop.now(), eventClientGone, func(at float64) { f.core.gone(at, call) })
+			return false
+		} else if err != nil {
+			break // it is answered: only then is there a deadline
+		}
+	}
+	seam.WaitAny(f.world, &q.done, &f.ended)
+	switch {
+	case !q.done.Opened():
+		c.reason = closeUnanswerable
+	case q.duplicate:
+		c.reason = closeDuplicateID
+	case q.close && !last:
+		c.reason = closeLastAnswer
+	}
+	return q.done.Opened() && !q.close
+}
+
+// answer implements answerer, on the loop.
+func (q *asking) answer(outcome callOutcome, after float64, body []byte) {
+	status, f := 504, http1.Fields(nil)
+	switch outcome {
+	case served:
+		// Clients that don't read may hold all the room.
+		if fr := q.client.front; fr.queued.Load()+int64(len(body)) <= fr.bytes.Load() {
+			status = 200
+		} else {
+			body = nil
+		}
+	case refused:
+		status = 503
+		if after > 0 {
+			f = http1.Fields{{Name: "Retry-After", Value: strconv.FormatFloat(after/1000, 'f', 3, 64)}}
+		}
+	}
+	q.close = !q.client.write(status, q.close, f, body)
+	q.done.Open()
+}
--- /dev/null
+++ b/scheduler/link.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"strconv"
+	"time"
+
+	"merlinhitch/http1"
+	"merlinhitch/policy"
+	"merlinhitch/seam"
+)
+
+// One connection to a disk server while it has an attempt: the request that goes out on it and
+// the answer that comes.
+
+const serviceHost = "api.internal"
+
+// message is an attempt as it goes to its disk server with so much time left, ms.
+func (a *attempt) message(left float64) []byte {
+	c := a.call
+	f := http1.Fields{{Name: "Host", Value: serviceHost}, {Name: "Request-Id", Value: c.req.ID}}
+	if c.key != "" {
+		f = append(f, http1.Field{Name: "Idempotency-Key", Value: c.key})
+	}
+	f = append(f, http1.Field{Name: "Request-Timeout", Value: strconv.FormatFloat(max(left, 1)/1000, 'f', 3, 64)})
+	return http1.AppendRequest(nil, c.method, c.target, f, c.body)
+}
+
+// exchange sends a request and brings its answer, on a goroutine of its own.
+func (l *link) exchange(a *attempt, born int64) {
+	b := l.back
+	l.conn.SetDeadline(b.world.Deadline(writeTimeout))
+	now := b.loop.now()
+	if !b.permits(a, now, born) {
+		b.loop.post(now, eventWithheld, func(at float64) { b.withheld(at, l, a) })
+		return
+	}
+	message := a.message(a.until - now)
+	if n, err := l.conn.Write(message); err != nil {
+		r := policy.ConnectionLost
+		if n < len(message) { // without its last byte it is no request
+			r = policy.NoConnection
+		}
+		b.loop.post(b.loop.now(), eventBroken, func(at float64) { b.broke(at, l, a, r) })
+		return
+	}
+	l.conn.SetDeadline(time.Time{})
+	r, clean, err := l.answer()
+	if err != nil && !http1.IsError(err) {
+		b.held.Add(-r.size)
+		b.loop.post(b.loop.now(), eventBroken, func(at float64) { b.broke(at, l, a, policy.ConnectionLost) })
+		return
+	}
+	clean = clean && err == nil && l.in.Buffered() == 0
+	if !b.loop.post(b.loop.now(), eventAnswered, func(at float64) {
+		b.answered(at, l, a, r, clean)
+		b.held.Add(-r.size)
+	}) || !clean {
+		return
+	}
+	quiet := l.rest()
+	b.loop.post(b.loop.now(), eventRested, func(at float64) { b.rested(at, l, quiet) })
+}
+
+// rest listens for a while whether anything follows the answer; false if so.
+func (l *link) rest() bool {
+	l.conn.SetReadDeadline(l.back.world.Deadline(restTime))
+	_, err := l.in.Peek(1)
+	l.conn.SetReadDeadline(time.Time{})
+	return isTimeout(err)
+}
+
+// answer reads one answer. One that cannot be read is a failed attempt that may have run.
+func (l *link) answer() (r reply, keep bool, err error) {
+	r.result = policy.ServerError
+	m, err := http1.ReadResponse(l.in, answerLimits)
+	if err != nil {
+		return r, false, err
+	}
+	fr, err := m.Framing(answerLimits)
+	if err != nil {
+		return r, false, err
+	}
+	lim := answerLimits
+	lim.Room = func(n int) bool {
+		r.size += int64(n)
+		return l.back.held.Add(int64(n)) <= l.back.bytes.Load()
+	}
+	if r.body, err = http1.ReadBody(l.in, fr, lim); err != nil {
+		return r, false, err
+	}
+	if more, _ := l.in.Peek(l.in.Buffered()); len(more) > 0 && !startsMessage(more) {
+		// Its length may have said less than there was, and nothing tells that from
+		// noise behind it.
+		return r, false, nil
+	}
+	r.result = resultOf(m)
+	r.use, r.other = figure(m.Fields.Get("x-iops-used"), 1), figure(m.Fields.Get("x-rho"), 0)
+	return r, !m.Close() && !fr.ToClose, nil
+}
+
+func startsMessage(b []byte) bool {
+	const mark = "HTTP/1.1 "
+	n := min(len(b), len(mark))
+	return string(b[:n]) == mark[:n]
+}
+
+func resultOf(m *http1.Response) policy.Result {
+	switch {
+	case m.Status == 200:
+		return policy.Served
+	case (m.Status == 503 || m.Status == 504) && m.Fields.Get("not-started") == "1":
+		return policy.TurnedAway
+	}
+	return policy.ServerError
+}
+
+// figure is a number that a server tells beside its answer, raised by base; one that
+// cannot be read is none.
+func figure(s string, base float64) float64 {
+	n, err := strconv.ParseUint(s, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return float64(n) + base
+}
+
+// quiet tells that nothing has come on a free connection, neither bytes that nobody asked
+// for nor its end.
+func (l *link) quiet() bool {
+	var one [1]byte
+	_, err := seam.ReadNow(l.conn, one[:])
+	return err == seam.ErrNothing && l.in.Buffered() == 0
+}
