--- a/outbox/outbox.go
+++ b/outbox/outbox.go
@@ -34,8 +34,8 @@
 	buf     []byte
 	writing bool          // what was taken out of buf is not written yet
 	settle  []seam.Parker // who waits until all is written
-	closed  bool // nothing more is taken
-	cut     bool // what waits is dropped
+	closed  bool          // nothing more is taken
+	cut     bool          // what waits is dropped
 	drained seam.Gate
 }
 
