A stop waits for the loop's last answers before it ends the connections

The margin of 0.2 s before the kill held 0.08 s for the end and 0.12 s for a hold-up that may take 0.15. Change: Drain goes on once the loop has given them; the margin is 0.3 s, derived in the comment. Checked: TestTheLastAnswersComeBeforeTheEnd ends without an answer if the wait is taken out.

--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -24,7 +24,7 @@
 	killExtra      = 700.0
 	drainAccept    = 600 * time.Millisecond
 	drainAnswer    = 400.0 // before the kill nothing new is taken,
-	drainMargin    = 200.0 // so long before it all has been answered,
+	drainMargin    = 300.0 // so long before it all has been answered: a process may be held up for 150,
 	drainEnd       = 80.0  // and so long before it the program ends, whoever lingers
 	sweepEvery     = time.Second
 	// A start waits for its address for so long, and asks for it that often: the platform
@@ -164,7 +164,13 @@
 	s.front.finish()
 	s.awaitClients(from + grace - drainMargin)
 	// What was taken before the signal may have longer than there is.
-	s.loop.post(s.loop.now(), eventStop, s.core.stop)
+	var answered seam.Gate
+	if s.loop.post(s.loop.now(), eventStop, func(at float64) {
+		s.core.stop(at)
+		answered.Open()
+	}) {
+		seam.WaitAny(s.world, &answered, &s.over) // an answer made after Close began would not be written
+	}
 	s.awaitClients(from + grace - drainEnd)
 	s.Close()
 }
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -251,3 +251,28 @@
 	}
 	return f.Scheduler.Handle(now, ev)
 }
+
+// A stop waits for the loop to give the last answers, also where it is held up past the time
+// that the program had: what ends the connections comes behind them.
+func TestTheLastAnswersComeBeforeTheEnd(t *testing.T) {
+	silent := func(standin.HTTPAsk) standin.HTTPAnswer { return standin.HTTPAnswer{} }
+	play(t, silent, func(sc *scene) {
+		p := sc.connect()
+		fmt.Fprint(p.conn, strings.Replace(sc.get(), "0.480", "30", 1))
+		seam.Wait(sc.w, 10*time.Millisecond, nil)
+		grace := graceOf(&Config{Settings: policy.Settings{Classes: []policy.Class{{Deadline: longestCounted}}}})
+		sc.w.Go(sc.s.Drain)
+		seam.Wait(sc.w, seam.Duration(grace-drainMargin-5), nil)
+		var gate seam.Gate
+		sc.s.loop.post(sc.s.loop.now(), eventReload, func(float64) { gate.Wait(sc.w) })
+		sc.w.Go(func() {
+			seam.Wait(sc.w, seam.Duration(drainMargin), nil)
+			gate.Open()
+		})
+		if got := p.hear(sc.w.Now()); got.status != 503 && got.status != 504 {
+			t.Errorf("%+v", got)
+		}
+		sc.s.Wait()
+		sc.s = sc.start(listOf(7))
+	})
+}
