One way to hold writes up in tests; the accept loop asks since when bytes lie there once

Found on reading the whole change again: two tests set the same gate up, the accept loop branched on the same error twice and looked for an age where there was no connection, and a constant stood between a function and its comment. Behaviour is as it was; the tests keep their assertions.

--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -116,13 +116,7 @@
 		}
 		from := f.loop.now()
 		conn, err := f.listener.Accept()
-		came := f.loop.now()
-		if starting = starting && came-from < queueEmpty; starting {
-			came = f.listenedAt
-		}
-		if err == nil {
-			came = min(came, f.cameAt(conn))
-		}
+		starting = starting && f.loop.now()-from < queueEmpty
 		if err != nil { // where there are no descriptors left, there may be again
 			f.log.acceptFailed(err)
 			if f.stop.Opened() || !seam.Wait(f.world, acceptPause, &f.stop) {
@@ -130,11 +124,14 @@
 			}
 			continue
 		}
+		came := f.cameAt(conn)
+		if starting {
+			came = min(came, f.listenedAt)
+		}
 		f.tasks.Go(f.world, f.client(conn, came).serve)
 	}
 }
 
-// client is the connection's, which may have come as early as that.
 // mostQueued bounds how long a connection is taken to have lain in the listener's queue, ms.
 const mostQueued = 60_000.0
 
@@ -148,6 +145,7 @@
 	return f.loop.now() - seam.MS(since)
 }
 
+// client takes a connection that may have come as early as that.
 func (f *front) client(conn net.Conn, came float64) *client {
 	c := &client{front: f, conn: conn, ahead: &ahead{conn: conn, now: f.loop.now, held: &f.ahead, from: came}, since: f.loop.now()}
 	c.in = bufio.NewReaderSize(c.ahead, linkBuffer)
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -147,6 +147,18 @@
 	return c.TCPConn.SetDeadline(t)
 }
 
+// gateWrites holds up each request to the disk server just before it is written: reached opens
+// once one is there, and it goes on once gate is open.
+func (sc *scene) gateWrites(h *held) (reached, gate *seam.Gate) {
+	reached, gate = new(seam.Gate), new(seam.Gate)
+	sc.gates = append(sc.gates, gate)
+	h.mu.Lock()
+	h.wrap = func(c net.Conn) net.Conn { return &gatedConn{c.(*net.TCPConn), reached, gate} }
+	h.mu.Unlock()
+	h.holdDials(func(int) error { return nil })
+	return reached, gate
+}
+
 // What happens while the goroutine that writes is held up holds for its first byte: nothing
 // is sent for a client that left, to a disk server that drains, or too late to begin.
 func TestHeldUpBeforeTheFirstByte(t *testing.T) {
@@ -163,12 +175,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
-				var reached, gate seam.Gate
-				sc.gates = append(sc.gates, &gate)
-				h.mu.Lock()
-				h.wrap = func(c net.Conn) net.Conn { return &gatedConn{c.(*net.TCPConn), &reached, &gate} }
-				h.mu.Unlock()
-				h.holdDials(func(int) error { return nil })
+				reached, gate := sc.gateWrites(h)
 				p := sc.connect()
 				fmt.Fprint(p.conn, sc.get())
 				sc.until("the write was reached", reached.Opened)
@@ -190,12 +197,7 @@
 // The time that a disk server is told is reckoned when it is written.
 func TestTheTimeToldIsThatOfTheWrite(t *testing.T) {
 	playReal(t, patient.Replace, answering(ok200), func(sc *scene, h *held) {
-		var reached, gate seam.Gate
-		sc.gates = append(sc.gates, &gate)
-		h.mu.Lock()
-		h.wrap = func(c net.Conn) net.Conn { return &gatedConn{c.(*net.TCPConn), &reached, &gate} }
-		h.mu.Unlock()
-		h.holdDials(func(int) error { return nil })
+		reached, gate := sc.gateWrites(h)
 		fmt.Fprint(sc.connect().conn, strings.Replace(sc.get(), "0.480", "9.000", 1))
 		sc.until("the write was reached", reached.Opened)
 		from := sc.w.Now()
