Tests hold on to their clients; a disk server's time is rounded down

Change: the scene keeps all its clients until its end; whole milliseconds, rounded down; a test of the rounding.

--- a/scheduler/link.go
+++ b/scheduler/link.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -14,14 +15,15 @@
 
 const serviceHost = "api.internal"
 
-// message is an attempt as it goes to its disk server with so much time left, ms.
+// message is an attempt as it goes to its disk server with so much time left, ms. The server
+// is told whole milliseconds, rounded down: never more than its client has left.
 func (a *attempt) message(left float64) []byte {
 	c := a.call
 	f := http1.Fields{{Name: "Host", Value: serviceHost}, {Name: "Request-Id", Value: c.req.ID}}
 	if c.key != "" {
 		f = append(f, http1.Field{Name: "Idempotency-Key", Value: c.key})
 	}
-	f = append(f, http1.Field{Name: "Request-Timeout", Value: strconv.FormatFloat(max(left, 1)/1000, 'f', 3, 64)})
+	f = append(f, http1.Field{Name: "Request-Timeout", Value: strconv.FormatFloat(math.Floor(max(left, 1))/1000, 'f', 3, 64)})
 	return http1.AppendRequest(nil, c.method, c.target, f, c.body)
 }
 
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -194,6 +194,16 @@
 // machine that is busy with much else.
 var patient = strings.NewReplacer(`"dial_timeout_ms":250`, `"dial_timeout_ms":9000`, `"aim_ms":300`, `"aim_ms":9000`)
 
+// A disk server is told no more time than its client has left, by not even half a millisecond.
+func TestTheTimeToldIsRoundedDown(t *testing.T) {
+	for left, want := range map[float64]string{8849.9: "8.849", 8850: "8.850", 1.9: "0.001", 0.2: "0.001"} {
+		a := &attempt{call: &call{message: message{method: "GET", target: "/"}}}
+		if got := string(a.message(left)); !strings.Contains(got, "Request-Timeout: "+want+"\r\n") {
+			t.Errorf("%v ms: %q", left, got)
+		}
+	}
+}
+
 // The time that a disk server is told is reckoned when it is written.
 func TestTheTimeToldIsThatOfTheWrite(t *testing.T) {
 	playReal(t, patient.Replace, answering(ok200), func(sc *scene, h *held) {
--- a/scheduler/scene_test.go
+++ b/scheduler/scene_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,6 +56,8 @@
 	n    int
 
 	gates []*seam.Gate // opened at the end
+	mu    sync.Mutex
+	peers []*peer // all clients: one that nothing refers to is closed by the garbage collector
 }
 
 // play runs f on a scene whose disk server does as it is told.
@@ -108,7 +111,11 @@
 	if err != nil {
 		panic(err)
 	}
-	return &peer{sc.w, c, bufio.NewReader(c)}
+	p := &peer{sc.w, c, bufio.NewReader(c)}
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.peers = append(sc.peers, p)
+	return p
 }
 
 // get is a read with an id of its own; more are further fields.
