--- a/gateway/host.go
+++ b/gateway/host.go
@@ -98,6 +98,9 @@
 	return true
 }
 
+// heldTime is how long what a batch of events left to be written may be held, ms.
+const heldTime = 2
+
 func (h *host) run() {
 	defer h.done.Open()
 	var mail []event
@@ -106,24 +109,43 @@
 		h.mu.Lock()
 		mail, h.mail = h.mail, mail[:0]
 		h.mu.Unlock()
-		now := seam.MS(h.world.Now())
-		h.core.tick(now)
+		now := h.tick()
+		held := now
 		for i := range mail {
 			if mail[i].kind == evStop {
 				return
 			}
 			h.handle(now, &mail[i])
 			mail[i] = event{}
+			if now = h.tick(); now-held > heldTime {
+				h.release()
+				held = now
+			}
 		}
-		for i, o := range h.said {
-			o.Release()
-			h.said[i] = nil
-		}
-		h.said = h.said[:0]
+		h.release()
 		h.arm()
 	}
 }
 
+// tick does what has come due and tells the time: also between the events of a batch, for
+// what is owed by a time goes before new work.
+func (h *host) tick() (now float64) {
+	now = seam.MS(h.world.Now())
+	if h.core.next() <= now {
+		h.core.tick(now)
+	}
+	return now
+}
+
+// release starts to write what the events left to be written.
+func (h *host) release() {
+	for i, o := range h.said {
+		o.Release()
+		h.said[i] = nil
+	}
+	h.said = h.said[:0]
+}
+
 // buffer returns room for an answer's data.
 func (h *host) buffer() *[]byte {
 	if b, ok := h.buffers.Get().(*[]byte); ok {
--- /dev/null
+++ b/gateway/host_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"runtime"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"merlinhitch/policy"
+	"merlinhitch/seam"
+	"merlinhitch/settings"
+)
+
+// A timer that comes due while one event is handled goes before the next event of its batch.
+func TestTimersGoBetweenEvents(t *testing.T) {
+	w := seam.NewReal()
+	h := newHost(w, settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
+	defer h.stop()
+	module := &script{}
+	fired := func() bool {
+		for _, ev := range module.told {
+			if timer, ok := ev.(policy.TimerFired); ok && timer.Name == "test" {
+				return true
+			}
+		}
+		return false
+	}
+	ready := make(chan bool, 2)
+	events := []func(*hostCore){
+		func(c *hostCore) {
+			c.mod = module
+			due := c.now + 2
+			c.do(policy.SetTimer{Delay: due - c.now, Name: "test"})
+			for seam.MS(w.Now()) < due {
+				runtime.Gosched()
+			}
+			ready <- fired()
+		},
+		func(*hostCore) { ready <- fired() },
+	}
+	h.mu.Lock() // both are in one batch
+	for _, ask := range events {
+		h.mail = append(h.mail, event{kind: evAsk, ask: ask})
+	}
+	h.mu.Unlock()
+	h.wake.Unpark()
+	if during, after := <-ready, <-ready; during || !after {
+		t.Errorf("fired during the first event: %v, before the second: %v", during, after)
+	}
+}
