Wrong entries of a list and numbers of shards cost themselves alone, with a line in the log

Seen: with slots_total 0 a client could name any shard and each was kept in memory; a server of a shard beyond the settings was sent new objects; of a server named twice the last entry counted, also where it withdrew a drain; an unknown state in a whole list had the whole list refused each time that it was fetched. Change: the number of shards is bounded at the configuration; parseList takes entry by entry, the one that forbids more counts; the module does not admit nodes of shards that the settings don't name (membership.go) and looks again when they name others. Measured: tests of policy, scheduler, world, wire and drill passed; TestNodesOfShardsThatAreNot fails without the module's change (eight new objects went to a node of shard -1).

--- a/policy/membership.go
+++ b/policy/membership.go
@@ -12,12 +12,17 @@
 	if !l.Cached {
 		p.subOn = true
 	}
-	for _, e := range l.Nodes {
-		p.setNode(e)
-	}
 	if l.Full {
 		p.dropUnnamed(l.Nodes)
 	}
+	p.takeNodes(l.Nodes)
+}
+
+// takeNodes keeps what is said of nodes and has the shards that it concerns act on it.
+func (p *scheduler) takeNodes(nodes []Node) {
+	for _, e := range nodes {
+		p.setNode(e)
+	}
 	slices.SortFunc(p.listed, func(a, b *shard) int { return cmp.Compare(a.id, b.id) })
 	for _, sh := range p.listed {
 		p.visits++
@@ -41,6 +46,7 @@
 		p.visits++
 		if !named[addr] {
 			p.tellOff(n)
+			n.Health = Gone // its record stays, as its answers may come still
 		}
 	}
 }
@@ -56,7 +62,7 @@
 		}
 		n = newNode(e)
 		p.nodes[e.Addr] = n
-	} else if n.Node == e && n.toldOff == (e.Health != Ready) {
+	} else if n.Node == e && n.toldOff == !p.admissible(e) {
 		return
 	}
 	if e.Started > 0 && e.Started != n.Started {
@@ -69,11 +75,27 @@
 		return
 	}
 	n.Node = e
-	if e.Health == Ready {
+	if p.admissible(e) {
 		p.admit(n)
 	}
 }
 
+// admissible tells whether a node may be sent to: it is ready, and holds a shard that there is.
+func (p *scheduler) admissible(e Node) bool {
+	return e.Health == Ready && e.Shard >= 0 && (p.s.Shards <= 0 || e.Shard < p.s.Shards)
+}
+
+// relist looks at all nodes again, in an order of its own, once the settings name another
+// number of shards.
+func (p *scheduler) relist() {
+	nodes := make([]Node, 0, len(p.nodes))
+	for _, n := range p.nodes {
+		nodes = append(nodes, n.Node)
+	}
+	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(a.Addr, b.Addr) })
+	p.takeNodes(nodes)
+}
+
 // admit lets n be sent to as a holder of its shard.
 func (p *scheduler) admit(n *node) {
 	sh := p.shard(n.Shard)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -320,6 +320,41 @@
 	}
 }
 
+func TestNodesOfShardsThatAreNot(t *testing.T) {
+	s := settings()
+	s.Shards = 2
+	g := newRig(s)
+	g.list(Node{Addr: "n0", Health: Ready, Shard: 0}, Node{Addr: "n5", Health: Ready, Shard: 5}, Node{Addr: "n1", Health: Ready, Shard: 1}, Node{Addr: "nn", Health: Ready, Shard: -1})
+	g.list(Node{Addr: "n0", Health: Ready, Shard: 0}, Node{Addr: "n5", Health: Ready, Shard: 5}, Node{Addr: "nn", Health: Ready, Shard: -1}) // n1 is dropped
+	count := func(shard int) map[string]int {
+		to := map[string]int{}
+		for range 8 {
+			g.n++
+			from := len(g.acts)
+			id := fmt.Sprint("r", g.n)
+			g.do(Request{ID: id, Class: "read", Plan: "high", Volume: "v", Shard: shard, Units: 2, Expires: g.now + 1000, Hosts: 1})
+			for _, a := range g.acts[from:] {
+				if send, ok := a.(Send); ok {
+					to[send.Node]++
+					g.end(send.ID, Served)
+				}
+			}
+		}
+		return to
+	}
+	if to := count(-1); to["n0"] == 0 || len(to) != 1 {
+		t.Error("new objects went to", to)
+	}
+	s.Shards = 6
+	g.do(Revised{Settings: s})
+	if to := count(5); to["n5"] == 0 || len(to) != 1 {
+		t.Error("shard 5 is served by", to)
+	}
+	if to := count(1); len(to) != 0 {
+		t.Error("a node that left came back:", to)
+	}
+}
+
 func TestSubscribesAgain(t *testing.T) {
 	s := settings()
 	s.OnRequest = true
--- a/policy/revise.go
+++ b/policy/revise.go
@@ -8,6 +8,7 @@
 // kept for what still waits in them, and then for a plan that is new.
 func (p *scheduler) revise(s Settings) {
 	old, next := p.s.Plans, s.filledIn()
+	shards := p.s.Shards
 	next.Plans = p.slots(old, next.Plans)
 	p.s = next
 	byPlan := make(map[*Plan]*Plan, len(old))
@@ -28,6 +29,9 @@
 			sh.flows = append(sh.flows, flow{finish: sh.vtime})
 		}
 	}
+	if shards != next.Shards {
+		p.relist()
+	}
 	p.lookAgain()
 }
 
--- a/scheduler/checker.go
+++ b/scheduler/checker.go
@@ -20,7 +20,11 @@
 }
 
 func newChecker(s *policy.Settings) *checker {
-	k := &checker{classes: map[string]policy.Class{}, plans: map[string]bool{}, shards: s.Shards, most: s.MostUnits}
+	shards := s.Shards
+	if shards <= 0 { // not known
+		shards = mostShards
+	}
+	k := &checker{classes: map[string]policy.Class{}, plans: map[string]bool{}, shards: shards, most: s.MostUnits}
 	for _, c := range s.Classes {
 		k.classes[c.Name] = c
 	}
@@ -94,7 +98,7 @@
 		}
 	}
 	return q.Units > 0 && (k.most <= 0 || q.Units <= k.most) &&
-		q.Shard >= -1 && (k.shards <= 0 || q.Shard < k.shards) && q.Hosts >= 1
+		q.Shard >= -1 && q.Shard < k.shards && q.Hosts >= 1
 }
 
 func isHex(s string) bool {
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -22,6 +22,7 @@
 	Known     List // the disk servers as this scheduler last held them
 	Settings  policy.Settings
 	Bounds    wire.Bounds
+	Ignored   []error // faults of the settings that were put right, each a *ConfigError
 }
 
 // Limits are the machine's.
@@ -90,6 +91,9 @@
 		if c.Known, err = parseList(f.Known); err != nil {
 			return nil, atPath("known", err)
 		}
+		if c.Known.doubtful {
+			return nil, &ConfigError{"known", fmt.Errorf("%v", c.Known.faults)}
+		}
 	}
 	if len(f.Settings) == 0 {
 		return nil, &ConfigError{"settings", errMissing}
@@ -100,9 +104,22 @@
 	}
 	c.Settings, c.Bounds = *set, usual(bounds)
 	c.Settings.Rules.SendLate = c.Bounds.DialTimeout + lateMargin
+	c.boundShards()
 	return c, c.check()
 }
 
+// mostShards bounds the number of shards: each that a request names is kept in memory.
+const mostShards = 100_000
+
+// boundShards takes a number of shards that cannot be one as not known.
+func (c *Config) boundShards() {
+	if n := c.Settings.Shards; n < 1 || n > mostShards {
+		fault := fmt.Errorf("is %d, from 1 to %d can be served: taken as not known", n, mostShards)
+		c.Ignored = append(c.Ignored, &ConfigError{"settings.extra.slots_total", fault})
+		c.Settings.Shards = 0
+	}
+}
+
 // lateMargin is how much later than its connection may be up, ms, an attempt may begin.
 const lateMargin = 50.0
 
@@ -155,36 +172,3 @@
 	}
 	return nil
 }
-
-// List is the list of disk servers, or what changed of it.
-type List struct {
-	Seq   uint64  `json:"seq"`
-	Whole bool    `json:"whole"`
-	Hosts []Entry `json:"hosts"`
-}
-
-// Entry is a disk server in discovery's words.
-type Entry struct {
-	Host   string  `json:"host"`
-	Dial   string  `json:"dial"`
-	Site   string  `json:"site"`
-	Block  int     `json:"block"` // the shard that it holds
-	Health string  `json:"health"`
-	Share  float64 `json:"share"`
-	BornMS int64   `json:"born_ms"` // Unix time of its last start; 0: long ago
-}
-
-var health = map[string]policy.Health{"active": policy.Ready, "leaving": policy.Draining, "left": policy.Gone}
-
-func parseList(b []byte) (List, error) {
-	var l List
-	if err := json.Unmarshal(b, &l); err != nil {
-		return List{}, err
-	}
-	for i, e := range l.Hosts {
-		if _, ok := health[e.Health]; !ok || e.Host == "" {
-			return List{}, &ConfigError{fmt.Sprintf("hosts[%d].health", i), fmt.Errorf("is %q", e.Health)}
-		}
-	}
-	return l, nil
-}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -102,6 +103,7 @@
 	dues     due.Heap[pending]
 	hosts    map[string]heldEntry
 	heard    bool // discovery has spoken
+	shards   int  // that the settings name; 0: not known
 	counters Counters
 }
 
@@ -124,7 +126,7 @@
 const epoch = 3_600_000
 
 func newCore(born int64, c *Config, eff effects) *core {
-	k := &core{eff: eff, now: epoch, born: born, calls: map[string]*call{}, hosts: map[string]heldEntry{}, counters: Counters{Reasons: map[string]uint64{}}}
+	k := &core{eff: eff, now: epoch, born: born, calls: map[string]*call{}, hosts: map[string]heldEntry{}, counters: Counters{Reasons: map[string]uint64{}}, shards: c.Settings.Shards}
 	k.mod = policy.New(c.Settings, c.Seed)
 	return k
 }
@@ -381,6 +383,7 @@
 // revise brings other settings for the requests that are taken from now on.
 func (k *core) revise(now float64, s policy.Settings) {
 	k.at(now)
+	k.shards = s.Shards
 	k.tell(policy.Revised{Settings: s})
 }
 
@@ -401,6 +404,7 @@
 			continue
 		}
 		started := old.started
+		k.look(&l, e)
 		if !known || old.BornMS != e.BornMS {
 			started = k.startOf(e)
 		}
@@ -424,8 +428,23 @@
 		}
 	}
 	k.log.listTaken(l, len(nodes), draining)
+	k.log.entryFaults(l)
 }
 
+// look notes what an entry says that cannot be right. The module sends nothing to a server
+// whose shard the settings don't name, and a start in the future counts from now.
+func (k *core) look(l *List, e Entry) {
+	if e.Block < 0 || k.shards > 0 && e.Block >= k.shards {
+		l.fault(e.Host, fmt.Sprintf("holds shard %d, the settings name %d", e.Block, k.shards))
+	}
+	if ahead := float64(e.BornMS-k.born) - k.now; ahead > clockSkew {
+		l.fault(e.Host, fmt.Sprintf("started %.0f s from now", ahead/1000))
+	}
+}
+
+// clockSkew is how far apart, ms, the wall clocks of two machines are without a word of it.
+const clockSkew = 5000.0
+
 // missing lists as gone what is held and not in a whole list, in an order of its own.
 func (k *core) missing(whole []Entry) (gone []Entry) {
 	left := maps.Clone(k.hosts)
@@ -434,7 +453,7 @@
 	}
 	for _, held := range left {
 		e := held.Entry
-		e.Health = "left"
+		e.Health = stateLeft
 		gone = append(gone, e)
 	}
 	slices.SortFunc(gone, func(a, b Entry) int { return cmp.Compare(a.Host, b.Host) })
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -200,6 +200,9 @@
 	if !l.Whole && l.Seq < d.seq {
 		return &unreadable{fmt.Errorf("version %d after %d", l.Seq, d.seq)}
 	}
+	if !l.Whole && l.doubtful {
+		return &unreadable{fmt.Errorf("version %d: %v", l.Seq, l.faults)}
+	}
 	d.seq, d.whole = l.Seq, d.whole && !l.Whole
 	d.told(l)
 	return nil
--- a/scheduler/eventlog.go
+++ b/scheduler/eventlog.go
@@ -95,6 +95,16 @@
 		zap.Int("changed", changed), zap.Int("leaving", draining))
 }
 
+// entryFaults notes entries of a list that cannot be right.
+func (l *eventLog) entryFaults(list List) {
+	if l == nil {
+		return
+	}
+	for _, f := range list.faults {
+		l.log.Warn("entry of the list is wrong", zap.Uint64("seq", list.Seq), zap.String("server", f.host), zap.String("fault", f.reason))
+	}
+}
+
 // acceptFailed notes a connection that this machine could not take.
 func (l *eventLog) acceptFailed(err error) {
 	if l == nil {
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -109,6 +109,9 @@
 
 // know takes what the front and a stop need of the configuration.
 func (s *Scheduler) know(c *Config) {
+	for _, fault := range c.Ignored {
+		s.log.Warn("setting ignored", zap.Error(fault))
+	}
 	s.front.check.Store(newChecker(&c.Settings))
 	s.front.bytes.Store(bytesOf(c))
 	s.front.ahead.most.Store(bytesOf(c))
--- /dev/null
+++ b/scheduler/list_test.go
@@ -0,0 +1,143 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// An entry that cannot be right costs itself alone.
+func TestWrongEntriesOfAList(t *testing.T) {
+	right := entry("b", "x:2", stateActive, 1)
+	for name, tt := range map[string]struct {
+		entries  []string
+		want     string // states of a and b
+		faults   int
+		doubtful bool
+	}{
+		"all right":               {[]string{entry("a", "x:1", stateActive, 0), right}, "active active", 0, false},
+		"no name":                 {[]string{entry("", "x:1", stateActive, 0), right}, " active", 1, true},
+		"unknown state":           {[]string{entry("a", "x:1", "resting", 0), right}, "leaving active", 1, true},
+		"no state":                {[]string{`{"host":"a"}`, right}, "leaving active", 1, true},
+		"twice the same":          {[]string{entry("a", "x:1", stateActive, 0), right, entry("a", "x:1", stateActive, 0)}, "active active", 1, false},
+		"leaving, then active":    {[]string{entry("a", "x:1", stateLeaving, 0), right, entry("a", "x:1", stateActive, 0)}, "leaving active", 1, false},
+		"active, then left":       {[]string{entry("a", "x:1", stateActive, 0), entry("a", "x:1", stateLeft, 0), right}, "left active", 1, false},
+		"three times, one leaves": {[]string{entry("a", "x:1", stateActive, 0), entry("a", "x:1", stateLeaving, 0), entry("a", "x:1", stateActive, 0), right}, "leaving active", 2, false},
+	} {
+		l, err := parseList([]byte(listOf(3, tt.entries...)))
+		state := map[string]string{}
+		for _, e := range l.Hosts {
+			if _, twice := state[e.Host]; twice || e.Host == "" {
+				t.Errorf("%s: %+v", name, l.Hosts)
+			}
+			state[e.Host] = e.Health
+		}
+		if got := state["a"] + " " + state["b"]; err != nil || got != tt.want || len(l.faults) != tt.faults || l.doubtful != tt.doubtful {
+			t.Errorf("%s: %q, %+v, doubtful %v, %v", name, got, l.faults, l.doubtful, err)
+		}
+	}
+}
+
+// Of a server that is named twice at another address the later entry counts.
+func TestTheLaterOfTwoEntriesCounts(t *testing.T) {
+	l, err := parseList([]byte(listOf(3, entry("a", "x:1", stateActive, 0), entry("a", "x:2", stateActive, 0))))
+	if err != nil || len(l.Hosts) != 1 || l.Hosts[0].Dial != "x:2" {
+		t.Errorf("%+v, %v", l.Hosts, err)
+	}
+}
+
+// Each wrong entry has its line in the log, and the others are served.
+func TestWrongEntriesAreLogged(t *testing.T) {
+	k, p := coreFor(t)
+	logged, lines := observer.New(zap.InfoLevel)
+	k.log = newEventLog(zap.New(logged))
+	stamped := fmt.Sprintf(`{"host":"s3","dial":"x:5","block":0,"health":"active","born_ms":%d}`, k.born+epoch+3_600_000)
+	l, err := parseList([]byte(listOf(2, entry("s0", "x:1", stateActive, 0), entry("s0", "x:1", stateActive, 0),
+		entry("s1", "x:2", "resting", 1), entry("s2", "x:4", stateActive, 1_000_000), entry("s4", "x:6", stateActive, -3), stamped)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.list(epoch+1, l, false)
+	var faults []string
+	for _, line := range lines.FilterMessage("entry of the list is wrong").All() {
+		faults = append(faults, line.ContextMap()["fault"].(string))
+	}
+	for _, want := range []string{"is named twice", `has the unknown state "resting"`, "holds shard 1000000, the settings name 2",
+		"holds shard -3, the settings name 2", "started 3600 s from now"} {
+		if !slices.Contains(faults, want) {
+			t.Errorf("no line %q among %q", want, faults)
+		}
+	}
+	for i, shard := range []int{0, -1, -1, -1} {
+		c := p.call(k, fmt.Sprint(i), "card-read", epoch+2, 400)
+		c.req.Shard = shard
+		k.take(epoch+2, c)
+	}
+	for _, a := range p.out {
+		if a.host != "s0" && a.host != "s3" {
+			t.Error("sent to", a.host)
+		}
+	}
+	if len(p.out) == 0 {
+		t.Error("nothing was served")
+	}
+}
+
+// A number of shards that cannot be one is not known: the list's shards are served, and what
+// a client can have kept in memory stays bounded.
+func TestNumbersOfShards(t *testing.T) {
+	for number, named := range map[int]int{-1: 0, 0: 0, 1: 1, mostShards: mostShards, mostShards + 1: 0, 1_000_000: 0} {
+		raw := strings.Replace(testConfig("a:1", "b:1", listOf(1, entry("s0", "x:1", stateActive, 0))), `"slots_total":2`, fmt.Sprintf(`"slots_total":%d`, number), 1)
+		c, err := ParseConfig([]byte(raw), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(number, err)
+		}
+		if c.Settings.Shards != named || (len(c.Ignored) > 0) != (named == 0) {
+			t.Errorf("%d: %d, %v", number, c.Settings.Shards, c.Ignored)
+		}
+		bound := mostShards
+		if named > 0 {
+			bound = named
+		}
+		if got := newChecker(&c.Settings).shards; got != bound {
+			t.Errorf("%d: requests may name %d shards", number, got)
+		}
+		p := &played{sent: map[*attempt]bool{}, answers: map[string]int{}}
+		k := newCore(1_000_000, c, p)
+		k.start(c.Known)
+		if k.take(epoch+1, p.call(k, "a", "card-read", epoch+1, 400)); len(p.out) != 1 {
+			t.Errorf("%d: nothing was sent", number)
+		}
+	}
+}
+
+// A server whose shard comes with other settings is served from then on.
+func TestAReloadNamesMoreShards(t *testing.T) {
+	k, p := coreFor(t)
+	k.list(epoch+1, List{Seq: 2, Hosts: []Entry{{Host: "s9", Dial: "x:9", Block: 9, Health: stateActive}}}, false)
+	ask := func(id string) {
+		c := p.call(k, id, "card-read", k.now, 400)
+		c.req.Shard = 9
+		k.take(k.now, c)
+	}
+	if ask("a"); len(p.out) != 0 {
+		t.Error("sent to a server of no shard")
+	}
+	c, err := ParseConfig([]byte(strings.Replace(testConfig("a:1", "b:1", listOf(1)), `"slots_total":2`, `"slots_total":10`, 1)), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.revise(epoch+2, c.Settings)
+	if ask("b"); len(p.out) == 0 {
+		t.Error("not served after the reload")
+	}
+	for _, a := range p.out {
+		if a.host != "s9" {
+			t.Error("sent to", a.host)
+		}
+	}
+}
--- a/scheduler/notices.go
+++ b/scheduler/notices.go
@@ -24,10 +24,10 @@
 		n.of = make(map[string]notice, len(l.Hosts))
 	}
 	for _, e := range l.Hosts {
-		if e.Health == "left" {
+		if e.Health == stateLeft {
 			delete(n.of, e.Host)
 		} else {
-			n.of[e.Host] = notice{e.Health == "active", e.BornMS}
+			n.of[e.Host] = notice{e.Health == stateActive, e.BornMS}
 		}
 	}
 }
