Settings: a disk that fails for a while costs what it refuses, not all changes until the next start

Change: internal/durable replaces files (write, sync, rename, folder's sync), in place of three copies of which two left out the folder. An append in doubt is a DoubtError; before the next change settings writes the record's file anew and takes in a change that stands after all. Late tells of both.

--- a/audit/store.go
+++ b/audit/store.go
@@ -5,11 +5,25 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"go.etcd.io/bbolt"
+
+	"merlinhitch/internal/durable"
 )
 
+// DoubtError says that an append failed on its way to the disk: whether the record stands is
+// not known, and the store takes nothing more until it is opened anew.
+type DoubtError struct{ Err error }
+
+func (e *DoubtError) Error() string {
+	return "audit: whether the record stands is not known, the store must be opened anew: " + e.Err.Error()
+}
+
+// Unwrap returns the disk's error.
+func (e *DoubtError) Unwrap() error { return e.Err }
+
 // Store keeps a chain of records in one file. An appended record is on the disk when
 // Append returns without an error; after a crash at any point it is there whole or not
 // at all.
@@ -42,6 +56,24 @@
 	return s, nil
 }
 
+// Rewrite writes a store's file anew, whole and synced, in place of what it holds. After a
+// failed sync the system may take pages for written that are not; a chain that goes on from
+// there must not rest on them. The file must be open nowhere. After an error the old file is
+// as it was.
+func Rewrite(file string) error {
+	db, err := bbolt.Open(file, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
+	if err != nil {
+		return fmt.Errorf("audit: %s: %w", file, err)
+	}
+	defer db.Close()
+	return db.View(func(tx *bbolt.Tx) error {
+		return durable.Replace(file, 0o600, func(f *os.File) error {
+			_, err := tx.WriteTo(f)
+			return err
+		})
+	})
+}
+
 // found makes the place of the records where the file is new.
 func (s *Store) found() error {
 	there := false
@@ -90,7 +122,7 @@
 		return tx.Bucket(recordBucket).Put(keyOf(r.Seq), b)
 	})
 	if err != nil {
-		s.bad = fmt.Errorf("audit: whether the record stands is not known, the store must be opened anew: %w", err)
+		s.bad = &DoubtError{err}
 		return s.bad
 	}
 	s.chain = next
--- a/history/store.go
+++ b/history/store.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/parquet-go/parquet-go"
+
+	"merlinhitch/internal/durable"
 )
 
 // level is a fineness, and for how long it is kept. A block is a file.
@@ -50,7 +52,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	half, err := filepath.Glob(filepath.Join(dir, "*.half"))
+	half, err := filepath.Glob(filepath.Join(dir, "*"+durable.Unfinished))
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +74,7 @@
 		}
 		begin := r.At - mod(r.At, levels[0].block)
 		if len(s.open) > 0 && begin != s.from {
-			if e := s.Flush(); e != nil {
+			if e := s.write(); e != nil {
 				err = e
 				s.Lost += len(s.open)
 			}
@@ -90,12 +92,17 @@
 	return err
 }
 
-// Flush writes the present block as it stands, of all levels, and drops what is past its
-// time.
+// Flush drops what is past its time, which may make the room that is needed, and writes the
+// present block as it stands, of all levels.
 func (s *Store) Flush() error {
 	if len(s.open) == 0 {
 		return nil
 	}
+	return errors.Join(s.drop(s.open[len(s.open)-1].At), s.write())
+}
+
+// write writes the present block of all levels.
+func (s *Store) write() error {
 	rows := s.open
 	for i, l := range levels {
 		begin := rows[0].At - mod(rows[0].At, l.block)
@@ -107,7 +114,7 @@
 			return err
 		}
 	}
-	return s.drop(rows[len(rows)-1].At)
+	return nil
 }
 
 func (s *Store) file(l level, begin int64) string {
@@ -132,29 +139,14 @@
 }
 
 func writeFile(file string, rows []Row) error {
-	half := file + ".half"
-	f, err := os.Create(half)
-	if err != nil {
+	return durable.Replace(file, 0o600, func(f *os.File) error {
+		w := parquet.NewGenericWriter[Row](f, parquet.Compression(&parquet.Zstd))
+		_, err := w.Write(rows)
+		if closeErr := w.Close(); err == nil {
+			err = closeErr
+		}
 		return err
-	}
-	w := parquet.NewGenericWriter[Row](f, parquet.Compression(&parquet.Zstd))
-	_, err = w.Write(rows)
-	if e := w.Close(); err == nil {
-		err = e
-	}
-	if e := f.Sync(); err == nil {
-		err = e
-	}
-	if e := f.Close(); err == nil {
-		err = e
-	}
-	if err == nil {
-		err = os.Rename(half, file)
-	}
-	if err != nil {
-		os.Remove(half)
-	}
-	return err
+	})
 }
 
 // readFile reads a block; one that is no sound file is an error, never a panic.
--- a/keys/authority.go
+++ b/keys/authority.go
@@ -21,6 +21,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"merlinhitch/internal/durable"
 )
 
 // Role is what a certificate lets its holder do at the admin API.
@@ -291,24 +293,10 @@
 
 // write replaces a file by rename: a reader finds the old one or the new one.
 func write(file string, mode fs.FileMode, b []byte) error {
-	tmp, err := os.CreateTemp(filepath.Dir(file), ".keys-*")
-	if err != nil {
+	return durable.Replace(file, mode, func(f *os.File) error {
+		_, err := f.Write(b)
 		return err
-	}
-	defer os.Remove(tmp.Name()) // gone already where the rename was reached
-	if err = tmp.Chmod(mode); err == nil {
-		_, err = tmp.Write(b)
-	}
-	if err == nil {
-		err = tmp.Sync()
-	}
-	if cerr := tmp.Close(); err == nil {
-		err = cerr
-	}
-	if err != nil {
-		return err
-	}
-	return os.Rename(tmp.Name(), file)
+	})
 }
 
 func readCerts(file string) (out []*x509.Certificate, err error) {
--- a/settings/ledger.go
+++ b/settings/ledger.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"merlinhitch/audit"
+	"merlinhitch/internal/durable"
 )
 
 // Author says who changes something, when and why.
@@ -71,6 +72,7 @@
 	chain chain
 	now   *Settings
 	late  error // why the snapshot is behind the record
+	doubt error // why it is not known whether the last change is in the record
 	subs  []func(*Settings)
 	allow func(old, next *Settings) []Fault
 }
@@ -104,16 +106,68 @@
 		kept.Close()
 		return nil, err
 	}
+	if err := durable.Clean(file); err != nil && st.late == nil {
+		st.late = err
+	}
 	return st, nil
 }
 
+// resolve finds out whether the change whose append failed stands in the record, before
+// another may follow it: the record's file is written anew, for after a failed sync nothing
+// tells what of it is on the disk. A change that stands comes into force, as at a start.
+// While the disk fails still, the error says so and what is in force stays. Held: mu.
+func (st *Store) resolve() error {
+	if st.doubt == nil {
+		return nil
+	}
+	st.chain.Close()
+	rewritten := audit.Rewrite(st.file + auditSuffix)
+	if err := st.reopen(); err != nil { // also after an error, for who reads the record
+		return err
+	}
+	if rewritten != nil {
+		return fmt.Errorf("settings: the record can't be written: %w", rewritten)
+	}
+	before := st.version()
+	now, err := st.catchUp(st.now)
+	if err != nil {
+		return err
+	}
+	st.doubt = nil
+	if now.version() != before {
+		st.enforce(now)
+	}
+	return nil
+}
+
+func (st *Store) reopen() error {
+	kept, err := audit.OpenStore(st.file + auditSuffix)
+	if err == nil {
+		st.chain = kept
+	}
+	return err
+}
+
+// enforce puts settings that are in the record in force. Held: mu.
+func (st *Store) enforce(s *Settings) {
+	st.now = s
+	for _, f := range st.subs {
+		f(s)
+	}
+}
+
+// version is 0 where there are no settings.
+func (s *Settings) version() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Version
+}
+
 // catchUp brings a snapshot up to the record.
 func (st *Store) catchUp(s *Settings) (*Settings, error) {
 	end := st.chain.Chain()
-	version := uint64(0)
-	if s != nil {
-		version = s.Version
-	}
+	version := s.version()
 	if end.Seq == 0 && s != nil { // from before there were records
 		tree, err := s.tree(st.key)
 		if err != nil {
@@ -151,7 +205,8 @@
 	if s, err = fromTree(tree, end.Version, st.key); err != nil {
 		return nil, err
 	}
-	return s, Save(st.file, s, st.key)
+	st.late = Save(st.file, s, st.key) // the next start does it then
+	return s, nil
 }
 
 // Close lets go of the record.
@@ -223,6 +278,9 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	if err := st.resolve(); err != nil {
+		return nil, err
+	}
 	if s.Version != st.version() {
 		stale, merged := st.meet(s)
 		if !merge || merged == nil {
@@ -233,12 +291,7 @@
 	return st.accept(s, by)
 }
 
-func (st *Store) version() uint64 {
-	if st.now == nil {
-		return 0
-	}
-	return st.now.Version
-}
+func (st *Store) version() uint64 { return st.now.version() }
 
 // accept checks, records and puts in force. Held: mu.
 func (st *Store) accept(s *Settings, by Author) (*Settings, error) {
@@ -271,23 +324,25 @@
 		return nil, err
 	}
 	if err := st.chain.Append(r); err != nil {
+		var doubt *audit.DoubtError
+		if errors.As(err, &doubt) {
+			st.doubt = err
+		}
 		return nil, err
 	}
 	if st.late = nil; st.file != "" {
 		st.late = Save(st.file, next, st.key) // it stands in the record: a start brings the snapshot up to it
 	}
-	st.now = next
-	for _, f := range st.subs {
-		f(next)
-	}
+	st.enforce(next)
 	return next, nil
 }
 
-// Late says why the snapshot is behind the record, nil if it is not.
+// Late says why the snapshot is behind the record, or why it is not known whether the last
+// change stands in it; nil if neither is so.
 func (st *Store) Late() error {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.late
+	return errors.Join(st.doubt, st.late)
 }
 
 // complete checks settings from which no secret may be left out.
@@ -355,7 +410,7 @@
 	var back []*audit.Record
 	first := st.version()
 	err = st.chain.Each(1, func(r *audit.Record) error {
-		if r.From >= version {
+		if r.From >= version && r.Version <= st.version() { // one in doubt is not in force
 			back = append(back, r)
 			first = min(first, r.From)
 		}
@@ -411,6 +466,9 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	if err := st.resolve(); err != nil {
+		return nil, err
+	}
 	s.Version = st.version()
 	if by.Why == "" {
 		by.Why = fmt.Sprintf("back to version %d", to)
--- a/settings/store.go
+++ b/settings/store.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"io/fs"
 	"os"
-	"path/filepath"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"merlinhitch/audit"
+	"merlinhitch/internal/durable"
 )
 
 // ErrNone says that there is no snapshot: nothing was ever saved there.
@@ -97,29 +97,8 @@
 	}
 	body = append(body, '\n')
 	head := fmt.Sprintf("%s 1 %d %016x\n", snapshotHead, len(body), xxhash.Sum64(body))
-	dir := filepath.Dir(file)
-	tmp, err := os.CreateTemp(dir, ".settings-*")
-	if err != nil {
+	return durable.Replace(file, 0o600, func(f *os.File) error {
+		_, err := f.Write(append([]byte(head), body...))
 		return err
-	}
-	defer os.Remove(tmp.Name()) // gone already where the rename was reached
-	_, err = tmp.Write(append([]byte(head), body...))
-	if err == nil {
-		err = tmp.Sync()
-	}
-	if cerr := tmp.Close(); err == nil {
-		err = cerr
-	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), file)
-	}
-	if err != nil {
-		return err
-	}
-	d, err := os.Open(dir) // the rename itself must reach the disk
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
+	})
 }
