--- a/scheduler/day_test.go
+++ b/scheduler/day_test.go
@@ -43,12 +43,14 @@
 	server string
 	status int
 	body   string
-	ran    bool // the attempt took effect
+	ran    bool          // the attempt took effect
+	within time.Duration // what a client gives, and what a disk server is told
 }
 
 // terms are what a trail is held to.
 type terms struct {
 	grace, window, slack time.Duration
+	told                 time.Duration     // a disk server is told so much more than its client has left, at the most
 	effects              map[string]string // by class: safe, keyed, unsafe
 }
 
@@ -86,6 +88,9 @@
 			ask = e
 		case left:
 			gone = e
+			if ask != nil && e.at > ask.at+ask.within+t.slack {
+				say(*e, "no answer in its time")
+			}
 		case answered:
 			if answer != nil {
 				say(*e, "a second answer")
@@ -93,6 +98,9 @@
 			if answer = e; e.status == 0 {
 				say(*e, "no answer")
 			}
+			if ask != nil && e.at > ask.at+ask.within+t.slack {
+				say(*e, "answered late")
+			}
 			if e.status == 200 && e.body != e.id {
 				say(*e, "another's answer: "+e.body)
 			}
@@ -101,6 +109,9 @@
 				say(*e, "nobody asked for it")
 				continue
 			}
+			if e.within > ask.at+ask.within-e.at+t.told {
+				say(*e, "told more time than its client has")
+			}
 			if gone != nil && e.at > gone.at+t.slack {
 				say(*e, "its client had gone")
 			}
@@ -131,7 +142,7 @@
 }
 
 var dayTerms = terms{grace: 500 * time.Millisecond, window: 700 * time.Millisecond, slack: 100 * time.Millisecond,
-	effects: map[string]string{"look": "safe", "book": "keyed", "pay": "unsafe"}}
+	told: 150 * time.Millisecond, effects: map[string]string{"look": "safe", "book": "keyed", "pay": "unsafe"}}
 
 // looseSlack holds on a machine that is busy with much else; the virtual world's days are
 // held to the exact one.
@@ -183,6 +194,8 @@
 	list   string // the whole list
 	silent bool   // open watches say nothing, new ones do
 	watch  []net.Conn
+
+	stopped time.Duration // when SIGTERM came, 0: not yet
 }
 
 func (d *day) note(e passed) {
@@ -204,7 +217,11 @@
 		id := a.Fields.Get("request-id")
 		raw := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id))
 		what := d.chance(20)
-		d.note(passed{kind: attempted, id: id, server: server, ran: what != 0})
+		told, err := time.ParseDuration(a.Fields.Get("request-timeout") + "s")
+		if err != nil {
+			told = time.Hour
+		}
+		d.note(passed{kind: attempted, id: id, server: server, ran: what != 0, within: told})
 		after := time.Duration(2+d.chance(30)) * time.Millisecond
 		switch what {
 		case 0:
@@ -247,14 +264,15 @@
 		id := fmt.Sprintf("%016x", d.n)
 		d.mu.Unlock()
 		class := []string{"look", "book", "pay"}[d.chance(3)]
+		within := time.Duration(200+d.chance(900)) * time.Millisecond
 		raw := fmt.Sprintf("PUT /%s/%016x/%016x HTTP/1.1\r\nRequest-Id: %s\r\nIdempotency-Key: k%s\r\nX-Qos-Policy: gold\r\nRequest-Timeout: %.3f\r\nContent-Length: 1\r\nX-Placement: units=2,shard=%d,hosts=1\r\n\r\nx",
-			class, d.chance(40), d.chance(1000), id, id, 0.2+float64(d.chance(900))/1000, d.chance(3))
+			class, d.chance(40), d.chance(1000), id, id, within.Seconds(), d.chance(3))
 		if class == "look" {
 			raw = strings.Replace(strings.TrimSuffix(raw, "x"), "Content-Length: 1\r\n", "", 1)
 			raw = strings.Replace(raw, "PUT", "GET", 1)
 		}
 		from := d.w.Now()
-		d.note(passed{kind: asked, id: id, class: class})
+		d.note(passed{kind: asked, id: id, class: class, within: within})
 		if _, err := io.WriteString(p.conn, raw); err != nil {
 			d.forget(id) // the connection ended between two requests
 			p.conn.Close()
@@ -262,14 +280,14 @@
 			continue
 		}
 		if d.chance(6) == 0 {
-			seam.Wait(d.w, time.Duration(d.chance(250))*time.Millisecond, nil)
+			seam.Wait(d.w, time.Duration(d.chance(min(250, int(within.Milliseconds()))))*time.Millisecond, nil)
 			p.conn.Close()
 			d.note(passed{kind: left, id: id})
 			p = nil
 			continue
 		}
 		got := p.hear(from)
-		if got.status == 0 && !d.reached(id) { // as when it crossed the close: it was never read
+		if got.status == 0 && d.ending() && !d.reached(id) { // it crossed the close, and was never read
 			d.forget(id)
 		} else {
 			d.note(passed{kind: answered, id: id, status: got.status, body: got.body})
@@ -285,6 +303,14 @@
 	}
 }
 
+// ending tells that the scheduler takes nothing new any more and ends its connections: before
+// that each request is owed its answer.
+func (d *day) ending() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stopped > 0 && d.w.Now() > d.stopped+seam.Duration(graceOf(dayConfig("a:1"))-drainAnswer)
+}
+
 // reached tells whether an attempt of a request came to a disk server.
 func (d *day) reached(id string) bool {
 	d.mu.Lock()
@@ -324,6 +350,16 @@
 	}
 }
 
+// dayConfig is the configuration of a day's scheduler.
+func dayConfig(discovery string) *Config {
+	text := strings.Replace(testConfig("127.0.0.1:0", discovery, listOf(0)), testSettings, daySettings, 1)
+	c, err := ParseConfig([]byte(text), func(string) string { return "" })
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
 // play plays the day in a world: late connections, clients that leave, spoilt answers, a
 // drain, a cold disk server, a silent watch with a drain in it, SIGHUP and SIGTERM.
 func (d *day) play() error {
@@ -342,17 +378,9 @@
 		return strings.Replace(entry(name, disks[name].Addr, health, block), `"born_ms":0`, fmt.Sprintf(`"born_ms":%d`, born), 1)
 	}
 	d.list = listOf(1, at("s0", "active", 0, 0), at("s1", "active", 1, 0), at("s2", "active", 2, 0))
-	conf := func(discovery string) *Config {
-		text := strings.Replace(testConfig("127.0.0.1:0", discovery, listOf(0)), testSettings, daySettings, 1)
-		c, err := ParseConfig([]byte(text), func(string) string { return "" })
-		if err != nil {
-			panic(err)
-		}
-		return c
-	}
 	var err error
 	late := &lateDials{World: d.w, rng: rand.New(rand.NewPCG(d.seed, 2))}
-	if d.s, err = Start(late, conf(a.l.Addr().String()), zap.NewNop()); err != nil {
+	if d.s, err = Start(late, dayConfig(a.l.Addr().String()), zap.NewNop()); err != nil {
 		return err
 	}
 	d.addr = d.s.front.listener.Addr().String()
@@ -367,13 +395,16 @@
 	seam.Wait(d.w, 700*time.Millisecond, nil)
 	b := serveAgent(d.w, d.discovery)
 	defer b.close()
-	d.s.Reload(conf(b.l.Addr().String()))
+	d.s.Reload(dayConfig(b.l.Addr().String()))
 	seam.Wait(d.w, 400*time.Millisecond, nil)
 	d.mu.Lock()
 	d.silent = true
 	d.mu.Unlock()
 	d.tell(listOf(3, at("s0", "leaving", 0, 0), at("s4", "active", 0, now), at("s2", "active", 2, 0), at("s3", "active", 1, now)), "s0")
 	seam.Wait(d.w, 900*time.Millisecond, nil)
+	d.mu.Lock()
+	d.stopped = d.w.Now()
+	d.mu.Unlock()
 	d.s.Drain()
 	clients.Wait(d.w)
 	return nil
@@ -440,18 +471,18 @@
 	ms := time.Millisecond
 	good := func() []passed {
 		return []passed{
-			{at: 0, kind: asked, id: "1", class: "pay"},
+			{at: 0, kind: asked, id: "1", class: "pay", within: 1000 * ms},
 			{at: 2 * ms, kind: attempted, id: "1", server: "s0", ran: true},
 			{at: 9 * ms, kind: answered, id: "1", status: 200, body: "1"},
-			{at: 10 * ms, kind: asked, id: "2", class: "book"},
+			{at: 10 * ms, kind: asked, id: "2", class: "book", within: 1000 * ms},
 			{at: 12 * ms, kind: attempted, id: "2", server: "s0", ran: true},
 			{at: 80 * ms, kind: wasTold, server: "s0"},
 			{at: 500 * ms, kind: attempted, id: "2", server: "s0", ran: true},
 			{at: 520 * ms, kind: answered, id: "2", status: 200, body: "2"},
-			{at: 600 * ms, kind: asked, id: "3", class: "look"},
+			{at: 600 * ms, kind: asked, id: "3", class: "look", within: 1000 * ms},
 			{at: 610 * ms, kind: left, id: "3"},
 			{at: 650 * ms, kind: attempted, id: "3", server: "s1", ran: true},
-			{at: 700 * ms, kind: asked, id: "4", class: "pay"},
+			{at: 700 * ms, kind: asked, id: "4", class: "pay", within: 1000 * ms},
 			{at: 710 * ms, kind: attempted, id: "4", server: "s1"},
 			{at: 720 * ms, kind: answered, id: "4", status: 503},
 		}
@@ -462,6 +493,9 @@
 	for want, change := range map[string]func(d []passed) []passed{
 		"never answered":                   func(d []passed) []passed { return slices.Delete(d, 2, 3) },
 		"no answer":                        func(d []passed) []passed { d[2].status = 0; return d },
+		"answered late":                    func(d []passed) []passed { d[2].at = 1200 * ms; return d },
+		"no answer in its time":            func(d []passed) []passed { d[9].at = 1800 * ms; return d },
+		"told more time than its client":   func(d []passed) []passed { d[1].within = 1200 * ms; return d },
 		"a second answer":                  func(d []passed) []passed { return append(d, d[2]) },
 		"another's answer":                 func(d []passed) []passed { d[7].body = "1"; return d },
 		"served by nobody":                 func(d []passed) []passed { return slices.Delete(d, 1, 2) },
