Gateway: attempts begin by their time or not at all, and are taken back while they wait

Seen: the probe of TestHallDarkUnderAnnouncements beside load showed a gateway that sent an attempt for a command that was over. Its host core ignored Withdraw and Send.By, and link.put looked at nothing when a connection came up but whether the attempt had timed out. Ruled out as ways: tags (never used twice there), the answerer (it ends commands after their answer). Change: as in the scheduler, an attempt that waits for its connection ends at its by, is dropped on Withdraw, and is looked at when it is put; an attempt that the back dropped waits for its outcome, which could be taken for "no answer, may have run".

--- a/gateway/back.go
+++ b/gateway/back.go
@@ -166,8 +166,15 @@
 	}
 }
 
-// put holds the attempt's frame for the outbox's next release. Held: mu.
+// put holds the attempt's frame for the outbox's next release. One that may not begin any
+// more, for it waited for its connection, ends as never sent. Held: mu.
 func (l *link) put(a *attempt) {
+	if !a.permitted(seam.MS(l.back.world.Now())) {
+		if a.drop() {
+			l.back.host.post(event{kind: evLost, attempt: a, result: policy.NotSent})
+		}
+		return
+	}
 	if !a.claim() {
 		return // timed out while it waited
 	}
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -39,7 +39,9 @@
 	sends   int
 	out     int
 	ended   bool
-	landBy  float64 // until then a lost attempt may still take effect
+	over    atomic.Bool // the same to other goroutines
+	last    *attempt    // the one sent last
+	landBy  float64     // until then a lost attempt may still take effect
 	settled bool
 	gen     uint64  // of the shard's home when it was first sent
 	counts  *counts // that it goes to
@@ -50,6 +52,12 @@
 	spare   bool    // ended because the command's answer no longer depends on it
 }
 
+// end notes that the job has its one end: nothing more goes out for it.
+func (j *job) end() {
+	j.ended = true
+	j.over.Store(true)
+}
+
 // owner is who a job was made for. It is told on the host's goroutine.
 type owner interface {
 	// partDone is the job's one end; ans is there if it was served.
@@ -66,9 +74,11 @@
 	node   string
 	sentAt float64
 	until  float64
-	gen    uint64 // of the shard's home
+	by     float64 // it has to have begun by then
+	gen    uint64  // of the shard's home
 	state  atomic.Int32
 	over   bool
+	back   bool // it was taken back before it began
 	tag    uint32
 	link   *link // that it was given to; the host's goroutine's
 	due    due
@@ -86,6 +96,11 @@
 // drop is the host core's: it tells whether the attempt was kept from going out.
 func (a *attempt) drop() bool { return a.state.CompareAndSwap(attemptWaiting, attemptDropped) }
 
+// permitted tells whether the attempt may begin now. On any goroutine.
+func (a *attempt) permitted(now float64) bool {
+	return !a.job.over.Load() && now <= a.by && now < a.until
+}
+
 // effects is what a host core has done. The calls must not block nor call back.
 type effects interface {
 	send(a *attempt)
@@ -225,6 +240,10 @@
 		if j := h.jobs[a.ID]; j != nil {
 			h.cancel(j, a.Attempt)
 		}
+	case policy.Withdraw:
+		if j := h.jobs[a.ID]; j != nil && j.last != nil && j.last.n == a.Attempt {
+			h.withdraw(j.last)
+		}
 	case policy.SetTimer:
 		h.dues.Push(&due{At: h.now + a.Delay, What: awaited{name: a.Name}})
 	case policy.FetchList:
@@ -246,7 +265,11 @@
 	if s.Until > 0 {
 		until = min(until, s.Until)
 	}
-	a := &attempt{job: j, n: j.sends, node: s.Node, sentAt: h.now, until: until}
+	a := &attempt{job: j, n: j.sends, node: s.Node, sentAt: h.now, until: until, by: math.Inf(1)}
+	if s.By > 0 {
+		a.by = s.By
+	}
+	j.last = a
 	goes := h.stamp(a)
 	j.sends++
 	j.out++
@@ -254,7 +277,7 @@
 	if a.n > 0 {
 		h.resends++
 	}
-	a.due = due{At: a.until, What: awaited{a: a}}
+	a.due = due{At: min(a.by, a.until), What: awaited{a: a}}
 	if goes {
 		h.eff.send(a)
 	} else {
@@ -263,6 +286,21 @@
 	h.dues.Push(&a.due)
 }
 
+// withdraw takes back an attempt that waits for its connection still; the outcome comes with
+// the next tick, for the module is in the middle of an event.
+func (h *hostCore) withdraw(a *attempt) {
+	if !a.over && a.drop() {
+		a.back = true
+		h.rearm(a, h.now)
+	}
+}
+
+func (h *hostCore) rearm(a *attempt, at float64) {
+	h.dues.Remove(&a.due)
+	a.due.At = at
+	h.dues.Push(&a.due)
+}
+
 // cancel stops waiting for an attempt; the outcome comes with the next tick, for
 // the module is in the middle of an event.
 func (h *hostCore) cancel(j *job, n int) {
@@ -283,7 +321,7 @@
 	if j == nil || j.ended {
 		return
 	}
-	j.ended = true
+	j.end()
 	j.counts.ended(j, how, h.now)
 	j.counts.Reasons[why]++
 	h.heldBack(j)
@@ -340,7 +378,7 @@
 	if j.ended || h.jobs[j.id] != j {
 		return
 	}
-	j.ended = true
+	j.end()
 	j.counts.ended(j, endGone, h.now)
 	h.eff.finish(j, endGone, 0, nil)
 	h.tell(policy.ClientGone{ID: j.id})
@@ -371,7 +409,7 @@
 	}
 	r := results[ans.Result]
 	if r == policy.Served && !a.job.ended {
-		a.job.ended = true
+		a.job.end()
 		a.job.counts.ended(a.job, endServed, h.now)
 		h.eff.finish(a.job, endServed, 0, ans)
 	}
@@ -426,13 +464,18 @@
 }
 
 // timeOut ends an attempt whose time is up. If it was still waiting for a
-// connection, nothing of it left the host.
+// connection, nothing of it left the host. One that began in time goes on.
 func (h *hostCore) timeOut(a *attempt, cancelled bool) {
 	switch {
+	case a.back:
+		h.outcome(a, policy.NotSent, policy.Outcome{})
 	case a.link == nil && cancelled && a.drop(): // it was not to go
 		h.outcome(a, policy.NotSent, policy.Outcome{})
 	case a.drop():
 		h.outcome(a, policy.NoConnection, policy.Outcome{})
+	case a.state.Load() == attemptDropped: // by the back: its outcome is on its way
+	case !cancelled && h.now < a.until:
+		h.rearm(a, a.until)
 	case cancelled:
 		a.job.landBy = max(a.job.landBy, a.until)
 		h.outcome(a, policy.Cancelled, policy.Outcome{})
