--- a/region/model_test.go
+++ b/region/model_test.go
@@ -44,7 +44,6 @@
 )
 
 type state struct {
-	true_    float64
 	clocks   [4]float64 // sources 0 and 1, hosts 0 and 1
 	sources  [2]*Source
 	hosts    [2]*Host
--- a/scheduler/day_test.go
+++ b/scheduler/day_test.go
@@ -186,7 +186,6 @@
 
 	mu    sync.Mutex
 	trail []passed
-	asks  map[string]passed
 	rng   *rand.Rand
 	n     int
 
