--- a/bgp/speaker.go
+++ b/bgp/speaker.go
@@ -14,8 +14,8 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/outbox"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // Neighbour is a peer with the address at which it is dialled.
@@ -25,7 +25,7 @@
 }
 
 // Speaker is the shell of some peers: a goroutine for what each connection brings,
-// an outbox for what it is told, a timer for each peer.
+// a write queue for what it is told, a timer for each peer.
 type Speaker struct {
 	world    seam.World
 	log      *zap.Logger
@@ -54,7 +54,7 @@
 
 // link is a connection's writing half.
 type link struct {
-	*outbox.Outbox
+	*writequeue.Queue
 	telling bool // updates wait to be written: more are asked for when they are out
 }
 
@@ -210,7 +210,7 @@
 func (s *Speaker) open(p *neighbour, c net.Conn) ConnID {
 	s.nextConn++
 	id := s.nextConn
-	l := &link{Outbox: outbox.New(s.world, c, outMost, max(seam.Duration(2*p.Cfg.Times.Hold), leastSend))}
+	l := &link{Queue: writequeue.New(s.world, c, outMost, max(seam.Duration(2*p.Cfg.Times.Hold), leastSend))}
 	l.Idle = func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/plant/plant.go
+++ b/faultinject/faultinject.go
@@ -1,8 +1,8 @@
-// Package plant holds the switch of faults that are planted on purpose, to show that
+// Package faultinject holds the switch of faults that are planted on purpose, to show that
 // the exploration finds them. In an ordinary build no fault can be switched on and
 // none of their code is there; with the build tag "planted" one can, for the whole
 // program. It never decides anything of itself.
-package plant
+package faultinject
 
 // The faults. Each stands where the product would have the bug.
 const (
--- a/plant/off.go
+++ b/faultinject/off.go
@@ -1,6 +1,6 @@
 //go:build !planted
 
-package plant
+package faultinject
 
 // Possible tells whether faults can be planted in this build.
 const Possible = false
--- a/gateway/answerer.go
+++ b/gateway/answerer.go
@@ -4,8 +4,8 @@
 	"sync"
 
 	"merlinhitch/iscsi"
-	"merlinhitch/outbox"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // answerer gives commands their answers on a goroutine of its own: the session's part
@@ -15,13 +15,13 @@
 type answerer struct {
 	host *host
 
-	mu     sync.Mutex
-	mail   []answered
-	closed bool
-	wake   seam.Parker
-	done   seam.Gate
+	mu      sync.Mutex
+	mailbox []answered
+	closed  bool
+	wake    seam.Parker
+	done    seam.Gate
 
-	said []*outbox.Outbox // what the present batch left to be written
+	said []*writequeue.Queue // what the present batch left to be written
 }
 
 // answered is a command whose parts are all over.
@@ -58,7 +58,7 @@
 // put hands an answer over. What waits is bounded by what is open at the host.
 func (a *answerer) put(x answered) {
 	a.mu.Lock()
-	a.mail = append(a.mail, x)
+	a.mailbox = append(a.mailbox, x)
 	a.mu.Unlock()
 	a.wake.Unpark()
 }
@@ -74,22 +74,22 @@
 
 func (a *answerer) run() {
 	defer a.done.Open()
-	var mail []answered
+	var events []answered
 	for {
 		a.wake.Park()
 		a.mu.Lock()
-		mail, a.mail = a.mail, mail[:0]
+		events, a.mailbox = a.mailbox, events[:0]
 		closed := a.closed
 		a.mu.Unlock()
-		for i := range mail {
-			a.host.give(&mail[i], func(o *outbox.Outbox) { a.said = append(a.said, o) })
-			mail[i] = answered{}
+		for i := range events {
+			a.host.give(&events[i], func(o *writequeue.Queue) { a.said = append(a.said, o) })
+			events[i] = answered{}
 			if len(a.said) == heldAnswers {
 				a.release()
 			}
 		}
 		a.release()
-		if closed && len(mail) == 0 {
+		if closed && len(events) == 0 {
 			return
 		}
 		if closed {
@@ -108,7 +108,7 @@
 }
 
 // give ends a command at its session; later has what that leaves be written.
-func (h *host) give(x *answered, later func(*outbox.Outbox)) {
+func (h *host) give(x *answered, later func(*writequeue.Queue)) {
 	c := x.cmd.conn
 	c.mu.Lock()
 	if !c.closed {
--- a/gateway/back.go
+++ b/gateway/back.go
@@ -14,11 +14,11 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/faultinject"
 	"merlinhitch/keys"
-	"merlinhitch/outbox"
-	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // back keeps one connection to each disk server that is sent to, and runs
@@ -68,7 +68,7 @@
 	down    bool
 	bye     bool // nothing new goes here
 	conn    net.Conn
-	out     *outbox.Outbox
+	out     *writequeue.Queue
 	waiting []*attempt
 	open    map[uint32]*attempt
 	nextTag uint32
@@ -166,7 +166,7 @@
 	}
 }
 
-// put holds the attempt's frame for the outbox's next release. One that may not begin any
+// put holds the attempt's frame for the write queue's next release. One that may not begin any
 // more, for it waited for its connection, ends as never sent. Held: mu.
 func (l *link) put(a *attempt) {
 	if !a.permitted(seam.MS(l.back.world.Now())) {
@@ -179,7 +179,7 @@
 		return // timed out while it waited
 	}
 	l.nextTag++
-	if plant.Is(plant.TagReused) {
+	if faultinject.Is(faultinject.TagReused) {
 		l.nextTag %= 4
 	}
 	a.tag = l.nextTag
@@ -187,7 +187,7 @@
 	do := a.job.do
 	do.Attempt = uint16(a.n)
 	do.Gen, do.Deadline = a.gen, l.deadline(a.until)
-	if plant.Is(plant.DeadlineUnsaid) {
+	if faultinject.Is(faultinject.DeadlineUnsaid) {
 		do.Deadline += 60_000_000
 	}
 	if !l.out.Hold(func(b []byte) []byte { return diskproto.Append(b, diskproto.KindDo, a.tag, &do) }) {
@@ -232,7 +232,7 @@
 }
 
 func (l *link) serve(conn net.Conn) error {
-	out := outbox.New(l.back.world, conn, backOut, backTimeout)
+	out := writequeue.New(l.back.world, conn, backOut, backTimeout)
 	defer out.Wait()
 	defer out.Cut()
 	l.mu.Lock()
--- a/gateway/command.go
+++ b/gateway/command.go
@@ -6,8 +6,8 @@
 	"slices"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/faultinject"
 	"merlinhitch/iscsi"
-	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/reserve"
 	"merlinhitch/scsi"
@@ -158,7 +158,7 @@
 		}
 		j := cmd.add(v, vol, class, io.Op, p.Shard, p.Extent, n)
 		j.do.LBA, j.do.Blocks, j.do.Data = p.LBA, p.Blocks, data
-		if plant.Is(plant.ExtentMissed) && len(cmd.jobs) > 1 && io.Op == scsi.Write {
+		if faultinject.Is(faultinject.ExtentMissed) && len(cmd.jobs) > 1 && io.Op == scsi.Write {
 			j.do.LBA--
 		}
 	}
@@ -197,7 +197,7 @@
 		Key: key, Hosts: v.hosts[vol.Name], Write: op.Writes(), Expires: cmd.task.At + class.Deadline}
 	j.do = diskproto.Do{Op: byte(op), Effect: wireEffect[class.Effect], Shard: uint32(shard), Host: c.front.host.back.id,
 		Origin: uint64(c.tsih)<<32 | uint64(cmd.task.ITT), Fence: cmd.fence, Units: units, Plan: vol.Plan, Volume: vol.Name, Key: key}
-	if plant.Is(plant.KeyForgotten) {
+	if faultinject.Is(faultinject.KeyForgotten) {
 		j.req.Key += fmt.Sprint(c.front.open.Load())
 	}
 	cmd.jobs = append(cmd.jobs, j)
@@ -216,7 +216,7 @@
 		for _, j := range cmd.jobs {
 			h.abandon(h.now, j)
 		}
-		if cmd.landing == 0 || plant.Is(plant.AbortAtOnce) {
+		if cmd.landing == 0 || faultinject.Is(faultinject.AbortAtOnce) {
 			cmd.tellGroup()
 		}
 	}})
@@ -232,7 +232,7 @@
 	if how == endRefused || how == endFailed {
 		cmd.spare()
 	}
-	if plant.Is(plant.LossTakenForGood) && how == endFailed && j.req.Write {
+	if faultinject.Is(faultinject.LossTakenForGood) && how == endFailed && j.req.Write {
 		how = endServed
 	}
 	cmd.worst, cmd.after = max(cmd.worst, how), max(cmd.after, after)
@@ -306,7 +306,7 @@
 		return iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.Miscompare.Fixed()}
 	case cmd.worst == endServed:
 		return iscsi.Answer{Data: cmd.data, Out: cmd.outcome.Out}
-	case cmd.worst == endRefused && !cmd.partRan(), plant.Is(plant.BusyAfterSend) && cmd.worst == endFailed:
+	case cmd.worst == endRefused && !cmd.partRan(), faultinject.Is(faultinject.BusyAfterSend) && cmd.worst == endFailed:
 		return iscsi.Answer{Status: scsi.Busy, Qualifier: retryDelay(cmd.after)}
 	}
 	return iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.CommandAborted.Fixed()}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -13,11 +13,11 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/iscsi"
-	"merlinhitch/outbox"
 	"merlinhitch/reserve"
 	"merlinhitch/scsi"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
+	"merlinhitch/writequeue"
 )
 
 // view is the settings as the front uses them. A new view replaces the old as a
@@ -168,7 +168,7 @@
 type conn struct {
 	front *front
 	net   net.Conn
-	out   *outbox.Outbox
+	out   *writequeue.Queue
 	log   *zap.Logger
 	key   sessionKey // set before the session is registered
 	port  reserve.Nexus
@@ -184,7 +184,7 @@
 	closed  bool
 	ping    seam.Timer
 	heard   bool
-	batch   bool // the host core releases the outbox
+	batch   bool // the host core releases the write queue
 	// attention is told to the next command that asks: a unit attention condition.
 	attention *scsi.Sense
 	parting   bool // what waits to be sent still goes out before the close
@@ -195,7 +195,7 @@
 	if n := uint32(len(f.answers)); n > 0 {
 		k.answers = f.answers[f.turn.Add(1)%n]
 	}
-	k.out = outbox.New(f.world, c, outMost, seam.Duration(f.view.Load().Target.WriteTime))
+	k.out = writequeue.New(f.world, c, outMost, seam.Duration(f.view.Load().Target.WriteTime))
 	k.out.Gauge = func(delta int) { f.memory.Add(int64(delta)) }
 	return k
 }
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -10,14 +10,14 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/faultinject"
 	"merlinhitch/inventory"
 	"merlinhitch/keys"
-	"merlinhitch/outbox"
-	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/region"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
+	"merlinhitch/writequeue"
 )
 
 // host is the shell of a host core: one goroutine, one order of events.
@@ -30,7 +30,7 @@
 	self  int
 
 	mu      sync.Mutex
-	mail    []event
+	mailbox []event
 	stopped bool
 	wake    seam.Parker
 	halted  seam.Gate // open as stop begins
@@ -40,7 +40,7 @@
 	sooner  func()        // has a lease asked for at once
 	alarm   seam.Alarm
 	buffers sync.Pool
-	said    []*outbox.Outbox // what the present batch of events left to be written
+	said    []*writequeue.Queue // what the present batch of events left to be written
 }
 
 type eventKind int
@@ -92,7 +92,7 @@
 		h.mu.Unlock()
 		return false
 	}
-	h.mail = append(h.mail, e)
+	h.mailbox = append(h.mailbox, e)
 	h.mu.Unlock()
 	h.wake.Unpark()
 	return true
@@ -103,20 +103,20 @@
 
 func (h *host) run() {
 	defer h.done.Open()
-	var mail []event
+	var events []event
 	for {
 		h.wake.Park()
 		h.mu.Lock()
-		mail, h.mail = h.mail, mail[:0]
+		events, h.mailbox = h.mailbox, events[:0]
 		h.mu.Unlock()
 		now := h.tick()
 		held := now
-		for i := range mail {
-			if mail[i].kind == evStop {
+		for i := range events {
+			if events[i].kind == evStop {
 				return
 			}
-			h.handle(now, &mail[i])
-			mail[i] = event{}
+			h.handle(now, &events[i])
+			events[i] = event{}
 			if now = h.tick(); now-held > heldTime {
 				h.release()
 				held = now
@@ -163,7 +163,7 @@
 
 // later has what o holds written at the end of the batch: many answers then go
 // out in one call of the system. On the host's goroutine only.
-func (h *host) later(o *outbox.Outbox) { h.said = append(h.said, o) }
+func (h *host) later(o *writequeue.Queue) { h.said = append(h.said, o) }
 
 func (h *host) handle(now float64, e *event) {
 	switch e.kind {
@@ -191,7 +191,7 @@
 // arm has the goroutine woken when the core next has something to do.
 func (h *host) arm() {
 	at := h.core.next()
-	if plant.Is(plant.WakeupLost) && h.alarm.At() > 0 && at >= h.alarm.At() {
+	if faultinject.Is(faultinject.WakeupLost) && h.alarm.At() > 0 && at >= h.alarm.At() {
 		return
 	}
 	h.alarm.Set(h.world, seam.MS(h.world.Now()), at, h.wake.Unpark)
@@ -209,7 +209,7 @@
 func (h *host) stop() {
 	h.mu.Lock()
 	if !h.stopped {
-		h.mail = append(h.mail, event{kind: evStop})
+		h.mailbox = append(h.mailbox, event{kind: evStop})
 		h.stopped = true
 		h.halted.Open()
 	}
--- a/gateway/host_test.go
+++ b/gateway/host_test.go
@@ -40,7 +40,7 @@
 	}
 	h.mu.Lock() // both are in one batch
 	for _, ask := range events {
-		h.mail = append(h.mail, event{kind: evAsk, ask: ask})
+		h.mailbox = append(h.mailbox, event{kind: evAsk, ask: ask})
 	}
 	h.mu.Unlock()
 	h.wake.Unpark()
--- a/gateway/hostcore.go
+++ b/gateway/hostcore.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/faultinject"
 	"merlinhitch/inventory"
-	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/rates"
 	"merlinhitch/settings"
@@ -81,7 +81,7 @@
 	back   bool // it was taken back before it began
 	tag    uint32
 	link   *link // that it was given to; the host's goroutine's
-	due    due
+	timer  timer
 }
 
 const (
@@ -122,7 +122,7 @@
 	eff     effects
 	now     float64
 	jobs    map[string]*job
-	dues    dues
+	timers  timers
 	nextSeq uint64
 	started map[startKey]float64 // when a node's incarnation started, on this clock
 	listed  bool
@@ -168,14 +168,14 @@
 		}
 	}
 	p := s.Policy(h.self, h.zone)
-	if plant.Is(plant.RepeatUnsafe) {
+	if faultinject.Is(faultinject.RepeatUnsafe) {
 		for i := range p.Classes {
 			if p.Classes[i].Effect == policy.Unsafe {
 				p.Classes[i].Effect, p.Classes[i].Window = policy.Keyed, p.Classes[i].Deadline
 			}
 		}
 	}
-	if plant.Is(plant.LimitMisread) {
+	if faultinject.Is(faultinject.LimitMisread) {
 		for i := range p.Plans {
 			p.Plans[i].Limit *= 4
 		}
@@ -193,7 +193,7 @@
 	if h.regions != nil {
 		h.regions.learn(s)
 	}
-	h.tell(policy.Revised{Settings: p})
+	h.notify(policy.Revised{Settings: p})
 }
 
 // at moves the clock, which never goes back.
@@ -216,11 +216,11 @@
 	j.takenAt = h.now
 	j.aimAt = h.now + h.aims[j.req.Class]
 	h.usage.Add(h.now, j.req.Volume, j.req.Units, j.req.Write)
-	h.tell(j.req)
+	h.notify(j.req)
 }
 
-// tell gives the module an event and carries out what it says.
-func (h *hostCore) tell(ev policy.Event) {
+// notify gives the module an event and carries out what it says.
+func (h *hostCore) notify(ev policy.Event) {
 	// The slice of actions is the module's and is overwritten by the next event;
 	// carrying an action out never tells the module anything by itself.
 	for _, a := range h.mod.Handle(h.now, ev) {
@@ -245,7 +245,7 @@
 			h.withdraw(j.last)
 		}
 	case policy.SetTimer:
-		h.dues.Push(&due{At: h.now + a.Delay, What: awaited{name: a.Name}})
+		h.timers.Push(&timer{At: h.now + a.Delay, What: awaited{name: a.Name}})
 	case policy.FetchList:
 		h.eff.fetchList() // Subscribe needs nothing: the client always is
 	case policy.CloseIdle:
@@ -277,13 +277,13 @@
 	if a.n > 0 {
 		h.resends++
 	}
-	a.due = due{At: min(a.by, a.until), What: awaited{a: a}}
+	a.timer = timer{At: min(a.by, a.until), What: awaited{a: a}}
 	if goes {
 		h.eff.send(a)
 	} else {
-		a.due.At, a.due.What.cancelled = h.now, true // the module is in the midst of an event
+		a.timer.At, a.timer.What.cancelled = h.now, true // the module is in the midst of an event
 	}
-	h.dues.Push(&a.due)
+	h.timers.Push(&a.timer)
 }
 
 // withdraw takes back an attempt that waits for its connection still; the outcome comes with
@@ -296,19 +296,19 @@
 }
 
 func (h *hostCore) rearm(a *attempt, at float64) {
-	h.dues.Remove(&a.due)
-	a.due.At = at
-	h.dues.Push(&a.due)
+	h.timers.Remove(&a.timer)
+	a.timer.At = at
+	h.timers.Push(&a.timer)
 }
 
 // cancel stops waiting for an attempt; the outcome comes with the next tick, for
 // the module is in the middle of an event.
 func (h *hostCore) cancel(j *job, n int) {
-	for _, d := range h.dues.All() { // rare: the module's own time-outs do most
+	for _, d := range h.timers.All() { // rare: the module's own time-outs do most
 		if a := d.What.a; a != nil && a.job == j && a.n == n {
-			h.dues.Remove(d)
+			h.timers.Remove(d)
 			d.At, d.What.cancelled = h.now, true
-			h.dues.Push(d)
+			h.timers.Push(d)
 			h.eff.cancel(a)
 			return
 		}
@@ -365,7 +365,7 @@
 		return
 	}
 	if j.landBy > h.now {
-		h.dues.Push(&due{At: j.landBy, What: awaited{j: j}})
+		h.timers.Push(&timer{At: j.landBy, What: awaited{j: j}})
 		return
 	}
 	j.settled = true
@@ -381,7 +381,7 @@
 	j.end()
 	j.counts.ended(j, endGone, h.now)
 	h.eff.finish(j, endGone, 0, nil)
-	h.tell(policy.ClientGone{ID: j.id})
+	h.notify(policy.ClientGone{ID: j.id})
 	h.tidy(j)
 }
 
@@ -434,22 +434,22 @@
 
 func (h *hostCore) outcome(a *attempt, r policy.Result, o policy.Outcome) {
 	a.over = true
-	h.dues.Remove(&a.due)
+	h.timers.Remove(&a.timer)
 	j := a.job
 	j.out--
 	h.tally.outcome(a.node, r, h.nodes)
 	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed, o.Result = j.id, a.node, a.n, j.ended, h.now-a.sentAt, r
-	h.tell(o)
+	h.notify(o)
 	h.tidy(j)
 }
 
 // next is when tick has something to do, +Inf if never.
-func (h *hostCore) next() float64 { return h.dues.Next() }
+func (h *hostCore) next() float64 { return h.timers.Next() }
 
 // tick does what has come due.
 func (h *hostCore) tick(now float64) {
 	h.at(now)
-	for e := h.dues.Take(h.now); e != nil; e = h.dues.Take(h.now) {
+	for e := h.timers.Take(h.now); e != nil; e = h.timers.Take(h.now) {
 		switch d := e.What; {
 		case d.a != nil:
 			h.timeOut(d.a, d.cancelled)
@@ -458,7 +458,7 @@
 		case d.name == leaseEnd:
 			h.leaseOver()
 		default:
-			h.tell(policy.TimerFired{Name: d.name})
+			h.notify(policy.TimerFired{Name: d.name})
 		}
 	}
 }
@@ -489,20 +489,20 @@
 func (h *hostCore) list(now float64, l inventory.List) {
 	h.at(now)
 	if l.Kind == inventory.Failed {
-		h.tell(policy.ListFailed{})
+		h.notify(policy.ListFailed{})
 		return
 	}
 	if l.Kind == inventory.Full {
 		clear(h.nodes)
 	}
 	for i, n := range l.Nodes {
-		if plant.Is(plant.DrainOverlooked) && n.Health == inventory.Draining {
+		if faultinject.Is(faultinject.DrainOverlooked) && n.Health == inventory.Draining {
 			l.Nodes[i].Health = inventory.Ready
 		}
 		h.nodes[n.Addr] = l.Nodes[i]
 	}
 	h.listed = true
-	h.tellNodes(l.Kind == inventory.Full, l.Nodes)
+	h.notifyNodes(l.Kind == inventory.Full, l.Nodes)
 	for _, n := range l.Nodes {
 		if n.Health == inventory.Gone {
 			delete(h.nodes, n.Addr)
@@ -512,13 +512,13 @@
 	}
 }
 
-// tellNodes tells the module of nodes, of all there are where full.
-func (h *hostCore) tellNodes(full bool, list []inventory.Node) {
+// notifyNodes tells the module of nodes, of all there are where full.
+func (h *hostCore) notifyNodes(full bool, list []inventory.Node) {
 	nodes := make([]policy.Node, len(list))
 	for i, n := range list {
 		nodes[i] = policy.Node{Addr: n.Addr, Health: h.healthOf(n), Shard: n.Shard, Zone: n.Zone, Weight: n.Weight, Started: h.startOf(n)}
 	}
-	h.tell(policy.NodeList{Full: full, Nodes: nodes})
+	h.notify(policy.NodeList{Full: full, Nodes: nodes})
 }
 
 func byAddr(a, b inventory.Node) int { return strings.Compare(a.Addr, b.Addr) }
@@ -530,7 +530,7 @@
 // startOf turns an age into a time on this clock, once for each incarnation: the
 // module takes another time for another start.
 func (h *hostCore) startOf(n inventory.Node) float64 {
-	if n.AgeMS <= 0 || plant.Is(plant.StartUnheard) {
+	if n.AgeMS <= 0 || faultinject.Is(faultinject.StartUnheard) {
 		return 0
 	}
 	k := startKey{n.Addr, n.Incarnation}
--- a/gateway/hostcore_test.go
+++ b/gateway/hostcore_test.go
@@ -14,12 +14,12 @@
 
 func TestDuesComeInOrder(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
-	var h dues
-	var live []*due
+	var h timers
+	var live []*timer
 	for range 20000 {
 		switch {
 		case len(live) == 0 || rng.IntN(3) > 0:
-			d := &due{At: float64(rng.IntN(50))}
+			d := &timer{At: float64(rng.IntN(50))}
 			h.Push(d)
 			live = append(live, d)
 		case rng.IntN(2) == 0:
@@ -29,12 +29,12 @@
 			live = slices.Delete(live, i, i+1)
 		default:
 			// Of equals the first, which was set before the others.
-			want := slices.MinFunc(live, func(a, b *due) int { return int(a.At - b.At) })
+			want := slices.MinFunc(live, func(a, b *timer) int { return int(a.At - b.At) })
 			if got := h.First(); got != want {
 				t.Fatalf("first is due at %v, want %v", got.At, want.At)
 			}
 			h.Remove(want)
-			live = slices.DeleteFunc(live, func(d *due) bool { return d == want })
+			live = slices.DeleteFunc(live, func(d *timer) bool { return d == want })
 		}
 		if len(h.All()) != len(live) {
 			t.Fatalf("%d entries, want %d", len(h.All()), len(live))
--- a/gateway/permit_test.go
+++ b/gateway/permit_test.go
@@ -10,10 +10,10 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/diskproto"
-	"merlinhitch/outbox"
 	"merlinhitch/policy"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
+	"merlinhitch/writequeue"
 )
 
 func sendBy(ev policy.Event) []policy.Action {
@@ -111,7 +111,7 @@
 	} {
 		h := newHost(w, settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
 		ours, theirs := net.Pipe()
-		l := &link{back: h.back, open: map[uint32]*attempt{}, conn: ours, out: outbox.New(w, ours, 1<<20, time.Second)}
+		l := &link{back: h.back, open: map[uint32]*attempt{}, conn: ours, out: writequeue.New(w, ours, 1<<20, time.Second)}
 		now := seam.MS(w.Now())
 		a := &attempt{job: &job{owner: nobody{}}, until: now + 60_000, by: math.Inf(1)}
 		tt.change(a, now)
--- a/gateway/regional.go
+++ b/gateway/regional.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/diskproto"
+	"merlinhitch/faultinject"
 	"merlinhitch/inventory"
-	"merlinhitch/plant"
 	"merlinhitch/policy"
 	"merlinhitch/region"
 	"merlinhitch/seam"
@@ -81,7 +81,7 @@
 		return
 	}
 	h.eff.leased(r.Until())
-	h.dues.Push(&due{At: r.Until(), What: awaited{name: leaseEnd}})
+	h.timers.Push(&timer{At: r.Until(), What: awaited{name: leaseEnd}})
 	if r.held && r.Known().Term == r.term {
 		return
 	}
@@ -108,7 +108,7 @@
 		all = append(all, n)
 	}
 	slices.SortFunc(all, byAddr)
-	h.tellNodes(true, all)
+	h.notifyNodes(true, all)
 	volumes := make([]string, 0, len(r.parts))
 	for v := range r.parts {
 		volumes = append(volumes, v)
@@ -117,7 +117,7 @@
 	for _, v := range volumes {
 		p := r.parts[v]
 		share, _ := r.shareOf(h.now, p.limit)
-		h.tell(policy.Part{Volume: v, Hosts: p.hosts, Share: share})
+		h.notify(policy.Part{Volume: v, Hosts: p.hosts, Share: share})
 	}
 }
 
@@ -150,7 +150,7 @@
 	if !region.MayRepeat(j.gen, home, everywhere) {
 		return false
 	}
-	if a.gen = home.Gen; !plant.Is(plant.FenceMissing) {
+	if a.gen = home.Gen; !faultinject.Is(faultinject.FenceMissing) {
 		a.until = min(a.until, r.Until())
 	}
 	return true
--- a/gateway/dues.go
+++ b/gateway/timers.go
@@ -1,12 +1,12 @@
 package gateway
 
-import queue "merlinhitch/due"
+import "merlinhitch/timerqueue"
 
-// due is something to do at a time.
-type due = queue.Entry[awaited]
+// timer is something to do at a time.
+type timer = timerqueue.Timer[awaited]
 
-// dues holds what is awaited, by time.
-type dues = queue.Heap[awaited]
+// timers holds what is awaited, by time.
+type timers = timerqueue.Queue[awaited]
 
 // awaited says what to do. Exactly one of a, j and name is there.
 type awaited struct {
--- a/initiator/initiator.go
+++ b/initiator/initiator.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"merlinhitch/iscsi"
-	"merlinhitch/outbox"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // ErrClosed ends commands whose connection is over: they may have run.
@@ -49,7 +49,7 @@
 type Client struct {
 	cfg  Config
 	conn net.Conn
-	out  *outbox.Outbox
+	out  *writequeue.Queue
 
 	mu      sync.Mutex
 	core    *iscsi.Initiator
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	c := &Client{cfg: cfg, conn: conn, ends: map[uint32]func(iscsi.Result, error){}}
-	c.out = outbox.New(cfg.World, conn, outMost, outTime)
+	c.out = writequeue.New(cfg.World, conn, outMost, outTime)
 	if cfg.LoginTime > 0 {
 		conn.SetReadDeadline(cfg.World.Deadline(cfg.LoginTime))
 	}
--- a/lab/explore.go
+++ b/lab/explore.go
@@ -17,7 +17,7 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/plant"
+	"merlinhitch/faultinject"
 	"merlinhitch/rules"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
@@ -191,7 +191,7 @@
 // Play plays a scene to its end or to its first failure. keep, if any, is a file for
 // its trail.
 func (s Scene) Play(ctx context.Context, keep string) (*Outcome, error) {
-	if s.Planted != "" && !plant.Possible {
+	if s.Planted != "" && !faultinject.Possible {
 		return nil, errors.New("lab: the scene has a planted fault, and this build can have none")
 	}
 	for _, t := range s.Script {
--- a/lab/fan.go
+++ b/lab/fan.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"merlinhitch/outbox"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // fan is a bare relay with the gateway's own connections: many clients in front,
@@ -23,7 +23,7 @@
 // fanUp is a connection to one server.
 type fanUp struct {
 	conn net.Conn
-	out  *outbox.Outbox
+	out  *writequeue.Queue
 	mu   sync.Mutex
 	next uint32
 	wait map[uint32]fanAsk
@@ -31,7 +31,7 @@
 
 // fanAsk is whose reply is awaited.
 type fanAsk struct {
-	out *outbox.Outbox
+	out *writequeue.Queue
 	tag uint32
 }
 
@@ -48,16 +48,16 @@
 		if err != nil {
 			return nil, err
 		}
-		u := &fanUp{conn: c, out: outbox.New(w, c, fanOut, fanTime), wait: map[uint32]fanAsk{}}
+		u := &fanUp{conn: c, out: writequeue.New(w, c, fanOut, fanTime), wait: map[uint32]fanAsk{}}
 		f.ups = append(f.ups, u)
 		go u.read()
 	}
 	var err error
-	f.l, err = fixed("127.0.0.1:0", func(c net.Conn) { f.serve(c, outbox.New(w, c, fanOut, fanTime)) })
+	f.l, err = fixed("127.0.0.1:0", func(c net.Conn) { f.serve(c, writequeue.New(w, c, fanOut, fanTime)) })
 	return f, err
 }
 
-func (f *fan) serve(c net.Conn, out *outbox.Outbox) {
+func (f *fan) serve(c net.Conn, out *writequeue.Queue) {
 	defer out.Wait()
 	defer out.Cut()
 	r := bufio.NewReaderSize(c, 64<<10)
@@ -70,7 +70,7 @@
 	}
 }
 
-func (u *fanUp) send(p *[requestLen]byte, client *outbox.Outbox) {
+func (u *fanUp) send(p *[requestLen]byte, client *writequeue.Queue) {
 	u.mu.Lock()
 	u.next++
 	tag := u.next
--- a/lab/virtual_test.go
+++ b/lab/virtual_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"merlinhitch/plant"
+	"merlinhitch/faultinject"
 	"merlinhitch/seam"
 	"merlinhitch/settings"
 	"merlinhitch/trail"
@@ -300,22 +300,22 @@
 // Each planted fault is found, plays again as it was, and gets smaller. Only in a build
 // with the tag "planted".
 func TestPlantedFaultsAreFound(t *testing.T) {
-	if !plant.Possible {
+	if !faultinject.Possible {
 		t.Skip("needs the build tag planted")
 	}
-	for _, name := range append(slices.Clone(plant.All), plant.OfRegions...) {
+	for _, name := range append(slices.Clone(faultinject.All), faultinject.OfRegions...) {
 		t.Run(name, func(t *testing.T) {
-			plant.Set(name)
-			defer plant.Set("")
+			faultinject.Set(name)
+			defer faultinject.Set("")
 			x := Exploration{First: 1, Seeds: 200, Hosts: 3, Servers: 9, Span: 30 * time.Second, Rate: 300, Swarm: true,
 				Planted: name, Parallel: 4, StopAtFirst: true}
 			switch {
-			case slices.Contains(plant.OfRegions, name):
+			case slices.Contains(faultinject.OfRegions, name):
 				x.Regions, x.Hosts, x.Servers, x.Span, x.Rate = true, 4, 8, time.Minute, 120
-				if name == plant.LeaseNoDrift {
+				if name == faultinject.LeaseNoDrift {
 					x.Draw = leaderWithoutHosts
 				}
-			case name == plant.LimitMisread:
+			case name == faultinject.LimitMisread:
 				x.Span *= 2 // a volume must stay above its limit until its burst is spent
 			}
 			sum, err := Explore(context.Background(), x, &strings.Builder{})
@@ -333,7 +333,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			plant.Set("")
+			faultinject.Set("")
 			sane := s
 			sane.Planted, sane.Failure = "", nil
 			kept(t, sane) // it is the fault that fails it
@@ -361,8 +361,8 @@
 		t.Fatal("a damaged file was taken")
 	}
 	for _, bad := range []Scene{{Hosts: 0, Servers: 9, Commands: 1, Rate: 1}, {Hosts: 1, Servers: 9, Commands: 1, Rate: 1, Script: []Strike{{Kind: "earthquake"}}},
-		{Hosts: 1, Servers: 9, Commands: 1, Rate: 1, Planted: plant.All[0] + "?"}} {
-		if bad.Planted != "" && plant.Possible {
+		{Hosts: 1, Servers: 9, Commands: 1, Rate: 1, Planted: faultinject.All[0] + "?"}} {
+		if bad.Planted != "" && faultinject.Possible {
 			continue
 		}
 		if _, err := bad.Play(context.Background(), ""); err == nil {
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -26,7 +26,7 @@
 			return
 		}
 		if p.now < n.holdTill {
-			p.wake(n.holdTill, nil, sh)
+			p.setTimer(n.holdTill, nil, sh)
 			return
 		}
 		if n.suspect && len(sh.out) > 0 {
@@ -77,7 +77,7 @@
 		return nil
 	}
 	if p.now < sh.asideTill-rounding && sh.asideMark == sh.mark() { // limits hold all that would be seen
-		p.wake(sh.asideTill+guard, nil, sh)
+		p.setTimer(sh.asideTill+guard, nil, sh)
 		return nil
 	}
 	seen, held, till := 0, 0, math.Inf(1)
@@ -104,7 +104,7 @@
 // may is the one gate before every send: it holds each rule.
 func (p *scheduler) may(r *request, sh *shard) bool {
 	n := sh.node
-	if r.done || n == nil || n.toldOff {
+	if r.done || n == nil || n.excluded {
 		return false
 	}
 	if most := r.terms.Limits.MaxAttempts; most > 0 && r.attempts >= most {
@@ -117,7 +117,7 @@
 		return false
 	}
 	if c := p.chainOf(r); c != nil && (c.members[0] != r || p.now < c.restTo) {
-		p.wake(max(c.restTo, p.now+guard), nil, sh)
+		p.setTimer(max(c.restTo, p.now+guard), nil, sh)
 		return false
 	}
 	if !p.limitOK(r, sh) {
@@ -128,7 +128,7 @@
 		return true
 	}
 	if rest := p.born + p.fallSpan(); n.coldAt < p.born && p.now < rest { // this host may have been restarted
-		p.wake(rest, nil, sh)
+		p.setTimer(rest, nil, sh)
 		return false
 	}
 	sends, units := n.sends.since(p.now - p.fallSpan())
@@ -136,7 +136,7 @@
 		return true
 	}
 	if sends > 0 {
-		p.wake(n.sends.oldest()+p.fallSpan()+p.s.Tick, nil, sh)
+		p.setTimer(n.sends.oldest()+p.fallSpan()+p.s.Tick, nil, sh)
 		return false
 	}
 	return r.attempts == 0 && p.amongDearest(r, part)
@@ -156,7 +156,7 @@
 	n.sends.since(p.now - p.fallSpan())
 	r.attempts++
 	r.out++
-	r.sentAt, r.sentTo, r.sentCold, r.stray = p.now, n, n.coldAt, false
+	r.sentAt, r.sentTo, r.sentCold, r.givenUp = p.now, n, n.coldAt, false
 	sh.out = append(sh.out, r)
 	p.do(Send{ID: r.ID, Node: n.Addr, Until: p.until(r, sh), By: p.by(r)})
 }
--- a/policy/fairqueue.go
+++ b/policy/fairqueue.go
@@ -58,7 +58,7 @@
 		if r := f.newcomer(p, sh); r != nil {
 			return r
 		}
-		p.wake(f.heldTill+guard, nil, sh)
+		p.setTimer(f.heldTill+guard, nil, sh)
 		return nil
 	}
 	clear(f.fresh)
@@ -131,7 +131,7 @@
 	out       []*request
 	waiting   int
 	depth     float64
-	wakeAt    float64 // earliest wake asked for
+	timerAt   float64 // earliest timer that was set
 	fit       *rls
 	got       gathered
 	took      gathered // the same of what was served alone
--- a/policy/health.go
+++ b/policy/health.go
@@ -37,7 +37,7 @@
 		n.easy.add(p.now, easySpan)
 		n.good.add(p.now, poolSpan)
 		sh.passed = max(sh.passed, r.sentAt)
-		p.strays(sh)
+		p.giveUpOvertaken(sh)
 		p.shares.served(r, p.now-r.arrived)
 		if n.suspect && n.pause > maxPause/2 {
 			n.coldAt = max(n.coldAt, p.now) // down for long: it was restarted
@@ -87,7 +87,7 @@
 
 type node struct {
 	Node
-	toldOff  bool    // draining or gone
+	excluded bool    // draining or gone
 	coldAt   float64 // start that it has still to warm up from
 	suspect  bool    // last attempt found no process; one trial at a time
 	pause    float64
@@ -125,7 +125,7 @@
 
 // newNode is a node's record before the list's entry is taken in.
 func newNode(e Node) *node {
-	n := &node{coldAt: math.Inf(-1), toldOff: true}
+	n := &node{coldAt: math.Inf(-1), excluded: true}
 	n.Addr, n.Shard = e.Addr, e.Shard
 	return n
 }
--- a/policy/keyorder.go
+++ b/policy/keyorder.go
@@ -47,7 +47,7 @@
 		return
 	}
 	if p.now < c.restTo {
-		p.wake(c.restTo, h, nil)
+		p.setTimer(c.restTo, h, nil)
 		return
 	}
 	p.enqueue(h)
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -36,7 +36,7 @@
 	p.settle()
 }
 
-// dropUnnamed tells off the nodes that a full list leaves out.
+// dropUnnamed excludes the nodes that a full list leaves out.
 func (p *scheduler) dropUnnamed(entries []Node) {
 	named := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -45,7 +45,7 @@
 	for addr, n := range p.nodes {
 		p.visits++
 		if !named[addr] {
-			p.tellOff(n)
+			p.exclude(n)
 			n.Health = Gone // its record stays, as its answers may come still
 		}
 	}
@@ -62,13 +62,13 @@
 		}
 		n = newNode(e)
 		p.nodes[e.Addr] = n
-	} else if n.Node == e && n.toldOff == !p.admissible(e) {
+	} else if n.Node == e && n.excluded == !p.admissible(e) {
 		return
 	}
 	if e.Started > 0 && e.Started != n.Started {
 		n.coldAt = max(n.coldAt, e.Started)
 	}
-	p.tellOff(n)
+	p.exclude(n)
 	if e.Health == Gone {
 		delete(p.nodes, e.Addr)
 		n.Health = Gone
@@ -99,17 +99,17 @@
 // admit lets n be sent to as a holder of its shard.
 func (p *scheduler) admit(n *node) {
 	sh := p.shard(n.Shard)
-	n.toldOff = false
+	n.excluded = false
 	sh.ready = append(sh.ready, n)
 	p.listChanges(sh)
 }
 
-// tellOff has nothing new sent to n.
-func (p *scheduler) tellOff(n *node) {
-	if n.toldOff {
+// exclude has nothing new sent to n.
+func (p *scheduler) exclude(n *node) {
+	if n.excluded {
 		return
 	}
-	n.toldOff = true
+	n.excluded = true
 	sh := p.shard(n.Shard)
 	sh.ready = slices.DeleteFunc(sh.ready, func(x *node) bool { return x == n })
 	p.listChanges(sh)
@@ -123,11 +123,11 @@
 	}
 }
 
-// recall takes back what still waits for its connection to a node that was told off, or has
+// recall takes back what still waits for its connection to a node that was excluded, or has
 // started anew, since it was decided: drains and cold nodes are held to when bytes leave.
 func (p *scheduler) recall(sh *shard) {
 	for _, r := range sh.out {
-		if r.sentTo.toldOff || r.sentTo.coldAt != r.sentCold {
+		if r.sentTo.excluded || r.sentTo.coldAt != r.sentCold {
 			p.do(Withdraw{r.ID, r.attempts - 1})
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -469,8 +469,8 @@
 	}
 	g.pass(60000)
 	p := g.p
-	if len(p.reqs)+len(p.chains)+len(p.vols)+len(p.wakes) > 1 {
-		t.Errorf("left: %d requests, %d keys, %d volumes, %d wakes", len(p.reqs), len(p.chains), len(p.vols), len(p.wakes))
+	if len(p.reqs)+len(p.chains)+len(p.vols)+len(p.timers) > 1 {
+		t.Errorf("left: %d requests, %d keys, %d volumes, %d timers", len(p.reqs), len(p.chains), len(p.vols), len(p.timers))
 	}
 }
 
@@ -826,7 +826,7 @@
 }
 
 // both does the same to the two, whose timers are their own, and compares what they
-// decided and when. Timers are left out: without memory some are set for wakes that
+// decided and when. Timers are left out: without memory some are set for times that
 // nothing comes of.
 func (tw *twins) both(f func(g *rig)) {
 	tw.t.Helper()
--- a/policy/rate_test.go
+++ b/policy/rate_test.go
@@ -205,7 +205,7 @@
 	n := f.run(5000, 8000, 0)
 	size := func() int {
 		p := f.p.(*scheduler)
-		all := len(p.wakes) + len(p.taken.all) + len(p.resends.all) + len(p.reqs) + len(p.pool)
+		all := len(p.timers) + len(p.taken.all) + len(p.resends.all) + len(p.reqs) + len(p.pool)
 		for _, nd := range p.nodes {
 			all += len(nd.sends.all)
 		}
--- a/policy/reason.go
+++ b/policy/reason.go
@@ -44,7 +44,7 @@
 		return ReasonOutcome
 	case r.terms.Limits.MaxAttempts > 0 && r.attempts >= r.terms.Limits.MaxAttempts:
 		return ReasonAttempts
-	case n == nil || n.toldOff:
+	case n == nil || n.excluded:
 		return ReasonNoNode
 	case r.attempts == 0 && p.now-r.vol.heldAt < period:
 		return ReasonLimit
--- a/policy/request.go
+++ b/policy/request.go
@@ -26,7 +26,7 @@
 	r.shard = p.place(q.Shard)
 	most := max(p.now+waitPart*(q.Expires-p.now), r.aimAt+waitAims*r.class.Aim)
 	r.halfAt = min(most, q.Expires-p.s.Tick-guard)
-	p.wake(r.halfAt, r, nil)
+	p.setTimer(r.halfAt, r, nil)
 	p.rate(r)
 	if c := p.chainOf(r); c != nil {
 		c.members = append(c.members, r)
@@ -100,7 +100,7 @@
 	last := r.Expires - p.s.Tick - guard
 	r.halfAt = min(r.halfAt, last)
 	r.shard.firstEnd = min(r.shard.firstEnd, r.Expires)
-	p.wake(last, r, nil)
+	p.setTimer(last, r, nil)
 }
 
 // expire ends what is held when its client is about to leave, what no node had before that.
@@ -114,7 +114,7 @@
 			p.end(r)
 		} else if half && !r.halved {
 			r.halved = true
-			p.wake(last, r, nil)
+			p.setTimer(last, r, nil)
 		}
 		return
 	}
@@ -124,7 +124,7 @@
 	}
 	late := r.Expires + r.terms.Rules.AnswerSlack/2
 	if p.now < late { // the attempt's own time-out comes first
-		p.wake(late, r, nil)
+		p.setTimer(late, r, nil)
 		return
 	}
 	p.end(r)
@@ -167,7 +167,7 @@
 	slot     int     // its place in list, where it is in one
 	halfAt   float64 // until then it may wait without a node having had it
 	halved   bool    // that time is over
-	stray    bool    // its attempt was given up as lost
+	givenUp  bool    // its attempt was given up as lost
 	reached  bool    // a node has had it, or may have
 	charged  bool    // its volume's limit has given the units for it
 	drawn    float64 // its lot among requests of its worth, see amongDearest; 0: none yet
@@ -210,7 +210,7 @@
 	r.shard.remove(r)
 	if r.out == 0 {
 		delete(p.reqs, r.ID)
-		p.stale++
+		p.staleTimers++
 	} else {
 		p.do(Withdraw{r.ID, r.attempts - 1}) // nothing begins for what is over
 	}
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -40,13 +40,13 @@
 // dropped is until when repeats of r, which may have run, are surely dropped.
 func (p *scheduler) dropped(r *request) float64 { return r.ranAt + r.class.Window - p.s.Tick - guard }
 
-// strays gives up what others overtook that were sent several service times later: its answer
+// giveUpOvertaken gives up what others overtook that were sent several service times later: its answer
 // is lost. In a pause nothing overtakes. A cancel may leave a copy at work: only where two may.
-func (p *scheduler) strays(sh *shard) {
+func (p *scheduler) giveUpOvertaken(sh *shard) {
 	for _, r := range sh.out {
 		lost := r.sentAt+stuckTimes*p.meanAt(sh) < sh.passed && r.class.Effect != Unsafe
-		if lost && p.s.Limits.Cancel && p.s.Limits.Copies && !r.stray && !r.done && !r.class.Streamed {
-			r.stray = true
+		if lost && p.s.Limits.Cancel && p.s.Limits.Copies && !r.givenUp && !r.done && !r.class.Streamed {
+			r.givenUp = true
 			p.do(CancelAttempt{r.ID, r.attempts - 1})
 		}
 	}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -49,37 +49,37 @@
 }
 
 type scheduler struct {
-	s       *Settings // not altered once a request was taken under them
-	rng     *rand.Rand
-	born    float64
-	now     float64
-	started bool
-	acts    []Action
-	nodes   map[string]*node
-	shards  []*shard // by id
-	listed  []*shard // that the list being taken in changes
-	index   shardIndex
-	visits  int // nodes and shards looked at one by one: what an event costs as a fleet grows
-	reqs    map[string]*request
-	vols    map[string]*volume
-	chains  map[string]*chain
-	wakes   wakes
-	stale   int // wakes of requests that are over
-	armed   float64
-	resends window
-	taken   window
-	turned  map[tried]turn // requests that were not served, while their clients may try again
-	largest float64        // units of a request so far
-	heldAt  float64        // when the request just looked at may go by its limit; 0: that does not hold it
-	subOn   bool
-	askedAt float64
-	shares  regulator
-	pool    []answer // answers of all nodes
-	median  float64  // of their times
-	base    float64  // the same when nothing waits
-	asked   float64  // units taken since ratedAt
-	ratedAt float64
-	ownRate float64 // units taken a second, smoothed over some ten seconds
+	s           *Settings // not altered once a request was taken under them
+	rng         *rand.Rand
+	born        float64
+	now         float64
+	started     bool
+	acts        []Action
+	nodes       map[string]*node
+	shards      []*shard // by id
+	listed      []*shard // that the list being taken in changes
+	index       shardIndex
+	visits      int // nodes and shards looked at one by one: what an event costs as a fleet grows
+	reqs        map[string]*request
+	vols        map[string]*volume
+	chains      map[string]*chain
+	timers      timerHeap
+	staleTimers int // timers of requests that are over
+	armed       float64
+	resends     window
+	taken       window
+	turned      map[tried]turn // requests that were not served, while their clients may try again
+	largest     float64        // units of a request so far
+	heldAt      float64        // when the request just looked at may go by its limit; 0: it is not held
+	subOn       bool
+	askedAt     float64
+	shares      regulator
+	pool        []answer // answers of all nodes
+	median      float64  // of their times
+	base        float64  // the same when nothing waits
+	asked       float64  // units taken since ratedAt
+	ratedAt     float64
+	ownRate     float64 // units taken a second, smoothed over some ten seconds
 	// recentUnits are the units taken, fading with burstSpan.
 	recentUnits fading
 	recent      []ask
@@ -174,6 +174,6 @@
 			p.armed = math.Inf(1)
 		}
 	}
-	p.due()
+	p.runTimers()
 	return p.acts
 }
--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -162,22 +162,22 @@
 			}
 			return n
 		}
-		stray := g.ask(c.class, "high", "s", 2)
+		slow := g.ask(c.class, "high", "s", 2)
 		mean := g.p.meanAt(g.p.shards[0])
 		for i := range 12 {
-			if before := given(stray); i < 3 && before > 0 {
+			if before := given(slow); i < 3 && before > 0 {
 				t.Errorf("%s: given up at once", c.class)
 			}
 			id := g.ask("read", "high", fmt.Sprint("x", i), 2)
 			g.pass(mean)
 			g.do(Outcome{ID: id, Node: "n0", Elapsed: mean, Result: Served, Done: true})
 		}
-		if n := given(stray); n != c.want {
+		if n := given(slow); n != c.want {
 			t.Errorf("%s, cancel %v, copies %v: given up %d times", c.class, c.cancel, c.copies, n)
 		}
 		if c.want == 1 {
-			g.do(Outcome{ID: stray, Node: "n0", Elapsed: 12 * mean, Result: Cancelled})
-			if g.sends(stray) != 2 {
+			g.do(Outcome{ID: slow, Node: "n0", Elapsed: 12 * mean, Result: Cancelled})
+			if g.sends(slow) != 2 {
 				t.Errorf("%s: not sent again", c.class)
 			}
 		}
--- a/policy/timers.go
+++ b/policy/timers.go
@@ -7,64 +7,64 @@
 
 // Timers of requests and shards.
 
-type wake struct {
+type timer struct {
 	at float64
 	rq *request
 	sh *shard
 }
 
-type wakes []wake
+type timerHeap []timer
 
-// manyWakes is the number below which wakes of requests that are over are left
+// manyTimers is the number below which timers of requests that are over are left
 // to come due by themselves.
-const manyWakes = 8192
+const manyTimers = 8192
 
-func (w wakes) Len() int { return len(w) }
+func (h timerHeap) Len() int { return len(h) }
 
-func (w wakes) Less(i, j int) bool { return w[i].at < w[j].at }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
 
-func (w wakes) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
-func (w *wakes) Push(x any) { *w = append(*w, x.(wake)) }
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
 
-func (w *wakes) Pop() any {
-	old := *w
+func (h *timerHeap) Pop() any {
+	old := *h
 	x := old[len(old)-1]
-	*w = old[:len(old)-1]
+	*h = old[:len(old)-1]
 	return x
 }
 
-// wake has r looked at, or sh pumped, at that time; a shard keeps one wake.
-func (p *scheduler) wake(at float64, r *request, sh *shard) {
+// setTimer has r looked at, or sh pumped, at that time; a shard keeps one timer.
+func (p *scheduler) setTimer(at float64, r *request, sh *shard) {
 	if sh != nil {
-		if sh.wakeAt > p.now && sh.wakeAt <= at {
+		if sh.timerAt > p.now && sh.timerAt <= at {
 			return
 		}
-		sh.wakeAt = at
+		sh.timerAt = at
 	}
-	heap.Push(&p.wakes, wake{at, r, sh})
+	heap.Push(&p.timers, timer{at, r, sh})
 }
 
-// due runs what has come due and arms the timer for what comes next.
-func (p *scheduler) due() {
-	for len(p.wakes) > 0 && p.wakes[0].at <= p.now {
-		w := heap.Pop(&p.wakes).(wake)
+// runTimers runs what has come due and arms the timer for what comes next.
+func (p *scheduler) runTimers() {
+	for len(p.timers) > 0 && p.timers[0].at <= p.now {
+		w := heap.Pop(&p.timers).(timer)
 		if w.rq != nil {
 			if w.rq.over() {
-				p.stale--
+				p.staleTimers--
 			}
 			p.expire(w.rq)
-		} else if w.at == w.sh.wakeAt {
+		} else if w.at == w.sh.timerAt {
 			p.pump(w.sh)
 		}
 	}
-	if len(p.wakes) > manyWakes && 2*p.stale > len(p.wakes) {
-		p.wakes = slices.DeleteFunc(p.wakes, func(w wake) bool { return w.rq != nil && w.rq.over() })
-		p.stale = 0
-		heap.Init(&p.wakes)
+	if len(p.timers) > manyTimers && 2*p.staleTimers > len(p.timers) {
+		p.timers = slices.DeleteFunc(p.timers, func(w timer) bool { return w.rq != nil && w.rq.over() })
+		p.staleTimers = 0
+		heap.Init(&p.timers)
 	}
-	if len(p.wakes) > 0 && p.wakes[0].at < p.armed {
-		p.armed = p.wakes[0].at
+	if len(p.timers) > 0 && p.timers[0].at < p.armed {
+		p.armed = p.timers[0].at
 		p.do(SetTimer{max(p.armed-p.now, 0), "wake"})
 	}
 }
--- a/policy/tokenbucket.go
+++ b/policy/tokenbucket.go
@@ -73,7 +73,7 @@
 	v := p.volume(r.Request, r.vol.plan)
 	if lack := v.limFloor + r.Units - v.limit; lack > 0 {
 		p.heldAt, v.heldAt = p.now+lack/v.limFill*1000, p.now
-		p.wake(p.heldAt+guard, nil, sh)
+		p.setTimer(p.heldAt+guard, nil, sh)
 		return false
 	}
 	return true
--- a/policy/view.go
+++ b/policy/view.go
@@ -65,7 +65,7 @@
 			Shard: sh.id, Depth: sh.depth, Out: len(sh.out), Waiting: sh.waiting,
 			Parked: sh.parked.len(), Service: p.serviceOf(sh),
 		}
-		if sh.node != nil && !sh.node.toldOff {
+		if sh.node != nil && !sh.node.excluded {
 			x.Node = sh.node.Addr
 		}
 		v.Shards = append(v.Shards, x)
@@ -75,7 +75,7 @@
 	}
 	for addr, n := range p.nodes {
 		x := NodeView{
-			Addr: addr, Shard: n.Shard, Off: n.toldOff, Suspect: n.suspect,
+			Addr: addr, Shard: n.Shard, Off: n.excluded, Suspect: n.suspect,
 			HeldFor: max(n.holdTill-p.now, 0), Cold: 1,
 		}
 		if _, part, cold := p.cold(n); cold {
--- a/region/region.go
+++ b/region/region.go
@@ -16,7 +16,7 @@
 	"fmt"
 	"slices"
 
-	"merlinhitch/plant"
+	"merlinhitch/faultinject"
 )
 
 // ID is a region: 0 or 1. Nowhere is the home of a shard that is between two.
@@ -40,7 +40,7 @@
 
 // planted is the bounds with the fault that is planted.
 func (c Config) planted() Config {
-	if plant.Is(plant.LeaseNoDrift) {
+	if faultinject.Is(faultinject.LeaseNoDrift) {
 		c.Drift = 0
 	}
 	return c
--- a/region/source.go
+++ b/region/source.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"merlinhitch/plant"
+	"merlinhitch/faultinject"
 )
 
 // Beat is what a source tells the other, so often as it likes.
@@ -339,7 +339,7 @@
 	s.copied()
 	s.alone(now)
 	s.retreat(now)
-	if s.clear(now) || plant.Is(plant.ShareEarly) {
+	if s.clear(now) || faultinject.Is(faultinject.ShareEarly) {
 		s.advance(now)
 	}
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -8,8 +8,8 @@
 	"slices"
 	"sync/atomic"
 
-	"merlinhitch/due"
 	"merlinhitch/policy"
+	"merlinhitch/timerqueue"
 )
 
 // callOutcome says how a call ended.
@@ -62,7 +62,7 @@
 	begun  bool
 	over   bool
 	link   *link
-	due    due.Entry[pending]
+	timer  timerqueue.Timer[pending]
 }
 
 // pending is what comes due: an attempt's time-out, or else the module's timer.
@@ -100,7 +100,7 @@
 	born     int64 // Unix time, ms, of the clock's zero
 	calls    map[string]*call
 	past     ring
-	dues     due.Heap[pending]
+	timers   timerqueue.Queue[pending]
 	hosts    map[string]heldEntry
 	heard    bool // discovery has spoken
 	shards   int  // that the settings name; 0: not known
@@ -139,8 +139,8 @@
 // at moves the clock, which never goes back.
 func (k *core) at(now float64) { k.now = max(k.now, now) }
 
-// tell gives the module an event and carries out what it says; doing so tells it nothing.
-func (k *core) tell(ev policy.Event) {
+// notify gives the module an event and carries out what it says; doing so tells it nothing.
+func (k *core) notify(ev policy.Event) {
 	for _, a := range k.mod.Handle(k.now, ev) {
 		k.do(a)
 	}
@@ -163,7 +163,7 @@
 			k.cancel(x)
 		}
 	case policy.SetTimer:
-		k.dues.Push(&due.Entry[pending]{At: k.now + a.Delay, What: pending{timer: a.Name}})
+		k.timers.Push(&timerqueue.Timer[pending]{At: k.now + a.Delay, What: pending{timer: a.Name}})
 	case policy.CloseIdle:
 		k.eff.retire(a.Node)
 	case policy.Log:
@@ -181,7 +181,7 @@
 	k.calls[c.req.ID] = c
 	k.past.add(c.req.ID)
 	k.counters.Taken++
-	k.tell(c.req)
+	k.notify(c.req)
 	return true
 }
 
@@ -205,8 +205,8 @@
 	if a.n > 0 {
 		k.counters.Resends++
 	}
-	a.due = due.Entry[pending]{At: min(a.by, a.until), What: pending{a: a}}
-	k.dues.Push(&a.due)
+	a.timer = timerqueue.Timer[pending]{At: min(a.by, a.until), What: pending{a: a}}
+	k.timers.Push(&a.timer)
 	k.eff.send(a)
 }
 
@@ -214,7 +214,7 @@
 // begun. What may not ends as never sent.
 func (k *core) begin(now float64, a *attempt) bool {
 	k.at(now)
-	if a.over || a.due.What.cancelled {
+	if a.over || a.timer.What.cancelled {
 		return false
 	}
 	if k.now > a.by || k.now >= a.until {
@@ -227,9 +227,9 @@
 }
 
 func (k *core) rearm(a *attempt, at float64) {
-	k.dues.Remove(&a.due)
-	a.due.At = at
-	k.dues.Push(&a.due)
+	k.timers.Remove(&a.timer)
+	a.timer.At = at
+	k.timers.Push(&a.timer)
 }
 
 // attempt is the one of that number that is out, nil if there is none.
@@ -245,7 +245,7 @@
 // module is in the midst of an event.
 func (k *core) cancel(a *attempt) {
 	if !a.over {
-		a.due.What.cancelled = true
+		a.timer.What.cancelled = true
 		k.rearm(a, k.now)
 	}
 }
@@ -289,7 +289,7 @@
 	c.over.Store(true)
 	k.counters.Gone++
 	k.log.clientLeft(c)
-	k.tell(policy.ClientGone{ID: c.req.ID})
+	k.notify(policy.ClientGone{ID: c.req.ID})
 	k.tidy(c)
 }
 
@@ -300,13 +300,13 @@
 		return
 	}
 	c.req.Expires = min(c.req.Expires, by)
-	k.tell(policy.Sooner{ID: c.req.ID, By: by})
+	k.notify(policy.Sooner{ID: c.req.ID, By: by})
 }
 
 // stop has all that is open answered now.
 func (k *core) stop(now float64) {
 	k.at(now)
-	k.tell(policy.Stop{})
+	k.notify(policy.Stop{})
 }
 
 // reply is what a disk server answered.
@@ -340,7 +340,7 @@
 
 func (k *core) outcome(a *attempt, o policy.Outcome) {
 	a.over = true
-	k.dues.Remove(&a.due)
+	k.timers.Remove(&a.timer)
 	c := a.call
 	c.out--
 	k.counters.Outcomes[o.Result]++
@@ -348,21 +348,21 @@
 	if o.Result != policy.Served {
 		k.log.attemptFailed(a, o.Result, o.Elapsed)
 	}
-	k.tell(o)
+	k.notify(o)
 	k.tidy(c)
 }
 
 // next is when tick has something to do, +Inf if never.
-func (k *core) next() float64 { return k.dues.Next() }
+func (k *core) next() float64 { return k.timers.Next() }
 
 // tick does what has come due.
 func (k *core) tick(now float64) {
 	k.at(now)
-	for d := k.dues.Take(k.now); d != nil; d = k.dues.Take(k.now) {
+	for d := k.timers.Take(k.now); d != nil; d = k.timers.Take(k.now) {
 		if d.What.a != nil {
 			k.timeOut(d.What.a, d.What.cancelled)
 		} else {
-			k.tell(policy.TimerFired{Name: d.What.timer})
+			k.notify(policy.TimerFired{Name: d.What.timer})
 		}
 	}
 }
@@ -384,7 +384,7 @@
 func (k *core) revise(now float64, s policy.Settings) {
 	k.at(now)
 	k.shards = s.Shards
-	k.tell(policy.Revised{Settings: s})
+	k.notify(policy.Revised{Settings: s})
 }
 
 // list brings the list of disk servers, or what changed. The module is told only what
@@ -421,7 +421,7 @@
 		k.eff.reach(e)
 	}
 	k.heard = k.heard || !cached
-	k.tell(policy.NodeList{Cached: cached, Nodes: nodes})
+	k.notify(policy.NodeList{Cached: cached, Nodes: nodes})
 	for _, n := range nodes {
 		if n.Health == policy.Gone {
 			k.eff.retire(n.Addr)
--- a/scheduler/front.go
+++ b/scheduler/front.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"merlinhitch/outbox"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 const (
@@ -75,13 +75,13 @@
 	clientEnding                    // it was told to end while it was idle
 )
 
-// client is one connection. Its goroutine reads it, and alone closes it; its outbox writes.
+// client is one connection. Its goroutine reads it, and alone closes it; its write queue writes.
 type client struct {
 	front *front
 	conn  net.Conn
 	ahead *ahead
 	in    *bufio.Reader
-	out   *outbox.Outbox
+	out   *writequeue.Queue
 	// Under the front's lock.
 	state clientState
 	since float64 // when it came to that state, ms
@@ -149,7 +149,7 @@
 func (f *front) client(conn net.Conn, came float64) *client {
 	c := &client{front: f, conn: conn, ahead: &ahead{conn: conn, now: f.loop.now, held: &f.ahead, from: came}, since: f.loop.now()}
 	c.in = bufio.NewReaderSize(c.ahead, linkBuffer)
-	c.out = outbox.New(f.world, conn, clientOut, outTimeout)
+	c.out = writequeue.New(f.world, conn, clientOut, outTimeout)
 	c.out.HalfClose = true
 	c.out.Gauge = func(delta int) { f.queued.Add(int64(delta)) }
 	f.mu.Lock()
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -23,7 +23,7 @@
 	log    *eventLog
 
 	mu      sync.Mutex
-	mail    []event
+	mailbox []event
 	waiting []seam.Parker // who has something to post and finds no room
 	stopped bool
 
@@ -37,8 +37,8 @@
 	do   func(at float64)
 }
 
-// mostMail bounds what waits for the loop: its posters wait once it is reached.
-const mostMail = 1024
+// mailboxLimit bounds what waits for the loop: its posters wait once it is reached.
+const mailboxLimit = 1024
 
 func newLoop(w seam.World) *loop {
 	return &loop{world: w, start: w.Now(), wake: w.NewParker()}
@@ -57,8 +57,8 @@
 			l.mu.Unlock()
 			return false
 		}
-		if len(l.mail) < mostMail {
-			l.mail = append(l.mail, event{at, kind, f})
+		if len(l.mailbox) < mailboxLimit {
+			l.mailbox = append(l.mailbox, event{at, kind, f})
 			l.mu.Unlock()
 			l.wake.Unpark()
 			return true
@@ -76,13 +76,13 @@
 func (l *loop) collect(room []event) []event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	mail := l.mail
-	l.mail = room[:0]
+	events := l.mailbox
+	l.mailbox = room[:0]
 	for _, p := range l.waiting {
 		p.Unpark()
 	}
 	l.waiting = l.waiting[:0]
-	return mail
+	return events
 }
 
 func (l *loop) halted() bool {
@@ -94,13 +94,13 @@
 // run serves the core until stop.
 func (l *loop) run(k *core) {
 	defer l.done.Open()
-	var mail []event
+	var events []event
 	for !l.halted() {
 		l.wake.Park()
-		mail = l.collect(mail)
-		for i := range mail {
-			l.handle(&mail[i])
-			mail[i] = event{}
+		events = l.collect(events)
+		for i := range events {
+			l.handle(&events[i])
+			events[i] = event{}
 			l.tick(k)
 		}
 		l.tick(k)
--- a/standin/copier.go
+++ b/standin/copier.go
@@ -9,9 +9,9 @@
 
 	"merlinhitch/diskproto"
 	"merlinhitch/inventory"
-	"merlinhitch/outbox"
 	"merlinhitch/region"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // What a disk server of one of two regions does beside its requests: as its shard's home
@@ -56,7 +56,7 @@
 	cell *Cell
 	gen  uint64
 	conn net.Conn
-	out  *outbox.Outbox
+	out  *writequeue.Queue
 	wake seam.Parker
 	over seam.Gate
 	sent uint64 // the last change
@@ -64,7 +64,7 @@
 
 func (c *copier) run() {
 	w := c.d.world
-	c.out = outbox.New(w, c.conn, diskOut, diskTimeout)
+	c.out = writequeue.New(w, c.conn, diskOut, diskTimeout)
 	defer c.out.Wait()
 	defer c.out.Cut()
 	if !c.d.keep(c.out) {
@@ -154,7 +154,7 @@
 }
 
 // copied takes a frame from the shard's home; false ends the connection.
-func (d *DiskServer) copied(o *outbox.Outbox, f diskproto.Frame, gen *uint64) bool {
+func (d *DiskServer) copied(o *writequeue.Queue, f diskproto.Frame, gen *uint64) bool {
 	cell := d.machine.cell
 	if f.Kind == diskproto.KindJoin {
 		var m diskproto.Join
--- a/standin/diskserver.go
+++ b/standin/diskserver.go
@@ -11,8 +11,8 @@
 
 	"merlinhitch/diskproto"
 	"merlinhitch/keys"
-	"merlinhitch/outbox"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // NetTrouble is what is wrong with a disk server's connections.
@@ -40,7 +40,7 @@
 	machine  *Machine
 	timer    seam.Timer
 	timerAt  float64
-	conns    seam.Roster[*outbox.Outbox]
+	conns    seam.Roster[*writequeue.Queue]
 	net      NetTrouble
 	rng      *rand.Rand
 	dead     bool
@@ -94,7 +94,7 @@
 		if d.Keys != nil {
 			c = tls.Server(c, d.Keys.Server(true))
 		}
-		o := outbox.New(d.world, c, diskOut, diskTimeout)
+		o := writequeue.New(d.world, c, diskOut, diskTimeout)
 		if !d.keep(o) {
 			o.Cut()
 			return
@@ -104,7 +104,7 @@
 }
 
 // keep has a connection cut when the process ends; false if it has ended.
-func (d *DiskServer) keep(o *outbox.Outbox) bool {
+func (d *DiskServer) keep(o *writequeue.Queue) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.dead {
@@ -114,7 +114,7 @@
 	return true
 }
 
-func (d *DiskServer) leave(o *outbox.Outbox) {
+func (d *DiskServer) leave(o *writequeue.Queue) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns.Remove(o)
@@ -131,7 +131,7 @@
 	return len(certs) > 0 && d.Keys.Check(certs[0]) == nil
 }
 
-func (d *DiskServer) serve(c net.Conn, o *outbox.Outbox) {
+func (d *DiskServer) serve(c net.Conn, o *writequeue.Queue) {
 	defer d.leave(o)
 	defer o.Wait()
 	defer o.Cut()
@@ -181,7 +181,7 @@
 }
 
 // frame handles one message; false ends the connection.
-func (d *DiskServer) frame(o *outbox.Outbox, f diskproto.Frame) bool {
+func (d *DiskServer) frame(o *writequeue.Queue, f diskproto.Frame) bool {
 	switch f.Kind {
 	case diskproto.KindHello:
 		var h diskproto.Hello
@@ -210,7 +210,7 @@
 	return true // Cancel stops nothing here; unknown kinds are of later versions
 }
 
-func (d *DiskServer) do(o *outbox.Outbox, tag uint32, m diskproto.Do) {
+func (d *DiskServer) do(o *writequeue.Queue, tag uint32, m diskproto.Do) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.dead {
@@ -226,7 +226,7 @@
 }
 
 // answer sends an answer with whatever is wrong with the connection. Held: mu.
-func (d *DiskServer) answer(o *outbox.Outbox, tag uint32, a diskproto.Answer) {
+func (d *DiskServer) answer(o *writequeue.Queue, tag uint32, a diskproto.Answer) {
 	a.Clock = uint64(d.world.Now() / time.Microsecond)
 	frame := diskproto.Append(nil, diskproto.KindAnswer, tag, &a)
 	switch {
--- a/standin/inventory.go
+++ b/standin/inventory.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"merlinhitch/inventory"
-	"merlinhitch/outbox"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // Inventory is the shell of a node list: it pushes each change to all clients,
@@ -28,7 +28,7 @@
 }
 
 type watcher struct {
-	out   *outbox.Outbox
+	out   *writequeue.Queue
 	known uint64
 	on    bool
 }
@@ -61,7 +61,7 @@
 			c.Close()
 			return
 		}
-		wt := &watcher{out: outbox.New(v.world, c, listOut, listTimeout)}
+		wt := &watcher{out: writequeue.New(v.world, c, listOut, listTimeout)}
 		v.conns.Add(wt)
 		v.mu.Unlock()
 		v.tasks.Go(v.world, func() { v.serve(c, wt) })
--- a/standin/router.go
+++ b/standin/router.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"merlinhitch/bgp"
-	"merlinhitch/outbox"
 	"merlinhitch/seam"
+	"merlinhitch/writequeue"
 )
 
 // RouterFault is what is wrong with a router's sessions. The zero value is a sound one.
@@ -79,7 +79,7 @@
 type routerSession struct {
 	r     *Router
 	conn  net.Conn
-	out   *outbox.Outbox
+	out   *writequeue.Queue
 	host  uint32
 	four  bool
 	state bgp.State
@@ -145,7 +145,7 @@
 			c.Close()
 			continue
 		}
-		s := &routerSession{r: r, conn: c, out: outbox.New(r.world, c, routerOut, routerHold), state: bgp.Connect, fault: r.fault}
+		s := &routerSession{r: r, conn: c, out: writequeue.New(r.world, c, routerOut, routerHold), state: bgp.Connect, fault: r.fault}
 		r.sessions.Add(s)
 		r.mu.Unlock()
 		r.tasks.Go(r.world, func() { s.run() })
--- a/due/due.go
+++ b/timerqueue/timerqueue.go
@@ -1,43 +1,43 @@
-// Package due is a heap of what comes due at a time, from which an entry can be taken
+// Package timerqueue holds what comes due at a time, from which a timer can be taken
 // out, so that it holds only what is still awaited. It knows no clock.
-package due
+package timerqueue
 
 import (
 	"container/heap"
 	"math"
 )
 
-// Entry is something to do at a time, in whatever unit its owner counts. An entry is in
-// one heap at a time.
-type Entry[T any] struct {
+// Timer is something to do at a time, in whatever unit its owner counts. A timer is in
+// one queue at a time.
+type Timer[T any] struct {
 	At   float64
 	What T
 	seq  uint64 // equals come due in the order in which they were set
 	slot int    // its place in the heap and one more; 0 when it is in none
 }
 
-// Heap orders entries by time. The zero value is empty.
-type Heap[T any] struct {
+// Queue orders entries by time. The zero value is empty.
+type Queue[T any] struct {
 	all entries[T]
 	seq uint64
 }
 
 // Push enters e.
-func (h *Heap[T]) Push(e *Entry[T]) {
+func (h *Queue[T]) Push(e *Timer[T]) {
 	h.seq++
 	e.seq = h.seq
 	heap.Push(&h.all, e)
 }
 
 // Remove takes e out, if it is in.
-func (h *Heap[T]) Remove(e *Entry[T]) {
+func (h *Queue[T]) Remove(e *Timer[T]) {
 	if e.slot > 0 {
 		heap.Remove(&h.all, e.slot-1)
 	}
 }
 
 // First is the earliest entry, nil if there is none.
-func (h *Heap[T]) First() *Entry[T] {
+func (h *Queue[T]) First() *Timer[T] {
 	if len(h.all) == 0 {
 		return nil
 	}
@@ -45,7 +45,7 @@
 }
 
 // Next is when the earliest entry comes due, +Inf where there is none.
-func (h *Heap[T]) Next() float64 {
+func (h *Queue[T]) Next() float64 {
 	if len(h.all) == 0 {
 		return math.Inf(1)
 	}
@@ -53,7 +53,7 @@
 }
 
 // Take takes out the earliest entry that is due by now, nil if there is none.
-func (h *Heap[T]) Take(now float64) *Entry[T] {
+func (h *Queue[T]) Take(now float64) *Timer[T] {
 	e := h.First()
 	if e == nil || e.At > now {
 		return nil
@@ -63,9 +63,9 @@
 }
 
 // All lists the entries, in no order that means anything. It is the heap's own.
-func (h *Heap[T]) All() []*Entry[T] { return h.all }
+func (h *Queue[T]) All() []*Timer[T] { return h.all }
 
-type entries[T any] []*Entry[T]
+type entries[T any] []*Timer[T]
 
 func (h entries[T]) Len() int { return len(h) }
 
@@ -79,7 +79,7 @@
 }
 
 func (h *entries[T]) Push(x any) {
-	e := x.(*Entry[T])
+	e := x.(*Timer[T])
 	*h = append(*h, e)
 	e.slot = len(*h)
 }
--- a/due/due_test.go
+++ b/timerqueue/timerqueue_test.go
@@ -1,4 +1,4 @@
-package due
+package timerqueue
 
 import (
 	"math"
@@ -11,14 +11,14 @@
 // Entries come by time and, at equal times, as they were set; those taken out don't come.
 func TestOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var h Heap[int]
-		var all []*Entry[int]
+		var h Queue[int]
+		var all []*Timer[int]
 		for i, at := range rapid.SliceOfN(rapid.IntRange(0, 9), 0, 50).Draw(t, "times") {
-			e := &Entry[int]{At: float64(at), What: i}
+			e := &Timer[int]{At: float64(at), What: i}
 			h.Push(e)
 			all = append(all, e)
 		}
-		var want []*Entry[int]
+		var want []*Timer[int]
 		for _, e := range all {
 			if rapid.Bool().Draw(t, "out") {
 				h.Remove(e)
@@ -27,7 +27,7 @@
 				want = append(want, e)
 			}
 		}
-		slices.SortStableFunc(want, func(a, b *Entry[int]) int { return int(a.At - b.At) })
+		slices.SortStableFunc(want, func(a, b *Timer[int]) int { return int(a.At - b.At) })
 		for _, e := range want {
 			if h.First() != e {
 				t.Fatal("wrong order")
--- a/world/lint_test.go
+++ b/world/lint_test.go
@@ -17,12 +17,12 @@
 var cores = map[string][]string{
 	"policy": nil, "iscsi": nil, "scsi": nil, "reserve": nil, "diskproto": nil, "announce": nil, "rates": nil, "rules": nil,
 	"placement": nil, "plan": nil, "region": nil,
-	"http1": nil, "due": nil, "scheduler": {"loop.go", "front.go", "ahead.go", "back.go", "discovery.go", "lifecycle.go", "notices.go", "client.go", "link.go"},
+	"http1": nil, "timerqueue": nil, "scheduler": {"loop.go", "front.go", "ahead.go", "back.go", "discovery.go", "lifecycle.go", "notices.go", "client.go", "link.go"},
 	"bgp": {"speaker.go"}, "inventory": {"client.go", "caller.go"},
 }
 
 // shells run in the world: all that they do to the outside goes through the seam.
-var shells = []string{"gateway", "outbox", "initiator", "standin", "bgp", "inventory", "scheduler"}
+var shells = []string{"gateway", "writequeue", "initiator", "standin", "bgp", "inventory", "scheduler"}
 
 // outside are the lines that a world has no part in, each with its reason.
 var outside = map[string]string{
--- a/outbox/outbox.go
+++ b/writequeue/writequeue.go
@@ -1,7 +1,7 @@
-// Package outbox writes to a connection from a goroutine of its own, so that who
+// Package writequeue writes to a connection from a goroutine of its own, so that who
 // has something to say never waits for a slow reader. What waits is bounded in
 // bytes and in time; past either bound the connection is closed.
-package outbox
+package writequeue
 
 import (
 	"net"
@@ -11,12 +11,12 @@
 	"merlinhitch/seam"
 )
 
-// Outbox is the writing half of a connection. It is safe for concurrent use.
-type Outbox struct {
+// Queue is the writing half of a connection. It is safe for concurrent use.
+type Queue struct {
 	// Gauge, if set before the first Put, is told of each change of the bytes that
 	// wait or are being written.
 	Gauge func(delta int)
-	// Idle, if set before the first Put, is called from the outbox's goroutine each
+	// Idle, if set before the first Put, is called from the queue's goroutine each
 	// time that all was written.
 	Idle func()
 	// HalfClose, if set before the first Put, leaves a connection that was finished open
@@ -39,20 +39,20 @@
 	drained seam.Gate
 }
 
-// keepBuffer bounds the memory that an outbox with nothing to say keeps, in bytes.
+// keepBuffer bounds the memory that a queue with nothing to say keeps, in bytes.
 const keepBuffer = 16 << 10
 
-// New starts an outbox that holds at most limit bytes and gives a write so much
+// New starts a queue that holds at most limit bytes and gives a write so much
 // time.
-func New(w seam.World, conn net.Conn, limit int, timeout time.Duration) *Outbox {
-	o := &Outbox{world: w, conn: conn, limit: limit, timeout: timeout, wake: w.NewParker()}
+func New(w seam.World, conn net.Conn, limit int, timeout time.Duration) *Queue {
+	o := &Queue{world: w, conn: conn, limit: limit, timeout: timeout, wake: w.NewParker()}
 	w.Go(o.run)
 	return o
 }
 
 // Put has f append bytes to what waits. It tells whether they were taken; an
-// outbox over its limit closes its connection.
-func (o *Outbox) Put(f func(b []byte) []byte) bool {
+// queue over its limit closes its connection.
+func (o *Queue) Put(f func(b []byte) []byte) bool {
 	ok := o.Hold(f)
 	o.Release()
 	return ok
@@ -60,7 +60,7 @@
 
 // Hold is Put without starting to write: who has more to say says it first, and
 // then calls Release.
-func (o *Outbox) Hold(f func(b []byte) []byte) bool {
+func (o *Queue) Hold(f func(b []byte) []byte) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
@@ -77,9 +77,9 @@
 }
 
 // Release starts to write what was held.
-func (o *Outbox) Release() { o.wake.Unpark() }
+func (o *Queue) Release() { o.wake.Unpark() }
 
-func (o *Outbox) gauge(delta int) {
+func (o *Queue) gauge(delta int) {
 	if o.Gauge != nil {
 		o.Gauge(delta)
 	}
@@ -87,7 +87,7 @@
 
 // Finish takes nothing more, writes what waits and closes the connection, or its sending
 // half. It does not wait for that; Wait does.
-func (o *Outbox) Finish() {
+func (o *Queue) Finish() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closed = true
@@ -96,13 +96,13 @@
 }
 
 // Cut closes the connection at once.
-func (o *Outbox) Cut() {
+func (o *Queue) Cut() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cutLocked()
 }
 
-func (o *Outbox) cutLocked() {
+func (o *Queue) cutLocked() {
 	o.closed, o.cut = true, true
 	o.settled()
 	o.conn.Close()
@@ -110,10 +110,10 @@
 }
 
 // Wait returns once the goroutine has ended and the connection, or its half, is closed.
-func (o *Outbox) Wait() { o.drained.Wait(o.world) }
+func (o *Queue) Wait() { o.drained.Wait(o.world) }
 
-// Settle returns once all that was put is written, or the outbox takes nothing more.
-func (o *Outbox) Settle() {
+// Settle returns once all that was put is written, or the queue takes nothing more.
+func (o *Queue) Settle() {
 	var p seam.Parker
 	for {
 		o.mu.Lock()
@@ -131,21 +131,21 @@
 }
 
 // settled lets those go on that wait in Settle. The lock is held.
-func (o *Outbox) settled() {
+func (o *Queue) settled() {
 	for _, p := range o.settle {
 		p.Unpark()
 	}
 	o.settle = o.settle[:0]
 }
 
-func (o *Outbox) empty() bool {
+func (o *Queue) empty() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return len(o.buf) == 0 && !o.closed
 }
 
-// end closes the connection, or the half of it that is this outbox's.
-func (o *Outbox) end() {
+// end closes the connection, or the half of it that is this queue's.
+func (o *Queue) end() {
 	o.mu.Lock()
 	cut := o.cut
 	o.mu.Unlock()
@@ -154,7 +154,7 @@
 	}
 }
 
-func (o *Outbox) run() {
+func (o *Queue) run() {
 	defer o.drained.Open()
 	defer o.end()
 	var out []byte
--- a/outbox/outbox_test.go
+++ b/writequeue/writequeue_test.go
@@ -1,4 +1,4 @@
-package outbox
+package writequeue
 
 import (
 	"bytes"
