http1 reads a whole message; five copies of head, framing and body are gone

Change: ReadWholeRequest and ReadWholeResponse, used by the scheduler's look ahead, standin, soak and two tests; what reads the head first to decide (100 Continue, budget of bodies) still does. soak's answers that end in the head stay ends.

--- a/cmd/merlinhitch/scheduler_test.go
+++ b/cmd/merlinhitch/scheduler_test.go
@@ -167,13 +167,10 @@
 func (c *conn) hear() int {
 	c.SetReadDeadline(time.Now().Add(15 * time.Second))
 	lim := http1.Limits{Head: 4 << 10, Fields: 20, Body: 4 << 10}
-	m, err := http1.ReadResponse(c.in, lim)
+	m, _, err := http1.ReadWholeResponse(c.in, lim)
 	if err != nil {
 		return 0
 	}
-	if fr, err := m.Framing(lim); err == nil {
-		http1.ReadBody(c.in, fr, lim)
-	}
 	return m.Status
 }
 
--- a/http1/body.go
+++ b/http1/body.go
@@ -68,6 +68,36 @@
 	return n, nil
 }
 
+// ReadWholeRequest reads a request with its body, within the limits. Errors are those of
+// ReadRequest, Framing and ReadBody.
+func ReadWholeRequest(br *bufio.Reader, lim Limits) (*Request, []byte, error) {
+	r, err := ReadRequest(br, lim)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := readFramed(br, lim, r.Framing)
+	return r, body, err
+}
+
+// ReadWholeResponse reads a response with its body, within the limits. Errors are those of
+// ReadResponse, Framing and ReadBody.
+func ReadWholeResponse(br *bufio.Reader, lim Limits) (*Response, []byte, error) {
+	r, err := ReadResponse(br, lim)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := readFramed(br, lim, r.Framing)
+	return r, body, err
+}
+
+func readFramed(br *bufio.Reader, lim Limits, framing func(Limits) (Framing, error)) ([]byte, error) {
+	fr, err := framing(lim)
+	if err != nil {
+		return nil, err
+	}
+	return ReadBody(br, fr, lim)
+}
+
 // ReadBody reads a body that fr frames. One that lasts to the close of the connection is
 // whole where the stream ends cleanly (RFC 9112, section 6.3): a reset is no end.
 func ReadBody(br *bufio.Reader, fr Framing, lim Limits) ([]byte, error) {
--- a/scheduler/client.go
+++ b/scheduler/client.go
@@ -294,17 +294,10 @@
 // timeLeft reads a whole request and tells the time that its client waits, ms, +Inf where it
 // does not say.
 func timeLeft(in *bufio.Reader) (float64, bool) {
-	head, err := http1.ReadRequest(in, messageLimits)
+	head, _, err := http1.ReadWholeRequest(in, messageLimits)
 	if err != nil {
 		return 0, false
 	}
-	framing, err := head.Framing(messageLimits)
-	if err != nil {
-		return 0, false
-	}
-	if _, err := http1.ReadBody(in, framing, messageLimits); err != nil {
-		return 0, false
-	}
 	seconds, err := strconv.ParseFloat(head.Fields.Get("request-timeout"), 64)
 	if err != nil || !(seconds > 0) {
 		return math.Inf(1), true
--- a/scheduler/scene_test.go
+++ b/scheduler/scene_test.go
@@ -150,15 +150,10 @@
 
 func (p *peer) hear(from time.Duration) said {
 	p.conn.SetReadDeadline(p.w.Deadline(20 * time.Second))
-	m, err := http1.ReadResponse(p.in, answerLimits)
-	if err != nil {
-		return said{took: p.w.Now() - from}
-	}
-	fr, err := m.Framing(answerLimits)
-	if err != nil {
+	m, b, err := http1.ReadWholeResponse(p.in, answerLimits)
+	if http1.IsError(err) {
 		panic(err)
 	}
-	b, err := http1.ReadBody(p.in, fr, answerLimits)
 	if err != nil {
 		return said{took: p.w.Now() - from}
 	}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -256,7 +255,7 @@
 	var m *http1.Response
 	var body []byte
 	if err == nil {
-		m, body, err = readAnswer(x.in)
+		m, body, err = http1.ReadWholeResponse(x.in, messageLimits)
 	}
 	c.record.mu.Lock()
 	defer c.record.mu.Unlock()
@@ -278,19 +277,3 @@
 		return false
 	}
 }
-
-func readAnswer(in *bufio.Reader) (*http1.Response, []byte, error) {
-	m, err := http1.ReadResponse(in, messageLimits)
-	if err != nil {
-		return nil, nil, err
-	}
-	framing, err := m.Framing(messageLimits)
-	if err != nil {
-		return nil, nil, err
-	}
-	body, err := http1.ReadBody(in, framing, messageLimits)
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
-	}
-	return m, body, err
-}
--- a/soak/servers.go
+++ b/soak/servers.go
@@ -149,17 +149,10 @@
 
 // read fills an attempt in; false if the request did not come whole.
 func (s *Servers) read(in *bufio.Reader, a *Attempt) bool {
-	head, err := http1.ReadRequest(in, messageLimits)
+	head, _, err := http1.ReadWholeRequest(in, messageLimits)
 	if err != nil {
 		return false
 	}
-	framing, err := head.Framing(messageLimits)
-	if err != nil {
-		return false
-	}
-	if _, err = http1.ReadBody(in, framing, messageLimits); err != nil {
-		return false
-	}
 	a.ID, a.Whole = head.Fields.Get("request-id"), s.record.Now()
 	seconds, _ := strconv.ParseFloat(head.Fields.Get("request-timeout"), 64)
 	a.Timeout = time.Duration(seconds * float64(time.Second))
--- a/standin/http.go
+++ b/standin/http.go
@@ -53,15 +53,7 @@
 	defer c.Close()
 	br := bufio.NewReader(c)
 	for nth := 0; ; nth++ {
-		r, err := http1.ReadRequest(br, httpLimits)
-		if err != nil {
-			return
-		}
-		fr, err := r.Framing(httpLimits)
-		if err != nil {
-			return
-		}
-		body, err := http1.ReadBody(br, fr, httpLimits)
+		r, body, err := http1.ReadWholeRequest(br, httpLimits)
 		if err != nil {
 			return
 		}
