--- a/cmd/merlinhitch/announce.go
+++ b/cmd/merlinhitch/announce.go
@@ -10,10 +10,10 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/chart"
-	"merlinhitch/gateway"
-	"merlinhitch/lab"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/observe/chart"
+	"merlinhitch/internal/simulation/lab"
 )
 
 type routesCmd struct {
--- a/cmd/merlinhitch/badday.go
+++ b/cmd/merlinhitch/badday.go
@@ -10,9 +10,9 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/lab"
-	"merlinhitch/rules"
-	"merlinhitch/trail"
+	"merlinhitch/internal/simulation/lab"
+	"merlinhitch/internal/verify/rules"
+	"merlinhitch/internal/verify/trail"
 )
 
 type baddayCmd struct {
--- a/cmd/merlinhitch/bench.go
+++ b/cmd/merlinhitch/bench.go
@@ -4,7 +4,7 @@
 	"os"
 	"time"
 
-	"merlinhitch/lab"
+	"merlinhitch/internal/simulation/lab"
 )
 
 type benchCmd struct {
--- a/cmd/merlinhitch/conform.go
+++ b/cmd/merlinhitch/conform.go
@@ -5,10 +5,10 @@
 	"os"
 	"os/signal"
 
-	"merlinhitch/conform"
-	"merlinhitch/initiator"
-	"merlinhitch/iscsi"
-	"merlinhitch/seam"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/verify/conform"
 )
 
 type conformCmd struct {
--- a/cmd/merlinhitch/expect.go
+++ b/cmd/merlinhitch/expect.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"os"
 
-	"merlinhitch/expect"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/expect"
+	"merlinhitch/internal/control/settings"
 )
 
 type expectCmd struct {
--- a/cmd/merlinhitch/experiment.go
+++ b/cmd/merlinhitch/experiment.go
@@ -9,7 +9,7 @@
 	"runtime"
 	"time"
 
-	"merlinhitch/lab"
+	"merlinhitch/internal/simulation/lab"
 )
 
 type experimentCmd struct {
--- a/cmd/merlinhitch/explore.go
+++ b/cmd/merlinhitch/explore.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
-	"merlinhitch/lab"
-	"merlinhitch/trail"
+	"merlinhitch/internal/simulation/lab"
+	"merlinhitch/internal/verify/trail"
 )
 
 type exploreCmd struct {
--- a/cmd/merlinhitch/keys.go
+++ b/cmd/merlinhitch/keys.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"merlinhitch/keys"
-	"merlinhitch/rollout"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/rollout"
 )
 
 type keysCmd struct {
--- a/cmd/merlinhitch/plan.go
+++ b/cmd/merlinhitch/plan.go
@@ -14,13 +14,13 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/chart"
-	"merlinhitch/lab"
-	"merlinhitch/placement"
-	"merlinhitch/plan"
-	"merlinhitch/rollout"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/placement"
+	"merlinhitch/internal/fleet/plan"
+	"merlinhitch/internal/fleet/rollout"
+	"merlinhitch/internal/observe/chart"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/lab"
 )
 
 type planCmd struct {
--- a/cmd/merlinhitch/regions.go
+++ b/cmd/merlinhitch/regions.go
@@ -11,10 +11,10 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/inventory"
-	"merlinhitch/lab"
-	"merlinhitch/region"
-	"merlinhitch/seam"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/lab"
 )
 
 type regionsCmd struct {
--- a/cmd/merlinhitch/report.go
+++ b/cmd/merlinhitch/report.go
@@ -7,8 +7,8 @@
 	"os/signal"
 	"time"
 
-	"merlinhitch/history"
-	"merlinhitch/report"
+	"merlinhitch/internal/observe/report"
+	"merlinhitch/internal/storage/history"
 )
 
 type reportCmd struct {
--- a/cmd/merlinhitch/reservations.go
+++ b/cmd/merlinhitch/reservations.go
@@ -5,7 +5,7 @@
 	"os"
 	"os/signal"
 
-	"merlinhitch/lab"
+	"merlinhitch/internal/simulation/lab"
 )
 
 type reservationsCmd struct {
--- a/cmd/merlinhitch/scheduler.go
+++ b/cmd/merlinhitch/scheduler.go
@@ -12,8 +12,8 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/scheduler"
-	"merlinhitch/seam"
+	"merlinhitch/internal/control/scheduler"
+	"merlinhitch/internal/runtime/seam"
 )
 
 type schedulerCmd struct {
--- a/cmd/merlinhitch/scheduler_test.go
+++ b/cmd/merlinhitch/scheduler_test.go
@@ -18,9 +18,9 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
-	"merlinhitch/http1"
-	"merlinhitch/seam"
-	"merlinhitch/standin"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // asScheduler has the test binary run as `merlinhitch scheduler` in place of the tests, so
--- a/cmd/merlinhitch/serve.go
+++ b/cmd/merlinhitch/serve.go
@@ -16,15 +16,15 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/gateway"
-	"merlinhitch/initiator"
-	"merlinhitch/inventory"
-	"merlinhitch/iscsi"
-	"merlinhitch/keys"
-	"merlinhitch/scsi"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // untilSignal returns at the first SIGINT or SIGTERM, with a context that ends at
--- a/cmd/merlinhitch/settings.go
+++ b/cmd/merlinhitch/settings.go
@@ -16,11 +16,11 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/audit"
-	"merlinhitch/lab"
-	"merlinhitch/rollout"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/rollout"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/lab"
+	"merlinhitch/internal/storage/audit"
 )
 
 type settingsCmd struct {
--- a/cmd/merlinhitch/soak.go
+++ b/cmd/merlinhitch/soak.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"merlinhitch/soak"
+	"merlinhitch/internal/simulation/soak"
 )
 
 type soakCmd struct {
--- a/cmd/merlinhitch/soak_test.go
+++ b/cmd/merlinhitch/soak_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"merlinhitch/soak"
+	"merlinhitch/internal/simulation/soak"
 )
 
 // schedulerCommand has the test binary run as `merlinhitch scheduler`. The race detector would
--- a/cmd/merlinhitch/top.go
+++ b/cmd/merlinhitch/top.go
@@ -7,8 +7,8 @@
 	"os/signal"
 	"time"
 
-	"merlinhitch/seam"
-	"merlinhitch/top"
+	"merlinhitch/internal/observe/top"
+	"merlinhitch/internal/runtime/seam"
 )
 
 type topCmd struct {
--- a/expect/answer.go
+++ b/internal/control/expect/answer.go
@@ -8,10 +8,10 @@
 	"slices"
 	"strings"
 
-	"merlinhitch/plan"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/plan"
+	"merlinhitch/internal/protocol/scsi"
 	"merlinhitch/policy"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
 )
 
 // Answer is what came of an expectation.
--- a/expect/expect_test.go
+++ b/internal/control/expect/expect_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"merlinhitch/expect"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/expect"
+	"merlinhitch/internal/control/settings"
 )
 
 func check(t *testing.T, s *settings.Settings, text string) []expect.Answer {
--- a/expect/format.go
+++ b/internal/control/expect/format.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"strings"
 
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // Expectation is one line of a file.
--- a/gateway/actor_test.go
+++ b/internal/control/gateway/actor_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
-	"merlinhitch/seam"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // actor is a disk server that does what a test says. The test's play is called
--- a/gateway/announcer.go
+++ b/internal/control/gateway/announcer.go
@@ -8,12 +8,12 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/announce"
-	"merlinhitch/bgp"
-	"merlinhitch/inventory"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/announce"
+	"merlinhitch/internal/protocol/bgp"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
 )
 
 // announcer is the shell of package announce: it looks, several times a second and
--- a/gateway/announcer_test.go
+++ b/internal/control/gateway/announcer_test.go
@@ -7,16 +7,16 @@
 	"testing"
 	"time"
 
-	"merlinhitch/announce"
-	"merlinhitch/gateway"
-	"merlinhitch/initiator"
-	"merlinhitch/inventory"
-	"merlinhitch/iscsi"
-	"merlinhitch/region"
-	"merlinhitch/scsi"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/announce"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 var (
--- a/gateway/answerer.go
+++ b/internal/control/gateway/answerer.go
@@ -3,9 +3,9 @@
 import (
 	"sync"
 
-	"merlinhitch/iscsi"
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 // answerer gives commands their answers on a goroutine of its own: the session's part
--- a/gateway/back.go
+++ b/internal/control/gateway/back.go
@@ -13,12 +13,12 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/faultinject"
-	"merlinhitch/keys"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
+	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
 )
 
 // back keeps one connection to each disk server that is sent to, and runs
--- a/gateway/caller.go
+++ b/internal/control/gateway/caller.go
@@ -10,8 +10,8 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/keys"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/control/settings"
 )
 
 // who is at the other end of a call of the admin API.
--- a/gateway/command.go
+++ b/internal/control/gateway/command.go
@@ -5,13 +5,13 @@
 	"math"
 	"slices"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/faultinject"
-	"merlinhitch/iscsi"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/simulation/faultinject"
+	"merlinhitch/internal/storage/reserve"
 	"merlinhitch/policy"
-	"merlinhitch/reserve"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
 )
 
 // command is one SCSI command that needs disks: its parts, and what is gathered
--- a/gateway/conform_test.go
+++ b/internal/control/gateway/conform_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"merlinhitch/conform"
-	"merlinhitch/initiator"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/verify/conform"
 )
 
 // unlimited is the number of a volume under a plan without a limit, over several shards.
--- a/gateway/expect_test.go
+++ b/internal/control/gateway/expect_test.go
@@ -6,12 +6,12 @@
 	"strings"
 	"testing"
 
-	"merlinhitch/expect"
-	"merlinhitch/initiator"
-	"merlinhitch/inventory"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
+	"merlinhitch/internal/control/expect"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // What is answered of routing is where a running gateway then sends: every expectation is
--- a/gateway/front.go
+++ b/internal/control/gateway/front.go
@@ -12,12 +12,12 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/iscsi"
-	"merlinhitch/reserve"
-	"merlinhitch/scsi"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
+	"merlinhitch/internal/storage/reserve"
 )
 
 // view is the settings as the front uses them. A new view replaces the old as a
--- a/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -15,13 +15,13 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/inventory"
-	"merlinhitch/keys"
-	"merlinhitch/metrics"
-	"merlinhitch/rates"
-	"merlinhitch/roll"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/rates"
+	"merlinhitch/internal/fleet/roll"
+	"merlinhitch/internal/observe/metrics"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Config says where a gateway stands.
--- a/gateway/hard_test.go
+++ b/internal/control/gateway/hard_test.go
@@ -13,12 +13,12 @@
 	"testing"
 	"time"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/initiator"
-	"merlinhitch/inventory"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // oneShard lays every volume on shard 0, for tests with one actor.
--- a/gateway/host.go
+++ b/internal/control/gateway/host.go
@@ -9,15 +9,15 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/faultinject"
-	"merlinhitch/inventory"
-	"merlinhitch/keys"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
+	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
-	"merlinhitch/region"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/writequeue"
 )
 
 // host is the shell of a host core: one goroutine, one order of events.
--- a/gateway/host_test.go
+++ b/internal/control/gateway/host_test.go
@@ -6,9 +6,9 @@
 
 	"go.uber.org/zap"
 
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/runtime/seam"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
 )
 
 // A timer that comes due while one event is handled goes before the next event of its batch.
--- a/gateway/hostcore.go
+++ b/internal/control/gateway/hostcore.go
@@ -12,12 +12,12 @@
 	"strings"
 	"sync/atomic"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/faultinject"
-	"merlinhitch/inventory"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/rates"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
-	"merlinhitch/rates"
-	"merlinhitch/settings"
 )
 
 // endKind is how a request ended.
--- a/gateway/hostcore_test.go
+++ b/internal/control/gateway/hostcore_test.go
@@ -6,10 +6,10 @@
 	"slices"
 	"testing"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/policy"
-	"merlinhitch/settings"
 )
 
 func TestDuesComeInOrder(t *testing.T) {
--- a/gateway/keeper.go
+++ b/internal/control/gateway/keeper.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/iscsi"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/storage/reserve"
 	"merlinhitch/policy"
-	"merlinhitch/reserve"
-	"merlinhitch/scsi"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
 )
 
 // keeper knows what this host has been told of its volumes' reservations. The truth is
--- a/gateway/keys_test.go
+++ b/internal/control/gateway/keys_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"merlinhitch/gateway"
-	"merlinhitch/initiator"
-	"merlinhitch/keys"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // keyring is an authority, the folders of its holders, and the clock of them all.
--- a/gateway/metrics.go
+++ b/internal/control/gateway/metrics.go
@@ -7,11 +7,11 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"merlinhitch/history"
-	"merlinhitch/inventory"
-	"merlinhitch/metrics"
+	"merlinhitch/internal/fleet/roll"
+	"merlinhitch/internal/observe/metrics"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/storage/history"
 	"merlinhitch/policy"
-	"merlinhitch/roll"
 )
 
 // counted is a class and a plan, of which settings bound the number.
--- a/gateway/metrics_test.go
+++ b/internal/control/gateway/metrics_test.go
@@ -14,12 +14,12 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/gateway"
-	"merlinhitch/initiator"
-	"merlinhitch/inventory"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // page fetches a page of the admin API.
--- a/gateway/permit_test.go
+++ b/internal/control/gateway/permit_test.go
@@ -9,11 +9,11 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/diskproto"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/writequeue"
 )
 
 func sendBy(ev policy.Event) []policy.Action {
--- a/gateway/recorder.go
+++ b/internal/control/gateway/recorder.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/history"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/storage/history"
 )
 
 // recorder keeps a host's counters as history, once a second.
--- a/gateway/recorder_test.go
+++ b/internal/control/gateway/recorder_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"merlinhitch/gateway"
-	"merlinhitch/history"
-	"merlinhitch/initiator"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/storage/history"
 )
 
 // What was counted is there after the end of the process, and over the API before.
--- a/gateway/regional.go
+++ b/internal/control/gateway/regional.go
@@ -7,13 +7,13 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/faultinject"
-	"merlinhitch/inventory"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
-	"merlinhitch/region"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
 )
 
 // regional is what a host core of a service over two regions knows of them. What it
--- a/gateway/regional_test.go
+++ b/internal/control/gateway/regional_test.go
@@ -3,11 +3,11 @@
 import (
 	"testing"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/policy"
-	"merlinhitch/region"
-	"merlinhitch/settings"
 )
 
 // regionalCore is a host core of region 0 of a service over two, with a node of shard 0 in
--- a/gateway/revise_test.go
+++ b/internal/control/gateway/revise_test.go
@@ -6,11 +6,11 @@
 	"slices"
 	"testing"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/initiator"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // change puts altered settings in force at the rig's gateway.
--- a/gateway/timers.go
+++ b/internal/control/gateway/timers.go
@@ -1,6 +1,6 @@
 package gateway
 
-import "merlinhitch/timerqueue"
+import "merlinhitch/internal/runtime/timerqueue"
 
 // timer is something to do at a time.
 type timer = timerqueue.Timer[awaited]
--- a/keys/authority.go
+++ b/internal/control/keys/authority.go
@@ -22,7 +22,7 @@
 	"strings"
 	"time"
 
-	"merlinhitch/internal/durable"
+	"merlinhitch/internal/storage/durable"
 )
 
 // Role is what a certificate lets its holder do at the admin API.
--- a/scheduler/ahead.go
+++ b/internal/control/scheduler/ahead.go
@@ -4,7 +4,7 @@
 	"net"
 	"sync/atomic"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 const (
--- a/scheduler/ahead_test.go
+++ b/internal/control/scheduler/ahead_test.go
@@ -11,8 +11,8 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/seam"
-	"merlinhitch/standin"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // A client that leaves is seen behind much that it sent ahead: nothing of that is sent on.
--- a/scheduler/back.go
+++ b/internal/control/scheduler/back.go
@@ -11,9 +11,9 @@
 	"syscall"
 	"time"
 
-	"merlinhitch/http1"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
 )
 
 var (
--- a/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"time"
 
-	"merlinhitch/http1"
-	"merlinhitch/seam"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // One connection of a client, from its first request to its close.
--- a/scheduler/config.go
+++ b/internal/control/scheduler/config.go
@@ -7,9 +7,9 @@
 	"math"
 	"strconv"
 
+	"merlinhitch/internal/runtime/seam"
 	"merlinhitch/internal/wire"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
 )
 
 // Config is what a scheduler is told at its start, and again at a reload.
--- a/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -8,8 +8,8 @@
 	"slices"
 	"sync/atomic"
 
+	"merlinhitch/internal/runtime/timerqueue"
 	"merlinhitch/policy"
-	"merlinhitch/timerqueue"
 )
 
 // callOutcome says how a call ended.
--- a/scheduler/crossing_test.go
+++ b/internal/control/scheduler/crossing_test.go
@@ -16,10 +16,10 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/http1"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
-	"merlinhitch/standin"
 )
 
 // held is the world of the machine, with real sockets, whose dials and accepts can be held
--- a/scheduler/day_test.go
+++ b/internal/control/scheduler/day_test.go
@@ -16,9 +16,9 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/seam"
-	"merlinhitch/standin"
-	"merlinhitch/world"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/simulation/world"
 )
 
 // A rough day from end to end, judged only by what passed on the sockets: clients, disk
--- a/scheduler/discovery.go
+++ b/internal/control/scheduler/discovery.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"merlinhitch/http1"
-	"merlinhitch/seam"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
 )
 
 const (
--- a/scheduler/discovery_test.go
+++ b/internal/control/scheduler/discovery_test.go
@@ -13,10 +13,10 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/http1"
-	"merlinhitch/seam"
-	"merlinhitch/standin"
-	"merlinhitch/world"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/simulation/world"
 )
 
 // agent is discovery that does with each connection what a test says.
--- a/scheduler/eventlog.go
+++ b/internal/control/scheduler/eventlog.go
@@ -4,8 +4,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"merlinhitch/internal/runtime/seam"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
 )
 
 const (
--- a/scheduler/front.go
+++ b/internal/control/scheduler/front.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 const (
--- a/scheduler/lifecycle.go
+++ b/internal/control/scheduler/lifecycle.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 const (
--- a/scheduler/link.go
+++ b/internal/control/scheduler/link.go
@@ -5,9 +5,9 @@
 	"strconv"
 	"time"
 
-	"merlinhitch/http1"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
 )
 
 // One connection to a disk server while it has an attempt: the request that goes out on it and
--- a/scheduler/loop.go
+++ b/internal/control/scheduler/loop.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // loop is the one goroutine that owns the core, and what is posted to it.
--- a/scheduler/messages.go
+++ b/internal/control/scheduler/messages.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"merlinhitch/http1"
+	"merlinhitch/internal/protocol/http1"
 )
 
 // messages cuts a stream of JSON objects into one after the other. Discovery sends one a
--- a/scheduler/outcome_test.go
+++ b/internal/control/scheduler/outcome_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/policy"
-	"merlinhitch/standin"
 )
 
 // Each way in which an attempt can end is told to the module as what it is: whether it may
--- a/scheduler/permit_test.go
+++ b/internal/control/scheduler/permit_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
-	"merlinhitch/standin"
 )
 
 // An attempt that the loop let begin is looked at once more when its first byte is to go:
--- a/scheduler/scene_test.go
+++ b/internal/control/scheduler/scene_test.go
@@ -14,11 +14,11 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/http1"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/simulation/world"
 	"merlinhitch/policy"
-	"merlinhitch/seam"
-	"merlinhitch/standin"
-	"merlinhitch/world"
 )
 
 const testSettings = `{"balancers":1,"me":0,"tick_ms":2,"discovery":"pushed",
--- a/scheduler/staleness_test.go
+++ b/internal/control/scheduler/staleness_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"merlinhitch/seam"
-	"merlinhitch/standin"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // Ages at which connections break are avoided, others are not, and they are tried again.
--- a/settings/api.go
+++ b/internal/control/settings/api.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"strings"
 
-	"merlinhitch/audit"
+	"merlinhitch/internal/storage/audit"
 )
 
 // Handler serves the settings. GET /settings returns those in force, PUT takes new ones,
--- a/settings/disk_test.go
+++ b/internal/control/settings/disk_test.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"testing"
 
-	"merlinhitch/audit"
-	"merlinhitch/internal/durable"
+	"merlinhitch/internal/storage/audit"
+	"merlinhitch/internal/storage/durable"
 )
 
 // failing is a record whose disk fails at the next append: before the record is on it, or
--- a/settings/ledger.go
+++ b/internal/control/settings/ledger.go
@@ -10,8 +10,8 @@
 	"strings"
 	"sync"
 
-	"merlinhitch/audit"
-	"merlinhitch/internal/durable"
+	"merlinhitch/internal/storage/audit"
+	"merlinhitch/internal/storage/durable"
 )
 
 // Author says who changes something, when and why.
--- a/settings/ledger_test.go
+++ b/internal/control/settings/ledger_test.go
@@ -14,7 +14,7 @@
 	"sync"
 	"testing"
 
-	"merlinhitch/audit"
+	"merlinhitch/internal/storage/audit"
 )
 
 func testKey(t *testing.T, b byte) *Key {
--- a/settings/settings.go
+++ b/internal/control/settings/settings.go
@@ -18,9 +18,9 @@
 	"strconv"
 	"strings"
 
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/scsi"
 	"merlinhitch/policy"
-	"merlinhitch/region"
-	"merlinhitch/scsi"
 )
 
 // Settings is all that the gateways of a service share. Times are in
--- a/settings/settings_test.go
+++ b/internal/control/settings/settings_test.go
@@ -14,7 +14,7 @@
 	"sync"
 	"testing"
 
-	"merlinhitch/scsi"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 func TestExampleIsSound(t *testing.T) {
--- a/settings/store.go
+++ b/internal/control/settings/store.go
@@ -11,8 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"merlinhitch/audit"
-	"merlinhitch/internal/durable"
+	"merlinhitch/internal/storage/audit"
+	"merlinhitch/internal/storage/durable"
 )
 
 // ErrNone says that there is no snapshot: nothing was ever saved there.
--- a/settings/tree.go
+++ b/internal/control/settings/tree.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"encoding/json"
 
-	"merlinhitch/audit"
+	"merlinhitch/internal/storage/audit"
 )
 
 // Keys tells entries of the settings' lists apart by name, so that a difference names
--- a/plan/plan.go
+++ b/internal/fleet/plan/plan.go
@@ -8,9 +8,9 @@
 	"fmt"
 	"slices"
 
-	"merlinhitch/placement"
-	"merlinhitch/rates"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/placement"
+	"merlinhitch/internal/fleet/rates"
 )
 
 // Error says why settings can't be planned with.
--- a/plan/plan_test.go
+++ b/internal/fleet/plan/plan_test.go
@@ -6,10 +6,10 @@
 	"slices"
 	"testing"
 
-	"merlinhitch/placement"
-	"merlinhitch/plan"
-	"merlinhitch/rates"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/placement"
+	"merlinhitch/internal/fleet/plan"
+	"merlinhitch/internal/fleet/rates"
 )
 
 func from(t *testing.T, s *settings.Settings, opt plan.Options) *plan.Plan {
--- a/plan/uses.go
+++ b/internal/fleet/plan/uses.go
@@ -5,7 +5,7 @@
 	"io"
 	"text/tabwriter"
 
-	"merlinhitch/placement"
+	"merlinhitch/internal/fleet/placement"
 )
 
 // Case is a state of the halls for which uses are worked out.
--- a/rates/rates_test.go
+++ b/internal/fleet/rates/rates_test.go
@@ -4,7 +4,7 @@
 	"math"
 	"testing"
 
-	"merlinhitch/rates"
+	"merlinhitch/internal/fleet/rates"
 )
 
 func near(a, b float64) bool { return math.Abs(a-b) <= 1e-9*max(1, math.Abs(b)) }
--- a/region/region.go
+++ b/internal/fleet/region/region.go
@@ -16,7 +16,7 @@
 	"fmt"
 	"slices"
 
-	"merlinhitch/faultinject"
+	"merlinhitch/internal/simulation/faultinject"
 )
 
 // ID is a region: 0 or 1. Nowhere is the home of a shard that is between two.
--- a/region/source.go
+++ b/internal/fleet/region/source.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"merlinhitch/faultinject"
+	"merlinhitch/internal/simulation/faultinject"
 )
 
 // Beat is what a source tells the other, so often as it likes.
--- a/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -6,8 +6,8 @@
 import (
 	"fmt"
 
-	"merlinhitch/audit"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/storage/audit"
 )
 
 // Figures are what a host has counted since its start.
--- a/rollout/roll.go
+++ b/internal/fleet/rollout/roll.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"time"
 
-	"merlinhitch/audit"
-	"merlinhitch/roll"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/roll"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/storage/audit"
 )
 
 // RollOptions of a roll.
--- a/rollout/roll_test.go
+++ b/internal/fleet/rollout/roll_test.go
@@ -11,10 +11,10 @@
 	"sync"
 	"testing"
 
-	"merlinhitch/roll"
-	"merlinhitch/rollout"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/roll"
+	"merlinhitch/internal/fleet/rollout"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // rolling is hosts with an admin API each, cut off after so many calls.
--- a/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -10,11 +10,11 @@
 	"fmt"
 	"time"
 
-	"merlinhitch/placement"
-	"merlinhitch/plan"
-	"merlinhitch/rates"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/placement"
+	"merlinhitch/internal/fleet/plan"
+	"merlinhitch/internal/fleet/rates"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Host is one gateway's admin API.
--- a/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -7,11 +7,11 @@
 	"net/http/httptest"
 	"testing"
 
-	"merlinhitch/placement"
-	"merlinhitch/plan"
-	"merlinhitch/rollout"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/placement"
+	"merlinhitch/internal/fleet/plan"
+	"merlinhitch/internal/fleet/rollout"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // service is some hosts' stores behind their admin APIs.
--- a/chart/chart_test.go
+++ b/internal/observe/chart/chart_test.go
@@ -6,7 +6,7 @@
 	"path/filepath"
 	"testing"
 
-	"merlinhitch/chart"
+	"merlinhitch/internal/observe/chart"
 )
 
 func drawn(t *testing.T, file string) {
--- a/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -11,7 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"merlinhitch/history"
+	"merlinhitch/internal/storage/history"
 	"merlinhitch/policy"
 )
 
--- a/report/report.go
+++ b/internal/observe/report/report.go
@@ -13,8 +13,8 @@
 	"slices"
 	"time"
 
-	"merlinhitch/chart"
-	"merlinhitch/history"
+	"merlinhitch/internal/observe/chart"
+	"merlinhitch/internal/storage/history"
 	"merlinhitch/policy"
 )
 
--- a/report/report_test.go
+++ b/internal/observe/report/report_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"merlinhitch/history"
+	"merlinhitch/internal/storage/history"
 )
 
 func TestPage(t *testing.T) {
--- a/top/top.go
+++ b/internal/observe/top/top.go
@@ -13,8 +13,8 @@
 	"text/tabwriter"
 	"time"
 
+	"merlinhitch/internal/fleet/roll"
 	"merlinhitch/policy"
-	"merlinhitch/roll"
 )
 
 // State is a host's /state page.
--- a/top/top_test.go
+++ b/internal/observe/top/top_test.go
@@ -11,8 +11,8 @@
 
 	"go.uber.org/goleak"
 
+	"merlinhitch/internal/fleet/roll"
 	"merlinhitch/policy"
-	"merlinhitch/roll"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/bgp/speaker.go
+++ b/internal/protocol/bgp/speaker.go
@@ -14,8 +14,8 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 // Neighbour is a peer with the address at which it is dialled.
--- a/bgp/speaker_test.go
+++ b/internal/protocol/bgp/speaker_test.go
@@ -9,9 +9,9 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
-	"merlinhitch/bgp"
-	"merlinhitch/seam"
-	"merlinhitch/standin"
+	"merlinhitch/internal/protocol/bgp"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/initiator/initiator.go
+++ b/internal/protocol/initiator/initiator.go
@@ -15,9 +15,9 @@
 	"sync"
 	"time"
 
-	"merlinhitch/iscsi"
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 // ErrClosed ends commands whose connection is over: they may have run.
--- a/inventory/caller.go
+++ b/internal/protocol/inventory/caller.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Caller asks an inventory one question at a time, over a connection that it keeps. A
--- a/inventory/client.go
+++ b/internal/protocol/inventory/client.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Client is the shell that follows a list. It reconnects by itself and asks for
--- a/inventory/inventory.go
+++ b/internal/protocol/inventory/inventory.go
@@ -15,7 +15,7 @@
 	"slices"
 	"strings"
 
-	"merlinhitch/region"
+	"merlinhitch/internal/fleet/region"
 )
 
 // MaxLine bounds a line in bytes; a list of a thousand nodes takes a fifth of it.
--- a/inventory/inventory_test.go
+++ b/internal/protocol/inventory/inventory_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"merlinhitch/region"
+	"merlinhitch/internal/fleet/region"
 )
 
 // A client that applies what it is told, from any generation on, has the list.
--- a/writequeue/writequeue.go
+++ b/internal/runtime/writequeue/writequeue.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Queue is the writing half of a connection. It is safe for concurrent use.
--- a/writequeue/writequeue_test.go
+++ b/internal/runtime/writequeue/writequeue_test.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/goleak"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/lab/badday.go
+++ b/internal/simulation/lab/badday.go
@@ -15,11 +15,11 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/rules"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
-	"merlinhitch/trail"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/verify/rules"
+	"merlinhitch/internal/verify/trail"
 )
 
 // Options of a bad day.
--- a/lab/bench.go
+++ b/internal/simulation/lab/bench.go
@@ -17,15 +17,15 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"go.uber.org/zap"
 
-	"merlinhitch/gateway"
-	"merlinhitch/initiator"
-	"merlinhitch/inventory"
-	"merlinhitch/iscsi"
-	"merlinhitch/keys"
-	"merlinhitch/scsi"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // The bench puts three things between the same clients and the same kind of
--- a/lab/benchkeys.go
+++ b/internal/simulation/lab/benchkeys.go
@@ -9,7 +9,7 @@
 	"text/tabwriter"
 	"time"
 
-	"merlinhitch/keys"
+	"merlinhitch/internal/control/keys"
 )
 
 // keysRounds is how often each pair is measured; the median of the ratios is shown.
--- a/lab/benchwatch.go
+++ b/internal/simulation/lab/benchwatch.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // scrapeEvery is how often a watched gateway's /metrics is read: fifteen times as often as
--- a/lab/changes.go
+++ b/internal/simulation/lab/changes.go
@@ -12,11 +12,11 @@
 	"sync"
 	"time"
 
-	"merlinhitch/audit"
-	"merlinhitch/rules"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/storage/audit"
+	"merlinhitch/internal/verify/rules"
+	"merlinhitch/internal/verify/trail"
 )
 
 // ChangeResult is what came of a day on which operators change the settings all the time.
--- a/lab/changes_test.go
+++ b/internal/simulation/lab/changes_test.go
@@ -5,8 +5,8 @@
 	"strings"
 	"testing"
 
-	"merlinhitch/rules"
-	"merlinhitch/trail"
+	"merlinhitch/internal/verify/rules"
+	"merlinhitch/internal/verify/trail"
 )
 
 // Four operators change settings all through a bad day; no command is judged by a mixture
--- a/lab/clients.go
+++ b/internal/simulation/lab/clients.go
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"merlinhitch/initiator"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // lane is one client's session to one volume through one host; it logs in again
--- a/lab/counters.go
+++ b/internal/simulation/lab/counters.go
@@ -11,8 +11,8 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/trail"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/verify/trail"
 )
 
 // nodeKey is a disk server's address as one start of a host knows it.
--- a/lab/cutworld.go
+++ b/internal/simulation/lab/cutworld.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // cutKind is how an address can't be reached.
--- a/lab/experiment.go
+++ b/internal/simulation/lab/experiment.go
@@ -21,9 +21,9 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"merlinhitch/chart"
-	"merlinhitch/rules"
-	"merlinhitch/seam"
+	"merlinhitch/internal/observe/chart"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/verify/rules"
 )
 
 // Grid is what an experiment goes through: every combination of its lists, each on
--- a/lab/explore.go
+++ b/internal/simulation/lab/explore.go
@@ -17,12 +17,12 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/faultinject"
-	"merlinhitch/rules"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
-	"merlinhitch/world"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/faultinject"
+	"merlinhitch/internal/simulation/world"
+	"merlinhitch/internal/verify/rules"
+	"merlinhitch/internal/verify/trail"
 )
 
 // Scene is a day in a virtual world, whole: the same scene is always the same run.
--- a/lab/fan.go
+++ b/internal/simulation/lab/fan.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 // fan is a bare relay with the gateway's own connections: many clients in front,
--- a/lab/fleet.go
+++ b/internal/simulation/lab/fleet.go
@@ -16,15 +16,15 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/gateway"
-	"merlinhitch/inventory"
-	"merlinhitch/region"
-	"merlinhitch/rollout"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
-	"merlinhitch/trail"
-	"merlinhitch/world"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/fleet/rollout"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/simulation/world"
+	"merlinhitch/internal/verify/trail"
 )
 
 // Fleet is a service.
--- a/lab/lab_test.go
+++ b/internal/simulation/lab/lab_test.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/goleak"
 
-	"merlinhitch/lab"
-	"merlinhitch/rules"
+	"merlinhitch/internal/simulation/lab"
+	"merlinhitch/internal/verify/rules"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/lab/layouts.go
+++ b/internal/simulation/lab/layouts.go
@@ -10,10 +10,10 @@
 	"text/tabwriter"
 	"time"
 
-	"merlinhitch/placement"
-	"merlinhitch/plan"
-	"merlinhitch/rollout"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/placement"
+	"merlinhitch/internal/fleet/plan"
+	"merlinhitch/internal/fleet/rollout"
 )
 
 // Layouts names the ways of laying volumes out that are compared.
--- a/lab/limits.go
+++ b/internal/simulation/lab/limits.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/verify/trail"
 )
 
 // LimitResult is what passed of a limit that changes all the time.
--- a/lab/losses.go
+++ b/internal/simulation/lab/losses.go
@@ -13,11 +13,11 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"go.uber.org/zap"
 
-	"merlinhitch/gateway"
-	"merlinhitch/inventory"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // LossKinds are the ways in which a gateway loses the ability to serve.
--- a/lab/peers.go
+++ b/internal/simulation/lab/peers.go
@@ -10,9 +10,9 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/bgp"
-	"merlinhitch/seam"
-	"merlinhitch/standin"
+	"merlinhitch/internal/protocol/bgp"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // ManyPeers measures one speaker before so many stand-in routers: the first telling of
--- a/lab/regioncost.go
+++ b/internal/simulation/lab/regioncost.go
@@ -12,9 +12,9 @@
 	"text/tabwriter"
 	"time"
 
-	"merlinhitch/chart"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/observe/chart"
+	"merlinhitch/internal/verify/trail"
 )
 
 // RegionCost is what losses of a region cost, over days that differ in their seed alone.
--- a/lab/regionday.go
+++ b/internal/simulation/lab/regionday.go
@@ -10,12 +10,12 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/inventory"
-	"merlinhitch/region"
-	"merlinhitch/rules"
-	"merlinhitch/seam"
-	"merlinhitch/standin"
-	"merlinhitch/world"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/simulation/world"
+	"merlinhitch/internal/verify/rules"
 )
 
 // regionKinds are the troubles of a service over two regions.
--- a/lab/regions.go
+++ b/internal/simulation/lab/regions.go
@@ -8,14 +8,14 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
-	"merlinhitch/region"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
-	"merlinhitch/trail"
-	"merlinhitch/world"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/simulation/world"
+	"merlinhitch/internal/verify/trail"
 )
 
 // regionDrift is the bound on clocks in the lab's services over two regions: far more than
--- a/lab/regions_test.go
+++ b/internal/simulation/lab/regions_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"merlinhitch/rules"
-	"merlinhitch/standin"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/verify/rules"
 )
 
 func regionScene(seed uint64, seconds int, script ...Strike) Scene {
--- a/lab/reservations.go
+++ b/internal/simulation/lab/reservations.go
@@ -16,16 +16,16 @@
 	"github.com/anishathalye/porcupine"
 	"go.uber.org/zap"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/gateway"
-	"merlinhitch/initiator"
-	"merlinhitch/inventory"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/standin"
-	"merlinhitch/world"
+	"merlinhitch/internal/control/gateway"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/simulation/world"
 )
 
 // Reservations of one volume, asked for by several initiators through three hosts, with
--- a/lab/reservations_test.go
+++ b/internal/simulation/lab/reservations_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"merlinhitch/initiator"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
-	"merlinhitch/seam"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/runtime/seam"
 )
 
 func TestReservationsOverThreeHosts(t *testing.T) {
--- a/lab/routing.go
+++ b/internal/simulation/lab/routing.go
@@ -12,8 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"merlinhitch/seam"
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Ways in which clients find a host.
--- a/lab/site.go
+++ b/internal/simulation/lab/site.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"merlinhitch/seam"
-	"merlinhitch/standin"
-	"merlinhitch/world"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
+	"merlinhitch/internal/simulation/world"
 )
 
 // site is where a service runs: on loopback, or in a virtual world. All that differs
--- a/lab/strikes.go
+++ b/internal/simulation/lab/strikes.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"merlinhitch/trail"
-	"merlinhitch/world"
+	"merlinhitch/internal/simulation/world"
+	"merlinhitch/internal/verify/trail"
 )
 
 // worldKinds are the troubles that only a virtual world has: those of links, of
--- a/lab/sweep.go
+++ b/internal/simulation/lab/sweep.go
@@ -8,7 +8,7 @@
 	"sync"
 	"text/tabwriter"
 
-	"merlinhitch/rules"
+	"merlinhitch/internal/verify/rules"
 )
 
 // SweepRow is one kind of trouble over its seeds.
--- a/lab/troubles.go
+++ b/internal/simulation/lab/troubles.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"merlinhitch/standin"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // Each trouble begins at once, lasts so long and undoes itself. Sizes are within
--- a/lab/virtual_test.go
+++ b/internal/simulation/lab/virtual_test.go
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"merlinhitch/faultinject"
-	"merlinhitch/seam"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
-	"merlinhitch/world"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/faultinject"
+	"merlinhitch/internal/simulation/world"
+	"merlinhitch/internal/verify/trail"
 )
 
 // whole skips what the race detector would take minutes for: one goroutine at a time
--- a/soak/clients.go
+++ b/internal/simulation/soak/clients.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"merlinhitch/http1"
+	"merlinhitch/internal/protocol/http1"
 )
 
 // Class is a kind of request that clients send.
--- a/soak/discovery.go
+++ b/internal/simulation/soak/discovery.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/http1"
+	"merlinhitch/internal/protocol/http1"
 )
 
 // Entry is a disk server in discovery's words.
--- a/soak/servers.go
+++ b/internal/simulation/soak/servers.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"merlinhitch/http1"
+	"merlinhitch/internal/protocol/http1"
 )
 
 // Behaviour is how a disk server treats requests.
--- a/standin/cell.go
+++ b/internal/simulation/standin/cell.go
@@ -7,8 +7,8 @@
 import (
 	"sync"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // Cell holds the blocks of one shard. It outlives the disk server before it, as
--- a/standin/copier.go
+++ b/internal/simulation/standin/copier.go
@@ -7,11 +7,11 @@
 	"net"
 	"time"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
-	"merlinhitch/region"
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 // What a disk server of one of two regions does beside its requests: as its shard's home
--- a/standin/copies.go
+++ b/internal/simulation/standin/copies.go
@@ -5,10 +5,10 @@
 	"maps"
 	"slices"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/faultinject"
-	"merlinhitch/region"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/simulation/faultinject"
 )
 
 // side is what a cell is to its shard.
--- a/standin/copies_test.go
+++ b/internal/simulation/standin/copies_test.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"testing"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/region"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // pairOfCells are a shard's cells in both regions, with the copying between them played by
--- a/standin/diskserver.go
+++ b/internal/simulation/standin/diskserver.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/keys"
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 // NetTrouble is what is wrong with a disk server's connections.
--- a/standin/door.go
+++ b/internal/simulation/standin/door.go
@@ -4,7 +4,7 @@
 	"net"
 	"sync"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // door is a listener and the connections that came in by it, each served on a goroutine
--- a/standin/http.go
+++ b/internal/simulation/standin/http.go
@@ -5,8 +5,8 @@
 	"net"
 	"time"
 
-	"merlinhitch/http1"
-	"merlinhitch/seam"
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // HTTPAsk is one request that an HTTPDisk got whole.
--- a/standin/inventory.go
+++ b/internal/simulation/standin/inventory.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"merlinhitch/inventory"
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 // Inventory is the shell of a node list: it pushes each change to all clients,
--- a/standin/links.go
+++ b/internal/simulation/standin/links.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Way is the state of the way from one program to another. On a real socket nothing can
--- a/standin/links_test.go
+++ b/internal/simulation/standin/links_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"merlinhitch/seam"
-	"merlinhitch/standin"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // What is sent while a way is cut comes once it is whole, in order; what comes the other
--- a/standin/machine.go
+++ b/internal/simulation/standin/machine.go
@@ -7,8 +7,8 @@
 	"slices"
 	"sync"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // MachineConfig describes a disk server. Times are in milliseconds.
--- a/standin/machine_test.go
+++ b/internal/simulation/standin/machine_test.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"testing"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 func testMachine(edit func(*MachineConfig), cold bool) (*Machine, *Cell, *Rack) {
--- a/standin/quick.go
+++ b/internal/simulation/standin/quick.go
@@ -6,9 +6,9 @@
 	"net"
 	"time"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/keys"
-	"merlinhitch/seam"
+	"merlinhitch/internal/control/keys"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // QuickDisk is a disk server without a machine: it answers every read at once, on
--- a/standin/relay.go
+++ b/internal/simulation/standin/relay.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Relay stands on a socket, passes the bytes on as they are and records each
--- a/standin/router.go
+++ b/internal/simulation/standin/router.go
@@ -12,9 +12,9 @@
 	"sync"
 	"time"
 
-	"merlinhitch/bgp"
-	"merlinhitch/seam"
-	"merlinhitch/writequeue"
+	"merlinhitch/internal/protocol/bgp"
+	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/writequeue"
 )
 
 // RouterFault is what is wrong with a router's sessions. The zero value is a sound one.
--- a/standin/source.go
+++ b/internal/simulation/standin/source.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"merlinhitch/inventory"
-	"merlinhitch/region"
-	"merlinhitch/seam"
+	"merlinhitch/internal/fleet/region"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // source is what an inventory of one of two regions has beside its list: the shell of
--- a/standin/tap.go
+++ b/internal/simulation/standin/tap.go
@@ -8,12 +8,12 @@
 	"strings"
 	"sync"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/verify/trail"
 )
 
 // tapper reads the frames of one connection.
--- a/world/lint_test.go
+++ b/internal/simulation/world/lint_test.go
@@ -93,10 +93,7 @@
 func TestNothingReachesPastTheSeam(t *testing.T) {
 	files := 0
 	look := func(dir string, core bool, only func(file string) bool) {
-		names, err := filepath.Glob(filepath.Join("..", dir, "*.go"))
-		if err != nil || len(names) == 0 {
-			t.Fatal(dir, err)
-		}
+		names := sources(t, dir)
 		for _, n := range names {
 			if strings.HasSuffix(n, "_test.go") || !only(filepath.Base(n)) {
 				continue
@@ -128,6 +125,22 @@
 	}
 }
 
+// sources are the files of a package, which stands at the top or in a group under internal.
+func sources(t *testing.T, name string) []string {
+	t.Helper()
+	for _, folder := range []string{filepath.Join("..", "..", "..", name), filepath.Join("..", "..", "*", name)} {
+		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(files) > 0 {
+			return files
+		}
+	}
+	t.Fatal("no package", name)
+	return nil
+}
+
 func contains(list []string, s string) bool {
 	for _, x := range list {
 		if x == s {
--- a/world/net.go
+++ b/internal/simulation/world/net.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Net is the state of a link in one direction.
--- a/world/process.go
+++ b/internal/simulation/world/process.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 // Process is a program's place in the world: its goroutines, timers, sockets and its
--- a/world/world_test.go
+++ b/internal/simulation/world/world_test.go
@@ -14,7 +14,7 @@
 
 	"go.uber.org/goleak"
 
-	"merlinhitch/seam"
+	"merlinhitch/internal/runtime/seam"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/audit/change_test.go
+++ b/internal/storage/audit/change_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"merlinhitch/audit"
+	"merlinhitch/internal/storage/audit"
 )
 
 var keys = audit.Keys{"plans": "name", "nodes": "shard"}
--- a/audit/store.go
+++ b/internal/storage/audit/store.go
@@ -10,7 +10,7 @@
 
 	"go.etcd.io/bbolt"
 
-	"merlinhitch/internal/durable"
+	"merlinhitch/internal/storage/durable"
 )
 
 // DoubtError says that an append failed on its way to the disk: whether the record stands is
--- a/audit/store_test.go
+++ b/internal/storage/audit/store_test.go
@@ -17,7 +17,7 @@
 
 	"go.etcd.io/bbolt"
 
-	"merlinhitch/audit"
+	"merlinhitch/internal/storage/audit"
 )
 
 func record(n uint64, size int) *audit.Record {
--- a/history/store.go
+++ b/internal/storage/history/store.go
@@ -11,7 +11,7 @@
 
 	"github.com/parquet-go/parquet-go"
 
-	"merlinhitch/internal/durable"
+	"merlinhitch/internal/storage/durable"
 )
 
 // level is a fineness, and for how long it is kept. A block is a file.
--- a/reserve/reserve_test.go
+++ b/internal/storage/reserve/reserve_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"merlinhitch/reserve"
+	"merlinhitch/internal/storage/reserve"
 )
 
 func nexus(i int) reserve.Nexus {
--- a/conform/conform.go
+++ b/internal/verify/conform/conform.go
@@ -14,9 +14,9 @@
 	"text/tabwriter"
 	"time"
 
-	"merlinhitch/initiator"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // Blocks is the number of blocks, from the first of the unit, that the checks
--- a/conform/reservations.go
+++ b/internal/verify/conform/reservations.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 
-	"merlinhitch/initiator"
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/protocol/initiator"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // Keys of the two initiators.
--- a/conform/table.go
+++ b/internal/verify/conform/table.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"slices"
 
-	"merlinhitch/iscsi"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/protocol/iscsi"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // Command blocks, as SPC-4 and SBC-3 lay them out.
--- a/rules/rules.go
+++ b/internal/verify/rules/rules.go
@@ -15,11 +15,11 @@
 	"math"
 	"slices"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/verify/trail"
 )
 
 // Margin is what a frame may take between a host and the relay beside it, us.
--- a/rules/rules_test.go
+++ b/internal/verify/rules/rules_test.go
@@ -7,12 +7,12 @@
 	"strings"
 	"testing"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/inventory"
-	"merlinhitch/rules"
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/inventory"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/verify/rules"
+	"merlinhitch/internal/verify/trail"
 )
 
 const ms = 1000 // us
--- a/rules/table.go
+++ b/internal/verify/rules/table.go
@@ -10,8 +10,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"merlinhitch/scsi"
-	"merlinhitch/trail"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/verify/trail"
 )
 
 // Table counts commands by class and plan, as their clients saw them.
--- a/rules/versions.go
+++ b/internal/verify/rules/versions.go
@@ -5,9 +5,9 @@
 	"math"
 	"slices"
 
-	"merlinhitch/scsi"
-	"merlinhitch/settings"
-	"merlinhitch/trail"
+	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/protocol/scsi"
+	"merlinhitch/internal/verify/trail"
 )
 
 // Version is settings as they were in force at a host: from a time after Asked and not
--- a/trail/show.go
+++ b/internal/verify/trail/show.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"strings"
 
-	"merlinhitch/diskproto"
-	"merlinhitch/scsi"
+	"merlinhitch/internal/protocol/diskproto"
+	"merlinhitch/internal/protocol/scsi"
 )
 
 // Way prints everything that passed for one command: named by its connection and
--- a/trail/trail.go
+++ b/internal/verify/trail/trail.go
@@ -14,7 +14,7 @@
 
 	"github.com/parquet-go/parquet-go"
 
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
 )
 
 // Links: which socket an event passed on.
--- a/trail/trail_test.go
+++ b/internal/verify/trail/trail_test.go
@@ -7,7 +7,7 @@
 	"slices"
 	"testing"
 
-	"merlinhitch/settings"
+	"merlinhitch/internal/control/settings"
 )
 
 func sample() (*Meta, []Event) {
