Soak: a scheduler that moves while its discovery is down is told what came back meanwhile

That agent's list had the servers as active since 4.1 s, and the scheduler sent what had waited for them. The record noted nothing of it, for Follow took over the directory's version without the changes that the old agent had not heard. So the scheduler kept the rule; the soak's record was wrong. Change: Follow records them: what allows from then on, what forbids once the scheduler must have come, as before.

--- a/internal/simulation/soak/discovery.go
+++ b/internal/simulation/soak/discovery.go
@@ -133,13 +133,17 @@
 	return a, nil
 }
 
-// Follow has nothing count as told until a scheduler that was just sent here must have come.
-func (a *Agent) Follow() {
-	a.directory.mu.Lock()
-	defer a.directory.mu.Unlock()
+// Follow takes over from the agent of a scheduler that is sent here: what that one had not
+// heard, for it was down, may be known from now on, and what it forbids counts as told once
+// the scheduler must have come.
+func (a *Agent) Follow(old *Agent) {
+	old.mu.Lock()
+	knew := old.knows
+	old.mu.Unlock()
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.knows, a.notUntil = a.directory.seq, a.record.Now()+movedCounts
+	a.knows, a.notUntil = knew, a.record.Now()+movedCounts
+	a.mu.Unlock()
+	a.advance()
 }
 
 // Address is where the agent listens.
--- a/internal/simulation/soak/run.go
+++ b/internal/simulation/soak/run.go
@@ -204,7 +204,7 @@
 	if err != nil {
 		return err
 	}
-	next.Follow()
+	next.Follow(old)
 	r.mu.Lock()
 	r.agents[i] = next
 	r.retired = append(r.retired, old)
