--- a/cmd/merlinhitch/conform.go
+++ b/cmd/merlinhitch/conform.go
@@ -7,7 +7,7 @@
 
 	"merlinhitch/internal/protocol/initiator"
 	"merlinhitch/internal/protocol/iscsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/verify/conform"
 )
 
@@ -22,7 +22,7 @@
 func (c *conformCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	cfg := initiator.Config{World: seam.NewReal(), Addr: c.Portal, Name: c.Name, Target: c.Target, ISID: iscsi.ISID{0x80, 2}, Params: initiator.DefaultParams(), LoginTime: apiTime}
+	cfg := initiator.Config{Environment: env.NewReal(), Addr: c.Portal, Name: c.Name, Target: c.Target, ISID: iscsi.ISID{0x80, 2}, Params: initiator.DefaultParams(), LoginTime: apiTime}
 	if c.User != "" {
 		cfg.Chap = &iscsi.Credentials{User: c.User, Secret: c.Secret}
 	}
--- a/cmd/merlinhitch/plan.go
+++ b/cmd/merlinhitch/plan.go
@@ -19,7 +19,7 @@
 	"merlinhitch/internal/fleet/plan"
 	"merlinhitch/internal/fleet/rollout"
 	"merlinhitch/internal/observe/chart"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/lab"
 )
 
@@ -76,7 +76,7 @@
 	if err := c.show(pl, r, pl.Report(r, steps, names)); err != nil || !c.Apply {
 		return err
 	}
-	return rollout.Apply(ctx, seam.NewReal(), hosts, pl, steps, c.Pause, func(n int) {
+	return rollout.Apply(ctx, env.NewReal(), hosts, pl, steps, c.Pause, func(n int) {
 		fmt.Fprintf(os.Stderr, "step %d of %d is in force\n", n, len(steps))
 	})
 }
--- a/cmd/merlinhitch/regions.go
+++ b/cmd/merlinhitch/regions.go
@@ -13,7 +13,7 @@
 
 	"merlinhitch/internal/fleet/region"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/lab"
 )
 
@@ -30,7 +30,7 @@
 
 // ask asks an inventory one question; what it refuses is an error.
 func ask(addr string, a inventory.Ask) (*inventory.List, error) {
-	c := inventory.NewCaller(seam.NewReal(), func() string { return addr })
+	c := inventory.NewCaller(env.NewReal(), func() string { return addr })
 	defer c.Close()
 	l, err := c.Ask(a, 3*time.Second)
 	if err != nil {
--- a/cmd/merlinhitch/scheduler.go
+++ b/cmd/merlinhitch/scheduler.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/control/scheduler"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 type schedulerCmd struct {
@@ -41,7 +41,7 @@
 		debug.SetMemoryLimit(int64(heapPart * float64(mb<<20)))
 	}
 	log = log.Named(conf.Name)
-	s, err := scheduler.Start(seam.NewReal(), conf, log)
+	s, err := scheduler.Start(env.NewReal(), conf, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/merlinhitch/scheduler_test.go
+++ b/cmd/merlinhitch/scheduler_test.go
@@ -19,7 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"merlinhitch/internal/protocol/http1"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -183,7 +183,7 @@
 }
 
 func newTown(t *testing.T) *town {
-	w := seam.NewReal()
+	w := env.NewReal()
 	o := &town{asked: make(chan struct{}, 100), answer: make(chan struct{}, 100)}
 	must := func(err error) {
 		if err != nil {
--- a/cmd/merlinhitch/serve.go
+++ b/cmd/merlinhitch/serve.go
@@ -23,7 +23,7 @@
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -68,7 +68,7 @@
 
 // config turns the arguments into a gateway's.
 func (c *gatewayCmd) config(log *zap.Logger) (gateway.Config, error) {
-	cfg := gateway.Config{World: seam.NewReal(), Log: log, Name: c.Name, Self: c.Self, Zone: c.Zone,
+	cfg := gateway.Config{Environment: env.NewReal(), Log: log, Name: c.Name, Self: c.Self, Zone: c.Zone,
 		Listen: c.Listen, Inventory: c.Inventory, Admin: c.Admin, Snapshot: c.Snapshot, History: c.History, BGPListen: c.BGPListen}
 	var err error
 	if c.Keys != "" {
@@ -137,7 +137,7 @@
 }
 
 func (c *diskserverCmd) Run(log *zap.Logger) error {
-	w := seam.NewReal()
+	w := env.NewReal()
 	m := standin.NewMachine(standin.MachineConfig{Cores: c.Cores, Queue: 120, UnitWork: c.Work, WriteX: 1.5, ColdFrom: 1, FallTime: 1000, FallMultiple: 2},
 		w.Uint64(), standin.NewCell(func(string) int { return c.Block }), standin.NewRack(6000), nil, uint32(c.Shard), 0, false)
 	d := &standin.DiskServer{Name: fmt.Sprintf("d%d", c.Shard), Zone: c.Zone, Rack: fmt.Sprintf("d%d", c.Shard), Shard: c.Shard}
@@ -169,7 +169,7 @@
 }
 
 func (c *inventoryCmd) Run(log *zap.Logger) error {
-	v, err := standin.ServeInventory(seam.NewReal(), c.Listen, c.Late)
+	v, err := standin.ServeInventory(env.NewReal(), c.Listen, c.Late)
 	if err != nil {
 		return err
 	}
@@ -206,7 +206,7 @@
 func (c *ioCmd) Run() error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Within)
 	defer cancel()
-	cfg := initiator.Config{World: seam.NewReal(), Addr: c.Portal, Name: c.Name, Target: c.Target, Discovery: c.Target == "",
+	cfg := initiator.Config{Environment: env.NewReal(), Addr: c.Portal, Name: c.Name, Target: c.Target, Discovery: c.Target == "",
 		ISID: iscsi.ISID{0x80, 1}, Params: initiator.DefaultParams(), LoginTime: c.Within}
 	if c.User != "" {
 		cfg.Chap = &iscsi.Credentials{User: c.User, Secret: c.Secret}
--- a/cmd/merlinhitch/settings.go
+++ b/cmd/merlinhitch/settings.go
@@ -18,7 +18,7 @@
 
 	"merlinhitch/internal/control/settings"
 	"merlinhitch/internal/fleet/rollout"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/lab"
 	"merlinhitch/internal/storage/audit"
 )
@@ -314,7 +314,7 @@
 		do = rollout.Return
 	}
 	ask := c.ask()
-	return do(ctx, seam.NewReal(), hosts, from, to, rollout.RollOptions{ID: c.ID, Why: ask.Why, Who: ask.Who, Watch: c.Watch,
+	return do(ctx, env.NewReal(), hosts, from, to, rollout.RollOptions{ID: c.ID, Why: ask.Why, Who: ask.Who, Watch: c.Watch,
 		Progress: func(s string) { fmt.Fprintln(os.Stderr, s) }})
 }
 
--- a/cmd/merlinhitch/top.go
+++ b/cmd/merlinhitch/top.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"merlinhitch/internal/observe/top"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 type topCmd struct {
@@ -36,9 +36,9 @@
 			return s, h.API.Read(ctx, "/state", s)
 		}})
 	}
-	w := seam.NewReal()
+	w := env.NewReal()
 	before := top.Take(ctx, sources, c.Within, w.Now)
-	for seam.Pause(ctx, w, c.Every) {
+	for env.Pause(ctx, w, c.Every) {
 		after := top.Take(ctx, sources, c.Within, w.Now)
 		if err := c.print(top.Sum(sources, before, after)); err != nil || c.Once {
 			return err
--- a/internal/control/gateway/actor_test.go
+++ b/internal/control/gateway/actor_test.go
@@ -9,7 +9,7 @@
 
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // actor is a disk server that does what a test says. The test's play is called
@@ -17,7 +17,7 @@
 type actor struct {
 	t    *testing.T
 	l    net.Listener
-	w    seam.World
+	w    env.Environment
 	play func(c *scene, do diskproto.Do)
 	// raw, if set, takes the connection's bytes after the greeting.
 	raw func(c net.Conn)
@@ -40,7 +40,7 @@
 	s.conn.Write(diskproto.Append(nil, diskproto.KindAnswer, tag, &a))
 }
 
-func newActor(t *testing.T, w seam.World) *actor {
+func newActor(t *testing.T, w env.Environment) *actor {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/control/gateway/announcer.go
+++ b/internal/control/gateway/announcer.go
@@ -12,7 +12,7 @@
 	"merlinhitch/internal/fleet/announce"
 	"merlinhitch/internal/protocol/bgp"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/policy"
 )
 
@@ -26,8 +26,8 @@
 	list    *inventory.Client
 	log     *zap.Logger
 	speaker *bgp.Speaker
-	stopped seam.Gate
-	done    seam.Gate
+	stopped env.Gate
+	done    env.Gate
 
 	mu      sync.Mutex
 	core    *announce.Core
@@ -68,11 +68,11 @@
 			Passive: r.Passive, Families: []bgp.Family{bgp.IPv4, bgp.IPv6}, Hop4: cfg.Hop4, Hop6: cfg.Hop6, Times: times}})
 	}
 	var err error
-	if a.speaker, err = bgp.StartSpeaker(cfg.World, cfg.Log, cfg.BGPListen, peers); err != nil {
+	if a.speaker, err = bgp.StartSpeaker(cfg.Environment, cfg.Log, cfg.BGPListen, peers); err != nil {
 		return nil, err
 	}
 	a.apply(s)
-	cfg.World.Go(a.run)
+	cfg.Environment.Go(a.run)
 	return a, nil
 }
 
@@ -121,7 +121,7 @@
 		}
 		list = append(list, k)
 	}
-	now := seam.MS(a.cfg.World.Now())
+	now := env.MS(a.cfg.Environment.Now())
 	a.core.Configure(now, announceConfig(s.Announce))
 	a.core.Groups(now, list)
 	a.tell()
@@ -129,7 +129,7 @@
 
 func (a *announcer) run() {
 	defer a.done.Open()
-	for seam.Wait(a.cfg.World, lookEvery, &a.stopped) {
+	for env.Wait(a.cfg.Environment, lookEvery, &a.stopped) {
 		a.look()
 	}
 }
@@ -138,25 +138,25 @@
 func (a *announcer) look() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	w := a.cfg.World
+	w := a.cfg.Environment
 	now := w.Now()
 	if !a.asked {
 		a.asked = true
 		a.host.post(event{kind: evAsk, ask: a.heard})
 	}
 	if now >= a.probeAt {
-		a.probeAt = now + seam.Duration(orElse(a.set.Announce.ProbeEvery, probeEvery))
+		a.probeAt = now + env.Duration(orElse(a.set.Announce.ProbeEvery, probeEvery))
 		for addr, shard := range a.nodes {
 			if a.needed[shard] {
 				a.host.back.probe(addr)
 			}
 		}
 	}
-	ms := seam.MS(now)
+	ms := env.MS(now)
 	answers, ready := map[int]bool{}, map[int]bool{}
 	for addr, shard := range a.nodes {
 		ready[shard] = true
-		if at, open := a.host.back.heard(addr); open && seam.MS(now-at) <= orElse(a.set.Announce.AnswerTime, answerTime) {
+		if at, open := a.host.back.heard(addr); open && env.MS(now-at) <= orElse(a.set.Announce.AnswerTime, answerTime) {
 			answers[shard] = true
 		}
 	}
@@ -164,7 +164,7 @@
 		a.core.List(ms, ready)
 	}
 	if since, lost := a.list.Lost(); lost {
-		a.core.ListLost(seam.MS(since))
+		a.core.ListLost(env.MS(since))
 	}
 	a.core.Beat(ms, a.beat)
 	a.core.Answers(ms, answers)
@@ -181,7 +181,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.asked, a.beat, a.nodes, a.listed = false, seam.MS(a.cfg.World.Now()), nodes, c.listed
+	a.asked, a.beat, a.nodes, a.listed = false, env.MS(a.cfg.Environment.Now()), nodes, c.listed
 }
 
 // Paths of the levels: a last resort is behind any other in each way that routers
@@ -219,7 +219,7 @@
 func (a *announcer) stop(p announce.StopPhase) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.core.Stop(seam.MS(a.cfg.World.Now()), p)
+	a.core.Stop(env.MS(a.cfg.Environment.Now()), p)
 	a.tell()
 }
 
@@ -230,7 +230,7 @@
 	a.mu.Lock()
 	most := orElse(a.set.Announce.MoveTime, moveTime)
 	a.mu.Unlock()
-	wait(seam.Duration(most))
+	wait(env.Duration(most))
 	a.stop(announce.Left)
 }
 
@@ -242,7 +242,7 @@
 	} else {
 		a.speaker.Close(text)
 	}
-	a.done.Wait(a.cfg.World)
+	a.done.Wait(a.cfg.Environment)
 }
 
 // Routes is what operators see of the announcements.
@@ -264,7 +264,7 @@
 
 func (a *announcer) routes() Routes {
 	a.mu.Lock()
-	now := seam.MS(a.cfg.World.Now())
+	now := env.MS(a.cfg.Environment.Now())
 	var out Routes
 	for _, s := range a.core.States() {
 		g := GroupRoutes{State: s, Level: s.Level.String(), Prefixes: a.groups[s.Group], ForMS: now - s.Since}
--- a/internal/control/gateway/announcer_test.go
+++ b/internal/control/gateway/announcer_test.go
@@ -15,7 +15,7 @@
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -27,7 +27,7 @@
 // announcing is a host that announces two groups to a router.
 func announcing(t *testing.T) (*rig, *standin.Router) {
 	t.Helper()
-	w := seam.NewReal()
+	w := env.NewReal()
 	r, err := standin.ServeRouter(w, "127.0.0.1:0", 65010)
 	if err != nil {
 		t.Fatal(err)
@@ -49,13 +49,13 @@
 	return g, r
 }
 
-func until(t *testing.T, w seam.World, what string, ok func() bool) {
+func until(t *testing.T, w env.Environment, what string, ok func() bool) {
 	t.Helper()
 	for end := w.Now() + 30*time.Second; !ok(); {
 		if w.Now() > end {
 			t.Fatal("not seen: " + what)
 		}
-		seam.Wait(w, 2*time.Millisecond, nil)
+		env.Wait(w, 2*time.Millisecond, nil)
 	}
 }
 
@@ -174,8 +174,8 @@
 }
 
 func TestAnnouncingNeedsAnIdentifier(t *testing.T) {
-	w := seam.NewReal()
-	gate, err := gateway.Start(gateway.Config{World: w, Name: "h", Listen: "127.0.0.1:0", Inventory: "127.0.0.1:1"})
+	w := env.NewReal()
+	gate, err := gateway.Start(gateway.Config{Environment: w, Name: "h", Listen: "127.0.0.1:0", Inventory: "127.0.0.1:1"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -194,7 +194,7 @@
 // A host of a service over two regions whose lease can't be renewed withdraws its
 // addresses, though its disk servers are well, and takes no work; with another it is back.
 func TestWithoutALeaseNothingIsAnnounced(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	r, err := standin.ServeRouter(w, "127.0.0.1:0", 65010)
 	if err != nil {
 		t.Fatal(err)
@@ -221,7 +221,7 @@
 	}
 	t.Cleanup(d.Kill)
 	v.ChangeNow(func(b *inventory.Book) { b.Set(inventory.Node{Addr: d.Addr, Health: inventory.Ready, Weight: 1}, 0) })
-	gate, err := gateway.Start(gateway.Config{World: w, Name: "h0", Listen: "127.0.0.1:0", Inventory: v.Addr, RouterID: 1, Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
+	gate, err := gateway.Start(gateway.Config{Environment: w, Name: "h0", Listen: "127.0.0.1:0", Inventory: v.Addr, RouterID: 1, Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -232,14 +232,14 @@
 	until(t, w, "announced", func() bool { return level(r, mixed) == announce.Announced })
 	v.Close()
 	until(t, w, "a withdrawal", func() bool { return level(r, mixed) == announce.Withdrawn })
-	c, err := initiator.Dial(context.Background(), initiator.Config{World: w, Addr: gate.Addr().String(), Name: "iqn.2026-11.example.client:x",
+	c, err := initiator.Dial(context.Background(), initiator.Config{Environment: w, Addr: gate.Addr().String(), Name: "iqn.2026-11.example.client:x",
 		Target: s.TargetName(&s.Volumes[1]), ISID: iscsi.ISID{0x80}, Params: initiator.DefaultParams(), LoginTime: 5 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
 	status := func() byte {
-		var done seam.Gate
+		var done env.Gate
 		var got byte
 		c.Submit(0, initiator.ReadCDB(0, 1), nil, s.Volumes[1].BlockSize, func(r iscsi.Result, err error) {
 			if got = r.Status; err != nil {
--- a/internal/control/gateway/answerer.go
+++ b/internal/control/gateway/answerer.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"merlinhitch/internal/protocol/iscsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -18,8 +18,8 @@
 	mu      sync.Mutex
 	mailbox []answered
 	closed  bool
-	wake    seam.Parker
-	done    seam.Gate
+	wake    env.Parker
+	done    env.Gate
 
 	said []*writequeue.Queue // what the present batch left to be written
 }
--- a/internal/control/gateway/back.go
+++ b/internal/control/gateway/back.go
@@ -15,7 +15,7 @@
 
 	"merlinhitch/internal/control/keys"
 	"merlinhitch/internal/protocol/diskproto"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
@@ -24,7 +24,7 @@
 // back keeps one connection to each disk server that is sent to, and runs
 // attempts on them. What it learns it posts to the host.
 type back struct {
-	world  seam.World
+	world  env.Environment
 	host   *host
 	id     uint64
 	name   string
@@ -35,9 +35,9 @@
 
 	mu     sync.Mutex
 	links  map[string]*link // that can be used, by server
-	all    seam.Roster[*link]
+	all    env.Roster[*link]
 	closed bool
-	tasks  seam.Group
+	tasks  env.Group
 	ctx    context.Context
 	stop   context.CancelFunc
 }
@@ -51,7 +51,7 @@
 	silence = 2 * time.Second
 )
 
-func newBack(w seam.World, h *host, name string, dialIn time.Duration, log *zap.Logger) *back {
+func newBack(w env.Environment, h *host, name string, dialIn time.Duration, log *zap.Logger) *back {
 	b := &back{world: w, host: h, id: w.Uint64(), name: name, log: log, links: map[string]*link{}}
 	b.dialIn.Store(int64(dialIn))
 	b.ctx, b.stop = context.WithCancel(context.Background())
@@ -169,7 +169,7 @@
 // put holds the attempt's frame for the write queue's next release. One that may not begin any
 // more, for it waited for its connection, ends as never sent. Held: mu.
 func (l *link) put(a *attempt) {
-	if !a.permitted(seam.MS(l.back.world.Now())) {
+	if !a.permitted(env.MS(l.back.world.Now())) {
 		if a.drop() {
 			l.back.host.post(event{kind: evLost, attempt: a, result: policy.NotSent})
 		}
--- a/internal/control/gateway/conform_test.go
+++ b/internal/control/gateway/conform_test.go
@@ -24,7 +24,7 @@
 func conformity(t *testing.T, r *rig, addr string) []conform.Row {
 	t.Helper()
 	rows, err := conform.Run(context.Background(), func(ctx context.Context, who int) (*initiator.Client, error) {
-		return initiator.Dial(ctx, initiator.Config{World: r.world, Addr: addr, Name: "iqn.2026-11.example.client:conform", ISID: iscsi.ISID{0x80, 2, 0, 0, 0, byte(who)},
+		return initiator.Dial(ctx, initiator.Config{Environment: r.world, Addr: addr, Name: "iqn.2026-11.example.client:conform", ISID: iscsi.ISID{0x80, 2, 0, 0, 0, byte(who)},
 			Target: r.set.TargetName(&r.set.Volumes[unlimited]), Params: initiator.DefaultParams()})
 	})
 	if err != nil {
--- a/internal/control/gateway/front.go
+++ b/internal/control/gateway/front.go
@@ -15,7 +15,7 @@
 	"merlinhitch/internal/control/settings"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 	"merlinhitch/internal/storage/reserve"
 )
@@ -49,7 +49,7 @@
 
 // front accepts initiators.
 type front struct {
-	world    seam.World
+	world    env.Environment
 	host     *host
 	log      *zap.Logger
 	listener net.Listener
@@ -65,10 +65,10 @@
 	answers  []*answerer
 
 	mu       sync.Mutex
-	conns    seam.Roster[*conn]
+	conns    env.Roster[*conn]
 	sessions map[sessionKey]*conn
 	stopping bool
-	tasks    seam.Group
+	tasks    env.Group
 }
 
 // sessionKey is the identity of a session: a login with the same takes its place
@@ -87,7 +87,7 @@
 	outMost = 16 << 20
 )
 
-func newFront(w seam.World, h *host, v *view, l net.Listener, log *zap.Logger) *front {
+func newFront(w env.Environment, h *host, v *view, l net.Listener, log *zap.Logger) *front {
 	f := &front{world: w, host: h, log: log, listener: l, sessions: map[sessionKey]*conn{}}
 	f.keeper, f.answers = newKeeper(f), newAnswerers(h)
 	f.view.Store(v)
@@ -123,7 +123,7 @@
 func (f *front) revise(s *settings.Settings) {
 	f.taking.Lock()
 	defer f.taking.Unlock()
-	f.host.back.dialIn.Store(int64(seam.Duration(s.Limits.DialTimeout)))
+	f.host.back.dialIn.Store(int64(env.Duration(s.Limits.DialTimeout)))
 	f.host.post(event{kind: evRevise, set: s})
 	f.view.Store(newView(s, f.host.self))
 }
@@ -175,14 +175,14 @@
 	// answers gives the connection's commands their answers; nil: the host does.
 	answers *answerer
 	unit    *unit
-	ended   seam.Gate
+	ended   env.Gate
 
 	mu      sync.Mutex
 	sess    *iscsi.Session
 	digests iscsi.Digests
 	tsih    uint16
 	closed  bool
-	ping    seam.Timer
+	ping    env.Timer
 	heard   bool
 	batch   bool // the host core releases the write queue
 	// attention is told to the next command that asks: a unit attention condition.
@@ -195,7 +195,7 @@
 	if n := uint32(len(f.answers)); n > 0 {
 		k.answers = f.answers[f.turn.Add(1)%n]
 	}
-	k.out = writequeue.New(f.world, c, outMost, seam.Duration(f.view.Load().Target.WriteTime))
+	k.out = writequeue.New(f.world, c, outMost, env.Duration(f.view.Load().Target.WriteTime))
 	k.out.Gauge = func(delta int) { f.memory.Add(int64(delta)) }
 	return k
 }
@@ -226,7 +226,7 @@
 // login runs the login phase within its time.
 func (c *conn) login(r *iscsi.Reader) error {
 	v := c.front.view.Load()
-	c.net.SetReadDeadline(c.front.world.Deadline(seam.Duration(v.Target.LoginTime)))
+	c.net.SetReadDeadline(c.front.world.Deadline(env.Duration(v.Target.LoginTime)))
 	l := iscsi.NewLogin(c.policy(v), c.assign)
 	for {
 		p, err := r.Next()
@@ -271,7 +271,7 @@
 	p := iscsi.DefaultParams()
 	p.MaxRecv, p.MaxBurst, p.FirstBurst, p.InitialR2T, p.MaxR2T = maxSegment, maxTransfer, maxSegment, false, 4
 	tp := &iscsi.TargetPolicy{Params: p, Window: uint32(v.Target.Window), PortalGroup: 1,
-		Random: func(b []byte) { seam.Fill(c.front.world, b) },
+		Random: func(b []byte) { env.Fill(c.front.world, b) },
 		Admit: func(_, target string) iscsi.LoginStatus {
 			if target != "" && v.targets[target] == nil {
 				return iscsi.LoginNotFound
@@ -342,7 +342,7 @@
 	if c.closed {
 		return
 	}
-	every := seam.Duration(v.Target.PingEvery)
+	every := env.Duration(v.Target.PingEvery)
 	c.ping = c.front.world.AfterFunc(every, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -397,7 +397,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heard = true
-	c.sess.Now = seam.MS(c.front.world.Now())
+	c.sess.Now = env.MS(c.front.world.Now())
 	events, err := c.sess.Handle(p)
 	for _, e := range events {
 		switch {
@@ -427,7 +427,7 @@
 	if k == nil {
 		return
 	}
-	c.front.world.AfterFunc(seam.Duration(k.Deadline), func() {
+	c.front.world.AfterFunc(env.Duration(k.Deadline), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if !c.closed && c.sess.Task(itt) == t && !t.Delivered() {
--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -21,20 +21,20 @@
 	"merlinhitch/internal/fleet/roll"
 	"merlinhitch/internal/observe/metrics"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Config says where a gateway stands.
 type Config struct {
-	World     seam.World
-	Log       *zap.Logger
-	Name      string // told to disk servers
-	Self      int    // this host's number in the service
-	Zone      string
-	Listen    string // for initiators
-	Inventory string // address of the node list
-	Admin     string // of the admin API: host:port, unix:PATH, or none
-	Snapshot  string // file of the saved settings, or none; its record lies beside it
+	Environment env.Environment
+	Log         *zap.Logger
+	Name        string // told to disk servers
+	Self        int    // this host's number in the service
+	Zone        string
+	Listen      string // for initiators
+	Inventory   string // address of the node list
+	Admin       string // of the admin API: host:port, unix:PATH, or none
+	Snapshot    string // file of the saved settings, or none; its record lies beside it
 	// History is a folder for what the host counted, or none.
 	History string
 	// Keys of this host; nil: the admin API is served in clear, to this machine alone, and
@@ -65,7 +65,7 @@
 	ann      *announcer // nil where nothing is to be announced at the start
 	addr     net.Addr
 	stopped  bool
-	ready    seam.Gate
+	ready    env.Gate
 	failed   error
 }
 
@@ -116,7 +116,7 @@
 	if network == "tcp" && g.cfg.Keys == nil && !onLoopback(addr) {
 		return errors.New("gateway: an admin address that others reach needs keys")
 	}
-	l, err := g.cfg.World.Listen(network, addr)
+	l, err := g.cfg.Environment.Listen(network, addr)
 	if err != nil {
 		return err
 	}
@@ -128,7 +128,7 @@
 		l = tls.NewListener(l, g.cfg.Keys.Server(false))
 	}
 	mux := http.NewServeMux()
-	record := settings.Handler(g.store, author, func() int64 { return g.cfg.World.Deadline(0).UnixMilli() })
+	record := settings.Handler(g.store, author, func() int64 { return g.cfg.Environment.Deadline(0).UnixMilli() })
 	mux.Handle("/settings", record)
 	mux.Handle("/settings/", record)
 	mux.HandleFunc("GET /routes", func(w http.ResponseWriter, _ *http.Request) { settings.Reply(w, http.StatusOK, g.Routes()) })
@@ -208,20 +208,20 @@
 	if s.Announce != nil && g.cfg.RouterID == 0 {
 		return errors.New("gateway: the settings ask for announcements, which need a router identifier")
 	}
-	l, err := g.cfg.World.Listen("tcp", g.cfg.Listen)
+	l, err := g.cfg.Environment.Listen("tcp", g.cfg.Listen)
 	if err != nil {
 		return err
 	}
-	h := newHost(g.cfg.World, s, g.cfg.Self, g.cfg.Name, g.cfg.Zone, g.cfg.Keys, g.cfg.Log)
-	g.list = inventory.Follow(g.cfg.World, g.cfg.Inventory, func(l inventory.List) {
+	h := newHost(g.cfg.Environment, s, g.cfg.Self, g.cfg.Name, g.cfg.Zone, g.cfg.Keys, g.cfg.Log)
+	g.list = inventory.Follow(g.cfg.Environment, g.cfg.Inventory, func(l inventory.List) {
 		h.post(event{kind: evList, list: l})
 	})
 	h.fetch = g.list.Fetch
 	if s.Regions != nil {
-		g.lease = newLeaser(g.cfg.World, h, g.cfg.Inventory, s.Regions, g.cfg.Log)
+		g.lease = newLeaser(g.cfg.Environment, h, g.cfg.Inventory, s.Regions, g.cfg.Log)
 	}
 	g.host, g.addr = h, l.Addr()
-	g.front = newFront(g.cfg.World, h, newView(s, g.cfg.Self), l, g.cfg.Log)
+	g.front = newFront(g.cfg.Environment, h, newView(s, g.cfg.Self), l, g.cfg.Log)
 	if s.Announce != nil {
 		if g.ann, err = newAnnouncer(g.cfg, s, h, g.list); err != nil {
 			return err // Start ends the rest
@@ -232,7 +232,7 @@
 }
 
 // Ready is open once the gateway serves initiators.
-func (g *Gateway) Ready() *seam.Gate { return &g.ready }
+func (g *Gateway) Ready() *env.Gate { return &g.ready }
 
 // Addr is the address for initiators, nil before Ready.
 func (g *Gateway) Addr() net.Addr {
@@ -313,12 +313,12 @@
 
 // Freeze has the host core stand still until the gate is open, as a fault of
 // the program might; for drills.
-func (g *Gateway) Freeze(until *seam.Gate) {
+func (g *Gateway) Freeze(until *env.Gate) {
 	g.mu.Lock()
 	h := g.host
 	g.mu.Unlock()
 	if h != nil {
-		h.post(event{kind: evAsk, ask: func(*hostCore) { seam.WaitAny(h.world, until, &h.halted) }})
+		h.post(event{kind: evAsk, ask: func(*hostCore) { env.WaitAny(h.world, until, &h.halted) }})
 	}
 }
 
@@ -341,12 +341,12 @@
 		for _, c := range f.all() {
 			c.askLogout(uint16(min(stop/1000+1, 3600)))
 		}
-		g.await(ctx, seam.Duration(stop), func() bool { return len(f.all()) == 0 })
+		g.await(ctx, env.Duration(stop), func() bool { return len(f.all()) == 0 })
 		longest := 0.0
 		for _, k := range f.view.Load().Classes {
 			longest = max(longest, k.Deadline)
 		}
-		g.await(ctx, seam.Duration(longest), func() bool {
+		g.await(ctx, env.Duration(longest), func() bool {
 			for _, c := range f.all() {
 				if c.busy() {
 					return false
@@ -360,9 +360,9 @@
 
 // await looks until done, for at most so long.
 func (g *Gateway) await(ctx context.Context, most time.Duration, done func() bool) {
-	end := g.cfg.World.Now() + most
-	for !done() && g.cfg.World.Now() < end && ctx.Err() == nil {
-		seam.Pause(ctx, g.cfg.World, stopLook)
+	end := g.cfg.Environment.Now() + most
+	for !done() && g.cfg.Environment.Now() < end && ctx.Err() == nil {
+		env.Pause(ctx, g.cfg.Environment, stopLook)
 	}
 }
 
--- a/internal/control/gateway/gateway_test.go
+++ b/internal/control/gateway/gateway_test.go
@@ -16,7 +16,7 @@
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -25,7 +25,7 @@
 // rig is one host before a few disk servers.
 type rig struct {
 	t     *testing.T
-	world *seam.Real
+	world *env.Real
 	set   *settings.Settings
 	inv   *standin.Inventory
 	disks []*standin.DiskServer
@@ -43,7 +43,7 @@
 
 // newKeyedRig is a rig whose gateway and disk servers have keys.
 func newKeyedRig(t *testing.T, edit func(*settings.Settings), more func(*gateway.Config), k *keys.Holder) *rig {
-	r := &rig{t: t, world: seam.NewReal(), set: settings.Example(1, 3)}
+	r := &rig{t: t, world: env.NewReal(), set: settings.Example(1, 3)}
 	if edit != nil {
 		edit(r.set)
 	}
@@ -65,7 +65,7 @@
 			b.Set(inventory.Node{Addr: d.Addr, Health: inventory.Ready, Shard: i, Zone: "hall-a", Weight: 1, Incarnation: d.Started}, 0)
 		})
 	}
-	cfg := gateway.Config{World: r.world, Name: "h0", Zone: "hall-a", Listen: "127.0.0.1:0", Inventory: r.inv.Addr,
+	cfg := gateway.Config{Environment: r.world, Name: "h0", Zone: "hall-a", Listen: "127.0.0.1:0", Inventory: r.inv.Addr,
 		RouterID: 1, Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})}
 	more(&cfg)
 	r.gate, err = gateway.Start(cfg)
@@ -90,7 +90,7 @@
 }
 
 func (r *rig) dial(volume int, isid byte) (*initiator.Client, error) {
-	return initiator.Dial(context.Background(), initiator.Config{World: r.world, Addr: r.gate.Addr().String(),
+	return initiator.Dial(context.Background(), initiator.Config{Environment: r.world, Addr: r.gate.Addr().String(),
 		Name: "iqn.2026-11.example.client:one", Target: r.set.TargetName(&r.set.Volumes[volume]),
 		ISID: iscsi.ISID{0x80, 0, 0, 0, 0, isid}, Params: initiator.DefaultParams(), LoginTime: 5 * time.Second})
 }
--- a/internal/control/gateway/hard_test.go
+++ b/internal/control/gateway/hard_test.go
@@ -443,7 +443,7 @@
 func TestThousandIdleSessions(t *testing.T) {
 	r := newRig(t, nil)
 	for i := range 1000 {
-		c, err := initiator.Dial(context.Background(), initiator.Config{World: r.world, Addr: r.gate.Addr().String(),
+		c, err := initiator.Dial(context.Background(), initiator.Config{Environment: r.world, Addr: r.gate.Addr().String(),
 			Name: "iqn.2026-11.example.client:idle", Target: r.set.TargetName(&r.set.Volumes[normal]),
 			ISID: iscsi.ISID{0x80, 0, 0, 1, byte(i >> 8), byte(i)}, Params: initiator.DefaultParams(), LoginTime: 20 * time.Second})
 		if err != nil {
@@ -481,7 +481,7 @@
 	out := make(chan *scene, 1)
 	r.stage(func(c *scene, do diskproto.Do) { out <- c })
 	asked := make(chan struct{}, 1)
-	c, err := initiator.Dial(context.Background(), initiator.Config{World: r.world, Addr: r.gate.Addr().String(),
+	c, err := initiator.Dial(context.Background(), initiator.Config{Environment: r.world, Addr: r.gate.Addr().String(),
 		Name: "iqn.2026-11.example.client:one", Target: r.set.TargetName(&r.set.Volumes[normal]), ISID: iscsi.ISID{0x80},
 		Params: initiator.DefaultParams(), LoginTime: 5 * time.Second, OnAsk: func() { asked <- struct{}{} }})
 	if err != nil {
--- a/internal/control/gateway/host.go
+++ b/internal/control/gateway/host.go
@@ -14,7 +14,7 @@
 	"merlinhitch/internal/fleet/region"
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
@@ -22,7 +22,7 @@
 
 // host is the shell of a host core: one goroutine, one order of events.
 type host struct {
-	world seam.World
+	world env.Environment
 	core  *hostCore
 	back  *back
 	fetch func()
@@ -32,13 +32,13 @@
 	mu      sync.Mutex
 	mailbox []event
 	stopped bool
-	wake    seam.Parker
-	halted  seam.Gate // open as stop begins
-	done    seam.Gate
+	wake    env.Parker
+	halted  env.Gate // open as stop begins
+	done    env.Gate
 
 	lease   atomic.Uint64 // bits of the lease's end; without regions it never ends
 	sooner  func()        // has a lease asked for at once
-	alarm   seam.Alarm
+	alarm   env.Alarm
 	buffers sync.Pool
 	said    []*writequeue.Queue // what the present batch of events left to be written
 }
@@ -69,10 +69,10 @@
 	set     *settings.Settings
 }
 
-func newHost(w seam.World, s *settings.Settings, self int, name, zone string, k *keys.Holder, log *zap.Logger) *host {
+func newHost(w env.Environment, s *settings.Settings, self int, name, zone string, k *keys.Holder, log *zap.Logger) *host {
 	h := &host{world: w, log: log, self: self, wake: w.NewParker(), fetch: func() {}}
-	h.core = newHostCore(seam.MS(w.Now()), s, self, zone, w.Uint64(), h)
-	h.back = newBack(w, h, name, seam.Duration(s.Limits.DialTimeout), log)
+	h.core = newHostCore(env.MS(w.Now()), s, self, zone, w.Uint64(), h)
+	h.back = newBack(w, h, name, env.Duration(s.Limits.DialTimeout), log)
 	h.sooner = func() {}
 	if h.leased(math.Inf(1)); s.Regions != nil {
 		h.leased(0)
@@ -130,7 +130,7 @@
 // tick does what has come due and tells the time: also between the events of a batch, for
 // what is owed by a time goes before new work.
 func (h *host) tick() (now float64) {
-	now = seam.MS(h.world.Now())
+	now = env.MS(h.world.Now())
 	if h.core.next() <= now {
 		h.core.tick(now)
 	}
@@ -194,14 +194,14 @@
 	if faultinject.Is(faultinject.WakeupLost) && h.alarm.At() > 0 && at >= h.alarm.At() {
 		return
 	}
-	h.alarm.Set(h.world, seam.MS(h.world.Now()), at, h.wake.Unpark)
+	h.alarm.Set(h.world, env.MS(h.world.Now()), at, h.wake.Unpark)
 }
 
 // ask runs f on the host's goroutine and waits for it; false if the host stopped.
 func (h *host) ask(f func(*hostCore)) bool {
-	var ready seam.Gate
+	var ready env.Gate
 	h.post(event{kind: evAsk, ask: func(c *hostCore) { f(c); ready.Open() }})
-	seam.WaitAny(h.world, &ready, &h.done)
+	env.WaitAny(h.world, &ready, &h.done)
 	return ready.Opened()
 }
 
@@ -233,7 +233,7 @@
 
 // serves tells whether the host may take work now; without a lease it may not.
 func (h *host) serves() bool {
-	return seam.MS(h.world.Now()) < math.Float64frombits(h.lease.Load())
+	return env.MS(h.world.Now()) < math.Float64frombits(h.lease.Load())
 }
 
 func (h *host) finish(j *job, how endKind, after float64, ans *diskproto.Answer) {
--- a/internal/control/gateway/host_test.go
+++ b/internal/control/gateway/host_test.go
@@ -7,13 +7,13 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/control/settings"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/policy"
 )
 
 // A timer that comes due while one event is handled goes before the next event of its batch.
 func TestTimersGoBetweenEvents(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	h := newHost(w, settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
 	defer h.stop()
 	module := &script{}
@@ -31,7 +31,7 @@
 			c.mod = module
 			due := c.now + 2
 			c.do(policy.SetTimer{Delay: due - c.now, Name: "test"})
-			for seam.MS(w.Now()) < due {
+			for env.MS(w.Now()) < due {
 				runtime.Gosched()
 			}
 			ready <- fired()
--- a/internal/control/gateway/keeper.go
+++ b/internal/control/gateway/keeper.go
@@ -10,7 +10,7 @@
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/storage/reserve"
 	"merlinhitch/policy"
 )
@@ -182,7 +182,7 @@
 		if k.front.over() {
 			return
 		}
-		k.fresh(vol, seam.MS(k.front.world.Now()+lease), func(*reserve.State, error) {
+		k.fresh(vol, env.MS(k.front.world.Now()+lease), func(*reserve.State, error) {
 			k.mu.Lock()
 			g := k.guard(vol.Name)
 			g.polled = len(g.state.Registrations) > 0
--- a/internal/control/gateway/keys_test.go
+++ b/internal/control/gateway/keys_test.go
@@ -240,7 +240,7 @@
 	if err != nil || len(log) != 1 || !strings.HasPrefix(log[0].Who, "uid ") || !strings.HasSuffix(log[0].Who, ", claimed ines") {
 		t.Errorf("%+v, %v", log, err)
 	}
-	if g, err := gateway.Start(gateway.Config{World: r.world, Name: "h", Admin: "0.0.0.0:0", Inventory: r.inv.Addr}); err == nil {
+	if g, err := gateway.Start(gateway.Config{Environment: r.world, Name: "h", Admin: "0.0.0.0:0", Inventory: r.inv.Addr}); err == nil {
 		g.Kill()
 		t.Error("an admin address for everybody without keys")
 	}
--- a/internal/control/gateway/permit_test.go
+++ b/internal/control/gateway/permit_test.go
@@ -11,7 +11,7 @@
 
 	"merlinhitch/internal/control/settings"
 	"merlinhitch/internal/protocol/diskproto"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 	"merlinhitch/policy"
 )
@@ -97,7 +97,7 @@
 
 // Nothing is put on a connection for a request that is over, or too late.
 func TestPermitsWhenAConnectionIsUp(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	for name, tt := range map[string]struct {
 		change func(a *attempt, now float64)
 		goes   bool
@@ -112,7 +112,7 @@
 		h := newHost(w, settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
 		ours, theirs := net.Pipe()
 		l := &link{back: h.back, open: map[uint32]*attempt{}, conn: ours, out: writequeue.New(w, ours, 1<<20, time.Second)}
-		now := seam.MS(w.Now())
+		now := env.MS(w.Now())
 		a := &attempt{job: &job{owner: nobody{}}, until: now + 60_000, by: math.Inf(1)}
 		tt.change(a, now)
 		l.put(a)
--- a/internal/control/gateway/recorder.go
+++ b/internal/control/gateway/recorder.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/control/settings"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/storage/history"
 )
 
@@ -19,8 +19,8 @@
 	mu    sync.Mutex
 	store *history.Store
 	was   map[history.Key]history.Counts
-	over  seam.Gate
-	tasks seam.Group
+	over  env.Gate
+	tasks env.Group
 }
 
 // flushEvery is how many seconds may be lost in a crash.
@@ -32,13 +32,13 @@
 		return nil, err
 	}
 	r := &recorder{g: g, store: st, was: map[history.Key]history.Counts{}}
-	r.tasks.Go(g.cfg.World, r.run)
+	r.tasks.Go(g.cfg.Environment, r.run)
 	return r, nil
 }
 
 func (r *recorder) run() {
-	w := r.g.cfg.World
-	for n := 1; seam.Wait(w, time.Second, &r.over); n++ {
+	w := r.g.cfg.Environment
+	for n := 1; env.Wait(w, time.Second, &r.over); n++ {
 		r.second(w.Deadline(0).Unix(), n%flushEvery == 0)
 	}
 	r.second(w.Deadline(0).Unix(), true)
@@ -82,7 +82,7 @@
 
 func (r *recorder) close() {
 	r.over.Open()
-	r.tasks.Wait(r.g.cfg.World)
+	r.tasks.Wait(r.g.cfg.Environment)
 }
 
 // history serves /history?from=&to=, in seconds since 1970.
--- a/internal/control/gateway/regional.go
+++ b/internal/control/gateway/regional.go
@@ -11,7 +11,7 @@
 	"merlinhitch/internal/fleet/region"
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
 )
@@ -167,23 +167,23 @@
 
 // leaser asks the inventory for leases, from a goroutine of its own.
 type leaser struct {
-	world  seam.World
+	world  env.Environment
 	host   *host
 	caller *inventory.Caller
 	every  time.Duration
 	log    *zap.Logger
 	mu     sync.Mutex
-	soon   *seam.Gate
-	over   seam.Gate
-	done   seam.Gate
+	soon   *env.Gate
+	over   env.Gate
+	done   env.Gate
 }
 
 // leaseParts is how many times a lease is renewed in its own length: two questions may be
 // lost without harm.
 const leaseParts = 6
 
-func newLeaser(w seam.World, h *host, addr string, r *settings.Regions, log *zap.Logger) *leaser {
-	l := &leaser{world: w, host: h, caller: inventory.NewCaller(w, func() string { return addr }), every: seam.Duration(r.Lease / leaseParts), log: log}
+func newLeaser(w env.Environment, h *host, addr string, r *settings.Regions, log *zap.Logger) *leaser {
+	l := &leaser{world: w, host: h, caller: inventory.NewCaller(w, func() string { return addr }), every: env.Duration(r.Lease / leaseParts), log: log}
 	h.sooner = l.sooner
 	w.Go(l.run)
 	return l
@@ -208,10 +208,10 @@
 		}
 		l.host.back.freshen()
 		l.mu.Lock()
-		l.soon = &seam.Gate{}
+		l.soon = &env.Gate{}
 		soon := l.soon
 		l.mu.Unlock()
-		seam.Wait(l.world, l.every, soon)
+		env.Wait(l.world, l.every, soon)
 		if l.over.Opened() {
 			return
 		}
--- a/internal/control/scheduler/ahead.go
+++ b/internal/control/scheduler/ahead.go
@@ -4,7 +4,7 @@
 	"net"
 	"sync/atomic"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 const (
@@ -78,7 +78,7 @@
 			a.marks = append(a.marks, mark{a.read, now})
 		}
 	}
-	if err != nil && err != seam.ErrNothing && !isTimeout(err) {
+	if err != nil && err != env.ErrNothing && !isTimeout(err) {
 		a.err = err
 	}
 }
@@ -99,7 +99,7 @@
 // look keeps what has come already; the error is the stream's end.
 func (a *ahead) look() error {
 	for a.err == nil && !a.full() {
-		if a.keep(func(b []byte) (int, error) { return seam.ReadNow(a.conn, b) }) != nil {
+		if a.keep(func(b []byte) (int, error) { return env.ReadNow(a.conn, b) }) != nil {
 			break
 		}
 	}
--- a/internal/control/scheduler/ahead_test.go
+++ b/internal/control/scheduler/ahead_test.go
@@ -11,13 +11,13 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
 // A client that leaves is seen behind much that it sent ahead: nothing of that is sent on.
 func TestALeaverBehindManyRequests(t *testing.T) {
-	var gate seam.Gate
+	var gate env.Gate
 	slow := func(standin.HTTPAsk) standin.HTTPAnswer {
 		<-gate.Chan()
 		return standin.HTTPAnswer{Raw: []byte(ok200)}
@@ -69,7 +69,7 @@
 
 // lateListener is a world in which the first tries to listen fail.
 type lateListener struct {
-	*seam.Real
+	*env.Real
 	fault error
 	left  int
 }
@@ -85,7 +85,7 @@
 // other fault ends it at once.
 func TestListenIsTriedAgain(t *testing.T) {
 	for fault, waits := range map[error]bool{syscall.EADDRINUSE: true, syscall.ENOBUFS: true, syscall.EMFILE: true, syscall.EINVAL: false} {
-		w := &lateListener{Real: seam.NewReal(), fault: fault, left: 3}
+		w := &lateListener{Real: env.NewReal(), fault: fault, left: 3}
 		from := time.Now()
 		l, err := listen(w, "127.0.0.1:0", zap.NewNop())
 		if got := err == nil; got != waits || waits && time.Since(from) < 3*listenPause {
@@ -126,7 +126,7 @@
 		for range requests {
 			io.WriteString(p.conn, strings.Replace(sc.get(), "0.480", "19.0", 1))
 		}
-		seam.Wait(sc.w, 300*time.Millisecond, nil) // it reads nothing meanwhile
+		env.Wait(sc.w, 300*time.Millisecond, nil) // it reads nothing meanwhile
 		for i := range requests {
 			if got := p.hear(p.w.Now()); got.status != 200 || len(got.body) != size {
 				t.Fatalf("answer %d: %d, %d bytes", i, got.status, len(got.body))
@@ -138,7 +138,7 @@
 // slowStart is a world in which a request comes as soon as the scheduler listens, and the
 // scheduler's start is held up behind that.
 type slowStart struct {
-	*seam.Real
+	*env.Real
 	raw    string
 	heldUp time.Duration
 	conn   net.Conn
@@ -152,7 +152,7 @@
 	if w.conn, err = net.Dial("tcp", l.Addr().String()); err == nil {
 		_, err = io.WriteString(w.conn, w.raw)
 	}
-	seam.Wait(w.Real, w.heldUp, nil)
+	env.Wait(w.Real, w.heldUp, nil)
 	return l, err
 }
 
@@ -189,7 +189,7 @@
 		long := sc.request("PUT", "txn-write", "00000000000000c1", "9.000", "x", "Idempotency-Key: k\r\n")
 		from := sc.w.Now()
 		io.WriteString(p.conn, long)
-		seam.Wait(sc.w, 20*time.Millisecond, nil)
+		env.Wait(sc.w, 20*time.Millisecond, nil)
 		io.WriteString(p.conn, sc.get()+sc.get()) // of 0.48 s
 		for i := range 3 {
 			got := p.hear(from)
--- a/internal/control/scheduler/back.go
+++ b/internal/control/scheduler/back.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/policy"
 )
 
@@ -43,7 +43,7 @@
 // back keeps connections to disk servers, each for one request at a time. Its methods run
 // on the loop's goroutine; what goes on on a connection that has a request is posted there.
 type back struct {
-	world   seam.World
+	world   env.Environment
 	loop    *loop
 	core    *core
 	dialIn  time.Duration
@@ -59,10 +59,10 @@
 	idle    list.List // of free links, the one that has been free for longest first
 	starved []*server // that something waits for, and nothing could be dialled
 	pausing bool      // a dial failed by this machine's own fault just now
-	tasks   seam.Group
+	tasks   env.Group
 	ctx     context.Context
 	stop    context.CancelFunc
-	all     seam.Roster[*link]
+	all     env.Roster[*link]
 }
 
 // server is one disk server's connections.
@@ -114,7 +114,7 @@
 	place  *list.Element
 }
 
-func newBack(w seam.World, l *loop, c *Config, most int) *back {
+func newBack(w env.Environment, l *loop, c *Config, most int) *back {
 	b := &back{world: w, loop: l, most: most, servers: map[string]*server{}}
 	b.configure(c)
 	b.ctx, b.stop = context.WithCancel(context.Background())
@@ -123,12 +123,12 @@
 
 // configure takes what the configuration says; what is under way goes on.
 func (b *back) configure(c *Config) {
-	b.dialIn, b.keep = seam.Duration(c.Bounds.DialTimeout), c.Bounds.ConnIdle*idlePart
+	b.dialIn, b.keep = env.Duration(c.Bounds.DialTimeout), c.Bounds.ConnIdle*idlePart
 	b.bytes.Store(bytesOf(c))
 }
 
-// reach notes a server's address; at another one, what is open to the old one is left.
-func (b *back) reach(e Entry) {
+// serverListed notes a server's address; at another one, what is open to the old one is left.
+func (b *back) serverListed(e Entry) {
 	s := b.servers[e.Host]
 	if s == nil {
 		s = &server{host: e.Host}
@@ -141,7 +141,7 @@
 	}
 }
 
-func (b *back) retire(host string) {
+func (b *back) serverRemoved(host string) {
 	if s := b.servers[host]; s != nil {
 		s.gone = true
 		b.shutFree(s)
@@ -186,7 +186,7 @@
 // has none to spare, the server stands in line for the next.
 func (b *back) dialFor(s *server) {
 	for len(s.waiting) > s.coming {
-		if b.pausing || !b.room() {
+		if b.pausing || !b.makeRoom() {
 			if !s.starved {
 				s.starved = true
 				b.starved = append(b.starved, s)
@@ -212,9 +212,9 @@
 	}
 }
 
-// room tells whether one more connection may be opened; the one that has been idle for
+// makeRoom tells whether one more connection may be opened; the one that has been idle for
 // longest gives way.
-func (b *back) room() bool {
+func (b *back) makeRoom() bool {
 	if b.conns >= b.most && b.idle.Len() > 0 {
 		l := b.idle.Front().Value.(*link)
 		b.closeLink(l)
@@ -251,7 +251,7 @@
 	}
 	b.pausing = true
 	b.tasks.Go(b.world, func() {
-		seam.Wait(b.world, dialPause, nil)
+		env.Wait(b.world, dialPause, nil)
 		b.loop.post(b.loop.now(), eventDialled, func(float64) {
 			b.pausing = false
 			b.feed()
--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // One connection of a client, from its first request to its close.
@@ -55,7 +55,7 @@
 	f := c.front
 	c.out.Finish()
 	c.out.Wait()
-	if c.answeredSince(f.loop.now() - seam.MS(lingerTime)) {
+	if c.answeredSince(f.loop.now() - env.MS(lingerTime)) {
 		c.linger()
 	}
 	c.conn.Close()
@@ -70,8 +70,8 @@
 	w := c.front.world
 	until := w.Now() + lingerTime
 	c.conn.SetReadDeadline(w.Deadline(lingerTime))
-	if seam.Readable(c.conn) == nil { // it will be reset, but not before its answer is there
-		seam.Wait(w, until-w.Now(), &c.front.ended)
+	if env.Readable(c.conn) == nil { // it will be reset, but not before its answer is there
+		env.Wait(w, until-w.Now(), &c.front.ended)
 	}
 }
 
@@ -201,7 +201,7 @@
 	f := c.front
 	// Discovery may know already what the list of the start does not: nothing goes by that
 	// list until discovery was heard, or has had the time for it.
-	seam.WaitAny(f.world, &f.ready, &f.ended)
+	env.WaitAny(f.world, &f.ready, &f.ended)
 	c.conn.SetReadDeadline(time.Time{})
 	if c.ahead.look() != nil {
 		return false
@@ -231,7 +231,7 @@
 			break // it is answered: only then is there a deadline
 		}
 	}
-	seam.WaitAny(f.world, &q.done, &f.ended)
+	env.WaitAny(f.world, &q.done, &f.ended)
 	switch {
 	case !q.done.Opened():
 		c.reason = closeUnanswerable
--- a/internal/control/scheduler/config.go
+++ b/internal/control/scheduler/config.go
@@ -7,7 +7,7 @@
 	"math"
 	"strconv"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/wire"
 	"merlinhitch/policy"
 )
@@ -126,7 +126,7 @@
 // usual fills in the times of connections that the settings leave out.
 func usual(b wire.Bounds) wire.Bounds {
 	if !(b.DialTimeout > 0) {
-		b.DialTimeout = seam.MS(usualDial)
+		b.DialTimeout = env.MS(usualDial)
 	}
 	if !(b.ConnIdle > 0) {
 		b.ConnIdle = usualIdle
--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -84,9 +84,9 @@
 // effects is what a core has done. The calls neither block nor call back.
 type effects interface {
 	send(a *attempt)
-	drop(a *attempt) fate // its outcome is known; tells how far it had come
-	reach(e Entry)        // the server stands at this address
-	retire(host string)   // nothing new goes there
+	drop(a *attempt) fate      // its outcome is known; tells how far it had come
+	serverListed(e Entry)      // the server stands at this address
+	serverRemoved(host string) // nothing new goes there
 	note(text string)
 }
 
@@ -165,7 +165,7 @@
 	case policy.SetTimer:
 		k.timers.Push(&timerqueue.Timer[pending]{At: k.now + a.Delay, What: pending{timer: a.Name}})
 	case policy.CloseIdle:
-		k.eff.retire(a.Node)
+		k.eff.serverRemoved(a.Node)
 	case policy.Log:
 		k.eff.note(a.Text)
 	}
@@ -418,13 +418,13 @@
 			draining++
 		}
 		k.hosts[e.Host] = heldEntry{e, started}
-		k.eff.reach(e)
+		k.eff.serverListed(e)
 	}
 	k.heard = k.heard || !cached
 	k.notify(policy.NodeList{Cached: cached, Nodes: nodes})
 	for _, n := range nodes {
 		if n.Health == policy.Gone {
-			k.eff.retire(n.Addr)
+			k.eff.serverRemoved(n.Addr)
 		}
 	}
 	k.log.listTaken(l, len(nodes), draining)
--- a/internal/control/scheduler/core_test.go
+++ b/internal/control/scheduler/core_test.go
@@ -24,9 +24,9 @@
 	}
 	return fateNotConnected
 }
-func (p *played) reach(Entry)        {}
-func (p *played) retire(host string) { p.retired = append(p.retired, host) }
-func (p *played) note(string)        {}
+func (p *played) serverListed(Entry)        {}
+func (p *played) serverRemoved(host string) { p.retired = append(p.retired, host) }
+func (p *played) note(string)               {}
 
 type clientOf struct {
 	p  *played
--- a/internal/control/scheduler/crossing_test.go
+++ b/internal/control/scheduler/crossing_test.go
@@ -17,7 +17,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/protocol/http1"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/policy"
 )
@@ -25,7 +25,7 @@
 // held is the world of the machine, with real sockets, whose dials and accepts can be held
 // at a gate, so that what else happens comes just between.
 type held struct {
-	*seam.Real
+	*env.Real
 	mu      sync.Mutex
 	disk    string // its dials are held
 	dials   int    // of them so far
@@ -94,7 +94,7 @@
 // watched tells when this side of a connection ended what it sends, and when it closed.
 type watched struct {
 	*net.TCPConn
-	ended, closed *seam.Gate
+	ended, closed *env.Gate
 }
 
 func (c *watched) CloseWrite() error {
@@ -111,7 +111,7 @@
 // playReal plays f on a scheduler, a simulated disk server and discovery on real sockets.
 func playReal(t *testing.T, settings func(string) string, do func(standin.HTTPAsk) standin.HTTPAnswer, f func(sc *scene, h *held)) {
 	t.Helper()
-	h := &held{Real: seam.NewReal()}
+	h := &held{Real: env.NewReal()}
 	sc := &scene{t: t, w: h, addr: "127.0.0.1:0"}
 	must := func(err error) {
 		if err != nil {
@@ -159,7 +159,7 @@
 
 // on runs f on the loop and waits for it.
 func (sc *scene) on(f func()) {
-	var done seam.Gate
+	var done env.Gate
 	sc.s.loop.post(sc.s.loop.now(), eventStop, func(float64) {
 		f()
 		done.Open()
@@ -209,8 +209,8 @@
 }
 
 // gate is one that opens with the scene's end at the latest.
-func (sc *scene) gate() *seam.Gate {
-	g := &seam.Gate{}
+func (sc *scene) gate() *env.Gate {
+	g := &env.Gate{}
 	sc.gates = append(sc.gates, g)
 	return g
 }
@@ -276,7 +276,7 @@
 		sc.hookAccept(h, func(c net.Conn) net.Conn {
 			at.Open()
 			gate.Wait(h)
-			return &watched{c.(*net.TCPConn), &seam.Gate{}, closed}
+			return &watched{c.(*net.TCPConn), &env.Gate{}, closed}
 		})
 		p := sc.connect()
 		sc.until("the hook", at.Opened)
@@ -625,7 +625,7 @@
 			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
 				ended := sc.gate()
 				sc.hookAccept(h, func(c net.Conn) net.Conn {
-					return &watched{c.(*net.TCPConn), ended, &seam.Gate{}}
+					return &watched{c.(*net.TCPConn), ended, &env.Gate{}}
 				})
 				p := sc.connect()
 				defer p.conn.Close()
@@ -697,7 +697,7 @@
 		p := sc.connect()
 		io.WriteString(p.conn, sc.request("PUT", "txn-write", "00000000000000ab", "30", "x", "Idempotency-Key: k\r\n"))
 		io.WriteString(sc.connect().conn, strings.Replace(sc.get(), "0.480", "30", 1))
-		seam.Wait(sc.w, 10*time.Millisecond, nil)
+		env.Wait(sc.w, 10*time.Millisecond, nil)
 		from := sc.w.Now()
 		sc.w.Go(sc.s.Drain)
 		if got := p.hear(from); got.status != 504 || got.took > 3700*time.Millisecond {
--- a/internal/control/scheduler/day_test.go
+++ b/internal/control/scheduler/day_test.go
@@ -16,7 +16,7 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/internal/simulation/world"
 )
@@ -160,26 +160,26 @@
 
 // lateDials is a world in which one connection in three comes up late.
 type lateDials struct {
-	seam.World
+	env.Environment
 	mu  sync.Mutex
 	rng *rand.Rand
 }
 
 func (w *lateDials) Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
-	c, err := w.World.Dial(ctx, network, address, within)
+	c, err := w.Environment.Dial(ctx, network, address, within)
 	w.mu.Lock()
 	late := time.Duration(0)
 	if w.rng.IntN(3) == 0 {
 		late = time.Duration(w.rng.IntN(240)) * time.Millisecond
 	}
 	w.mu.Unlock()
-	seam.Wait(w.World, late, nil)
+	env.Wait(w.Environment, late, nil)
 	return c, err
 }
 
 // day plays one and keeps its trail.
 type day struct {
-	w    seam.World
+	w    env.Environment
 	seed uint64
 	s    *Scheduler
 	addr string
@@ -279,7 +279,7 @@
 			continue
 		}
 		if d.chance(6) == 0 {
-			seam.Wait(d.w, time.Duration(d.chance(min(250, int(within.Milliseconds()))))*time.Millisecond, nil)
+			env.Wait(d.w, time.Duration(d.chance(min(250, int(within.Milliseconds()))))*time.Millisecond, nil)
 			p.conn.Close()
 			d.note(passed{kind: left, id: id})
 			p = nil
@@ -295,7 +295,7 @@
 			p.conn.Close()
 			p = nil
 		}
-		seam.Wait(d.w, time.Duration(d.chance(20))*time.Millisecond, nil)
+		env.Wait(d.w, time.Duration(d.chance(20))*time.Millisecond, nil)
 	}
 	if p != nil {
 		p.conn.Close()
@@ -307,7 +307,7 @@
 func (d *day) ending() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.stopped > 0 && d.w.Now() > d.stopped+seam.Duration(graceOf(dayConfig("a:1"))-drainAnswer)
+	return d.stopped > 0 && d.w.Now() > d.stopped+env.Duration(graceOf(dayConfig("a:1"))-drainAnswer)
 }
 
 // reached tells whether an attempt of a request came to a disk server.
@@ -343,7 +343,7 @@
 	d.mu.Unlock()
 	for _, s := range leaving {
 		if d.silent { // it counts as told 6 s after the silence began
-			seam.Wait(d.w, 5900*time.Millisecond, nil)
+			env.Wait(d.w, 5900*time.Millisecond, nil)
 		}
 		d.note(passed{kind: wasTold, server: s})
 	}
@@ -378,29 +378,29 @@
 	}
 	d.list = listOf(1, at("s0", "active", 0, 0), at("s1", "active", 1, 0), at("s2", "active", 2, 0))
 	var err error
-	late := &lateDials{World: d.w, rng: rand.New(rand.NewPCG(d.seed, 2))}
+	late := &lateDials{Environment: d.w, rng: rand.New(rand.NewPCG(d.seed, 2))}
 	if d.s, err = Start(late, dayConfig(a.l.Addr().String()), zap.NewNop()); err != nil {
 		return err
 	}
 	d.addr = d.s.front.listener.Addr().String()
 	d.s.front.ready.Wait(d.w)
-	var clients seam.Group
+	var clients env.Group
 	for range 12 {
 		clients.Go(d.w, func() { d.client(15 * time.Second) })
 	}
-	seam.Wait(d.w, 700*time.Millisecond, nil)
+	env.Wait(d.w, 700*time.Millisecond, nil)
 	now := d.w.Deadline(0).UnixMilli()
 	d.tell(listOf(2, at("s0", "active", 0, 0), at("s1", "leaving", 1, 0), at("s2", "active", 2, 0), at("s3", "active", 1, now)), "s1")
-	seam.Wait(d.w, 700*time.Millisecond, nil)
+	env.Wait(d.w, 700*time.Millisecond, nil)
 	b := serveAgent(d.w, d.discovery)
 	defer b.close()
 	d.s.Reload(dayConfig(b.l.Addr().String()))
-	seam.Wait(d.w, 400*time.Millisecond, nil)
+	env.Wait(d.w, 400*time.Millisecond, nil)
 	d.mu.Lock()
 	d.silent = true
 	d.mu.Unlock()
 	d.tell(listOf(3, at("s0", "leaving", 0, 0), at("s4", "active", 0, now), at("s2", "active", 2, 0), at("s3", "active", 1, now)), "s0")
-	seam.Wait(d.w, 900*time.Millisecond, nil)
+	env.Wait(d.w, 900*time.Millisecond, nil)
 	d.mu.Lock()
 	d.stopped = d.w.Now()
 	d.mu.Unlock()
@@ -409,7 +409,7 @@
 	return nil
 }
 
-func newDay(w seam.World, seed uint64) *day {
+func newDay(w env.Environment, seed uint64) *day {
 	return &day{w: w, seed: seed, rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
@@ -456,7 +456,7 @@
 }
 
 func TestARoughDayOnRealSockets(t *testing.T) {
-	d := newDay(seam.NewReal(), 1)
+	d := newDay(env.NewReal(), 1)
 	d.loose = true
 	if err := d.play(); err != nil {
 		t.Fatal(err)
--- a/internal/control/scheduler/discovery.go
+++ b/internal/control/scheduler/discovery.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 const (
@@ -32,7 +32,7 @@
 // watch follows discovery: one connection at a time, each from the version held on. After
 // a message that could not be read it fetches the whole list first.
 type watch struct {
-	world seam.World
+	world env.Environment
 	told  func(List)
 	note  func(string, error)
 
@@ -42,13 +42,13 @@
 	seq   uint64 // its goroutine's, as whole is
 	whole bool   // what is held may lack something
 	pause time.Duration
-	tasks seam.Group
-	ended seam.Gate
+	tasks env.Group
+	ended env.Gate
 	ctx   context.Context // of its dials
 	stop  context.CancelFunc
 }
 
-func newWatch(w seam.World, addr string, seq uint64, told func(List), note func(string, error)) *watch {
+func newWatch(w env.Environment, addr string, seq uint64, told func(List), note func(string, error)) *watch {
 	d := &watch{world: w, told: told, note: note, addr: addr, seq: seq, pause: watchPause}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.tasks.Go(w, d.run)
@@ -96,7 +96,7 @@
 		}
 		d.whole = d.whole || isUnreadable(err)
 		d.note("watch ended", err)
-		seam.Wait(d.world, d.pause, &d.ended)
+		env.Wait(d.world, d.pause, &d.ended)
 		d.pause = min(2*d.pause, watchPauseMost)
 	}
 }
--- a/internal/control/scheduler/discovery_test.go
+++ b/internal/control/scheduler/discovery_test.go
@@ -14,16 +14,16 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/protocol/http1"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/internal/simulation/world"
 )
 
 // agent is discovery that does with each connection what a test says.
 type agent struct {
-	w       seam.World
+	w       env.Environment
 	l       net.Listener
-	tasks   seam.Group
+	tasks   env.Group
 	mu      sync.Mutex
 	conns   []net.Conn
 	targets []string
@@ -31,7 +31,7 @@
 	do      func(n int, target string, c net.Conn)
 }
 
-func serveAgent(w seam.World, do func(n int, target string, c net.Conn)) *agent {
+func serveAgent(w env.Environment, do func(n int, target string, c net.Conn)) *agent {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -93,7 +93,7 @@
 }
 
 // watching plays f on a watch of an agent, in a virtual world.
-func watching(t *testing.T, do func(n int, target string, c net.Conn), f func(w seam.World, d *watch, got *told, a *agent)) {
+func watching(t *testing.T, do func(n int, target string, c net.Conn), f func(w env.Environment, d *watch, got *told, a *agent)) {
 	t.Helper()
 	v := world.New(1)
 	err := v.Run("n0", 10*time.Minute, func(p *world.Process) {
@@ -118,26 +118,26 @@
 // one meets.
 func TestASilentWatchIsLeftInTime(t *testing.T) {
 	// Each is what the second watch meets; the first falls silent at once, the third works.
-	for name, second := range map[string]func(w seam.World, c net.Conn){
+	for name, second := range map[string]func(w env.Environment, c net.Conn){
 		"works":          nil,
-		"says nothing":   func(seam.World, net.Conn) {},
-		"a head alone":   func(_ seam.World, c net.Conn) { c.Write([]byte(watchHead)) },
-		"is closed":      func(_ seam.World, c net.Conn) { c.Close() },
-		"is no HTTP":     func(_ seam.World, c net.Conn) { c.Write([]byte("nonsense\r\n\r\n")) },
-		"answers 503":    func(_ seam.World, c net.Conn) { c.Write([]byte("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")) },
-		"is half a head": func(_ seam.World, c net.Conn) { c.Write([]byte(watchHead[:20])) },
-		"drips": func(w seam.World, c net.Conn) { // bytes that are no line are no sign of life
+		"says nothing":   func(env.Environment, net.Conn) {},
+		"a head alone":   func(_ env.Environment, c net.Conn) { c.Write([]byte(watchHead)) },
+		"is closed":      func(_ env.Environment, c net.Conn) { c.Close() },
+		"is no HTTP":     func(_ env.Environment, c net.Conn) { c.Write([]byte("nonsense\r\n\r\n")) },
+		"answers 503":    func(_ env.Environment, c net.Conn) { c.Write([]byte("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")) },
+		"is half a head": func(_ env.Environment, c net.Conn) { c.Write([]byte(watchHead[:20])) },
+		"drips": func(w env.Environment, c net.Conn) { // bytes that are no line are no sign of life
 			c.Write([]byte(watchHead))
 			for range 100 {
 				if _, err := c.Write(chunkOf(" ")); err != nil {
 					return
 				}
-				seam.Wait(w, 500*time.Millisecond, nil)
+				env.Wait(w, 500*time.Millisecond, nil)
 			}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var w seam.World
+			var w env.Environment
 			silentAt := time.Duration(0)
 			do := func(n int, _ string, c net.Conn) {
 				switch {
@@ -152,10 +152,10 @@
 					c.Write(chunkOf(diff(9) + "\n"))
 				}
 			}
-			watching(t, do, func(p seam.World, d *watch, got *told, a *agent) {
+			watching(t, do, func(p env.Environment, d *watch, got *told, a *agent) {
 				w = p
 				for w.Now() < 7*time.Second && (len(got.lists) == 0 || got.lists[len(got.lists)-1].Seq != 9) {
-					seam.Wait(w, 10*time.Millisecond, nil)
+					env.Wait(w, 10*time.Millisecond, nil)
 				}
 				if took := got.last() - silentAt; len(got.lists) < 2 || took > 5900*time.Millisecond {
 					t.Errorf("%d messages, the last %s after the silence; asked %v at %v", len(got.lists), took, a.targets, a.times)
@@ -167,19 +167,19 @@
 
 // A watch that says an empty line every 2 s is kept.
 func TestEmptyLinesKeepAWatch(t *testing.T) {
-	var w seam.World
+	var w env.Environment
 	do := func(n int, _ string, c net.Conn) {
 		c.Write([]byte(watchHead))
 		for range 20 {
 			if _, err := c.Write(chunkOf("\n")); err != nil {
 				return
 			}
-			seam.Wait(w, 2*time.Second, nil)
+			env.Wait(w, 2*time.Second, nil)
 		}
 	}
-	watching(t, do, func(p seam.World, d *watch, got *told, a *agent) {
+	watching(t, do, func(p env.Environment, d *watch, got *told, a *agent) {
 		w = p
-		seam.Wait(w, 30*time.Second, nil)
+		env.Wait(w, 30*time.Second, nil)
 		if len(a.conns) != 1 || len(got.lists) != 1 || got.lists[0].Seq != 7 {
 			t.Errorf("%d watches, %+v", len(a.conns), got.lists)
 		}
@@ -212,8 +212,8 @@
 						c.Write(chunkOf(line))
 					}
 				}
-				watching(t, do, func(w seam.World, d *watch, got *told, a *agent) {
-					seam.Wait(w, 1900*time.Millisecond, nil)
+				watching(t, do, func(w env.Environment, d *watch, got *told, a *agent) {
+					env.Wait(w, 1900*time.Millisecond, nil)
 					want := []string{listPath + "?stream=1&index=7", listPath, listPath + "?stream=1&index=11"}
 					if len(a.targets) < 3 || !slices.Equal(a.targets[:3], want) || len(got.lists) == 0 || got.lists[0].Seq != 11 || !got.lists[0].Whole {
 						t.Fatalf("asked %q, told %+v", a.targets, got.lists)
@@ -249,8 +249,8 @@
 						b = b[n:]
 					}
 				}
-				watching(t, do, func(w seam.World, d *watch, got *told, a *agent) {
-					seam.Wait(w, time.Second, nil)
+				watching(t, do, func(w env.Environment, d *watch, got *told, a *agent) {
+					env.Wait(w, time.Second, nil)
 					if len(got.lists) != 2 || got.lists[0].Hosts[0] != one.Hosts[0] || !got.lists[1].Whole || got.lists[1].Hosts[0] != two.Hosts[0] {
 						t.Errorf("%+v", got.lists)
 					}
@@ -271,13 +271,13 @@
 	silent := func(int, string, net.Conn) {}
 	for name, first := range map[string]func(int, string, net.Conn){"silent": silent, "open": answer(8)} {
 		t.Run(name, func(t *testing.T) {
-			watching(t, first, func(w seam.World, d *watch, got *told, a *agent) {
-				seam.Wait(w, 20*time.Millisecond, nil)
+			watching(t, first, func(w env.Environment, d *watch, got *told, a *agent) {
+				env.Wait(w, 20*time.Millisecond, nil)
 				b, c := serveAgent(w, answer(9)), serveAgent(w, answer(10))
 				from := w.Now()
 				d.move(b.l.Addr().String())
 				d.move(c.l.Addr().String())
-				seam.Wait(w, time.Second, nil)
+				env.Wait(w, time.Second, nil)
 				if len(got.lists) == 0 || got.lists[len(got.lists)-1].Seq != 10 || got.last()-from > 500*time.Millisecond {
 					t.Errorf("%+v after %s", got.lists, got.last()-from)
 				}
@@ -324,7 +324,7 @@
 // waited for no longer than readyWait.
 func TestANewProcessHearsDiscoveryFirst(t *testing.T) {
 	for _, silent := range []bool{false, true} {
-		var w seam.World
+		var w env.Environment
 		v := world.New(1)
 		err := v.Run("n0", time.Minute, func(p *world.Process) {
 			w = p
@@ -336,7 +336,7 @@
 				if silent {
 					return
 				}
-				seam.Wait(w, 300*time.Millisecond, nil)
+				env.Wait(w, 300*time.Millisecond, nil)
 				c.Write([]byte(watchHead))
 				c.Write(chunkOf(listOf(8, entry("s1", now.Addr, "active", 0)) + "\n"))
 			})
--- a/internal/control/scheduler/eventlog.go
+++ b/internal/control/scheduler/eventlog.go
@@ -4,7 +4,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/policy"
 )
 
@@ -25,7 +25,7 @@
 
 func newEventLog(log *zap.Logger) *eventLog {
 	bounded := zap.WrapCore(func(c zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(c, seam.Duration(logPeriod), logBurst, 0)
+		return zapcore.NewSamplerWithOptions(c, env.Duration(logPeriod), logBurst, 0)
 	})
 	return &eventLog{log.WithOptions(bounded)}
 }
--- a/internal/control/scheduler/front.go
+++ b/internal/control/scheduler/front.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -40,7 +40,7 @@
 
 // front is the listener and the clients' connections.
 type front struct {
-	world    seam.World
+	world    env.Environment
 	loop     *loop
 	core     *core
 	log      *eventLog
@@ -51,17 +51,17 @@
 	held     atomic.Int64  // of requests, of which there may be so many bytes
 	queued   atomic.Int64  // of answers on their way out, likewise
 	ahead    aheadBudget   // of what clients send ahead of their answers
-	ready    seam.Gate     // discovery has spoken, or was waited for
+	ready    env.Gate      // discovery has spoken, or was waited for
 	answerBy atomic.Uint64 // bits of the time by which all must be answered; 0: none
-	stop     seam.Gate     // nothing more is accepted
-	ended    seam.Gate     // nothing is waited for any more
-	tasks    seam.Group
+	stop     env.Gate      // nothing more is accepted
+	ended    env.Gate      // nothing is waited for any more
+	tasks    env.Group
 	listener net.Listener
 
 	listenedAt float64 // when it began to listen at the earliest
 
 	mu      sync.Mutex
-	clients seam.Roster[*client]
+	clients env.Roster[*client]
 	closing bool // each answer ends its connection, and there are no idle ones
 }
 
@@ -99,7 +99,7 @@
 type asking struct {
 	client *client
 	close  bool // the client's wish
-	done   seam.Gate
+	done   env.Gate
 
 	duplicate bool // its id was used before
 }
@@ -109,8 +109,8 @@
 func (f *front) accept() {
 	starting := true
 	for {
-		for !f.roomy() {
-			if !seam.Wait(f.world, acceptPause, &f.stop) {
+		for !f.hasCapacity() {
+			if !env.Wait(f.world, acceptPause, &f.stop) {
 				return
 			}
 		}
@@ -119,7 +119,7 @@
 		starting = starting && f.loop.now()-from < queueEmpty
 		if err != nil { // where there are no descriptors left, there may be again
 			f.log.acceptFailed(err)
-			if f.stop.Opened() || !seam.Wait(f.world, acceptPause, &f.stop) {
+			if f.stop.Opened() || !env.Wait(f.world, acceptPause, &f.stop) {
 				return
 			}
 			continue
@@ -138,11 +138,11 @@
 // cameAt is when the first bytes came on a connection that was just accepted, as far as the
 // kernel tells: it may have lain in the listener's queue, behind others.
 func (f *front) cameAt(conn net.Conn) float64 {
-	since, known := seam.SinceData(conn)
-	if !known || seam.MS(since) > mostQueued {
+	since, known := env.SinceData(conn)
+	if !known || env.MS(since) > mostQueued {
 		return f.loop.now()
 	}
-	return f.loop.now() - seam.MS(since)
+	return f.loop.now() - env.MS(since)
 }
 
 // client takes a connection that may have come as early as that.
@@ -161,9 +161,9 @@
 	return c
 }
 
-// roomy tells whether one more connection may be accepted. At the bound the one that can
+// hasCapacity tells whether one more connection may be accepted. At the bound the one that can
 // be spared best is told to end; while many are ending still, nothing is accepted.
-func (f *front) roomy() bool {
+func (f *front) hasCapacity() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.clients.Len() < f.most {
@@ -214,7 +214,7 @@
 	defer f.mu.Unlock()
 	within := slowTime
 	if c.spoke == 0 {
-		within = newTime - seam.Duration(f.loop.now()-c.since)
+		within = newTime - env.Duration(f.loop.now()-c.since)
 	}
 	c.state, c.since = clientActive, f.loop.now()
 	c.conn.SetReadDeadline(f.world.Deadline(within))
@@ -274,7 +274,7 @@
 	}
 	now := f.loop.now()
 	f.eachIdle(func(c *client) {
-		if over > 0 && now-c.since > seam.MS(idleTime) {
+		if over > 0 && now-c.since > env.MS(idleTime) {
 			c.end(now)
 			over--
 		}
@@ -316,7 +316,7 @@
 func (f *front) idleUntil() time.Time {
 	d := keepTime
 	if by := f.leaving(); by > 0 {
-		d = max(d, seam.Duration(by-f.loop.now()))
+		d = max(d, env.Duration(by-f.loop.now()))
 	}
 	return f.world.Deadline(d)
 }
--- a/internal/control/scheduler/lifecycle.go
+++ b/internal/control/scheduler/lifecycle.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 const (
@@ -51,21 +51,21 @@
 
 // Scheduler is one running scheduler.
 type Scheduler struct {
-	world seam.World
+	world env.Environment
 	log   *zap.Logger
 	loop  *loop
 	core  *core
 	back  *back
 	front *front
 	watch *watch
-	told  seam.Gate // discovery has spoken
-	over  seam.Gate
+	told  env.Gate // discovery has spoken
+	over  env.Gate
 	swept float64
 	grace atomic.Uint64 // bits of the ms from SIGTERM to the kill
 }
 
 // Start listens and serves until Drain or Close.
-func Start(w seam.World, c *Config, log *zap.Logger) (*Scheduler, error) {
+func Start(w env.Environment, c *Config, log *zap.Logger) (*Scheduler, error) {
 	s := &Scheduler{world: w, log: log, loop: newLoop(w)}
 	listenedAt := s.loop.now()
 	listener, err := listen(w, c.Listen, log) // first of all: clients may come already
@@ -96,14 +96,14 @@
 
 // listen listens for clients. A fault that may be over soon (an address that the process of
 // before still holds, a machine short of memory) is waited out for a while.
-func listen(w seam.World, address string, log *zap.Logger) (net.Listener, error) {
+func listen(w env.Environment, address string, log *zap.Logger) (net.Listener, error) {
 	for until := w.Now() + listenWithin; ; {
 		l, err := w.Listen("tcp", address)
 		if err == nil || !ownFault(err) || w.Now() >= until {
 			return l, err
 		}
 		log.Warn("cannot listen yet", zap.String("address", address), zap.Error(err))
-		seam.Wait(w, listenPause, nil)
+		env.Wait(w, listenPause, nil)
 	}
 }
 
@@ -119,7 +119,7 @@
 }
 
 func (s *Scheduler) getReady() {
-	seam.Wait(s.world, readyWait, &s.told)
+	env.Wait(s.world, readyWait, &s.told)
 	s.front.ready.Open()
 	s.log.Info("ready", zap.Bool("discovery", s.told.Opened()))
 }
@@ -135,7 +135,7 @@
 
 // sweep runs on the loop after each batch.
 func (s *Scheduler) sweep() {
-	if now := s.loop.now(); now-s.swept > seam.MS(sweepEvery) {
+	if now := s.loop.now(); now-s.swept > env.MS(sweepEvery) {
 		s.swept = now
 		s.back.sweep(now)
 		s.front.trim()
@@ -160,19 +160,19 @@
 	s.log.Info("draining", zap.Float64("grace_ms", grace))
 	from := s.loop.now()
 	s.front.leave(from + grace - drainMargin)
-	seam.Wait(s.world, drainAccept, &s.over)
+	env.Wait(s.world, drainAccept, &s.over)
 	s.front.stop.Open()
 	s.front.listener.Close()
-	seam.Wait(s.world, seam.Duration(from+grace-drainAnswer-s.loop.now()), &s.over)
+	env.Wait(s.world, env.Duration(from+grace-drainAnswer-s.loop.now()), &s.over)
 	s.front.finish()
 	s.awaitClients(from + grace - drainMargin)
 	// What was taken before the signal may have longer than there is.
-	var answered seam.Gate
+	var answered env.Gate
 	if s.loop.post(s.loop.now(), eventStop, func(at float64) {
 		s.core.stop(at)
 		answered.Open()
 	}) {
-		seam.WaitAny(s.world, &answered, &s.over) // an answer made after Close began would not be written
+		env.WaitAny(s.world, &answered, &s.over) // an answer made after Close began would not be written
 	}
 	s.awaitClients(from + grace - drainEnd)
 	s.Close()
@@ -181,7 +181,7 @@
 // awaitClients waits until clients have no connections any more, or until a time.
 func (s *Scheduler) awaitClients(until float64) {
 	for s.front.open() > 0 && s.loop.now() < until {
-		seam.Wait(s.world, drainPoll, nil)
+		env.Wait(s.world, drainPoll, nil)
 	}
 }
 
@@ -210,8 +210,8 @@
 
 // The effects of the core, on the loop.
 
-func (s *Scheduler) send(a *attempt)      { s.back.send(a) }
-func (s *Scheduler) drop(a *attempt) fate { return s.back.drop(a) }
-func (s *Scheduler) reach(e Entry)        { s.back.reach(e) }
-func (s *Scheduler) retire(host string)   { s.back.retire(host) }
-func (s *Scheduler) note(text string)     { s.log.Warn(text) }
+func (s *Scheduler) send(a *attempt)           { s.back.send(a) }
+func (s *Scheduler) drop(a *attempt) fate      { return s.back.drop(a) }
+func (s *Scheduler) serverListed(e Entry)      { s.back.serverListed(e) }
+func (s *Scheduler) serverRemoved(host string) { s.back.serverRemoved(host) }
+func (s *Scheduler) note(text string)          { s.log.Warn(text) }
--- a/internal/control/scheduler/link.go
+++ b/internal/control/scheduler/link.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/policy"
 )
 
@@ -83,7 +83,7 @@
 		return r, false, err
 	}
 	lim := answerLimits
-	lim.Room = func(n int) bool {
+	lim.Reserve = func(n int) bool {
 		r.size += int64(n)
 		return l.back.held.Add(int64(n)) <= l.back.bytes.Load()
 	}
@@ -130,6 +130,6 @@
 // for nor its end.
 func (l *link) quiet() bool {
 	var one [1]byte
-	_, err := seam.ReadNow(l.conn, one[:])
-	return err == seam.ErrNothing && l.in.Buffered() == 0
+	_, err := env.ReadNow(l.conn, one[:])
+	return err == env.ErrNothing && l.in.Buffered() == 0
 }
--- a/internal/control/scheduler/loop.go
+++ b/internal/control/scheduler/loop.go
@@ -10,24 +10,24 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // loop is the one goroutine that owns the core, and what is posted to it.
 type loop struct {
-	world  seam.World
+	world  env.Environment
 	start  time.Duration // when the core's clock showed epoch
-	wake   seam.Parker
-	done   seam.Gate
+	wake   env.Parker
+	done   env.Gate
 	ticked func()
 	log    *eventLog
 
 	mu      sync.Mutex
 	mailbox []event
-	waiting []seam.Parker // who has something to post and finds no room
+	waiting []env.Parker // who has something to post and finds no room
 	stopped bool
 
-	alarm seam.Alarm
+	alarm env.Alarm
 }
 
 // event is something to do on the loop, at the time at which it happened.
@@ -40,17 +40,17 @@
 // mailboxLimit bounds what waits for the loop: its posters wait once it is reached.
 const mailboxLimit = 1024
 
-func newLoop(w seam.World) *loop {
+func newLoop(w env.Environment) *loop {
 	return &loop{world: w, start: w.Now(), wake: w.NewParker()}
 }
 
 // now is the present time on the core's clock, ms.
-func (l *loop) now() float64 { return epoch + seam.MS(l.world.Now()-l.start) }
+func (l *loop) now() float64 { return epoch + env.MS(l.world.Now()-l.start) }
 
 // post has f done on the loop. It waits while too much waits already, so the loop itself
 // never calls it. It tells whether the loop takes events still.
 func (l *loop) post(at float64, kind eventKind, f func(at float64)) bool {
-	var p seam.Parker
+	var p env.Parker
 	for {
 		l.mu.Lock()
 		if l.stopped {
--- a/internal/control/scheduler/permit_test.go
+++ b/internal/control/scheduler/permit_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/policy"
 )
@@ -84,7 +84,7 @@
 // ends elsewhere, in the order in which they came; no disk server is blamed meanwhile.
 func TestWaitingForRoom(t *testing.T) {
 	const most = 3
-	var work [8]seam.Gate
+	var work [8]env.Gate
 	var disks []*standin.HTTPDisk
 	play(t, answering(ok200), func(sc *scene) {
 		var entries []string
@@ -106,17 +106,17 @@
 		sc.s.Reload(c)
 		sc.s.loop.post(sc.s.loop.now(), eventReload, func(float64) { sc.s.back.most = most })
 		sc.list.Say(fmt.Sprintf(`{"seq":8,"whole":true,"hosts":[%s]}`, strings.Join(entries, ",")))
-		seam.Wait(sc.w, 20*time.Millisecond, nil)
+		env.Wait(sc.w, 20*time.Millisecond, nil)
 		status := make([]int, len(work))
-		var done seam.Group
+		var done env.Group
 		for i := range work {
 			raw := strings.Replace(sc.request("GET", "card-read", fmt.Sprintf("%016x", 0xa0+i), "1.900", ""), "shard=0", fmt.Sprintf("shard=%d", i), 1)
 			done.Go(sc.w, func() { status[i] = sc.connect().ask(raw).status })
-			seam.Wait(sc.w, 5*time.Millisecond, nil)
+			env.Wait(sc.w, 5*time.Millisecond, nil)
 		}
 		for i := range work {
 			work[i].Open()
-			seam.Wait(sc.w, 15*time.Millisecond, nil)
+			env.Wait(sc.w, 15*time.Millisecond, nil)
 		}
 		done.Wait(sc.w)
 		for i, s := range status {
@@ -136,7 +136,7 @@
 // gatedConn is a connection that is held up just before a request is written on it.
 type gatedConn struct {
 	*net.TCPConn
-	reached, gate *seam.Gate
+	reached, gate *env.Gate
 }
 
 func (c *gatedConn) SetDeadline(t time.Time) error {
@@ -149,8 +149,8 @@
 
 // gateWrites holds up each request to the disk server just before it is written: reached opens
 // once one is there, and it goes on once gate is open.
-func (sc *scene) gateWrites(h *held) (reached, gate *seam.Gate) {
-	reached, gate = new(seam.Gate), new(seam.Gate)
+func (sc *scene) gateWrites(h *held) (reached, gate *env.Gate) {
+	reached, gate = new(env.Gate), new(env.Gate)
 	sc.gates = append(sc.gates, gate)
 	h.mu.Lock()
 	h.wrap = func(c net.Conn) net.Conn { return &gatedConn{c.(*net.TCPConn), reached, gate} }
@@ -171,7 +171,7 @@
 			sc.list.Say(fmt.Sprintf(`{"seq":8,"whole":false,"hosts":[%s]}`, entry("s0", sc.disk.Addr, "leaving", 0)))
 			sc.until("the list was read", func() bool { return !sc.s.back.notices.admits("s0", 0) })
 		},
-		"time to begin is over": func(sc *scene, _ *peer) { seam.Wait(sc.w, 320*time.Millisecond, nil) },
+		"time to begin is over": func(sc *scene, _ *peer) { env.Wait(sc.w, 320*time.Millisecond, nil) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			playReal(t, nil, answering(ok200), func(sc *scene, h *held) {
@@ -211,7 +211,7 @@
 		fmt.Fprint(sc.connect().conn, strings.Replace(sc.get(), "0.480", "9.000", 1))
 		sc.until("the write was reached", reached.Opened)
 		from := sc.w.Now()
-		seam.Wait(sc.w, 150*time.Millisecond, nil)
+		env.Wait(sc.w, 150*time.Millisecond, nil)
 		heldUp := sc.w.Now() - from
 		gate.Open()
 		sc.until("it came to the disk server", func() bool { return len(sc.disk.Asked()) > 0 })
@@ -225,7 +225,7 @@
 // A timer that comes due while one event is handled goes before the next event.
 func TestTimersGoBetweenEvents(t *testing.T) {
 	k, _ := coreFor(t)
-	l := newLoop(seam.NewReal())
+	l := newLoop(env.NewReal())
 	l.ticked = func() {}
 	fired := false
 	k.mod = firing{k.mod, &fired}
@@ -237,7 +237,7 @@
 			runtime.Gosched()
 		}
 	})
-	var done seam.Gate
+	var done env.Gate
 	l.post(l.now(), eventStop, func(float64) {
 		order = append(order, fired)
 		done.Open()
@@ -271,14 +271,14 @@
 	play(t, silent, func(sc *scene) {
 		p := sc.connect()
 		fmt.Fprint(p.conn, strings.Replace(sc.get(), "0.480", "30", 1))
-		seam.Wait(sc.w, 10*time.Millisecond, nil)
+		env.Wait(sc.w, 10*time.Millisecond, nil)
 		grace := graceOf(&Config{Settings: policy.Settings{Classes: []policy.Class{{Deadline: longestCounted}}}})
 		sc.w.Go(sc.s.Drain)
-		seam.Wait(sc.w, seam.Duration(grace-drainMargin-5), nil)
-		var gate seam.Gate
+		env.Wait(sc.w, env.Duration(grace-drainMargin-5), nil)
+		var gate env.Gate
 		sc.s.loop.post(sc.s.loop.now(), eventReload, func(float64) { gate.Wait(sc.w) })
 		sc.w.Go(func() {
-			seam.Wait(sc.w, seam.Duration(drainMargin), nil)
+			env.Wait(sc.w, env.Duration(drainMargin), nil)
 			gate.Open()
 		})
 		if got := p.hear(sc.w.Now()); got.status != 503 && got.status != 504 {
--- a/internal/fleet/rollout/roll.go
+++ b/internal/fleet/rollout/roll.go
@@ -7,7 +7,7 @@
 
 	"merlinhitch/internal/control/settings"
 	"merlinhitch/internal/fleet/roll"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/storage/audit"
 )
 
@@ -55,7 +55,7 @@
 
 // roller is a roll under way.
 type roller struct {
-	w     seam.World
+	w     env.Environment
 	hosts []*Host
 	opt   RollOptions
 	*roll.Roll
@@ -68,7 +68,7 @@
 // are given the new version, with figures watched after each step; then the limits of
 // both are lifted. One that was cut off is taken up again by a call with the same from,
 // to and ID, whoever makes it.
-func Roll(ctx context.Context, w seam.World, hosts []*Host, from, to *settings.Settings, opt RollOptions) error {
+func Roll(ctx context.Context, w env.Environment, hosts []*Host, from, to *settings.Settings, opt RollOptions) error {
 	x, err := newRoller(ctx, w, hosts, from, to, opt)
 	if err != nil {
 		return err
@@ -85,7 +85,7 @@
 }
 
 // newRoller reads how far the hosts are with a roll.
-func newRoller(ctx context.Context, w seam.World, hosts []*Host, from, to *settings.Settings, opt RollOptions) (*roller, error) {
+func newRoller(ctx context.Context, w env.Environment, hosts []*Host, from, to *settings.Settings, opt RollOptions) (*roller, error) {
 	r, err := roll.New(opt.ID, from, to)
 	if err != nil {
 		return nil, err
@@ -205,7 +205,7 @@
 			return sum, err
 		}
 	}
-	if x.opt.Watch > 0 && !seam.Pause(ctx, x.w, x.opt.Watch) {
+	if x.opt.Watch > 0 && !env.Pause(ctx, x.w, x.opt.Watch) {
 		return sum, ctx.Err()
 	}
 	for k, i := range which {
@@ -247,7 +247,7 @@
 }
 
 // Return takes a roll back that was cut off, whoever began it.
-func Return(ctx context.Context, w seam.World, hosts []*Host, from, to *settings.Settings, opt RollOptions) error {
+func Return(ctx context.Context, w env.Environment, hosts []*Host, from, to *settings.Settings, opt RollOptions) error {
 	x, err := newRoller(ctx, w, hosts, from, to, opt)
 	if err != nil {
 		return err
--- a/internal/fleet/rollout/roll_test.go
+++ b/internal/fleet/rollout/roll_test.go
@@ -14,7 +14,7 @@
 	"merlinhitch/internal/control/settings"
 	"merlinhitch/internal/fleet/roll"
 	"merlinhitch/internal/fleet/rollout"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // rolling is hosts with an admin API each, cut off after so many calls.
@@ -137,7 +137,7 @@
 // While two versions are in force the limit over all hosts is the stricter, whether it
 // goes up or down, and a roll that is cut off anywhere is taken up by another operator.
 func TestARollIsTakenUpWhereverItWasCutOff(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	limits, losses := []float64{20, 80}, []bool{false, true}
 	if testing.Short() {
 		limits, losses = limits[:1], losses[1:]
@@ -183,7 +183,7 @@
 	s.bad[0] = true
 	var back *rollout.BackError
 	from, to := s.from(), s.to(20)
-	err := rollout.Roll(context.Background(), seam.NewReal(), s.hosts, from, to, rollout.RollOptions{ID: "r1"})
+	err := rollout.Roll(context.Background(), env.NewReal(), s.hosts, from, to, rollout.RollOptions{ID: "r1"})
 	if !errors.As(err, &back) || len(back.Left) > 0 || !strings.Contains(err.Error(), "refused 0.5") {
 		t.Fatal(err)
 	}
@@ -193,11 +193,11 @@
 	}
 	s = newRolling(t, 4)
 	s.cut = 30
-	if rollout.Roll(context.Background(), seam.NewReal(), s.hosts, from, to, rollout.RollOptions{ID: "r1"}) == nil {
+	if rollout.Roll(context.Background(), env.NewReal(), s.hosts, from, to, rollout.RollOptions{ID: "r1"}) == nil {
 		t.Fatal("it was not cut off")
 	}
 	s.mend()
-	if err := rollout.Return(context.Background(), seam.NewReal(), s.hosts, from, to, rollout.RollOptions{ID: "r1", Who: "rui"}); err != nil {
+	if err := rollout.Return(context.Background(), env.NewReal(), s.hosts, from, to, rollout.RollOptions{ID: "r1", Who: "rui"}); err != nil {
 		t.Fatal(err)
 	}
 	s.check(40)
@@ -212,7 +212,7 @@
 		t.Fatal(err)
 	}
 	var strange *rollout.StrangeError
-	err := rollout.Roll(context.Background(), seam.NewReal(), s.hosts, s.from(), s.to(20), rollout.RollOptions{ID: "r1"})
+	err := rollout.Roll(context.Background(), env.NewReal(), s.hosts, s.from(), s.to(20), rollout.RollOptions{ID: "r1"})
 	if !errors.As(err, &strange) || strange.Host != "h2" || !strings.Contains(err.Error(), "limits.max_open") {
 		t.Fatal(err)
 	}
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -14,7 +14,7 @@
 	"merlinhitch/internal/fleet/placement"
 	"merlinhitch/internal/fleet/plan"
 	"merlinhitch/internal/fleet/rates"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Host is one gateway's admin API.
@@ -94,7 +94,7 @@
 
 // Apply takes the hosts, which Read has seen, through the steps of a plan, with a
 // pause after each. Done is told the number of steps that are in force.
-func Apply(ctx context.Context, w seam.World, hosts []*Host, pl *plan.Plan, steps []placement.Step, pause time.Duration, done func(int)) error {
+func Apply(ctx context.Context, w env.Environment, hosts []*Host, pl *plan.Plan, steps []placement.Step, pause time.Duration, done func(int)) error {
 	for i, st := range steps {
 		next, err := pl.With(st)
 		if err != nil {
@@ -106,7 +106,7 @@
 			}
 		}
 		done(i + 1)
-		if i+1 < len(steps) && pause > 0 && !seam.Pause(ctx, w, pause) {
+		if i+1 < len(steps) && pause > 0 && !env.Pause(ctx, w, pause) {
 			return ctx.Err()
 		}
 	}
--- a/internal/fleet/rollout/rollout_test.go
+++ b/internal/fleet/rollout/rollout_test.go
@@ -11,7 +11,7 @@
 	"merlinhitch/internal/fleet/placement"
 	"merlinhitch/internal/fleet/plan"
 	"merlinhitch/internal/fleet/rollout"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // service is some hosts' stores behind their admin APIs.
@@ -57,7 +57,7 @@
 }
 
 func apply(hosts []*rollout.Host, pl *plan.Plan, steps []placement.Step, done func(int)) error {
-	return rollout.Apply(context.Background(), seam.NewReal(), hosts, pl, steps, 0, done)
+	return rollout.Apply(context.Background(), env.NewReal(), hosts, pl, steps, 0, done)
 }
 
 // A node starts to drain while steps are carried out: the next step is refused and
--- a/internal/protocol/bgp/speaker.go
+++ b/internal/protocol/bgp/speaker.go
@@ -14,7 +14,7 @@
 
 	"go.uber.org/zap"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -27,7 +27,7 @@
 // Speaker is the shell of some peers: a goroutine for what each connection brings,
 // a write queue for what it is told, a timer for each peer.
 type Speaker struct {
-	world    seam.World
+	world    env.Environment
 	log      *zap.Logger
 	listener net.Listener
 	mu       sync.Mutex
@@ -35,7 +35,7 @@
 	peers    []*neighbour
 	nextConn ConnID
 	closed   bool
-	tasks    seam.Group
+	tasks    env.Group
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
@@ -45,7 +45,7 @@
 	addr    string
 	ip      string
 	conns   map[ConnID]*link
-	timer   seam.Timer
+	timer   env.Timer
 	timerAt float64
 }
 
@@ -73,7 +73,7 @@
 )
 
 // StartSpeaker starts a speaker; with listen "" it only dials.
-func StartSpeaker(w seam.World, log *zap.Logger, listen string, list []Neighbour) (*Speaker, error) {
+func StartSpeaker(w env.Environment, log *zap.Logger, listen string, list []Neighbour) (*Speaker, error) {
 	s := &Speaker{world: w, log: log, table: NewTable()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if listen != "" {
@@ -98,7 +98,7 @@
 	return s, nil
 }
 
-func (s *Speaker) now() float64 { return seam.MS(s.world.Now()) }
+func (s *Speaker) now() float64 { return env.MS(s.world.Now()) }
 
 // jitter is 0.75 to 1 (RFC 4271 section 10).
 func (s *Speaker) jitter() float64 { return 0.75 + 0.25*float64(s.world.Uint64()>>11)/(1<<53) }
@@ -179,7 +179,7 @@
 	if p.timerAt = at; math.IsInf(at, 1) || s.closed {
 		return
 	}
-	p.timer = s.world.AfterFunc(max(seam.Duration(at-s.now()), 0)+time.Microsecond, func() {
+	p.timer = s.world.AfterFunc(max(env.Duration(at-s.now()), 0)+time.Microsecond, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.closed {
@@ -210,7 +210,7 @@
 func (s *Speaker) open(p *neighbour, c net.Conn) ConnID {
 	s.nextConn++
 	id := s.nextConn
-	l := &link{Queue: writequeue.New(s.world, c, outMost, max(seam.Duration(2*p.Cfg.Times.Hold), leastSend))}
+	l := &link{Queue: writequeue.New(s.world, c, outMost, max(env.Duration(2*p.Cfg.Times.Hold), leastSend))}
 	l.Idle = func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/protocol/bgp/speaker_test.go
+++ b/internal/protocol/bgp/speaker_test.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/protocol/bgp"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -25,7 +25,7 @@
 		Hop4: netip.MustParseAddr("127.0.0.1"), Hop6: netip.IPv6Loopback(), Times: quick}}
 }
 
-func router(t *testing.T, w seam.World, f standin.RouterFault) *standin.Router {
+func router(t *testing.T, w env.Environment, f standin.RouterFault) *standin.Router {
 	t.Helper()
 	r, err := standin.ServeRouter(w, "127.0.0.1:0", 65010)
 	if err != nil {
@@ -36,7 +36,7 @@
 	return r
 }
 
-func speaker(t *testing.T, w seam.World, list ...bgp.Neighbour) *bgp.Speaker {
+func speaker(t *testing.T, w env.Environment, list ...bgp.Neighbour) *bgp.Speaker {
 	t.Helper()
 	s, err := bgp.StartSpeaker(w, zap.NewNop(), "", list)
 	if err != nil {
@@ -60,13 +60,13 @@
 }
 
 // await looks until a condition holds; the bound only ends a test that would fail.
-func await(t *testing.T, w seam.World, what string, ok func() bool) {
+func await(t *testing.T, w env.Environment, what string, ok func() bool) {
 	t.Helper()
 	for end := w.Now() + 30*time.Second; !ok(); {
 		if w.Now() > end {
 			t.Fatal("not seen: " + what)
 		}
-		seam.Wait(w, 2*time.Millisecond, nil)
+		env.Wait(w, 2*time.Millisecond, nil)
 	}
 }
 
@@ -101,7 +101,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := seam.NewReal()
+			w := env.NewReal()
 			r := router(t, w, f)
 			s := speaker(t, w, neighbour(r))
 			s.Set(set(10, bgp.Path{MED: 1}))
@@ -125,7 +125,7 @@
 }
 
 func TestARouterOfOneFamilyHearsOneFamily(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	r := router(t, w, standin.RouterFault{NoIPv6: true})
 	s := speaker(t, w, neighbour(r))
 	s.Set(set(10, bgp.Path{}))
@@ -148,7 +148,7 @@
 // A router that reads a few bytes now and then holds up nobody; what it missed and no
 // longer holds it is never told.
 func TestASlowRouterHoldsUpNobody(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	slow := router(t, w, standin.RouterFault{SlowRead: 20 * time.Millisecond})
 	fast := router(t, w, standin.RouterFault{})
 	s := speaker(t, w, neighbour(slow), neighbour(fast))
@@ -165,7 +165,7 @@
 
 // Two speakers that know each other's addresses settle on one session.
 func TestTwoSpeakersCollide(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	var s [2]*bgp.Speaker
 	// The first is told the second's address before that is there, so both dial.
 	free, err := w.Listen("tcp", "127.0.0.1:0")
@@ -192,7 +192,7 @@
 
 // At a graceful end the router reads why.
 func TestCloseSaysWhy(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	r := router(t, w, standin.RouterFault{})
 	s := speaker(t, w, neighbour(r))
 	s.Set(set(4, bgp.Path{}))
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -152,7 +152,7 @@
 
 // grow makes room for n more bytes of a body.
 func (lim Limits) grow(b []byte, n int) ([]byte, error) {
-	if lim.Room != nil && !lim.Room(n) {
+	if lim.Reserve != nil && !lim.Reserve(n) {
 		return nil, &Error{TooLarge, "bodies held"}
 	}
 	return append(b, make([]byte, n)...), nil
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -58,8 +58,8 @@
 	Head   int // start line and fields
 	Fields int
 	Body   int
-	// Room, if set, is asked before that many more bytes of a body are held.
-	Room func(n int) bool
+	// Reserve, if set, is asked before that many more bytes of a body are held.
+	Reserve func(n int) bool
 }
 
 // Field is one field line; Name is in lower case.
--- a/internal/protocol/http1/http1_test.go
+++ b/internal/protocol/http1/http1_test.go
@@ -181,7 +181,7 @@
 	}
 	short := lim
 	asked := 0
-	short.Room = func(n int) bool { asked += n; return asked <= step }
+	short.Reserve = func(n int) bool { asked += n; return asked <= step }
 	for _, fr := range []Framing{{ToClose: true}, {Length: step + 1}, {Chunked: true}} {
 		asked = 0
 		short.Body = 2 * step
--- a/internal/protocol/initiator/initiator.go
+++ b/internal/protocol/initiator/initiator.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/iscsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -25,7 +25,7 @@
 
 // Config says where and as whom to log in.
 type Config struct {
-	World        seam.World
+	Environment  env.Environment
 	Addr         string
 	Name, Target string
 	Discovery    bool
@@ -57,7 +57,7 @@
 	ends    map[uint32]func(iscsi.Result, error)
 	queue   []queued // that the window does not let go yet
 	closed  bool
-	done    seam.Gate
+	done    env.Gate
 }
 
 const (
@@ -67,14 +67,14 @@
 
 // Dial logs in. LoginTime bounds connecting, and then the login.
 func Dial(ctx context.Context, cfg Config) (*Client, error) {
-	conn, err := cfg.World.Dial(ctx, "tcp", cfg.Addr, cfg.LoginTime)
+	conn, err := cfg.Environment.Dial(ctx, "tcp", cfg.Addr, cfg.LoginTime)
 	if err != nil {
 		return nil, err
 	}
 	c := &Client{cfg: cfg, conn: conn, ends: map[uint32]func(iscsi.Result, error){}}
-	c.out = writequeue.New(cfg.World, conn, outMost, outTime)
+	c.out = writequeue.New(cfg.Environment, conn, outMost, outTime)
 	if cfg.LoginTime > 0 {
-		conn.SetReadDeadline(cfg.World.Deadline(cfg.LoginTime))
+		conn.SetReadDeadline(cfg.Environment.Deadline(cfg.LoginTime))
 	}
 	r := iscsi.NewReader(bufio.NewReaderSize(conn, 8<<10), max(cfg.Params.MaxRecv, 8192))
 	if err := c.login(r); err != nil {
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	conn.SetReadDeadline(time.Time{})
-	cfg.World.Go(func() { c.run(r) })
+	cfg.Environment.Go(func() { c.run(r) })
 	return c, nil
 }
 
@@ -115,7 +115,7 @@
 	}
 }
 
-func (c *Client) random(b []byte) { seam.Fill(c.cfg.World, b) }
+func (c *Client) random(b []byte) { env.Fill(c.cfg.Environment, b) }
 
 func (c *Client) run(r *iscsi.Reader) {
 	for {
@@ -230,12 +230,12 @@
 		err error
 	}
 	var got result
-	var over seam.Gate
+	var over env.Gate
 	c.submit(func() uint32 { return c.core.Submit(lun, cdb, write, read, gap) }, func(r iscsi.Result, err error) {
 		got = result{r, err}
 		over.Open()
 	})
-	if !seam.Await(ctx, c.cfg.World, &over) {
+	if !env.Await(ctx, c.cfg.Environment, &over) {
 		return iscsi.Result{}, ctx.Err()
 	}
 	return got.r, got.err
@@ -273,7 +273,7 @@
 // Targets asks for the target names and addresses.
 func (c *Client) Targets(ctx context.Context) (map[string]string, error) {
 	var r iscsi.Result
-	var over seam.Gate
+	var over env.Gate
 	c.mu.Lock()
 	tag := c.core.Text([]iscsi.Key{{Name: "SendTargets", Value: "All"}})
 	c.ends[tag] = func(got iscsi.Result, err error) {
@@ -281,7 +281,7 @@
 		over.Open()
 	}
 	c.mu.Unlock()
-	if !seam.Await(ctx, c.cfg.World, &over) {
+	if !env.Await(ctx, c.cfg.Environment, &over) {
 		return nil, ctx.Err()
 	}
 	keys, err := iscsi.ParseText(r.Text)
@@ -301,13 +301,13 @@
 	c.mu.Lock()
 	c.core.Logout()
 	c.mu.Unlock()
-	c.done.Wait(c.cfg.World)
+	c.done.Wait(c.cfg.Environment)
 }
 
 // Close drops the connection and waits for its goroutines.
 func (c *Client) Close() {
 	c.out.Cut()
-	c.done.Wait(c.cfg.World)
+	c.done.Wait(c.cfg.Environment)
 }
 
 // CDBs of the commands that clients here use.
@@ -337,4 +337,4 @@
 }
 
 // Done is open once the session is over.
-func (c *Client) Done() *seam.Gate { return &c.done }
+func (c *Client) Done() *env.Gate { return &c.done }
--- a/internal/protocol/inventory/caller.go
+++ b/internal/protocol/inventory/caller.go
@@ -7,13 +7,13 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Caller asks an inventory one question at a time, over a connection that it keeps. A
 // question that is not answered in time ends the connection.
 type Caller struct {
-	world seam.World
+	world env.Environment
 	addr  func() string
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -26,7 +26,7 @@
 
 // NewCaller returns a caller of the inventory at the address that addr returns, "" for
 // none at present. It is for one goroutine.
-func NewCaller(w seam.World, addr func() string) *Caller {
+func NewCaller(w env.Environment, addr func() string) *Caller {
 	c := &Caller{world: w, addr: addr}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	return c
--- a/internal/protocol/inventory/client.go
+++ b/internal/protocol/inventory/client.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Client is the shell that follows a list. It reconnects by itself and asks for
@@ -18,15 +18,15 @@
 	// comes as a list of kind Failed.
 	Told func(List)
 
-	world  seam.World
+	world  env.Environment
 	addr   string
 	mu     sync.Mutex
 	conn   net.Conn
 	closed bool
 	gen    uint64
 	lostAt time.Duration // since when there is no connection; below 0: there is one
-	done   seam.Gate
-	over   seam.Gate // closing
+	done   env.Gate
+	over   env.Gate // closing
 	ctx    context.Context
 	stop   context.CancelFunc
 }
@@ -40,7 +40,7 @@
 )
 
 // Follow starts to follow the list at addr.
-func Follow(w seam.World, addr string, told func(List)) *Client {
+func Follow(w env.Environment, addr string, told func(List)) *Client {
 	c := &Client{Told: told, world: w, addr: addr, lostAt: w.Now()}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	w.Go(c.run)
@@ -88,7 +88,7 @@
 			return
 		}
 		c.Told(List{Kind: Failed})
-		if !seam.Wait(c.world, wait, &c.over) {
+		if !env.Wait(c.world, wait, &c.over) {
 			return
 		}
 		wait = min(2*wait, againMost)
--- a/internal/runtime/seam/alarm.go
+++ b/internal/runtime/env/alarm.go
@@ -1,4 +1,4 @@
-package seam
+package env
 
 import (
 	"math"
@@ -18,7 +18,7 @@
 
 // Set has wake called at a time, at once if that has come. An earlier time that is still
 // to come stays as it is set.
-func (a *Alarm) Set(w World, now, at float64, wake func()) {
+func (a *Alarm) Set(w Environment, now, at float64, wake func()) {
 	if at >= a.at && a.at > now || math.IsInf(at, 1) {
 		return
 	}
--- a/internal/runtime/seam/seam.go
+++ b/internal/runtime/env/env.go
@@ -1,8 +1,8 @@
-// Package seam is the one place through which shells meet time, the network and
-// chance. Cores never import it: they are given times and bytes. A World on real
+// Package env is the one place through which shells meet time, the network and
+// chance. Cores never import it: they are given times and bytes. An environment on real
 // sockets is made once, in main; a virtual one can take its place without any
 // change to the shells.
-package seam
+package env
 
 import (
 	"context"
@@ -16,9 +16,9 @@
 // Timer is a pending call; Stop tells whether it was kept from running.
 type Timer interface{ Stop() bool }
 
-// World is what a shell may use of the outside.
-type World interface {
-	// Now is the time since the world began. It only goes forward.
+// Environment is what a shell may use of the outside.
+type Environment interface {
+	// Now is the time since the environment began. It only goes forward.
 	Now() time.Duration
 	// Deadline is d from now in the form that net.Conn takes.
 	Deadline(d time.Duration) time.Time
@@ -33,7 +33,7 @@
 	// Go runs f on a goroutine of its own. A shell starts none but by this.
 	Go(f func())
 	// NewParker is a place for one goroutine to wait at. A shell waits for other
-	// goroutines of its world by it, or by what is built on it here; it holds no lock
+	// goroutines by it, or by what is built on it here; it holds no lock
 	// meanwhile.
 	NewParker() Parker
 	// Processors is how many goroutines can run at once.
@@ -49,46 +49,46 @@
 	Unpark()
 }
 
-// Real is the world of the machine: its monotonic clock and its sockets.
+// Real is the environment of the machine: its monotonic clock and its sockets.
 type Real struct{ start time.Time }
 
-// NewReal begins a world at the present time.
+// NewReal begins an environment at the present time.
 func NewReal() *Real { return &Real{start: time.Now()} }
 
-// Now implements World.
+// Now implements Environment.
 func (w *Real) Now() time.Duration { return time.Since(w.start) }
 
-// Deadline implements World.
+// Deadline implements Environment.
 func (w *Real) Deadline(d time.Duration) time.Time { return time.Now().Add(d) }
 
-// AfterFunc implements World.
+// AfterFunc implements Environment.
 func (w *Real) AfterFunc(d time.Duration, f func()) Timer { return time.AfterFunc(d, f) }
 
-// Dial implements World.
+// Dial implements Environment.
 func (w *Real) Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
 	d := net.Dialer{Timeout: within}
 	return d.DialContext(ctx, network, address)
 }
 
-// Listen implements World.
+// Listen implements Environment.
 func (w *Real) Listen(network, address string) (net.Listener, error) {
 	return net.Listen(network, address)
 }
 
-// Uint64 implements World.
+// Uint64 implements Environment.
 func (w *Real) Uint64() uint64 {
 	var b [8]byte
 	rand.Read(b[:]) // never fails: crypto/rand aborts the process instead
 	return binary.BigEndian.Uint64(b[:])
 }
 
-// Go implements World.
+// Go implements Environment.
 func (w *Real) Go(f func()) { go f() }
 
-// Processors implements World.
+// Processors implements Environment.
 func (w *Real) Processors() int { return runtime.GOMAXPROCS(0) }
 
-// NewParker implements World.
+// NewParker implements Environment.
 func (w *Real) NewParker() Parker { return realParker(make(chan struct{}, 1)) }
 
 type realParker chan struct{}
@@ -109,7 +109,7 @@
 func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // Fill fills b with random bytes.
-func Fill(w World, b []byte) {
+func Fill(w Environment, b []byte) {
 	for len(b) > 0 {
 		var word [8]byte
 		binary.BigEndian.PutUint64(word[:], w.Uint64())
--- a/internal/runtime/seam/roster.go
+++ b/internal/runtime/env/roster.go
@@ -1,4 +1,4 @@
-package seam
+package env
 
 import (
 	"cmp"
--- a/internal/runtime/seam/wait.go
+++ b/internal/runtime/env/wait.go
@@ -1,4 +1,4 @@
-package seam
+package env
 
 import (
 	"context"
@@ -42,7 +42,7 @@
 }
 
 // Wait returns once the gate is open.
-func (g *Gate) Wait(w World) { WaitAny(w, g) }
+func (g *Gate) Wait(w Environment) { WaitAny(w, g) }
 
 // Chan is closed once the gate is open; for those who are no part of a virtual world.
 func (g *Gate) Chan() <-chan struct{} {
@@ -76,7 +76,7 @@
 }
 
 // WaitAny returns once one of the gates is open.
-func WaitAny(w World, gates ...*Gate) {
+func WaitAny(w Environment, gates ...*Gate) {
 	p := w.NewParker()
 	for _, g := range gates {
 		defer g.untell(p)
@@ -90,7 +90,7 @@
 }
 
 // Await returns once the gate is open, or ctx ends; it tells whether it is open.
-func Await(ctx context.Context, w World, g *Gate) bool {
+func Await(ctx context.Context, w Environment, g *Gate) bool {
 	p := w.NewParker()
 	defer context.AfterFunc(ctx, p.Unpark)()
 	defer g.untell(p)
@@ -131,7 +131,7 @@
 }
 
 // Go runs f on a goroutine that is counted.
-func (g *Group) Go(w World, f func()) {
+func (g *Group) Go(w Environment, f func()) {
 	g.Add(1)
 	w.Go(func() {
 		defer g.Done()
@@ -140,7 +140,7 @@
 }
 
 // Wait returns once the count is 0.
-func (g *Group) Wait(w World) {
+func (g *Group) Wait(w Environment) {
 	p := w.NewParker()
 	for !g.over(p) {
 		p.Park()
@@ -158,7 +158,7 @@
 
 // Wait waits for d, or until stop is open; it tells whether the whole of d passed.
 // Without stop it always does.
-func Wait(w World, d time.Duration, stop *Gate) bool {
+func Wait(w Environment, d time.Duration, stop *Gate) bool {
 	p := w.NewParker()
 	if stop != nil {
 		defer stop.untell(p)
@@ -170,13 +170,13 @@
 }
 
 // Pause is Wait with a context in place of the gate.
-func Pause(ctx context.Context, w World, d time.Duration) bool {
+func Pause(ctx context.Context, w Environment, d time.Duration) bool {
 	p := w.NewParker()
 	defer context.AfterFunc(ctx, p.Unpark)()
 	return pause(w, p, d, func() bool { return ctx.Err() != nil })
 }
 
-func pause(w World, p Parker, d time.Duration, stopped func() bool) bool {
+func pause(w Environment, p Parker, d time.Duration, stopped func() bool) bool {
 	var due atomic.Bool
 	t := w.AfterFunc(d, func() {
 		due.Store(true)
--- a/internal/runtime/writequeue/writequeue.go
+++ b/internal/runtime/writequeue/writequeue.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Queue is the writing half of a connection. It is safe for concurrent use.
@@ -24,19 +24,19 @@
 	// closes the connection after Wait.
 	HalfClose bool
 
-	world   seam.World
+	world   env.Environment
 	conn    net.Conn
 	limit   int
 	timeout time.Duration
 
 	mu      sync.Mutex
-	wake    seam.Parker
+	wake    env.Parker
 	buf     []byte
-	writing bool          // what was taken out of buf is not written yet
-	settle  []seam.Parker // who waits until all is written
-	closed  bool          // nothing more is taken
-	cut     bool          // what waits is dropped
-	drained seam.Gate
+	writing bool         // what was taken out of buf is not written yet
+	settle  []env.Parker // who waits until all is written
+	closed  bool         // nothing more is taken
+	cut     bool         // what waits is dropped
+	drained env.Gate
 }
 
 // keepBuffer bounds the memory that a queue with nothing to say keeps, in bytes.
@@ -44,7 +44,7 @@
 
 // New starts a queue that holds at most limit bytes and gives a write so much
 // time.
-func New(w seam.World, conn net.Conn, limit int, timeout time.Duration) *Queue {
+func New(w env.Environment, conn net.Conn, limit int, timeout time.Duration) *Queue {
 	o := &Queue{world: w, conn: conn, limit: limit, timeout: timeout, wake: w.NewParker()}
 	w.Go(o.run)
 	return o
@@ -114,7 +114,7 @@
 
 // Settle returns once all that was put is written, or the queue takes nothing more.
 func (o *Queue) Settle() {
-	var p seam.Parker
+	var p env.Parker
 	for {
 		o.mu.Lock()
 		if o.closed || len(o.buf) == 0 && !o.writing {
@@ -149,7 +149,7 @@
 	o.mu.Lock()
 	cut := o.cut
 	o.mu.Unlock()
-	if cut || !o.HalfClose || !seam.CloseWrite(o.conn) {
+	if cut || !o.HalfClose || !env.CloseWrite(o.conn) {
 		o.conn.Close()
 	}
 }
--- a/internal/runtime/writequeue/writequeue_test.go
+++ b/internal/runtime/writequeue/writequeue_test.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/goleak"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -19,7 +19,7 @@
 
 func TestFinishWritesWhatWaits(t *testing.T) {
 	a, b := net.Pipe()
-	o := New(seam.NewReal(), a, 1<<20, time.Minute)
+	o := New(env.NewReal(), a, 1<<20, time.Minute)
 	var held atomic.Int64
 	o.Gauge = func(d int) { held.Add(int64(d)) }
 	o.Hold(add("one "))
@@ -40,7 +40,7 @@
 func TestOverTheLimit(t *testing.T) {
 	a, b := net.Pipe()
 	defer b.Close()
-	o := New(seam.NewReal(), a, 1000, time.Minute)
+	o := New(env.NewReal(), a, 1000, time.Minute)
 	var held atomic.Int64
 	o.Gauge = func(d int) { held.Add(int64(d)) }
 	taken := 0
@@ -56,7 +56,7 @@
 func TestSlowReaderIsCut(t *testing.T) {
 	a, b := net.Pipe()
 	defer b.Close()
-	o := New(seam.NewReal(), a, 1<<20, time.Millisecond)
+	o := New(env.NewReal(), a, 1<<20, time.Millisecond)
 	o.Put(add("nobody reads this"))
 	o.Wait() // returns only because the write ran out of time
 	if o.Put(add("x")) {
--- a/internal/simulation/lab/badday.go
+++ b/internal/simulation/lab/badday.go
@@ -16,7 +16,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/control/settings"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/internal/verify/rules"
 	"merlinhitch/internal/verify/trail"
@@ -170,13 +170,13 @@
 	if set == nil {
 		set = settings.Example(opt.Hosts, opt.Servers)
 	}
-	w := seam.NewReal()
-	return playDay(ctx, w, loopback{World: w}, set, opt)
+	w := env.NewReal()
+	return playDay(ctx, w, loopback{Environment: w}, set, opt)
 }
 
 // playDay plays and checks a day at a site, of which w is the part that clients and
 // troubles have.
-func playDay(ctx context.Context, w seam.World, at site, set *settings.Settings, opt Options) (*Result, error) {
+func playDay(ctx context.Context, w env.Environment, at site, set *settings.Settings, opt Options) (*Result, error) {
 	f, err := NewFleet(w, at, set, Machine(set), opt)
 	if err != nil {
 		return nil, err
@@ -201,7 +201,7 @@
 
 func (d *day) play(ctx context.Context) (*Result, error) {
 	rng := rand.New(rand.NewPCG(d.opt.Seed, 3))
-	begin := d.fleet.World.Now()
+	begin := d.fleet.Environment.Now()
 	span := time.Duration(float64(d.opt.Commands) / d.opt.Rate * float64(time.Second))
 	script := d.opt.Script
 	if script == nil {
@@ -217,14 +217,14 @@
 	if d.opt.during != nil {
 		d.opt.during(d, span)
 	}
-	var over seam.Gate
+	var over env.Gate
 	if d.fleet.Set.Regions != nil {
 		d.putBy = d.fleet.PutBy()
 		if d.opt.Progress != nil {
 			fmt.Fprintf(d.opt.Progress, "inventories of regions 0 and 1: %s %s\n", at(&d.fleet.invs[0].where), at(&d.fleet.invs[1].where))
 		}
 		d.operator = &operator{f: d.fleet, Said: map[string]int{}, returns: true}
-		d.fleet.World.Go(func() { d.operator.run(&over) })
+		d.fleet.Environment.Go(func() { d.operator.run(&over) })
 	}
 	progress := d.progress(begin)
 	d.crowd.Run(ctx, d.opt.Commands, d.opt.Rate)
@@ -247,7 +247,7 @@
 	if res.Steps = d.steps; d.err != nil {
 		return nil, d.err
 	}
-	return d.judge(res, events, d.fleet.World.Now()-begin)
+	return d.judge(res, events, d.fleet.Environment.Now()-begin)
 }
 
 func (d *day) judge(res *Result, events []trail.Event, took time.Duration) (*Result, error) {
@@ -331,11 +331,11 @@
 		if len(on) == 0 {
 			on = []string{"none"}
 		}
-		fmt.Fprintf(d.opt.Progress, "%5.0f s  %d asked, %d ended; troubles: %s\n", (d.fleet.World.Now() - begin).Seconds(),
+		fmt.Fprintf(d.opt.Progress, "%5.0f s  %d asked, %d ended; troubles: %s\n", (d.fleet.Environment.Now() - begin).Seconds(),
 			d.crowd.Asked.Load(), d.crowd.Ended.Load(), strings.Join(on, " "))
-		d.fleet.World.AfterFunc(progressEvery, again)
+		d.fleet.Environment.AfterFunc(progressEvery, again)
 	}
-	d.fleet.World.AfterFunc(progressEvery, again)
+	d.fleet.Environment.AfterFunc(progressEvery, again)
 	return func() {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/simulation/lab/bench.go
+++ b/internal/simulation/lab/bench.go
@@ -24,7 +24,7 @@
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -96,7 +96,7 @@
 
 // benchGateway is a gateway before servers that answer at once; nil: the usual.
 func benchGateway(k *benchSetup) (gate *subject, closeAll func(), err error) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	var disks []*standin.QuickDisk
 	closeAll = func() {
 		if gate != nil {
@@ -407,7 +407,7 @@
 }
 
 // gatewaySubject is one host before servers that answer at once.
-func gatewaySubject(w seam.World, disks []string, k *benchSetup) (*subject, error) {
+func gatewaySubject(w env.Environment, disks []string, k *benchSetup) (*subject, error) {
 	set := settings.Example(1, benchShards)
 	set.Volumes = []settings.Volume{{Name: "bench", Plan: "prioritario", Blocks: 1 << 20, BlockSize: benchBlock, Extent: 32, Hosts: []int{0}}}
 	for i := range benchShards {
@@ -424,7 +424,7 @@
 			b.Set(inventory.Node{Addr: addr, Health: inventory.Ready, Shard: i, Weight: 1, Incarnation: 1}, 0)
 		}
 	})
-	g, err := gateway.Start(gateway.Config{World: w, Log: zap.NewNop(), Name: "bench", Listen: "127.0.0.1:0", Inventory: inv.Addr, Keys: k.host, History: k.history, Admin: k.admin})
+	g, err := gateway.Start(gateway.Config{Environment: w, Log: zap.NewNop(), Name: "bench", Listen: "127.0.0.1:0", Inventory: inv.Addr, Keys: k.host, History: k.history, Admin: k.admin})
 	if err != nil {
 		return nil, err
 	}
@@ -481,7 +481,7 @@
 		server.Close()
 		return nil, nil, nil, err
 	}
-	f, err := newFan(seam.NewReal(), server.Addr().String(), benchShards)
+	f, err := newFan(env.NewReal(), server.Addr().String(), benchShards)
 	if err != nil {
 		server.Close()
 		straight.Close()
--- a/internal/simulation/lab/benchwatch.go
+++ b/internal/simulation/lab/benchwatch.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // scrapeEvery is how often a watched gateway's /metrics is read: fifteen times as often as
@@ -34,12 +34,12 @@
 	}
 	defer closeWatched()
 	plain.name, watched.name = "unwatched", "watched"
-	var over seam.Gate
+	var over env.Gate
 	var readers sync.WaitGroup
-	w := seam.NewReal()
+	w := env.NewReal()
 	for range 2 {
 		readers.Go(func() {
-			for seam.Wait(w, scrapeEvery, &over) {
+			for env.Wait(w, scrapeEvery, &over) {
 				if resp, err := http.Get("http://" + watched.admin + "/metrics"); err == nil {
 					io.Copy(io.Discard, resp.Body)
 					resp.Body.Close()
--- a/internal/simulation/lab/changes.go
+++ b/internal/simulation/lab/changes.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"merlinhitch/internal/control/settings"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/storage/audit"
 	"merlinhitch/internal/verify/rules"
 	"merlinhitch/internal/verify/trail"
@@ -55,7 +55,7 @@
 	gap  time.Duration
 	mu   sync.Mutex
 	made []change
-	done seam.Group
+	done env.Group
 }
 
 // ChangeDay plays a bad day while operators change what hosts are told: each has so many
@@ -74,11 +74,11 @@
 		ch.f, ch.gap = d.fleet, span*4/10/time.Duration(max(ch.each, 1))
 		for op := range operators {
 			rng := rand.New(rand.NewPCG(opt.Seed, uint64(100+op)))
-			ch.done.Go(d.fleet.World, func() { ch.operate(ctx, op, rng) })
+			ch.done.Go(d.fleet.Environment, func() { ch.operate(ctx, op, rng) })
 		}
 	}
 	opt.after = func(d *day, all []trail.Event) {
-		ch.done.Wait(d.fleet.World)
+		ch.done.Wait(d.fleet.Environment)
 		events, meta = all, d.fleet.Meta
 	}
 	res, err := BadDay(ctx, opt)
@@ -91,7 +91,7 @@
 // operate is one operator's day.
 func (ch *changing) operate(ctx context.Context, op int, rng *rand.Rand) {
 	for n := range ch.each {
-		seam.Pause(ctx, ch.f.World, time.Duration(float64(ch.gap)*(0.5+rng.Float64())))
+		env.Pause(ctx, ch.f.Environment, time.Duration(float64(ch.gap)*(0.5+rng.Float64())))
 		hosts := ch.f.Admins()
 		if len(hosts) == 0 {
 			continue
@@ -110,7 +110,7 @@
 		return // the host was ended in between
 	}
 	ch.alter(s, rng)
-	seam.Pause(ctx, ch.f.World, time.Duration(float64(2*ch.gap)*rng.Float64())) // meanwhile others change things
+	env.Pause(ctx, ch.f.Environment, time.Duration(float64(2*ch.gap)*rng.Float64())) // meanwhile others change things
 	c := change{host: trail.HostOf(name), why: why, asked: ch.now()}
 	now, err := api.Put(ctx, s, settings.Ask{Why: why, Who: "operator", Merge: rng.IntN(2) == 0})
 	c.said = ch.now()
@@ -128,7 +128,7 @@
 	ch.mu.Unlock()
 }
 
-func (ch *changing) now() int64 { return int64(ch.f.World.Now() / time.Microsecond) }
+func (ch *changing) now() int64 { return int64(ch.f.Environment.Now() / time.Microsecond) }
 
 // alter draws a change. None goes beyond the settings of the day's beginning, by which
 // the rules are checked: deadlines, limits and attempts only shrink from there and grow
--- a/internal/simulation/lab/clients.go
+++ b/internal/simulation/lab/clients.go
@@ -12,7 +12,7 @@
 	"merlinhitch/internal/protocol/initiator"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // lane is one client's session to one volume through one host; it logs in again
@@ -64,7 +64,7 @@
 	// before their answer; StrayWorth is what the former would have been worth.
 	Strays, Unanswered atomic.Int64
 	StrayWorth         float64
-	running            seam.Group
+	running            env.Group
 	stopping           atomic.Bool
 	lateBy             time.Duration
 }
@@ -96,7 +96,7 @@
 // can be had now.
 func (l *lane) session() *initiator.Client {
 	l.mu.Lock()
-	w := l.crowd.fleet.World
+	w := l.crowd.fleet.Environment
 	if l.client != nil || l.dialing || w.Now() < l.retryAt {
 		defer l.mu.Unlock()
 		return l.client
@@ -106,7 +106,7 @@
 	var c *initiator.Client
 	err := context.Canceled
 	if addr := l.crowd.fleet.HostAddr(l.host); addr != "" {
-		c, err = initiator.Dial(context.Background(), initiator.Config{World: w, Addr: addr,
+		c, err = initiator.Dial(context.Background(), initiator.Config{Environment: w, Addr: addr,
 			Name: "iqn.2026-11.example.client:" + l.vol.Name, Target: l.crowd.fleet.Set.TargetName(l.vol),
 			ISID: iscsi.ISID{0x80, 0, 0, 0, 0, l.isid}, Params: initiator.DefaultParams(), LoginTime: 2 * time.Second})
 	}
@@ -126,19 +126,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client == c {
-		l.client, l.retryAt = nil, l.crowd.fleet.World.Now()+redialAfter
+		l.client, l.retryAt = nil, l.crowd.fleet.Environment.Now()+redialAfter
 	}
 }
 
 // Login opens every session, so that a day doesn't begin with a storm.
 func (c *Crowd) Login() {
-	var all seam.Group
+	var all env.Group
 	for _, ls := range c.lanes {
 		for _, l := range ls {
-			all.Go(c.fleet.World, func() { l.session() })
+			all.Go(c.fleet.Environment, func() { l.session() })
 		}
 	}
-	all.Wait(c.fleet.World)
+	all.Wait(c.fleet.Environment)
 }
 
 // ask is one thing a client wants: what, where and how often it has tried.
@@ -237,7 +237,7 @@
 // Run sends so many commands at that mean rate a second, open loop: a slow
 // service is asked no less.
 func (c *Crowd) Run(ctx context.Context, commands int, rate float64) {
-	next := c.fleet.World.Now()
+	next := c.fleet.Environment.Now()
 	for n := 0; n < commands; n++ {
 		c.mu.Lock()
 		a := c.draw()
@@ -247,17 +247,17 @@
 		}
 		next += time.Duration(c.rng.ExpFloat64() / (rate * x) * float64(time.Second))
 		c.mu.Unlock()
-		if wait := next - c.fleet.World.Now(); wait > 0 {
-			if !seam.Pause(ctx, c.fleet.World, wait) {
+		if wait := next - c.fleet.Environment.Now(); wait > 0 {
+			if !env.Pause(ctx, c.fleet.Environment, wait) {
 				return
 			}
 		}
-		c.running.Go(c.fleet.World, func() { c.send(a) })
+		c.running.Go(c.fleet.Environment, func() { c.send(a) })
 	}
 }
 
 // Wait returns once every command has ended and every retry was made.
-func (c *Crowd) Wait() { c.running.Wait(c.fleet.World) }
+func (c *Crowd) Wait() { c.running.Wait(c.fleet.Environment) }
 
 // Close ends every session.
 func (c *Crowd) Close() {
@@ -299,7 +299,7 @@
 // one sends a read or a write and sees to its end; then, if any, is told of the
 // data of a read.
 func (c *Crowd) one(s *initiator.Client, a ask, then func([]byte)) {
-	w, size := c.fleet.World, a.lane.vol.BlockSize
+	w, size := c.fleet.Environment, a.lane.vol.BlockSize
 	n := int(a.blocks) * size
 	begin := w.Now()
 	id := uint64(0)
@@ -329,7 +329,7 @@
 // ending is how a command ended at its client.
 type ending struct {
 	once sync.Once
-	done seam.Gate
+	done env.Gate
 	res  iscsi.Result
 	err  error
 }
@@ -351,7 +351,7 @@
 // await waits for the end of a command, or leaves it early.
 func (c *Crowd) await(s *initiator.Client, h *initiator.Handle, end *ending, a ask) leaving {
 	if a.leave == 0 {
-		end.done.Wait(c.fleet.World)
+		end.done.Wait(c.fleet.Environment)
 		return stayed
 	}
 	c.mu.Lock()
@@ -360,23 +360,23 @@
 		at = c.habits.AbuseAt
 	}
 	c.mu.Unlock()
-	if !seam.Wait(c.fleet.World, seam.Duration(a.class(c.fleet.Set).Aim*at), &end.done) {
+	if !env.Wait(c.fleet.Environment, env.Duration(a.class(c.fleet.Set).Aim*at), &end.done) {
 		return stayed
 	}
 	if a.how == 1 {
 		a.lane.drop(s)
 		s.Close()
-		end.done.Wait(c.fleet.World)
+		end.done.Wait(c.fleet.Environment)
 		if end.err == nil {
 			return stayed
 		}
 		return closed
 	}
-	var answered seam.Gate
+	var answered env.Gate
 	if !s.Abort(h, func(byte) { answered.Open() }) {
 		return unsent
 	}
-	seam.WaitAny(c.fleet.World, &answered, &end.done, s.Done())
+	env.WaitAny(c.fleet.Environment, &answered, &end.done, s.Done())
 	switch {
 	case answered.Opened():
 		return aborted
@@ -389,7 +389,7 @@
 // settle enters what became of the command, and tries again where its client
 // would.
 func (c *Crowd) settle(a ask, s *initiator.Client, end *ending, id uint64, begin time.Duration, left leaving, then func([]byte)) {
-	now := c.fleet.World.Now()
+	now := c.fleet.Environment.Now()
 	a.lane.judge(now, end.err == nil && end.res.Status == scsi.Good)
 	f, again := FateMaybe, false
 	by := now
@@ -404,7 +404,7 @@
 		}
 		// Whatever was under way may land until the command's time is up.
 		a.lane.drop(s)
-		by = begin + seam.Duration(a.class(c.fleet.Set).Deadline) + 100*time.Millisecond + c.lateBy
+		by = begin + env.Duration(a.class(c.fleet.Set).Deadline) + 100*time.Millisecond + c.lateBy
 		again = a.op == scsi.Read
 	case end.res.Status == scsi.Good:
 		f = FateAcked
@@ -450,7 +450,7 @@
 		a.leave = 0
 	}
 	c.running.Add(1)
-	c.fleet.World.AfterFunc(wait, func() {
+	c.fleet.Environment.AfterFunc(wait, func() {
 		defer c.running.Done()
 		c.send(a)
 	})
@@ -471,7 +471,7 @@
 // whichever of its volume's hosts is up, for at most so long. It returns how many
 // could not be.
 func (c *Crowd) ReadBack(ctx context.Context, most time.Duration) (missed int) {
-	until := c.fleet.World.Now() + most
+	until := c.fleet.Environment.Now() + most
 	type piece struct {
 		volume int
 		run
@@ -493,9 +493,9 @@
 		p, left = left[0], left[1:]
 		return p, true
 	}
-	var all seam.Group
+	var all env.Group
 	for range 16 { // gently: this is no load test
-		all.Go(c.fleet.World, func() {
+		all.Go(c.fleet.Environment, func() {
 			for p, ok := next(); ok; p, ok = next() {
 				if !c.readRun(ctx, until, p.volume, p.run) {
 					mu.Lock()
@@ -505,12 +505,12 @@
 			}
 		})
 	}
-	all.Wait(c.fleet.World)
+	all.Wait(c.fleet.Environment)
 	return missed
 }
 
 func (c *Crowd) readRun(ctx context.Context, until time.Duration, volume int, r run) bool {
-	for try := 0; ctx.Err() == nil && c.fleet.World.Now() < until; try++ {
+	for try := 0; ctx.Err() == nil && c.fleet.Environment.Now() < until; try++ {
 		l := c.lanes[volume][try%len(c.lanes[volume])]
 		if s := l.session(); s != nil {
 			got := false
@@ -521,7 +521,7 @@
 				return true
 			}
 		}
-		seam.Pause(ctx, c.fleet.World, redialAfter)
+		env.Pause(ctx, c.fleet.Environment, redialAfter)
 	}
 	return false
 }
--- a/internal/simulation/lab/cutworld.go
+++ b/internal/simulation/lab/cutworld.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // cutKind is how an address can't be reached.
@@ -21,14 +21,14 @@
 
 // cutWorld is a host's world in which addresses can be cut off for that host alone.
 type cutWorld struct {
-	seam.World
+	env.Environment
 	mu    sync.Mutex
 	cut   map[string]cutKind
 	conns map[*cutConn]string
 }
 
-func newCutWorld(w seam.World) *cutWorld {
-	return &cutWorld{World: w, cut: map[string]cutKind{}, conns: map[*cutConn]string{}}
+func newCutWorld(w env.Environment) *cutWorld {
+	return &cutWorld{Environment: w, cut: map[string]cutKind{}, conns: map[*cutConn]string{}}
 }
 
 // cutConn is a connection that can be cut.
@@ -43,7 +43,7 @@
 
 var errCut = errors.New("lab: cut off")
 
-// Dial implements seam.World.
+// Dial implements env.Environment.
 func (w *cutWorld) Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
 	w.mu.Lock()
 	kind, cut := w.cut[address]
@@ -52,10 +52,10 @@
 		return nil, errCut
 	}
 	if cut {
-		seam.Pause(ctx, w, within)
+		env.Pause(ctx, w, within)
 		return nil, errCut
 	}
-	c, err := w.World.Dial(ctx, network, address, within)
+	c, err := w.Environment.Dial(ctx, network, address, within)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/simulation/lab/experiment.go
+++ b/internal/simulation/lab/experiment.go
@@ -22,7 +22,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"merlinhitch/internal/observe/chart"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/verify/rules"
 )
 
@@ -159,9 +159,9 @@
 	rows = make([]ExperimentRow, len(cells))
 	each := make([][]SecondRow, len(cells))
 	var mu sync.Mutex
-	var all seam.Group
+	var all env.Group
 	next, done := 0, 0
-	w := seam.NewReal()
+	w := env.NewReal()
 	for range max(g.Parallel, 1) {
 		all.Go(w, func() {
 			for {
@@ -192,7 +192,7 @@
 	return rows, slices.Concat(each...), err
 }
 
-func (c cell) run(ctx context.Context, w seam.World) (row ExperimentRow, secs []SecondRow, err error) {
+func (c cell) run(ctx context.Context, w env.Environment) (row ExperimentRow, secs []SecondRow, err error) {
 	begin := w.Now()
 	whole := hdrhistogram.New(1, longestLoss, 3)
 	bySecond := map[int64]*hdrhistogram.Histogram{}
--- a/internal/simulation/lab/explore.go
+++ b/internal/simulation/lab/explore.go
@@ -18,7 +18,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/control/settings"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/internal/simulation/world"
 	"merlinhitch/internal/verify/rules"
@@ -514,8 +514,8 @@
 	var mu sync.Mutex
 	var failed error
 	next := uint64(0)
-	w := seam.NewReal()
-	var all seam.Group
+	w := env.NewReal()
+	var all env.Group
 	for range max(x.Parallel, 1) {
 		all.Go(w, func() {
 			for {
--- a/internal/simulation/lab/fan.go
+++ b/internal/simulation/lab/fan.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -41,7 +41,7 @@
 )
 
 // newFan relays to so many connections of the server.
-func newFan(w seam.World, server string, ups int) (*fan, error) {
+func newFan(w env.Environment, server string, ups int) (*fan, error) {
 	f := &fan{}
 	for range ups {
 		c, err := net.Dial("tcp", server)
--- a/internal/simulation/lab/fleet.go
+++ b/internal/simulation/lab/fleet.go
@@ -21,7 +21,7 @@
 	"merlinhitch/internal/fleet/region"
 	"merlinhitch/internal/fleet/rollout"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/internal/simulation/world"
 	"merlinhitch/internal/verify/trail"
@@ -29,14 +29,14 @@
 
 // Fleet is a service.
 type Fleet struct {
-	World seam.World
-	Set   *settings.Settings
-	Rec   *trail.Recorder
-	Meta  *trail.Meta
-	log   *zap.Logger
-	meter *standin.Meter
-	cfg   standin.MachineConfig
-	seed  uint64
+	Environment env.Environment
+	Set         *settings.Settings
+	Rec         *trail.Recorder
+	Meta        *trail.Meta
+	log         *zap.Logger
+	meter       *standin.Meter
+	cfg         standin.MachineConfig
+	seed        uint64
 
 	mu     sync.Mutex
 	invs   []*invProc // by region; one where there is one
@@ -46,7 +46,7 @@
 	site   site
 	racks  []*standin.Rack
 	fell   []string
-	later  seam.Group
+	later  env.Group
 	over   bool
 	now    *settings.Settings // what hosts start with
 	ran    map[effectKey]bool // keyed and unsafe requests that took effect, in either region
@@ -75,7 +75,7 @@
 	rack   *standin.Rack
 	server *standin.DiskServer // nil while down
 	relay  wire
-	world  seam.World // of the server's process
+	world  env.Environment // of the server's process
 	starts int
 	cores  int
 	region int
@@ -88,7 +88,7 @@
 type invProc struct {
 	region int
 	inv    *standin.Inventory // nil while down
-	world  seam.World
+	world  env.Environment
 	saved  *standin.Saved // nil where there is one region
 	starts int
 	where  atomic.Pointer[string]
@@ -100,7 +100,7 @@
 	name    string
 	starts  int
 	gate    *gateway.Gateway
-	world   seam.World
+	world   env.Environment
 	clients wire // nil while it is down
 	list    wire
 }
@@ -121,9 +121,9 @@
 const listLate = 300
 
 // NewFleet starts a service of the settings' hosts and shards.
-func NewFleet(w seam.World, at site, s *settings.Settings, cfg standin.MachineConfig, opt Options) (*Fleet, error) {
+func NewFleet(w env.Environment, at site, s *settings.Settings, cfg standin.MachineConfig, opt Options) (*Fleet, error) {
 	seed := opt.Seed
-	f := &Fleet{World: w, site: at, Set: s, now: s, log: opt.Log, cfg: cfg, seed: seed,
+	f := &Fleet{Environment: w, site: at, Set: s, now: s, log: opt.Log, cfg: cfg, seed: seed,
 		fixed: opt.fixedShares, keep: opt.keep, Rec: trail.NewRecorder(func() int64 { return int64(w.Now() / time.Microsecond) }),
 		Meta: &trail.Meta{Settings: s, Servers: map[string]trail.Server{}, Seed: seed}}
 	sizes, rates := map[string]int{}, map[string]float64{}
@@ -197,7 +197,7 @@
 	return w
 }
 
-func (f *Fleet) nowMS() float64 { return seam.MS(f.World.Now()) }
+func (f *Fleet) nowMS() float64 { return env.MS(f.Environment.Now()) }
 
 // startDisk starts a process for the shard, at the address that it has, or a new
 // one where fresh. Held: mu, but for the fleet's own start.
@@ -288,7 +288,7 @@
 	if h.list, err = f.site.wire(*f.invs[f.regionOf(h.self)].where.Load(), true, func(string) *standin.Tap { return standin.TapList(f.Rec, name) }); err != nil {
 		return err
 	}
-	h.gate, err = gateway.Start(gateway.Config{World: h.world, Log: f.log, Name: h.name, Self: h.self,
+	h.gate, err = gateway.Start(gateway.Config{Environment: h.world, Log: f.log, Name: h.name, Self: h.self,
 		Zone: Halls[h.self%len(Halls)], Listen: "127.0.0.1:0", Inventory: h.list.Address(), Admin: f.site.admin(), Snapshot: f.snapshot(h.self),
 		RouterID: routerID(h.self), Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
 	if err != nil {
@@ -297,7 +297,7 @@
 	if err = f.configure(h.gate); err != nil {
 		return err
 	}
-	h.gate.Ready().Wait(f.World)
+	h.gate.Ready().Wait(f.Environment)
 	h.clients, err = f.site.wire(h.gate.Addr().String(), false, func(string) *standin.Tap { return standin.TapClients(f.Rec, name, f.Set) })
 	return err
 }
@@ -358,7 +358,7 @@
 		return
 	}
 	f.later.Add(1)
-	f.World.AfterFunc(d, func() {
+	f.Environment.AfterFunc(d, func() {
 		defer f.later.Done()
 		f.mu.Lock()
 		over := f.over
@@ -447,7 +447,7 @@
 				return // it died meanwhile
 			}
 			f.list(d.region, true, func(b *inventory.Book) { b.Health(addr, inventory.Gone) })
-			f.World.Go(s.Kill)
+			f.Environment.Go(s.Kill)
 			if err := f.startDisk(d, true, true); err != nil {
 				f.log.Error("successor does not start", zap.Error(err))
 			}
@@ -482,16 +482,16 @@
 
 // StopHosts ends every host gracefully.
 func (f *Fleet) StopHosts(ctx context.Context) {
-	var all seam.Group
+	var all env.Group
 	f.mu.Lock()
 	hosts := f.hosts
 	f.mu.Unlock()
 	for _, h := range hosts {
 		if h.gate != nil && h.clients != nil {
-			all.Go(f.World, func() { h.gate.Stop(ctx) })
+			all.Go(f.Environment, func() { h.gate.Stop(ctx) })
 		}
 	}
-	all.Wait(f.World)
+	all.Wait(f.Environment)
 }
 
 // Close ends everything at once.
@@ -502,7 +502,7 @@
 	f.mu.Lock()
 	f.over = true
 	f.mu.Unlock()
-	f.later.Wait(f.World)
+	f.later.Wait(f.Environment)
 	for _, h := range f.hosts {
 		if h.gate != nil {
 			h.gate.Kill()
--- a/internal/simulation/lab/layouts.go
+++ b/internal/simulation/lab/layouts.go
@@ -146,7 +146,7 @@
 		defer cancel()
 		_, err := rollout.Read(ctx, hosts)
 		if err == nil {
-			err = rollout.Apply(ctx, f.World, hosts, pl, steps, pause, func(n int) {
+			err = rollout.Apply(ctx, f.Environment, hosts, pl, steps, pause, func(n int) {
 				d.mu.Lock()
 				d.steps = n
 				d.mu.Unlock()
--- a/internal/simulation/lab/limits.go
+++ b/internal/simulation/lab/limits.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"merlinhitch/internal/control/settings"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/verify/trail"
 )
 
@@ -59,15 +59,15 @@
 	var mu sync.Mutex
 	var steps []limitStep
 	var events []trail.Event
-	var over seam.Gate
-	var done seam.Group
+	var over env.Gate
+	var done env.Group
 	var begin int64
 	opt.during = func(d *day, span time.Duration) {
-		now := func() int64 { return int64(d.fleet.World.Now() / time.Microsecond) }
+		now := func() int64 { return int64(d.fleet.Environment.Now() / time.Microsecond) }
 		begin = now()
-		done.Go(d.fleet.World, func() {
+		done.Go(d.fleet.Environment, func() {
 			rng := rand.New(rand.NewPCG(opt.Seed, 8))
-			for seam.Wait(d.fleet.World, limitEvery, &over) {
+			for env.Wait(d.fleet.Environment, limitEvery, &over) {
 				limit := limitLow + float64(rng.IntN(limitHigh-limitLow+1))
 				for i, h := range d.fleet.hosts {
 					s := *h.gate.Settings().Get()
--- a/internal/simulation/lab/losses.go
+++ b/internal/simulation/lab/losses.go
@@ -16,7 +16,7 @@
 	"merlinhitch/internal/control/gateway"
 	"merlinhitch/internal/control/settings"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -110,7 +110,7 @@
 
 // lossRig is what the gateways share.
 type lossRig struct {
-	world  seam.World
+	world  env.Environment
 	inv    *standin.Inventory
 	disks  []*standin.DiskServer
 	router *standin.Router
@@ -120,7 +120,7 @@
 }
 
 func newLossRig() (*lossRig, error) {
-	r := &lossRig{world: seam.NewReal()}
+	r := &lossRig{world: env.NewReal()}
 	r.wake = sync.NewCond(&r.mu)
 	var err error
 	if r.inv, err = standin.ServeInventory(r.world, "127.0.0.1:0", 0); err != nil {
@@ -220,7 +220,7 @@
 		return out
 	}
 	s.set.Announce = &settings.Announce{AS: 65001, HoldTime: 9000, Routers: []settings.Router{{Name: "r0", Addr: r.router.Addr, AS: r.router.AS}},
-		Steady: rigSteady, SteadyMost: rigSteady, ResortMost: rigSteady, ListBound: seam.MS(rigListBound),
+		Steady: rigSteady, SteadyMost: rigSteady, ResortMost: rigSteady, ListBound: env.MS(rigListBound),
 		Groups: []settings.AddressGroup{{Name: "one", Prefixes: []string{s.one.String()}, Volumes: names(0, 1)},
 			{Name: "both", Prefixes: []string{s.both.String()}, Volumes: names(1, len(s.set.Volumes))}}}
 	return s, s.start()
@@ -229,7 +229,7 @@
 // start starts the gateway and waits until the router has both addresses.
 func (s *loser) start() (err error) {
 	from := s.rig.mark()
-	s.gate, err = gateway.Start(gateway.Config{World: s.world, Log: zap.NewNop(), Name: fmt.Sprint("h", s.n), Zone: Halls[0], Listen: "127.0.0.1:0",
+	s.gate, err = gateway.Start(gateway.Config{Environment: s.world, Log: zap.NewNop(), Name: fmt.Sprint("h", s.n), Zone: Halls[0], Listen: "127.0.0.1:0",
 		Inventory: s.rig.inv.Addr, RouterID: uint32(s.n + 1), Hop4: netip.AddrFrom4([4]byte{127, 0, 0, 1})})
 	if err != nil {
 		return err
@@ -254,14 +254,14 @@
 // gives it back.
 func (s *loser) lose(kind int) (lossResult, error) {
 	w := s.rig.world
-	seam.Wait(w, time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), nil) // at any point of its rounds
+	env.Wait(w, time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), nil) // at any point of its rounds
 	all := make([]string, len(s.rig.disks))
 	for i, d := range s.rig.disks {
 		all[i] = d.Addr
 	}
 	how := cutKind(s.rng.IntN(2))
 	from, at := s.rig.mark(), w.Now()
-	var hung seam.Gate
+	var hung env.Gate
 	gone := []netip.Prefix{s.one, s.both}
 	down := func(c standin.RouteChange) bool { return !c.Up }
 	var heal func() error
@@ -291,7 +291,7 @@
 		res.seen = res.seen && ok
 		res.took = max(res.took, c.At-at)
 	}
-	seam.Wait(w, 100*time.Millisecond, nil) // nothing may come while it lasts
+	env.Wait(w, 100*time.Millisecond, nil) // nothing may come while it lasts
 	res.wrong = s.wrong(from, gone, LossKinds[kind] == LossKinds[4])
 	from = s.rig.mark()
 	if err := heal(); err != nil || LossKinds[kind] == "process killed" {
--- a/internal/simulation/lab/peers.go
+++ b/internal/simulation/lab/peers.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/protocol/bgp"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -19,7 +19,7 @@
 // so many prefixes, a change of all their paths, and their withdrawal. The routers run
 // in the same process; their part of the time is in the figures.
 func ManyPeers(ctx context.Context, peers, prefixes int, out io.Writer) error {
-	w := seam.NewReal()
+	w := env.NewReal()
 	var routers []*standin.Router
 	defer func() {
 		for _, r := range routers {
@@ -54,7 +54,7 @@
 		s.Set(routes)
 		for _, r := range routers {
 			for !has(r.Held(1)) {
-				if !seam.Pause(ctx, w, time.Millisecond) {
+				if !env.Pause(ctx, w, time.Millisecond) {
 					return ctx.Err()
 				}
 			}
--- a/internal/simulation/lab/regionday.go
+++ b/internal/simulation/lab/regionday.go
@@ -12,7 +12,7 @@
 
 	"merlinhitch/internal/fleet/region"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/internal/simulation/world"
 	"merlinhitch/internal/verify/rules"
@@ -161,14 +161,14 @@
 	returns bool // shards are brought back to where they prefer to be
 }
 
-func (o *operator) run(over *seam.Gate) {
-	for seam.Wait(o.f.World, operatorLooks, over) {
+func (o *operator) run(over *env.Gate) {
+	for env.Wait(o.f.Environment, operatorLooks, over) {
 		o.look()
 	}
 }
 
 func (o *operator) look() {
-	now := o.f.World.Now()
+	now := o.f.Environment.Now()
 	for r := range 2 {
 		switch gone := o.f.Gone(r); {
 		case !gone:
@@ -295,7 +295,7 @@
 	if opt.Settings == nil {
 		opt.Settings = RegionSettings(opt.Hosts, opt.Servers)
 	}
-	w := seam.NewReal()
+	w := env.NewReal()
 	links := standin.NewLinks(w, opt.Seed)
 	defer links.Close()
 	return playDay(ctx, w, loopback{w, links}, opt.Settings, opt)
--- a/internal/simulation/lab/regions.go
+++ b/internal/simulation/lab/regions.go
@@ -12,7 +12,7 @@
 	"merlinhitch/internal/fleet/region"
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/internal/simulation/world"
 	"merlinhitch/internal/verify/trail"
@@ -181,7 +181,7 @@
 	}
 	f.mu.Lock()
 	f.gone[r] = true
-	f.losses = append(f.losses, Loss{r, f.World.Now(), f.World.Now() + down})
+	f.losses = append(f.losses, Loss{r, f.Environment.Now(), f.Environment.Now() + down})
 	f.mu.Unlock()
 	for i := range f.hosts {
 		if f.regionOf(i) == r {
@@ -301,7 +301,7 @@
 		})
 	}
 	c.choose = func(volume int) *lane {
-		now := c.fleet.World.Now()
+		now := c.fleet.Environment.Now()
 		var up *lane
 		for _, l := range c.lanes[volume] {
 			if c.fleet.HostAddr(l.host) == "" {
@@ -351,7 +351,7 @@
 
 // Tell asks a region's inventory for something, as an operator would.
 func (f *Fleet) Tell(r int, a inventory.Ask) (inventory.List, error) {
-	c := inventory.NewCaller(f.World, func() string { return at(&f.invs[r].where) })
+	c := inventory.NewCaller(f.Environment, func() string { return at(&f.invs[r].where) })
 	defer c.Close()
 	return c.Ask(a, time.Second)
 }
@@ -361,14 +361,14 @@
 	f.mu.Lock()
 	h := f.hosts[i]
 	f.mu.Unlock()
-	f.Rec.Add(trail.Event{Link: trail.LinkFault, Kind: trail.Still, Host: h.name, Deadline: int64((f.World.Now() + still) / time.Microsecond)})
+	f.Rec.Add(trail.Event{Link: trail.LinkFault, Kind: trail.Still, Host: h.name, Deadline: int64((f.Environment.Now() + still) / time.Microsecond)})
 	if p, ok := h.world.(*world.Process); ok {
 		if !p.Dead() {
 			p.Stall(still)
 		}
 		return
 	}
-	var until seam.Gate
+	var until env.Gate
 	h.gate.Freeze(&until)
-	f.World.AfterFunc(still, until.Open)
+	f.Environment.AfterFunc(still, until.Open)
 }
--- a/internal/simulation/lab/reservations.go
+++ b/internal/simulation/lab/reservations.go
@@ -23,7 +23,7 @@
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/internal/simulation/world"
 )
@@ -85,8 +85,8 @@
 // ReservationRun plays one run on loopback; unfenced with disk servers that keep no
 // fence.
 func ReservationRun(ctx context.Context, seed uint64, steps int, unfenced bool) (*ReservationHistory, error) {
-	w := seam.NewReal()
-	return reservationRun(ctx, w, loopback{World: w}, seed, steps, unfenced)
+	w := env.NewReal()
+	return reservationRun(ctx, w, loopback{Environment: w}, seed, steps, unfenced)
 }
 
 // reservationMost bounds a run's virtual time.
@@ -102,18 +102,18 @@
 	return h, cmp.Or(err, failed)
 }
 
-func reservationRun(ctx context.Context, w seam.World, at site, seed uint64, steps int, unfenced bool) (*ReservationHistory, error) {
+func reservationRun(ctx context.Context, w env.Environment, at site, seed uint64, steps int, unfenced bool) (*ReservationHistory, error) {
 	r, err := newReservationRig(w, at, seed, unfenced)
 	if err != nil {
 		return nil, err
 	}
 	defer r.close()
-	var all seam.Group
+	var all env.Group
 	for i := range rInitiators {
 		all.Go(w, func() { r.client(ctx, i, steps) })
 	}
-	var stop seam.Gate
-	var faults seam.Group
+	var stop env.Gate
+	var faults env.Group
 	faults.Go(r.world, func() { r.faults(&stop) })
 	all.Wait(w)
 	stop.Open()
@@ -124,7 +124,7 @@
 }
 
 type reservationRig struct {
-	world   seam.World
+	world   env.Environment
 	site    site
 	rng     *rand.Rand // of the faults
 	seed    uint64
@@ -140,7 +140,7 @@
 	stamp   uint64
 }
 
-func newReservationRig(w seam.World, at site, seed uint64, unfenced bool) (*reservationRig, error) {
+func newReservationRig(w env.Environment, at site, seed uint64, unfenced bool) (*reservationRig, error) {
 	r := &reservationRig{world: w, site: at, rng: rand.New(rand.NewPCG(seed, 21)), seed: seed, set: settings.Example(rHosts, rShards)}
 	r.history = ReservationHistory{Persist: r.rng.Float64() < rPersist, Effects: map[uint64][]time.Duration{}}
 	v := r.set.Volumes[5] // of a plan without a limit
@@ -204,7 +204,7 @@
 }
 
 func (r *reservationRig) startHost(i int) error {
-	g, err := gateway.Start(gateway.Config{World: r.worlds[i], Log: zap.NewNop(), Name: fmt.Sprint("h", i), Self: i, Zone: Halls[i], Listen: "127.0.0.1:0", Inventory: r.inv.Addr})
+	g, err := gateway.Start(gateway.Config{Environment: r.worlds[i], Log: zap.NewNop(), Name: fmt.Sprint("h", i), Self: i, Zone: Halls[i], Listen: "127.0.0.1:0", Inventory: r.inv.Addr})
 	if err != nil {
 		return err
 	}
@@ -240,8 +240,8 @@
 }
 
 // faults strikes now and then until stop is open.
-func (r *reservationRig) faults(stop *seam.Gate) {
-	for seam.Wait(r.world, time.Duration(50+r.rng.IntN(200))*time.Millisecond, stop) {
+func (r *reservationRig) faults(stop *env.Gate) {
+	for env.Wait(r.world, time.Duration(50+r.rng.IntN(200))*time.Millisecond, stop) {
 		h, d := r.rng.IntN(rHosts), r.rng.IntN(rShards)
 		r.mu.Lock()
 		g, addr := r.hosts[h], r.disks[d].Addr
@@ -250,12 +250,12 @@
 		switch r.rng.IntN(5) {
 		case 0, 1: // a link
 			r.worlds[h].off(cutKind(r.rng.IntN(2)), addr)
-			seam.Wait(r.world, lasts, stop)
+			env.Wait(r.world, lasts, stop)
 			r.worlds[h].heal(addr)
 		case 2: // a pause of a host
-			var until seam.Gate
+			var until env.Gate
 			g.Freeze(&until)
-			seam.Wait(r.world, lasts, stop)
+			env.Wait(r.world, lasts, stop)
 			until.Open()
 		case 3: // a host
 			g.Kill()
@@ -299,7 +299,7 @@
 	for n := 0; n < steps && ctx.Err() == nil; {
 		for tries := 0; s == nil && tries < 200; tries++ {
 			s = r.dial(ctx, who)
-			if s == nil && !seam.Pause(ctx, r.world, 10*time.Millisecond) {
+			if s == nil && !env.Pause(ctx, r.world, 10*time.Millisecond) {
 				return
 			}
 		}
@@ -308,7 +308,7 @@
 			return
 		}
 		// Time for a fault to strike in between, and for others to be in the midst of theirs.
-		seam.Pause(ctx, r.world, time.Duration(rng.IntN(40))*time.Millisecond)
+		env.Pause(ctx, r.world, time.Duration(rng.IntN(40))*time.Millisecond)
 		step := ReservationStep{Who: who, Kind: kinds[rng.IntN(len(kinds))], Type: types[rng.IntN(len(types))], Whom: rng.IntN(rInitiators)}
 		if done, alive := r.step(s, &step, rng); done {
 			n++
@@ -325,7 +325,7 @@
 	r.mu.Lock()
 	g := r.hosts[who%rHosts]
 	r.mu.Unlock()
-	s, err := initiator.Dial(ctx, initiator.Config{World: r.world, Addr: g.Addr().String(), Name: fmt.Sprint("iqn.2026-11.example.client:", who),
+	s, err := initiator.Dial(ctx, initiator.Config{Environment: r.world, Addr: g.Addr().String(), Name: fmt.Sprint("iqn.2026-11.example.client:", who),
 		Target: r.set.TargetName(&r.set.Volumes[0]), ISID: iscsi.ISID{0x80, 0, 0, 0, 0, byte(who)}, Params: initiator.DefaultParams(), LoginTime: time.Second})
 	if err != nil {
 		return nil
@@ -382,7 +382,7 @@
 func (r *reservationRig) do(s *initiator.Client, cdb, out []byte, in int) (iscsi.Result, error) {
 	end := &ending{}
 	s.Submit(0, cdb, out, in, end.set)
-	if seam.Wait(r.world, 8*time.Second, &end.done) {
+	if env.Wait(r.world, 8*time.Second, &end.done) {
 		end.set(iscsi.Result{}, context.DeadlineExceeded)
 	}
 	return end.res, end.err
--- a/internal/simulation/lab/reservations_test.go
+++ b/internal/simulation/lab/reservations_test.go
@@ -10,7 +10,7 @@
 	"merlinhitch/internal/protocol/initiator"
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 func TestReservationsOverThreeHosts(t *testing.T) {
@@ -95,8 +95,8 @@
 // hosts.
 func quiet(t *testing.T) (*reservationRig, func(who int, kind string, typ byte, whom int, want string)) {
 	t.Helper()
-	w := seam.NewReal()
-	r, err := newReservationRig(w, loopback{World: w}, 1, false)
+	w := env.NewReal()
+	r, err := newReservationRig(w, loopback{Environment: w}, 1, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,7 +115,7 @@
 			st := ReservationStep{Who: who, Kind: kind, Type: typ, Whom: whom}
 			if done, _ := r.step(s[who], &st, rng); done {
 				if st.Said == saidNothing && tries < 500 { // a server is away: what is refused is asked again
-					seam.Wait(r.world, 10*time.Millisecond, nil)
+					env.Wait(r.world, 10*time.Millisecond, nil)
 					continue
 				}
 				if st.Said != want {
@@ -207,7 +207,7 @@
 		}
 	}()
 	for r.worlds[0].waiting() < r.set.Volumes[0].BlockSize { // the write is in the link
-		seam.Wait(r.world, time.Millisecond, nil)
+		env.Wait(r.world, time.Millisecond, nil)
 	}
 	do(1, stepPreempt, 1, 0, saidGood)
 	r.worlds[0].heal(addrs...)
@@ -236,11 +236,11 @@
 	r.worlds[0].off(cutHold, addrs...)
 	h := s.Submit(0, []byte{0x5f, 6, 0, 0, 0, 0, 0, 0, 24, 0}, append(make([]byte, 15), 9, 0, 0, 0, 0, 0, 0, 0, 0), 0, func(iscsi.Result, error) {})
 	for r.worlds[0].waiting() == 0 {
-		seam.Wait(r.world, time.Millisecond, nil)
+		env.Wait(r.world, time.Millisecond, nil)
 	}
 	answered := make(chan byte, 1)
 	s.Abort(h, func(code byte) { answered <- code })
-	seam.Wait(r.world, 100*time.Millisecond, nil)
+	env.Wait(r.world, 100*time.Millisecond, nil)
 	select {
 	case <-answered:
 		t.Error("answered while it may still be made")
@@ -258,10 +258,10 @@
 	do(0, stepRegister, 0, 0, saidGood)
 	do(1, stepRegister, 0, 0, saidGood)
 	do(0, stepReserve, 1, 0, saidGood)
-	var until seam.Gate
+	var until env.Gate
 	r.hosts[0].Freeze(&until)
 	do(1, stepPreempt, 1, 0, saidGood)
-	seam.Wait(r.world, 1200*time.Millisecond, nil) // past the lease, which is a time of the product's own
+	env.Wait(r.world, 1200*time.Millisecond, nil) // past the lease, which is a time of the product's own
 	until.Open()
 	do(0, stepWrite, 0, 0, saidConflict)
 	do(1, stepWrite, 0, 0, saidGood)
@@ -283,8 +283,8 @@
 // that are read back.
 func crowd(t *testing.T, n, atOnce int) int {
 	t.Helper()
-	w := seam.NewReal()
-	r, err := newReservationRig(w, loopback{World: w}, 1, false)
+	w := env.NewReal()
+	r, err := newReservationRig(w, loopback{Environment: w}, 1, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/simulation/lab/routing.go
+++ b/internal/simulation/lab/routing.go
@@ -13,7 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"merlinhitch/internal/control/settings"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Ways in which clients find a host.
@@ -78,12 +78,12 @@
 
 // awaitRoutes waits until every host announces every group, or for so long.
 func (f *Fleet) awaitRoutes(ctx context.Context, most time.Duration) {
-	for end := f.World.Now() + most; f.World.Now() < end; {
+	for end := f.Environment.Now() + most; f.Environment.Now() < end; {
 		missing := false
 		for g := range groups {
 			missing = missing || len(f.Router.Best(groupPrefix(g))) < len(f.hosts)
 		}
-		if !missing || !seam.Pause(ctx, f.World, 20*time.Millisecond) {
+		if !missing || !env.Pause(ctx, f.Environment, 20*time.Millisecond) {
 			return
 		}
 	}
--- a/internal/simulation/lab/site.go
+++ b/internal/simulation/lab/site.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 	"merlinhitch/internal/simulation/world"
 )
@@ -12,10 +12,10 @@
 // between the two stands here.
 type site interface {
 	// process is the world as a new program of that name has it.
-	process(name string) seam.World
+	process(name string) env.Environment
 	// crash ends a program where it stands; false if the site can't, and the program
 	// is to be told to end.
-	crash(w seam.World, power bool) bool
+	crash(w env.Environment, power bool) bool
 	// wire makes an address that leads to target and on which what passes is recorded,
 	// beside the side that dials or the one that listens.
 	wire(target string, byDialler bool, tap func(addr string) *standin.Tap) (wire, error)
@@ -24,7 +24,7 @@
 	// between is the state of the ways between two regions on a calm day.
 	between() world.Net
 	// pace has a new program's clock run at so many times the world's, if the site can.
-	pace(w seam.World, x float64)
+	pace(w env.Environment, x float64)
 	// remains tells whether programs stay until they are told to end.
 	remains() bool
 	// admin is where a host serves its admin API, "" where that has no HTTP.
@@ -42,29 +42,29 @@
 // loopback is the site of real sockets. Programs of a service over two regions meet by
 // way of links.
 type loopback struct {
-	seam.World
+	env.Environment
 	links *standin.Links // nil: sockets as they are
 }
 
-func (l loopback) process(name string) seam.World {
+func (l loopback) process(name string) env.Environment {
 	if l.links == nil {
-		return l.World
+		return l.Environment
 	}
 	return l.links.Process(world.StableName(name))
 }
 func (l loopback) link(from, to string, n world.Net) {
 	l.links.Set(from, to, standin.Way{Delay: n.Delay, Loss: n.Loss, Cut: n.Cut})
 }
-func (loopback) between() world.Net          { return world.Net{} }
-func (loopback) pace(seam.World, float64)    {}
-func (loopback) crash(seam.World, bool) bool { return false }
-func (loopback) remains() bool               { return true }
-func (loopback) admin() string               { return "127.0.0.1:0" }
+func (loopback) between() world.Net               { return world.Net{} }
+func (loopback) pace(env.Environment, float64)    {}
+func (loopback) crash(env.Environment, bool) bool { return false }
+func (loopback) remains() bool                    { return true }
+func (loopback) admin() string                    { return "127.0.0.1:0" }
 func (l loopback) wire(target string, byDialler bool, tap func(addr string) *standin.Tap) (wire, error) {
 	if byDialler && l.links != nil {
 		return l.links.Wire(target, tap), nil
 	}
-	r, err := standin.ServeRelay(l.World, target, tap)
+	r, err := standin.ServeRelay(l.Environment, target, tap)
 	if err != nil {
 		return nil, err // not a wire that holds no relay
 	}
@@ -78,11 +78,11 @@
 func (v virtual) between() world.Net {
 	return world.Net{Delay: 3 * time.Millisecond, Jitter: time.Millisecond}
 }
-func (v virtual) pace(w seam.World, x float64) { w.(*world.Process).Pace(x) }
+func (v virtual) pace(w env.Environment, x float64) { w.(*world.Process).Pace(x) }
 
-func (v virtual) process(name string) seam.World { return v.w.Process(name) }
+func (v virtual) process(name string) env.Environment { return v.w.Process(name) }
 
-func (v virtual) crash(w seam.World, power bool) bool {
+func (v virtual) crash(w env.Environment, power bool) bool {
 	how := world.Crash
 	if power {
 		how = world.Silent
--- a/internal/simulation/lab/strikes.go
+++ b/internal/simulation/lab/strikes.go
@@ -116,7 +116,7 @@
 	}
 	p.Stall(still)
 	d.fleet.Rec.Add(trail.Event{Link: trail.LinkFault, Kind: trail.Still, Host: h.name,
-		Deadline: int64((d.fleet.World.Now() + still) / time.Microsecond)})
+		Deadline: int64((d.fleet.Environment.Now() + still) / time.Microsecond)})
 }
 
 // hostTorn ends a host as the bytes of one of its next writes leave it.
--- a/internal/simulation/lab/virtual_test.go
+++ b/internal/simulation/lab/virtual_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"merlinhitch/internal/control/settings"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/internal/simulation/world"
 	"merlinhitch/internal/verify/trail"
@@ -237,7 +237,7 @@
 	run := func() (order []int) {
 		w := world.New(1)
 		err := w.Run("main", time.Second, func(p *world.Process) {
-			var all seam.Group
+			var all env.Group
 			all.Add(50)
 			for i := range 50 {
 				p.AfterFunc(time.Millisecond, func() {
@@ -263,8 +263,8 @@
 	whole(t)
 	opt := Options{Seed: 3, Commands: 600, Rate: 120, Hosts: 3, Servers: 9, Troubles: []string{"none"}}
 	set := func() *settings.Settings { return SmallBlocks(settings.Example(3, 9)) }
-	w := seam.NewReal()
-	real, err := playDay(context.Background(), w, loopback{World: w}, set(), opt)
+	w := env.NewReal()
+	real, err := playDay(context.Background(), w, loopback{Environment: w}, set(), opt)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/simulation/standin/copier.go
+++ b/internal/simulation/standin/copier.go
@@ -10,7 +10,7 @@
 	"merlinhitch/internal/fleet/region"
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -29,7 +29,7 @@
 
 // copying keeps a connection to the copy while this server is the shard's home.
 func (d *DiskServer) copying() {
-	for seam.Wait(d.world, copyAgain, &d.stopped) {
+	for env.Wait(d.world, copyAgain, &d.stopped) {
 		gen, home := d.machine.cell.Home()
 		addr := d.Peer()
 		if !home || addr == "" {
@@ -57,8 +57,8 @@
 	gen  uint64
 	conn net.Conn
 	out  *writequeue.Queue
-	wake seam.Parker
-	over seam.Gate
+	wake env.Parker
+	over env.Gate
 	sent uint64 // the last change
 }
 
@@ -94,7 +94,7 @@
 		return
 	}
 	c.sent = start
-	var done seam.Gate
+	var done env.Gate
 	w.Go(func() {
 		defer done.Open()
 		c.read(r)
@@ -114,7 +114,7 @@
 // write sends what follows until the connection or the home is over.
 func (c *copier) write() {
 	for !c.over.Opened() && !c.d.stopped.Opened() {
-		changes, ok := c.cell.next(seam.MS(c.d.world.Now()), c.gen, c.sent, copyBatch)
+		changes, ok := c.cell.next(env.MS(c.d.world.Now()), c.gen, c.sent, copyBatch)
 		if !ok {
 			return
 		}
@@ -186,7 +186,7 @@
 func (d *DiskServer) reporting() {
 	c := inventory.NewCaller(d.world, d.Inventory)
 	defer c.Close()
-	for seam.Wait(d.world, reportEach, &d.stopped) {
+	for env.Wait(d.world, reportEach, &d.stopped) {
 		word := d.machine.cell.Word(d.now())
 		word.Shard = d.Shard
 		a := inventory.Ask{Op: "copies", Copies: []region.Copy{word}}
--- a/internal/simulation/standin/diskserver.go
+++ b/internal/simulation/standin/diskserver.go
@@ -11,7 +11,7 @@
 
 	"merlinhitch/internal/control/keys"
 	"merlinhitch/internal/protocol/diskproto"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -34,18 +34,18 @@
 	Shard   int
 	Started uint64
 
-	world    seam.World
+	world    env.Environment
 	listener net.Listener
 	mu       sync.Mutex
 	machine  *Machine
-	timer    seam.Timer
+	timer    env.Timer
 	timerAt  float64
-	conns    seam.Roster[*writequeue.Queue]
+	conns    env.Roster[*writequeue.Queue]
 	net      NetTrouble
 	rng      *rand.Rand
 	dead     bool
-	tasks    seam.Group
-	stopped  seam.Gate
+	tasks    env.Group
+	stopped  env.Gate
 	// Of one of two regions: where the inventory is, and the disk server of the same shard
 	// in the other region; "" while there is none.
 	Inventory func() string
@@ -62,7 +62,7 @@
 )
 
 // ServeDisk starts a disk server on a machine.
-func ServeDisk(w seam.World, m *Machine, d *DiskServer) error {
+func ServeDisk(w env.Environment, m *Machine, d *DiskServer) error {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -83,7 +83,7 @@
 	return nil
 }
 
-func (d *DiskServer) now() float64 { return seam.MS(d.world.Now()) }
+func (d *DiskServer) now() float64 { return env.MS(d.world.Now()) }
 
 func (d *DiskServer) accept() {
 	for {
@@ -234,7 +234,7 @@
 		o.Put(func(b []byte) []byte { return append(b, frame[:len(frame)/2]...) })
 		o.Finish()
 	case d.net.LateShare > 0 && d.rng.Float64() < d.net.LateShare:
-		d.world.AfterFunc(seam.Duration(d.net.Late), func() {
+		d.world.AfterFunc(env.Duration(d.net.Late), func() {
 			o.Put(func(b []byte) []byte { return append(b, frame...) })
 		})
 	case d.net.Bytewise:
@@ -257,7 +257,7 @@
 	}
 	d.timerAt = at
 	// A moment late, so that rounding never has it come before its time.
-	d.timer = d.world.AfterFunc(max(seam.Duration(at-d.now()), 0)+time.Microsecond, d.due)
+	d.timer = d.world.AfterFunc(max(env.Duration(at-d.now()), 0)+time.Microsecond, d.due)
 }
 
 func (d *DiskServer) due() {
--- a/internal/simulation/standin/door.go
+++ b/internal/simulation/standin/door.go
@@ -4,23 +4,23 @@
 	"net"
 	"sync"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // door is a listener and the connections that came in by it, each served on a goroutine
 // of its own until its other end or Close ends it.
 type door struct {
 	Addr  string
-	world seam.World
+	world env.Environment
 	l     net.Listener
-	tasks seam.Group
+	tasks env.Group
 
 	mu    sync.Mutex
 	conns []net.Conn
 }
 
 // open starts to accept; serve is given each connection and its number, from 0.
-func (d *door) open(w seam.World, l net.Listener, serve func(c net.Conn, n int)) {
+func (d *door) open(w env.Environment, l net.Listener, serve func(c net.Conn, n int)) {
 	d.Addr, d.world, d.l = l.Addr().String(), w, l
 	d.tasks.Go(w, func() {
 		for {
--- a/internal/simulation/standin/http.go
+++ b/internal/simulation/standin/http.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // HTTPAsk is one request that an HTTPDisk got whole.
@@ -37,7 +37,7 @@
 }
 
 // ServeHTTPDisk starts one.
-func ServeHTTPDisk(w seam.World, do func(HTTPAsk) HTTPAnswer) (*HTTPDisk, error) {
+func ServeHTTPDisk(w env.Environment, do func(HTTPAsk) HTTPAnswer) (*HTTPDisk, error) {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -62,10 +62,10 @@
 		d.asks = append(d.asks, ask)
 		d.mu.Unlock()
 		a := d.do(ask)
-		seam.Wait(d.world, a.After, nil)
+		env.Wait(d.world, a.After, nil)
 		c.Write(a.Raw)
 		if len(a.Behind) > 0 {
-			seam.Wait(d.world, a.Late, nil)
+			env.Wait(d.world, a.Late, nil)
 			c.Write(a.Behind)
 		}
 		if t, ok := c.(*net.TCPConn); ok && a.Reset {
@@ -95,7 +95,7 @@
 }
 
 // ServeHTTPList starts one whose watches begin with that line of JSON.
-func ServeHTTPList(w seam.World, whole string) (*HTTPList, error) {
+func ServeHTTPList(w env.Environment, whole string) (*HTTPList, error) {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/internal/simulation/standin/inventory.go
+++ b/internal/simulation/standin/inventory.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -15,15 +15,15 @@
 // so late.
 type Inventory struct {
 	Addr  string
-	world seam.World
+	world env.Environment
 	mu    sync.Mutex
 	book  *inventory.Book
 	late  float64
-	conns seam.Roster[*watcher]
+	conns env.Roster[*watcher]
 	l     net.Listener
-	tasks seam.Group
+	tasks env.Group
 	dead  bool
-	over  seam.Gate
+	over  env.Gate
 	reg   *source // of one of two regions
 }
 
@@ -39,7 +39,7 @@
 )
 
 // ServeInventory starts an inventory that tells changes so many ms late.
-func ServeInventory(w seam.World, addr string, late float64) (*Inventory, error) {
+func ServeInventory(w env.Environment, addr string, late float64) (*Inventory, error) {
 	l, err := w.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -98,10 +98,10 @@
 
 // tell sends what the watcher lacks. Held: mu.
 func (v *Inventory) tell(wt *watcher, asked bool) {
-	if v.reg != nil && !v.reg.src.Grants(seam.MS(v.world.Now())) {
+	if v.reg != nil && !v.reg.src.Grants(env.MS(v.world.Now())) {
 		return // what it lists may be old
 	}
-	l := v.book.List(wt.known, seam.MS(v.world.Now()))
+	l := v.book.List(wt.known, env.MS(v.world.Now()))
 	if len(l.Nodes) == 0 && !asked {
 		return
 	}
@@ -114,7 +114,7 @@
 	v.mu.Lock()
 	late := v.late
 	v.mu.Unlock()
-	v.world.AfterFunc(seam.Duration(late), func() { v.ChangeNow(f) })
+	v.world.AfterFunc(env.Duration(late), func() { v.ChangeNow(f) })
 }
 
 // ChangeNow makes and tells changes at once.
--- a/internal/simulation/standin/links.go
+++ b/internal/simulation/standin/links.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Way is the state of the way from one program to another. On a real socket nothing can
@@ -23,7 +23,7 @@
 // Links are the ways between programs on loopback: each program has a World of its own,
 // whose connections go through relays that delay, drop and cut.
 type Links struct {
-	world  seam.World
+	world  env.Environment
 	mu     sync.Mutex
 	owner  map[string]string // program that listens at an address
 	ways   map[[2]string]*way
@@ -34,16 +34,16 @@
 
 type way struct {
 	Way
-	whole *seam.Gate // while it is cut
+	whole *env.Gate // while it is cut
 }
 
 // NewLinks returns links that are whole.
-func NewLinks(w seam.World, seed uint64) *Links {
+func NewLinks(w env.Environment, seed uint64) *Links {
 	return &Links{world: w, owner: map[string]string{}, ways: map[[2]string]*way{}, wires: map[string]*Wire{}, relays: map[[2]string]*Relay{}, rng: rand.New(rand.NewPCG(seed, 9))}
 }
 
 // Process is the world as the program of that name has it.
-func (l *Links) Process(name string) seam.World { return &linked{l.world, l, name} }
+func (l *Links) Process(name string) env.Environment { return &linked{l.world, l, name} }
 
 // Wire is an address that programs dial, behind which a listener can change, and on whose
 // connections each frame is recorded beside the side that dials.
@@ -90,7 +90,7 @@
 	w.Way = s
 	switch {
 	case s.Cut && w.whole == nil:
-		w.whole = &seam.Gate{}
+		w.whole = &env.Gate{}
 	case !s.Cut && w.whole != nil:
 		w.whole.Open()
 		w.whole = nil
@@ -108,7 +108,7 @@
 
 // pass waits until what is sent from one program to another has come through; false if
 // over opens first.
-func (l *Links) pass(from, to string, over *seam.Gate) bool {
+func (l *Links) pass(from, to string, over *env.Gate) bool {
 	l.mu.Lock()
 	w := l.way(from, to)
 	whole, late := w.whole, w.Delay
@@ -117,7 +117,7 @@
 	}
 	l.mu.Unlock()
 	for whole != nil {
-		seam.WaitAny(l.world, whole, over)
+		env.WaitAny(l.world, whole, over)
 		if over.Opened() {
 			return false
 		}
@@ -125,7 +125,7 @@
 		whole = w.whole // it may be cut again already
 		l.mu.Unlock()
 	}
-	return late == 0 || seam.Wait(l.world, late, over)
+	return late == 0 || env.Wait(l.world, late, over)
 }
 
 // Times after which what was lost is sent again (RFC 6298 section 5.5).
@@ -161,7 +161,7 @@
 	if w := l.wires[addr]; w != nil {
 		target, tap = w.target, func(string) *Tap { return w.tap(addr) }
 	}
-	r, err := serveRelay(l.world, target, tap, func(up bool, over *seam.Gate) bool {
+	r, err := serveRelay(l.world, target, tap, func(up bool, over *env.Gate) bool {
 		if up {
 			return l.pass(from, to, over)
 		}
@@ -176,14 +176,14 @@
 
 // linked is a program's world.
 type linked struct {
-	seam.World
+	env.Environment
 	links *Links
 	name  string
 }
 
-// Listen implements seam.World.
+// Listen implements env.Environment.
 func (p *linked) Listen(network, address string) (net.Listener, error) {
-	n, err := p.World.Listen(network, address)
+	n, err := p.Environment.Listen(network, address)
 	if err == nil {
 		p.links.mu.Lock()
 		p.links.owner[n.Addr().String()] = p.name
@@ -192,11 +192,11 @@
 	return n, err
 }
 
-// Dial implements seam.World.
+// Dial implements env.Environment.
 func (p *linked) Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
 	at, err := p.links.relay(p.name, address)
 	if err != nil {
 		return nil, err
 	}
-	return p.World.Dial(ctx, network, at, within)
+	return p.Environment.Dial(ctx, network, at, within)
 }
--- a/internal/simulation/standin/links_test.go
+++ b/internal/simulation/standin/links_test.go
@@ -6,14 +6,14 @@
 	"testing"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
 // What is sent while a way is cut comes once it is whole, in order; what comes the other
 // way is not held back; a connection through a cut way opens and is silent.
 func TestLinksCutOneWay(t *testing.T) {
-	w := seam.NewReal()
+	w := env.NewReal()
 	links := standin.NewLinks(w, 1)
 	defer links.Close()
 	a, b := links.Process("a"), links.Process("b")
@@ -42,13 +42,13 @@
 	if _, err := io.ReadFull(c, got); err != nil || string(got) != "back" {
 		t.Fatalf("the other way: %q, %v", got, err)
 	}
-	var came seam.Gate
+	var came env.Gate
 	got = make([]byte, 6)
 	go func() {
 		io.ReadFull(s, got)
 		came.Open()
 	}()
-	if seam.Wait(w, 50*time.Millisecond, &came); came.Opened() {
+	if env.Wait(w, 50*time.Millisecond, &came); came.Opened() {
 		t.Fatal("it came through a cut")
 	}
 	links.Set("a", "b", standin.Way{Loss: 0.5, Delay: time.Millisecond})
--- a/internal/simulation/standin/quick.go
+++ b/internal/simulation/standin/quick.go
@@ -8,7 +8,7 @@
 
 	"merlinhitch/internal/control/keys"
 	"merlinhitch/internal/protocol/diskproto"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // QuickDisk is a disk server without a machine: it answers every read at once, on
@@ -19,7 +19,7 @@
 }
 
 // ServeQuick starts one that answers with so many bytes, in clear where it has no keys.
-func ServeQuick(w seam.World, bytes int, k *keys.Holder) (*QuickDisk, error) {
+func ServeQuick(w env.Environment, bytes int, k *keys.Holder) (*QuickDisk, error) {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/internal/simulation/standin/relay.go
+++ b/internal/simulation/standin/relay.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Relay stands on a socket, passes the bytes on as they are and records each
@@ -14,17 +14,17 @@
 type Relay struct {
 	Addr string
 
-	world  seam.World
+	world  env.Environment
 	target string
 	tap    func(addr string) *Tap
 	l      net.Listener
 	mu     sync.Mutex
-	conns  seam.Roster[net.Conn]
+	conns  env.Roster[net.Conn]
 	dead   bool
-	over   seam.Gate
-	tasks  seam.Group
+	over   env.Gate
+	tasks  env.Group
 	// pass, if set, waits until what is to go on that way may; false if the relay ended.
-	pass func(up bool, over *seam.Gate) bool
+	pass func(up bool, over *env.Gate) bool
 }
 
 const (
@@ -33,12 +33,12 @@
 )
 
 // ServeRelay starts a relay to target; tap, if any, makes what reads a connection.
-func ServeRelay(w seam.World, target string, tap func(addr string) *Tap) (*Relay, error) {
+func ServeRelay(w env.Environment, target string, tap func(addr string) *Tap) (*Relay, error) {
 	return serveRelay(w, target, tap, nil)
 }
 
 // serveRelay is ServeRelay with a way that holds back what passes, if any.
-func serveRelay(w seam.World, target string, tap func(addr string) *Tap, pass func(up bool, over *seam.Gate) bool) (*Relay, error) {
+func serveRelay(w env.Environment, target string, tap func(addr string) *Tap, pass func(up bool, over *env.Gate) bool) (*Relay, error) {
 	l, err := w.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -97,7 +97,7 @@
 	if r.tap != nil {
 		t = r.tap(r.Addr)
 	}
-	var both seam.Group
+	var both env.Group
 	both.Go(r.world, func() { r.pump(t, s, c, true) })
 	both.Go(r.world, func() { r.pump(t, c, s, false) })
 	both.Wait(r.world)
@@ -156,7 +156,7 @@
 // held is what waits to go on.
 type held struct {
 	mu     sync.Mutex
-	wake   seam.Parker
+	wake   env.Parker
 	list   [][]byte
 	bytes  int
 	closed bool
--- a/internal/simulation/standin/router.go
+++ b/internal/simulation/standin/router.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/bgp"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -61,19 +61,19 @@
 	// Changed, if set before the first session, is told each change, with the lock held.
 	Changed func(RouteChange)
 
-	world    seam.World
+	world    env.Environment
 	listener net.Listener
 	mu       sync.Mutex
 	fault    RouterFault
 	rng      *rand.Rand
-	sessions seam.Roster[*routerSession]
+	sessions env.Roster[*routerSession]
 	rib      map[netip.Prefix]map[uint32]bgp.Path
 	log      []RouteChange
 	updates  int
 	ends     int // End-of-RIB marks
 	ups      int
 	closed   bool
-	tasks    seam.Group
+	tasks    env.Group
 }
 
 type routerSession struct {
@@ -86,7 +86,7 @@
 	hold  time.Duration
 	fault RouterFault // as the session began
 	kept  int
-	alive seam.Timer
+	alive env.Timer
 	heard time.Duration
 }
 
@@ -96,7 +96,7 @@
 )
 
 // ServeRouter starts a router of that AS at an address.
-func ServeRouter(w seam.World, addr string, as uint32) (*Router, error) {
+func ServeRouter(w env.Environment, addr string, as uint32) (*Router, error) {
 	l, err := w.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -159,7 +159,7 @@
 }
 
 func (r slowReader) Read(b []byte) (int, error) {
-	seam.Wait(r.s.r.world, r.d, nil)
+	env.Wait(r.s.r.world, r.d, nil)
 	return r.s.conn.Read(b[:min(len(b), 16)])
 }
 
@@ -167,7 +167,7 @@
 	r := s.r
 	defer s.end()
 	if f := s.fault.AcceptAfter; f > 0 {
-		seam.Wait(r.world, f, nil)
+		env.Wait(r.world, f, nil)
 	}
 	buf := bufio.NewReaderSize(s.conn, bgp.MaxLen)
 	if s.fault.SlowRead > 0 {
--- a/internal/simulation/standin/source.go
+++ b/internal/simulation/standin/source.go
@@ -6,7 +6,7 @@
 
 	"merlinhitch/internal/fleet/region"
 	"merlinhitch/internal/protocol/inventory"
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // source is what an inventory of one of two regions has beside its list: the shell of
@@ -41,13 +41,13 @@
 // ServeRegion starts the inventory of one of two regions; other is the address of the
 // other's. start is greater than that of every earlier run; in saved is what an earlier
 // one kept, or a new service's record and no book.
-func ServeRegion(w seam.World, addr string, late float64, cfg region.Config, self region.ID, start uint64, saved *Saved, other func() string) (*Inventory, error) {
+func ServeRegion(w env.Environment, addr string, late float64, cfg region.Config, self region.ID, start uint64, saved *Saved, other func() string) (*Inventory, error) {
 	l, err := w.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	now := seam.MS(w.Now())
-	g := &source{self: self, other: other, every: seam.Duration(cfg.Quiet / 10), saved: saved, last: saved.Record.Clone()}
+	now := env.MS(w.Now())
+	g := &source{self: self, other: other, every: env.Duration(cfg.Quiet / 10), saved: saved, last: saved.Record.Clone()}
 	v := &Inventory{Addr: l.Addr().String(), world: w, late: late, l: l, reg: g}
 	if saved.Book == nil {
 		v.book = inventory.NewBook()
@@ -67,7 +67,7 @@
 	g := v.reg
 	c := inventory.NewCaller(v.world, g.other)
 	defer c.Close()
-	for seam.Wait(v.world, g.every, &v.over) {
+	for env.Wait(v.world, g.every, &v.over) {
 		v.mu.Lock()
 		now := v.now()
 		g.src.Tick(now)
@@ -86,7 +86,7 @@
 	}
 }
 
-func (v *Inventory) now() float64 { return seam.MS(v.world.Now()) }
+func (v *Inventory) now() float64 { return env.MS(v.world.Now()) }
 
 // heard takes the other's beat with what it lists. Held: mu.
 func (v *Inventory) heard(b *region.Beat, nodes []inventory.Node) {
--- a/internal/simulation/world/lint_test.go
+++ b/internal/simulation/world/lint_test.go
@@ -21,7 +21,7 @@
 	"bgp": {"speaker.go"}, "inventory": {"client.go", "caller.go"},
 }
 
-// shells run in the world: all that they do to the outside goes through the seam.
+// shells run in the world: all that they do to the outside goes through package env.
 var shells = []string{"gateway", "writequeue", "initiator", "standin", "bgp", "inventory", "scheduler"}
 
 // outside are the lines that a world has no part in, each with its reason.
@@ -33,7 +33,7 @@
 
 var shellImports = []string{"os/exec", "crypto/rand", "math/rand"}
 
-// shellCalls reach past the seam.
+// shellCalls reach past package env.
 var shellCalls = map[string][]string{
 	"time":    {"Now", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick", "Since", "Until"},
 	"net":     {"Dial", "DialTimeout", "Listen", "ListenPacket"},
@@ -42,7 +42,7 @@
 	"context": {"WithTimeout", "WithDeadline"},
 }
 
-// lint names what in a file reaches past the seam; core is stricter.
+// lint names what in a file reaches past package env; core is stricter.
 func lint(name string, src any, core bool) (found []string, err error) {
 	set := token.NewFileSet()
 	f, err := parser.ParseFile(set, name, src, 0)
@@ -89,8 +89,8 @@
 	return found, nil
 }
 
-// Nothing that runs in the world reaches past the seam.
-func TestNothingReachesPastTheSeam(t *testing.T) {
+// Nothing that runs in the world reaches past package env.
+func TestNothingReachesPastTheEnvironment(t *testing.T) {
 	files := 0
 	look := func(dir string, core bool, only func(file string) bool) {
 		names := sources(t, dir)
--- a/internal/simulation/world/net.go
+++ b/internal/simulation/world/net.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Net is the state of a link in one direction.
@@ -129,7 +129,7 @@
 	closed  bool
 }
 
-// Listen implements seam.World.
+// Listen implements env.Environment.
 func (p *Process) Listen(network, address string) (net.Listener, error) {
 	if network != "tcp" {
 		return nil, &net.OpError{Op: "listen", Net: network, Err: net.UnknownNetworkError(network)}
@@ -186,7 +186,7 @@
 	l.wait.Unpark()
 }
 
-// Dial implements seam.World.
+// Dial implements env.Environment.
 func (p *Process) Dial(ctx context.Context, network, address string, within time.Duration) (net.Conn, error) {
 	fail := func(err error) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Net: network, Addr: addr(address), Err: err}
@@ -337,7 +337,7 @@
 // Readable waits until bytes have come, and leaves them.
 func (c *conn) Readable() error {
 	for {
-		if err := c.come(); err != seam.ErrNothing {
+		if err := c.come(); err != env.ErrNothing {
 			return err
 		}
 		if c.readBy != 0 && c.w.now >= c.readBy {
@@ -363,7 +363,7 @@
 	case c.ended:
 		return io.EOF
 	}
-	return seam.ErrNothing
+	return env.ErrNothing
 }
 
 func (c *conn) take(b []byte) int {
@@ -579,7 +579,7 @@
 }
 
 var (
-	_ seam.World   = (*Process)(nil)
-	_ net.Conn     = (*conn)(nil)
-	_ net.Listener = (*listener)(nil)
+	_ env.Environment = (*Process)(nil)
+	_ net.Conn        = (*conn)(nil)
+	_ net.Listener    = (*listener)(nil)
 )
--- a/internal/simulation/world/process.go
+++ b/internal/simulation/world/process.go
@@ -6,11 +6,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"merlinhitch/internal/runtime/seam"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Process is a program's place in the world: its goroutines, timers, sockets and its
-// view of the clock. It implements seam.World.
+// view of the clock. It implements env.Environment.
 type Process struct {
 	w       *World
 	name    string
@@ -39,7 +39,7 @@
 	return p
 }
 
-// Now implements seam.World.
+// Now implements env.Environment.
 func (p *Process) Now() time.Duration {
 	if p.pace == 1 {
 		return p.w.now + p.skew
@@ -53,16 +53,16 @@
 // epoch is when every world begins.
 var epoch = time.Unix(1_000_000_000, 0)
 
-// Deadline implements seam.World.
+// Deadline implements env.Environment.
 func (p *Process) Deadline(d time.Duration) time.Time { return epoch.Add(p.w.now + d) }
 
-// Uint64 implements seam.World.
+// Uint64 implements env.Environment.
 func (p *Process) Uint64() uint64 { return p.rng.Uint64() }
 
-// Processors implements seam.World.
+// Processors implements env.Environment.
 func (p *Process) Processors() int { return p.Cores }
 
-// Go implements seam.World.
+// Go implements env.Environment.
 func (p *Process) Go(f func()) {
 	if p.dead {
 		return
@@ -78,14 +78,14 @@
 	p.w.wake(t)
 }
 
-// timer implements seam.Timer.
+// timer implements env.Timer.
 type timer struct {
 	p       *Process
 	f       func()
 	stopped bool
 }
 
-// Stop implements seam.Timer.
+// Stop implements env.Timer.
 func (t *timer) Stop() bool {
 	was := t.stopped
 	t.stopped = true
@@ -100,8 +100,8 @@
 	t.p.Go(t.f)
 }
 
-// AfterFunc implements seam.World.
-func (p *Process) AfterFunc(d time.Duration, f func()) seam.Timer {
+// AfterFunc implements env.Environment.
+func (p *Process) AfterFunc(d time.Duration, f func()) env.Timer {
 	t := &timer{p: p, f: f}
 	if p.pace != 1 {
 		d = time.Duration(float64(d)/p.pace) + 1 // no earlier than its clock shows
@@ -110,17 +110,17 @@
 	return t
 }
 
-// parker implements seam.Parker.
+// parker implements env.Parker.
 type parker struct {
 	w     *World
 	t     *task // that waits
 	token bool
 }
 
-// NewParker implements seam.World.
-func (p *Process) NewParker() seam.Parker { return &parker{w: p.w} }
+// NewParker implements env.Environment.
+func (p *Process) NewParker() env.Parker { return &parker{w: p.w} }
 
-// Park implements seam.Parker.
+// Park implements env.Parker.
 func (k *parker) Park() {
 	if !k.token {
 		k.t = k.w.cur
@@ -129,7 +129,7 @@
 	k.token = false
 }
 
-// Unpark implements seam.Parker.
+// Unpark implements env.Parker.
 func (k *parker) Unpark() {
 	k.token = true
 	if t := k.t; t != nil {
--- a/internal/simulation/world/world.go
+++ b/internal/simulation/world/world.go
@@ -1,6 +1,6 @@
 // Package world is a machine room in one process: a virtual clock, timers, a network
 // and processes under one queue of events, all drawn from one seed. The product's own
-// shells and cores run in it through package seam; what they run is the same code as
+// shells and cores run in it through package env; what they run is the same code as
 // on sockets. One goroutine runs at a time, and which one is next follows from the
 // seed alone, so a run is the same at any number of processors.
 //
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -4,8 +4,8 @@
 
 // Dispatch: what goes next to a shard's node, and the one gate before every send.
 
-// room tells whether the depth bound lets one more go.
-func (p *scheduler) room(sh *shard) bool {
+// hasCapacity tells whether the depth bound lets one more go.
+func (p *scheduler) hasCapacity(sh *shard) bool {
 	return float64(len(sh.out)+1) <= max(math.Round(sh.depth), 1)
 }
 
@@ -32,7 +32,7 @@
 		if n.suspect && len(sh.out) > 0 {
 			return
 		}
-		if !p.room(sh) {
+		if !p.hasCapacity(sh) {
 			sh.wasFull = true
 			return
 		}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -28,7 +28,7 @@
 	}
 }
 
-func (p *scheduler) second() {
+func (p *scheduler) everySecond() {
 	p.do(SetTimer{period, "second"})
 	p.subscribe()
 	p.learnRate()
@@ -169,7 +169,7 @@
 		}
 	case TimerFired:
 		if ev.Name == "second" {
-			p.second()
+			p.everySecond()
 		} else {
 			p.armed = math.Inf(1)
 		}
