A limit holds where attempts find no connection: units that come back find no fill in their place

Cause, policy/tokenbucket.go: the units of such attempts kept the bucket below its cap, so it filled on; uncharge gave the units back and the fill stayed, where a bucket that was never charged would have been cut at its cap. Present since uncharge is. Change: units of attempts that may come back are pending, and fill stops at the cap less these. A forgotten volume that begins anew is the one charged.

--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -146,10 +146,7 @@
 	n := sh.node
 	p.touch(sh)
 	sh.remove(r)
-	if r.vol.plan.Limit > 0 && !r.charged {
-		r.vol.limit -= r.Units
-	}
-	if r.charged = true; r.attempts > 0 && p.s.Rules.HasBudget {
+	if p.charge(r); r.attempts > 0 && p.s.Rules.HasBudget {
 		p.resends.add(p.now, 1)
 	}
 	n.sends.add(p.now, r.Units)
--- a/policy/rate_test.go
+++ b/policy/rate_test.go
@@ -280,3 +280,67 @@
 		t.Errorf("%.0f units passed, the limit bears %.0f", total, asked)
 	}
 }
+
+// Units that attempts hold which find no connection come back, but not what the bucket would
+// have lost to its cap meanwhile: what passes keeps to the limit in every window.
+func TestUnitsThatComeBackFillNothing(t *testing.T) {
+	s := settings()
+	s.Rules.SendLate, s.Limits.MaxAttempts = 300, 4
+	s.Plans[0] = Plan{Name: "low", Price: 1, Weight: 1, Limit: 17, Burst: 36, Slack: 6}
+	g := newRig(s)
+	nodes := []Node{{Addr: "n0", Health: Ready, Shard: 0, Zone: "z"}}
+	for shard := 1; shard <= 60; shard++ { // none of them can be reached
+		nodes = append(nodes, Node{Addr: fmt.Sprint("cut", shard), Health: Ready, Shard: shard, Zone: "z"})
+	}
+	g.list(nodes...)
+	ask := func(shard int, units float64) {
+		g.n++
+		g.do(Request{ID: fmt.Sprint("r", g.n), Class: "read", Plan: "low", Volume: "v", Shard: shard, Units: units, Expires: g.now + 1000, Hosts: 1})
+	}
+	type ending struct {
+		at float64
+		o  Outcome
+	}
+	var out []ending
+	level, filled, lowest, passed := 36.0, g.now, 0.0, 0
+	seen := len(g.acts)
+	take := func() {
+		for ; seen < len(g.acts); seen++ {
+			send, ok := g.acts[seen].(Send)
+			if !ok {
+				continue
+			}
+			r := g.p.reqs[send.ID]
+			end := ending{g.now + 250, Outcome{ID: send.ID, Node: send.Node, Result: NoConnection, Attempt: r.attempts - 1, Elapsed: 250}}
+			if send.Node == "n0" {
+				level = min(36, level+17*(g.now-filled)/1000) - r.Units
+				filled, lowest, passed = g.now, min(lowest, level), passed+1
+				end = ending{g.now + 20, Outcome{ID: send.ID, Node: send.Node, Result: Served, Done: true, Attempt: r.attempts - 1, Elapsed: 20}}
+			}
+			out = append(out, end)
+		}
+	}
+	for step := range 9000 {
+		g.pass(1)
+		take()
+		for i := 0; i < len(out); i++ {
+			if out[i].at <= g.now {
+				end := out[i]
+				out = slices.Delete(out, i, i+1)
+				i--
+				g.do(end.o)
+				take()
+			}
+		}
+		if step > 1000 && step%80 == 0 {
+			ask(1+step/80%60, 4)
+		}
+		if step > 3000 && step%20 == 0 {
+			ask(0, 1)
+		}
+		take()
+	}
+	if lowest < -6 || passed < 100 {
+		t.Errorf("%d passed, the bucket fell to %.1f, -6 is allowed", passed, lowest)
+	}
+}
--- a/policy/request.go
+++ b/policy/request.go
@@ -48,6 +48,9 @@
 	sh.out = slices.DeleteFunc(sh.out, func(x *request) bool { return x == r })
 	p.touch(sh)
 	p.judge(r, n, o)
+	if r.pending > 0 {
+		p.settleCharge(r)
+	}
 	switch o.Result {
 	case TurnedAway, NoConnection, NotSent:
 		r.reached = r.reached || o.Result == TurnedAway
@@ -169,6 +172,7 @@
 	halved   bool    // that time is over
 	givenUp  bool    // its attempt was given up as lost
 	reached  bool    // a node has had it, or may have
+	pending  float64 // units of its volume's limit that may come back
 	charged  bool    // its volume's limit has given the units for it
 	drawn    float64 // its lot among requests of its worth, see amongDearest; 0: none yet
 	left     bool    // its chain counts it no more
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -92,7 +92,7 @@
 func (p *scheduler) dropIdle(after float64) {
 	for id, v := range p.vols {
 		full := v.limit+v.limFill*(p.now-v.at)/1000 >= v.limCap
-		if full && p.now-v.seen > after {
+		if full && v.pending == 0 && p.now-v.seen > after {
 			delete(p.vols, id)
 		}
 	}
--- a/policy/tokenbucket.go
+++ b/policy/tokenbucket.go
@@ -17,7 +17,7 @@
 	}
 	s := (p.now - v.at) / 1000
 	v.reserve = min(v.reserve+v.resFill*s, v.resCap)
-	v.limit = min(v.limit+v.limFill*s, v.limCap)
+	v.limit = max(v.limit, min(v.limit+v.limFill*s, v.limCap-v.pending))
 	v.due = min(v.due+v.dueFill*s, v.dueCap)
 	v.at, v.seen = p.now, p.now
 	return v
@@ -79,6 +79,32 @@
 	return true
 }
 
+// charge takes r's units from its volume's limit. Until it is known whether they pass they are
+// pending: what comes back must not find that the bucket has filled in their place.
+func (p *scheduler) charge(r *request) {
+	if r.charged {
+		return
+	}
+	r.charged = true
+	if r.vol.plan.Limit <= 0 {
+		return
+	}
+	v := p.volume(r.Request, r.vol.plan)
+	r.vol = v // it may have been forgotten since, and begun anew
+	v.limit -= r.Units
+	if p.s.Rules.SendLate > 0 {
+		r.pending = r.Units
+		v.pending += r.Units
+	}
+}
+
+// settleCharge has the units of an attempt that ended no longer pending.
+func (p *scheduler) settleCharge(r *request) {
+	p.volume(r.Request, r.vol.plan) // what has filled until now
+	r.vol.pending = max(r.vol.pending-r.pending, 0)
+	r.pending = 0
+}
+
 // uncharge has a request that never passed take its units anew when it does, for the store has
 // filled meanwhile. What found no connection has them back; of the rest that is less sure.
 func (p *scheduler) uncharge(r *request, o Result) {
@@ -97,6 +123,7 @@
 	reserve, limit  float64 // levels, in units
 	resFill, resCap float64
 	limFill, limCap float64
+	pending         float64 // of the limit, taken by attempts of which it is not known whether they pass
 	limFloor        float64
 	parts           float64 // of which this host has one
 	due, dueFill    float64
