--- a/internal/simulation/soak/clients.go
+++ b/internal/simulation/soak/clients.go
@@ -106,7 +106,12 @@
 			class = c.draw()
 		}
 		q := &Request{ID: fmt.Sprintf("%s%010x", c.prefix, c.number.Add(1)), Scheduler: c.scheduler, Class: class.Name, Timeout: class.Timeout}
-		all[i] = sending{q, c.message(q, class, c.rng.IntN(c.shards), c.rng.Uint64(), c.rng.Uint64())}
+		volume := c.rng.Uint64() % volumes
+		if c.rng.Float64() < limitedPart {
+			volume = volumes + uint64(limitedEach*c.scheduler) + volume%limitedEach
+			q.Limited = volume
+		}
+		all[i] = sending{q, c.message(q, class, c.rng.IntN(c.shards), volume, c.rng.Uint64())}
 	}
 	leave := time.Duration(0)
 	if c.rng.Float64() < c.leaves {
@@ -130,7 +135,10 @@
 }
 
 func (c *Clients) message(q *Request, class Class, shard int, volume, key uint64) []byte {
-	method := "GET"
+	method, plan := "GET", openPlan
+	if q.Limited > 0 {
+		plan = limitedPlan
+	}
 	f := http1.Fields{{Name: "Host", Value: "api.internal"}, {Name: "Request-Id", Value: q.ID}, {Name: "X-Qos-Policy", Value: plan},
 		{Name: "Request-Timeout", Value: strconv.FormatFloat(class.Timeout.Seconds(), 'f', 3, 64)},
 		{Name: "X-Placement", Value: fmt.Sprintf("units=%d,shard=%d,hosts=1", unitMean, shard)}}
@@ -141,7 +149,7 @@
 	if class.Keyed {
 		f = append(f, http1.Field{Name: "Idempotency-Key", Value: q.ID})
 	}
-	return http1.AppendRequest(nil, method, fmt.Sprintf("/%s/%016x/%016x", class.Name, volume%volumes, key), f, body)
+	return http1.AppendRequest(nil, method, fmt.Sprintf("/%s/%016x/%016x", class.Name, volume, key), f, body)
 }
 
 // take returns an idle connection, or a new one; nil where there is none.
--- a/internal/simulation/soak/judge.go
+++ b/internal/simulation/soak/judge.go
@@ -18,6 +18,9 @@
 	// schedulers together; that grows evenly to ColdUnits/ColdFrom over ColdTime.
 	ColdUnits, ColdFrom float64
 	FallTime, ColdTime  time.Duration
+	// Limit is what a volume with one may have, in units a second; LimitDepth units at once,
+	// and LimitSlack more.
+	Limit, LimitDepth, LimitSlack float64
 	// Slack is let pass beside the platform's own: what this machine may hold its
 	// stand-ins up for.
 	Slack time.Duration
@@ -29,6 +32,7 @@
 	ruleSlack    = 50 * time.Millisecond
 	leftSlack    = 100 * time.Millisecond // from a client's leaving to the last attempt that may begin
 	timeoutSlack = 150 * time.Millisecond
+	limitTime    = 150 * time.Millisecond // a limit's slack grows by what it allows in so long
 	lateNotice   = 700 * time.Millisecond // from SIGTERM: what comes later has to be answered before SIGKILL
 )
 
@@ -76,6 +80,7 @@
 	}
 	j.drains(known)
 	j.coldServers(known)
+	j.limits(known)
 	j.processes()
 	slices.SortStableFunc(j.broken, func(a, b Broken) int { return cmp.Compare(a.At, b.At) })
 	return j.broken
@@ -192,6 +197,37 @@
 	return nil
 }
 
+// limits holds what comes to the servers of each limited volume to a bucket that is full at
+// first. A request takes its units once, with the last byte of its first attempt.
+func (j *judge) limits(known map[string]*Request) {
+	t := j.terms
+	if t.Limit <= 0 {
+		return
+	}
+	came := map[uint64][]*Attempt{}
+	for id, tries := range j.attempts {
+		q := known[id]
+		if q == nil || q.Limited == 0 {
+			continue
+		}
+		if i := slices.IndexFunc(tries, func(a *Attempt) bool { return a.Whole > 0 }); i >= 0 {
+			came[q.Limited] = append(came[q.Limited], tries[i])
+		}
+	}
+	least := -t.LimitSlack - t.Limit*(limitTime+t.Slack).Seconds()
+	for volume, all := range came {
+		slices.SortFunc(all, func(a, b *Attempt) int { return cmp.Compare(a.Whole, b.Whole) })
+		level, at := t.LimitDepth, all[0].Whole
+		for _, a := range all {
+			level = min(level+t.Limit*(a.Whole-at).Seconds(), t.LimitDepth) - unitMean
+			if at = a.Whole; level < least {
+				j.say("limit", at, known[a.ID].Scheduler, a.ID, fmt.Sprintf("volume %d is %.1f units past its limit, %.1f are allowed", volume, -level, -least))
+				break
+			}
+		}
+	}
+}
+
 // coldServers holds what all schedulers together send to a server that has just started to
 // its budget, in requests of mean work.
 func (j *judge) coldServers(known map[string]*Request) {
--- a/internal/simulation/soak/judge_test.go
+++ b/internal/simulation/soak/judge_test.go
@@ -17,8 +17,18 @@
 	return r
 }
 
+// limited adds so many requests of one limited volume, each that much after the one before.
+func limited(r *Record, n int, each time.Duration) {
+	for i := range n {
+		id, at := string(rune('A'+i)), 10*second+time.Duration(i)*each
+		r.Requests = append(r.Requests, &Request{ID: id, Limited: 7, Timeout: second, Sent: at, Answered: at + time.Millisecond, Status: 200, Body: id})
+		r.Attempts = append(r.Attempts, &Attempt{ID: id, Server: 9, Began: at, Whole: at, Timeout: second, Served: true})
+	}
+}
+
 func testTerms() Terms {
-	return Terms{DrainGrace: second / 2, KeyWindow: 6 * second, MostAttempts: 2, ColdUnits: 8, ColdFrom: 0.25, FallTime: second, ColdTime: 10 * second, Slack: 100 * time.Millisecond}
+	return Terms{DrainGrace: second / 2, KeyWindow: 6 * second, MostAttempts: 2, ColdUnits: 8, ColdFrom: 0.25, FallTime: second, ColdTime: 10 * second,
+		Limit: 10, LimitDepth: 4, LimitSlack: 2, Slack: 100 * time.Millisecond}
 }
 
 // Each rule is found broken in a record that breaks it, and none in one just inside it.
@@ -27,6 +37,9 @@
 		change func(r *Record)
 		rule   string // that is broken; "": none
 	}{
+		"within its limit":   {func(r *Record) { limited(r, 4, 0) }, ""},
+		"past its limit":     {func(r *Record) { limited(r, 5, 0) }, "limit"},
+		"past it with time":  {func(r *Record) { limited(r, 5, 200*time.Millisecond) }, ""},
 		"good":               {func(*Record) {}, ""},
 		"late answer":        {func(r *Record) { r.Requests[0].Answered = 11*second + 590*time.Millisecond }, ""},
 		"too late an answer": {func(r *Record) { r.Requests[0].Answered = 11*second + 610*time.Millisecond }, "lost"},
--- a/internal/simulation/soak/record.go
+++ b/internal/simulation/soak/record.go
@@ -15,6 +15,7 @@
 	ID        string
 	Scheduler int
 	Class     string
+	Limited   uint64 // its volume, where that has a limit; else 0
 	Timeout   time.Duration
 	Sent      time.Duration // when its last byte was written; 0: it never was
 	Answered  time.Duration // when the answer's last byte came; 0: none came whole
--- a/internal/simulation/soak/scenario.go
+++ b/internal/simulation/soak/scenario.go
@@ -106,7 +106,7 @@
 // servers draws one trouble of some servers.
 func (d *drawing) servers() {
 	at, lasts := d.when(0.05, 0.7), d.span(500*time.Millisecond, 5*time.Second)
-	kind := []Behaviour{Hung, Erring, Resetting, Rejecting, Down}[d.rng.IntN(5)]
+	kind := []Behaviour{Hung, Erring, Resetting, Rejecting, Down, Dark}[d.rng.IntN(6)]
 	which := d.some(0.05 + 0.25*d.rng.Float64())
 	d.add(at, "servers are in trouble: "+kind.String(), func(r *Run) { r.behave(which, kind) })
 	d.add(at+lasts, "servers are well again", func(r *Run) { r.behave(which, Well) })
--- a/internal/simulation/soak/servers.go
+++ b/internal/simulation/soak/servers.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
@@ -23,9 +24,10 @@
 	Resetting           // it resets the connection under the request
 	Rejecting           // it turns requests away unrun
 	Down                // it resets each connection that comes
+	Dark                // no connection to it comes up, and nothing comes back on those that are
 )
 
-var behaviourNames = [...]string{"well", "hung", "erring", "resetting", "rejecting", "down"}
+var behaviourNames = [...]string{"well", "hung", "erring", "resetting", "rejecting", "down", "dark"}
 
 func (b Behaviour) String() string { return behaviourNames[b] }
 
@@ -45,6 +47,7 @@
 	behaviour atomic.Int32
 
 	mu    sync.Mutex
+	light chan struct{} // closed once it is dark no more; nil: it is not
 	conns map[net.Conn]bool
 }
 
@@ -77,11 +80,65 @@
 	if b == Down {
 		d.resetAll()
 	}
+	d.darken(b == Dark)
+}
+
+// usualBacklog is how many connections wait for accept where a server is not dark.
+const usualBacklog = 4096
+
+// darken has the kernel drop what asks for a connection, for nothing is accepted and the
+// queue is full; or undoes that.
+func (d *diskServer) darken(dark bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if dark == (d.light != nil) {
+		return
+	}
+	if !dark {
+		close(d.light)
+		d.light = nil
+		d.listen(usualBacklog)
+		return
+	}
+	d.light = make(chan struct{})
+	d.listen(0)
+	go d.fill(d.light)
+}
+
+func (d *diskServer) listen(backlog int) {
+	raw, err := d.listener.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), backlog) })
+	}
+}
+
+// fill takes the places in the queue: one that the accepting goroutine holds, and what waits.
+func (d *diskServer) fill(light chan struct{}) {
+	for range 3 {
+		c, err := net.DialTimeout("tcp", d.listener.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			return
+		}
+		defer c.Close()
+	}
+	<-light
+}
+
+// wait returns once the server is not dark; it tells whether it was.
+func (d *diskServer) wait() bool {
+	d.mu.Lock()
+	light := d.light
+	d.mu.Unlock()
+	if light != nil {
+		<-light
+	}
+	return light != nil
 }
 
 // Close ends all of them.
 func (s *Servers) Close() {
 	for _, d := range s.all {
+		d.darken(false)
 		d.listener.Close()
 		d.resetAll()
 	}
@@ -103,14 +160,24 @@
 	c.Close()
 }
 
+// accept serves what comes. What the kernel took while the server was dark, one connection
+// here and one in the queue, is reset: it holds requests that were sent long before.
 func (s *Servers) accept(d *diskServer) {
 	defer s.tasks.Done()
-	for {
+	for stale := 0; ; {
 		c, err := d.listener.Accept()
 		if err != nil {
 			return
 		}
 		s.accepted.Add(1)
+		if d.wait() {
+			stale = 2
+		}
+		if stale > 0 {
+			stale--
+			reset(c)
+			continue
+		}
 		d.mu.Lock()
 		d.conns[c] = true
 		d.mu.Unlock()
@@ -162,7 +229,7 @@
 // answer does with a request what the server does now; false if its connection ends.
 func (s *Servers) answer(d *diskServer, c net.Conn, a *Attempt) bool {
 	switch Behaviour(d.behaviour.Load()) {
-	case Hung:
+	case Hung, Dark:
 		var one [1]byte
 		c.Read(one[:]) // until the scheduler gives up
 		return false
--- a/internal/simulation/soak/settings.go
+++ b/internal/simulation/soak/settings.go
@@ -7,7 +7,13 @@
 
 // What the schedulers under soak are set to.
 const (
-	plan          = "gold"
+	openPlan      = "gold"  // whose volumes have no limit
+	limitedPlan   = "basic" // whose volumes have one
+	volumeLimit   = 8.0     // units a second
+	limitDepth    = 20.0    // units at once
+	limitSlack    = 6.0     // units
+	limitedPart   = 0.4     // of the requests, which go to few volumes:
+	limitedEach   = 2       // so many at each scheduler, and at no other
 	unitMean      = 2
 	volumes       = 512
 	drainGrace    = 500 * time.Millisecond
@@ -34,7 +40,8 @@
  {"name":"card-read","aim_ms":300,"give_up_ms":1200,"effect":"read_like","group":"all","worth":2},
  {"name":"txn-write","aim_ms":500,"give_up_ms":2500,"effect":"idempotency_key","group":"cell","key_ttl_ms":%d,"worth":3},
  {"name":"bulk-read","aim_ms":1500,"give_up_ms":4000,"effect":"read_like","group":"all","worth":1}],
-"grades":[{"name":"gold","price":1,"proportion":1,"rate":1000}],
+"grades":[{"name":"gold","price":1,"proportion":1,"rate":1000},
+ {"name":"basic","price":1,"proportion":1,"rate":%g,"limit":%g,"cap_depth":%g,"tolerance":%g}],
 "limits":{"attempts_cap":%d,"cancel":true,"may_duplicate":true,"retry_after":true,"max_retry_after_ms":2000,"dial_timeout_ms":250,"conn_idle_ms":30000},
 "safety":{"answer_slack_ms":8,"stop_sending_within_ms":%d,"fall_multiple":2,"overload_for_ms":%d,"cold_from":%g,"cold_ms":%d,
  "free_resends":3,"extra_ratio":0.25,"resend_span_ms":5000},
@@ -42,7 +49,8 @@
 
 // config is a scheduler's configuration.
 func (o Options) config(scheduler int, listen, discovery string, known []byte) []byte {
-	settings := fmt.Sprintf(settingsForm, o.Schedulers, scheduler, keyWindow.Milliseconds(), mostAttempts,
+	settings := fmt.Sprintf(settingsForm, o.Schedulers, scheduler, keyWindow.Milliseconds(),
+		volumeLimit/2, volumeLimit, limitDepth, limitSlack, mostAttempts,
 		drainGrace.Milliseconds(), fallTime.Milliseconds(), coldFrom, coldTime.Milliseconds(), coldUnits, unitMean, o.Servers)
 	return fmt.Appendf(nil, `{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":%s,"settings":%s}`,
 		scheduler, listen, discovery, o.Seed<<16+uint64(scheduler)+1, o.MemoryMB, o.Sockets, known, settings)
@@ -51,7 +59,8 @@
 // Terms are what a run of these options is held to.
 func (o Options) Terms() Terms {
 	return Terms{DrainGrace: drainGrace, KeyWindow: keyWindow, MostAttempts: mostAttempts,
-		ColdUnits: coldUnits, ColdFrom: coldFrom, FallTime: fallTime, ColdTime: coldTime, Slack: o.Slack}
+		ColdUnits: coldUnits, ColdFrom: coldFrom, FallTime: fallTime, ColdTime: coldTime,
+		Limit: volumeLimit, LimitDepth: limitDepth, LimitSlack: limitSlack, Slack: o.Slack}
 }
 
 // stopGrace is the least time from SIGTERM to SIGKILL.
