--- /dev/null
+++ b/policy/shares_test.go
@@ -0,0 +1,74 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+)
+
+func TestPlantIsIdentifiedAndSteered(t *testing.T) {
+	f := newRLS([]float64{0, 0.1, 0}, forget, maxCov)
+	u, y, want := 2.0, 0.0, 0.6
+	for k := range 250 {
+		last := y
+		y = 0.2*last + 0.1*u + 0.05
+		f.update([]float64{last, u, 1}, y)
+		pred := f.theta[0]*y + f.theta[1]*u + f.theta[2]
+		u += controlStep([][]float64{{f.theta[1]}}, []float64{want - pred}, 0.05)[0]
+		u += 0.2 * float64(k%3-1) // excitation
+	}
+	if math.Abs(f.theta[1]-0.1) > 0.02 || math.Abs(y-want) > 0.05 {
+		t.Errorf("gain %v, output %v", f.theta[1], y)
+	}
+}
+
+func TestRegulatorsStayInBounds(t *testing.T) {
+	for _, res := range []Result{Served, ServerError, NoConnection, NoAnswer} {
+		g := newRig(settings())
+		for range 300 {
+			for range 4 {
+				g.ask("read", "high", "", 2)
+			}
+			for _, r := range slices.Clone(g.p.shards[0].out) {
+				g.end(r.ID, res)
+			}
+			g.pass(50)
+		}
+		d := g.p.shards[0].depth
+		if !(d >= fewDepth && d <= maxDepth) {
+			t.Errorf("result %d: depth %v", res, d)
+		}
+		sum := 0.0
+		for _, u := range g.p.shares.u {
+			if !(u > 0) {
+				t.Errorf("result %d: share %v", res, u)
+			}
+			sum += u
+		}
+		if math.Abs(sum-1) > 0.1 {
+			t.Errorf("result %d: shares add up to %v", res, sum)
+		}
+	}
+}
+
+// BenchmarkSecond plays one second of traffic; its cost must not grow with hosts.
+func BenchmarkSecond(b *testing.B) {
+	for _, hosts := range []int{5, 230} {
+		b.Run(fmt.Sprint(hosts, "hosts"), func(b *testing.B) {
+			s := settings()
+			s.Hosts = hosts
+			g := newRig(s)
+			for range b.N {
+				for range 20 {
+					id := g.ask("read", "high", "", 2)
+					if g.sends(id) > 0 {
+						g.end(id, Served)
+					}
+					g.acts = g.acts[:0]
+					g.pass(50)
+				}
+			}
+		})
+	}
+}
