A limit's smaller part holds also for units that come back to it

Change: redivide counts what is pending as left, cuts that to the new part and takes the pending off again. Where such attempts pass after all the volume has less for a while.

--- a/policy/rate_test.go
+++ b/policy/rate_test.go
@@ -344,3 +344,45 @@
 		t.Errorf("%d passed, the bucket fell to %.1f, -6 is allowed", passed, lowest)
 	}
 }
+
+// Units that were taken under a larger part of the limit and come back find the smaller one.
+func TestUnitsThatComeBackToASmallerPart(t *testing.T) {
+	s := settings()
+	s.Rules.SendLate, s.Limits.MaxAttempts = 300, 4
+	s.Plans[0] = Plan{Name: "low", Price: 1, Weight: 1, Limit: 17, Burst: 36, Slack: 6}
+	nodes := []Node{{Addr: "n0", Health: Ready, Shard: 0, Zone: "z"}}
+	for shard := 1; shard <= 5; shard++ {
+		nodes = append(nodes, Node{Addr: fmt.Sprint("cut", shard), Health: Ready, Shard: shard, Zone: "z"})
+	}
+	g := newRig(s)
+	g.list(nodes...)
+	g.pass(5000)
+	ask := func(shard int, units float64, hosts int) string {
+		g.n++
+		id := fmt.Sprint("r", g.n)
+		g.do(Request{ID: id, Class: "read", Plan: "low", Volume: "v", Shard: shard, Units: units, Expires: g.now + 1000, Hosts: hosts})
+		return id
+	}
+	var cut []string
+	for shard := 1; shard <= 5; shard++ {
+		cut = append(cut, ask(shard, 4, 1))
+	}
+	passed := 0.0
+	flood := func() {
+		for range 40 {
+			id := ask(0, 1, 3)
+			if g.sends(id) > 0 {
+				passed++
+				g.end(id, Served)
+			}
+		}
+	}
+	flood() // what the smaller part has
+	for i, id := range cut {
+		g.do(Outcome{ID: id, Node: fmt.Sprint("cut", i+1), Result: NoConnection, Done: true, Elapsed: 250})
+	}
+	flood() // and what came back
+	if part := 36.0/3 + 6.0/3; passed > part {
+		t.Errorf("%v units passed at once, its part is %v", passed, part)
+	}
+}
--- a/policy/tokenbucket.go
+++ b/policy/tokenbucket.go
@@ -35,15 +35,16 @@
 
 // redivide gives a volume another part of its plan, or another plan. What is left of the
 // old one stays, as far as the new one holds it: what it gains may have been spent
-// elsewhere. Where nothing was limited, nothing is left that was counted.
+// elsewhere. Where nothing was limited, nothing is left that was counted. What is pending
+// counts as left, for it may come back, and is taken from what the new part holds.
 func (p *scheduler) redivide(v *volume, plan *Plan, h float64) {
-	left := v.limit - v.limFloor
+	left := v.limit + v.pending - v.limFloor
 	if v.plan.Limit <= 0 {
 		left = 0
 	}
 	v.plan = plan
 	p.divide(v, h)
-	v.limit = v.limFloor + min(left, v.limCap-v.limFloor)
+	v.limit = v.limFloor + min(left, v.limCap-v.limFloor) - v.pending
 }
 
 // rate sets what r's units are worth: in full inside the volume's reserve,
