--- a/internal/control/gateway/answerer.go
+++ b/internal/control/gateway/answerer.go
@@ -21,7 +21,7 @@
 	wake    env.Parker
 	done    env.Gate
 
-	said []*writequeue.Queue // what the present batch left to be written
+	said heldWrites // what the present batch left to be written
 }
 
 // answered is a command whose parts are all over.
@@ -85,10 +85,10 @@
 			a.host.give(&events[i], func(o *writequeue.Queue) { a.said = append(a.said, o) })
 			events[i] = answered{}
 			if len(a.said) == heldAnswers {
-				a.release()
+				a.said.release()
 			}
 		}
-		a.release()
+		a.said.release()
 		if closed && len(events) == 0 {
 			return
 		}
@@ -98,13 +98,16 @@
 	}
 }
 
-// release has what the answers left be written.
-func (a *answerer) release() {
-	for i, o := range a.said {
-		o.Release()
-		a.said[i] = nil
+// heldWrites are queues that hold what is still to be written.
+type heldWrites []*writequeue.Queue
+
+// release has it written, and forgets the queues.
+func (w *heldWrites) release() {
+	for _, queue := range *w {
+		queue.Release()
 	}
-	a.said = a.said[:0]
+	clear(*w)
+	*w = (*w)[:0]
 }
 
 // give ends a command at its session; later has what that leaves be written.
--- a/internal/control/gateway/back.go
+++ b/internal/control/gateway/back.go
@@ -170,9 +170,7 @@
 // more, for it waited for its connection, ends as never sent. Held: mu.
 func (l *link) put(a *attempt) {
 	if !a.permitted(env.MS(l.back.world.Now())) {
-		if a.drop() {
-			l.back.host.post(event{kind: evLost, attempt: a, result: policy.NotSent})
-		}
+		l.end(a, policy.NotSent)
 		return
 	}
 	if !a.claim() {
@@ -211,8 +209,9 @@
 	return uint64(max(l.clock+ahead, 0))
 }
 
+// end tells the host of an attempt's end, unless the host ended one that has not gone out.
 func (l *link) end(a *attempt, r policy.Result) {
-	if r == policy.NoConnection && !a.drop() {
+	if (r == policy.NoConnection || r == policy.NotSent) && !a.drop() {
 		return
 	}
 	l.back.host.post(event{kind: evLost, attempt: a, result: r})
--- a/internal/control/gateway/host.go
+++ b/internal/control/gateway/host.go
@@ -40,7 +40,7 @@
 	sooner  func()        // has a lease asked for at once
 	alarm   env.Alarm
 	buffers sync.Pool
-	said    []*writequeue.Queue // what the present batch of events left to be written
+	said    heldWrites // what the present batch of events left to be written
 }
 
 type eventKind int
@@ -118,11 +118,11 @@
 			h.handle(now, &events[i])
 			events[i] = event{}
 			if now = h.tick(); now-held > heldTime {
-				h.release()
+				h.said.release()
 				held = now
 			}
 		}
-		h.release()
+		h.said.release()
 		h.arm()
 	}
 }
@@ -131,21 +131,10 @@
 // what is owed by a time goes before new work.
 func (h *host) tick() (now float64) {
 	now = env.MS(h.world.Now())
-	if h.core.next() <= now {
-		h.core.tick(now)
-	}
+	h.core.tick(now)
 	return now
 }
 
-// release starts to write what the events left to be written.
-func (h *host) release() {
-	for i, o := range h.said {
-		o.Release()
-		h.said[i] = nil
-	}
-	h.said = h.said[:0]
-}
-
 // buffer returns room for an answer's data.
 func (h *host) buffer() *[]byte {
 	if b, ok := h.buffers.Get().(*[]byte); ok {
--- a/internal/control/gateway/host_test.go
+++ b/internal/control/gateway/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -48,3 +49,18 @@
 		t.Errorf("fired during the first event: %v, before the second: %v", during, after)
 	}
 }
+
+// What looks at the core finds its clock at the present time, also where nothing came due.
+func TestAskedCoreKnowsTheTime(t *testing.T) {
+	w := env.NewReal()
+	h := newHost(w, settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
+	defer h.stop()
+	for range 3 {
+		env.Wait(w, 5*time.Millisecond, nil)
+		asked := env.MS(w.Now())
+		var now float64
+		if !h.ask(func(c *hostCore) { now = c.now }) || now < asked {
+			t.Errorf("asked at %.3f ms, the core has %.3f", asked, now)
+		}
+	}
+}
--- a/internal/control/scheduler/ahead.go
+++ b/internal/control/scheduler/ahead.go
@@ -78,7 +78,7 @@
 			a.marks = append(a.marks, mark{a.read, now})
 		}
 	}
-	if err != nil && err != env.ErrNothing && !isTimeout(err) {
+	if err != nil && err != env.ErrNothing && !env.IsTimeout(err) {
 		a.err = err
 	}
 }
--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"io"
 	"math"
-	"net"
 	"slices"
 	"strconv"
 	"time"
@@ -28,7 +27,7 @@
 		c.await()
 		if err := c.begun(); err != nil {
 			c.reason = closeClientEnded
-			if isTimeout(err) {
+			if env.IsTimeout(err) {
 				c.reason = closeIdle
 			}
 			return err
@@ -87,7 +86,7 @@
 // it was taken as it came in.
 func (c *client) begun() error {
 	_, err := c.in.Peek(1)
-	if isTimeout(err) {
+	if env.IsTimeout(err) {
 		c.conn.SetReadDeadline(time.Time{})
 		c.ahead.look()
 		if len(c.ahead.kept) > 0 {
@@ -97,11 +96,6 @@
 	return err
 }
 
-func isTimeout(err error) bool {
-	e, ok := err.(net.Error)
-	return ok && e.Timeout()
-}
-
 // request is a request as read.
 type request struct {
 	*http1.Request
@@ -130,7 +124,7 @@
 	if e, ok := err.(*http1.Error); ok {
 		return e.Status()
 	}
-	if isTimeout(err) {
+	if env.IsTimeout(err) {
 		return 408
 	}
 	if err == io.ErrUnexpectedEOF {
@@ -223,7 +217,7 @@
 			until = by
 			f.loop.post(f.loop.now(), eventSooner, func(at float64) { f.core.sooner(at, call, by) })
 		}
-		if err := c.ahead.more(); err != nil && !isTimeout(err) {
+		if err := c.ahead.more(); err != nil && !env.IsTimeout(err) {
 			call.over.Store(true)
 			f.loop.post(f.loop.now(), eventClientGone, func(at float64) { f.core.gone(at, call) })
 			return false
--- a/internal/control/scheduler/connectionends_test.go
+++ b/internal/control/scheduler/connectionends_test.go
@@ -24,7 +24,7 @@
 
 func (c *lateBytes) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	if isTimeout(err) {
+	if env.IsTimeout(err) {
 		c.land()
 	}
 	return n, err
--- a/internal/control/scheduler/link.go
+++ b/internal/control/scheduler/link.go
@@ -68,7 +68,7 @@
 	l.conn.SetReadDeadline(l.back.world.Deadline(restTime))
 	_, err := l.in.Peek(1)
 	l.conn.SetReadDeadline(time.Time{})
-	return isTimeout(err)
+	return env.IsTimeout(err)
 }
 
 // answer reads one answer. One that cannot be read is a failed attempt that may have run.
--- a/internal/runtime/env/stream.go
+++ b/internal/runtime/env/stream.go
@@ -113,3 +113,9 @@
 	half, ok := c.(interface{ CloseWrite() error })
 	return ok && half.CloseWrite() == nil
 }
+
+// IsTimeout tells whether an error of a connection only says that its deadline has passed.
+func IsTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
--- a/internal/simulation/soak/clients.go
+++ b/internal/simulation/soak/clients.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Class is a kind of request that clients send.
@@ -275,7 +276,7 @@
 			x.closing = true
 		}
 		return true
-	case isTimeout(err):
+	case env.IsTimeout(err):
 		q.Left = now
 		x.Close()
 		return false
--- a/internal/simulation/soak/discovery.go
+++ b/internal/simulation/soak/discovery.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/env"
 )
 
 // Entry is a disk server in discovery's words.
@@ -296,7 +297,7 @@
 		}
 		var one [1]byte
 		c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
-		if _, err := c.Read(one[:]); !isTimeout(err) {
+		if _, err := c.Read(one[:]); !env.IsTimeout(err) {
 			return false
 		}
 		select {
@@ -308,11 +309,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	e, ok := err.(net.Error)
-	return ok && e.Timeout()
-}
-
 // open answers with the list, and keeps the connection as a watch.
 func (a *Agent) open(c net.Conn, held int, watches bool) {
 	a.directory.mu.Lock()
--- a/internal/storage/audit/store.go
+++ b/internal/storage/audit/store.go
@@ -41,9 +41,9 @@
 // OpenStore opens the chain in a file, which is made if there is none, and verifies it
 // from its first record on. A chain that is broken is a *BrokenError.
 func OpenStore(file string) (*Store, error) {
-	db, err := bbolt.Open(file, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
+	db, err := openFile(file)
 	if err != nil {
-		return nil, fmt.Errorf("audit: %s: %w", file, err)
+		return nil, err
 	}
 	s := &Store{db: db}
 	if err = s.found(); err == nil {
@@ -56,14 +56,22 @@
 	return s, nil
 }
 
+func openFile(file string) (*bbolt.DB, error) {
+	db, err := bbolt.Open(file, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
+	if err != nil {
+		return nil, fmt.Errorf("audit: %s: %w", file, err)
+	}
+	return db, nil
+}
+
 // Rewrite writes a store's file anew, whole and synced, in place of what it holds. After a
 // failed sync the system may take pages for written that are not; a chain that goes on from
 // there must not rest on them. The file must be open nowhere. After an error the old file is
 // as it was.
 func Rewrite(file string) error {
-	db, err := bbolt.Open(file, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
+	db, err := openFile(file)
 	if err != nil {
-		return fmt.Errorf("audit: %s: %w", file, err)
+		return err
 	}
 	defer db.Close()
 	return db.View(func(tx *bbolt.Tx) error {
--- a/internal/storage/durable/replace.go
+++ b/internal/storage/durable/replace.go
@@ -37,12 +37,19 @@
 // replacing it meanwhile.
 func Clean(file string) error {
 	dir, name := filepath.Split(file)
-	entries, err := os.ReadDir(filepath.Clean(dir))
+	return clean(filepath.Clean(dir), name+"-")
+}
+
+// CleanDir is Clean for all files of a folder.
+func CleanDir(dir string) error { return clean(dir, "") }
+
+func clean(dir, prefix string) error {
+	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return err
 	}
 	for _, e := range entries {
-		if strings.HasPrefix(e.Name(), name+"-") && strings.HasSuffix(e.Name(), Unfinished) {
+		if strings.HasPrefix(e.Name(), prefix) && strings.HasSuffix(e.Name(), Unfinished) {
 			if err := os.Remove(filepath.Join(dir, e.Name())); err != nil {
 				return err
 			}
--- a/internal/storage/history/store.go
+++ b/internal/storage/history/store.go
@@ -52,15 +52,9 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	half, err := filepath.Glob(filepath.Join(dir, "*"+durable.Unfinished))
-	if err != nil {
+	if err := durable.CleanDir(dir); err != nil {
 		return nil, err
 	}
-	for _, f := range half {
-		if err := os.Remove(f); err != nil {
-			return nil, err
-		}
-	}
 	return &Store{dir: dir}, nil
 }
 
--- a/policy/tokenbucket.go
+++ b/policy/tokenbucket.go
@@ -72,6 +72,7 @@
 		return true
 	}
 	v := p.volume(r.Request, r.vol.plan)
+	r.vol = v // it may have been forgotten since, and begun anew
 	if lack := v.limFloor + r.Units - v.limit; lack > 0 {
 		p.heldAt, v.heldAt = p.now+lack/v.limFill*1000, p.now
 		p.setTimer(p.heldAt+guard, nil, sh)
@@ -90,12 +91,10 @@
 	if r.vol.plan.Limit <= 0 {
 		return
 	}
-	v := p.volume(r.Request, r.vol.plan)
-	r.vol = v // it may have been forgotten since, and begun anew
-	v.limit -= r.Units
+	r.vol.limit -= r.Units // limitOK has just brought it up to now
 	if p.s.Rules.SendLate > 0 {
 		r.pending = r.Units
-		v.pending += r.Units
+		r.vol.pending += r.Units
 	}
 }
 
