bgp: a session that begins after a forgotten withdrawal counts as up to date

Seen by callers: 'merlinhitch routes' says of a router that it has not been told all, until the next change of a route, though it has every route. Cause: Table.write returns the version of the last change that it still holds. Forget drops withdrawals that all peers have, so where the last change was one, a new session never reached the table's version. Change: write returns the table's version where no change is left to send.

--- a/internal/protocol/bgp/speaker_test.go
+++ b/internal/protocol/bgp/speaker_test.go
@@ -163,6 +163,22 @@
 	}
 }
 
+// A session that begins after a withdrawal must count as up to date once it has all routes.
+func TestNewSessionAfterWithdrawalIsUpToDate(t *testing.T) {
+	environment := env.NewReal()
+	peer := router(t, environment, standin.RouterFaults{})
+	s := speaker(t, environment, neighbour(peer))
+	s.Set(set(2, bgp.Path{MED: 1}))
+	await(t, environment, "both routes at the router", func() bool { return holds(peer, set(2, bgp.Path{MED: 1})) })
+	s.Set(set(1, bgp.Path{MED: 1}))
+	await(t, environment, "the withdrawal at the router", func() bool { return holds(peer, set(1, bgp.Path{MED: 1})) })
+	peer.ResetSessions()
+	await(t, environment, "a second session that is up to date", func() bool {
+		status := s.Status()[0]
+		return status.Ups == 2 && status.Told
+	})
+}
+
 // Two speakers that know each other's addresses settle on one session.
 func TestTwoSpeakersCollide(t *testing.T) {
 	w := env.NewReal()
--- a/internal/protocol/bgp/table.go
+++ b/internal/protocol/bgp/table.go
@@ -223,6 +223,9 @@
 		}
 		paths[g] = append(paths[g], e.route.Prefix)
 	}
+	if e == nil { // also where the last changes were withdrawals that Forget has dropped
+		upTo = t.version
+	}
 	var out []byte
 	emit := func(m []byte) { out = append(out, m...) }
 	for _, f := range []Family{IPv4, IPv6} { // what leads nowhere goes first
