gateway: a graceful stop waits until routers are sent the last resort

Seen by callers: at a stop, a router that is slow to take an update gets the withdrawal without the last resort before it, and drops the path before it has moved traffic to another gateway. Cause: the BGP speaker sends a router only its newest table, and only once its last write is done. drainClients set the last resort and, with no client connected, the withdrawal in the same instant; with a write under way the first was never sent. Change: each step of the stop waits, 2 s at the most, until its routes are written to every router with an established session, and the log names the others. Speaker.Unsent tells them; a link counts as written only while its queue is empty. The second step waits before the listener closes.

--- a/internal/control/gateway/announcer.go
+++ b/internal/control/gateway/announcer.go
@@ -224,15 +224,33 @@
 	a.publish()
 }
 
+// maxPhaseSendTime bounds how long a phase of a graceful stop waits until its routes are sent.
+const maxPhaseSendTime = 2 * time.Second
+
+// waitFunc waits until done returns true, or the timeout or the time for the whole stop is over.
+type waitFunc func(timeout time.Duration, done func() bool)
+
+// enterStopPhase enters a phase of a graceful stop and waits until its routes are written to every
+// router with an established session. A router is only ever sent the latest routes, so it would miss
+// those of a phase that ends before.
+func (a *announcer) enterStopPhase(phase announce.StopPhase, wait waitFunc) {
+	a.setStopPhase(phase)
+	wait(maxPhaseSendTime, func() bool { return len(a.speaker.Unsent()) == 0 })
+	if unsent := a.speaker.Unsent(); len(unsent) > 0 {
+		a.log.Warn("routers not sent the routes of a graceful stop in time", zap.Stringer("phase", phase), zap.Strings("routers", unsent))
+	}
+}
+
 // drainClients is the first step of a graceful stop. It announces all groups as a last resort, so
-// that clients move to other gateways, calls wait with the configured time and then withdraws them.
-func (a *announcer) drainClients(wait func(time.Duration)) {
-	a.setStopPhase(announce.Leaving)
+// that clients move to other gateways, waits with the configured time until clientsLeft returns true,
+// and then withdraws them.
+func (a *announcer) drainClients(wait waitFunc, clientsLeft func() bool) {
+	a.enterStopPhase(announce.Leaving, wait)
 	a.mu.Lock()
 	moveTime := valueOr(a.settings.Announce.DrainTime, defaultMoveTimeMS)
 	a.mu.Unlock()
-	wait(env.Duration(moveTime))
-	a.setStopPhase(announce.Left)
+	wait(env.Duration(moveTime), clientsLeft)
+	a.enterStopPhase(announce.Left, wait)
 }
 
 // close stops the announcer. With a message, the BGP sessions are closed with it (RFC 9003); if it
--- a/internal/control/gateway/announcer_test.go
+++ b/internal/control/gateway/announcer_test.go
@@ -3,10 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"net/netip"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"merlinhitch/internal/control/gateway"
 	"merlinhitch/internal/control/settings"
 	"merlinhitch/internal/fleet/announce"
@@ -27,6 +34,12 @@
 // newAnnouncingHarness starts a harness whose gateway announces two address groups to a simulated
 // router.
 func newAnnouncingHarness(t *testing.T) (*harness, *standin.Router) {
+	t.Helper()
+	return newAnnouncingHarnessWithConfig(t, func(*gateway.Config, string) {})
+}
+
+// newAnnouncingHarnessWithConfig is newAnnouncingHarness with an edited configuration of the gateway.
+func newAnnouncingHarnessWithConfig(t *testing.T, editConfig func(config *gateway.Config, routerAddr string)) (*harness, *standin.Router) {
 	t.Helper()
 	environment := env.NewReal()
 	router, err := standin.ServeRouter(environment, "127.0.0.1:0", 65010)
@@ -34,7 +47,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(router.Close)
-	h := newHarness(t, func(s *settings.Settings) {
+	h := newHarnessWithConfig(t, func(s *settings.Settings) {
 		s.Announce = &settings.Announce{AS: 65001, HoldTime: 9000, Routers: []settings.Router{{Name: "r0", Addr: router.Addr, AS: router.AS}},
 			StableTime: 100, MaxStableTime: 100, MaxLastResortTime: 100, DrainTime: 50,
 			Groups: []settings.AddressGroup{{Name: "mixed", Prefixes: []string{twoShardPrefix.String()}}, {Name: "alone", Prefixes: []string{oneShardPrefix.String()}}}}
@@ -46,7 +59,7 @@
 			group := &s.Announce.Groups[(i+1)%2]
 			group.Volumes = append(group.Volumes, volume.Name)
 		}
-	})
+	}, func(config *gateway.Config) { editConfig(config, router.Addr) }, nil)
 	return h, router
 }
 
@@ -137,6 +150,127 @@
 	}
 }
 
+// heldWriteEnv is the real environment with connections to one address whose writes can be held.
+type heldWriteEnv struct {
+	*env.Real
+	addr  string
+	hold  atomic.Bool // writes on connections dialled to addr return only when freed opens
+	freed env.Gate
+}
+
+func (e *heldWriteEnv) Dial(ctx context.Context, network, address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := e.Real.Dial(ctx, network, address, timeout)
+	if err != nil || address != e.addr {
+		return conn, err
+	}
+	return &heldWriteConn{Conn: conn, environment: e}, nil
+}
+
+type heldWriteConn struct {
+	net.Conn
+	environment *heldWriteEnv
+	closed      env.Gate
+}
+
+// Write writes b, and then returns as late as the environment says.
+func (c *heldWriteConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if c.environment.hold.Load() {
+		env.WaitAny(c.environment, &c.environment.freed, &c.closed)
+	}
+	return n, err
+}
+
+func (c *heldWriteConn) Close() error {
+	c.closed.Open()
+	return c.Conn.Close()
+}
+
+// newHeldRouterHarness starts an announcing harness in which the gateway's last write to the router,
+// the withdrawal of group alone, does not return. log gets the gateway's messages.
+func newHeldRouterHarness(t *testing.T, log *zap.Logger) (*harness, *standin.Router, *heldWriteEnv) {
+	t.Helper()
+	held := &heldWriteEnv{Real: env.NewReal()}
+	h, router := newAnnouncingHarnessWithConfig(t, func(config *gateway.Config, routerAddr string) {
+		held.addr = routerAddr
+		config.Environment, config.Log = held, log
+	})
+	waitFor(t, h.environment, "both groups are announced", func() bool {
+		return announcedLevel(router, twoShardPrefix) == announce.Announced && announcedLevel(router, oneShardPrefix) == announce.Announced
+	})
+	held.hold.Store(true)
+	h.inventory.ChangeNow(func(book *inventory.Book) { book.Health(h.diskServers[2].Addr, inventory.Draining) })
+	waitFor(t, h.environment, "group alone is withdrawn", func() bool { return announcedLevel(router, oneShardPrefix) == announce.Withdrawn })
+	return h, router, held
+}
+
+// routerLevels returns the levels at which a router received a prefix, in order.
+func routerLevels(changes []standin.RouteChange, prefix netip.Prefix) (levels []announce.Level) {
+	for _, change := range changes {
+		level := announce.Withdrawn
+		if change.Announced {
+			level = announce.Announced
+		}
+		if change.Announced && change.Path.Shutdown {
+			level = announce.LastResort
+		}
+		if change.Prefix == prefix {
+			levels = append(levels, level)
+		}
+	}
+	return levels
+}
+
+// groupLevel returns the level at which the gateway announces a group.
+func (h *harness) groupLevel(name string) string {
+	for _, group := range h.gateway.Routes().Groups {
+		if group.Group == name {
+			return group.Level
+		}
+	}
+	return ""
+}
+
+// A router that is slow to take updates must still get the last resort before the withdrawal.
+func TestGracefulStopWaitsForSlowRouter(t *testing.T) {
+	h, router, held := newHeldRouterHarness(t, zap.NewNop())
+	logStart := len(router.Changes())
+	var stop env.WaitGroup
+	stop.Go(h.environment, func() { h.gateway.Stop(context.Background()) })
+	waitFor(t, h.environment, "the stop has begun", func() bool { return h.groupLevel("mixed") != announce.Announced.String() })
+	const observed = 300 * time.Millisecond // well past the settings' time for clients to move
+	for end := h.environment.Now() + observed; h.environment.Now() < end; env.Sleep(h.environment, 5*time.Millisecond, nil) {
+		if level := h.groupLevel("mixed"); level != announce.LastResort.String() {
+			t.Errorf("the gateway went on to %q before the router was sent the last resort", level)
+			break
+		}
+	}
+	held.freed.Open()
+	stop.Wait(h.environment)
+	waitFor(t, h.environment, "group mixed is withdrawn", func() bool { return announcedLevel(router, twoShardPrefix) == announce.Withdrawn })
+	if got := routerLevels(router.Changes()[logStart:], twoShardPrefix); !slices.Equal(got, []announce.Level{announce.LastResort, announce.Withdrawn}) {
+		t.Errorf("got %v, want [last resort withdrawn]", got)
+	}
+}
+
+// A router that takes nothing must not hold up a graceful stop for good, and the log must name it.
+func TestGracefulStopNamesUnsentRouters(t *testing.T) {
+	core, logged := observer.New(zap.WarnLevel)
+	h, _, _ := newHeldRouterHarness(t, zap.New(core))
+	startedAt := h.environment.Now()
+	h.gateway.Stop(context.Background())
+	if elapsed := h.environment.Now() - startedAt; elapsed < 2*time.Second {
+		t.Errorf("the stop took %s, want it to wait for the router", elapsed)
+	}
+	var got []string
+	for _, entry := range logged.FilterMessage("routers not sent the routes of a graceful stop in time").All() {
+		got = append(got, fmt.Sprint(entry.ContextMap()["phase"], entry.ContextMap()["routers"]))
+	}
+	if want := []string{"leaving[r0]", "left[r0]"}; !slices.Equal(got, want) {
+		t.Errorf("got warnings %q, want %q", got, want)
+	}
+}
+
 // New settings must change the announced prefixes without a restart. Without the announce section
 // all are withdrawn.
 func TestSettingsChangeAnnouncedPrefixes(t *testing.T) {
--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -333,7 +333,8 @@
 	f, a := g.frontend, g.announcer
 	g.mu.Unlock()
 	if a != nil {
-		a.drainClients(func(timeout time.Duration) { g.waitUntil(ctx, timeout, func() bool { return len(f.allConns()) == 0 }) })
+		wait := func(timeout time.Duration, done func() bool) { g.waitUntil(ctx, timeout, done) }
+		a.drainClients(wait, func() bool { return len(f.allConns()) == 0 })
 	}
 	if f != nil {
 		f.stopAccepting()
--- a/internal/fleet/announce/announce.go
+++ b/internal/fleet/announce/announce.go
@@ -106,6 +106,10 @@
 	Left              // nothing is announced any more
 )
 
+var stopPhaseNames = [...]string{"running", "leaving", "left"}
+
+func (p StopPhase) String() string { return stopPhaseNames[p] }
+
 type group struct {
 	Group
 	level  Level
--- a/internal/protocol/bgp/peer.go
+++ b/internal/protocol/bgp/peer.go
@@ -455,15 +455,29 @@
 	return 0, false
 }
 
+// EstablishedOn reports whether the session on a connection is established.
+func (p *Peer) EstablishedOn(c ConnID) bool {
+	i := p.slot(c)
+	return i >= 0 && p.slots[i].fsm.State == Established
+}
+
+// PlaceOn returns the version of the table up to which Pull has returned updates for the established
+// session on a connection, 0 if there is none.
+func (p *Peer) PlaceOn(c ConnID) uint64 {
+	if !p.EstablishedOn(c) {
+		return 0
+	}
+	return p.slots[p.slot(c)].place
+}
+
 // Pull returns the next messages for the established session on c, none if it has
 // been told all. The shell asks when it has written what it had: a peer that does
 // not read holds up nobody, and misses nothing but what no longer holds.
 func (p *Peer) Pull(c ConnID) []byte {
-	i := p.slot(c)
-	if i < 0 || p.slots[i].fsm.State != Established {
+	if !p.EstablishedOn(c) {
 		return nil
 	}
-	s := p.slots[i]
+	s := p.slots[p.slot(c)]
 	st := style{p.Cfg.LocalAS, p.internal(), s.open.FourAS, p.speaks(s, IPv4) && p.Cfg.Hop4.IsValid(), p.speaks(s, IPv6) && p.Cfg.Hop6.IsValid(), p.Cfg.Hop4, p.Cfg.Hop6}
 	if s.place < p.table.version {
 		b, at := p.table.batch(s.place, s.base, st)
--- a/internal/protocol/bgp/speaker.go
+++ b/internal/protocol/bgp/speaker.go
@@ -55,7 +55,9 @@
 // link is a connection's writing half.
 type link struct {
 	*writequeue.Queue
-	telling bool // updates wait to be written: more are asked for when they are out
+	updating bool   // updates are queued; more are pulled once they are written
+	queued   uint64 // version of the table up to which updates are queued
+	written  uint64 // version of the table up to which updates are written
 }
 
 func (l *link) put(data []byte) { l.Enqueue(func(b []byte) []byte { return append(b, data...) }) }
@@ -128,18 +130,57 @@
 	s.table.Forget(low)
 }
 
-// pull gives idle connections what they have not been told.
+// pull queues the updates that a peer has not been sent, on connections that have none queued.
 func (s *Speaker) pull(p *neighbour) {
 	for _, c := range p.inOrder() {
 		l := p.conns[c]
-		if l.telling {
+		if l.updating {
 			continue
 		}
-		if b := p.Pull(c); len(b) > 0 {
-			l.telling = true
-			l.put(b)
+		updates := p.Pull(c)
+		l.queued = p.PlaceOn(c)
+		if len(updates) == 0 {
+			l.written = l.queued
+			continue
+		}
+		l.updating = true
+		l.put(updates)
+	}
+}
+
+// updatesWritten handles the moment at which a connection's queue is written and empty.
+func (s *Speaker) updatesWritten(p *neighbour, id ConnID, l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.conns[id] != l || !l.Idle() { // not idle: updates were queued since, and this is called again for them
+		return
+	}
+	l.updating, l.written = false, l.queued
+	s.pull(p)
+}
+
+// sentAll reports whether all updates of the present table are written to an established peer. The
+// caller holds mu.
+func (s *Speaker) sentAll(p *neighbour) bool {
+	for _, c := range p.inOrder() {
+		if p.EstablishedOn(c) {
+			return p.conns[c].written == s.table.Version()
 		}
 	}
+	return false
+}
+
+// Unsent returns the names of the established peers to which some of the routes that are set have
+// not been written yet.
+func (s *Speaker) Unsent() (names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		if p.State() == Established && !s.sentAll(p) {
+			names = append(names, p.Cfg.Name)
+		}
+	}
+	return names
 }
 
 // carry does what a peer's core says. Held: mu.
@@ -211,13 +252,7 @@
 	s.nextConn++
 	id := s.nextConn
 	l := &link{Queue: writequeue.New(s.world, c, outMost, max(env.Duration(2*p.Cfg.Times.Hold), leastSend))}
-	l.OnIdle = func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if l.telling = false; p.conns[id] == l {
-			s.pull(p)
-		}
-	}
+	l.OnIdle = func() { s.updatesWritten(p, id, l) }
 	p.conns[id] = l
 	s.tasks.Go(s.world, func() { s.read(p, id, c, l) })
 	return id
@@ -302,7 +337,7 @@
 	SinceMS   float64 `json:"since_ms"` // in this state
 	Ups       int     `json:"ups"`
 	Updates   int     `json:"updates"`
-	Told      bool    `json:"told"` // has been sent all there is to say
+	Told      bool    `json:"told"` // all routes that are set have been written to it
 	LastError string  `json:"last_error,omitempty"`
 }
 
@@ -313,8 +348,7 @@
 	var out []PeerStatus
 	for _, p := range s.peers {
 		st := PeerStatus{Name: p.Cfg.Name, Addr: p.addr, State: p.State().String(), SinceMS: s.now() - p.LastChange, Ups: p.Ups, Updates: p.Updates}
-		at, ok := p.Place()
-		st.Told = ok && at == s.table.Version()
+		st.Told = p.State() == Established && s.sentAll(p)
 		if p.LastError != nil {
 			st.LastError = p.LastError.Error()
 		}
--- a/internal/runtime/writequeue/writequeue.go
+++ b/internal/runtime/writequeue/writequeue.go
@@ -142,10 +142,11 @@
 	o.flushWaiters = o.flushWaiters[:0]
 }
 
-func (o *Queue) idle() bool {
+// Idle reports whether all data is written and the queue still accepts data.
+func (o *Queue) Idle() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.pending) == 0 && !o.closed
+	return len(o.pending) == 0 && !o.writing && !o.closed
 }
 
 // closeConn closes the connection, or only its sending half if HalfClose is set, the
@@ -192,7 +193,7 @@
 		if cap(out) > maxIdleBuffer {
 			out = nil
 		}
-		if o.OnIdle != nil && o.idle() {
+		if o.OnIdle != nil && o.Idle() {
 			o.OnIdle()
 		}
 	}
