scheduler: time that a request lies unread in its socket counts for its deadline

Seen by callers: where the scheduler's process runs late, a request is answered late by as much, and its disk server is told more time than the client has left, so it works for clients that have given up. Cause: readAhead took the moment of the read for that of the arrival, but for the first request of a connection. A request that lay in its socket for 188 ms (trace below) got 188 ms too much; with the 0.15 s that the platform allows between clock and write, the sum passes the slack. A scratch copy that prints the kernel's arrival: 'request 3604588.5 timeout 204ms; request read 3604774.0, kernel had it by 3604586.0, clock for the time told 3604786.4, written 3604786.5; attempt 3604786.6 timeout 191ms'. Change: each read asks the kernel (TCP_INFO) since when the bytes are there and takes off what exceeds the clock's step of 10 ms; the clock is read before the kernel is asked, so a delay between the two makes the arrival earlier. Arrivals never go back on a connection.

--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -134,7 +134,8 @@
 	}
 }
 
-// maxListenQueueMS is the longest plausible time, ms, of a connection in the listener's queue.
+// maxListenQueueMS is the longest plausible time, ms, of a connection in the listener's queue, or
+// of bytes in a socket.
 const maxListenQueueMS = 60_000.0
 
 // arrivalTime returns when data last arrived on a connection that was just accepted, or else when it
--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -14,6 +14,9 @@
 	maxReadAhead      = 256 << 10
 	reservedReadAhead = 16 << 10
 	readAheadChunk    = 2 << 10
+	// kernelClockStepMS is the coarsest step of the kernel's times of arrival. Shorter waits in
+	// the socket are not told from none.
+	kernelClockStepMS = 10.0
 	// markIntervalMS is the resolution of arrival times: it bounds the number of marks of a
 	// request that arrives byte by byte.
 	markIntervalMS = 1.0
@@ -30,7 +33,9 @@
 	buffer    []byte
 	bytesRead int64 // total bytes read from the stream
 	marks     []arrivalMark
-	err       error // what ended the stream; timeouts are not recorded
+	// lastArrival is the time of the newest mark so far, ms: bytes arrive in order.
+	lastArrival float64
+	err         error // what ended the stream; timeouts are not recorded
 }
 
 // readAheadBudget bounds the bytes buffered for all clients together.
@@ -67,22 +72,41 @@
 // recordRead records the arrival of n bytes, or the end of the stream.
 func (a *readAhead) recordRead(n int, err error) {
 	if n > 0 {
-		now := a.now()
-		if a.bytesRead == 0 {
-			now = min(now, a.arrivedAt)
-		}
-		a.bytesRead += int64(n)
-		if count := len(a.marks); count > 0 && now-a.marks[count-1].time < markIntervalMS {
-			a.marks[count-1].offset = a.bytesRead
-		} else {
-			a.marks = append(a.marks, arrivalMark{a.bytesRead, now})
-		}
+		a.mark(int64(n))
 	}
 	if err != nil && err != env.ErrNoData && !env.IsTimeout(err) {
 		a.err = err
 	}
 }
 
+// mark records when n bytes that were just read had arrived.
+func (a *readAhead) mark(n int64) {
+	now := a.now()
+	first := a.bytesRead == 0
+	a.bytesRead += n
+	if count := len(a.marks); count > 0 && now-a.marks[count-1].time < markIntervalMS {
+		a.marks[count-1].offset = a.bytesRead
+		return
+	}
+	arrival := max(now-a.unreadTime(), a.lastArrival)
+	if first {
+		arrival = min(arrival, a.arrivedAt)
+	}
+	a.lastArrival = arrival
+	a.marks = append(a.marks, arrivalMark{a.bytesRead, arrival})
+}
+
+// unreadTime returns for how long, ms, the bytes that were just read had waited in the socket,
+// because this goroutine or the whole process ran late. It must be called after the clock was read,
+// so that a delay between the two makes the arrival earlier and not later.
+func (a *readAhead) unreadTime() float64 {
+	elapsed, known := env.SinceLastReceive(a.conn)
+	if ms := env.MS(elapsed); known && ms > kernelClockStepMS && ms <= maxListenQueueMS {
+		return ms - kernelClockStepMS
+	}
+	return 0
+}
+
 // full reports whether no more may be read ahead.
 func (a *readAhead) full() bool {
 	return len(a.buffer) >= maxReadAhead || len(a.buffer) >= reservedReadAhead && a.budget.exhausted()
