--- a/internal/control/scheduler/arrival_test.go
+++ b/internal/control/scheduler/arrival_test.go
@@ -119,3 +119,25 @@
 		}
 	})
 }
+
+// An attempt that waits, just before its write, for a list to be applied must tell its disk server no
+// more time than is left afterwards.
+func TestWaitForTheListCountsForTheTimeTold(t *testing.T) {
+	runOnSockets(t, longTimeouts.Replace, respondWith(ok200), func(h *harness, hooks *hookedEnv) {
+		reached, gate := h.blockWrites(hooks)
+		fmt.Fprint(h.connect().conn, strings.Replace(h.getRequest(), "0.480", "9.000", 1))
+		h.waitFor("a write is blocked", reached.Opened)
+		states := &h.scheduler.pool.serverStates
+		states.mu.Lock()
+		gate.Open()
+		startedAt := h.environment.Now()
+		env.Sleep(h.environment, 3*maxTimeoutExcess, nil)
+		delay := h.environment.Now() - startedAt
+		states.mu.Unlock()
+		h.waitFor("the disk server has received the request", func() bool { return len(h.diskServer.Requests()) > 0 })
+		timeout, err := time.ParseDuration(h.diskServer.Requests()[0].Fields.Get("request-timeout") + "s")
+		if limit := 9*time.Second - delay + maxTimeoutExcess; err != nil || timeout > limit {
+			t.Errorf("got Request-Timeout %s after a wait of %s, want at most %s", timeout, delay, limit)
+		}
+	})
+}
--- a/internal/control/scheduler/connpool.go
+++ b/internal/control/scheduler/connpool.go
@@ -342,7 +342,7 @@
 // The exchange's goroutine calls it just before the write: the process may have been descheduled
 // since the loop's decision, and the client, the deadline or the server's state may have changed.
 func (p *connPool) mayBegin(a *attempt, now float64, startedMS int64) bool {
-	return now <= a.beginBy && now < a.answerBy && !a.call.noNewAttempts.Load() && p.serverStates.allows(a.host, startedMS)
+	return p.serverStates.allows(a.host, startedMS) && !a.call.noNewAttempts.Load() && a.inTime(now)
 }
 
 // abandon gives up an attempt and returns how far it had come. The connection that carries it is
--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -212,6 +212,9 @@
 	k.effects.send(a)
 }
 
+// inTime reports whether the attempt's deadlines allow it to begin at time now.
+func (a *attempt) inTime(now float64) bool { return now <= a.beginBy && now < a.answerBy }
+
 // begin reports whether an attempt that got a connection may begin, and marks it as begun. One
 // past its deadline is cancelled and ends as not sent.
 func (k *core) begin(now float64, a *attempt) bool {
@@ -219,7 +222,7 @@
 	if a.outcomeKnown || a.timer.Value.cancelled {
 		return false
 	}
-	if k.now > a.beginBy || k.now >= a.answerBy {
+	if !a.inTime(k.now) {
 		k.cancel(a)
 		return false
 	}
