scheduler tests: a scenario's failure tells the machine's delay from the scheduler's

Cause: TestFaultScenarioOnRealSockets fails beside load with 'tells more time than its client has left', and nothing told how much of it was the scheduler's. Change: the stand-in disk server says how long a request lay in its socket (TCP_INFO); a violation of the time told says by how much, and how long the attempt lay there; a watcher looks at the clock every 2 ms and a failure lists when the process ran late.

--- a/internal/control/scheduler/faultscenario_test.go
+++ b/internal/control/scheduler/faultscenario_test.go
@@ -47,6 +47,7 @@
 	body       string
 	executed   bool          // the disk server executed the attempt
 	timeout    time.Duration // Request-Timeout of the request or attempt
+	unread     time.Duration // how long an attempt lay in the disk server's socket
 }
 
 // traceRules are the rules that a trace must satisfy.
@@ -113,7 +114,8 @@
 				continue
 			}
 			if e.timeout > request.occurredAt+request.timeout-e.occurredAt+r.maxTimeoutExcess {
-				report(*e, "Request-Timeout exceeds the client's time left")
+				excess := e.timeout - (request.occurredAt + request.timeout - e.occurredAt)
+				report(*e, fmt.Sprintf("Request-Timeout exceeds the client's time left by %s; the attempt lay in the disk server's socket for %s", excess, e.unread))
 			}
 			if disconnect != nil && e.occurredAt > disconnect.occurredAt+r.slack {
 				report(*e, "sent after the client disconnected")
@@ -192,9 +194,10 @@
 	rng          *rand.Rand
 	requestCount int
 
-	realTime      bool   // runs on the machine's clock, whose timers may be late
-	serverList    string // JSON of the current full list
-	watchesSilent bool   // open watches send nothing; new ones get the list
+	delays        *delayWatcher // of this process, in runs on real time; nil: none
+	realTime      bool          // runs on the machine's clock, whose timers may be late
+	serverList    string        // JSON of the current full list
+	watchesSilent bool          // open watches send nothing; new ones get the list
 	watches       []net.Conn
 
 	stopTime time.Duration // when the drain was begun; 0: not yet
@@ -226,7 +229,7 @@
 		if err != nil {
 			requestTimeout = time.Hour
 		}
-		s.record(traceEvent{kind: attemptReceived, id: id, server: server, executed: fault != 0, timeout: requestTimeout})
+		s.record(traceEvent{kind: attemptReceived, id: id, server: server, executed: fault != 0, timeout: requestTimeout, unread: request.Unread})
 		delay := time.Duration(2+s.randN(30)) * time.Millisecond
 		switch fault {
 		case 0:
@@ -437,6 +440,9 @@
 	for _, violation := range found[:min(len(found), 5)] {
 		t.Errorf("seed %d: %s", s.seed, violation)
 	}
+	if len(found) > 0 && s.delays != nil {
+		t.Log(s.delays.report())
+	}
 	counts := map[string]int{}
 	for _, e := range s.trace {
 		counts[fmt.Sprint(e.kind, e.status)]++
@@ -470,7 +476,10 @@
 func TestFaultScenarioOnRealSockets(t *testing.T) {
 	scenario := newFaultScenario(env.NewReal(), 1)
 	scenario.realTime = true
-	if err := scenario.run(); err != nil {
+	scenario.delays = watchDelays(scenario.environment)
+	err := scenario.run()
+	scenario.delays.stop()
+	if err != nil {
 		t.Fatal(err)
 	}
 	scenario.check(t)
--- a/internal/simulation/standin/http.go
+++ b/internal/simulation/standin/http.go
@@ -16,6 +16,9 @@
 	*http1.Request
 	Body       []byte
 	ReceivedAt time.Duration
+	// Unread is for how long the newest bytes had lain in the socket when the request had been read,
+	// 0 where that is unknown.
+	Unread time.Duration
 }
 
 // HTTPResponse is the reaction of an HTTPDiskServer to a request.
@@ -58,6 +61,7 @@
 			return
 		}
 		received := HTTPRequest{Conn: connIndex, Index: index, Request: request, Body: body, ReceivedAt: d.environment.Now()}
+		received.Unread, _ = env.SinceLastReceive(conn)
 		d.mu.Lock()
 		d.requests = append(d.requests, received)
 		d.mu.Unlock()
