scheduler: the log says that a configuration was read once it is in force

Seen by callers: a client that sends a request of a new class as soon as the log says 'configuration read again' gets 404. Cause: Reload logged first and gave the settings to the request parser last. Evidence: TestReloadIsLoggedOnceItIsInForce sends such a request while the line is being logged: 404 on, 200 now. Change: the line is logged last. Its words are as they were. Result: the tests of reloads and of signals pass, three times each.

--- a/internal/control/scheduler/lifecycle.go
+++ b/internal/control/scheduler/lifecycle.go
@@ -153,13 +153,13 @@
 // The new settings are posted to the core before the frontend uses them, so no request parsed
 // under them can reach the core before them.
 func (s *Scheduler) Reload(config *Config) {
-	s.log.Info("configuration read again", zap.String("discovery", config.Discovery))
 	s.discoveryClient.setAddress(config.Discovery)
 	s.loop.post(s.loop.now(), eventReload, func(occurredAt float64) {
 		s.pool.configure(config)
 		s.core.updateSettings(occurredAt, config.Settings)
 	})
 	s.applyConfig(config)
+	s.log.Info("configuration read again", zap.String("discovery", config.Discovery)) // last: requests of its classes are served from here on
 }
 
 // Drain stops the scheduler within the grace period: it accepts connections for a while, answers
