bgp: the speaker in plain words, its reader in two functions

Change: names and comments only, and read is split: handleMessage handles one message under the lock.

--- a/internal/protocol/bgp/speaker.go
+++ b/internal/protocol/bgp/speaker.go
@@ -24,20 +24,21 @@
 	Addr string // host:port
 }
 
-// Speaker is the shell of some peers: a goroutine for what each connection brings,
-// a write queue for what it is told, a timer for each peer.
+// Speaker runs the sessions with a set of peers and announces one table of routes to them. It has a
+// goroutine that reads and a write queue for each connection, and a timer for each peer. It is safe
+// for concurrent use.
 type Speaker struct {
-	world    env.Environment
-	log      *zap.Logger
-	listener net.Listener
-	mu       sync.Mutex
-	table    *Table
-	peers    []*neighbour
-	nextConn ConnID
-	closed   bool
-	tasks    env.WaitGroup
-	ctx      context.Context
-	cancel   context.CancelFunc
+	environment env.Environment
+	log         *zap.Logger
+	listener    net.Listener
+	mu          sync.Mutex
+	table       *Table
+	peers       []*neighbour
+	nextConn    ConnID
+	closed      bool
+	tasks       env.WaitGroup
+	ctx         context.Context
+	cancel      context.CancelFunc
 }
 
 type neighbour struct {
@@ -49,10 +50,10 @@
 	timerAt float64
 }
 
-// inOrder lists the connections by age.
-func (p *neighbour) inOrder() []ConnID { return slices.Sorted(maps.Keys(p.conns)) }
+// connIDs returns the peer's connections, the oldest first.
+func (p *neighbour) connIDs() []ConnID { return slices.Sorted(maps.Keys(p.conns)) }
 
-// link is a connection's writing half.
+// link is the write side of a connection.
 type link struct {
 	*writequeue.Queue
 	updating bool   // updates are queued; more are pulled once they are written
@@ -60,52 +61,54 @@
 	written  uint64 // version of the table up to which updates are written
 }
 
-func (l *link) put(data []byte) { l.Enqueue(func(b []byte) []byte { return append(b, data...) }) }
+func (l *link) send(data []byte) { l.Enqueue(func(b []byte) []byte { return append(b, data...) }) }
 
 const (
-	// outMost bounds what waits for a peer to read: a batch and some signs of life.
-	outMost = 1 << 20
-	// dialTime is for a connection to open.
-	dialTime = 2 * time.Second
-	// leastSend is the least time that a peer gets to take what it is sent: SendHold
-	// (RFC 9687) for sessions without a hold time.
-	leastSend = 10 * time.Second
-	// partTime is what a peer gets to take the last words.
-	partTime = time.Second
+	// maxQueuedBytes bounds the bytes queued for a peer: a batch of updates and some KEEPALIVEs.
+	maxQueuedBytes = 1 << 20
+	// dialTimeout bounds the time to open a connection.
+	dialTimeout = 2 * time.Second
+	// minWriteTimeout is the least timeout of a write: the SendHoldTime (RFC 9687) of sessions
+	// without a hold time.
+	minWriteTimeout = 10 * time.Second
+	// closeTimeout bounds the time in which a peer takes its last messages at Close.
+	closeTimeout = time.Second
 )
 
-// StartSpeaker starts a speaker; with listen "" it only dials.
-func StartSpeaker(w env.Environment, log *zap.Logger, listen string, list []Neighbour) (*Speaker, error) {
-	s := &Speaker{world: w, log: log, table: NewTable()}
+// StartSpeaker starts a speaker. If listen is empty, it only dials. It fails if it cannot listen.
+func StartSpeaker(environment env.Environment, log *zap.Logger, listen string, neighbours []Neighbour) (*Speaker, error) {
+	s := &Speaker{environment: environment, log: log, table: NewTable()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if listen != "" {
-		l, err := w.Listen("tcp", listen)
+		listener, err := environment.Listen("tcp", listen)
 		if err != nil {
 			return nil, err
 		}
-		s.listener = l
-		s.tasks.Go(w, s.accept)
+		s.listener = listener
+		s.tasks.Go(environment, s.accept)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, n := range list {
+	for _, n := range neighbours {
 		host, _, err := net.SplitHostPort(n.Addr)
 		if err != nil {
 			host = n.Addr
 		}
 		p := &neighbour{Peer: NewPeer(n.PeerConfig, s.table, s.jitter), addr: n.Addr, ip: host, conns: map[ConnID]*link{}, timerAt: math.Inf(1)}
 		s.peers = append(s.peers, p)
-		s.carry(p, p.Start(s.now()))
+		s.perform(p, p.Start(s.now()))
 	}
 	return s, nil
 }
 
-func (s *Speaker) now() float64 { return env.MS(s.world.Now()) }
+func (s *Speaker) now() float64 { return env.MS(s.environment.Now()) }
 
-// jitter is 0.75 to 1 (RFC 4271 section 10).
-func (s *Speaker) jitter() float64 { return 0.75 + 0.25*float64(s.world.RandomUint64()>>11)/(1<<53) }
+// jitter returns a random factor from 0.75 to 1 (RFC 4271 section 10).
+func (s *Speaker) jitter() float64 {
+	return 0.75 + 0.25*float64(s.environment.RandomUint64()>>11)/(1<<53)
+}
 
-// Addr is where the speaker listens, nil if nowhere.
+// Addr returns the address at which the speaker listens, nil if it does not.
 func (s *Speaker) Addr() net.Addr {
 	if s.listener == nil {
 		return nil
@@ -113,26 +116,27 @@
 	return s.listener.Addr()
 }
 
-// Set makes the announced set exactly that.
+// Set replaces the announced routes.
 func (s *Speaker) Set(routes []Route) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || s.table.Set(routes) == 0 {
 		return
 	}
-	low := s.table.Version()
+	sentToAll := s.table.Version()
 	for _, p := range s.peers {
-		s.pull(p)
-		if at, ok := p.Place(); ok {
-			low = min(low, at)
+		s.queueUpdates(p)
+		if version, established := p.Place(); established {
+			sentToAll = min(sentToAll, version)
 		}
 	}
-	s.table.Forget(low)
+	s.table.Forget(sentToAll)
 }
 
-// pull queues the updates that a peer has not been sent, on connections that have none queued.
-func (s *Speaker) pull(p *neighbour) {
-	for _, c := range p.inOrder() {
+// queueUpdates queues the updates that a peer has not been sent, on connections that have none queued.
+// The caller holds mu.
+func (s *Speaker) queueUpdates(p *neighbour) {
+	for _, c := range p.connIDs() {
 		l := p.conns[c]
 		if l.updating {
 			continue
@@ -144,7 +148,7 @@
 			continue
 		}
 		l.updating = true
-		l.put(updates)
+		l.send(updates)
 	}
 }
 
@@ -156,13 +160,13 @@
 		return
 	}
 	l.updating, l.written = false, l.queued
-	s.pull(p)
+	s.queueUpdates(p)
 }
 
 // sentAll reports whether all updates of the present table are written to an established peer. The
 // caller holds mu.
 func (s *Speaker) sentAll(p *neighbour) bool {
-	for _, c := range p.inOrder() {
+	for _, c := range p.connIDs() {
 		if p.EstablishedOn(c) {
 			return p.conns[c].written == s.table.Version()
 		}
@@ -183,33 +187,33 @@
 	return names
 }
 
-// carry does what a peer's core says. Held: mu.
-func (s *Speaker) carry(p *neighbour, outs []Out) {
+// perform carries out the actions of a peer's state machine. The caller holds mu.
+func (s *Speaker) perform(p *neighbour, outs []Out) {
 	for _, o := range outs {
 		switch o.Kind {
 		case OutDial:
-			s.tasks.Go(s.world, func() { s.dial(p) })
+			s.tasks.Go(s.environment, func() { s.dial(p) })
 		case OutSend:
-			if box := p.conns[o.Conn]; box != nil {
-				box.put(o.Data)
+			if l := p.conns[o.Conn]; l != nil {
+				l.send(o.Data)
 			}
 		case OutFinish:
-			if box := p.conns[o.Conn]; box != nil {
-				box.Finish()
+			if l := p.conns[o.Conn]; l != nil {
+				l.Finish()
 				delete(p.conns, o.Conn)
 			}
 		case OutUp:
 			s.log.Info("peer up", zap.String("peer", p.Cfg.Name))
-			s.pull(p)
+			s.queueUpdates(p)
 		case OutDown:
 			s.log.Warn("peer down", zap.String("peer", p.Cfg.Name), zap.Error(p.LastError))
 		}
 	}
-	s.arm(p)
+	s.setTimer(p)
 }
 
-// arm sets the peer's timer. Held: mu.
-func (s *Speaker) arm(p *neighbour) {
+// setTimer sets the peer's timer to its next deadline. The caller holds mu.
+func (s *Speaker) setTimer(p *neighbour) {
 	at := p.Next()
 	if at == p.timerAt {
 		return
@@ -220,79 +224,88 @@
 	if p.timerAt = at; math.IsInf(at, 1) || s.closed {
 		return
 	}
-	p.timer = s.world.AfterFunc(max(env.Duration(at-s.now()), 0)+time.Microsecond, func() {
+	p.timer = s.environment.AfterFunc(max(env.Duration(at-s.now()), 0)+time.Microsecond, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.closed {
 			return
 		}
 		p.timerAt = math.Inf(1)
-		s.carry(p, p.Tick(s.now()))
+		s.perform(p, p.Tick(s.now()))
 	})
 }
 
 func (s *Speaker) dial(p *neighbour) {
-	c, err := s.world.Dial(s.ctx, "tcp", p.addr, dialTime)
+	c, err := s.environment.Dial(s.ctx, "tcp", p.addr, dialTimeout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case err != nil:
 		p.LastError = err
-		s.carry(p, p.DialFailed(s.now()))
+		s.perform(p, p.DialFailed(s.now()))
 	case s.closed:
 		c.Close()
 	default:
-		id := s.open(p, c)
-		s.carry(p, p.Dialed(s.now(), id))
+		id := s.addConn(p, c)
+		s.perform(p, p.Dialed(s.now(), id))
 	}
 }
 
-// open makes a connection one of the peer's. Held: mu.
-func (s *Speaker) open(p *neighbour, c net.Conn) ConnID {
+// addConn adds a connection to a peer and starts to read from it. The caller holds mu.
+func (s *Speaker) addConn(p *neighbour, c net.Conn) ConnID {
 	s.nextConn++
 	id := s.nextConn
-	l := &link{Queue: writequeue.New(s.world, c, outMost, max(env.Duration(2*p.Cfg.Times.Hold), leastSend))}
+	l := &link{Queue: writequeue.New(s.environment, c, maxQueuedBytes, max(env.Duration(2*p.Cfg.Times.Hold), minWriteTimeout))}
 	l.OnIdle = func() { s.updatesWritten(p, id, l) }
 	p.conns[id] = l
-	s.tasks.Go(s.world, func() { s.read(p, id, c, l) })
+	s.tasks.Go(s.environment, func() { s.read(p, id, c, l) })
 	return id
 }
 
-func (s *Speaker) read(p *neighbour, id ConnID, c net.Conn, o *link) {
-	r := NewReader(bufio.NewReaderSize(c, MaxLen))
+// read handles a connection's messages until it ends, and closes it.
+func (s *Speaker) read(p *neighbour, id ConnID, conn net.Conn, l *link) {
+	reader := NewReader(bufio.NewReaderSize(conn, MaxLen))
 	for {
-		t, body, err := r.Next()
-		s.mu.Lock()
-		if s.closed {
-			s.mu.Unlock()
+		messageType, body, err := reader.Next()
+		if !s.handleMessage(p, id, l, messageType, body, err) {
 			break
 		}
-		var n *Notification
-		switch {
-		case errors.As(err, &n):
-			s.carry(p, p.Bad(s.now(), id, n))
-		case err != nil:
-			if p.conns[id] == o {
-				p.LastError = fmt.Errorf("bgp: connection over: %w", err)
-			}
-			s.carry(p, p.Lost(s.now(), id))
-		default:
-			s.carry(p, p.Message(s.now(), id, t, body))
-		}
-		live := p.conns[id] == o
-		if live && err == nil && t == TypeRouteRefresh {
-			s.pull(p)
-		}
-		if err != nil {
-			delete(p.conns, id)
-		}
-		s.mu.Unlock()
-		if err != nil || !live {
-			break
+	}
+	l.Finish()
+	l.Wait()
+}
+
+// handleMessage handles a message or the error that ended the connection. It reports whether more is
+// to be read.
+func (s *Speaker) handleMessage(p *neighbour, id ConnID, l *link, messageType Type, body []byte, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	var notification *Notification
+	switch {
+	case errors.As(err, &notification):
+		s.perform(p, p.Bad(s.now(), id, notification))
+	case err != nil:
+		if p.conns[id] == l {
+			p.LastError = fmt.Errorf("bgp: connection over: %w", err)
 		}
+		s.perform(p, p.Lost(s.now(), id))
+	default:
+		s.perform(p, p.Message(s.now(), id, messageType, body))
+	}
+	if err != nil {
+		delete(p.conns, id)
+		return false
+	}
+	if p.conns[id] != l {
+		return false
+	}
+	if messageType == TypeRouteRefresh {
+		s.queueUpdates(p)
 	}
-	o.Finish()
-	o.Wait()
+	return true
 }
 
 func (s *Speaker) accept() {
@@ -302,21 +315,22 @@
 			return
 		}
 		s.mu.Lock()
-		p := s.find(c)
+		p := s.findPeer(c)
 		if p == nil || s.closed {
 			s.mu.Unlock()
 			c.Close()
 			s.log.Warn("connection from no peer", zap.Stringer("from", c.RemoteAddr()))
 			continue
 		}
-		id := s.open(p, c)
-		s.carry(p, p.Accepted(s.now(), id))
+		id := s.addConn(p, c)
+		s.perform(p, p.Accepted(s.now(), id))
 		s.mu.Unlock()
 	}
 }
 
-// find is the peer of that address; of several, one that is not established.
-func (s *Speaker) find(c net.Conn) (found *neighbour) {
+// findPeer returns the peer with the connection's remote address, nil if there is none. Of several
+// peers it prefers one that is not established.
+func (s *Speaker) findPeer(c net.Conn) (found *neighbour) {
 	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
 	if err != nil {
 		return nil
@@ -329,7 +343,7 @@
 	return found
 }
 
-// PeerStatus is what operators see of a peer.
+// PeerStatus is the state of a peer, as shown to operators.
 type PeerStatus struct {
 	Name      string  `json:"name"`
 	Addr      string  `json:"addr"`
@@ -341,7 +355,7 @@
 	LastError string  `json:"last_error,omitempty"`
 }
 
-// Status lists the peers.
+// Status returns the state of each peer.
 func (s *Speaker) Status() []PeerStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -357,8 +371,8 @@
 	return out
 }
 
-// Close ends every session with a Cease that carries the text, waits until that is
-// out or the peer takes nothing, and ends all goroutines.
+// Close sends the updates that are left and a Cease NOTIFICATION with the text to every peer, closes
+// the connections and waits for all goroutines. A peer that takes too long is cut off.
 func (s *Speaker) Close(text string) {
 	s.mu.Lock()
 	if s.closed {
@@ -367,25 +381,25 @@
 	}
 	var links []*link
 	for _, p := range s.peers {
-		for _, c := range p.inOrder() {
+		for _, c := range p.connIDs() {
 			l := p.conns[c]
 			links = append(links, l)
 			for b := p.Pull(c); len(b) > 0; b = p.Pull(c) { // withdrawals go before the end
-				l.put(b)
+				l.send(b)
 			}
 		}
-		s.carry(p, p.Stop(s.now(), Shutdown(CeaseShutdown, text)))
+		s.perform(p, p.Stop(s.now(), Shutdown(CeaseShutdown, text)))
 	}
-	late := s.world.AfterFunc(partTime, func() {
+	late := s.environment.AfterFunc(closeTimeout, func() {
 		for _, l := range links {
 			l.Abort()
 		}
 	})
 	defer late.Stop()
-	s.end()
+	s.stop()
 }
 
-// Kill ends all connections at once, without a word, as the end of the process would.
+// Kill closes all connections at once without a NOTIFICATION, as the end of the process would.
 func (s *Speaker) Kill() {
 	s.mu.Lock()
 	if s.closed {
@@ -393,15 +407,15 @@
 		return
 	}
 	for _, p := range s.peers {
-		for _, c := range p.inOrder() {
+		for _, c := range p.connIDs() {
 			p.conns[c].Abort()
 		}
 	}
-	s.end()
+	s.stop()
 }
 
-// end stops what runs. It gives up mu.
-func (s *Speaker) end() {
+// stop stops timers and goroutines and waits for them. The caller holds mu, which stop releases.
+func (s *Speaker) stop() {
 	s.closed = true
 	s.cancel()
 	for _, p := range s.peers {
@@ -413,5 +427,5 @@
 	if s.listener != nil {
 		s.listener.Close()
 	}
-	s.tasks.Wait(s.world)
+	s.tasks.Wait(s.environment)
 }
