gateway: an attempt behind a slow write is permitted once that write is done

Cause: serverConn.begin permitted an attempt when it was buffered. The bytes went out when the write before them was done. Evidence: TestAttemptsBehindSlowWriteAreCheckedAgain holds a write, ends the request of the attempt behind it, and fails on (its frame goes out). Change: an attempt that comes while a write is in progress waits with those that wait for the handshake; the write queue's OnIdle begins them, which looks at each again. Until then the host may still withdraw it.

--- a/internal/control/gateway/connpool.go
+++ b/internal/control/gateway/connpool.go
@@ -71,7 +71,7 @@
 	retired     bool // it gets no new attempts and is closed when none is outstanding
 	conn        net.Conn
 	writes      *writequeue.Queue
-	waiting     []*attempt          // for the handshake
+	waiting     []*attempt          // for the handshake, or for the end of the write in progress
 	outstanding map[uint32]*attempt // sent, neither answered nor timed out, by tag
 	lastTag     uint32
 	lastReadAt  time.Duration
@@ -157,14 +157,16 @@
 	return !sc.closed && !sc.retired
 }
 
-// send begins an attempt, or keeps it until the handshake is complete.
+// send begins an attempt, or keeps it until the handshake is complete and no write is in progress. An
+// attempt that began while a slow server does not read would be sent later whatever had happened to
+// its request meanwhile.
 func (sc *serverConn) send(a *attempt) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	switch {
 	case sc.closed:
 		sc.postFailure(a, policy.NoConnection)
-	case sc.established:
+	case sc.established && len(sc.waiting) == 0 && !sc.writes.Writing():
 		sc.begin(a)
 		sc.pool.host.flushAfterBatch(sc.writes)
 	default:
@@ -172,6 +174,21 @@
 	}
 }
 
+// beginWaiting begins the attempts that waited for the end of a write. The write queue calls it when
+// all that was buffered is written.
+func (sc *serverConn) beginWaiting() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if !sc.established || sc.closed {
+		return // the handshake begins them, or endAttempts ends them
+	}
+	for _, a := range sc.waiting {
+		sc.begin(a)
+	}
+	sc.waiting = nil
+	sc.writes.Flush()
+}
+
 // begin buffers the attempt's frame; the caller flushes the write queue. An attempt past its
 // deadline, or whose job ended while it waited, ends as not sent. The caller holds mu.
 func (sc *serverConn) begin(a *attempt) {
@@ -239,6 +256,7 @@
 
 func (sc *serverConn) serve(conn net.Conn) error {
 	writes := writequeue.New(sc.pool.environment, conn, maxQueuedWriteBytes, writeTimeout)
+	writes.OnIdle = sc.beginWaiting
 	defer writes.Wait()
 	defer writes.Abort()
 	sc.mu.Lock()
--- a/internal/control/gateway/permit_test.go
+++ b/internal/control/gateway/permit_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
 	"math"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -129,3 +131,45 @@
 		h.stop()
 	}
 }
+
+// An attempt behind a write that a slow disk server holds up must not be sent once its request has
+// ended; the others must be sent when the write is done.
+func TestAttemptsBehindSlowWriteAreCheckedAgain(t *testing.T) {
+	environment := env.NewReal()
+	h := newHost(environment, settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
+	defer h.stop()
+	poolEnd, serverEnd := net.Pipe() // a write on it ends when it has been read
+	conn := &serverConn{pool: h.pool, outstanding: map[uint32]*attempt{}, conn: poolEnd, established: true}
+	conn.writes = writequeue.New(environment, poolEnd, 1<<20, time.Minute)
+	conn.writes.OnIdle = conn.beginWaiting
+	attempts := make([]*attempt, 3)
+	for i := range attempts {
+		attempts[i] = &attempt{job: &job{owner: discardOwner{}}, answerBy: env.MS(environment.Now()) + 60_000, beginBy: math.Inf(1)}
+	}
+	h.runAndWait(func(*core) { conn.send(attempts[0]) })
+	for !conn.writes.Writing() {
+		runtime.Gosched()
+	}
+	h.runAndWait(func(*core) {
+		conn.send(attempts[1])
+		conn.send(attempts[2])
+	})
+	attempts[1].job.markEnded()
+	reader := diskproto.NewReader(bufio.NewReader(serverEnd))
+	for i, want := range []*attempt{attempts[0], attempts[2]} {
+		frame, err := reader.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.mu.Lock()
+		got := conn.outstanding[frame.Tag]
+		conn.mu.Unlock()
+		if got != want {
+			t.Errorf("frame %d: got the attempt of an ended request, or none, want that of an open one", i)
+		}
+	}
+	conn.writes.Finish()
+	if rest, err := io.ReadAll(serverEnd); err != nil || len(rest) > 0 {
+		t.Errorf("got %d more bytes, error %v, want none", len(rest), err)
+	}
+}
--- a/internal/runtime/writequeue/writequeue.go
+++ b/internal/runtime/writequeue/writequeue.go
@@ -149,6 +149,13 @@
 	return len(o.pending) == 0 && !o.writing && !o.closed
 }
 
+// Writing reports whether a write is in progress. Data that is enqueued now waits until it ends.
+func (o *Queue) Writing() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.writing
+}
+
 // closeConn closes the connection, or only its sending half if HalfClose is set, the
 // connection supports that and the queue was not aborted.
 func (o *Queue) closeConn() {
