gateway tests: a fake disk server is used once the gateway has applied the list with it

Cause: startFakeDiskServer changed the inventory and returned; a test that sends at once may still reach the disk servers of before. Checks are as they were.

--- a/internal/control/gateway/fakedisk_test.go
+++ b/internal/control/gateway/fakedisk_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -119,8 +120,8 @@
 	return append([]diskproto.Do(nil), s.received...)
 }
 
-// startFakeDiskServer removes the disk servers of all shards from the inventory and lists one
-// fakeDiskServer for each shard instead.
+// startFakeDiskServer removes the disk servers of all shards from the inventory, lists one
+// fakeDiskServer for each shard instead, and waits until the gateway has applied that list.
 func (h *harness) startFakeDiskServer(handle func(attempt *receivedAttempt, request diskproto.Do)) *fakeDiskServer {
 	server := newFakeDiskServer(h.t, h.environment)
 	server.handle = handle
@@ -130,5 +131,8 @@
 			book.Set(inventory.Node{Addr: server.listener.Addr().String(), Health: inventory.Ready, Shard: i, Zone: "hall-a", Weight: 1, Incarnation: 9}, 0)
 		}
 	})
+	h.waitFor("the gateway lists the fake disk server alone", func() bool {
+		return slices.Equal(h.gateway.ListedNodes(), []string{server.listener.Addr().String()})
+	})
 	return server
 }
