--- a/internal/control/scheduler/hookedenv_test.go
+++ b/internal/control/scheduler/hookedenv_test.go
@@ -104,6 +104,12 @@
 // runOnSockets runs test with a scheduler, a simulated disk server and discovery service on
 // loopback sockets. editConfig, if not nil, changes the configuration's JSON.
 func runOnSockets(t *testing.T, editConfig func(string) string, respond func(standin.HTTPRequest) standin.HTTPResponse, test func(h *harness, hooks *hookedEnv)) {
+	t.Helper()
+	runOnSocketsWithLog(t, zap.NewNop(), editConfig, respond, test)
+}
+
+// runOnSocketsWithLog is runOnSockets with a log of the scheduler.
+func runOnSocketsWithLog(t *testing.T, log *zap.Logger, editConfig func(string) string, respond func(standin.HTTPRequest) standin.HTTPResponse, test func(h *harness, hooks *hookedEnv)) {
 	t.Helper()
 	hooks := &hookedEnv{Real: env.NewReal()}
 	h := &harness{t: t, environment: hooks, schedulerAddr: "127.0.0.1:0"}
@@ -127,7 +133,7 @@
 	}
 	config, err := ParseConfig([]byte(configJSON), func(string) string { return "" })
 	must(err)
-	h.scheduler, err = Start(hooks, config, zap.NewNop())
+	h.scheduler, err = Start(hooks, config, log)
 	must(err)
 	defer h.scheduler.Close()
 	defer func() {
