scheduler tests: the allowed excess stands once; a test has the name of what it guards

Cause: arrival_test.go had the 0.15 s of scenarioRules a second time, and TestArrivalTimesDoNotGoBack guards against the time in the socket of one request counting for the next. Change: the tests use scenarioRules.maxTimeoutExcess; the test is TestTimeInTheSocketDoesNotCountForTheNextRequest. Bounds and checks are as they were.

--- a/internal/control/scheduler/arrival_test.go
+++ b/internal/control/scheduler/arrival_test.go
@@ -14,8 +14,9 @@
 // The tests in this file hold up goroutines of the scheduler between the arrival of a request and the
 // write of its attempt.
 
-// maxTimeoutExcess is how far the platform lets Request-Timeout exceed the time that a client has left.
-const maxTimeoutExcess = 150 * time.Millisecond
+// heldUpTime is for how long the tests hold up a goroutine: well over the excess of Request-Timeout
+// that the platform allows.
+var heldUpTime = 3 * scenarioRules.maxTimeoutExcess
 
 // heldReadConn holds back what its reads return while gate is set and not open.
 type heldReadConn struct {
@@ -63,12 +64,12 @@
 		gate := holdNextRead()
 		fmt.Fprint(client.conn, strings.Replace(h.getRequest(), "0.480", "9.000", 1))
 		sentAt := h.environment.Now()
-		env.Sleep(h.environment, 3*maxTimeoutExcess, nil)
+		env.Sleep(h.environment, heldUpTime, nil)
 		delay := h.environment.Now() - sentAt
 		gate.Open()
 		h.waitFor("the disk server has received the request", func() bool { return len(h.diskServer.Requests()) > 1 })
 		timeout, err := time.ParseDuration(h.diskServer.Requests()[1].Fields.Get("request-timeout") + "s")
-		if limit := 9*time.Second - delay + maxTimeoutExcess; err != nil || timeout > limit {
+		if limit := 9*time.Second - delay + scenarioRules.maxTimeoutExcess; err != nil || timeout > limit {
 			t.Errorf("got Request-Timeout %s after %s in the socket, want at most %s", timeout, delay, limit)
 		}
 	})
@@ -99,12 +100,12 @@
 }
 
 // The time in the socket of one request must not count for the next on its connection.
-func TestArrivalTimesDoNotGoBack(t *testing.T) {
+func TestTimeInTheSocketDoesNotCountForTheNextRequest(t *testing.T) {
 	runOnSockets(t, longTimeouts.Replace, respondWith(ok200), func(h *harness, hooks *hookedEnv) {
 		client, holdNextRead := connectHeld(h, hooks)
 		gate := holdNextRead()
 		fmt.Fprint(client.conn, strings.Replace(h.getRequest(), "0.480", "9.000", 1))
-		env.Sleep(h.environment, 3*maxTimeoutExcess, nil)
+		env.Sleep(h.environment, heldUpTime, nil)
 		gate.Open()
 		if got := client.readResponse(h.environment.Now()); got.status != 200 {
 			t.Fatalf("second request: got %+v, want status 200", got)
@@ -131,12 +132,12 @@
 		states.mu.Lock()
 		gate.Open()
 		startedAt := h.environment.Now()
-		env.Sleep(h.environment, 3*maxTimeoutExcess, nil)
+		env.Sleep(h.environment, heldUpTime, nil)
 		delay := h.environment.Now() - startedAt
 		states.mu.Unlock()
 		h.waitFor("the disk server has received the request", func() bool { return len(h.diskServer.Requests()) > 0 })
 		timeout, err := time.ParseDuration(h.diskServer.Requests()[0].Fields.Get("request-timeout") + "s")
-		if limit := 9*time.Second - delay + maxTimeoutExcess; err != nil || timeout > limit {
+		if limit := 9*time.Second - delay + scenarioRules.maxTimeoutExcess; err != nil || timeout > limit {
 			t.Errorf("got Request-Timeout %s after a wait of %s, want at most %s", timeout, delay, limit)
 		}
 	})
