gateway: attempts behind a slow write end as not sent where their connection is retired

Seen by callers: where a connection is retired (new keys, a node that leaves) while attempts wait behind a write, they went out on it after a Bye, or counted as no connection against a disk server that did nothing wrong. Found by reading again, which let them wait. Cause: beginWaiting began them whatever had become of the connection, and endAttempts knew one result for all that wait. Change: a retired connection begins nothing more; on one that was established, what waits ends as not sent, which the policy sends elsewhere. On one that breaks it is no connection, as before.

--- a/internal/control/gateway/connpool.go
+++ b/internal/control/gateway/connpool.go
@@ -183,6 +183,10 @@
 		return // the handshake begins them, or endAttempts ends them
 	}
 	for _, a := range sc.waiting {
+		if sc.retired {
+			sc.postFailure(a, policy.NotSent)
+			continue
+		}
 		sc.begin(a)
 	}
 	sc.waiting = nil
@@ -408,11 +412,16 @@
 }
 
 // endAttempts removes an ended connection from the pool and ends its attempts: those that waited
-// were certainly not sent, the outstanding ones may have been executed.
+// were certainly not sent, the outstanding ones may have been executed. The end of a retired
+// connection says nothing of the disk server.
 func (sc *serverConn) endAttempts() {
 	sc.mu.Lock()
 	sc.closed = true
 	waiting, outstanding := sc.waiting, sc.outstanding
+	waitingResult := policy.NoConnection
+	if sc.established && sc.retired {
+		waitingResult = policy.NotSent
+	}
 	sc.waiting, sc.outstanding = nil, nil
 	sc.mu.Unlock()
 	sc.pool.mu.Lock()
@@ -422,7 +431,7 @@
 	}
 	sc.pool.mu.Unlock()
 	for _, a := range waiting {
-		sc.postFailure(a, policy.NoConnection)
+		sc.postFailure(a, waitingResult)
 	}
 	for _, a := range sortedByTag(outstanding) {
 		sc.postFailure(a, policy.ConnectionLost)
--- a/internal/control/gateway/permit_test.go
+++ b/internal/control/gateway/permit_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/control/settings"
+	"merlinhitch/internal/observe/metrics"
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/writequeue"
@@ -132,28 +133,35 @@
 	}
 }
 
-// An attempt behind a write that a slow disk server holds up must not be sent once its request has
-// ended; the others must be sent when the write is done.
-func TestAttemptsBehindSlowWriteAreCheckedAgain(t *testing.T) {
-	environment := env.NewReal()
-	h := newHost(environment, settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
-	defer h.stop()
-	poolEnd, serverEnd := net.Pipe() // a write on it ends when it has been read
-	conn := &serverConn{pool: h.pool, outstanding: map[uint32]*attempt{}, conn: poolEnd, established: true}
-	conn.writes = writequeue.New(environment, poolEnd, 1<<20, time.Minute)
+// newSlowConn returns an established connection whose writes end when serverEnd reads them. It has
+// begun to write the first of the attempts, and the others wait for the end of that write.
+func newSlowConn(h *host, attempts []*attempt) (conn *serverConn, serverEnd net.Conn) {
+	poolEnd, serverEnd := net.Pipe()
+	conn = &serverConn{pool: h.pool, outstanding: map[uint32]*attempt{}, conn: poolEnd, established: true}
+	conn.writes = writequeue.New(h.environment, poolEnd, 1<<20, time.Minute)
 	conn.writes.OnIdle = conn.beginWaiting
-	attempts := make([]*attempt, 3)
 	for i := range attempts {
-		attempts[i] = &attempt{job: &job{owner: discardOwner{}}, answerBy: env.MS(environment.Now()) + 60_000, beginBy: math.Inf(1)}
+		attempts[i] = &attempt{job: &job{owner: discardOwner{}}, node: "n", answerBy: env.MS(h.environment.Now()) + 60_000, beginBy: math.Inf(1)}
 	}
 	h.runAndWait(func(*core) { conn.send(attempts[0]) })
 	for !conn.writes.Writing() {
 		runtime.Gosched()
 	}
 	h.runAndWait(func(*core) {
-		conn.send(attempts[1])
-		conn.send(attempts[2])
+		for _, a := range attempts[1:] {
+			conn.send(a)
+		}
 	})
+	return conn, serverEnd
+}
+
+// An attempt behind a write that a slow disk server holds up must not be sent once its request has
+// ended; the others must be sent when the write is done.
+func TestAttemptsBehindSlowWriteAreCheckedAgain(t *testing.T) {
+	h := newHost(env.NewReal(), settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
+	defer h.stop()
+	attempts := make([]*attempt, 3)
+	conn, serverEnd := newSlowConn(h, attempts)
 	attempts[1].job.markEnded()
 	reader := diskproto.NewReader(bufio.NewReader(serverEnd))
 	for i, want := range []*attempt{attempts[0], attempts[2]} {
@@ -173,3 +181,47 @@
 		t.Errorf("got %d more bytes, error %v, want none", len(rest), err)
 	}
 }
+
+// Attempts behind a slow write on a connection that is retired meanwhile must end as not sent, which
+// does not count against the disk server, unlike those on a connection that breaks.
+func TestAttemptsBehindSlowWriteOfRetiredConnection(t *testing.T) {
+	for name, tt := range map[string]struct {
+		retired bool
+		end     func(conn *serverConn, serverEnd net.Conn)
+		want    policy.Result
+	}{
+		"write ends":                {true, func(_ *serverConn, serverEnd net.Conn) { io.CopyN(io.Discard, serverEnd, 1<<20) }, policy.NotSent},
+		"connection ends":           {true, func(conn *serverConn, _ net.Conn) { conn.endAttempts() }, policy.NotSent},
+		"unretired connection ends": {false, func(conn *serverConn, _ net.Conn) { conn.endAttempts() }, policy.NoConnection},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(env.NewReal(), settings.Example(1, 1), 0, "h0", "z0", nil, zap.NewNop())
+			defer h.stop()
+			attempts := make([]*attempt, 2)
+			conn, serverEnd := newSlowConn(h, attempts)
+			defer serverEnd.Close()
+			defer conn.writes.Abort()
+			conn.mu.Lock()
+			conn.retired = tt.retired
+			conn.mu.Unlock()
+			go tt.end(conn, serverEnd)
+			for attempts[1].state.Load() == attemptWaiting {
+				runtime.Gosched()
+			}
+			if attempts[1].state.Load() != attemptDropped {
+				t.Fatal("the attempt was sent, want it dropped")
+			}
+			var got metrics.Attempts
+			for got[policy.NotSent]+got[policy.NoConnection] == 0 {
+				h.runAndWait(func(c *core) {
+					if counts := c.counters.attempts["n"]; counts != nil {
+						got = *counts
+					}
+				})
+			}
+			if got[tt.want] != 1 {
+				t.Errorf("got results %v, want one of %d", got, tt.want)
+			}
+		})
+	}
+}
