review: case 3, requests far behind others on a connection are answered after their time

Rule: a request has to get its final answer; later than half a second after its time it is lost.

The scheduler answers in order and brings the open request's end forward to the time of those behind it, but looks at 64 of them only.

The case starts one scheduler; discovery, a sound disk server and the client are stand-ins.

--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -22,3 +22,5 @@
 func TestCase1(t *testing.T) { runCase(t, "1") }
 
 func TestCase2(t *testing.T) { runCase(t, "2") }
+
+func TestCase3(t *testing.T) { runCase(t, "3") }
