review: cases end their processes after an error in a goroutine; closed connections are not judged

Case 1: an error in a goroutine ended the driver without ending the processes that it had started. The harness keeps it now, ends them and exits with 2. Case 2: a command whose connection had ended counted as one without an answer, which is stricter than its claim; it is noted in the record and not judged.

--- a/review/1/drive/main.go
+++ b/review/1/drive/main.go
@@ -80,17 +80,18 @@
 	}()
 	var open sync.WaitGroup
 	for i := range fillers { // reads of blocks on shard 0
-		open.Go(func() { billing.read(ctx, first+1+uint64(i%30), 1) })
+		c.Go(&open, func() { billing.read(ctx, first+1+uint64(i%30), 1) })
 	}
 	time.Sleep(10 * time.Millisecond)
 	var written iscsi.Result
-	open.Go(func() { written = billing.write(ctx, "W1", first, 2) })
+	c.Go(&open, func() { written = billing.write(ctx, "W1", first, 2) })
 	time.Sleep(20 * time.Millisecond)
 	seen := backup.read(ctx, first, 1)
 	overwritten := backup.write(ctx, "W2", first, 1)
 	registered := backup.register(ctx, 0xb2)
 	length := <-resumed
 	open.Wait()
+	c.Sound()
 	after := backup.read(ctx, first, 1)
 	c.Log("disk0 stood still for %s (0 without the disruption)", length)
 	harness.Need(!c.Trouble || length <= standStillMax, "disk0 stood still for %s", length)
--- a/review/2/drive/main.go
+++ b/review/2/drive/main.go
@@ -140,7 +140,8 @@
 				id := l.begin(fmt.Sprintf("%s of session %d", what, number))
 				result, err := s.Do(ctx, cdb, nil, size)
 				if err != nil {
-					return // the case ends
+					l.closed(id, err)
+					return
 				}
 				l.end(id, result.Status)
 				if result.Status == scsi.Busy {
@@ -169,6 +170,14 @@
 	}
 }
 
+// closed forgets a command whose connection has ended: only those on open connections are judged.
+func (l *load) closed(id int, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.c.Log("not judged: %s: %v", l.open[id].what, err)
+	delete(l.open, id)
+}
+
 // lost returns the commands that are overdue.
 func (l *load) lost() (overdueCommands []command) {
 	l.mu.Lock()
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -36,7 +36,8 @@
 	record    *bufio.Writer
 	file      *os.File
 	processes []*Process
-	held      bool // all that was checked so far held
+	held      bool  // all that was checked so far held
+	failed    error // of a goroutine that Go started: the case can't run
 }
 
 // CantRun ends a case that could not run.
@@ -124,6 +125,35 @@
 	c.mu.Unlock()
 }
 
+// Go runs f on a goroutine that work counts. An end of the case in f is kept for Sound.
+func (c *Case) Go(work *sync.WaitGroup, f func()) {
+	work.Go(func() {
+		defer func() {
+			p := recover()
+			if p == nil {
+				return
+			}
+			cant, ok := p.(CantRun)
+			if !ok {
+				c.endAll()
+				panic(p)
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.failed = cant.Err
+		}()
+		f()
+	})
+}
+
+// Sound ends the case if a goroutine of Go could not go on.
+func (c *Case) Sound() {
+	c.mu.Lock()
+	err := c.failed
+	c.mu.Unlock()
+	Must(err)
+}
+
 // Must ends a case that can't run.
 func Must(err error) {
 	if err != nil {
