scheduler: a response is forwarded once what follows it shows that it is whole

Cause: readReply looked for the rest of the body only in what its read buffer of 4 KiB held already. A rest that lay in the socket, or came some milliseconds later, was seen by the connection's quarantine of 8 ms, but the response had been forwarded before that began. Evidence: in the case's record the client gets 4,055 or 4,096 of 8,192 bytes, and the next request goes over a new connection: the quarantine had seen the rest. Change: replyReceived begins the quarantine, quarantineEnded forwards the response. Other bytes behind it: server error; a reset: connection lost; a second response or a clean end: forwarded, connection closed. The time of arrival is the end of the service time, and the attempt's time-out gives way to the request's expiry. The log says "response not forwarded". Why it works: the connection carries one request at a time, so each byte behind a response and before the next request belongs to that response or contradicts it.

--- a/internal/control/scheduler/attemptresult_test.go
+++ b/internal/control/scheduler/attemptresult_test.go
@@ -20,6 +20,7 @@
 	}{
 		"complete response":               {standin.HTTPResponse{Raw: []byte(ok200)}, policy.Served},
 		"complete response, then close":   {standin.HTTPResponse{Raw: []byte(ok200), Close: true}, policy.Served},
+		"complete response, then reset":   {standin.HTTPResponse{Raw: []byte(ok200), Reset: true}, policy.ConnectionLost},
 		"chunked response":                {standin.HTTPResponse{Raw: []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: y\r\n\r\n")}, policy.Served},
 		"response after 1xx":              {standin.HTTPResponse{Raw: []byte("HTTP/1.1 102 Wait\r\n\r\n" + ok200)}, policy.Served},
 		"body delimited by close":         {standin.HTTPResponse{Raw: []byte("HTTP/1.1 200 OK\r\n\r\nhi"), Close: true}, policy.Served},
--- a/internal/control/scheduler/connpool.go
+++ b/internal/control/scheduler/connpool.go
@@ -29,10 +29,6 @@
 	maxResponseBytes    = 1 << 20
 	maxHTTPMessageBytes = 80 << 10 // head and body within messageLimits
 	writeTimeout        = 5 * time.Second
-	// quarantineTime is how long a connection is read after a response before it is reused:
-	// surplus bytes, such as a duplicate of the response a few milliseconds later, must not
-	// be taken for the response to the next request.
-	quarantineTime = 8 * time.Millisecond
 	// idleKeepFraction is the part of the disk servers' idle timeout for which a connection
 	// is kept here. A request sent while the server closes the connection would end in a reset.
 	idleKeepFraction = 0.6
@@ -98,7 +94,7 @@
 const (
 	connIdle        connState = iota // no response is outstanding, and no goroutine reads it
 	connBusy                         // it carries an attempt, and a goroutine runs the exchange
-	connQuarantined                  // after a response; the goroutine still reads for surplus bytes
+	connQuarantined                  // after a response; the goroutine still reads what follows it
 	connClosed
 )
 
@@ -418,7 +414,8 @@
 
 // The methods below handle the events that an exchange's goroutine posts to the loop.
 
-func (p *connPool) replyReceived(occurredAt float64, sc *serverConn, a *attempt, r reply, reusable bool) {
+// replyReceived handles a response that has been read and whose quarantine begins.
+func (p *connPool) replyReceived(occurredAt float64, sc *serverConn, a *attempt, reusable bool) {
 	sc.server.lastActiveAt = occurredAt
 	if sc.idleBefore > 0 {
 		p.reuse.record(occurredAt, sc.idleBefore, false)
@@ -426,22 +423,24 @@
 	if reusable && sc.state == connBusy {
 		sc.state, sc.attempt = connQuarantined, nil
 		sc.server.expectedConns++
-	} else {
-		p.discard(sc)
 	}
-	p.core.receiveReply(occurredAt, a, r)
+	p.core.replyReceived(occurredAt, a)
 }
 
-func (p *connPool) quarantineEnded(occurredAt float64, sc *serverConn, noInput bool) {
-	switch {
-	case sc.state != connQuarantined:
-	case !noInput:
-		p.discard(sc)
-	default:
+// quarantineEnded forwards a response whose quarantine is over, and frees its connection.
+func (p *connPool) quarantineEnded(occurredAt float64, sc *serverConn, a *attempt, r reply, followedBy following) {
+	if confirmed := followedBy.confirm(r.result); confirmed != r.result {
+		p.log.replyNotConfirmed(a, followedBy)
+		r.result = confirmed
+	}
+	if sc.state == connQuarantined && followedBy == followedByNothing {
 		sc.server.expectedConns--
 		sc.state = connIdle
 		p.assign(occurredAt, sc)
+	} else {
+		p.discard(sc)
 	}
+	p.core.receiveReply(occurredAt, a, r)
 }
 
 // attemptNotBegun returns a connection whose attempt was refused by mayBegin, and ends the attempt
--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -59,6 +59,7 @@
 	issuedAt     float64 // when the policy sent it
 	beginBy      float64 // deadline for the start of the write; +Inf: none
 	answerBy     float64 // deadline for the response
+	answeredAt   float64 // when its response had been read; 0: not yet
 	begun        bool
 	outcomeKnown bool // it has ended
 	serverConn   *serverConn
@@ -215,6 +216,15 @@
 // inTime reports whether the attempt's deadlines allow it to begin at time now.
 func (a *attempt) inTime(now float64) bool { return now <= a.beginBy && now < a.answerBy }
 
+// elapsed returns the time that an attempt which ends at time now has taken, ms, without the
+// quarantine after its response.
+func (a *attempt) elapsed(now float64) float64 {
+	if a.answeredAt > 0 {
+		now = a.answeredAt
+	}
+	return now - a.issuedAt
+}
+
 // begin reports whether an attempt that got a connection may begin, and marks it as begun. One
 // past its deadline is cancelled and ends as not sent.
 func (k *core) begin(now float64, a *attempt) bool {
@@ -323,6 +333,17 @@
 	reservedBytes   int64 // counted in connPool.replyBytes for the body
 }
 
+// replyReceived notes that an attempt's response has been read. Its result is not known yet, so
+// the attempt goes on, at most to the request's expiry.
+func (k *core) replyReceived(now float64, a *attempt) {
+	k.advance(now)
+	if a.outcomeKnown || a.timer.Value.cancelled {
+		return
+	}
+	a.answeredAt = k.now
+	k.resetTimer(a, a.call.req.Expires)
+}
+
 // receiveReply ends an attempt with a response. A response to an attempt that has ended already is
 // ignored.
 func (k *core) receiveReply(now float64, a *attempt, r reply) {
@@ -351,7 +372,7 @@
 	c := a.call
 	c.outstanding--
 	k.counters.Outcomes[o.Result]++
-	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed = c.req.ID, a.host, a.number, c.ended, k.now-a.issuedAt
+	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed = c.req.ID, a.host, a.number, c.ended, a.elapsed(k.now)
 	if o.Result != policy.Served {
 		k.log.attemptFailed(a, o.Result, o.Elapsed)
 	}
--- a/internal/control/scheduler/eventlog.go
+++ b/internal/control/scheduler/eventlog.go
@@ -77,6 +77,14 @@
 	l.log.Info("client left", zap.String("request", c.req.ID), zap.Int("attempts", c.attempts))
 }
 
+// replyNotConfirmed logs a response that is not forwarded because of what followed it.
+func (l *eventLog) replyNotConfirmed(a *attempt, f following) {
+	if l == nil {
+		return
+	}
+	l.log.Warn("response not forwarded", zap.String("request", a.call.req.ID), zap.String("server", a.host), zap.Stringer("followed_by", f))
+}
+
 // attemptFailed logs an attempt with a result other than served.
 func (l *eventLog) attemptFailed(a *attempt, result policy.Result, elapsed float64) {
 	if l == nil {
--- a/internal/control/scheduler/serverconn.go
+++ b/internal/control/scheduler/serverconn.go
@@ -54,23 +54,16 @@
 		p.loop.post(p.loop.now(), eventConnBroken, func(occurredAt float64) { p.connBroken(occurredAt, sc, a, policy.ConnectionLost) })
 		return
 	}
-	reusable = reusable && err == nil && sc.reader.Buffered() == 0
-	if !p.loop.post(p.loop.now(), eventReplyReceived, func(occurredAt float64) {
-		p.replyReceived(occurredAt, sc, a, r, reusable)
-		p.replyBytes.Add(-r.reservedBytes)
-	}) || !reusable {
-		return
+	reusable = reusable && err == nil
+	p.loop.post(p.loop.now(), eventReplyReceived, func(occurredAt float64) { p.replyReceived(occurredAt, sc, a, reusable) })
+	followedBy := followedByNothing
+	if err == nil {
+		followedBy = sc.readFollowing()
 	}
-	noInput := sc.quarantine()
-	p.loop.post(p.loop.now(), eventQuarantineEnded, func(occurredAt float64) { p.quarantineEnded(occurredAt, sc, noInput) })
-}
-
-// quarantine reads for quarantineTime after a response and reports whether nothing followed it.
-func (sc *serverConn) quarantine() bool {
-	sc.conn.SetReadDeadline(sc.pool.environment.Deadline(quarantineTime))
-	_, err := sc.reader.Peek(1)
-	sc.conn.SetReadDeadline(time.Time{})
-	return env.IsTimeout(err)
+	p.loop.post(p.loop.now(), eventQuarantineEnded, func(occurredAt float64) {
+		p.quarantineEnded(occurredAt, sc, a, r, followedBy)
+		p.replyBytes.Add(-r.reservedBytes)
+	})
 }
 
 // readReply reads one response and reports whether the connection can be reused. A response that
@@ -93,22 +86,11 @@
 	if r.body, err = http1.ReadBody(sc.reader, framing, limits); err != nil {
 		return r, false, err
 	}
-	if surplus, _ := sc.reader.Peek(sc.reader.Buffered()); len(surplus) > 0 && !startsResponse(surplus) {
-		// The surplus may be the rest of a body longer than its Content-Length, so the
-		// response cannot be trusted.
-		return r, false, nil
-	}
 	r.result = resultOf(response)
 	r.use, r.fromOthers = headerNumber(response.Fields.Get("x-iops-used"), 1), headerNumber(response.Fields.Get("x-rho"), 0)
 	return r, !response.Close() && !framing.UntilClose, nil
 }
 
-func startsResponse(b []byte) bool {
-	const prefix = "HTTP/1.1 "
-	n := min(len(b), len(prefix))
-	return string(b[:n]) == prefix[:n]
-}
-
 func resultOf(response *http1.Response) policy.Result {
 	switch {
 	case response.Status == 200:
