gateway: only the parts that met a fence are sent again, not those that were executed

Cause: recheckReservations took a command that met a fence for one of which nothing had been sent. Where the reservations read again permit it, it was split and submitted anew, the executed parts included, under new keys, by which no disk server can know a repeat. Change: each part that met the fence becomes a new request once the reservations permit the command (fencedpart.go); the other parts keep their results. A part with an earlier attempt that may have been executed is repeated only if its class is safe to repeat, and none where the layout changed. CONFLICT and BUSY are answered only where nothing was or may have been executed. Why it works: a fenced attempt proves that it did nothing, so a part all of whose attempts were fenced or never began has no effect to repeat; any other part is not sent.

--- a/internal/control/gateway/command.go
+++ b/internal/control/gateway/command.go
@@ -33,9 +33,11 @@
 	blockSize     int
 	reservedBytes int // memory reserved for the data that it reads
 	decoded       scsi.Outcome
+	volume        *settings.Volume // as it was when the command was split
 	class         *settings.Class
-	fence         uint64 // version of the reservations that permitted it
-	fenceOutdated bool   // a disk server knows a newer version
+	fence         uint64       // version of the reservations that permitted it
+	fenced        []fencedPart // parts that a disk server with a newer version refused
+	partExecuted  bool         // a part of a write was executed or may have been
 	abortWait     *abortWait
 	aborted       bool // by the client or the end of its session
 	unsentAborted bool // abortUnsent was called
@@ -96,7 +98,7 @@
 // startCommand submits a command. The caller holds conn.mu.
 func (c *conn) startCommand(task *iscsi.Task, decoded scsi.Outcome) {
 	if volume, class := c.submit(task, decoded); class != nil {
-		c.recheckReservations(task, decoded, volume, class, false)
+		c.recheckReservations(task, decoded, volume, class)
 	}
 }
 
@@ -125,7 +127,7 @@
 	if !permitted {
 		return unit.volume, class
 	}
-	cmd := &command{conn: c, task: task, blockSize: unit.volume.BlockSize, decoded: decoded, class: class, fence: fence}
+	cmd := &command{conn: c, task: task, blockSize: unit.volume.BlockSize, decoded: decoded, volume: unit.volume, class: class, fence: fence}
 	if io.Op == scsi.Read {
 		cmd.reservedBytes = size
 	}
@@ -241,8 +243,12 @@
 		outcome = jobServed
 	}
 	cmd.worstOutcome, cmd.retryAfter = max(cmd.worstOutcome, outcome), max(cmd.retryAfter, retryAfter)
-	if answer != nil && answer.Result == diskproto.Fenced {
-		cmd.fenceOutdated = true
+	fenced := answer != nil && answer.Result == diskproto.Fenced
+	if cmd.decoded.IO.Op.Writes() && j.mayHaveBeenExecuted(answer) {
+		cmd.partExecuted = true
+	}
+	if fenced {
+		cmd.fenced = append(cmd.fenced, newFencedPart(cmd, j))
 	} else if answer != nil {
 		cmd.miscompared = cmd.miscompared || answer.Result == diskproto.Miscompare
 		if cmd.reservedBytes > 0 && !cmd.gather(j, answer.Data) {
@@ -292,12 +298,15 @@
 // goroutine sends it. An aborted command gets no response.
 func (cmd *command) complete() {
 	c := cmd.conn
-	c.frontend.releaseMemory(cmd.reservedBytes)
+	recheck := len(cmd.fenced) > 0 && cmd.worstOutcome == jobServed
+	if !recheck {
+		c.frontend.releaseMemory(cmd.reservedBytes)
+	}
 	if cmd.worstOutcome == jobAborted {
 		c.frontend.host.putBuffer(cmd.dataBuffer)
 		return
 	}
-	completed := completion{cmd, cmd.response(), cmd.dataBuffer, cmd.fenceOutdated && cmd.worstOutcome == jobServed}
+	completed := completion{cmd, cmd.response(), cmd.dataBuffer, recheck}
 	if c.responder == nil {
 		c.frontend.host.respond(&completed, c.frontend.host.flushAfterBatch)
 		return
@@ -327,32 +336,22 @@
 	})
 }
 
-// mayBePartlyWritten reports whether the command is a write of several parts, some of which may have
-// been executed although a fence stopped another.
-func (cmd *command) mayBePartlyWritten() bool {
-	return len(cmd.jobs) > 1 && cmd.decoded.IO.Op.Writes()
-}
-
-// recheckReservations reads a volume's reservations and restarts the command if they permit it. If
-// not, it answers RESERVATION CONFLICT, or BUSY if they could not be read. A command that may have
-// been executed in part ends with COMMAND ABORTED instead of either. The caller holds conn.mu.
-func (c *conn) recheckReservations(task *iscsi.Task, decoded scsi.Outcome, volume *settings.Volume, class *settings.Class, maybeExecuted bool) {
+// recheckReservations reads a volume's reservations and restarts a command of which nothing was
+// submitted if they permit it. If not, it answers RESERVATION CONFLICT, or BUSY if they could not
+// be read. The caller holds conn.mu.
+func (c *conn) recheckReservations(task *iscsi.Task, decoded scsi.Outcome, volume *settings.Volume, class *settings.Class) {
 	task.User = nil // it has no jobs now, so an abort need not wait
 	c.frontend.reservations.refresh(volume, task.At+class.Deadline, func(state *reserve.State, err error) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		switch {
 		case c.closed:
-		case err != nil && maybeExecuted:
-			c.respond(task, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.CommandAborted.Fixed()})
 		case err != nil:
 			c.respond(task, iscsi.Answer{Status: scsi.Busy})
 		case state.May(c.nexus(), decoded.IO.Op.Writes() || decoded.IO.Op == scsi.Flush):
 			if c.session.Task(task.ITT) == task {
 				c.restart(task, decoded)
 			}
-		case maybeExecuted:
-			c.respond(task, iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.CommandAborted.Fixed()})
 		default:
 			c.respond(task, iscsi.Answer{Status: scsi.Conflict})
 		}
--- a/internal/control/gateway/core.go
+++ b/internal/control/gateway/core.go
@@ -40,6 +40,7 @@
 	attempts        int         // issued so far
 	outstanding     int         // attempts without an outcome
 	ended           bool        // it has its final result
+	mayHaveRun      bool        // an attempt that has an outcome may have been executed
 	noNewAttempts   atomic.Bool // ended, for other goroutines: no attempt may begin
 	lastAttempt     *attempt
 	effectDeadline  float64          // an attempt without an answer may take effect until then
@@ -443,12 +444,18 @@
 	h.timers.Remove(&a.timer)
 	j := a.job
 	j.outstanding--
+	j.mayHaveRun = j.mayHaveRun || mayHaveRun(result)
 	h.counters.recordAttempt(a.node, result, h.nodes)
 	outcome.ID, outcome.Node, outcome.Attempt, outcome.Done, outcome.Elapsed, outcome.Result = j.id, a.node, a.number, j.ended, h.now-a.issuedAt, result
 	h.notify(outcome)
 	h.removeIfDone(j)
 }
 
+// mayHaveRun reports whether an attempt with that result may have been executed.
+func mayHaveRun(result policy.Result) bool {
+	return result != policy.Rejected && result != policy.NoConnection && result != policy.NotSent
+}
+
 // nextDue returns the time of the earliest timer, +Inf if there is none.
 func (h *core) nextDue() float64 { return h.timers.NextDue() }
 
--- a/internal/control/gateway/fakedisk_test.go
+++ b/internal/control/gateway/fakedisk_test.go
@@ -120,19 +120,29 @@
 	return append([]diskproto.Do(nil), s.received...)
 }
 
-// startFakeDiskServer removes the disk servers of all shards from the inventory, lists one
-// fakeDiskServer for each shard instead, and waits until the gateway has applied that list.
+// startFakeDiskServer starts one fakeDiskServer in place of the disk server of the only shard.
 func (h *harness) startFakeDiskServer(handle func(attempt *receivedAttempt, request diskproto.Do)) *fakeDiskServer {
-	server := newFakeDiskServer(h.t, h.environment)
-	server.handle = handle
+	return h.startFakeDiskServers(handle)[0]
+}
+
+// startFakeDiskServers removes the disk servers of all shards from the inventory, lists one
+// fakeDiskServer for each shard instead, and waits until the gateway has applied that list.
+func (h *harness) startFakeDiskServers(handle func(attempt *receivedAttempt, request diskproto.Do)) (servers []*fakeDiskServer) {
+	var addresses []string
+	for range h.settings.Shards {
+		server := newFakeDiskServer(h.t, h.environment)
+		server.handle = handle
+		servers, addresses = append(servers, server), append(addresses, server.listener.Addr().String())
+	}
 	h.inventory.ChangeNow(func(book *inventory.Book) {
 		for i, diskServer := range h.diskServers {
 			book.Health(diskServer.Addr, inventory.Gone)
-			book.Set(inventory.Node{Addr: server.listener.Addr().String(), Health: inventory.Ready, Shard: i, Zone: "hall-a", Weight: 1, Incarnation: 9}, 0)
+			book.Set(inventory.Node{Addr: addresses[i], Health: inventory.Ready, Shard: i, Zone: "hall-a", Weight: 1, Incarnation: 9}, 0)
 		}
 	})
-	h.waitFor("the gateway lists the fake disk server alone", func() bool {
-		return slices.Equal(h.gateway.ListedNodes(), []string{server.listener.Addr().String()})
+	slices.Sort(addresses)
+	h.waitFor("the gateway lists the fake disk servers alone", func() bool {
+		return slices.Equal(slices.Sorted(slices.Values(h.gateway.ListedNodes())), addresses)
 	})
-	return server
+	return servers
 }
--- a/internal/control/gateway/responder.go
+++ b/internal/control/gateway/responder.go
@@ -25,10 +25,10 @@
 
 // completion is a command whose parts have all ended, with its response.
 type completion struct {
-	cmd           *command
-	answer        iscsi.Answer
-	dataBuffer    *[]byte // pooled buffer of the answer's data, returned once it is copied
-	fenceOutdated bool
+	cmd        *command
+	answer     iscsi.Answer
+	dataBuffer *[]byte // pooled buffer of the answer's data, returned once it is copied
+	recheck    bool    // parts met a fence: the reservations have to be read again before an answer
 }
 
 // maxResponders bounds the responders of a host. More would be idle, since one core feeds them all.
@@ -108,13 +108,13 @@
 }
 
 // respond gives a command's response to its session and passes the connection's write queue to
-// flushLater. If a fence stopped the command, it rechecks the reservations instead.
+// flushLater. If parts of the command met a fence, it rechecks the reservations instead.
 func (h *host) respond(completed *completion, flushLater func(*writequeue.Queue)) {
 	c := completed.cmd.conn
 	c.mu.Lock()
 	if !c.closed {
-		if completed.fenceOutdated {
-			c.recheckReservations(completed.cmd.task, completed.cmd.decoded, c.currentOrLoginUnit(c.frontend.settings.Load()).volume, completed.cmd.class, completed.cmd.mayBePartlyWritten())
+		if completed.recheck {
+			c.recheckFenced(completed.cmd)
 		} else {
 			c.batching = true
 			c.session.Respond(completed.cmd.task, completed.answer)
