gateway: a read of the reservations begins after their lock is released

Cause: reservationCache.refresh and finishRead began the read of the record with reservationCache.mu held, which takes frontend.settingsMu for reading; conn.submit holds settingsMu for reading and takes reservationCache.mu. With a change waiting for settingsMu between them, each waits for another: a waiting writer lets no reader pass. Evidence: stacks of a hung gateway of (SIGQUIT) have these three: submit in check, refresh in submitInternal (RLock), applySettings (Lock). Change: a read is decided under mu (beginRead) and begun after its release (read). The order of the locks stands at settingsMu. Why it works: mu is now the last lock that is taken, and its holders wait for nothing, so readers of settingsMu always end and the change gets its turn.

--- a/internal/control/gateway/frontend.go
+++ b/internal/control/gateway/frontend.go
@@ -56,7 +56,9 @@
 	settings    atomic.Pointer[activeSettings]
 	// settingsMu is read-locked while a command's requests are built and submitted to the
 	// core, and write-locked while frontend and core get new settings, so that all requests
-	// of a command are handled under one version.
+	// of a command are handled under one version. Locks are taken in the order conn.mu,
+	// settingsMu, reservationCache.mu: a reader that holds a later one can be blocked by a
+	// waiting writer for ever.
 	settingsMu    sync.RWMutex
 	memoryBytes   atomic.Int64 // data buffers of commands and unsent PDUs
 	openRequests  atomic.Int64 // requests submitted to the core that have not ended
--- a/internal/control/gateway/reservations.go
+++ b/internal/control/gateway/reservations.go
@@ -80,31 +80,39 @@
 // of the volume to its version, and then calls receive.
 func (k *reservationCache) refresh(volume *settings.Volume, expires float64, receive func(*reserve.State, error)) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	entry := k.entry(volume.Name)
 	w := stateWaiter{expires, receive}
 	if entry.reading {
 		entry.nextWaiters = append(entry.nextWaiters, w)
+		k.mu.Unlock()
 		return
 	}
 	entry.waiters = append(entry.waiters, w)
-	k.startRead(volume, entry)
+	latestExpiry := entry.beginRead()
+	k.mu.Unlock()
+	k.read(volume, latestExpiry)
 }
 
-// startRead starts a read for the current waiters. The caller holds mu.
-func (k *reservationCache) startRead(volume *settings.Volume, entry *volumeReservations) {
+// beginRead marks a read for the current waiters as in progress and returns the latest of their
+// expiries. The caller holds the cache's mu, and calls read once it has released it.
+func (entry *volumeReservations) beginRead() (latestExpiry float64) {
 	entry.reading = true
-	latestExpiry := 0.0
 	for _, w := range entry.waiters {
 		latestExpiry = max(latestExpiry, w.expires)
 	}
-	k.frontend.accessRecord(volume, diskproto.OpRecord, scsi.Read, nil, 0, latestExpiry, func(answer *diskproto.Answer) {
+	return latestExpiry
+}
+
+// read reads the record for the waiters of a read that beginRead began. The caller must not hold mu:
+// read waits for frontend.settingsMu, whose holders call check.
+func (k *reservationCache) read(volume *settings.Volume, expires float64) {
+	k.frontend.accessRecord(volume, diskproto.OpRecord, scsi.Read, nil, 0, expires, func(answer *diskproto.Answer) {
 		state, err := parseRecord(answer)
 		if err != nil {
 			k.finishRead(volume, nil, err)
 			return
 		}
-		k.update(volume, state, latestExpiry, func(err error) { k.finishRead(volume, state, err) })
+		k.update(volume, state, expires, func(err error) { k.finishRead(volume, state, err) })
 	})
 }
 
@@ -128,13 +136,17 @@
 func (k *reservationCache) finishRead(volume *settings.Volume, state *reserve.State, err error) {
 	k.mu.Lock()
 	entry := k.entry(volume.Name)
-	waiting := entry.waiters
+	finished := entry.waiters
 	entry.waiters, entry.nextWaiters, entry.reading = entry.nextWaiters, nil, false
-	if len(entry.waiters) > 0 {
-		k.startRead(volume, entry)
+	readAgain, latestExpiry := len(entry.waiters) > 0, 0.0
+	if readAgain {
+		latestExpiry = entry.beginRead()
 	}
 	k.mu.Unlock()
-	for _, w := range waiting {
+	if readAgain {
+		k.read(volume, latestExpiry)
+	}
+	for _, w := range finished {
 		w.receive(state, err)
 	}
 }
