gateway: BUSY is answered only if nothing was or may have been executed

Seen by callers: an initiator's write of a keyed class with group "all" that got no answer from its disk server ends with BUSY; the initiator's repeat is another command under another key, and takes effect a second time. Found by reading the related paths of the write that was executed twice. Cause: the policy refuses such a request although it may have run, for a client's repeat carries the same key; initiators have none. response() looked for parts that ran only in commands of several parts. Change: mayHaveExecuted holds for one part too, and goes by what is known of each attempt's outcome, so that parts which were only rejected end with BUSY. Why it works: a job's mayHaveRun is set by each outcome that does not prove that nothing ran. Result: the gateway's tests pass.

--- a/internal/control/gateway/command.go
+++ b/internal/control/gateway/command.go
@@ -315,7 +315,9 @@
 }
 
 // response returns GOOD only if all parts were served. BUSY tells the client that nothing was
-// executed, so a command with a part that may have been ends with COMMAND ABORTED instead.
+// executed, so a command of which a part may have been ends with COMMAND ABORTED instead. The policy
+// may refuse a keyed request that may have been executed, since a client's repeat with the same key
+// is harmless; but an initiator's repeat is another command, with another key.
 func (cmd *command) response() iscsi.Answer {
 	switch {
 	case cmd.worstOutcome == jobServed && cmd.miscompared:
@@ -328,11 +330,11 @@
 	return iscsi.Answer{Status: scsi.CheckCondition, Sense: scsi.CommandAborted.Fixed()}
 }
 
-// mayHaveExecuted reports whether, in a command of several parts, one that is not idempotent was
-// sent.
+// mayHaveExecuted reports whether a part that is not idempotent was executed or may have been. It is
+// called when every part has its result.
 func (cmd *command) mayHaveExecuted() bool {
-	return len(cmd.jobs) > 1 && slices.ContainsFunc(cmd.jobs, func(j *job) bool {
-		return j.message.Effect != diskproto.Safe && j.attempts > 0
+	return slices.ContainsFunc(cmd.jobs, func(j *job) bool {
+		return j.message.Effect != diskproto.Safe && (j.mayHaveRun || j.outstanding > 0)
 	})
 }
 
--- a/internal/control/gateway/faults_test.go
+++ b/internal/control/gateway/faults_test.go
@@ -126,6 +126,33 @@
 	}
 }
 
+// A write that gets no answer must not end with BUSY, which promises that nothing was executed, even
+// if its class has repeats dropped everywhere. One that every disk server rejected must.
+func TestBusyOnlyIfNothingWasExecuted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		handle     func(attempt *receivedAttempt, request diskproto.Do)
+		wantStatus byte
+	}{
+		"no answer": {func(*receivedAttempt, diskproto.Do) {}, scsi.CheckCondition},
+		"rejected": {func(attempt *receivedAttempt, _ diskproto.Do) {
+			attempt.answer(diskproto.Answer{Result: diskproto.Full})
+		}, scsi.Busy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, func(s *settings.Settings) {
+				useOneShard(s)
+				write := &s.Classes[1]
+				write.DedupScope, write.LatencyTarget, write.Deadline = "all", 40, 200
+			})
+			h.startFakeDiskServer(tc.handle)
+			result := h.execute(h.connect(normalVolume, 1), initiator.WriteCDB(0, 1), make([]byte, 4096), 0)
+			if result.Status != tc.wantStatus {
+				t.Errorf("got status %02x, want %02x", result.Status, tc.wantStatus)
+			}
+		})
+	}
+}
+
 // A write whose connection breaks after part of its frame was sent must be retried.
 func TestConnectionBreaksMidWrite(t *testing.T) {
 	h := newHarness(t, useOneShard)
