policy, gateway, scheduler: reasons and figures that the rewording of comments had dropped

Change: comments of the module were compared file by file, those of constants of gateway, scheduler, settings, placement, rules, http1, soak and durable too. Put back in today's names: the memory of samples in seconds, why depth changes are bounded, the penalty of depth relative to its gain, why the covariance and the share steps are bounded, when a node isn't full or is idle, who needs lateGraceTargets, the cost of a window, the minute that the control law would take for a fast node; discovery's prompt answer, connections that clients use while they stay open at a stop, the 64 KiB of the platform's page; the span of measured rates, the read buffer of a disk server's only connection, the age of a server's clock. No code changes. Comments of functions outside policy were compared only where they hold a constant; lab, world, standin, verify's checks and cmd were not compared.

--- a/internal/control/gateway/connpool.go
+++ b/internal/control/gateway/connpool.go
@@ -46,7 +46,7 @@
 const (
 	maxQueuedWriteBytes = 64 << 20 // twice the policy's depth times the largest write
 	writeTimeout        = 5 * time.Second
-	readBufferBytes     = 256 << 10
+	readBufferBytes     = 256 << 10 // large, since all answers of a server come on one connection
 	// halfOpenTimeout is the time without input after which a connection is taken for
 	// half-open and closed when an attempt on it times out.
 	halfOpenTimeout = 2 * time.Second
@@ -140,7 +140,7 @@
 	}
 }
 
-// maxClockAge is in us.
+// maxClockAge is the age, us, from which a server is asked for its clock again.
 const maxClockAge = 400_000
 
 // lastRead returns when the last frame from a server arrived, and whether its connection is
--- a/internal/control/gateway/core.go
+++ b/internal/control/gateway/core.go
@@ -153,7 +153,8 @@
 }
 
 // rateTimeConstantSeconds is the time constant, s, of the exponentially weighted rates of volumes. It is
-// short against the hours for which layouts are planned.
+// long enough for the spread of a rate to have a meaning, and short against the hours for which layouts
+// are planned.
 const rateTimeConstantSeconds = 300
 
 func newCore(now float64, s *settings.Settings, hostIndex int, zone string, seed uint64, effects effectHandler) *core {
--- a/internal/control/scheduler/connpool.go
+++ b/internal/control/scheduler/connpool.go
@@ -19,8 +19,9 @@
 var (
 	// messageLimits bounds requests of clients and response heads of discovery.
 	messageLimits = http1.Limits{MaxHeadBytes: 16 << 10, MaxFields: 64, MaxBodyBytes: 64 << 10}
-	// responseLimits allows bodies larger than requests may have, since disk servers send
-	// them. connPool.maxReplyBytes bounds the bytes of all responses in memory together.
+	// responseLimits allows bodies larger than requests may have: the platform's page speaks of
+	// 64 KiB, but its disk servers send several times that. connPool.maxReplyBytes bounds the
+	// bytes of all responses in memory together.
 	responseLimits = http1.Limits{MaxHeadBytes: 16 << 10, MaxFields: 64, MaxBodyBytes: maxResponseBytes}
 )
 
--- a/internal/control/scheduler/discovery.go
+++ b/internal/control/scheduler/discovery.go
@@ -18,7 +18,8 @@
 	// Discovery sends a message or an empty line on an open watch every 2 s. A watch that is
 	// silent for watchSilenceTimeout is reopened. Discovery takes a change as delivered 6 s after
 	// the silence began, which leaves time for a second watch to fall silent.
-	// watchResponseTimeout bounds the dial, and then the time to the head of the response.
+	// watchResponseTimeout bounds the dial, and then the time to the head of the response:
+	// discovery answers at once, or not at all.
 	watchSilenceTimeout  = 2700 * time.Millisecond
 	watchResponseTimeout = 400 * time.Millisecond
 	// Backoff between watches: it doubles with each watch that brings nothing.
--- a/internal/control/scheduler/lifecycle.go
+++ b/internal/control/scheduler/lifecycle.go
@@ -18,8 +18,9 @@
 	readyTimeout = 1500 * time.Millisecond
 	// After SIGTERM the platform kills the process no sooner than killDelayMS after the longest
 	// deadline of a class, of which it counts maxCountedDeadlineMS at most. Clients learn late of
-	// a planned stop, so new connections are accepted for drainAcceptPeriod, and open ones are
-	// kept until the last answers have just enough time.
+	// a planned stop, so new connections are accepted for drainAcceptPeriod. They use open ones
+	// for as long as these stay open, so these are kept until the last answers have just enough
+	// time.
 	maxCountedDeadlineMS = 3000.0
 	killDelayMS          = 700.0
 	drainAcceptPeriod    = 600 * time.Millisecond
--- a/policy/constants.go
+++ b/policy/constants.go
@@ -7,9 +7,10 @@
 	maxDepth     = 32.0   // upper bound of a host's depth at one node
 	// minTotalDepth is the least depth at a node of all hosts together. It keeps a node with one or
 	// two cores busy during a round trip.
-	minTotalDepth     = 6.0
-	sampleDecay       = 0.6 // part of the weight of a node's samples that is left after a second
-	sparseSampleDecay = 0.9 // the same while they are fewer than minSamples
+	minTotalDepth = 6.0
+	// part of the weight of a node's samples that is left after a second: a memory of about 2 s
+	sampleDecay       = 0.6
+	sparseSampleDecay = 0.9 // the same while they are fewer than minSamples: about 10 s
 	// age limit, ms, of the samples of all nodes, and time constant of the counts for errorFraction
 	sampleSpan      = 3000.0
 	maxNewerSamples = 31  // number of newer samples that push one out
@@ -25,21 +26,24 @@
 	// the same below a depth of 1, where service times include other hosts' queueing
 	lowDepthTargetFraction = 0.5
 	// value of maxDepth in the units of the depth model, which keeps its inputs near 1
-	depthScale       = 10.0
-	minDepthStep     = 0.7    // least factor by which a depth changes in a second
-	maxDepthStep     = 2.0    // largest factor by which a depth changes in a second
-	initialOwnGain   = 0.3    // initial gain of a flow's previous output in the share model
-	initialShareGain = 0.7    // initial gain of a flow's own share in the share model
-	depthPenalty     = 0.15   // weight of depth changes in the control law
-	initialDepthGain = 0.10   // initial gain and constant of the depth model, in latency targets
-	minGain          = 0.02   // lower bound of fitted gains, whose sign is known
-	sharePenalty     = 0.3    // weight of share changes in the control law; a full step takes about 3 s
-	minShare         = 0.04   // least share of a flow before normalization, so that none starves
-	latencyWeight    = 0.5    // weight of inverse latency errors, relative to throughput errors
-	forgettingFactor = 0.97   // RLS forgetting factor: a memory of about 30 samples
-	maxCovTrace      = 100.0  // bound of the covariance trace: above it, RLS does not forget
-	maxShareSteps    = 1000.0 // largest number of increments in which shares are allocated
-	minSamples       = 3      // number of samples or answers below which nothing is learnt from them
+	depthScale = 10.0
+	// Few samples err in both directions, so a depth changes by a bounded factor each second.
+	minDepthStep     = 0.7 // least factor by which a depth changes in a second
+	maxDepthStep     = 2.0 // largest factor by which a depth changes in a second
+	initialOwnGain   = 0.3 // initial gain of a flow's previous output in the share model
+	initialShareGain = 0.7 // initial gain of a flow's own share in the share model
+	// weight of depth changes in the control law; relative to its gain it exceeds sharePenalty
+	depthPenalty     = 0.15
+	initialDepthGain = 0.10 // initial gain and constant of the depth model, in latency targets
+	minGain          = 0.02 // lower bound of fitted gains, whose sign is known
+	sharePenalty     = 0.3  // weight of share changes in the control law; a full step takes about 3 s
+	minShare         = 0.04 // least share of a flow before normalization, so that none starves
+	latencyWeight    = 0.5  // weight of inverse latency errors, relative to throughput errors
+	forgettingFactor = 0.97 // RLS forgetting factor: a memory of about 30 samples
+	// bound of the covariance trace, which would grow without excitation: above it, RLS does not forget
+	maxCovTrace   = 100.0
+	maxShareSteps = 1000.0 // increments in which shares are allocated, at most; finer ones change nothing
+	minSamples    = 3      // number of samples or answers below which nothing is learnt from them
 
 	// latency targets after which an attempt is given up; bound of a service time sample
 	stuckTargets      = 1.5
@@ -48,8 +52,8 @@
 	longQueue          = 256
 	minWalkInterval    = 2.0        // least time, ms, between two walks of a long queue by shed
 	rejectSpan         = minBackoff // time constant, ms, of a node's counts of served and rejected
-	minServedPerReject = 8.0        // ratio of these counts from which no backoff is made
-	idleFactor         = 1.3        // up to this many unloaded service times, a node counts as idle
+	minServedPerReject = 8.0        // ratio of these counts from which a node isn't full: no backoff is made
+	idleFactor         = 1.3        // up to this many unloaded service times, no request waits at a node
 	// gain per second by which the unloaded service time follows a larger median
 	unloadedGain = 0.05
 	// error fraction of a node up to which a lost connection does not make it suspect
@@ -61,8 +65,10 @@
 	fairBurstSeconds    = 0.5               // capacity of the fair share bucket, in seconds of its rate
 	volumeIdleTime      = 30 * samplePeriod // time, ms, after which an unused volume is removed
 	// part of the time to its expiry that a request may wait without reaching a node
-	maxWaitFraction  = 0.45
-	lateGraceTargets = 0.5 // latency targets that it may wait beyond its target time
+	maxWaitFraction = 0.45
+	// latency targets that it may wait beyond its target time: clients with short time-outs can
+	// still be answered
+	lateGraceTargets = 0.5
 	fairRateFactor   = 4.0 // ratio of a volume's fair rate to the rate of its plan
 	// ms by which sends may arrive closer together at a node, where limits apply
 	arrivalSkew = 20.0
--- a/policy/counting.go
+++ b/policy/counting.go
@@ -7,7 +7,7 @@
 type windowEntry struct{ time, amount float64 }
 
 // window is a sliding window of entries, oldest first, and the sum of their amounts. Each entry is
-// added and dropped once.
+// added and dropped once, whatever the rate of entries.
 type window struct {
 	entries []windowEntry
 	head    int
--- a/policy/depth.go
+++ b/policy/depth.go
@@ -52,7 +52,8 @@
 	next := sh.depth + change[0]
 	if sh.meetsTargetAtMaxDepth {
 		// Even maxDepth requests, served one by one, meet the target. The control law's steps are
-		// sized for service times near the target, far too small to load a fast idle node soon.
+		// sized for service times near the target: with them it would take a minute until a node
+		// with a service time of a millisecond had enough to do.
 		next = sh.depth * maxDepthStep
 	}
 	sh.depth = min(max(next, p.minDepth(), sh.depth*minDepthStep), maxDepth, sh.depth*maxDepthStep)
