gateway: a command that waits for reservations is answered at its own expiry

Seen by callers: a command that met a fence gets its final answer up to 1.4 s after it is due, while reservation keys of its volume change. Cause: commands share a read of the record, which lasts as long as the one with the latest expiry has time; who came later waits for the next read. Each was answered when its read ended. Change: each waiter has a timer that answers it with "not available" at its expiry; the read goes on for the others. Why it works: the answer no longer depends on what others wait for.

--- a/internal/control/gateway/reservationlocks_test.go
+++ b/internal/control/gateway/reservationlocks_test.go
@@ -42,18 +42,21 @@
 	return f, &s.Volumes[0]
 }
 
+// expiry is when requests of a test expire, ms on the frontend's clock.
+func expiry(f *frontend) float64 { return env.MS(f.environment.Now() + 200*time.Millisecond) }
+
 // A read of the reservation record that waits for a change of the settings must leave the cached
 // reservations accessible: the change waits for commands that check them, so that all three would
 // wait for each other for ever.
 func TestReservationsAreAccessibleDuringSettingsChange(t *testing.T) {
 	for name, startRead := range map[string]func(k *reservationCache, volume *settings.Volume, received func()){
 		"first read": func(k *reservationCache, volume *settings.Volume, received func()) {
-			k.refresh(volume, 0, func(*reserve.State, error) { received() })
+			k.refresh(volume, expiry(k.frontend), func(*reserve.State, error) { received() })
 		},
 		"next read": func(k *reservationCache, volume *settings.Volume, received func()) {
 			k.mu.Lock()
 			entry := k.entry(volume.Name)
-			entry.reading, entry.nextWaiters = true, []stateWaiter{{0, func(*reserve.State, error) { received() }}}
+			entry.reading, entry.nextWaiters = true, []*stateWaiter{k.newWaiter(expiry(k.frontend), func(*reserve.State, error) { received() })}
 			k.mu.Unlock()
 			k.finishRead(volume, nil, errReservationsUnavailable)
 		},
@@ -92,3 +95,20 @@
 		})
 	}
 }
+
+// A waiter for a read of the reservation record must be answered at its own expiry, even if the read
+// goes on for another that has more time, or its own read has not begun.
+func TestWaiterForReservationsIsAnsweredAtItsExpiry(t *testing.T) {
+	f, volume := newLockTestFrontend(t)
+	f.reservations.refresh(volume, env.MS(f.environment.Now()+time.Hour), func(*reserve.State, error) {})
+	answered := make(chan error, 1)
+	f.reservations.refresh(volume, expiry(f), func(_ *reserve.State, err error) { answered <- err })
+	select {
+	case err := <-answered:
+		if err != errReservationsUnavailable {
+			t.Errorf("got error %v, want %v", err, errReservationsUnavailable)
+		}
+	case <-time.After(lockTestTime):
+		t.Error("the waiter was not answered at its expiry")
+	}
+}
--- a/internal/control/gateway/reservations.go
+++ b/internal/control/gateway/reservations.go
@@ -29,17 +29,20 @@
 // volumeReservations is the cached state of one volume.
 type volumeReservations struct {
 	state       *reserve.State
-	reading     bool          // a read of the record is in progress
-	waiters     []stateWaiter // for the read in progress
-	nextWaiters []stateWaiter // for the next read, since they came after the current one began
-	polling     bool          // the record is read once per pollInterval
+	reading     bool           // a read of the record is in progress
+	waiters     []*stateWaiter // for the read in progress
+	nextWaiters []*stateWaiter // for the next read, since they came after the current one began
+	polling     bool           // the record is read once per pollInterval
 }
 
-// stateWaiter waits for a state that is read after it began to wait. receive may be called on any
-// goroutine.
+// stateWaiter waits for a state that is read after it began to wait. receive is called once, on any
+// goroutine: when the read has ended, or at expires. A read may take longer than one of its waiters
+// has time, since others have more, and a waiter may have to wait for the read before its own.
 type stateWaiter struct {
-	expires float64
-	receive func(*reserve.State, error)
+	expires  float64
+	receive  func(*reserve.State, error)
+	timer    env.Timer
+	answered bool // guarded by the cache's mu
 }
 
 // pollInterval is how often the record is read while initiators are registered, so that they learn
@@ -77,11 +80,11 @@
 }
 
 // refresh reads the record, in a read that begins after this call, raises the fence at every shard
-// of the volume to its version, and then calls receive.
+// of the volume to its version, and then calls receive. At expires it calls receive with an error.
 func (k *reservationCache) refresh(volume *settings.Volume, expires float64, receive func(*reserve.State, error)) {
 	k.mu.Lock()
 	entry := k.entry(volume.Name)
-	w := stateWaiter{expires, receive}
+	w := k.newWaiter(expires, receive)
 	if entry.reading {
 		entry.nextWaiters = append(entry.nextWaiters, w)
 		k.mu.Unlock()
@@ -93,6 +96,26 @@
 	k.read(volume, latestExpiry)
 }
 
+// newWaiter returns a waiter whose timer runs. The caller holds mu.
+func (k *reservationCache) newWaiter(expires float64, receive func(*reserve.State, error)) *stateWaiter {
+	environment := k.frontend.environment
+	w := &stateWaiter{expires: expires, receive: receive}
+	w.timer = environment.AfterFunc(env.Duration(max(expires-env.MS(environment.Now()), 0)), func() { k.answer(w, nil, errReservationsUnavailable) })
+	return w
+}
+
+// answer passes a result to a waiter that has none yet.
+func (k *reservationCache) answer(w *stateWaiter, state *reserve.State, err error) {
+	k.mu.Lock()
+	answered := w.answered
+	w.answered = true
+	k.mu.Unlock()
+	if !answered {
+		w.timer.Stop()
+		w.receive(state, err)
+	}
+}
+
 // beginRead marks a read for the current waiters as in progress and returns the latest of their
 // expiries. The caller holds the cache's mu, and calls read once it has released it.
 func (entry *volumeReservations) beginRead() (latestExpiry float64) {
@@ -147,7 +170,7 @@
 		k.read(volume, latestExpiry)
 	}
 	for _, w := range finished {
-		w.receive(state, err)
+		k.answer(w, state, err)
 	}
 }
 
