policy, gateway: what is sent again after a fence is a retry, and raises no budget

Cause: the budget is a share of the requests taken. Parts sent again after a fence came to the policy as new requests, and so did the host's own requests for records and fences. Change: Request.Resubmitted counts from its first attempt as a retry and as no arrival; Request.Internal is no arrival. Why it works: arrivals are now what clients sent, and each attempt beyond a part's first is counted.

--- a/internal/control/gateway/fencedpart.go
+++ b/internal/control/gateway/fencedpart.go
@@ -27,6 +27,7 @@
 	part := fencedPart{index: slices.Index(cmd.jobs, j)}
 	if !j.earlierAttemptMayHaveRun() || j.message.Effect == diskproto.Safe {
 		part.retry = &job{owner: cmd, req: j.req, message: j.message}
+		part.retry.req.Resubmitted = true
 	}
 	return part
 }
--- a/internal/control/gateway/fencedpart_test.go
+++ b/internal/control/gateway/fencedpart_test.go
@@ -153,6 +153,22 @@
 	}
 }
 
+// Parts that are sent again after a fence must stay within the retry budget.
+func TestPartsThatMeetFenceCountAsRetries(t *testing.T) {
+	disks := newFencingDisks(false, 0, 1)
+	h := newHarness(t, func(s *settings.Settings) {
+		useTwoShards(s)
+		s.Rules.Budget = &settings.Budget{Base: 1, Window: 5000}
+		s.Classes[1].LatencyTarget, s.Classes[1].Deadline = 100, 500
+	})
+	h.startFakeDiskServers(disks.handle)
+	result := h.execute(h.connect(normalVolume, 1), initiator.WriteCDB(boundaryBlock, 2), make([]byte, 2*4096), 0)
+	first, second, fenced := disks.counts()
+	if fenced != 2 || first+second != 1 || result.Status == scsi.Good {
+		t.Errorf("got status %02x after %d fenced attempts and %d further ones, want one further attempt, as the budget has it", result.Status, fenced, first+second)
+	}
+}
+
 // A part must not be sent to a shard that its blocks have left while the reservations were read.
 func TestLayoutChangesWhileReservationsAreRead(t *testing.T) {
 	disks := newFencingDisks(false, 0)
--- a/internal/control/gateway/reservations.go
+++ b/internal/control/gateway/reservations.go
@@ -271,7 +271,7 @@
 	const keySuffix = "/reservations"
 	j := &job{}
 	j.req = policy.Request{Class: class.Name, Plan: volume.Plan, Volume: volume.Name, Shard: shard, Units: 1, Key: volume.Name + keySuffix,
-		Hosts: f.settings.Load().hostCounts[volume.Name], Write: classOp.Writes(), Expires: expires}
+		Hosts: f.settings.Load().hostCounts[volume.Name], Write: classOp.Writes(), Expires: expires, Internal: true}
 	j.message = diskproto.Do{Op: op, Effect: diskEffects[class.Effect], Shard: uint32(shard), Host: f.host.pool.hostID, Units: 1, Plan: volume.Plan,
 		Volume: volume.Name, Key: j.req.Key, Fence: fence, Data: data}
 	f.openRequests.Add(1)
--- a/policy/api.go
+++ b/policy/api.go
@@ -184,6 +184,10 @@
 	Hosts   int     // hosts that the volume's requests come through
 	Repeat  bool    // not read by this policy
 	Write   bool    // not read by this policy
+	// Resubmitted is set if nodes refused an attempt of the same request under another ID without
+	// effect. It counts as a retry, not as an arrival.
+	Resubmitted bool
+	Internal    bool // the host's own request, not a client's: no arrival for the retry budget
 	// Fraction is the part of the plan's rates that those hosts have together; 0: all.
 	// FractionSince is the time since which it has not been smaller; 0: always.
 	Fraction, FractionSince float64
--- a/policy/dispatch.go
+++ b/policy/dispatch.go
@@ -117,7 +117,7 @@
 	if r.outstanding > 0 || r.mayHaveRun && !p.mayRepeat(r, n) {
 		return false
 	}
-	if r.attempts > 0 && !p.withinRetryBudget() {
+	if r.isRetry() && !p.withinRetryBudget() {
 		return false
 	}
 	if c := p.keyQueueOf(r); c != nil && (c.members[0] != r || p.now < c.blockedUntil) {
@@ -152,7 +152,7 @@
 	n := sh.node
 	p.markTouched(sh)
 	sh.remove(r)
-	if p.chargeLimit(r); r.attempts > 0 && p.settings.Rules.HasBudget {
+	if p.chargeLimit(r); r.isRetry() && p.settings.Rules.HasBudget {
 		p.recentRetries.add(p.now, 1)
 	}
 	n.recentSends.add(p.now, r.Units)
--- a/policy/reason.go
+++ b/policy/reason.go
@@ -48,7 +48,7 @@
 		return ReasonNoNode
 	case r.attempts == 0 && p.now-r.tokenBuckets.limitedAt < samplePeriod:
 		return ReasonLimit
-	case r.attempts > 0 && !p.withinRetryBudget():
+	case r.isRetry() && !p.withinRetryBudget():
 		return ReasonBudget
 	case c != nil && len(c.members) > 0 && (c.members[0] != r || p.now < c.blockedUntil):
 		return ReasonKeyOrder
--- a/policy/request.go
+++ b/policy/request.go
@@ -22,7 +22,7 @@
 		r.tokenBuckets.plan != &p.settings.Plans[r.flow] {
 		p.resizeBuckets(r.tokenBuckets, &p.settings.Plans[r.flow], hostDivisor)
 	}
-	if p.settings.Rules.HasBudget {
+	if p.settings.Rules.HasBudget && !q.Resubmitted && !q.Internal {
 		p.recentArrivals.add(p.now, 1)
 		p.recentArrivals.since(p.now - p.settings.Rules.BudgetWindow + p.settings.Tick)
 	}
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -23,6 +23,9 @@
 	return false
 }
 
+// isRetry reports whether the next attempt of r counts towards the retry budget.
+func (r *request) isRetry() bool { return r.attempts > 0 || r.Resubmitted }
+
 // withinRetryBudget reports whether the budget admits one more retry.
 func (p *scheduler) withinRetryBudget() bool {
 	used, allowed := p.retryBudget()
