explore, badday: reservation keys change all the time; parts executed under two requests

The checker finds a part of a write that was executed under two requests, and BUSY to a keyed write that may have run, whatever its group. The host's own requests (no session) belong to no command.

--- a/cmd/merlinhitch/explore.go
+++ b/cmd/merlinhitch/explore.go
@@ -18,18 +18,19 @@
 )
 
 type exploreCmd struct {
-	Seeds    uint64  `default:"1000" help:"Number of scenarios to run."`
-	First    uint64  `default:"1" help:"Seed of the first scenario."`
-	Hosts    int     `default:"3" help:"Number of hosts."`
-	Servers  int     `default:"9" help:"Number of disk servers, in three halls."`
-	Seconds  float64 `default:"60" help:"Duration of the client traffic in virtual seconds."`
-	Rate     float64 `default:"120" help:"Mean rate in commands per second without faults."`
-	Regions  bool    `help:"Simulate a service that spans two regions, with region faults."`
-	Swarm    bool    `default:"true" negatable:"" help:"Use a random subset of the kinds of fault for each seed instead of all (swarm testing)."`
-	Parallel int     `help:"Number of scenarios in parallel; by default, GOMAXPROCS."`
-	Stop     bool    `help:"Stop at the first failure."`
-	Shrink   int     `default:"60" help:"Maximum number of runs for shrinking the first failing scenario; 0 disables shrinking."`
-	Out      string  `default:"scenes" help:"Directory for the scenarios that fail." placeholder:"DIR"`
+	Seeds    uint64   `default:"1000" help:"Number of scenarios to run."`
+	First    uint64   `default:"1" help:"Seed of the first scenario."`
+	Hosts    int      `default:"3" help:"Number of hosts."`
+	Servers  int      `default:"9" help:"Number of disk servers, in three halls."`
+	Seconds  float64  `default:"60" help:"Duration of the client traffic in virtual seconds."`
+	Rate     float64  `default:"120" help:"Mean rate in commands per second without faults."`
+	Regions  bool     `help:"Simulate a service that spans two regions, with region faults."`
+	With     []string `help:"Disturbances that last for each whole run, such as registrations." placeholder:"KIND"`
+	Swarm    bool     `default:"true" negatable:"" help:"Use a random subset of the kinds of fault for each seed instead of all (swarm testing)."`
+	Parallel int      `help:"Number of scenarios in parallel; by default, GOMAXPROCS."`
+	Stop     bool     `help:"Stop at the first failure."`
+	Shrink   int      `default:"60" help:"Maximum number of runs for shrinking the first failing scenario; 0 disables shrinking."`
+	Out      string   `default:"scenes" help:"Directory for the scenarios that fail." placeholder:"DIR"`
 }
 
 func (c *exploreCmd) Run() error {
@@ -40,7 +41,7 @@
 	}
 	begin := time.Now()
 	summary, err := lab.Explore(ctx, lab.ExploreOptions{FirstSeed: c.First, Seeds: c.Seeds, Hosts: c.Hosts, Servers: c.Servers, Rate: c.Rate,
-		Span: time.Duration(c.Seconds * float64(time.Second)), Swarm: c.Swarm, Regions: c.Regions, Parallel: c.Parallel, StopAtFirst: c.Stop, OutDir: c.Out}, os.Stderr)
+		Span: time.Duration(c.Seconds * float64(time.Second)), Swarm: c.Swarm, Regions: c.Regions, Background: c.With, Parallel: c.Parallel, StopAtFirst: c.Stop, OutDir: c.Out}, os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/internal/simulation/lab/badday.go
+++ b/internal/simulation/lab/badday.go
@@ -135,6 +135,15 @@
 	"list_cut":       listCut,
 }
 
+// backgroundFuncs are disturbances that every testbed supports and that are played only if they are
+// named: they last for a whole run.
+var backgroundFuncs = map[string]func(d *dayRun, rng *rand.Rand, duration time.Duration){
+	"registrations": registrations,
+}
+
+// BackgroundKinds returns the kinds of disturbance that are played only if they are named, sorted.
+func BackgroundKinds() []string { return sortedKeys(backgroundFuncs) }
+
 // FaultKinds returns the kinds of fault that every testbed supports, sorted.
 func FaultKinds() []string {
 	return sortedKeys(faultFuncs)
@@ -159,8 +168,8 @@
 // BadDay runs a service on loopback with faults and checks the run.
 func BadDay(ctx context.Context, options Options) (*Result, error) {
 	for _, kind := range options.FaultKinds {
-		if faultFuncs[kind] == nil && kind != "none" {
-			return nil, fmt.Errorf("unknown kind of fault %q; kinds are %s", kind, strings.Join(FaultKinds(), ", "))
+		if faultFuncs[kind] == nil && backgroundFuncs[kind] == nil && kind != "none" {
+			return nil, fmt.Errorf("unknown kind of fault %q; kinds are %s, and %s", kind, strings.Join(FaultKinds(), ", "), strings.Join(BackgroundKinds(), ", "))
 		}
 	}
 	if options.Log == nil {
@@ -290,6 +299,10 @@
 		drawTime := func(low, high float64) time.Duration {
 			return time.Duration((low + (high-low)*rng.Float64()) * float64(span))
 		}
+		if backgroundFuncs[kind] != nil {
+			faults = append(faults, ScheduledFault{Kind: kind, Duration: span})
+			continue
+		}
 		faults = append(faults, ScheduledFault{Kind: kind, At: drawTime(0.05, 0.7), Duration: drawTime(0.08, 0.2)})
 	}
 	for i := range faults {
--- a/internal/simulation/lab/explore.go
+++ b/internal/simulation/lab/explore.go
@@ -193,7 +193,7 @@
 		return nil, errors.New("lab: scenario needs a planted fault; build with the tag planted")
 	}
 	for _, fault := range s.Faults {
-		if faultFuncs[fault.Kind] == nil && worldFaultFuncs[fault.Kind] == nil && (regionFaults[fault.Kind] == nil || !s.Regions) {
+		if faultFuncs[fault.Kind] == nil && worldFaultFuncs[fault.Kind] == nil && backgroundFuncs[fault.Kind] == nil && (regionFaults[fault.Kind] == nil || !s.Regions) {
 			return nil, fmt.Errorf("lab: unknown kind of fault %q", fault.Kind)
 		}
 	}
@@ -489,6 +489,7 @@
 	Rate             float64       // mean rate in commands per second
 	Swarm            bool          // see DrawScenario
 	Planted          string
+	Background       []string                   // disturbances that last for each whole run, see BackgroundKinds
 	Regions          bool                       // scenarios of a service across two regions
 	DrawScenario     func(seed uint64) Scenario // replaces DrawScenario and DrawRegionScenario
 	Parallel         int
@@ -537,6 +538,9 @@
 					scenario = DrawRegionScenario(seed, options.Hosts, options.Servers, options.Span, options.Rate)
 				}
 				scenario.Planted = options.Planted
+				for i, kind := range options.Background {
+					scenario.Faults = append(scenario.Faults, ScheduledFault{Kind: kind, Duration: options.Span, Seed: seed + uint64(i)<<32})
+				}
 				outcome, err := scenario.Run(ctx, "")
 				if ctx.Err() != nil {
 					return // the run may have been cancelled
--- a/internal/simulation/lab/virtual_test.go
+++ b/internal/simulation/lab/virtual_test.go
@@ -152,6 +152,24 @@
 	return Scenario{Seed: seed, Hosts: 3, Servers: 9, Commands: 120 * seconds, Rate: 120, Faults: faults}
 }
 
+// Seeds whose runs with registrations of reservation keys showed faults must pass.
+func TestProblemsFoundWithRegistrations(t *testing.T) {
+	skipIfShort(t)
+	for seed, problem := range map[uint64]string{
+		1:  "answer late behind a read of the reservations",
+		4:  "parts sent again after a fence raise the retry budget",
+		26: "part of a write executed under two requests",
+		24: "BUSY to a write that may have been executed in part",
+	} {
+		t.Run(problem, func(t *testing.T) {
+			const span = 60 * time.Second
+			scenario := DrawScenario(seed, 3, 9, span, 120, true)
+			scenario.Faults = append(scenario.Faults, ScheduledFault{Kind: "registrations", Duration: span, Seed: seed})
+			runPassing(t, scenario)
+		})
+	}
+}
+
 // A hall's servers restart within the deduplication window of txn-write while answers are late and
 // connections break: retries must stay within the window and the deduplication group.
 func TestMassRestartWithinTheDedupWindow(t *testing.T) {
--- a/internal/verify/rules/rules.go
+++ b/internal/verify/rules/rules.go
@@ -128,6 +128,7 @@
 	aborted      bool             // an outstanding task management function ends it
 	overtakenAt  map[string]int64 // by key: when a later command of the connection was sent before it
 	requests     []*request
+	executedBy   map[uint64]requestID // by address of a part of a write: the request that executed it
 }
 
 // request is a part of a command for one shard.
@@ -138,7 +139,8 @@
 	class    *settings.Class
 	attempts []*attempt
 	served   bool
-	ended    bool // its command ended
+	ended    bool   // its command ended
+	lba      uint64 // of its first block
 }
 
 // attempt is one send of a request to a server. Times are in us.
@@ -389,7 +391,7 @@
 // repeated effect (rule 2).
 func (c *Checker) checkBusy(cmd *command, e *trail.Event) {
 	for _, r := range cmd.requests {
-		if r.class == nil || r.class.Effect == "safe" || r.class.Effect == "keyed" && r.class.DedupScope == "all" {
+		if r.class == nil || r.class.Effect == "safe" {
 			continue
 		}
 		c.Checks[Effects]++
@@ -519,15 +521,18 @@
 	req := c.requests[id]
 	first := req == nil
 	if first {
-		req = &request{id: id, orderKey: e.Key}
+		req = &request{id: id, orderKey: e.Key, lba: e.LBA}
 		c.requests[id] = req
 		c.assignCommand(req, e)
 	}
+	internal := e.Session == 0 && e.RefTag == 0 // the host's own request, for no command
 	violation := Violation{Time: e.Time, HostID: e.HostID, Seq: e.Seq}
 	if req.cmd != nil {
 		violation.Conn, violation.Tag = req.cmd.conn.id, req.cmd.tag
 	}
-	c.checkNotEnded(req, e, violation)
+	if !internal {
+		c.checkNotEnded(req, e, violation)
+	}
 	c.checkDrain(e, violation)
 	c.checkCold(e, violation)
 	if first {
@@ -856,6 +861,28 @@
 		sent.req.served = true
 		c.checkHome(sent, e.Time)
 	}
+	if sent.result == diskproto.OK && !e.Dropped {
+		c.checkExecutedOnce(sent.req, e.Time)
+	}
+}
+
+// checkExecutedOnce checks that no part of a write is executed under two requests (rule 2): disk
+// servers drop repeats of a request, but can't know one request for a repeat of another.
+func (c *Checker) checkExecutedOnce(req *request, now int64) {
+	cmd := req.cmd
+	if cmd == nil || !cmd.op.Writes() || req.class == nil || req.class.Effect == "safe" {
+		return
+	}
+	c.Checks[Effects]++
+	if cmd.executedBy == nil {
+		cmd.executedBy = map[uint64]requestID{}
+	}
+	previous, executed := cmd.executedBy[req.lba]
+	if executed && previous != req.id {
+		c.violate(Violation{Rule: Effects, Time: now, Conn: cmd.conn.id, Tag: cmd.tag, HostID: req.id.hostID, Seq: req.id.seq},
+			"the part of a %s at block %d was executed under requests %d and %d", req.class.Name, req.lba, previous.seq, req.id.seq)
+	}
+	cmd.executedBy[req.lba] = req.id
 }
 
 // servedHome is the first answer of a shard's servers in a region under a generation.
--- a/internal/verify/rules/rules_test.go
+++ b/internal/verify/rules/rules_test.go
@@ -123,6 +123,16 @@
 	b.attempt(821, nodeC, 6, 5, 0, 2, 2, 1, 1900)
 	b.answer(830, nodeC, 6, diskproto.OK)
 	b.status(831, 2, 2, scsi.Good)
+	// A write whose only part meets a fence and is sent again as another request, after a request of
+	// the host itself.
+	b.command(840, 2, 4, scsi.Write, 0, 1)
+	b.attempt(841, nodeA, 8, 7, 0, 2, 4, 1, 700)
+	b.answer(842, nodeA, 8, diskproto.Fenced)
+	b.attempt(843, nodeA, 9, 8, 0, 0, 0, 1, 700)
+	b.answer(844, nodeA, 9, diskproto.OK)
+	b.attempt(845, nodeA, 10, 9, 0, 2, 4, 1, 700)
+	b.answer(846, nodeA, 10, diskproto.OK)
+	b.status(847, 2, 4, scsi.Good)
 	// A drain, with one attempt within the grace period.
 	b.list(900, inventory.Delta, node(nodeA, inventory.Draining, 0, 0), node(nodeB, inventory.Ready, 0, 0))
 	b.command(910, 2, 3, scsi.Read, 0, 1)
@@ -142,8 +152,8 @@
 			t.Errorf("rule %d: got 0 checks, want at least 1", r)
 		}
 	}
-	if checker.Stats.Commands != 6 || checker.Stats.Finished != 6 {
-		t.Errorf("got %d commands, %d finished, want 6 of each", checker.Stats.Commands, checker.Stats.Finished)
+	if checker.Stats.Commands != 7 || checker.Stats.Finished != 7 {
+		t.Errorf("got %d commands, %d finished, want 7 of each", checker.Stats.Commands, checker.Stats.Finished)
 	}
 }
 
@@ -187,6 +197,21 @@
 			b.answer(1100, nodeB, 60, diskproto.Failed)
 			b.status(1420, 2, 50, scsi.Busy)
 		}},
+		{"part of a write executed under two requests", rules.Effects, func(b *trailBuilder) {
+			b.command(1000, 2, 50, scsi.Write, 0, 1)
+			b.attempt(1001, nodeB, 60, 60, 0, 2, 50, 1, 300)
+			b.answer(1002, nodeB, 60, diskproto.OK)
+			b.attempt(1003, nodeB, 61, 61, 0, 2, 50, 1, 300)
+			b.answer(1004, nodeB, 61, diskproto.OK)
+			b.status(1005, 2, 50, scsi.Good)
+		}},
+		{"BUSY to a write that every server drops repeats of", rules.Effects, func(b *trailBuilder) {
+			write := &b.meta.Settings.Classes[1]
+			write.DedupScope = "all"
+			b.command(1000, 2, 50, scsi.Write, 0, 1)
+			b.attempt(1001, nodeB, 60, 60, 0, 2, 50, 1, 300)
+			b.status(1400, 2, 50, scsi.Busy)
+		}},
 		{"keyed request repeated after the dedup window", rules.Effects, func(b *trailBuilder) {
 			b.meta.Settings.Classes[1].DedupWindow = 700
 		}},
