locks: mutexes that test builds check for their order

Change: internal/runtime/locks: in ordinary builds its mutexes are those of package sync; with the tag lockorder those of go-deadlock, which end the process where two locks are taken in two orders or a read lock is taken again by its holder. Gateway, scheduler, settings, bgp, inventory, initiator and writequeue use it. Evidence: with the tag, the gateway's tests on end with "POTENTIAL DEADLOCK: Inconsistent locking", conn.submit (settingsMu.RLock) before reservationCache.check (mu.Lock), and reservationCache.refresh (mu.Lock) before frontend.submitInternal (settingsMu.RLock): the two locks of the case, at the first command of the kind. A test that held a read lock and tried it again has a goroutine of its own for that.

--- a/internal/control/gateway/announcer.go
+++ b/internal/control/gateway/announcer.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +12,7 @@
 	"merlinhitch/internal/protocol/bgp"
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/policy"
 )
 
@@ -28,7 +28,7 @@
 	stopped         env.Gate
 	done            env.Gate
 
-	mu               sync.Mutex
+	mu               locks.Mutex
 	core             *announce.Core
 	settings         *settings.Settings
 	prefixes         map[string][]netip.Prefix // by group
--- a/internal/control/gateway/connpool.go
+++ b/internal/control/gateway/connpool.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"merlinhitch/internal/control/keys"
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/runtime/writequeue"
 	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
@@ -34,7 +34,7 @@
 	maxClockDrift float64           // fraction by which a clock may run fast or slow; 0: drift is ignored
 	log           *zap.Logger
 
-	mu           sync.Mutex
+	mu           locks.Mutex
 	connByServer map[string]*serverConn      // current connection, by address
 	conns        env.OrderedSet[*serverConn] // all that have not ended, retired ones included
 	closed       bool
@@ -65,7 +65,7 @@
 	pool *connPool
 	addr string
 
-	mu          sync.Mutex
+	mu          locks.Mutex
 	established bool // the handshake is complete
 	closed      bool
 	retired     bool // it gets no new attempts and is closed when none is outstanding
--- a/internal/control/gateway/frontend.go
+++ b/internal/control/gateway/frontend.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/runtime/writequeue"
 	"merlinhitch/internal/storage/reserve"
 )
@@ -59,7 +59,7 @@
 	// of a command are handled under one version. Locks are taken in the order conn.mu,
 	// settingsMu, reservationCache.mu: a reader that holds a later one can be blocked by a
 	// waiting writer for ever.
-	settingsMu    sync.RWMutex
+	settingsMu    locks.RWMutex
 	memoryBytes   atomic.Int64 // data buffers of commands and unsent PDUs
 	openRequests  atomic.Int64 // requests submitted to the core that have not ended
 	nextTSIH      atomic.Uint32
@@ -67,7 +67,7 @@
 	reservations  *reservationCache
 	responders    []*responder // empty: the host's goroutine sends the responses
 
-	mu       sync.Mutex
+	mu       locks.Mutex
 	conns    env.OrderedSet[*conn]
 	sessions map[sessionKey]*conn
 	stopping bool
@@ -180,7 +180,7 @@
 	logicalUnit   *logicalUnit // as of the login; nil in a discovery session
 	ended         env.Gate
 
-	mu                sync.Mutex
+	mu                locks.Mutex
 	session           *iscsi.Session
 	digests           iscsi.Digests
 	tsih              uint16
--- a/internal/control/gateway/gateway.go
+++ b/internal/control/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"strings"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +21,7 @@
 	"merlinhitch/internal/observe/metrics"
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 )
 
 // Config configures a gateway.
@@ -55,7 +55,7 @@
 	adminServer   *http.Server
 	adminListener net.Listener
 
-	mu              sync.Mutex
+	mu              locks.Mutex
 	frontend        *frontend
 	host            *host
 	inventoryClient *inventory.Client
--- a/internal/control/gateway/host.go
+++ b/internal/control/gateway/host.go
@@ -15,6 +15,7 @@
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/runtime/writequeue"
 	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
@@ -29,7 +30,7 @@
 	log           *zap.Logger
 	hostIndex     int
 
-	mu        sync.Mutex
+	mu        locks.Mutex
 	queue     []event
 	stopped   bool
 	wake      env.Parker
--- a/internal/control/gateway/recorder.go
+++ b/internal/control/gateway/recorder.go
@@ -3,20 +3,20 @@
 import (
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/control/settings"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/storage/history"
 )
 
 // recorder writes a gateway's request counters to its history once a second.
 type recorder struct {
 	gateway  *Gateway
-	mu       sync.Mutex
+	mu       locks.Mutex
 	store    *history.Store                 // guarded by mu
 	previous map[history.Key]history.Counts // totals as of the previous second
 	stopped  env.Gate
--- a/internal/control/gateway/regions.go
+++ b/internal/control/gateway/regions.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +11,7 @@
 	"merlinhitch/internal/protocol/diskproto"
 	"merlinhitch/internal/protocol/inventory"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/simulation/faultinject"
 	"merlinhitch/policy"
 )
@@ -179,7 +179,7 @@
 	caller      *inventory.Caller
 	interval    time.Duration
 	log         *zap.Logger
-	mu          sync.Mutex
+	mu          locks.Mutex
 	wake        *env.Gate // ends the wait before the next request; guarded by mu
 	stopped     env.Gate
 	done        env.Gate
--- a/internal/control/gateway/reservationlocks_test.go
+++ b/internal/control/gateway/reservationlocks_test.go
@@ -63,7 +63,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f, volume := newLockTestFrontend(t)
-			f.settingsMu.RLock() // as a command that is being submitted
+			held, release := make(chan struct{}), make(chan struct{})
+			go func() { // as a command that is being submitted
+				f.settingsMu.RLock()
+				close(held)
+				<-release
+				f.settingsMu.RUnlock()
+			}()
+			<-held
 			changed, received := make(chan struct{}), make(chan struct{})
 			go func() {
 				f.applySettings(f.settings.Load().Settings)
@@ -85,7 +92,7 @@
 				entry := f.reservations.entry(volume.Name)
 				return entry.reading && len(entry.waiters) > 0
 			})
-			f.settingsMu.RUnlock()
+			close(release)
 			if !accessible {
 				t.Fatalf("the change of the settings waits: %v, the reservations are accessible then: false", changeWaits)
 			}
--- a/internal/control/gateway/reservations.go
+++ b/internal/control/gateway/reservations.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"merlinhitch/internal/control/settings"
@@ -11,6 +10,7 @@
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/protocol/scsi"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/storage/reserve"
 	"merlinhitch/policy"
 )
@@ -22,7 +22,7 @@
 // refused only after the record was read again.
 type reservationCache struct {
 	frontend *frontend
-	mu       sync.Mutex
+	mu       locks.Mutex
 	volumes  map[string]*volumeReservations // by name; a missing one is unreserved as far as is known
 }
 
@@ -287,7 +287,7 @@
 	shards := slices.Clone(volume.Layout)
 	slices.Sort(shards)
 	shards = slices.Compact(shards)
-	var mu sync.Mutex
+	var mu locks.Mutex
 	remaining, allRaised := len(shards), true
 	for _, shard := range shards {
 		f.submitInternal(volume, shard, diskproto.OpFence, scsi.Read, nil, version, expires, func(answer *diskproto.Answer) {
--- a/internal/control/gateway/responder.go
+++ b/internal/control/gateway/responder.go
@@ -1,10 +1,9 @@
 package gateway
 
 import (
-	"sync"
-
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -14,7 +13,7 @@
 type responder struct {
 	host *host
 
-	mu     sync.Mutex
+	mu     locks.Mutex
 	queue  []completion
 	closed bool
 	wake   env.Parker
--- a/internal/control/scheduler/discovery.go
+++ b/internal/control/scheduler/discovery.go
@@ -6,11 +6,11 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync"
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 )
 
 const (
@@ -36,7 +36,7 @@
 	onList      func(ServerList)
 	onError     func(string, error)
 
-	mu            sync.Mutex
+	mu            locks.Mutex
 	addr          string
 	conn          net.Conn
 	seq           uint64 // version of the last list; used by its goroutine only, as is needsFullList
--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -4,11 +4,11 @@
 	"bufio"
 	"math"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -61,7 +61,7 @@
 
 	listenedAt float64 // time just before the listener was opened, ms
 
-	mu        sync.Mutex
+	mu        locks.Mutex
 	clients   env.OrderedSet[*client]
 	finishing bool // each answer ends its connection; idle connections are closed
 }
--- a/internal/control/scheduler/loop.go
+++ b/internal/control/scheduler/loop.go
@@ -7,10 +7,10 @@
 package scheduler
 
 import (
-	"sync"
 	"time"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 )
 
 // loop is the event loop: the goroutine that owns the core, and the queue of events posted to it.
@@ -22,7 +22,7 @@
 	afterBatch  func() // called on the loop after each batch of events
 	log         *eventLog
 
-	mu             sync.Mutex
+	mu             locks.Mutex
 	queue          []event
 	blockedPosters []env.Parker // goroutines that wait in post for room in the queue
 	stopped        bool
--- a/internal/control/scheduler/serverstates.go
+++ b/internal/control/scheduler/serverstates.go
@@ -1,13 +1,13 @@
 package scheduler
 
-import "sync"
+import "merlinhitch/internal/runtime/locks"
 
 // serverStates holds the last state of each disk server that discovery reported. The goroutine
 // that reads discovery updates it, and exchanges check it just before they write, so that a
 // drain, removal or restart takes effect at once even if the loop has not handled the list yet.
 // It is safe for concurrent use.
 type serverStates struct {
-	mu     sync.RWMutex
+	mu     locks.RWMutex
 	byHost map[string]serverState
 }
 
--- a/internal/control/settings/store.go
+++ b/internal/control/settings/store.go
@@ -8,8 +8,8 @@
 	"io"
 	"reflect"
 	"strings"
-	"sync"
 
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/storage/audit"
 	"merlinhitch/internal/storage/durable"
 )
@@ -67,7 +67,7 @@
 // change is accepted once its audit record is stored. The snapshot is written after it; if
 // a crash comes between the two, Open brings the snapshot up to date from the log.
 type Store struct {
-	mu          sync.Mutex
+	mu          locks.Mutex
 	file        string
 	key         *Key
 	records     recordLog
--- a/internal/protocol/bgp/speaker.go
+++ b/internal/protocol/bgp/speaker.go
@@ -9,12 +9,12 @@
 	"math"
 	"net"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -31,7 +31,7 @@
 	environment env.Environment
 	log         *zap.Logger
 	listener    net.Listener
-	mu          sync.Mutex
+	mu          locks.Mutex
 	table       *Table
 	peers       []*neighbour
 	nextConn    ConnID
--- a/internal/protocol/initiator/initiator.go
+++ b/internal/protocol/initiator/initiator.go
@@ -12,11 +12,11 @@
 	"net"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"merlinhitch/internal/protocol/iscsi"
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/runtime/writequeue"
 )
 
@@ -51,7 +51,7 @@
 	conn net.Conn
 	out  *writequeue.Queue
 
-	mu      sync.Mutex
+	mu      locks.Mutex
 	core    *iscsi.Initiator
 	digests iscsi.Digests
 	ends    map[uint32]func(iscsi.Result, error)
--- a/internal/protocol/inventory/caller.go
+++ b/internal/protocol/inventory/caller.go
@@ -4,10 +4,10 @@
 	"bufio"
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 )
 
 // Caller asks an inventory one question at a time, over a connection that it keeps. A
@@ -20,7 +20,7 @@
 	conn  net.Conn // of the goroutine that asks
 	read  *bufio.Reader
 
-	mu  sync.Mutex
+	mu  locks.Mutex
 	now net.Conn // to be closed by Close
 }
 
--- a/internal/protocol/inventory/client.go
+++ b/internal/protocol/inventory/client.go
@@ -4,10 +4,10 @@
 	"bufio"
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 )
 
 // Client is the shell that follows a list. It reconnects by itself and asks for
@@ -20,7 +20,7 @@
 
 	world  env.Environment
 	addr   string
-	mu     sync.Mutex
+	mu     locks.Mutex
 	conn   net.Conn
 	closed bool
 	gen    uint64
--- a/internal/runtime/writequeue/writequeue.go
+++ b/internal/runtime/writequeue/writequeue.go
@@ -5,10 +5,10 @@
 
 import (
 	"net"
-	"sync"
 	"time"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/locks"
 )
 
 // Queue buffers and writes the outgoing data of a connection. It is safe for concurrent use.
@@ -31,7 +31,7 @@
 	limit        int
 	writeTimeout time.Duration
 
-	mu           sync.Mutex
+	mu           locks.Mutex
 	wake         env.Parker
 	pending      []byte
 	writing      bool         // a write of bytes taken from pending is in progress
