policy, scheduler: an answered attempt leaves the depth before its outcome is known

Cause: since responses are held for 8 ms, an attempt counts towards its node's depth for 8 ms after the node has finished with it, and the next request waits for them. Change: the scheduler reports ResponseReceived; the policy frees the attempt's place in the depth and dispatches the next. For its request the attempt stays outstanding until its outcome, so it is not sent twice. Evidence: TestAnsweredAttemptLeavesDepth; without the event the second request waits for the first one's outcome.

--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -342,6 +342,7 @@
 	}
 	a.answeredAt = k.now
 	k.resetTimer(a, a.call.req.Expires)
+	k.notify(policy.ResponseReceived{ID: a.call.req.ID, Attempt: a.number})
 }
 
 // receiveReply ends an attempt with a response. A response to an attempt that has ended already is
--- a/policy/api.go
+++ b/policy/api.go
@@ -218,6 +218,13 @@
 	Report     []Reading // not read by this policy
 }
 
+// ResponseReceived reports that a node has answered an attempt whose Outcome is not known yet. The
+// node has finished with the attempt, which therefore leaves the node's depth. It may be omitted.
+type ResponseReceived struct {
+	ID      string
+	Attempt int // counted from 0
+}
+
 // Reading is a figure of a node's load report.
 type Reading struct {
 	Name  string
@@ -266,6 +273,7 @@
 func (ListFailed) event()        {}
 func (Request) event()           {}
 func (Outcome) event()           {}
+func (ResponseReceived) event()  {}
 func (TimerFired) event()        {}
 func (ClientGone) event()        {}
 func (DeadlineShortened) event() {}
--- a/policy/request.go
+++ b/policy/request.go
@@ -43,6 +43,23 @@
 	p.enqueue(r)
 }
 
+// releaseDepth removes an answered attempt from its shard's depth and dispatches the next. For its
+// request it stays outstanding until its outcome.
+func (p *scheduler) releaseDepth(e ResponseReceived) {
+	r := p.requests[e.ID]
+	if r == nil || r.outstanding == 0 || e.Attempt != r.attempts-1 {
+		return
+	}
+	r.shard.removeOutstanding(r)
+	p.markTouched(r.shard)
+	p.dispatch(r.shard)
+}
+
+// removeOutstanding removes r from the attempts that count towards the depth, if it is among them.
+func (sh *shard) removeOutstanding(r *request) {
+	sh.outstanding = slices.DeleteFunc(sh.outstanding, func(x *request) bool { return x == r })
+}
+
 // handleOutcome processes the end of an attempt and ends or requeues its request.
 func (p *scheduler) handleOutcome(o Outcome) {
 	r := p.requests[o.ID]
@@ -51,7 +68,7 @@
 	}
 	sh, n := r.shard, r.sentTo // the node list may have removed sentTo in the meantime
 	r.outstanding--
-	sh.outstanding = slices.DeleteFunc(sh.outstanding, func(x *request) bool { return x == r })
+	sh.removeOutstanding(r)
 	p.markTouched(sh)
 	p.recordOutcome(r, n, o)
 	if r.pending > 0 {
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -163,6 +163,8 @@
 		p.accept(ev)
 	case Outcome:
 		p.handleOutcome(ev)
+	case ResponseReceived:
+		p.releaseDepth(ev)
 	case VolumeChanged:
 		p.updateDivisor(ev)
 	case SettingsChanged:
--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -261,3 +261,35 @@
 		}
 	}
 }
+
+// A node that has answered an attempt must get the next request even while the outcome is not known,
+// and the answered request must neither be sent again before its outcome nor lose its retry after it.
+func TestAnsweredAttemptLeavesDepth(t *testing.T) {
+	h := newHarness(testSettings())
+	h.scheduler.shards[0].depth = 1
+	first, second := Request{ID: "first", Class: "read", Plan: "high", Volume: "v", Units: 2, Expires: 2000}, Request{ID: "second", Class: "read", Plan: "high", Volume: "v", Units: 2, Expires: 2000}
+	sends := func(actions []Action) (ids []string) {
+		for _, a := range actions {
+			if s, ok := a.(Send); ok {
+				ids = append(ids, s.ID)
+			}
+		}
+		return ids
+	}
+	if got := sends(append(h.handle(first), h.handle(second)...)); !slices.Equal(got, []string{"first"}) {
+		t.Fatalf("at depth 1: got attempts of %v, want of the first request only", got)
+	}
+	h.now += 10
+	if got := sends(h.handle(ResponseReceived{ID: "first", Attempt: 0})); !slices.Equal(got, []string{"second"}) {
+		t.Errorf("after the response: got attempts of %v, want of the second request", got)
+	}
+	h.now += 8
+	h.handle(Outcome{ID: "first", Node: "n0", Elapsed: 10, Result: ServerError})
+	h.now += 10
+	if got := sends(h.handle(Outcome{ID: "second", Node: "n0", Done: true, Elapsed: 18, Result: Served})); !slices.Equal(got, []string{"first"}) {
+		t.Errorf("after the outcomes: got attempts of %v, want the retry of the first request", got)
+	}
+	if out := len(h.scheduler.shards[0].outstanding); out != 1 {
+		t.Errorf("got %d attempts in the depth, want 1", out)
+	}
+}
