settings: a closed store refuses changes and does not open its files again

Seen by callers: a gateway that stops while changes are in progress could accept one after its end, and keeps the lock of its audit log, so that a successor in the process can't start. Cause: Close closed the log without the store's lock. The next change failed with "may stand", and the one after it opened the log anew to find out. Change: Close waits for a change in progress and marks the store; changes then get ErrClosed. Why it works: all changes pass resolveAppend under the lock that Close takes. Result: settings passes; gateway's tests of settings and stops pass with the check of lock orders.

--- a/internal/control/settings/store.go
+++ b/internal/control/settings/store.go
@@ -74,6 +74,7 @@
 	current     *Settings
 	snapshotErr error // why the snapshot is behind the audit log
 	appendErr   error // set while it is unknown whether the last change is in the audit log
+	closed      bool
 	watchers    []func(*Settings)
 	validate    func(old, next *Settings) []Fault
 }
@@ -117,8 +118,11 @@
 // before the next change follows it. The log's file is rewritten, since after a failed sync
 // it is unknown what of it is on the disk. A change that is in the log comes into force, as
 // it would in Open. While the disk still fails, an error is returned and the settings in
-// force stay. The caller must hold mu.
+// force stay. After Close it returns ErrClosed. The caller must hold mu.
 func (st *Store) resolveAppend() error {
+	if st.closed {
+		return ErrClosed
+	}
 	if st.appendErr == nil {
 		return nil
 	}
@@ -213,8 +217,16 @@
 	return s, nil
 }
 
-// Close closes the audit log.
-func (st *Store) Close() error { return st.records.Close() }
+// ErrClosed is returned for a change after Close.
+var ErrClosed = errors.New("settings: the store is closed")
+
+// Close closes the audit log, after a change that is in progress. Later changes are refused.
+func (st *Store) Close() error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.closed = true
+	return st.records.Close()
+}
 
 // Get returns the settings in force, nil before the first. They must not be modified.
 func (st *Store) Get() *Settings {
