scheduler: a deadline is kept however many requests stand before it on a connection

The same with three requests in front, if one begins while 256 KiB are read ahead: 5 s instead of 0.5 s. Cause: the open request ends at the earliest deadline behind it, but only the first 64 requests were looked at, since all that waits was parsed again after each read; and none once no more might be read ahead. Evidence: TestDeadlineBehindManyPipelinedRequests on the commit before: "response 20: got status 200 after 2.063711756s, want a final answer within 2.05 s". TestDeadlineBehindFullReadAhead: "response 1: got status 503 after 4.997023316s, want a final answer within 0.55 s"; with the bound of 64 gone alone it still fails. Change: pipelinedRequests parses a request when its last byte has been read, and keeps the deadlines that can still become the earliest; the earliest is asked for as a request begins and after each read. Times of arrival are found by binary search. Why it works: each whole request that was read is counted, whatever stands before it, at a cost that follows the bytes read. TestEarliestDeadlineDoesNotDependOnPieces compares it with a whole scan over 200 seeds of pieces and consumption.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -1,11 +1,7 @@
 package scheduler
 
 import (
-	"bufio"
-	"bytes"
 	"io"
-	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -214,11 +210,14 @@
 		c.reason = closeLoopEnded
 		return false
 	}
-	for !resp.done.Opened() && !c.readAhead.full() {
-		if earlier := c.earliestPipelinedDeadline(); earlier < deadline {
+	for {
+		if earlier := c.pipelined.earliestDeadline(); earlier < deadline {
 			deadline = earlier
 			f.loop.post(f.loop.now(), eventDeadlineShortened, func(occurredAt float64) { f.core.shortenDeadline(occurredAt, call, earlier) })
 		}
+		if resp.done.Opened() || c.readAhead.full() {
+			break
+		}
 		if err := c.readAhead.readMore(); err != nil && !env.IsTimeout(err) {
 			call.noNewAttempts.Store(true)
 			f.loop.post(f.loop.now(), eventClientGone, func(occurredAt float64) { f.core.clientGone(occurredAt, call) })
@@ -259,44 +258,3 @@
 	r.closeAfter = !r.client.respond(status, r.closeAfter, fields, body)
 	r.done.Open()
 }
-
-// maxPipelinedScanned bounds how many pipelined requests are scanned for their deadlines.
-const maxPipelinedScanned = 64
-
-// earliestPipelinedDeadline returns the earliest deadline of the requests that have fully arrived
-// behind the open one, ms on the loop's clock; +Inf if there are none. Answers are sent in order, so
-// the open request must be answered by then too.
-func (c *client) earliestPipelinedDeadline() float64 {
-	earliest := math.Inf(1)
-	buffered, _ := c.in.Peek(c.in.Buffered())
-	if len(buffered)+len(c.readAhead.buffer) == 0 {
-		return earliest
-	}
-	pending := slices.Concat(buffered, c.readAhead.buffer)
-	startOffset := c.readAhead.bytesRead - int64(len(pending))
-	unread := bytes.NewReader(pending)
-	in := bufio.NewReaderSize(unread, readBufferBytes)
-	for range maxPipelinedScanned {
-		timeout, ok := readRequestTimeout(in)
-		if !ok {
-			break
-		}
-		endOffset := len(pending) - unread.Len() - in.Buffered()
-		earliest = min(earliest, c.readAhead.arrivalTime(startOffset+int64(endOffset))+timeout)
-	}
-	return earliest
-}
-
-// readRequestTimeout reads a request with its body and returns its Request-Timeout in ms, +Inf if
-// that is missing or invalid. It returns false if the request is incomplete or malformed.
-func readRequestTimeout(in *bufio.Reader) (float64, bool) {
-	head, _, err := http1.ReadWholeRequest(in, messageLimits)
-	if err != nil {
-		return 0, false
-	}
-	seconds, err := strconv.ParseFloat(head.Fields.Get("request-timeout"), 64)
-	if err != nil || !(seconds > 0) {
-		return math.Inf(1), true
-	}
-	return seconds * 1000, true
-}
--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -83,6 +83,7 @@
 	conn      net.Conn
 	readAhead *readAhead
 	in        *bufio.Reader
+	pipelined pipelinedRequests
 	out       *writequeue.Queue
 	// Guarded by the frontend's mutex.
 	state        clientState
@@ -154,6 +155,7 @@
 func (f *frontend) newClient(conn net.Conn, earliestArrival float64) *client {
 	c := &client{frontend: f, conn: conn, readAhead: &readAhead{conn: conn, now: f.loop.now, budget: &f.readAhead, arrivedAt: earliestArrival}, stateSince: f.loop.now()}
 	c.in = bufio.NewReaderSize(c.readAhead, readBufferBytes)
+	c.pipelined = pipelinedRequests{readAhead: c.readAhead, in: c.in}
 	c.out = writequeue.New(f.environment, conn, clientWriteLimit, clientWriteTimeout)
 	c.out.HalfClose = true
 	c.out.OnBytesChanged = func(delta int) { f.answerBytes.Add(int64(delta)) }
--- /dev/null
+++ b/internal/control/scheduler/pipeline_test.go
@@ -0,0 +1,146 @@
+package scheduler
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/simulation/standin"
+)
+
+// respondAfter returns a disk server's behaviour that serves each request after delay.
+func respondAfter(delay time.Duration) func(standin.HTTPRequest) standin.HTTPResponse {
+	return func(standin.HTTPRequest) standin.HTTPResponse {
+		return standin.HTTPResponse{Delay: delay, Raw: []byte(ok200)}
+	}
+}
+
+// readWithTimeout returns a read that states seconds as its Request-Timeout.
+func (h *harness) readWithTimeout(seconds string) string {
+	return strings.Replace(h.getRequest(), "0.480", seconds, 1)
+}
+
+// A request must be answered by its deadline, however many requests stand before it on its connection.
+func TestDeadlineBehindManyPipelinedRequests(t *testing.T) {
+	runSimulated(t, respondAfter(90*time.Millisecond), func(h *harness) {
+		const longReads, shortReads, answerSlack = 150, 10, 50 * time.Millisecond
+		client := h.connect()
+		var pipelined strings.Builder
+		for range longReads {
+			pipelined.WriteString(h.readWithTimeout("5.000"))
+		}
+		for range shortReads {
+			pipelined.WriteString(h.readWithTimeout("2.000"))
+		}
+		sentAt := h.environment.Now()
+		io.WriteString(client.conn, pipelined.String())
+		for i := range longReads + shortReads {
+			got := client.readResponse(sentAt)
+			if got.status == 0 || got.elapsed > 2*time.Second+answerSlack {
+				t.Fatalf("response %d: got status %d after %s, want a final answer within 2.05 s", i, got.status, got.elapsed)
+			}
+		}
+	})
+}
+
+// A deadline must be kept too when a request begins with as much read ahead as is allowed.
+func TestDeadlineBehindFullReadAhead(t *testing.T) {
+	slowAfterFirst := func(r standin.HTTPRequest) standin.HTTPResponse {
+		if r.Fields.Get("request-id") == fmt.Sprintf("%016x", 1) {
+			return respondAfter(100 * time.Millisecond)(r)
+		}
+		return respondAfter(time.Second)(r)
+	}
+	runSimulated(t, slowAfterFirst, func(h *harness) {
+		const largeWrites, bodyBytes, answerSlack = 12, 32 << 10, 50 * time.Millisecond
+		client := h.connect()
+		var pipelined strings.Builder
+		for _, seconds := range []string{"5.000", "5.000", "0.500"} {
+			pipelined.WriteString(h.readWithTimeout(seconds))
+		}
+		for range largeWrites { // more than maxReadAhead together
+			h.requestCount++
+			id := fmt.Sprintf("%016x", h.requestCount)
+			pipelined.WriteString(h.formatRequest("PUT", "txn-write", id, "5.000", strings.Repeat("x", bodyBytes), "Idempotency-Key: k\r\n"))
+		}
+		sentAt := h.environment.Now()
+		h.environment.Go(func() { io.WriteString(client.conn, pipelined.String()) })
+		for i := range 3 {
+			got := client.readResponse(sentAt)
+			if got.status == 0 || got.elapsed > 500*time.Millisecond+answerSlack {
+				t.Fatalf("response %d: got status %d after %s, want a final answer within 0.55 s", i, got.status, got.elapsed)
+			}
+		}
+	})
+}
+
+// chunkConn is a connection whose reads return the given chunks.
+type chunkConn struct {
+	net.Conn
+	chunks [][]byte
+}
+
+func (c *chunkConn) Read(b []byte) (int, error) {
+	n := copy(b, c.chunks[0])
+	if c.chunks[0] = c.chunks[0][n:]; len(c.chunks[0]) == 0 {
+		c.chunks = c.chunks[1:]
+	}
+	return n, nil
+}
+
+// The earliest deadline must be that of the whole requests behind the consumed ones, in whatever
+// pieces the requests come and whenever they are consumed.
+func TestEarliestDeadlineDoesNotDependOnPieces(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		var stream []byte
+		var ends []int64
+		var timeouts []float64
+		for range 12 {
+			timeout := 1 + random.IntN(9)
+			head := fmt.Sprintf("PUT / HTTP/1.1\r\nRequest-Timeout: %d\r\n", timeout)
+			body := strings.Repeat("x", random.IntN(6000))
+			if random.IntN(3) == 0 {
+				head += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body)+1, body+"y")
+			} else {
+				head += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+			}
+			stream = append(stream, head...)
+			ends, timeouts = append(ends, int64(len(stream))), append(timeouts, float64(timeout)*1000)
+		}
+		conn := &chunkConn{}
+		for rest := stream; len(rest) > 0; {
+			size := min(len(rest), 1+random.IntN(3000))
+			conn.chunks, rest = append(conn.chunks, rest[:size]), rest[size:]
+		}
+		ahead := &readAhead{conn: conn, now: func() float64 { return 0 }, budget: &readAheadBudget{}}
+		pipelined := pipelinedRequests{readAhead: ahead, in: bufio.NewReaderSize(ahead, readBufferBytes)}
+		for consumed := 0; consumed < len(ends); {
+			whole := 0
+			for whole < len(ends) && ends[whole] <= ahead.bytesRead {
+				whole++
+			}
+			want := math.Inf(1)
+			for i := consumed; i < whole; i++ {
+				want = min(want, timeouts[i])
+			}
+			if got := pipelined.earliestDeadline(); got != want || pipelined.waiting() != (whole > consumed) {
+				t.Fatalf("seed %d, %d bytes read, %d requests consumed: got earliest deadline %g, waiting %v, want %g", seed, ahead.bytesRead, consumed, got, pipelined.waiting(), want)
+			}
+			if len(conn.chunks) > 0 && random.IntN(4) > 0 {
+				ahead.readMore()
+			} else if _, _, err := http1.ReadWholeRequest(pipelined.in, messageLimits); err != nil {
+				t.Fatal(err)
+			} else {
+				consumed++
+			}
+		}
+	}
+}
--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"sync/atomic"
 
 	"merlinhitch/internal/runtime/env"
@@ -146,12 +148,11 @@
 
 // arrivalTime returns when the stream had arrived up to offset, or the present if no mark covers it.
 func (a *readAhead) arrivalTime(offset int64) float64 {
-	for _, m := range a.marks {
-		if m.offset >= offset {
-			return m.time
-		}
+	first, _ := slices.BinarySearchFunc(a.marks, offset, func(m arrivalMark, offset int64) int { return cmp.Compare(m.offset, offset) })
+	if first == len(a.marks) {
+		return a.now()
 	}
-	return a.now()
+	return a.marks[first].time
 }
 
 // consumedArrivalTime returns when the bytes handed out by Read had arrived, except for the last
