scheduler: a planned restart answers every request that has been read

Seen by callers: SIGTERM; 3.0 s later 12 requests at once, 80 ms each, on a connection that stayed open: four answers, the fourth with "Connection: close", then the end. Cause: once a stop closes connections, each answer is made its connection's last, whatever was read behind its request. The event loop sends the answer and doesn't know what the connection's goroutine has read. Evidence: TestRequestsReadTogetherAreAnsweredAtAStop on the commit before: "response 4 of 12: got {status:200 ... closeConn:true elapsed:}, want a final answer within 3.7 s, and closeConn at the last one only". Change: in that phase the loop hands the answer to the connection's goroutine, which sends it and ends the connection only if no whole request waits behind. becomeIdle no longer ends a connection by itself; an idle one is closed once nothing that arrived is left. Why it works: the goroutine that reads is the one that decides, so nothing can be read between the decision and the end.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -140,7 +140,6 @@
 // respond queues an answer, then makes the connection idle or ends it. It returns false if the
 // connection ends.
 func (c *client) respond(status int, closeConn bool, fields http1.Fields, body []byte) bool {
-	closeConn = closeConn || c.frontend.isFinishing()
 	if closeConn {
 		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
 	}
@@ -152,6 +151,11 @@
 	return false
 }
 
+// isLastAnswer reports whether the answer to the open request has to end the connection: during a
+// stop, unless a request behind it has been read and is owed an answer too. It is called by the
+// client's goroutine, which alone knows what has been read.
+func (c *client) isLastAnswer() bool { return c.frontend.isFinishing() && !c.pipelined.waiting() }
+
 const readyPath = "/up"
 
 // handle answers a request. It returns false if the connection is to be closed.
@@ -163,7 +167,7 @@
 		if f.ready.Opened() && f.drainDeadline() == 0 {
 			status = 200
 		}
-		return c.respond(status, closeConn, nil, nil)
+		return c.respond(status, closeConn || c.isLastAnswer(), nil, nil)
 	}
 	call, status := f.parser.Load().parse(r)
 	if status != 0 {
@@ -177,7 +181,7 @@
 	bodySize := int64(len(r.body))
 	if f.requestBytes.Add(bodySize) > f.byteLimit.Load() {
 		f.requestBytes.Add(-bodySize)
-		return c.respond(503, closeConn, http1.Fields{{Name: "Retry-After", Value: "1"}}, nil)
+		return c.respond(503, closeConn || c.isLastAnswer(), http1.Fields{{Name: "Retry-After", Value: "1"}}, nil)
 	}
 	defer f.requestBytes.Add(-bodySize)
 	return c.submit(call, r.receivedAt, closeConn)
@@ -223,10 +227,13 @@
 			f.loop.post(f.loop.now(), eventClientGone, func(occurredAt float64) { f.core.clientGone(occurredAt, call) })
 			return false
 		} else if err != nil {
-			break // answered: only becomeIdle sets a read deadline here
+			break // answered: only becomeIdle and deliver set a read deadline here
 		}
 	}
 	env.WaitAny(f.environment, &resp.done, &f.ended)
+	if answer := resp.deferred; resp.done.Opened() && answer != nil {
+		resp.closeAfter = !c.respond(answer.status, c.isLastAnswer(), answer.fields, answer.body)
+	}
 	switch {
 	case !resp.done.Opened():
 		c.reason = closeLoopEnded
@@ -238,23 +245,33 @@
 	return resp.done.Opened() && !resp.closeAfter
 }
 
-// deliver implements recipient. It is called on the loop.
+// deliver implements recipient. It is called on the loop. During a stop the client's goroutine sends
+// the answer, since it decides whether that is the connection's last.
 func (r *responder) deliver(outcome callOutcome, retryAfterMS float64, body []byte) {
-	status, fields := 504, http1.Fields(nil)
+	answer := r.answer(outcome, retryAfterMS, body)
+	if r.client.frontend.isFinishing() && !r.closeAfter {
+		r.deferred = answer
+		r.client.interruptRead()
+	} else {
+		r.closeAfter = !r.client.respond(answer.status, r.closeAfter, answer.fields, answer.body)
+	}
+	r.done.Open()
+}
+
+// answer returns the answer that states a call's outcome.
+func (r *responder) answer(outcome callOutcome, retryAfterMS float64, body []byte) *answer {
 	switch outcome {
 	case callServed:
 		// Without room for the body, held by clients that do not read, the answer is a 504.
 		if fr := r.client.frontend; fr.answerBytes.Load()+int64(len(body)) <= fr.byteLimit.Load() {
-			status = 200
-		} else {
-			body = nil
+			return &answer{status: 200, body: body}
 		}
 	case callRefused:
-		status = 503
 		if retryAfterMS > 0 {
-			fields = http1.Fields{{Name: "Retry-After", Value: strconv.FormatFloat(retryAfterMS/1000, 'f', 3, 64)}}
+			seconds := strconv.FormatFloat(retryAfterMS/1000, 'f', 3, 64)
+			return &answer{status: 503, fields: http1.Fields{{Name: "Retry-After", Value: seconds}}, body: body}
 		}
+		return &answer{status: 503, body: body}
 	}
-	r.closeAfter = !r.client.respond(status, r.closeAfter, fields, body)
-	r.done.Open()
+	return &answer{status: 504, body: body}
 }
--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"merlinhitch/internal/protocol/http1"
 	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/locks"
 	"merlinhitch/internal/runtime/writequeue"
@@ -63,7 +64,7 @@
 
 	mu        locks.Mutex
 	clients   env.OrderedSet[*client]
-	finishing bool // each answer ends its connection; idle connections are closed
+	finishing bool // a connection ends once all that was read from it is answered; idle ones are closed
 }
 
 // clientState is the state of a client's connection, guarded by the frontend's mutex.
@@ -104,7 +105,15 @@
 	closeAfter bool // the answer is the connection's last
 	done       env.Gate
 
-	duplicate bool // the request's id was already used
+	duplicate bool    // the request's id was already used
+	deferred  *answer // to be sent by the client's goroutine; set before done opens
+}
+
+// answer is the status, the fields and the body of an answer to a client.
+type answer struct {
+	status int
+	fields http1.Fields
+	body   []byte
 }
 
 // accept serves new connections. Those queued by the listener while the process was starting may
@@ -228,8 +237,8 @@
 	c.conn.SetReadDeadline(f.environment.Deadline(timeout))
 }
 
-// becomeIdle records an answer and makes the connection idle. It returns false if the connection
-// ends instead; nothing more is read from it then, so the client may safely send later requests
+// becomeIdle records an answer and makes the connection idle. If closeConn, it returns false and the
+// connection ends instead; nothing more is read from it then, so the client may safely send later requests
 // elsewhere. In both cases an expired read deadline stops the goroutine's wait in readMore, since
 // the next request may already have been read ahead.
 func (c *client) becomeIdle(closeConn bool) bool {
@@ -238,20 +247,24 @@
 	defer f.mu.Unlock()
 	c.lastAnswerAt = f.loop.now()
 	c.answers++
-	c.conn.SetReadDeadline(f.environment.Deadline(0))
-	if closeConn || f.finishing {
+	c.interruptRead()
+	if closeConn {
 		return false
 	}
 	c.state, c.stateSince = clientIdle, c.lastAnswerAt
 	return true
 }
 
-// setIdleDeadline sets the read deadline of an idle connection, unless it is closing.
+// interruptRead ends the client's goroutine's wait for data. What has arrived can still be read.
+func (c *client) interruptRead() { c.conn.SetReadDeadline(c.frontend.environment.Deadline(0)) }
+
+// setIdleDeadline sets the read deadline of an idle connection, unless it is closing or a stop closes
+// all that become idle.
 func (c *client) setIdleDeadline() {
 	f := c.frontend
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.state == clientIdle {
+	if c.state == clientIdle && !f.finishing {
 		c.conn.SetReadDeadline(f.idleDeadline())
 	}
 }
@@ -306,7 +319,8 @@
 	})
 }
 
-// finish closes idle connections and makes each later answer the last one of its connection.
+// finish closes idle connections. From now on a connection ends with the answer to the last request
+// that has been read from it.
 func (f *frontend) finish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/control/scheduler/pipeline_test.go
+++ b/internal/control/scheduler/pipeline_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
 )
 
@@ -144,3 +145,31 @@
 		}
 	}
 }
+
+// Requests that have been read when a stop ends their connection must all be answered, and only the
+// last answer may close the connection; an incomplete request behind them gets none.
+func TestRequestsReadTogetherAreAnsweredAtAStop(t *testing.T) {
+	runSimulated(t, respondAfter(80*time.Millisecond), func(h *harness) {
+		const requests = 12
+		client := h.connect()
+		if got := client.roundTrip(h.getRequest()); got.status != 200 {
+			t.Fatalf("request before the stop: got %+v, want status 200", got)
+		}
+		startedAt := h.environment.Now()
+		h.environment.Go(h.scheduler.Drain)
+		env.Sleep(h.environment, 3*time.Second, nil)
+		var pipelined strings.Builder
+		for range requests {
+			pipelined.WriteString(h.getRequest())
+		}
+		io.WriteString(client.conn, pipelined.String()+"GET /half HTTP/1.1\r\nHos")
+		for i := range requests {
+			got := client.readResponse(startedAt)
+			if last := i == requests-1; got.status == 0 || got.closeConn != last || got.elapsed > 3700*time.Millisecond {
+				t.Fatalf("response %d of %d: got %+v, want a final answer within 3.7 s, and closeConn at the last one only", i+1, requests, got)
+			}
+		}
+		h.scheduler.Wait()
+		h.scheduler = h.startScheduler(fullListJSON(7))
+	})
+}
