soak: faulty responses of nine kinds, each must come; a served body must be whole

Change: one of 15 responses is faulty, nine kinds in turn: lengths too short (at once, in pieces) and too long (with an end, with silence), resets in bodies with and without a length, heads without an end, bytes that are not HTTP, second responses; stated lengths end well within the scheduler's read buffer, just before, at and behind its end. The record counts them by kind, and a run in which a kind never came breaks the rule "untried". A 200 must have a body of the size that a disk server made whole for this request; before, its body had to equal the request's id, which is now the special case of sound responses.

--- a/cmd/merlinhitch/soak_test.go
+++ b/cmd/merlinhitch/soak_test.go
@@ -29,6 +29,7 @@
 func TestReleaseOfAFleetOfThousands(t *testing.T) {
 	options := soak.DefaultOptions()
 	options.Command, options.Schedulers, options.Servers, options.Rate, options.Duration, options.CoreShare, options.FullListPerWatch = schedulerCommand(), 1, 3200, 60, 7*time.Second, 0.1, true
+	options.FaultyResponseInterval = 0
 	if testing.Short() { // -short is used with the race detector, under which the process is about ten times slower
 		options.CoreShare = 1
 	}
--- a/internal/simulation/soak/record.go
+++ b/internal/simulation/soak/record.go
@@ -33,7 +33,8 @@
 	FirstByteAt time.Duration
 	LastByteAt  time.Duration // 0: incomplete
 	Timeout     time.Duration // value of Request-Timeout
-	Served      bool          // answered 200 after the service time
+	Served      bool          // answered 200 after the service time, with a whole body
+	BodyBytes   int           // size of that body
 	Units       float64
 }
 
@@ -72,6 +73,8 @@
 	Attempts      []*Attempt
 	HealthChanges []HealthChange
 	Exits         []ProcessExit
+	// ResponseFaults counts the faulty responses of disk servers by kind.
+	ResponseFaults [responseFaultCount]int
 }
 
 // NewRecord returns an empty record; its times count from now.
@@ -92,6 +95,19 @@
 	r.Attempts = append(r.Attempts, a)
 }
 
+// setServed records that an attempt is answered with a whole body of that size.
+func (r *Record) setServed(attempt *Attempt, bodyBytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	attempt.Served, attempt.BodyBytes = true, bodyBytes
+}
+
+func (r *Record) addResponseFault(fault ResponseFault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ResponseFaults[fault]++
+}
+
 func (r *Record) addHealthChanges(c ...HealthChange) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/simulation/soak/report.go
+++ b/internal/simulation/soak/report.go
@@ -27,8 +27,15 @@
 		}
 		parts = append(parts, fmt.Sprintf("%s %d", name, countByStatus[status]))
 	}
-	return fmt.Sprintf("seed %d: %d requests, %d attempts, answers %s; %s",
-		r.Options.Seed, len(r.Record.Requests), len(r.Record.Attempts), strings.Join(parts, ", "), countByRule(broken))
+	return fmt.Sprintf("seed %d: %d requests, %d attempts, answers %s, %d faulty responses; %s",
+		r.Options.Seed, len(r.Record.Requests), len(r.Record.Attempts), strings.Join(parts, ", "), r.countFaultyResponses(), countByRule(broken))
+}
+
+func (r *Run) countFaultyResponses() (total int) {
+	for _, count := range r.Record.ResponseFaults {
+		total += count
+	}
+	return total
 }
 
 func countByRule(broken []Violation) string {
@@ -48,6 +55,9 @@
 
 // Explain prints the events of a run, and its first violations with a trace of their requests.
 func (r *Run) Explain(w io.Writer, broken []Violation) {
+	for fault, count := range r.Record.ResponseFaults {
+		fmt.Fprintf(w, "  faulty responses: %d with %s\n", count, ResponseFault(fault))
+	}
 	for _, event := range r.Events() {
 		fmt.Fprintln(w, "  event", event)
 	}
--- a/internal/simulation/soak/rules.go
+++ b/internal/simulation/soak/rules.go
@@ -25,6 +25,8 @@
 	// HostSlack is added to the time limits of responses, attempts, drains and volumes, for
 	// delays of the machine that runs the stand-ins.
 	HostSlack time.Duration
+	// AllResponseFaults requires each kind of faulty response at least once.
+	AllResponseFaults bool
 }
 
 // Slack that the platform allows.
@@ -83,6 +85,7 @@
 	c.checkColdServers(requestsByID)
 	c.checkVolumeLimits(requestsByID)
 	c.checkProcesses()
+	c.checkResponseFaults()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
 	return c.violations
 }
@@ -104,14 +107,14 @@
 		if request.AnsweredAt > deadline {
 			addLost(request.AnsweredAt, fmt.Sprintf("answered %.3f s after its deadline", (request.AnsweredAt-request.SentAt-request.Timeout).Seconds()))
 		}
-		if request.Status == 200 && request.Body != request.ID {
+		if request.Status == 200 && request.Body != responseBody(request.ID, len(request.Body)) {
 			addLost(request.AnsweredAt, "response to another request: "+request.Body)
 		}
 		if request.Status == 409 && request.Resent {
 			addLost(request.AnsweredAt, "the scheduler had read it and closed the connection without a response")
 		}
-		if request.Status == 200 && !slices.ContainsFunc(attempts, func(a *Attempt) bool { return a.Served }) {
-			addLost(request.AnsweredAt, "answered 200, but no disk server served it")
+		if request.Status == 200 && !slices.ContainsFunc(attempts, func(a *Attempt) bool { return a.Served && a.BodyBytes == len(request.Body) }) {
+			addLost(request.AnsweredAt, fmt.Sprintf("answered 200 with %d bytes, but no disk server made that body", len(request.Body)))
 		}
 	case request.AbandonedAt > 0 && request.AbandonedAt <= deadline, c.excusedByKill(request):
 	case request.AbandonedAt > 0:
@@ -303,6 +306,18 @@
 	}
 }
 
+// checkResponseFaults checks that the run has tried each kind of faulty response.
+func (c *checker) checkResponseFaults() {
+	if !c.rules.AllResponseFaults {
+		return
+	}
+	for fault, count := range c.record.ResponseFaults {
+		if count == 0 {
+			c.addViolation("untried", c.record.Now(), -1, "", "no response was faulty in this way: "+ResponseFault(fault).String())
+		}
+	}
+}
+
 func logTail(log string) string {
 	const maxBytes = 600
 	log = strings.TrimSpace(log)
--- a/internal/simulation/soak/rules_test.go
+++ b/internal/simulation/soak/rules_test.go
@@ -12,7 +12,7 @@
 func newValidRecord() *Record {
 	record := NewRecord()
 	record.Requests = []*Request{{ID: "a", Timeout: second, SentAt: 10 * second, AnsweredAt: 10*second + 50*time.Millisecond, Status: 200, Body: "a"}}
-	record.Attempts = []*Attempt{{ID: "a", FirstByteAt: 10 * second, LastByteAt: 10 * second, Timeout: second, Served: true}}
+	record.Attempts = []*Attempt{{ID: "a", FirstByteAt: 10 * second, LastByteAt: 10 * second, Timeout: second, Served: true, BodyBytes: 1}}
 	record.HealthChanges = []HealthChange{{Health: "leaving", EffectiveAt: 10*second + 100*time.Millisecond}}
 	return record
 }
@@ -22,7 +22,7 @@
 	for i := range count {
 		id, sentAt := string(rune('A'+i)), 10*second+time.Duration(i)*interval
 		record.Requests = append(record.Requests, &Request{ID: id, LimitedVolume: 7, Timeout: second, SentAt: sentAt, AnsweredAt: sentAt + time.Millisecond, Status: 200, Body: id})
-		record.Attempts = append(record.Attempts, &Attempt{ID: id, Server: 9, FirstByteAt: sentAt, LastByteAt: sentAt, Timeout: second, Served: true})
+		record.Attempts = append(record.Attempts, &Attempt{ID: id, Server: 9, FirstByteAt: sentAt, LastByteAt: sentAt, Timeout: second, Served: true, BodyBytes: 1})
 	}
 }
 
@@ -45,6 +45,7 @@
 		"response after the slack":        {func(r *Record) { r.Requests[0].AnsweredAt = 11*second + 610*time.Millisecond }, "lost"},
 		"response to another request":     {func(r *Record) { r.Requests[0].Body = "b" }, "lost"},
 		"200 without a serving attempt":   {func(r *Record) { r.Attempts[0].Served = false }, "lost"},
+		"body cut off":                    {func(r *Record) { r.Attempts[0].BodyBytes = 2 }, "lost"},
 		"no response": {func(r *Record) {
 			*r.Requests[0] = Request{ID: "a", Timeout: second, SentAt: 10 * second, AbandonedAt: 12 * second}
 		}, "lost"},
@@ -111,6 +112,42 @@
 	}
 }
 
+// A run in which a kind of faulty response never came must fail, and one with each kind must not.
+func TestEachResponseFaultMustBeTried(t *testing.T) {
+	rules, record := testRules(), newValidRecord()
+	rules.AllResponseFaults = true
+	for fault := range responseFaultCount - 1 {
+		record.addResponseFault(fault)
+	}
+	violations := rules.Check(record)
+	if len(violations) != 1 || violations[0].Rule != "untried" {
+		t.Errorf("without a second response: got %v, want one violation of rule untried", violations)
+	}
+	record.addResponseFault(responseFaultCount - 1)
+	if violations := rules.Check(record); len(violations) > 0 {
+		t.Errorf("with each kind: got %v, want no violation", violations)
+	}
+}
+
+// The faults of responses come in turn, each kind with each end of the stated length.
+func TestResponseFaultsComeInTurn(t *testing.T) {
+	const interval, lengthEnds = 3, 5
+	type faultAndEnd struct {
+		fault ResponseFault
+		end   int
+	}
+	sequence := faultSequence{interval: interval}
+	seen := map[faultAndEnd]int{}
+	for range interval * lengthEnds * int(responseFaultCount) {
+		if fault, end, faulty := sequence.next(); faulty {
+			seen[faultAndEnd{fault, end}]++
+		}
+	}
+	if want := lengthEnds * int(responseFaultCount); len(seen) != want {
+		t.Errorf("got %d combinations of kind and end, want each of %d once: %v", len(seen), want, seen)
+	}
+}
+
 // setColdStartRequests makes server 0 start and get count requests at once. Its cold budget is
 // 8 units of 2 per request, so 4 + 3*sqrt(4) + 3 = 13 requests.
 func setColdStartRequests(record *Record, count int) {
@@ -119,7 +156,7 @@
 		request := *record.Requests[0]
 		attempt := *record.Attempts[0]
 		request.ID += string(rune('a' + len(record.Attempts)))
-		attempt.ID, request.Body = request.ID, request.ID
+		attempt.ID, attempt.BodyBytes, request.Body = request.ID, len(request.ID), request.ID
 		record.Requests, record.Attempts = append(record.Requests, &request), append(record.Attempts, &attempt)
 	}
 	for _, attempt := range record.Attempts {
--- a/internal/simulation/soak/run.go
+++ b/internal/simulation/soak/run.go
@@ -28,12 +28,14 @@
 	PipelineProbability float64 // see Clients
 	FullListPerWatch    bool    // every discovery watch starts with the full list
 	IndentedJSON        bool
+	// One of so many responses of disk servers is faulty, each kind in turn; 0: none.
+	FaultyResponseInterval int
 }
 
 // DefaultOptions returns the default options; Command is not set.
 func DefaultOptions() Options {
 	return Options{Seed: 1, Schedulers: 3, Servers: 40, Rate: 60, Duration: 15 * time.Second, CoreShare: 1, MeanServiceTime: 15 * time.Millisecond,
-		HostSlack: 150 * time.Millisecond, MemoryMB: 96, Sockets: 512, AbandonProbability: 0.05, PipelineProbability: 0.05}
+		HostSlack: 150 * time.Millisecond, MemoryMB: 96, Sockets: 512, AbandonProbability: 0.05, PipelineProbability: 0.05, FaultyResponseInterval: 15}
 }
 
 // Validate returns an error for the first option that is out of range.
@@ -46,6 +48,7 @@
 		{"schedulers", float64(o.Schedulers), 1, 200}, {"servers", float64(o.Servers), 1, 5000},
 		{"rate", o.Rate, 0.1, 2000}, {"lasts", o.Duration.Seconds(), 1, 3600}, {"share", o.CoreShare, 0.01, 1},
 		{"memory", float64(o.MemoryMB), 16, 4096}, {"sockets", float64(o.Sockets), 32, 16384}, {"abandon probability", o.AbandonProbability, 0, 1}, {"pipeline probability", o.PipelineProbability, 0, 1},
+		{"faulty response interval", float64(o.FaultyResponseInterval), 0, 1e6},
 	} {
 		if !(check.value >= check.low && check.value <= check.high) {
 			return fmt.Errorf("%s is %g, must be from %g to %g", check.name, check.value, check.low, check.high)
@@ -110,7 +113,7 @@
 func (r *Run) start() error {
 	options := r.Options
 	var err error
-	if r.Servers, err = StartServers(options.Servers, options.MeanServiceTime, r.Record); err != nil {
+	if r.Servers, err = StartServers(options, r.Record); err != nil {
 		return err
 	}
 	r.Directory = NewDirectory(r.Servers)
--- a/internal/simulation/soak/servers.go
+++ b/internal/simulation/soak/servers.go
@@ -38,6 +38,7 @@
 	tasks           sync.WaitGroup
 
 	acceptedConns atomic.Int64 // on all servers
+	faults        faultSequence
 }
 
 type diskServer struct {
@@ -52,10 +53,10 @@
 
 var messageLimits = http1.Limits{MaxHeadBytes: 16 << 10, MaxFields: 64, MaxBodyBytes: 64 << 10}
 
-// StartServers starts count disk servers on loopback.
-func StartServers(count int, meanServiceTime time.Duration, record *Record) (*Servers, error) {
-	servers := &Servers{record: record, meanServiceTime: meanServiceTime}
-	for index := range count {
+// StartServers starts the disk servers of a run on loopback.
+func StartServers(options Options, record *Record) (*Servers, error) {
+	servers := &Servers{record: record, meanServiceTime: options.MeanServiceTime, faults: faultSequence{interval: int64(options.FaultyResponseInterval)}}
+	for index := range options.Servers {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			servers.Close()
@@ -245,9 +246,10 @@
 		return err == nil
 	}
 	time.Sleep(time.Duration(rand.ExpFloat64() * float64(s.meanServiceTime)))
-	s.record.mu.Lock()
-	attempt.Served = true
-	s.record.mu.Unlock()
+	if fault, headAndBodyBytes, faulty := s.faults.next(); faulty {
+		return s.respondFaulty(conn, attempt, fault, headAndBodyBytes)
+	}
+	s.record.setServed(attempt, len(attempt.ID))
 	_, err := conn.Write(http1.AppendResponse(nil, 200, nil, []byte(attempt.ID)))
 	return err == nil
 }
--- a/internal/simulation/soak/settings.go
+++ b/internal/simulation/soak/settings.go
@@ -60,7 +60,8 @@
 func (o Options) Rules() Rules {
 	return Rules{DrainGrace: drainGrace, KeyTTL: keyTTL, MaxAttempts: maxAttempts,
 		ColdUnits: coldUnits, ColdCapacity: coldCapacity, OverloadWindow: overloadWindow, WarmUpTime: warmUpTime,
-		VolumeRate: volumeRate, VolumeBurst: volumeBurst, VolumeBurstSlack: volumeBurstSlack, HostSlack: o.HostSlack}
+		VolumeRate: volumeRate, VolumeBurst: volumeBurst, VolumeBurstSlack: volumeBurstSlack, HostSlack: o.HostSlack,
+		AllResponseFaults: o.FaultyResponseInterval > 0}
 }
 
 // stopGrace returns the time from SIGTERM to SIGKILL.
