gateway: a part that is sent again after a fence names its command's settings version

Seen by callers: disk servers and the trail; a command's parts name two versions of the settings, against docs/configuration.md ("Whole under one version"). Cause: the core writes its present version into each job that it is given, and a part that is sent again is a new job. Its plan, class and deadline are those of its command. TestResubmittedPartNamesItsSettingsVersion on the commit before: "got attempts under versions [1 1 2], want three, all under the first one's". Change: the core leaves the version of a resubmitted part as it is. Why it works: the part is a copy of the first job's message, which names the version that split and classed the command. The gateway's tests pass.

--- a/internal/control/gateway/core.go
+++ b/internal/control/gateway/core.go
@@ -209,7 +209,9 @@
 func (h *core) submit(now float64, j *job) {
 	h.advance(now)
 	h.lastSeq++
-	j.message.Under = h.settingsVersion
+	if !j.req.Resubmitted { // a part that is sent again belongs to the version that split its command
+		j.message.Under = h.settingsVersion
+	}
 	j.id = strconv.FormatUint(h.lastSeq, 36)
 	j.req.ID, j.message.Seq = j.id, h.lastSeq
 	if h.regions != nil {
--- a/internal/control/gateway/fencedpart_test.go
+++ b/internal/control/gateway/fencedpart_test.go
@@ -35,6 +35,7 @@
 	state    *reserve.State
 	executed map[uint64]int // block operations executed, by address
 	fenced   int            // attempts that met a fence
+	versions []uint64       // of the settings, as each attempt of a block operation names it
 }
 
 func newFencingDisks(reserved bool, fencedShards ...uint32) *fencingDisks {
@@ -56,6 +57,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if request.Op != diskproto.OpFence && request.Op != diskproto.OpRecord {
+		d.versions = append(d.versions, request.Under)
+	}
 	switch {
 	case request.Op == diskproto.OpFence:
 		attempt.answer(diskproto.Answer{Result: diskproto.OK})
@@ -184,6 +188,24 @@
 	}
 }
 
+// A part that is sent again after a fence must name the version of the settings under which its command
+// was split and classed, also if the settings changed while the reservations were read.
+func TestResubmittedPartNamesItsSettingsVersion(t *testing.T) {
+	disks := newFencingDisks(false, 0)
+	h := newHarness(t, useTwoShards)
+	disks.onRecord = func() { h.changeSettings(func(s *settings.Settings) { s.Limits.MaxAttempts++ }) }
+	h.startFakeDiskServers(disks.handle)
+	result := h.execute(h.connect(normalVolume, 1), initiator.WriteCDB(boundaryBlock, 2), make([]byte, 2*4096), 0)
+	if result.Status != scsi.Good {
+		t.Fatalf("got status %02x, want GOOD", result.Status)
+	}
+	disks.mu.Lock()
+	defer disks.mu.Unlock()
+	if len(disks.versions) != 3 || disks.versions[2] != disks.versions[0] {
+		t.Errorf("got attempts under versions %v, want three, all under the first one's", disks.versions)
+	}
+}
+
 // An abort must end a command while the reservations are read, and no part may be sent afterwards.
 func TestAbortWhileReservationsAreRead(t *testing.T) {
 	disks := newFencingDisks(false, 0)
