lab: settings change while reservation keys change; a host that stops answering ends the run

Change: the test adds registrations. A watch reads /settings and /status of each running host all the time; without an answer within 10 s the run ends at once with the stacks of all goroutines. The reads are counted, and the test wants some.

--- a/internal/simulation/lab/changes.go
+++ b/internal/simulation/lab/changes.go
@@ -28,6 +28,7 @@
 	Unknown                   int      // calls without a response
 	Records                   int      // in the hosts' audit records
 	RecordFaults              []string // inconsistencies in the audit records
+	AdminReads                int      // answered calls that read the settings or the status
 	trail                     []trail.Event
 	meta                      *trail.Meta
 	applied                   map[string][]rules.AppliedSettings
@@ -59,7 +60,9 @@
 }
 
 // RunSettingsChanges runs BadDay while operators change the settings concurrently. Each makes an
-// equal part of the changes, each on a random host, half of them with Merge set.
+// equal part of the changes, each on a random host, half of them with Merge set. The settings and the
+// status of each host are read all the time; if a host does not answer, a *hangError is returned, and
+// the fleet is left as it is.
 func RunSettingsChanges(ctx context.Context, options Options, operators, changes int) (*SettingsChangeResult, error) {
 	dir, err := os.MkdirTemp("", "records-")
 	if err != nil {
@@ -68,6 +71,7 @@
 	defer os.RemoveAll(dir)
 	options.stateDir = dir
 	changers := &changeOperators{changesEach: changes / operators}
+	watch := newAdminWatch()
 	var events []trail.Event
 	var meta *trail.Meta
 	options.onStart = func(run *dayRun, duration time.Duration) {
@@ -76,16 +80,42 @@
 			rng := rand.New(rand.NewPCG(options.Seed, uint64(100+operator)))
 			changers.operators.Go(run.fleet.Environment, func() { changers.runOperator(ctx, operator, rng) })
 		}
+		watch.start(ctx, run.fleet)
 	}
+	options.onQuiescent = func(*dayRun) { watch.stop() }
 	options.onStopped = func(run *dayRun, recorded []trail.Event) {
 		changers.operators.Wait(run.fleet.Environment)
 		events, meta = recorded, run.fleet.Meta
 	}
-	result, err := BadDay(ctx, options)
+	result, err := badDayOrHang(ctx, options, watch.hangs)
 	if err != nil {
 		return nil, err
 	}
-	return changers.check(dir, result, meta, events)
+	checked, err := changers.check(dir, result, meta, events)
+	if err != nil {
+		return nil, err
+	}
+	checked.AdminReads = int(watch.calls.Load())
+	return checked, nil
+}
+
+// badDayOrHang runs BadDay, but returns the first error of hangs at once.
+func badDayOrHang(ctx context.Context, options Options, hangs <-chan error) (*Result, error) {
+	type outcome struct {
+		result *Result
+		err    error
+	}
+	ended := make(chan outcome, 1)
+	go func() {
+		result, err := BadDay(ctx, options)
+		ended <- outcome{result, err}
+	}()
+	select {
+	case err := <-hangs:
+		return nil, err
+	case day := <-ended:
+		return day.result, day.err
+	}
 }
 
 // runOperator makes the changes of one operator.
@@ -247,8 +277,8 @@
 // Print writes the counts of the run and the first violations.
 func (r *SettingsChangeResult) Print(w io.Writer) {
 	r.Checker.Print(w)
-	fmt.Fprintf(w, "%d changes asked for: %d accepted (%d of them merged), %d refused, %d without an answer; %d records at the hosts, %d faults\n",
-		r.Requested, r.Accepted, r.Merged, r.Refused, r.Unknown, r.Records, len(r.RecordFaults))
+	fmt.Fprintf(w, "%d changes asked for: %d accepted (%d of them merged), %d refused, %d without an answer; %d records at the hosts, %d faults; settings and status read %d times\n",
+		r.Requested, r.Accepted, r.Merged, r.Refused, r.Unknown, r.Records, len(r.RecordFaults), r.AdminReads)
 	fmt.Fprintln(w, r.Versions.Summary())
 	fmt.Fprintf(w, "goodput %.3f; %d blocks read and judged, %d wrong, %d not read back; %d keyed effects twice; %.0f s\n",
 		r.Checker.Stats.Goodput(), r.CheckedReads, len(r.InvalidReads), r.UnreadBlocks, r.RepeatedEffects, r.Elapsed.Seconds())
--- a/internal/simulation/lab/changes_test.go
+++ b/internal/simulation/lab/changes_test.go
@@ -9,22 +9,22 @@
 	"merlinhitch/internal/verify/trail"
 )
 
-// Four operators change settings while faults strike: each command is served by one version of the
+// Four operators change settings while faults strike and reservation keys change: each command is served by one version of the
 // settings. Then the checker must detect every kind of corrupted trail.
 func TestSettingsChangesUnderFaults(t *testing.T) {
 	rate := 150.0
 	if testing.Short() {
 		rate = 75
 	}
-	result, err := RunSettingsChanges(context.Background(), Options{Seed: 5, Commands: int(4 * rate), Rate: rate, Hosts: 2, Servers: 6, FaultKinds: []string{"crash", "balancer_crash", "net_hang"}}, 4, 80)
+	result, err := RunSettingsChanges(context.Background(), Options{Seed: 5, Commands: int(4 * rate), Rate: rate, Hosts: 2, Servers: 6, FaultKinds: []string{"crash", "balancer_crash", "net_hang", "registrations"}}, 4, 80)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var report strings.Builder
 	result.Print(&report)
 	t.Log("\n" + report.String())
-	if !result.OK() || result.Accepted < 20 || result.Versions.Commands < int(rate) {
-		t.Fatal("run failed, or too few changes or commands were checked")
+	if !result.OK() || result.Accepted < 20 || result.Versions.Commands < int(rate) || result.AdminReads == 0 {
+		t.Fatal("run failed, or too few changes or commands were checked, or the settings were never read")
 	}
 	for name, corrupt := range map[string]func(e *trail.Event) bool{
 		"a version that never existed": func(e *trail.Event) bool { e.SettingsVersion = 9999; return true },
