scheduler: a served response without room for its body is answered without the body

Once bodies held for clients that don't read reach their limit, a served response is a 504, but since with the body, so the memory that the limit is there for was used all the same. Cause: moved the choice of the status into a function of its own, and its last line passed the body on. Why it works: no other answer is given the body. Related: refusals and failures never had one (finishUnserved passes none).

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -258,7 +258,7 @@
 	r.done.Open()
 }
 
-// answer returns the answer that states a call's outcome.
+// answer returns the answer that states a call's outcome. Only a 200 has a body.
 func (r *responder) answer(outcome callOutcome, retryAfterMS float64, body []byte) *answer {
 	switch outcome {
 	case callServed:
@@ -269,9 +269,9 @@
 	case callRefused:
 		if retryAfterMS > 0 {
 			seconds := strconv.FormatFloat(retryAfterMS/1000, 'f', 3, 64)
-			return &answer{status: 503, fields: http1.Fields{{Name: "Retry-After", Value: seconds}}, body: body}
+			return &answer{status: 503, fields: http1.Fields{{Name: "Retry-After", Value: seconds}}}
 		}
-		return &answer{status: 503, body: body}
+		return &answer{status: 503}
 	}
-	return &answer{status: 504, body: body}
+	return &answer{status: 504}
 }
