soak: hostile clients of eleven kinds, and the schedulers' resident memory as a rule

Cause: not known yet; none of our tools had such clients, or looked at resident memory (the kernel's figure after the exit counts the parent too). A line tells what the usual clients got.

--- a/internal/simulation/soak/clients.go
+++ b/internal/simulation/soak/clients.go
@@ -35,6 +35,7 @@
 	requestRate         float64 // per second
 	abandonProbability  float64 // of a batch whose client closes the connection early
 	pipelineProbability float64 // of a batch of several requests at once
+	limitedFraction     float64 // of the requests, to volumes with a rate limit
 	rng                 *rand.Rand
 	requestCount        atomic.Int64
 	idPrefix            string
@@ -107,9 +108,9 @@
 		if i > 0 {
 			class = c.drawClass()
 		}
-		request := &Request{ID: fmt.Sprintf("%s%010x", c.idPrefix, c.requestCount.Add(1)), Scheduler: c.scheduler, Class: class.Name, Timeout: class.Timeout}
+		request := &Request{ID: c.nextID(), Scheduler: c.scheduler, Class: class.Name, Timeout: class.Timeout}
 		volume := c.rng.Uint64() % volumeCount
-		if c.rng.Float64() < limitedFraction {
+		if c.rng.Float64() < c.limitedFraction {
 			volume = volumeCount + uint64(limitedVolumesPerScheduler*c.scheduler) + volume%limitedVolumesPerScheduler
 			request.LimitedVolume = volume
 		}
@@ -126,6 +127,9 @@
 	}()
 }
 
+// nextID returns the id of a new request.
+func (c *Clients) nextID() string { return fmt.Sprintf("%s%010x", c.idPrefix, c.requestCount.Add(1)) }
+
 func (c *Clients) drawClass() Class {
 	point := c.rng.Float64()
 	for _, class := range c.classes {
--- a/internal/simulation/soak/process.go
+++ b/internal/simulation/soak/process.go
@@ -35,6 +35,7 @@
 	killed    bool
 
 	maxDescriptors int // highest sampled number of open descriptors
+	peakMemoryMB   float64
 }
 
 // readyTimeout is how long a scheduler may take until it logs that it is ready, as on the
@@ -60,7 +61,7 @@
 		return nil, err
 	}
 	go process.collectLog(bufio.NewScanner(stderr))
-	go process.sampleDescriptors()
+	go process.sampleUsage()
 	select {
 	case <-process.ready:
 		return process, nil
@@ -86,10 +87,10 @@
 		}
 	}
 	err := p.cmd.Wait()
-	cpuTime, peakMemoryMB := p.resourceUsage()
+	cpuTime := p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
 	p.mu.Lock()
 	exit := ProcessExit{Scheduler: p.scheduler, SigtermAt: p.sigtermAt, ExitedAt: p.record.Now(), Killed: p.killed,
-		Crashed: !p.killed && (p.sigtermAt == 0 || err != nil), Log: p.log.String(), CPUTime: cpuTime, PeakMemoryMB: peakMemoryMB, MaxDescriptors: p.maxDescriptors}
+		Crashed: !p.killed && (p.sigtermAt == 0 || err != nil), Log: p.log.String(), CPUTime: cpuTime, PeakMemoryMB: p.peakMemoryMB, MaxDescriptors: p.maxDescriptors}
 	p.mu.Unlock()
 	p.record.addExit(exit)
 	close(p.done)
--- a/internal/simulation/soak/record.go
+++ b/internal/simulation/soak/record.go
@@ -24,6 +24,8 @@
 	ConnLostAt        time.Duration // connection ended without a response; 0: it did not
 	Resent            bool          // sent again because its connection had ended
 	BrokenMidResponse bool          // connection ended after the first byte of the response
+	Hostile           bool          // sent by a hostile client
+	AnswerUnread      bool          // its client reads no answer
 }
 
 // Attempt is one request as a disk server received it.
@@ -75,6 +77,8 @@
 	Exits         []ProcessExit
 	// ResponseFaults counts the faulty responses of disk servers by kind.
 	ResponseFaults [responseFaultCount]int
+	// HostileConns counts the connections of hostile clients by kind.
+	HostileConns [hostileKindCount]int
 }
 
 // NewRecord returns an empty record; its times count from now.
@@ -108,6 +112,12 @@
 	r.ResponseFaults[fault]++
 }
 
+func (r *Record) addHostileConn(kind HostileKind) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.HostileConns[kind]++
+}
+
 func (r *Record) addHealthChanges(c ...HealthChange) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/simulation/soak/report.go
+++ b/internal/simulation/soak/report.go
@@ -16,8 +16,13 @@
 // violations by rule.
 func (r *Run) Summary(broken []Violation) string {
 	countByStatus := map[int]int{}
+	hostileRequests := 0
 	for _, request := range r.Record.Requests {
-		countByStatus[request.Status]++
+		if request.Hostile {
+			hostileRequests++
+		} else {
+			countByStatus[request.Status]++
+		}
 	}
 	var parts []string
 	for _, status := range slices.Sorted(maps.Keys(countByStatus)) {
@@ -27,8 +32,9 @@
 		}
 		parts = append(parts, fmt.Sprintf("%s %d", name, countByStatus[status]))
 	}
-	return fmt.Sprintf("seed %d: %d requests, %d attempts, answers %s, %d faulty responses; %s",
-		r.Options.Seed, len(r.Record.Requests), len(r.Record.Attempts), strings.Join(parts, ", "), r.countFaultyResponses(), countByRule(broken))
+	return fmt.Sprintf("seed %d: %d requests and %d of hostile clients, %d attempts, answers %s, %d faulty responses, at most %.1f MB; %s",
+		r.Options.Seed, len(r.Record.Requests)-hostileRequests, hostileRequests, len(r.Record.Attempts), strings.Join(parts, ", "),
+		r.countFaultyResponses(), r.Usage().PeakMemoryMB, countByRule(broken))
 }
 
 func (r *Run) countFaultyResponses() (total int) {
@@ -58,6 +64,11 @@
 	for fault, count := range r.Record.ResponseFaults {
 		fmt.Fprintf(w, "  faulty responses: %d with %s\n", count, ResponseFault(fault))
 	}
+	for kind, count := range r.Record.HostileConns {
+		if count > 0 {
+			fmt.Fprintf(w, "  hostile clients: %d connections of %s\n", count, HostileKind(kind))
+		}
+	}
 	for _, event := range r.Events() {
 		fmt.Fprintln(w, "  event", event)
 	}
--- a/internal/simulation/soak/rules.go
+++ b/internal/simulation/soak/rules.go
@@ -27,6 +27,8 @@
 	HostSlack time.Duration
 	// AllResponseFaults requires each kind of faulty response at least once.
 	AllResponseFaults bool
+	HostileGroups     []HostileGroup // kinds of which a client must have connected
+	MaxMemoryMB       float64        // bound of a scheduler's resident memory; 0: not checked
 }
 
 // Slack that the platform allows.
@@ -86,6 +88,7 @@
 	c.checkVolumeLimits(requestsByID)
 	c.checkProcesses()
 	c.checkResponseFaults()
+	c.checkHostileGroups()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
 	return c.violations
 }
@@ -103,6 +106,7 @@
 	}
 	deadline := request.SentAt + request.Timeout + answerSlack + c.rules.HostSlack
 	switch {
+	case request.AnswerUnread:
 	case request.AnsweredAt > 0:
 		if request.AnsweredAt > deadline {
 			addLost(request.AnsweredAt, fmt.Sprintf("answered %.3f s after its deadline", (request.AnsweredAt-request.SentAt-request.Timeout).Seconds()))
@@ -293,19 +297,31 @@
 	return expected + 2*math.Sqrt(expected) + 2
 }
 
-// checkProcesses checks that no scheduler exits unexpectedly and that none has to be killed
-// after SIGTERM.
+// checkProcesses checks that no scheduler exits unexpectedly, that none has to be killed after
+// SIGTERM and that none exceeds its memory.
 func (c *checker) checkProcesses() {
 	for _, exit := range c.record.Exits {
 		if exit.Crashed {
 			c.addViolation("crash", exit.ExitedAt, exit.Scheduler, "", "unexpected exit: "+logTail(exit.Log))
 		}
+		if c.rules.MaxMemoryMB > 0 && exit.PeakMemoryMB > c.rules.MaxMemoryMB {
+			c.addViolation("memory", exit.ExitedAt, exit.Scheduler, "", fmt.Sprintf("%.1f MB resident, %.0f MB are allowed", exit.PeakMemoryMB, c.rules.MaxMemoryMB))
+		}
 		if exit.Killed && exit.SigtermAt > 0 {
 			c.addViolation("stop", exit.ExitedAt, exit.Scheduler, "", fmt.Sprintf("still running %.3f s after SIGTERM", (exit.ExitedAt-exit.SigtermAt).Seconds()))
 		}
 	}
 }
 
+// checkHostileGroups checks that hostile clients of each group have connected.
+func (c *checker) checkHostileGroups() {
+	for _, group := range c.rules.HostileGroups {
+		if c.record.HostileConns[group.Kind] == 0 {
+			c.addViolation("untried", c.record.Now(), -1, "", "no hostile client has connected of the kind "+group.Kind.String())
+		}
+	}
+}
+
 // checkResponseFaults checks that the run has tried each kind of faulty response.
 func (c *checker) checkResponseFaults() {
 	if !c.rules.AllResponseFaults {
--- a/internal/simulation/soak/run.go
+++ b/internal/simulation/soak/run.go
@@ -26,16 +26,20 @@
 	Sockets             int
 	AbandonProbability  float64 // see Clients
 	PipelineProbability float64 // see Clients
+	LimitedFraction     float64 // of the requests, to volumes with a rate limit
 	FullListPerWatch    bool    // every discovery watch starts with the full list
 	IndentedJSON        bool
 	// One of so many responses of disk servers is faulty, each kind in turn; 0: none.
 	FaultyResponseInterval int
+	ResponseBytes          int            // size of a sound response's body; 0: the request's id
+	Hostile                []HostileGroup // hostile clients of each scheduler
+	CheckMemory            bool           // that a scheduler's resident memory stays under MemoryMB
 }
 
 // DefaultOptions returns the default options; Command is not set.
 func DefaultOptions() Options {
 	return Options{Seed: 1, Schedulers: 3, Servers: 40, Rate: 60, Duration: 15 * time.Second, CoreShare: 1, MeanServiceTime: 15 * time.Millisecond,
-		HostSlack: 150 * time.Millisecond, MemoryMB: 96, Sockets: 512, AbandonProbability: 0.05, PipelineProbability: 0.05, FaultyResponseInterval: 15}
+		HostSlack: 150 * time.Millisecond, MemoryMB: 96, Sockets: 512, AbandonProbability: 0.05, PipelineProbability: 0.05, LimitedFraction: 0.4, FaultyResponseInterval: 15}
 }
 
 // Validate returns an error for the first option that is out of range.
@@ -47,8 +51,8 @@
 	}{
 		{"schedulers", float64(o.Schedulers), 1, 200}, {"servers", float64(o.Servers), 1, 5000},
 		{"rate", o.Rate, 0.1, 2000}, {"lasts", o.Duration.Seconds(), 1, 3600}, {"share", o.CoreShare, 0.01, 1},
-		{"memory", float64(o.MemoryMB), 16, 4096}, {"sockets", float64(o.Sockets), 32, 16384}, {"abandon probability", o.AbandonProbability, 0, 1}, {"pipeline probability", o.PipelineProbability, 0, 1},
-		{"faulty response interval", float64(o.FaultyResponseInterval), 0, 1e6},
+		{"memory", float64(o.MemoryMB), 16, 4096}, {"sockets", float64(o.Sockets), 32, 16384}, {"abandon probability", o.AbandonProbability, 0, 1}, {"pipeline probability", o.PipelineProbability, 0, 1}, {"limited fraction", o.LimitedFraction, 0, 1},
+		{"faulty response interval", float64(o.FaultyResponseInterval), 0, 1e6}, {"response bytes", float64(o.ResponseBytes), 0, 1 << 20},
 	} {
 		if !(check.value >= check.low && check.value <= check.high) {
 			return fmt.Errorf("%s is %g, must be from %g to %g", check.name, check.value, check.low, check.high)
@@ -127,7 +131,7 @@
 		address := schedulerAddress(i)
 		r.addresses = append(r.addresses, address)
 		r.clients = append(r.clients, &Clients{record: r.Record, scheduler: i, address: address, classes: classes, shards: options.Servers,
-			requestRate: options.Rate, abandonProbability: options.AbandonProbability, pipelineProbability: options.PipelineProbability, rng: rand.New(rand.NewPCG(options.Seed, uint64(2+i))), idPrefix: fmt.Sprintf("%06x", i)})
+			requestRate: options.Rate, abandonProbability: options.AbandonProbability, pipelineProbability: options.PipelineProbability, limitedFraction: options.LimitedFraction, rng: rand.New(rand.NewPCG(options.Seed, uint64(2+i))), idPrefix: fmt.Sprintf("%06x", i)})
 	}
 	for i := range options.Schedulers {
 		if err := r.StartScheduler(i); err != nil {
@@ -286,12 +290,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.Options.Duration)
 	defer cancel()
 	var tasks sync.WaitGroup
-	for _, clients := range r.clients {
-		tasks.Add(1)
-		go func() {
-			defer tasks.Done()
-			clients.Run(ctx)
-		}()
+	for i, clients := range r.clients {
+		tasks.Go(func() { clients.Run(ctx) })
+		hostile := &hostileClients{clients: clients, record: r.Record, address: clients.address, shards: r.Options.Servers}
+		tasks.Go(func() { hostile.run(ctx, r.Options.Hostile, r.Options.Seed+uint64(i)) })
 	}
 	for _, fault := range faults {
 		tasks.Add(1)
--- a/internal/simulation/soak/scenario.go
+++ b/internal/simulation/soak/scenario.go
@@ -131,3 +131,31 @@
 		g.addFault(start, "idle connections to a scheduler", func(r *Run) { r.HoldIdleConnections(scheduler, connections, 3*time.Second) })
 	}
 }
+
+// hostileSeedInterval: on every so many seeds there are hostile clients.
+const hostileSeedInterval = 3
+
+// hostileMachine is a machine on which hostile clients are played, and how many there may be of one
+// kind.
+type hostileMachine struct{ memoryMB, sockets, maxClients int }
+
+var hostileMachines = []hostileMachine{{48, 1024, 600}, {32, 64, 100}, {192, 1024, 600}}
+
+// DrawHostile adds, on some seeds, two kinds of hostile clients, and sets the machine.
+func (o *Options) DrawHostile() {
+	if o.Seed%hostileSeedInterval != 0 {
+		return
+	}
+	rng := rand.New(rand.NewPCG(o.Seed, 98))
+	machine := hostileMachines[rng.IntN(len(hostileMachines))]
+	o.MemoryMB, o.Sockets = machine.memoryMB, machine.sockets
+	first := int(o.Seed / hostileSeedInterval)
+	for i := range 2 {
+		kind := HostileKind((first*2 + i) % int(hostileKindCount))
+		count := machine.maxClients/4 + rng.IntN(machine.maxClients*3/4)
+		if kind.flooding() {
+			count = 1 + rng.IntN(maxFloodingClients)
+		}
+		o.Hostile = append(o.Hostile, HostileGroup{kind, count})
+	}
+}
--- a/internal/simulation/soak/servers.go
+++ b/internal/simulation/soak/servers.go
@@ -34,6 +34,7 @@
 type Servers struct {
 	record          *Record
 	meanServiceTime time.Duration // of a request, exponentially distributed
+	responseBytes   int           // size of a sound response's body; 0: the request's id
 	servers         []*diskServer
 	tasks           sync.WaitGroup
 
@@ -55,7 +56,7 @@
 
 // StartServers starts the disk servers of a run on loopback.
 func StartServers(options Options, record *Record) (*Servers, error) {
-	servers := &Servers{record: record, meanServiceTime: options.MeanServiceTime, faults: faultSequence{interval: int64(options.FaultyResponseInterval)}}
+	servers := &Servers{record: record, meanServiceTime: options.MeanServiceTime, responseBytes: options.ResponseBytes, faults: faultSequence{interval: int64(options.FaultyResponseInterval)}}
 	for index := range options.Servers {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -249,7 +250,11 @@
 	if fault, headAndBodyBytes, faulty := s.faults.next(); faulty {
 		return s.respondFaulty(conn, attempt, fault, headAndBodyBytes)
 	}
-	s.record.setServed(attempt, len(attempt.ID))
-	_, err := conn.Write(http1.AppendResponse(nil, 200, nil, []byte(attempt.ID)))
+	body := attempt.ID
+	if s.responseBytes > 0 {
+		body = responseBody(attempt.ID, s.responseBytes)
+	}
+	s.record.setServed(attempt, len(body))
+	_, err := conn.Write(http1.AppendResponse(nil, 200, nil, []byte(body)))
 	return err == nil
 }
--- a/internal/simulation/soak/settings.go
+++ b/internal/simulation/soak/settings.go
@@ -12,7 +12,6 @@
 	volumeRate                 = 8.0     // units per second
 	volumeBurst                = 20.0    // units
 	volumeBurstSlack           = 6.0     // units
-	limitedFraction            = 0.4     // of the requests
 	limitedVolumesPerScheduler = 2       // each used by that scheduler only
 	meanUnits                  = 2
 	volumeCount                = 512
@@ -58,10 +57,14 @@
 
 // Rules returns the rules that a run with these options is checked against.
 func (o Options) Rules() Rules {
-	return Rules{DrainGrace: drainGrace, KeyTTL: keyTTL, MaxAttempts: maxAttempts,
+	rules := Rules{DrainGrace: drainGrace, KeyTTL: keyTTL, MaxAttempts: maxAttempts,
 		ColdUnits: coldUnits, ColdCapacity: coldCapacity, OverloadWindow: overloadWindow, WarmUpTime: warmUpTime,
 		VolumeRate: volumeRate, VolumeBurst: volumeBurst, VolumeBurstSlack: volumeBurstSlack, HostSlack: o.HostSlack,
-		AllResponseFaults: o.FaultyResponseInterval > 0}
+		AllResponseFaults: o.FaultyResponseInterval > 0, HostileGroups: o.Hostile}
+	if o.CheckMemory {
+		rules.MaxMemoryMB = float64(o.MemoryMB)
+	}
+	return rules
 }
 
 // stopGrace returns the time from SIGTERM to SIGKILL.
--- a/internal/simulation/soak/usage.go
+++ b/internal/simulation/soak/usage.go
@@ -4,7 +4,8 @@
 	"fmt"
 	"io"
 	"os"
-	"syscall"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -22,31 +23,35 @@
 // descriptorSampleInterval is the time between two counts of open descriptors.
 const descriptorSampleInterval = 100 * time.Millisecond
 
-// sampleDescriptors records the highest number of open descriptors until the process exits.
-func (p *Process) sampleDescriptors() {
+// sampleUsage records the highest number of open descriptors and the peak of the resident memory
+// until the process exits.
+func (p *Process) sampleUsage() {
 	for {
 		select {
 		case <-p.done:
 			return
 		case <-time.After(descriptorSampleInterval):
 		}
-		descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
-		if err != nil {
-			continue
-		}
+		// Without an error of its own, a process that has just exited has no entries.
+		descriptors, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+		memoryMB := peakMemoryMB(p.cmd.Process.Pid)
 		p.mu.Lock()
-		p.maxDescriptors = max(p.maxDescriptors, len(descriptors))
+		p.maxDescriptors, p.peakMemoryMB = max(p.maxDescriptors, len(descriptors)), max(p.peakMemoryMB, memoryMB)
 		p.mu.Unlock()
 	}
 }
 
-// resourceUsage returns the CPU time and the peak memory of a process that has exited.
-func (p *Process) resourceUsage() (cpuTime time.Duration, peakMB float64) {
-	state := p.cmd.ProcessState
-	if usage, ok := state.SysUsage().(*syscall.Rusage); ok {
-		peakMB = float64(usage.Maxrss) / 1024
+// peakMemoryMB returns the peak of a process's resident memory, files among it; 0 if it has exited.
+// The kernel's figure after the exit (ru_maxrss) counts the parent too, from before the exec.
+func peakMemoryMB(pid int) float64 {
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	_, line, _ := strings.Cut(string(status), "VmHWM:")
+	fields := strings.Fields(line)
+	if len(fields) == 0 {
+		return 0
 	}
-	return state.UserTime() + state.SystemTime(), peakMB
+	kilobytes, _ := strconv.ParseFloat(fields[0], 64)
+	return kilobytes / 1024
 }
 
 // Usage returns the resource use of the schedulers after the run.
@@ -60,13 +65,8 @@
 	}
 	usage.ServerConnections = float64(r.Servers.acceptedConns.Load()) / schedulers
 	usage.DiscoveryBytes = float64(r.Record.discoveryBytes.Load()) / schedulers
-	served := 0
-	for _, request := range r.Record.Requests {
-		if request.Status == 200 {
-			served++
-		}
-	}
-	usage.ServedFraction = float64(served) / float64(max(len(r.Record.Requests), 1))
+	service := r.Service()
+	usage.ServedFraction = float64(service.Served) / float64(max(service.Requests, 1))
 	return usage
 }
 
