merlinhitch-scheduler: the scheduler as a program of its own; deploy starts it

Cause, one of two: of 48 MB, 25 to 27 were resident pages of the program's file, which the platform counts: merlinhitch has 42 MB with plots, Parquet and all tools. Change: the process (file, signals, log, limits of the runtime) moves to internal/control/schedulerd without a change; cmd/merlinhitch-scheduler is that alone, dynamically linked as the platform asks; `merlinhitch scheduler` stays and is the same code. A second cause, what clients make it hold, is open.

--- a/cmd/merlinhitch/main.go
+++ b/cmd/merlinhitch/main.go
@@ -9,8 +9,8 @@
 	"os"
 
 	"github.com/alecthomas/kong"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
+
+	"merlinhitch/internal/control/schedulerd"
 )
 
 // globalOptions are accepted by every command.
@@ -70,7 +70,7 @@
 // run parses the command line into grammar and runs the selected command.
 func run(grammar any, options *globalOptions) {
 	parsed := kong.Parse(grammar, kong.Name("merlinhitch"), kong.Description("Storage gateway and request scheduler in front of disk servers."), kong.UsageOnError(), kong.Vars{"admin": defaultAdminAddress()})
-	log, err := newLogger(options.LogLevel)
+	log, err := schedulerd.NewLogger(options.LogLevel)
 	parsed.FatalIfErrorf(err)
 	if err := parsed.Run(log); err != nil {
 		if !errors.Is(err, errReported) {
@@ -79,17 +79,3 @@
 		os.Exit(1)
 	}
 }
-
-// newLogger returns a logger that writes JSON lines to standard error. Of lines with the same
-// level and message, the first 100 in a second and then every 100th are written.
-func newLogger(level string) (*zap.Logger, error) {
-	parsedLevel, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, err
-	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(parsedLevel)
-	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.DisableStacktrace = true
-	return config.Build()
-}
--- a/cmd/merlinhitch/scheduler_test.go
+++ b/cmd/merlinhitch/scheduler_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"merlinhitch/internal/control/schedulerd"
 	"merlinhitch/internal/protocol/http1"
 	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/simulation/standin"
@@ -282,7 +283,7 @@
 	servers := startStandins(t)
 	invalidConfig := strings.Replace(servers.config(unusedAddr(t), servers.discovery.Addr, "read", 500), `"aim_ms":200`, `"aim_ms":-1`, 1)
 	p := startProcess(t, invalidConfig)
-	if status := p.waitForExit(10 * time.Second); status != exitInvalidConfig || !strings.Contains(p.log.String(), "settings.request_classes[0].aim_ms") {
+	if status := p.waitForExit(10 * time.Second); status != schedulerd.ExitInvalidConfig || !strings.Contains(p.log.String(), "settings.request_classes[0].aim_ms") {
 		t.Errorf("exit status: got %d, want 2 and the path of the fault in the log; log:\n%s", status, p.log.String())
 	}
 	p = servers.startScheduler(t)
