--- a/internal/simulation/soak/hostile.go
+++ b/internal/simulation/soak/hostile.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -12,8 +11,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"merlinhitch/internal/protocol/http1"
 )
 
 // HostileKind is a way in which clients use up a scheduler's memory or processor time, or leave
@@ -231,7 +228,7 @@
 }
 
 // send records a batch and writes it.
-func (h *hostileClients) send(conn net.Conn, batch []encodedRequest) {
+func (h *hostileClients) send(conn net.Conn, batch []encodedRequest) error {
 	var raw []byte
 	now := h.record.Now()
 	for _, request := range batch {
@@ -239,7 +236,8 @@
 		h.record.addRequest(request.Request)
 		raw = append(raw, request.raw...)
 	}
-	conn.Write(raw)
+	_, err := conn.Write(raw)
+	return err
 }
 
 // leave closes the connection and records that the client of each request has left.
@@ -277,25 +275,18 @@
 	}
 }
 
-// readNewVolumes sends reads in batches, each of a volume of its own, and reads the answers.
+// readNewVolumes sends reads at full speed, each of a volume of its own, and reads the answers.
 func (h *hostileClients) readNewVolumes(ctx context.Context, conn net.Conn, rng *rand.Rand) {
-	reader := bufio.NewReader(conn)
+	go readToEnd(conn)
 	for sent := 0; sent < maxFloodRequests && ctx.Err() == nil; sent += floodBatch {
 		batch := make([]encodedRequest, floodBatch)
 		for i := range batch {
 			batch[i] = h.newRequest(classes[0], rng.Uint64(), rng, "")
+			batch[i].AnswerUnread = true
 		}
-		h.send(conn, batch)
 		conn.SetDeadline(time.Now().Add(maxHostileConnTime))
-		for i := range batch {
-			response, body, err := http1.ReadWholeResponse(reader, messageLimits)
-			if err != nil {
-				h.leave(conn, batch[i:])
-				return
-			}
-			h.record.mu.Lock()
-			batch[i].AnsweredAt, batch[i].Status, batch[i].Body = h.record.Now(), response.Status, string(body)
-			h.record.mu.Unlock()
+		if h.send(conn, batch) != nil {
+			return
 		}
 	}
 }
