--- a/internal/control/scheduler/attemptresult_test.go
+++ b/internal/control/scheduler/attemptresult_test.go
@@ -118,8 +118,10 @@
 		}
 		var dialTimeout time.Duration
 		h.onLoop(func() { dialTimeout = h.scheduler.pool.dialTimeout })
-		if dialTimeout != 400*time.Millisecond || h.scheduler.frontend.byteLimit.Load() != 4<<20 {
-			t.Errorf("got a dial timeout of %s and a limit of %d body bytes, want 400 ms and 4194304", dialTimeout, h.scheduler.frontend.byteLimit.Load())
+		oldPlan, newPlan := PlanMemory(Limits{MemoryMB: 64, Sockets: 64}), PlanMemory(Limits{MemoryMB: 32, Sockets: 64})
+		limit := h.scheduler.memory.answers.limit.Load()
+		if dialTimeout != 400*time.Millisecond || limit != newPlan.answers || newPlan.answers >= oldPlan.answers {
+			t.Errorf("got a dial timeout of %s and a limit of %d bytes of answers, want 400 ms and %d, less than before, %d", dialTimeout, limit, newPlan.answers, oldPlan.answers)
 		}
 		drainStartedAt := time.Now()
 		h.scheduler.Drain()
--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -84,8 +84,8 @@
 	_, err := c.in.Peek(1)
 	if env.IsTimeout(err) {
 		c.conn.SetReadDeadline(time.Time{})
-		c.readAhead.readAvailable()
-		if len(c.readAhead.buffer) > 0 {
+		c.readAhead.readAvailable(readBytes)
+		if c.readAhead.buffer.len() > 0 {
 			_, err = c.in.Peek(1)
 		}
 	}
@@ -96,11 +96,56 @@
 type request struct {
 	*http1.Request
 	body       []byte
+	dropped    bool    // its body was read and not kept, for lack of memory
 	receivedAt float64 // arrival time of its last byte, ms on the loop's clock
+	memory     *requestMemory
 }
 
+// requestMemory is what a request has reserved.
+type requestMemory struct {
+	heads                   *byteBudget
+	headBytes, headReserved int
+	body                    *requestBody
+}
+
+// reserveHead reserves n bytes for lines of the head, beyond unreservedBytes.
+func (m *requestMemory) reserveHead(n int) bool {
+	m.headBytes += n
+	needed := m.headBytes - unreservedBytes - m.headReserved
+	if needed <= 0 {
+		return true
+	}
+	if !m.heads.reserve(needed) {
+		return false
+	}
+	m.headReserved += needed
+	return true
+}
+
+// release returns what is reserved, once the request has ended.
+func (m *requestMemory) release() {
+	m.heads.add(-m.headReserved)
+	m.headReserved = 0
+	if m.body != nil {
+		m.body.release()
+	}
+}
+
+// readRequest reads a request. The memory of the one that it returns has to be released.
 func (c *client) readRequest() (*request, error) {
-	head, err := http1.ReadRequest(c.in, messageLimits)
+	memory := &requestMemory{heads: &c.frontend.memory.heads}
+	r, err := c.readIntoMemory(memory)
+	if err != nil {
+		memory.release()
+	}
+	return r, err
+}
+
+func (c *client) readIntoMemory(memory *requestMemory) (*request, error) {
+	f := c.frontend
+	limits := messageLimits
+	limits.ReserveHead = memory.reserveHead
+	head, err := http1.ReadRequest(c.in, limits)
 	if err != nil {
 		return nil, err
 	}
@@ -111,8 +156,20 @@
 	if head.ExpectsContinue() && c.in.Buffered() == 0 {
 		c.out.Enqueue(func(b []byte) []byte { return append(b, "HTTP/1.1 100 Continue\r\n\r\n"...) })
 	}
-	body, err := http1.ReadBody(c.in, framing, messageLimits)
-	return &request{Request: head, body: body, receivedAt: c.readAhead.consumedArrivalTime(c.in.Buffered())}, err
+	maxLength := framing.Length
+	if framing.Chunked {
+		maxLength = messageLimits.MaxBodyBytes
+	}
+	memory.body = f.memory.bodies.newBody(f.loop.now, maxLength)
+	err = http1.CopyBody(c.in, framing, messageLimits, func(piece []byte) error {
+		memory.body.append(piece)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	body, kept := memory.body.complete()
+	return &request{Request: head, body: body, dropped: !kept, receivedAt: c.readAhead.consumedArrivalTime(c.in.Buffered()), memory: memory}, nil
 }
 
 // readErrorStatus returns the HTTP status for a request that could not be read, or 0 if the
@@ -132,7 +189,11 @@
 
 // reject answers an invalid request with status and ends the connection; status 0 sends nothing.
 func (c *client) reject(status int) {
-	if status != 0 {
+	switch status {
+	case 0:
+	case 503:
+		c.refuseForRoom(true)
+	default:
 		c.respond(status, true, nil, nil)
 	}
 }
@@ -158,11 +219,24 @@
 
 const readyPath = "/up"
 
+// retryAfterRoom is the Retry-After, in seconds, of a request that was refused for lack of memory.
+const retryAfterRoom = "1"
+
+// refuseForRoom answers a request for which there is no memory.
+func (c *client) refuseForRoom(closeConn bool) bool {
+	return c.respond(503, closeConn, http1.Fields{{Name: "Retry-After", Value: retryAfterRoom}}, nil)
+}
+
 // handle answers a request. It returns false if the connection is to be closed.
 func (c *client) handle(r *request) bool {
 	f := c.frontend
 	closeConn := r.Close()
+	if r.dropped {
+		r.memory.release()
+		return c.refuseForRoom(closeConn || c.isLastAnswer())
+	}
 	if r.Target == readyPath {
+		r.memory.release()
 		status := 503
 		if f.ready.Opened() && f.drainDeadline() == 0 {
 			status = 200
@@ -171,6 +245,7 @@
 	}
 	call, status := f.parser.Load().parse(r)
 	if status != 0 {
+		r.memory.release()
 		c.reason = closeRejected
 		c.reject(status)
 		return false
@@ -178,57 +253,40 @@
 	if deadline := f.drainDeadline(); deadline > 0 {
 		call.req.Expires = min(call.req.Expires, deadline)
 	}
-	bodySize := int64(len(r.body))
-	if f.requestBytes.Add(bodySize) > f.byteLimit.Load() {
-		f.requestBytes.Add(-bodySize)
-		return c.respond(503, closeConn || c.isLastAnswer(), http1.Fields{{Name: "Retry-After", Value: "1"}}, nil)
-	}
-	defer f.requestBytes.Add(-bodySize)
-	return c.submit(call, r.receivedAt, closeConn)
+	return c.submit(call, r, closeConn)
 }
 
-// submit hands the call to the core and waits until it is answered or the client leaves. occurredAt is
-// the arrival time of the request, ms on the loop's clock. A client that has already left is not
-// served. It returns false if the connection is to be closed.
-func (c *client) submit(call *call, occurredAt float64, closeConn bool) bool {
+// submit hands the call to the core and waits until it is answered or the client leaves. A client that
+// has already left is not served. It returns false if the connection is to be closed.
+func (c *client) submit(call *call, r *request, closeConn bool) bool {
 	resp := &responder{client: c, closeAfter: closeConn}
-	call.replyTo = resp
+	call.replyTo, call.release = resp, r.memory.release
 	c.lastRequestID = call.req.ID
 	f := c.frontend
+	c.putBackUnread()
 	// The configured server list may be out of date, so nothing is sent until discovery has
 	// answered or its time to do so is over.
 	env.WaitAny(f.environment, &f.ready, &f.ended)
 	c.conn.SetReadDeadline(time.Time{})
-	if c.readAhead.readAvailable() != nil {
+	if c.readAvailable() != nil {
+		r.memory.release()
 		return false
 	}
-	deadline := call.req.Expires
-	posted := f.loop.post(occurredAt, eventRequest, func(occurredAt float64) {
+	posted := f.loop.post(r.receivedAt, eventRequest, func(occurredAt float64) {
 		if !f.core.startCall(occurredAt, call) {
 			resp.closeAfter, resp.duplicate = true, true
 			c.reject(409)
+			r.memory.release()
 			resp.done.Open()
 		}
 	})
 	if !posted {
+		r.memory.release()
 		c.reason = closeLoopEnded
 		return false
 	}
-	for {
-		if earlier := c.pipelined.earliestDeadline(); earlier < deadline {
-			deadline = earlier
-			f.loop.post(f.loop.now(), eventDeadlineShortened, func(occurredAt float64) { f.core.shortenDeadline(occurredAt, call, earlier) })
-		}
-		if resp.done.Opened() || c.readAhead.full() {
-			break
-		}
-		if err := c.readAhead.readMore(); err != nil && !env.IsTimeout(err) {
-			call.noNewAttempts.Store(true)
-			f.loop.post(f.loop.now(), eventClientGone, func(occurredAt float64) { f.core.clientGone(occurredAt, call) })
-			return false
-		} else if err != nil {
-			break // answered: only becomeIdle and deliver set a read deadline here
-		}
+	if !c.readWhileOpen(call, &resp.done) {
+		return false
 	}
 	env.WaitAny(f.environment, &resp.done, &f.ended)
 	if answer := resp.deferred; resp.done.Opened() && answer != nil {
@@ -245,6 +303,56 @@
 	return resp.done.Opened() && !resp.closeAfter
 }
 
+// putBackUnread makes readAhead hold what the reader holds of the requests behind the open one.
+func (c *client) putBackUnread() {
+	if unread, _ := c.in.Peek(c.in.Buffered()); len(unread) > 0 {
+		c.readAhead.putBack(unread)
+		c.in.Reset(c.readAhead)
+	}
+}
+
+// maxReadsBeforeStart bounds the reads before a request is taken: a client that sends all the time is
+// seen to leave once its request is open.
+const maxReadsBeforeStart = 64
+
+// readAvailable reads what the client has sent behind the request that was read. It returns an error
+// if the client has left.
+func (c *client) readAvailable() error {
+	for range maxReadsBeforeStart {
+		room := c.pipelined.room()
+		if room == 0 || c.readAhead.readAvailable(room) != nil {
+			break
+		}
+	}
+	return c.readAhead.err
+}
+
+// readWhileOpen reads what the client sends behind its open request, until that is answered or there
+// is no room to read on. It returns false, and ends the call, if the client leaves.
+func (c *client) readWhileOpen(call *call, answered *env.Gate) bool {
+	f := c.frontend
+	deadline := call.req.Expires
+	for {
+		if earlier := c.pipelined.earliestDeadline(); earlier < deadline {
+			deadline = earlier
+			f.loop.post(f.loop.now(), eventDeadlineShortened, func(occurredAt float64) { f.core.shortenDeadline(occurredAt, call, earlier) })
+		}
+		room := c.pipelined.room()
+		if answered.Opened() || room == 0 {
+			return true
+		}
+		err := c.readAhead.readMore(room)
+		if err != nil && !env.IsTimeout(err) {
+			call.noNewAttempts.Store(true)
+			f.loop.post(f.loop.now(), eventClientGone, func(occurredAt float64) { f.core.clientGone(occurredAt, call) })
+			return false
+		}
+		if err != nil {
+			return true // answered: only becomeIdle and deliver set a read deadline here
+		}
+	}
+}
+
 // deliver implements recipient. It is called on the loop. During a stop the client's goroutine sends
 // the answer, since it decides whether that is the connection's last.
 func (r *responder) deliver(outcome callOutcome, retryAfterMS float64, body []byte) {
@@ -263,7 +371,7 @@
 	switch outcome {
 	case callServed:
 		// Without room for the body, held by clients that do not read, the answer is a 504.
-		if fr := r.client.frontend; fr.answerBytes.Load()+int64(len(body)) <= fr.byteLimit.Load() {
+		if answers := &r.client.frontend.memory.answers; answers.used.Load()+int64(len(body)) <= answers.limit.Load() {
 			return &answer{status: 200, body: body}
 		}
 	case callRefused:
--- a/internal/control/scheduler/config.go
+++ b/internal/control/scheduler/config.go
@@ -30,6 +30,9 @@
 	Cores    float64
 	MemoryMB int // MiB
 	Sockets  int // file descriptors
+	// ImageBytes is how much of the memory the program's file and its libraries take; 0: not known.
+	// The process sets it; it is not in the file.
+	ImageBytes int64
 }
 
 // ConfigError is an invalid or missing field of the configuration file. Path is the field's
@@ -82,7 +85,7 @@
 	config := &Config{
 		Name: valueOr(file.Name, getenv(envName)), Listen: valueOr(file.Listen, getenv(envListen)),
 		Discovery: valueOr(file.Discovery, getenv(envDiscovery)),
-		Limits:    Limits{file.Limits.Cores, file.Limits.MemoryMB, file.Limits.Sockets},
+		Limits:    Limits{Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets},
 	}
 	var err error
 	if file.Seed != "" {
--- a/internal/control/scheduler/connpool.go
+++ b/internal/control/scheduler/connpool.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"slices"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,7 +19,7 @@
 	// messageLimits bounds requests of clients and response heads of discovery.
 	messageLimits = http1.Limits{MaxHeadBytes: 16 << 10, MaxFields: 64, MaxBodyBytes: 64 << 10}
 	// responseLimits allows bodies larger than requests may have: the platform's page speaks of
-	// 64 KiB, but its disk servers send several times that. connPool.maxReplyBytes bounds the
+	// 64 KiB, but its disk servers send several times that. memoryAccount.replies bounds the
 	// bytes of all responses in memory together.
 	responseLimits = http1.Limits{MaxHeadBytes: 16 << 10, MaxFields: 64, MaxBodyBytes: maxResponseBytes}
 )
@@ -42,26 +41,25 @@
 // Its methods run on the loop's goroutine, except dialAddr and mayBegin, which goroutines of
 // dials and exchanges call, and close. Those goroutines post their results to the loop.
 type connPool struct {
-	environment   env.Environment
-	loop          *loop
-	core          *core
-	dialTimeout   time.Duration
-	maxIdle       float64      // ms for which an idle connection is kept
-	maxConns      int          // bound of connCount
-	maxReplyBytes atomic.Int64 // bound of replyBytes
-	replyBytes    atomic.Int64 // bytes of response bodies in memory
-	reuse         reuseStats
-	serverStates  serverStates
-	log           *eventLog
-	connCount     int // connections open or being dialled
-	servers       map[string]*diskServer
-	idleConns     list.List     // idle connections, longest idle first
-	dialQueued    []*diskServer // servers with waiting attempts for which no connection could be dialled, in FIFO order
-	dialsPaused   bool          // a dial failed with a local socket error less than dialPause ago
-	tasks         env.WaitGroup
-	ctx           context.Context // of dials
-	stop          context.CancelFunc
-	conns         env.OrderedSet[*serverConn]
+	environment  env.Environment
+	loop         *loop
+	core         *core
+	dialTimeout  time.Duration
+	maxIdle      float64 // ms for which an idle connection is kept
+	maxConns     int     // bound of connCount
+	memory       *memoryAccount
+	reuse        reuseStats
+	serverStates serverStates
+	log          *eventLog
+	connCount    int // connections open or being dialled
+	servers      map[string]*diskServer
+	idleConns    list.List     // idle connections, longest idle first
+	dialQueued   []*diskServer // servers with waiting attempts for which no connection could be dialled, in FIFO order
+	dialsPaused  bool          // a dial failed with a local socket error less than dialPause ago
+	tasks        env.WaitGroup
+	ctx          context.Context // of dials
+	stop         context.CancelFunc
+	conns        env.OrderedSet[*serverConn]
 }
 
 // diskServer holds the connections to one disk server and the attempts that wait for one.
@@ -113,17 +111,18 @@
 	idleElement *list.Element
 }
 
-func newConnPool(w env.Environment, l *loop, c *Config, maxConns int) *connPool {
-	p := &connPool{environment: w, loop: l, maxConns: maxConns, servers: map[string]*diskServer{}}
+func newConnPool(w env.Environment, l *loop, c *Config, memory *memoryAccount) *connPool {
+	p := &connPool{environment: w, loop: l, memory: memory, servers: map[string]*diskServer{}}
 	p.configure(c)
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
 }
 
-// configure applies the timeouts and memory bound of c; dials and exchanges under way keep theirs.
+// configure applies the timeouts and the bound of connections of c; dials and exchanges under way
+// keep theirs.
 func (p *connPool) configure(c *Config) {
 	p.dialTimeout, p.maxIdle = env.Duration(c.Timeouts.DialTimeout), c.Timeouts.IdleTimeout*idleKeepFraction
-	p.maxReplyBytes.Store(bodyByteLimit(c))
+	p.maxConns = PlanMemory(c.Limits).maxServers
 }
 
 // serverListed adds a server or updates its address. If the address or start time changed, idle
--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -42,6 +42,8 @@
 	// noNewAttempts tells other goroutines that no attempt may begin. It is set with ended, and
 	// earlier where the client's goroutine sees the disconnect before the loop does.
 	noNewAttempts atomic.Bool
+	// release returns the memory of the request, once the call has ended; nil: nothing to return.
+	release func()
 }
 
 // recipient receives a call's result. deliver is called at most once, on the core's goroutine; it
@@ -289,8 +291,12 @@
 }
 
 func (k *core) removeIfDone(c *call) {
-	if c.ended && c.outstanding == 0 {
-		delete(k.calls, c.req.ID)
+	if !c.ended || c.outstanding > 0 || k.calls[c.req.ID] != c {
+		return
+	}
+	delete(k.calls, c.req.ID)
+	if c.release != nil {
+		c.release()
 	}
 }
 
@@ -330,7 +336,7 @@
 	result          policy.Result
 	body            []byte
 	use, fromOthers float64
-	reservedBytes   int64 // counted in connPool.replyBytes for the body
+	reservedBytes   int // counted in memoryAccount.replies for the body
 }
 
 // replyReceived notes that an attempt's response has been read. Its result is not known yet, so
--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -34,6 +34,8 @@
 	maxQueuedAcceptWaitMS = 1.0                                    // an accept that returns sooner took a connection that was already queued
 	clientWriteLimit      = maxResponseBytes + maxHTTPMessageBytes // bytes queued for one client
 	clientWriteTimeout    = 3 * time.Second
+	clientReadBuffer      = 2 << 10
+	idleWriteBuffer       = 512 // bytes that an idle connection keeps for its next answer
 	// lingerTimeout bounds how long a connection stays half-closed after its last answer, until
 	// the client closes its side (RFC 9112, section 9.6): closing it with unread data would send
 	// a reset, which can overtake the answer.
@@ -47,24 +49,21 @@
 	core              *core
 	log               *eventLog
 	parser            atomic.Pointer[requestParser]
-	maxClients        int             // limit of open connections that are not closing
-	maxClosing        int             // limit of closing connections beyond maxClients
-	byteLimit         atomic.Int64    // limit of requestBytes and of answerBytes
-	requestBytes      atomic.Int64    // bytes of bodies of open requests
-	answerBytes       atomic.Int64    // bytes of answers that are not yet written
-	readAhead         readAheadBudget // budget for data that clients send while a request is open
-	ready             env.Gate        // opened by the first message of discovery or after readyTimeout
-	drainDeadlineBits atomic.Uint64   // float64 bits of the time by which all requests must be answered; 0: none
-	stopAccepting     env.Gate        // opened when no more connections are accepted
-	ended             env.Gate        // opened at the end: clients' goroutines stop waiting
+	memory            *memoryAccount
+	ready             env.Gate      // opened by the first message of discovery or after readyTimeout
+	drainDeadlineBits atomic.Uint64 // float64 bits of the time by which all requests must be answered; 0: none
+	stopAccepting     env.Gate      // opened when no more connections are accepted
+	ended             env.Gate      // opened at the end: clients' goroutines stop waiting
 	tasks             env.WaitGroup
 	listener          net.Listener
 
 	listenedAt float64 // time just before the listener was opened, ms
 
-	mu        locks.Mutex
-	clients   env.OrderedSet[*client]
-	finishing bool // a connection ends once all that was read from it is answered; idle ones are closed
+	mu         locks.Mutex
+	clients    env.OrderedSet[*client]
+	maxClients int  // limit of open connections that are not closing
+	maxClosing int  // limit of closing connections beyond maxClients
+	finishing  bool // a connection ends once all that was read from it is answered; idle ones are closed
 }
 
 // clientState is the state of a client's connection, guarded by the frontend's mutex.
@@ -162,12 +161,13 @@
 // newClient registers a connection. earliestArrival is the time, ms, since when its first bytes may
 // have been waiting.
 func (f *frontend) newClient(conn net.Conn, earliestArrival float64) *client {
-	c := &client{frontend: f, conn: conn, readAhead: &readAhead{conn: conn, now: f.loop.now, budget: &f.readAhead, arrivedAt: earliestArrival}, stateSince: f.loop.now()}
-	c.in = bufio.NewReaderSize(c.readAhead, readBufferBytes)
+	c := &client{frontend: f, conn: conn, readAhead: &readAhead{conn: conn, now: f.loop.now, buffer: streamBuffer{budget: &f.memory.readAhead}, arrivedAt: earliestArrival}, stateSince: f.loop.now()}
+	c.in = bufio.NewReaderSize(c.readAhead, clientReadBuffer)
 	c.pipelined = pipelinedRequests{readAhead: c.readAhead, in: c.in}
 	c.out = writequeue.New(f.environment, conn, clientWriteLimit, clientWriteTimeout)
 	c.out.HalfClose = true
-	c.out.OnBytesChanged = func(delta int) { f.answerBytes.Add(int64(delta)) }
+	c.out.OnBytesChanged = f.memory.answers.add
+	c.out.IdleBufferLimit = idleWriteBuffer
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.clients.Add(c)
@@ -177,6 +177,13 @@
 	return c
 }
 
+// setMaxClients sets the limits of connections. Connections beyond them stay open.
+func (f *frontend) setMaxClients(maxClients, maxClosing int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.maxClients, f.maxClosing = maxClients, maxClosing
+}
+
 // hasCapacity reports whether another connection may be accepted. At the limit it starts to close
 // one evictable connection; with maxClosing closing beside maxClients, none is accepted.
 func (f *frontend) hasCapacity() bool {
--- a/internal/control/scheduler/lifecycle.go
+++ b/internal/control/scheduler/lifecycle.go
@@ -42,16 +42,8 @@
 	closingSocketFraction = 0.05
 	serverSocketFraction  = 0.30
 	minSockets            = 64 // lower bound of the configured number of descriptors
-	minMemoryMB           = 32 // lower bound of the configured memory, MiB
-	bodyMemoryDivisor     = 8  // bodies of one kind may hold this part of the memory
 )
 
-// bodyByteLimit returns the bytes that bodies of one kind may hold at once: bodies of requests, of
-// answers from disk servers, of answers to clients, and data read ahead from clients.
-func bodyByteLimit(config *Config) int64 {
-	return int64(max(config.Limits.MemoryMB, minMemoryMB)) << 20 / bodyMemoryDivisor
-}
-
 // Scheduler is one running scheduler.
 type Scheduler struct {
 	environment     env.Environment
@@ -64,6 +56,7 @@
 	listReceived    env.Gate // opened by the first message of discovery
 	ended           env.Gate
 	lastSweepAt     float64
+	memory          memoryAccount
 	grace           atomic.Uint64 // float64 bits of the time from SIGTERM to the kill, ms
 }
 
@@ -76,9 +69,8 @@
 	if err != nil {
 		return nil, err
 	}
-	sockets := max(config.Limits.Sockets, minSockets)
 	clockZeroMS := w.Deadline(0).UnixMilli() - clockAtStart
-	s.pool = newConnPool(w, s.loop, config, int(float64(sockets)*serverSocketFraction))
+	s.pool = newConnPool(w, s.loop, config, &s.memory)
 	s.core = newCore(clockZeroMS, config, s)
 	s.pool.core = s.core
 	events := newEventLog(log)
@@ -88,7 +80,7 @@
 	s.pool.serverStates.apply(known)
 	s.core.start(known)
 	s.loop.afterBatch = s.sweep
-	s.frontend = &frontend{environment: w, listener: listener, listenedAt: listenedAt, loop: s.loop, core: s.core, log: events, maxClients: int(float64(sockets) * clientSocketFraction), maxClosing: int(float64(sockets) * closingSocketFraction)}
+	s.frontend = &frontend{environment: w, listener: listener, listenedAt: listenedAt, loop: s.loop, core: s.core, log: events, memory: &s.memory}
 	s.applyConfig(config)
 	w.Go(func() { s.loop.run(s.core) })
 	s.loop.wake.Unpark()
@@ -117,8 +109,9 @@
 		s.log.Warn("setting ignored", zap.Error(err))
 	}
 	s.frontend.parser.Store(newRequestParser(&config.Settings))
-	s.frontend.byteLimit.Store(bodyByteLimit(config))
-	s.frontend.readAhead.limit.Store(bodyByteLimit(config))
+	plan := PlanMemory(config.Limits)
+	s.memory.setLimits(plan)
+	s.frontend.setMaxClients(plan.maxClients, plan.maxClosing)
 	s.grace.Store(math.Float64bits(gracePeriod(config)))
 }
 
--- a/internal/control/scheduler/pipeline.go
+++ b/internal/control/scheduler/pipeline.go
@@ -13,7 +13,7 @@
 // pipelinedRequests finds the requests that have been read whole behind the open one, without
 // consuming them. Answers are sent in order, so the open request must be answered by the earliest
 // of their deadlines. A request whose body has a known length is parsed once it is whole; any other
-// one again with each read until it is whole. Used by the client's goroutine only.
+// one again with each line until it is whole. Used by the client's goroutine only.
 type pipelinedRequests struct {
 	readAhead *readAhead
 	in        *bufio.Reader // reads from readAhead; unread bytes in its buffer come first
@@ -26,7 +26,8 @@
 	// deadlines holds the waiting requests in order, without those behind which one with an
 	// earlier or the same deadline waits: the first is the earliest of all.
 	deadlines []pipelinedDeadline
-	parser    *bufio.Reader
+	// searchedUntil is the stream offset up to which an incomplete head has been searched for its end.
+	searchedUntil int64
 }
 
 // pipelinedDeadline is the deadline, ms on the loop's clock, of the request that ends at endOffset.
@@ -37,7 +38,7 @@
 
 // consumedUntil returns the stream offset up to which requests have been consumed.
 func (p *pipelinedRequests) consumedUntil() int64 {
-	return p.readAhead.bytesRead - int64(len(p.readAhead.buffer)) - int64(p.in.Buffered())
+	return p.readAhead.bytesRead - int64(p.readAhead.buffer.len()) - int64(p.in.Buffered())
 }
 
 // waiting reports whether a request has been read whole and not consumed.
@@ -46,6 +47,14 @@
 	return p.wholeUntil > p.consumedUntil()
 }
 
+// room returns how many bytes may be read now; 0 if none, for lack of memory.
+func (p *pipelinedRequests) room() int {
+	if p.readAhead.full() {
+		return 0
+	}
+	return readBytes
+}
+
 // earliestDeadline returns the earliest deadline of the waiting requests, ms on the loop's clock;
 // +Inf if there are none.
 func (p *pipelinedRequests) earliestDeadline() float64 {
@@ -63,38 +72,49 @@
 		p.deadlines = p.deadlines[1:]
 	}
 	p.wholeUntil = max(p.wholeUntil, consumed)
-	if p.malformed || p.readAhead.bytesRead == p.wholeUntil || p.readAhead.bytesRead < p.nextEnd {
+	if p.malformed || p.readAhead.bytesRead == p.wholeUntil {
 		return
 	}
-	p.parse(p.unreadAfter(p.wholeUntil - consumed))
+	if p.readAhead.bytesRead < p.nextEnd {
+		return
+	}
+	unread := p.unreadAfter(p.wholeUntil - consumed)
+	searched := max(p.searchedUntil-p.wholeUntil, 0)
+	if len(unread) <= messageLimits.MaxHeadBytes && searched <= int64(len(unread)) && bytes.IndexByte(unread[searched:], '\n') < 0 {
+		return // a message ends with a line, or with a body of known length
+	}
+	p.parse(unread)
 }
 
 // unreadAfter returns the unread bytes after the first skip ones.
 func (p *pipelinedRequests) unreadAfter(skip int64) []byte {
 	buffered, _ := p.in.Peek(p.in.Buffered())
 	if skip >= int64(len(buffered)) {
-		return p.readAhead.buffer[skip-int64(len(buffered)):]
+		return p.readAhead.buffer.bytes()[skip-int64(len(buffered)):]
 	}
-	return slices.Concat(buffered[skip:], p.readAhead.buffer)
+	return slices.Concat(buffered[skip:], p.readAhead.buffer.bytes())
 }
 
 // parse adds the whole requests in unread, which begins at wholeUntil.
 func (p *pipelinedRequests) parse(unread []byte) {
-	if p.parser == nil {
-		p.parser = bufio.NewReaderSize(nil, readBufferBytes)
-	}
+	parser := parserPool.Get().(*bufio.Reader)
+	defer parserPool.Put(parser)
 	source := bytes.NewReader(unread)
-	p.parser.Reset(source)
+	parser.Reset(source)
 	startOffset := p.wholeUntil
-	for source.Len()+p.parser.Buffered() > 0 {
-		timeout, missing, err := readRequestTimeout(p.parser)
-		p.malformed = http1.IsMessageError(err)
+	p.searchedUntil = p.readAhead.bytesRead
+	for source.Len()+parser.Buffered() > 0 {
+		parsed, err := parseForTimeout(parser)
 		if err != nil {
-			p.nextEnd = p.readAhead.bytesRead + int64(max(missing, 1))
+			p.malformed = http1.IsMessageError(err)
+			p.nextEnd = p.readAhead.bytesRead + int64(max(parsed.missing, 1))
+			if parsed.missing > 0 {
+				p.searchedUntil = 0 // its end is no line
+			}
 			return
 		}
-		p.wholeUntil = startOffset + int64(len(unread)-source.Len()-p.parser.Buffered())
-		p.add(pipelinedDeadline{p.wholeUntil, p.readAhead.arrivalTime(p.wholeUntil) + timeout})
+		p.wholeUntil = startOffset + int64(len(unread)-source.Len()-parser.Buffered())
+		p.add(pipelinedDeadline{p.wholeUntil, p.readAhead.arrivalTime(p.wholeUntil) + parsed.timeout})
 	}
 }
 
@@ -107,31 +127,31 @@
 	p.deadlines = append(p.deadlines[:kept], request)
 }
 
-// readRequestTimeout reads a request with its body and returns its Request-Timeout in ms, +Inf if
-// that is missing or invalid. If the request is incomplete, it returns how many bytes of a body of
-// known length are missing, and an error.
-func readRequestTimeout(in *bufio.Reader) (timeout float64, missing int, err error) {
+// parsedRequest is what is known of a request that is parsed without being consumed.
+type parsedRequest struct {
+	timeout float64 // Request-Timeout, ms; +Inf if that is missing or invalid
+	missing int     // bytes that are missing of a body of known length
+}
+
+// parseForTimeout reads a request with its body. If the request is incomplete or invalid, it returns
+// what it knows and an error.
+func parseForTimeout(in *bufio.Reader) (parsedRequest, error) {
 	head, err := http1.ReadRequest(in, messageLimits)
 	if err != nil {
-		return 0, 0, err
+		return parsedRequest{}, err
 	}
 	framing, err := head.Framing(messageLimits)
 	if err != nil {
-		return 0, 0, err
-	}
-	if framing.Chunked {
-		_, err = http1.ReadBody(in, framing, messageLimits)
-	} else {
-		var discarded int
-		discarded, err = in.Discard(framing.Length)
-		missing = framing.Length - discarded
+		return parsedRequest{}, err
 	}
-	if err != nil {
-		return 0, missing, err
+	parsed := parsedRequest{timeout: math.Inf(1)}
+	if seconds, err := strconv.ParseFloat(head.Fields.Get("request-timeout"), 64); err == nil && seconds > 0 {
+		parsed.timeout = seconds * 1000
 	}
-	seconds, err := strconv.ParseFloat(head.Fields.Get("request-timeout"), 64)
-	if err != nil || !(seconds > 0) {
-		return math.Inf(1), 0, nil
+	if framing.Chunked {
+		return parsed, http1.CopyBody(in, framing, messageLimits, func([]byte) error { return nil })
 	}
-	return seconds * 1000, 0, nil
+	discarded, err := in.Discard(framing.Length)
+	parsed.missing = framing.Length - discarded
+	return parsed, err
 }
--- a/internal/control/scheduler/pipeline_test.go
+++ b/internal/control/scheduler/pipeline_test.go
@@ -121,7 +121,9 @@
 			size := min(len(rest), 1+random.IntN(3000))
 			conn.chunks, rest = append(conn.chunks, rest[:size]), rest[size:]
 		}
-		ahead := &readAhead{conn: conn, now: func() float64 { return 0 }, budget: &readAheadBudget{}}
+		budget := &byteBudget{}
+		budget.limit.Store(1 << 20)
+		ahead := &readAhead{conn: conn, now: func() float64 { return 0 }, buffer: streamBuffer{budget: budget}}
 		pipelined := pipelinedRequests{readAhead: ahead, in: bufio.NewReaderSize(ahead, readBufferBytes)}
 		for consumed := 0; consumed < len(ends); {
 			whole := 0
@@ -136,7 +138,7 @@
 				t.Fatalf("seed %d, %d bytes read, %d requests consumed: got earliest deadline %g, waiting %v, want %g", seed, ahead.bytesRead, consumed, got, pipelined.waiting(), want)
 			}
 			if len(conn.chunks) > 0 && random.IntN(4) > 0 {
-				ahead.readMore()
+				ahead.readMore(readBytes)
 			} else if _, _, err := http1.ReadWholeRequest(pipelined.in, messageLimits); err != nil {
 				t.Fatal(err)
 			} else {
--- a/internal/control/scheduler/presence_test.go
+++ b/internal/control/scheduler/presence_test.go
@@ -20,6 +20,8 @@
 			runOnSockets(t, nil, respondWith(ok200), func(h *harness, hooks *hookedEnv) {
 				dialled, release := h.blockDials(hooks)
 				client := h.connect()
+				io.WriteString(client.conn, strings.Replace(h.getRequest(), "0.480", "30", 1))
+				h.waitFor("a dial is blocked", dialled)
 				var pipelined strings.Builder
 				for pipelined.Len() < pipelinedBytes {
 					pipelined.WriteString(strings.Replace(h.getRequest("X-Filler: "+strings.Repeat("x", 1000)+"\r\n"), "0.480", "30", 1))
@@ -30,7 +32,6 @@
 					client.conn.Close()
 					written.Open()
 				})
-				h.waitFor("a dial is blocked", dialled)
 				if pipelinedBytes < 1<<20 {
 					h.waitFor("the client has closed its connection", written.Opened)
 				}
--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -1,10 +1,11 @@
 package scheduler
 
 import (
+	"bufio"
 	"cmp"
 	"net"
 	"slices"
-	"sync/atomic"
+	"sync"
 
 	"merlinhitch/internal/runtime/env"
 )
@@ -13,40 +14,43 @@
 	// maxReadAhead bounds the bytes read from a client while its request is open; the rest stays in
 	// the kernel, where the close of the connection behind it is not seen. Each client may
 	// have reservedReadAhead even when the budget of all clients is exhausted.
-	maxReadAhead      = 256 << 10
-	reservedReadAhead = 16 << 10
+	maxReadAhead      = 128 << 10
+	reservedReadAhead = 2 << 10
 	readAheadChunk    = 2 << 10
+	// readBytes is the most that is read at once.
+	readBytes = 16 << 10
 	// kernelClockStepMS is the coarsest step of the kernel's times of arrival. Shorter waits in
 	// the socket are not told from none.
 	kernelClockStepMS = 10.0
-	// markIntervalMS is the resolution of arrival times: it bounds the number of marks of a
-	// request that arrives byte by byte.
+	// markIntervalMS is the finest resolution of arrival times. It is made coarser for a request that
+	// would need more than maxMarks.
 	markIntervalMS = 1.0
+	maxMarks       = 64
 )
 
+// readBuffers holds buffers for reads, since most connections wait for data at any time.
+var readBuffers = sync.Pool{New: func() any { return new([readBytes]byte) }}
+
+// parserPool holds readers that parse requests without consuming them.
+var parserPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, clientReadBuffer) }}
+
 // readAhead reads from a client's connection and records when bytes arrived. While a request is
-// open it buffers what the client pipelines behind it, so that a close behind that data is seen.
+// open it keeps what the client pipelines behind it, so that a close behind that data is seen.
 // It is used by one goroutine.
 type readAhead struct {
 	conn      net.Conn
 	now       func() float64
-	budget    *readAheadBudget
+	buffer    streamBuffer
 	arrivedAt float64 // earliest time at which the first bytes may have arrived, ms
-	buffer    []byte
-	bytesRead int64 // total bytes read from the stream
+	bytesRead int64   // total bytes read from the stream
 	marks     []arrivalMark
+	// markInterval is the present resolution of the marks, ms; 0: markIntervalMS.
+	markInterval float64
 	// lastArrival is the time of the newest mark so far, ms: bytes arrive in order.
 	lastArrival float64
 	err         error // what ended the stream; timeouts are not recorded
 }
 
-// readAheadBudget bounds the bytes buffered for all clients together.
-type readAheadBudget struct{ used, limit atomic.Int64 }
-
-func (b *readAheadBudget) add(n int) { b.used.Add(int64(n)) }
-
-func (b *readAheadBudget) exhausted() bool { return b.used.Load() >= b.limit.Load() }
-
 // arrivalMark records the time, ms, at which the stream was read up to offset.
 type arrivalMark struct {
 	offset int64
@@ -55,13 +59,8 @@
 
 // Read implements io.Reader; buffered data comes first.
 func (a *readAhead) Read(b []byte) (int, error) {
-	if len(a.buffer) > 0 {
-		n := copy(b, a.buffer)
-		a.budget.add(-n)
-		if a.buffer = a.buffer[n:]; len(a.buffer) == 0 {
-			a.buffer = nil
-		}
-		return n, nil
+	if a.buffer.len() > 0 {
+		return a.buffer.consume(b), nil
 	}
 	if a.err != nil {
 		return 0, a.err
@@ -86,7 +85,7 @@
 	now := a.now()
 	first := a.bytesRead == 0
 	a.bytesRead += n
-	if count := len(a.marks); count > 0 && now-a.marks[count-1].time < markIntervalMS {
+	if count := len(a.marks); count > 0 && now-a.marks[count-1].time < max(a.markInterval, markIntervalMS) {
 		a.marks[count-1].offset = a.bytesRead
 		return
 	}
@@ -95,9 +94,23 @@
 		arrival = min(arrival, a.arrivedAt)
 	}
 	a.lastArrival = arrival
+	if len(a.marks) >= maxMarks {
+		a.mergeMarks()
+	}
 	a.marks = append(a.marks, arrivalMark{a.bytesRead, arrival})
 }
 
+// mergeMarks halves the marks and their resolution. Bytes count as no later than they arrived.
+func (a *readAhead) mergeMarks() {
+	a.markInterval = 2 * max(a.markInterval, markIntervalMS)
+	merged := a.marks[:0]
+	for i := 0; i < len(a.marks); i += 2 {
+		last := min(i+1, len(a.marks)-1)
+		merged = append(merged, arrivalMark{a.marks[last].offset, a.marks[i].time})
+	}
+	a.marks = merged
+}
+
 // unreadTime returns for how long, ms, the bytes that were just read had waited in the socket,
 // because this goroutine or the whole process ran late. It must be called after the clock was read,
 // so that a delay between the two makes the arrival earlier and not later.
@@ -111,26 +124,30 @@
 
 // full reports whether no more may be read ahead.
 func (a *readAhead) full() bool {
-	return len(a.buffer) >= maxReadAhead || len(a.buffer) >= reservedReadAhead && a.budget.exhausted()
+	held := a.buffer.len()
+	return held >= maxReadAhead || held >= reservedReadAhead && a.buffer.budget.exhausted()
 }
 
 // discard drops the buffered data and returns its bytes to the budget.
-func (a *readAhead) discard() {
-	a.budget.add(-len(a.buffer))
-	a.buffer = nil
-}
+func (a *readAhead) discard() { a.buffer.setStorage(nil) }
 
-// readMore waits for data and buffers it.
-func (a *readAhead) readMore() error { return a.fill(a.conn.Read) }
+// putBack makes data that was returned by Read last the next to be read.
+func (a *readAhead) putBack(data []byte) { a.buffer.putBack(data) }
 
-// readAvailable buffers data that has already arrived. It returns an error if the stream has ended.
-func (a *readAhead) readAvailable() error {
-	for a.err == nil && !a.full() {
-		if a.fill(func(b []byte) (int, error) { return env.ReadAvailable(a.conn, b) }) != nil {
-			break
-		}
+// readMore waits for data and reads up to limit bytes of it.
+func (a *readAhead) readMore(limit int) error {
+	// The buffer is taken once there is data.
+	if err := env.WaitReadable(a.conn); err != nil && err != env.ErrNoData {
+		a.recordRead(0, err)
+		return err
 	}
-	return a.err
+	return a.fill(func(b []byte) (int, error) { return a.conn.Read(b[:min(len(b), limit)]) })
+}
+
+// readAvailable reads up to limit bytes that have already arrived. It returns env.ErrNoData if
+// there are none, and another error if the stream has ended.
+func (a *readAhead) readAvailable(limit int) error {
+	return a.fill(func(b []byte) (int, error) { return env.ReadAvailable(a.conn, b[:min(len(b), limit)]) })
 }
 
 // fill appends the result of one read to the buffer.
@@ -138,10 +155,12 @@
 	if a.err != nil {
 		return a.err
 	}
-	var chunk [readAheadChunk]byte
-	n, err := read(chunk[:])
-	a.buffer = append(a.buffer, chunk[:n]...)
-	a.budget.add(n)
+	buffer := readBuffers.Get().(*[readBytes]byte)
+	defer readBuffers.Put(buffer)
+	n, err := read(buffer[:])
+	if n > 0 {
+		a.buffer.append(buffer[:n])
+	}
 	a.recordRead(n, err)
 	return err
 }
@@ -158,12 +177,15 @@
 // consumedArrivalTime returns when the bytes handed out by Read had arrived, except for the last
 // unread ones, which the caller still buffers. It drops the marks before that.
 func (a *readAhead) consumedArrivalTime(unread int) float64 {
-	offset := a.bytesRead - int64(len(a.buffer)) - int64(unread)
+	offset := a.bytesRead - int64(a.buffer.len()) - int64(unread)
 	for len(a.marks) > 1 && a.marks[0].offset < offset {
 		a.marks = a.marks[1:]
 	}
 	if len(a.marks) == 0 {
 		return a.now()
 	}
+	if len(a.marks) == 1 {
+		a.markInterval = markIntervalMS
+	}
 	return a.marks[0].time
 }
--- a/internal/control/scheduler/readahead_test.go
+++ b/internal/control/scheduler/readahead_test.go
@@ -36,18 +36,18 @@
 		h.waitFor("the core has counted the disconnect", func() bool { return h.counters().Gone == 1 })
 		gate.Open()
 		h.waitFor("the client's connection has been removed", func() bool { return h.scheduler.frontend.clientCount() == 0 })
-		if counters := h.counters(); counters.Sends != 1 || h.scheduler.frontend.readAhead.used.Load() != 0 {
-			t.Errorf("got counters %+v and %d bytes of read-ahead, want 1 send and 0 bytes", counters, h.scheduler.frontend.readAhead.used.Load())
+		if counters := h.counters(); counters.Sends != 1 || h.scheduler.memory.readAhead.used.Load() != 0 {
+			t.Errorf("got counters %+v and %d bytes of read-ahead, want 1 send and 0 bytes", counters, h.scheduler.memory.readAhead.used.Load())
 		}
 	})
 }
 
 // With the budget of all clients exhausted, each client may still buffer reservedReadAhead bytes.
 func TestReadAheadBudget(t *testing.T) {
-	var budget readAheadBudget
+	var budget byteBudget
 	budget.limit.Store(40 << 10)
 	now := func() float64 { return 0 }
-	first, second := &readAhead{budget: &budget, now: now}, &readAhead{budget: &budget, now: now}
+	first, second := &readAhead{buffer: streamBuffer{budget: &budget}, now: now}, &readAhead{buffer: streamBuffer{budget: &budget}, now: now}
 	fill := func(reader *readAhead, size int) {
 		reader.fill(func(buf []byte) (int, error) { return min(size, len(buf)), nil })
 	}
--- a/internal/control/scheduler/reusestats_test.go
+++ b/internal/control/scheduler/reusestats_test.go
@@ -63,8 +63,8 @@
 		if got.status != 200 || got.body != string(body) {
 			t.Error(got.status, len(got.body))
 		}
-		if pool := h.scheduler.pool; pool.replyBytes.Load() != 0 || h.scheduler.frontend.answerBytes.Load() != 0 {
-			t.Errorf("got %d bytes from disk servers and %d bytes to clients still reserved, want none", pool.replyBytes.Load(), h.scheduler.frontend.answerBytes.Load())
+		if memory := &h.scheduler.memory; memory.replies.used.Load() != 0 || memory.answers.used.Load() != 0 {
+			t.Errorf("got %d bytes from disk servers and %d bytes to clients still reserved, want none", memory.replies.used.Load(), memory.answers.used.Load())
 		}
 	})
 }
--- a/internal/control/scheduler/serverconn.go
+++ b/internal/control/scheduler/serverconn.go
@@ -50,7 +50,7 @@
 	sc.conn.SetDeadline(time.Time{})
 	r, reusable, err := sc.readReply()
 	if err != nil && !http1.IsMessageError(err) {
-		p.replyBytes.Add(-r.reservedBytes)
+		p.memory.replies.add(-r.reservedBytes)
 		p.loop.post(p.loop.now(), eventConnBroken, func(occurredAt float64) { p.connBroken(occurredAt, sc, a, policy.ConnectionLost) })
 		return
 	}
@@ -62,7 +62,7 @@
 	}
 	p.loop.post(p.loop.now(), eventQuarantineEnded, func(occurredAt float64) {
 		p.quarantineEnded(occurredAt, sc, a, r, followedBy)
-		p.replyBytes.Add(-r.reservedBytes)
+		p.memory.replies.add(-r.reservedBytes)
 	})
 }
 
@@ -80,8 +80,11 @@
 	}
 	limits := responseLimits
 	limits.Reserve = func(n int) bool {
-		r.reservedBytes += int64(n)
-		return sc.pool.replyBytes.Add(int64(n)) <= sc.pool.maxReplyBytes.Load()
+		if !sc.pool.memory.replies.reserve(n) {
+			return false
+		}
+		r.reservedBytes += n
+		return true
 	}
 	if r.body, err = http1.ReadBody(sc.reader, framing, limits); err != nil {
 		return r, false, err
--- a/internal/control/schedulerd/schedulerd.go
+++ b/internal/control/schedulerd/schedulerd.go
@@ -23,10 +23,6 @@
 // the start.
 const ExitInvalidConfig = 2
 
-// heapLimitFraction is the Go runtime's soft memory limit as a fraction of limits.memory_mb;
-// the rest is left for the program image and kernel buffers.
-const heapLimitFraction = 0.6
-
 // InvalidConfigError reports a configuration file that cannot be read or is invalid at the start.
 type InvalidConfigError struct{ Err error }
 
@@ -45,9 +41,7 @@
 		return &InvalidConfigError{err}
 	}
 	runtime.GOMAXPROCS(max(int(math.Ceil(config.Limits.Cores)), 1))
-	if memoryMB := config.Limits.MemoryMB; memoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapLimitFraction * float64(memoryMB<<20)))
-	}
+	limitHeap(config)
 	log = log.Named(config.Name)
 	instance, err := scheduler.Start(env.NewReal(), config, log)
 	if err != nil {
@@ -88,15 +82,27 @@
 		log.Error("the new configuration is not taken", zap.Error(err))
 		return
 	}
+	limitHeap(config)
 	instance.Reload(config)
 }
 
+// limitHeap sets the soft memory limit of the Go runtime.
+func limitHeap(config *scheduler.Config) {
+	if config.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(scheduler.PlanMemory(config.Limits).HeapBytes)
+	}
+}
+
 func readConfig(configFile string) (*scheduler.Config, error) {
 	data, err := os.ReadFile(configFile)
 	if err != nil {
 		return nil, err
 	}
-	return scheduler.ParseConfig(data, os.Getenv)
+	config, err := scheduler.ParseConfig(data, os.Getenv)
+	if err == nil {
+		config.Limits.ImageBytes = mappedFileBytes()
+	}
+	return config, err
 }
 
 // NewLogger returns a logger that writes JSON lines to standard error. Of lines with the same
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -108,10 +108,30 @@
 	switch {
 	case fr.UntilClose:
 		return readUntilClose(br, lim)
-	case fr.Chunked:
-		return readChunks(br, lim)
 	}
-	return appendBytes(br, nil, fr.Length, lim)
+	maxLength := fr.Length
+	if fr.Chunked {
+		maxLength = lim.MaxBodyBytes
+	}
+	var b []byte
+	err := CopyBody(br, fr, lim, func(piece []byte) (err error) {
+		b, err = lim.appendPiece(b, piece, maxLength)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// CopyBody reads a body with a length or in chunks, and passes its pieces to receive as they
+// arrive. A piece is valid during the call only. An error of receive ends the reading and is
+// returned. Of lim, Reserve is not used.
+func CopyBody(br *bufio.Reader, fr Framing, lim Limits, receive func(piece []byte) error) error {
+	if fr.Chunked {
+		return copyChunks(br, lim, receive)
+	}
+	return copyBytes(br, fr.Length, receive)
 }
 
 func readUntilClose(br *bufio.Reader, lim Limits) (b []byte, err error) {
@@ -136,33 +156,58 @@
 	}
 }
 
-// growStep is the size, in bytes, by which a body buffer grows. Memory is allocated as data
+// GrowthStep returns by how many bytes a body buffer that holds length bytes grows for a piece, if
+// it reaches maxLength at most.
+func GrowthStep(length, piece, maxLength int) int {
+	return min(max(piece, growStep, min(length, maxGrowStep)), maxLength-length)
+}
+
+// maxGrowStep is the most, in bytes, by which a body buffer grows at once.
+const maxGrowStep = 64 << 10
+
+// growStep is the least, in bytes, by which a body buffer grows. Memory is allocated as data
 // is read rather than for the announced length, so that a peer cannot make the receiver
 // allocate memory merely by announcing a large body.
 const growStep = 4 << 10
 
-// appendBytes reads n bytes and appends them to b.
-func appendBytes(br *bufio.Reader, b []byte, n int, lim Limits) (_ []byte, err error) {
+// copyBytes passes n bytes to receive.
+func copyBytes(br *bufio.Reader, n int, receive func(piece []byte) error) error {
 	for n > 0 {
-		size := min(n, growStep)
-		start := len(b)
-		if b, err = lim.grow(b, size); err != nil {
-			return nil, err
+		if _, err := br.Peek(1); err != nil {
+			return unexpectedEOF(err)
 		}
-		if _, err := io.ReadFull(br, b[start:]); err != nil {
-			return nil, unexpectedEOF(err)
+		piece, _ := br.Peek(min(n, br.Buffered()))
+		if err := receive(piece); err != nil {
+			return err
 		}
-		n -= size
+		br.Discard(len(piece))
+		n -= len(piece)
 	}
-	return b, nil
+	return nil
+}
+
+// appendPiece appends piece to b, which reaches maxLength at most, after reserving the bytes by
+// which b has to grow.
+func (lim Limits) appendPiece(b, piece []byte, maxLength int) ([]byte, error) {
+	if len(b)+len(piece) > cap(b) {
+		length := len(b)
+		grown, err := lim.grow(b, GrowthStep(length, len(piece), maxLength))
+		if err != nil {
+			return nil, err
+		}
+		b = grown[:length]
+	}
+	return append(b, piece...), nil
 }
 
 // grow extends b by n zero bytes after reserving them.
 func (lim Limits) grow(b []byte, n int) ([]byte, error) {
 	if lim.Reserve != nil && !lim.Reserve(n) {
-		return nil, &Error{TooLarge, "buffered bodies"}
+		return nil, &Error{NoRoom, "body"}
 	}
-	return append(b, make([]byte, n)...), nil
+	grown := make([]byte, len(b)+n)
+	copy(grown, b)
+	return grown, nil
 }
 
 // unexpectedEOF turns io.EOF into io.ErrUnexpectedEOF, for an error within a message.
@@ -173,26 +218,26 @@
 	return err
 }
 
-// readChunks reads a chunked body (RFC 9112, section 7.1). Chunk extensions and trailer
-// fields are ignored.
-func readChunks(br *bufio.Reader, lim Limits) ([]byte, error) {
-	var b []byte
+// copyChunks passes a chunked body (RFC 9112, section 7.1) to receive. Chunk extensions and
+// trailer fields are ignored.
+func copyChunks(br *bufio.Reader, lim Limits, receive func(piece []byte) error) error {
 	h := lineReader{br: br, remaining: lim.MaxHeadBytes, started: true}
-	for {
-		n, err := h.readChunkSize(lim.MaxBodyBytes - len(b))
+	for remaining := lim.MaxBodyBytes; ; {
+		n, err := h.readChunkSize(remaining)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if n == 0 {
 			_, err := h.readFields(lim.MaxFields)
-			return b, err
+			return err
 		}
-		if b, err = appendBytes(br, b, n, lim); err != nil {
-			return nil, err
+		if err := copyBytes(br, n, receive); err != nil {
+			return err
 		}
 		if err := h.readChunkEnd(); err != nil {
-			return nil, err
+			return err
 		}
+		remaining -= n
 	}
 }
 
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -21,9 +21,10 @@
 	TooLarge                // exceeds one of the Limits
 	Ambiguous               // its body length can be interpreted in two ways (RFC 9112, section 6.3)
 	Unsupported             // valid, but not implemented by this package
+	NoRoom                  // Limits.Reserve or Limits.ReserveHead has refused it
 )
 
-var kindNames = [...]string{"malformed", "too large", "ambiguous", "unsupported"}
+var kindNames = [...]string{"malformed", "too large", "ambiguous", "unsupported", "not held for lack of memory"}
 
 // Error reports a message that was rejected. Errors of the underlying stream are returned
 // unchanged, except that a stream that ends within a message gives io.ErrUnexpectedEOF.
@@ -44,6 +45,8 @@
 		return 431
 	case e.Kind == Unsupported:
 		return 501
+	case e.Kind == NoRoom:
+		return 503
 	}
 	return 400
 }
@@ -59,9 +62,10 @@
 	MaxHeadBytes int // start line and fields; the lines between a body's chunks have the same bound again
 	MaxFields    int // number of field lines
 	MaxBodyBytes int
-	// Reserve, if not nil, is called before n more bytes are allocated for a body. If it
-	// returns false, the message is rejected as TooLarge.
-	Reserve func(n int) bool
+	// Reserve, if not nil, is called before n more bytes are allocated for a body, and
+	// ReserveHead before n more are for the head of a request. If one returns false, the message is
+	// rejected as NoRoom.
+	Reserve, ReserveHead func(n int) bool
 }
 
 // Field is a field line of a message. Name is in lower case in messages that were read.
@@ -144,7 +148,7 @@
 // ReadRequest reads the head of a request. It returns io.EOF if the stream ends before the
 // first byte of the message.
 func ReadRequest(br *bufio.Reader, lim Limits) (*Request, error) {
-	h := lineReader{br: br, remaining: lim.MaxHeadBytes}
+	h := lineReader{br: br, remaining: lim.MaxHeadBytes, reserve: lim.ReserveHead}
 	line, err := h.readLine("request line")
 	if err == nil && line == "" { // RFC 9112, section 2.2: ignore one empty line before it
 		line, err = h.readLine("request line")
@@ -243,8 +247,16 @@
 	br        *bufio.Reader
 	remaining int  // bytes that may still be read
 	started   bool // the message has begun, so that io.EOF is unexpected
+	reserve   func(n int) bool
 }
 
+// lineOverheadBytes is what a line takes beside its bytes: two strings of a Field, and as much again
+// while their list grows.
+const lineOverheadBytes = 64
+
+// reserved reports whether a line of n bytes may be kept.
+func (h *lineReader) reserved(n int) bool { return h.reserve == nil || h.reserve(n) }
+
 // readLine returns the next line without its CRLF. It rejects a line that ends in a bare LF,
 // since peers that disagree on where a line ends allow request smuggling. part names the
 // line in errors.
@@ -260,11 +272,17 @@
 		case h.remaining < 0:
 			return "", &Error{TooLarge, part}
 		case err == nil:
+			if !h.reserved(len(b) + lineOverheadBytes) {
+				return "", &Error{NoRoom, part}
+			}
 			if len(partial) > 0 {
 				b = append(partial, b...)
 			}
 			return trimCRLF(b, part)
 		case errors.Is(err, bufio.ErrBufferFull):
+			if !h.reserved(2 * len(b)) { // the line is copied once more when it is whole
+				return "", &Error{NoRoom, part}
+			}
 			partial = append(partial, b...)
 		case err == io.EOF && h.started:
 			return "", io.ErrUnexpectedEOF
--- a/internal/runtime/writequeue/writequeue.go
+++ b/internal/runtime/writequeue/writequeue.go
@@ -25,6 +25,9 @@
 	// data from the peer can still be read. The owner must close the connection after
 	// Wait. It must be set before the first Enqueue or Buffer.
 	HalfClose bool
+	// IdleBufferLimit is the largest written buffer, in bytes, that is kept for reuse. New sets a
+	// default; it may be changed before the first Enqueue or Buffer.
+	IdleBufferLimit int
 
 	environment  env.Environment
 	conn         net.Conn
@@ -41,13 +44,13 @@
 	finished     env.Gate
 }
 
-// maxIdleBuffer is the largest written buffer, in bytes, that is kept for reuse.
+// maxIdleBuffer is the default of IdleBufferLimit.
 const maxIdleBuffer = 16 << 10
 
 // New starts a queue for conn that buffers at most limit bytes and allows each write to
 // take at most writeTimeout.
 func New(w env.Environment, conn net.Conn, limit int, writeTimeout time.Duration) *Queue {
-	o := &Queue{environment: w, conn: conn, limit: limit, writeTimeout: writeTimeout, wake: w.NewParker()}
+	o := &Queue{environment: w, conn: conn, limit: limit, writeTimeout: writeTimeout, wake: w.NewParker(), IdleBufferLimit: maxIdleBuffer}
 	w.Go(o.run)
 	return o
 }
@@ -197,7 +200,7 @@
 			o.Abort()
 			continue // so that OnBytesChanged is told of the dropped data
 		}
-		if cap(out) > maxIdleBuffer {
+		if cap(out) > o.IdleBufferLimit {
 			out = nil
 		}
 		if o.OnIdle != nil && o.Idle() {
