scheduler: what a client sends is read on; what can't be kept is refused, not left unread

Change: reading goes on. Requests beyond what may be kept (128 KiB, or 2 KiB with the budget used up) are parsed, dropped and counted; of one with a body of known length the rest is skipped as it comes. Each gets a 503 with Retry-After in its turn, by the earliest of their deadlines. What follows bytes that are no request is dropped too. A goroutine yields after each read, so that a client that sends all the time has one turn in many. With no room for even a part of a request, reading stops as before. Why it works: the end of the stream is reached however much lies before it, with memory that does not depend on that.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -18,6 +18,9 @@
 // and returns the read error that ended the stream, if any.
 func (c *client) serveRequests() error {
 	for {
+		if !c.answerRefused() {
+			return c.readAhead.err
+		}
 		c.setIdleDeadline()
 		if err := c.awaitFirstByte(); err != nil {
 			c.reason = closeByClient
@@ -227,6 +230,33 @@
 	return c.respond(503, closeConn, http1.Fields{{Name: "Retry-After", Value: retryAfterRoom}}, nil)
 }
 
+// answerRefused answers the pipelined requests that were dropped, if they are next. It returns false
+// if the connection is to be closed.
+func (c *client) answerRefused() bool {
+	if !c.pipelined.refusedNext() {
+		return true
+	}
+	c.beginRequest()
+	for c.readAhead.skip > 0 && c.readAhead.skip != skipAll {
+		if err := c.readAhead.readMore(readBytes); err != nil {
+			c.reason = closeUnreadable
+			c.reject(readErrorStatus(err))
+			return false
+		}
+	}
+	count := c.pipelined.takeRefused()
+	c.requests += count
+	c.frontend.log.pipelinedRefused(c, count)
+	for ; count > 0; count-- {
+		c.out.WaitFlushed()
+		if !c.refuseForRoom(count == 1 && c.isLastAnswer()) {
+			c.reason = closeDraining
+			return false
+		}
+	}
+	return true
+}
+
 // handle answers a request. It returns false if the connection is to be closed.
 func (c *client) handle(r *request) bool {
 	f := c.frontend
@@ -323,6 +353,7 @@
 		if room == 0 || c.readAhead.readAvailable(room) != nil {
 			break
 		}
+		env.Yield()
 	}
 	return c.readAhead.err
 }
@@ -350,6 +381,7 @@
 		if err != nil {
 			return true // answered: only becomeIdle and deliver set a read deadline here
 		}
+		env.Yield() // a client that sends all the time must not keep others from their turn
 	}
 }
 
--- a/internal/control/scheduler/eventlog.go
+++ b/internal/control/scheduler/eventlog.go
@@ -113,6 +113,14 @@
 	}
 }
 
+// pipelinedRefused logs pipelined requests that were dropped and are refused.
+func (l *eventLog) pipelinedRefused(c *client, count int) {
+	if l == nil {
+		return
+	}
+	l.log.Info("pipelined requests refused", zap.String("client", c.conn.RemoteAddr().String()), zap.Int("count", count), zap.String("request", c.lastRequestID))
+}
+
 // acceptFailed logs an error of the listener's Accept.
 func (l *eventLog) acceptFailed(err error) {
 	if l == nil {
--- a/internal/control/scheduler/pipeline.go
+++ b/internal/control/scheduler/pipeline.go
@@ -13,7 +13,8 @@
 // pipelinedRequests finds the requests that have been read whole behind the open one, without
 // consuming them. Answers are sent in order, so the open request must be answered by the earliest
 // of their deadlines. A request whose body has a known length is parsed once it is whole; any other
-// one again with each line until it is whole. Used by the client's goroutine only.
+// one again with each line until it is whole. Once no more may be kept, the requests that follow are
+// dropped as they are read, and counted in refused. Used by the client's goroutine only.
 type pipelinedRequests struct {
 	readAhead *readAhead
 	in        *bufio.Reader // reads from readAhead; unread bytes in its buffer come first
@@ -26,8 +27,18 @@
 	// deadlines holds the waiting requests in order, without those behind which one with an
 	// earlier or the same deadline waits: the first is the earliest of all.
 	deadlines []pipelinedDeadline
+	// refused are the requests that follow wholeUntil and have been dropped; what is buffered behind
+	// wholeUntil comes after them.
+	refused refusedRequests
 	// searchedUntil is the stream offset up to which an incomplete head has been searched for its end.
 	searchedUntil int64
+	incomplete    parsedRequest // the request behind wholeUntil, if its head is whole
+}
+
+// refusedRequests are consecutive requests that were dropped, and are owed a refusal each.
+type refusedRequests struct {
+	count    int
+	deadline float64 // earliest of their deadlines
 }
 
 // pipelinedDeadline is the deadline, ms on the loop's clock, of the request that ends at endOffset.
@@ -41,28 +52,52 @@
 	return p.readAhead.bytesRead - int64(p.readAhead.buffer.len()) - int64(p.in.Buffered())
 }
 
-// waiting reports whether a request has been read whole and not consumed.
+// waiting reports whether a request has been read whole and neither consumed nor refused.
 func (p *pipelinedRequests) waiting() bool {
 	p.update()
-	return p.wholeUntil > p.consumedUntil()
+	return p.wholeUntil > p.consumedUntil() || p.refused.count > 0
+}
+
+// refusedNext reports whether the next requests to be answered are refused ones.
+func (p *pipelinedRequests) refusedNext() bool {
+	p.update()
+	return p.refused.count > 0 && p.wholeUntil <= p.consumedUntil()
+}
+
+// takeRefused returns the number of requests that are refused next, and forgets them.
+func (p *pipelinedRequests) takeRefused() int {
+	count := p.refused.count
+	p.refused = refusedRequests{}
+	return count
 }
 
-// room returns how many bytes may be read now; 0 if none, for lack of memory.
+// maxIncompleteBytes bounds what is kept of a request that is not whole yet.
+const maxIncompleteBytes = maxHTTPMessageBytes
+
+// room returns how many bytes may be read now; 0 if none, for lack of memory. Of a request
+// that is not whole, reservedReadAhead may be kept if the budget is exhausted.
 func (p *pipelinedRequests) room() int {
-	if p.readAhead.full() {
-		return 0
+	p.update()
+	limit := maxIncompleteBytes
+	if p.readAhead.buffer.budget.exhausted() {
+		limit = reservedReadAhead
 	}
-	return readBytes
+	incomplete := int(p.readAhead.bytesRead - p.wholeUntil)
+	return max(limit-incomplete, min(p.readAhead.skip, readBytes), 0)
 }
 
 // earliestDeadline returns the earliest deadline of the waiting requests, ms on the loop's clock;
 // +Inf if there are none.
 func (p *pipelinedRequests) earliestDeadline() float64 {
 	p.update()
-	if len(p.deadlines) == 0 {
-		return math.Inf(1)
+	earliest := math.Inf(1)
+	if p.refused.count > 0 {
+		earliest = p.refused.deadline
 	}
-	return p.deadlines[0].deadline
+	if len(p.deadlines) > 0 {
+		earliest = min(earliest, p.deadlines[0].deadline)
+	}
+	return earliest
 }
 
 // update drops the requests that have been consumed and adds those that have been read since.
@@ -76,6 +111,10 @@
 		return
 	}
 	if p.readAhead.bytesRead < p.nextEnd {
+		if p.incomplete.missing > 0 && p.dropping() {
+			p.incomplete.missing = int(p.nextEnd - p.readAhead.bytesRead)
+			p.cutRefused(p.wholeUntil)
+		}
 		return
 	}
 	unread := p.unreadAfter(p.wholeUntil - consumed)
@@ -95,27 +134,69 @@
 	return slices.Concat(buffered[skip:], p.readAhead.buffer.bytes())
 }
 
-// parse adds the whole requests in unread, which begins at wholeUntil.
+// dropping reports whether whole requests are dropped. Bytes that the reader holds can't be.
+func (p *pipelinedRequests) dropping() bool {
+	return p.in.Buffered() == 0 && (p.refused.count > 0 || p.readAhead.full())
+}
+
+// parse adds the whole requests in unread, which begins at wholeUntil, or drops them.
 func (p *pipelinedRequests) parse(unread []byte) {
 	parser := parserPool.Get().(*bufio.Reader)
 	defer parserPool.Put(parser)
 	source := bytes.NewReader(unread)
 	parser.Reset(source)
-	startOffset := p.wholeUntil
-	p.searchedUntil = p.readAhead.bytesRead
+	startOffset, endOffset := p.wholeUntil, p.wholeUntil
+	drop := p.dropping()
+	p.incomplete, p.searchedUntil = parsedRequest{}, p.readAhead.bytesRead
 	for source.Len()+parser.Buffered() > 0 {
 		parsed, err := parseForTimeout(parser)
 		if err != nil {
-			p.malformed = http1.IsMessageError(err)
+			p.incomplete, p.malformed = parsed, http1.IsMessageError(err)
 			p.nextEnd = p.readAhead.bytesRead + int64(max(parsed.missing, 1))
-			if parsed.missing > 0 {
-				p.searchedUntil = 0 // its end is no line
-			}
-			return
+			break
+		}
+		endOffset = startOffset + int64(len(unread)-source.Len()-parser.Buffered())
+		if drop {
+			p.refuse(parsed.timeout)
+			continue
 		}
-		p.wholeUntil = startOffset + int64(len(unread)-source.Len()-parser.Buffered())
-		p.add(pipelinedDeadline{p.wholeUntil, p.readAhead.arrivalTime(p.wholeUntil) + parsed.timeout})
+		p.wholeUntil = endOffset
+		p.add(pipelinedDeadline{endOffset, p.readAhead.arrivalTime(endOffset) + parsed.timeout})
+	}
+	if p.malformed {
+		p.readAhead.skip = skipAll // the connection ends with that request
+	}
+	if p.incomplete.missing > 0 {
+		p.searchedUntil = 0 // its end is no line
+	}
+	if drop {
+		p.cutRefused(endOffset)
+	}
+}
+
+// refuse counts a request that is dropped.
+func (p *pipelinedRequests) refuse(timeout float64) {
+	deadline := p.readAhead.lastArrival + timeout
+	if p.refused.count == 0 {
+		p.refused.deadline = deadline
+	}
+	p.refused.deadline = min(p.refused.deadline, deadline)
+	p.refused.count++
+}
+
+// cutRefused drops the bytes from wholeUntil up to endOffset, and refuses an incomplete request of
+// which only a part of a body of known length is missing.
+func (p *pipelinedRequests) cutRefused(endOffset int64) {
+	if p.incomplete.missing > 0 && !p.malformed {
+		p.refuse(p.incomplete.timeout)
+		p.readAhead.skip = p.incomplete.missing
+		p.incomplete = parsedRequest{}
+		endOffset = p.readAhead.bytesRead
+	}
+	if endOffset > p.wholeUntil {
+		p.readAhead.cut(p.wholeUntil, endOffset)
 	}
+	p.nextEnd, p.searchedUntil = 0, p.readAhead.bytesRead
 }
 
 // add adds the request that was read last.
--- a/internal/control/scheduler/pipeline_test.go
+++ b/internal/control/scheduler/pipeline_test.go
@@ -175,3 +175,99 @@
 		h.scheduler = h.startScheduler(fullListJSON(7))
 	})
 }
+
+// respondWithID returns a disk server's handler that answers with the request's id after delay.
+func respondWithID(delay time.Duration) func(standin.HTTPRequest) standin.HTTPResponse {
+	return func(r standin.HTTPRequest) standin.HTTPResponse {
+		return standin.HTTPResponse{Delay: delay, Raw: http1.AppendResponse(nil, 200, nil, []byte(r.Fields.Get("request-id")))}
+	}
+}
+
+// drawPipelined returns count requests of all forms behind each other, with ids that count up.
+func (h *harness) drawPipelined(random *rand.Rand, count int) string {
+	var stream strings.Builder
+	for range count {
+		body := strings.Repeat("x", 1+random.IntN(40<<10))
+		h.requestCount++
+		write := h.formatRequest("PUT", "txn-write", fmt.Sprintf("%016x", h.requestCount), "9.000", body, "Idempotency-Key: k\r\n")
+		switch random.IntN(4) {
+		case 0:
+			stream.WriteString(write)
+		case 1:
+			write = strings.Replace(write, fmt.Sprintf("Content-Length: %d", len(body)), "Transfer-Encoding: chunked", 1)
+			stream.WriteString(strings.Replace(write, body, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body), 1))
+		default:
+			h.requestCount--
+			stream.WriteString(strings.Replace(h.getRequest("X-Filler: "+strings.Repeat("x", random.IntN(1500))+"\r\n"), "0.480", "9.000", 1))
+		}
+	}
+	return stream.String()
+}
+
+// However little may be kept of the requests behind an open one, each must be answered, in order: with its
+// own response, or with a refusal once no more were kept. The connection must serve further requests.
+func TestRequestsThatAreNotKeptAreRefused(t *testing.T) {
+	refusedCount := 0
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		runSimulated(t, respondWithID(5*time.Millisecond), func(h *harness) {
+			const requests = 40
+			h.scheduler.memory.readAhead.limit.Store([]int64{0, 4 << 10, 32 << 10, 1 << 20}[seed%4])
+			client := h.connect()
+			stream := h.drawPipelined(random, requests)
+			h.environment.Go(func() {
+				for rest := stream; len(rest) > 0; {
+					size := min(len(rest), 1+random.IntN(20_000))
+					io.WriteString(client.conn, rest[:size])
+					rest = rest[size:]
+					env.Sleep(h.environment, time.Duration(random.IntN(3))*time.Millisecond, nil)
+				}
+			})
+			for i := range requests {
+				got := client.readResponse(h.environment.Now())
+				switch want := fmt.Sprintf("%016x", i+1); {
+				case got.status == 503 && got.fields.Get("retry-after") != "" && !got.closeConn:
+					refusedCount++
+				case got.status != 200 || got.body != want:
+					t.Fatalf("seed %d, response %d: got %+v, want 503 with Retry-After, or 200 with body %s", seed, i, got, want)
+				}
+			}
+			if got := client.roundTrip(h.getRequest()); got.status != 200 {
+				t.Errorf("seed %d: request behind them: got %+v, want status 200", seed, got)
+			}
+			client.conn.Close()
+			env.Sleep(h.environment, 100*time.Millisecond, nil)
+			if held := h.scheduler.memory.readAhead.used.Load() + h.scheduler.memory.bodies.usedBytes(); held != 0 {
+				t.Errorf("seed %d: %d bytes are held after the close, want 0", seed, held)
+			}
+		})
+	}
+	if refusedCount == 0 {
+		t.Error("no request was refused, so the test has tried nothing")
+	}
+	t.Log(refusedCount, "requests were refused")
+}
+
+// A request that was not kept must be answered by its deadline, whatever is open before it.
+func TestRequestsThatAreNotKeptAreAnsweredInTime(t *testing.T) {
+	neverRespond := func(standin.HTTPRequest) standin.HTTPResponse { return standin.HTTPResponse{} }
+	runSimulated(t, neverRespond, func(h *harness) {
+		const largeWrites, reads, bodyBytes, answerSlack = 8, 5, 32 << 10, 50 * time.Millisecond
+		client := h.connect()
+		var pipelined strings.Builder
+		for range largeWrites { // more than maxReadAhead together
+			h.requestCount++
+			pipelined.WriteString(h.formatRequest("PUT", "txn-write", fmt.Sprintf("%016x", h.requestCount), "9.000", strings.Repeat("x", bodyBytes), "Idempotency-Key: k\r\n"))
+		}
+		for range reads {
+			pipelined.WriteString(h.readWithTimeout("0.500"))
+		}
+		sentAt := h.environment.Now()
+		h.environment.Go(func() { io.WriteString(client.conn, pipelined.String()) })
+		for i := range largeWrites + reads {
+			if got := client.readResponse(sentAt); got.status == 0 || got.elapsed > 500*time.Millisecond+answerSlack {
+				t.Fatalf("response %d: got status %d after %s, want a final answer within 0.55 s", i, got.status, got.elapsed)
+			}
+		}
+	})
+}
--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -11,14 +12,16 @@
 )
 
 const (
-	// maxReadAhead bounds the bytes read from a client while its request is open; the rest stays in
-	// the kernel, where the close of the connection behind it is not seen. Each client may
-	// have reservedReadAhead even when the budget of all clients is exhausted.
+	// maxReadAhead bounds the bytes kept of what a client sends while its request is open, and
+	// reservedReadAhead is kept even when the budget of all clients is exhausted. Requests
+	// beyond that are read, dropped and refused.
 	maxReadAhead      = 128 << 10
 	reservedReadAhead = 2 << 10
 	readAheadChunk    = 2 << 10
 	// readBytes is the most that is read at once.
 	readBytes = 16 << 10
+	// skipAll, as a readAhead's skip, drops all that follows.
+	skipAll = math.MaxInt
 	// kernelClockStepMS is the coarsest step of the kernel's times of arrival. Shorter waits in
 	// the socket are not told from none.
 	kernelClockStepMS = 10.0
@@ -42,7 +45,8 @@
 	now       func() float64
 	buffer    streamBuffer
 	arrivedAt float64 // earliest time at which the first bytes may have arrived, ms
-	bytesRead int64   // total bytes read from the stream
+	bytesRead int64   // bytes read from the stream that were kept
+	skip      int     // bytes of the stream that are dropped before any more are kept
 	marks     []arrivalMark
 	// markInterval is the present resolution of the marks, ms; 0: markIntervalMS.
 	markInterval float64
@@ -70,7 +74,7 @@
 	return n, err
 }
 
-// recordRead records the arrival of n bytes, or the end of the stream.
+// recordRead records the arrival of n bytes that are kept, or the end of the stream.
 func (a *readAhead) recordRead(n int, err error) {
 	if n > 0 {
 		a.mark(int64(n))
@@ -122,7 +126,7 @@
 	return 0
 }
 
-// full reports whether no more may be read ahead.
+// full reports whether no more requests may be kept.
 func (a *readAhead) full() bool {
 	held := a.buffer.len()
 	return held >= maxReadAhead || held >= reservedReadAhead && a.buffer.budget.exhausted()
@@ -134,6 +138,24 @@
 // putBack makes data that was returned by Read last the next to be read.
 func (a *readAhead) putBack(data []byte) { a.buffer.putBack(data) }
 
+// cut drops the bytes between two offsets of the stream, which are buffered.
+func (a *readAhead) cut(from, to int64) {
+	first := a.bytesRead - int64(a.buffer.len())
+	a.buffer.cut(int(from-first), int(to-first))
+	removed := to - from
+	a.bytesRead -= removed
+	kept := a.marks[:0]
+	for _, m := range a.marks {
+		if m.offset > from {
+			m.offset = max(from, m.offset-removed)
+		}
+		if len(kept) == 0 || kept[len(kept)-1].offset != m.offset {
+			kept = append(kept, m)
+		}
+	}
+	a.marks = kept
+}
+
 // readMore waits for data and reads up to limit bytes of it.
 func (a *readAhead) readMore(limit int) error {
 	// The buffer is taken once there is data.
@@ -158,10 +180,12 @@
 	buffer := readBuffers.Get().(*[readBytes]byte)
 	defer readBuffers.Put(buffer)
 	n, err := read(buffer[:])
-	if n > 0 {
-		a.buffer.append(buffer[:n])
+	dropped := min(n, a.skip)
+	a.skip -= dropped
+	if kept := buffer[dropped:n]; len(kept) > 0 {
+		a.buffer.append(kept)
 	}
-	a.recordRead(n, err)
+	a.recordRead(n-dropped, err)
 	return err
 }
 
--- a/internal/control/scheduler/streambuffer.go
+++ b/internal/control/scheduler/streambuffer.go
@@ -60,3 +60,13 @@
 	}
 	b.setStorage(append(append(make([]byte, 0, len(data)+b.len()), data...), b.bytes()...))
 }
+
+// cut removes the held bytes from index from to index to.
+func (b *streamBuffer) cut(from, to int) {
+	held := b.bytes()
+	kept := from + copy(held[from:], held[to:])
+	b.storage = b.storage[:b.start+kept]
+	if kept == 0 {
+		b.setStorage(nil)
+	}
+}
--- a/internal/runtime/env/env.go
+++ b/internal/runtime/env/env.go
@@ -106,6 +106,9 @@
 	}
 }
 
+// Yield lets other goroutines run before the calling one continues.
+func Yield() { runtime.Gosched() }
+
 // MS converts a duration to milliseconds, the unit of package policy and of settings.
 func MS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
