scheduler: just before its first byte an attempt asks the socket whether its client is there

Cause: the look just before the write asked what the client's goroutine had read. Where that runs late (a quarter of a core, hundreds of readable connections), the close lies in the socket, and the attempt begins. Change: env.PeerStateOf looks without reading: nothing unread and no end, the peer is there; an end or a reset, it has left; an end behind unread bytes is told by TCP_INFO's state. Why it works: no attempt begins unless the socket itself says, at that moment, that its client is there.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -290,7 +290,7 @@
 // has already left is not served. It returns false if the connection is to be closed.
 func (c *client) submit(call *call, r *request, closeConn bool) bool {
 	resp := &responder{client: c, closeAfter: closeConn}
-	call.replyTo, call.release = resp, r.memory.release
+	call.replyTo, call.client, call.release = resp, c, r.memory.release
 	c.lastRequestID = call.req.ID
 	f := c.frontend
 	c.putBackUnread()
@@ -373,6 +373,7 @@
 			return true
 		}
 		err := c.readAhead.readMore(room)
+		c.reads.signal()
 		if err != nil && !env.IsTimeout(err) {
 			call.noNewAttempts.Store(true)
 			f.loop.post(f.loop.now(), eventClientGone, func(occurredAt float64) { f.core.clientGone(occurredAt, call) })
--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -42,10 +42,19 @@
 	// noNewAttempts tells other goroutines that no attempt may begin. It is set with ended, and
 	// earlier where the client's goroutine sees the disconnect before the loop does.
 	noNewAttempts atomic.Bool
+	// client tells whether the client is still there; nil: it is.
+	client presence
 	// release returns the memory of the request, once the call has ended; nil: nothing to return.
 	release func()
 }
 
+// presence tells whether a client is still there.
+type presence interface {
+	// present reports whether the client's connection is open just now. Where that can't be told at
+	// once, it waits, until the time until (ms, loop's clock) at the latest.
+	present(until float64) bool
+}
+
 // recipient receives a call's result. deliver is called at most once, on the core's goroutine; it
 // is not called if the client left first. retryAfter is in ms, 0 for none.
 type recipient interface {
--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -84,6 +84,7 @@
 	readAhead *readAhead
 	in        *bufio.Reader
 	pipelined pipelinedRequests
+	reads     readProgress // tells attempts that the goroutine has read
 	out       *writequeue.Queue
 	// Guarded by the frontend's mutex.
 	state        clientState
--- a/internal/control/scheduler/presence_test.go
+++ b/internal/control/scheduler/presence_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"merlinhitch/policy"
 )
@@ -57,6 +58,11 @@
 			io.WriteString(conn, "GET /up HTTP/1.1\r\n\r\n")
 			conn.Close()
 		},
+		"close behind more than the receive buffer takes": func(conn *net.TCPConn) {
+			conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+			conn.Write(make([]byte, 32<<20))
+			conn.Close()
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runOnSockets(t, nil, respondWith(ok200), func(h *harness, hooks *hookedEnv) {
--- a/internal/control/scheduler/serverconn.go
+++ b/internal/control/scheduler/serverconn.go
@@ -32,7 +32,7 @@
 func (sc *serverConn) exchange(a *attempt, startedMS int64) {
 	p := sc.pool
 	sc.conn.SetDeadline(p.environment.Deadline(writeTimeout))
-	permitted := p.mayBegin(a, p.loop.now(), startedMS)
+	permitted := a.clientPresent(p.loop.now()) && p.mayBegin(a, p.loop.now(), startedMS)
 	now := p.loop.now() // again: mayBegin waits while a list is applied
 	if !permitted || !a.inTime(now) {
 		p.loop.post(now, eventNotBegun, func(occurredAt float64) { p.attemptNotBegun(occurredAt, sc, a) })
--- a/internal/runtime/env/stream.go
+++ b/internal/runtime/env/stream.go
@@ -110,6 +110,74 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
 
+// PeerState is what is known of the peer of a stream without reading from it.
+type PeerState int
+
+// States of a peer.
+const (
+	PeerUnknown PeerState = iota // unread data may precede the end of the stream
+	PeerOpen                     // it has not ended its sending direction
+	PeerClosed                   // it has ended it, or the connection is reset or closed
+)
+
+// PeerStateOf returns whether the peer has ended its sending direction. Unlike the functions
+// that read, it may be called while another goroutine reads. A connection that tells nothing counts as
+// open.
+func PeerStateOf(c net.Conn) PeerState {
+	switch c := c.(type) {
+	case interface{ PeerState() PeerState }:
+		return c.PeerState()
+	case syscall.Conn:
+		return peerState(c)
+	}
+	return PeerOpen
+}
+
+// Values of a TCP_INFO's State in which the peer has ended its sending direction (Linux,
+// include/net/tcp_states.h).
+const (
+	tcpTimeWait  = 6
+	tcpClose     = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+	tcpClosing   = 11
+)
+
+func peerState(c syscall.Conn) PeerState {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return PeerClosed
+	}
+	state := PeerUnknown
+	err = raw.Control(func(fd uintptr) { state = socketPeerState(int(fd)) })
+	if err != nil {
+		return PeerClosed // closed here
+	}
+	return state
+}
+
+func socketPeerState(fd int) PeerState {
+	var peeked [1]byte
+	n, _, err := syscall.Recvfrom(fd, peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case err == syscall.EAGAIN:
+		return PeerOpen
+	case err == syscall.EINTR:
+		return PeerUnknown
+	case err != nil, n == 0:
+		return PeerClosed
+	}
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return PeerUnknown
+	}
+	switch info.State {
+	case tcpTimeWait, tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
+		return PeerClosed
+	}
+	return PeerUnknown
+}
+
 // CloseWrite shuts down the sending half of a stream and leaves the receiving half open. It
 // returns false if the stream does not support that or if it failed.
 func CloseWrite(c net.Conn) bool {
--- a/internal/runtime/env/wait.go
+++ b/internal/runtime/env/wait.go
@@ -175,6 +175,9 @@
 	return sleep(w, p, d, func() bool { return stop != nil && stop.Opened() })
 }
 
+// WaitTimeout blocks until the gate is open or d has passed, and reports whether the gate is open.
+func WaitTimeout(w Environment, d time.Duration, g *Gate) bool { return !Sleep(w, d, g) }
+
 // SleepContext pauses for d or until ctx is done, and reports whether d passed in full.
 func SleepContext(ctx context.Context, w Environment, d time.Duration) bool {
 	p := w.NewParker()
--- a/internal/simulation/world/net.go
+++ b/internal/simulation/world/net.go
@@ -369,6 +369,19 @@
 	return env.ErrNoData
 }
 
+// PeerState tells whether the peer has closed; unread bytes may precede the end.
+func (c *conn) PeerState() env.PeerState {
+	switch c.readState() {
+	case nil:
+		if !c.finReceived {
+			return env.PeerUnknown
+		}
+	case env.ErrNoData:
+		return env.PeerOpen
+	}
+	return env.PeerClosed
+}
+
 func (c *conn) consume(buffer []byte) int {
 	if c.peer.link.SplitReads {
 		buffer = buffer[:min(len(buffer), 1+c.world.rng.IntN(7))]
