scheduler: a client that sends all the time has one turn in many

Cause: the goroutine that reads a client's requests and the one that writes its answers wake each other; Go's scheduler runs a goroutine that was just woken next, in the rest of its waker's time. Two that never wait for the network so pass one processor between them, and everybody else waits for a preemption, each time. Change: the goroutine yields after each request, each refusal of a dropped one and each accept, and the reader of discovery's stream after each piece. Why it works: a yield puts it behind all that are ready; with n floods a turn comes after n requests, not n time slices. TestHostileClients has small-requests:20 at a quarter of a core.

--- a/cmd/merlinhitch-scheduler/memory_test.go
+++ b/cmd/merlinhitch-scheduler/hostile_test.go
@@ -16,17 +16,23 @@
 	if output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v\n%s", err, output)
 	}
-	for _, group := range []soak.HostileGroup{
-		{Kind: soak.StoppedWrites, Count: 600}, {Kind: soak.SlowWrites, Count: 600}, {Kind: soak.ManyFields, Count: 600},
-		{Kind: soak.TinyChunks, Count: 600}, {Kind: soak.Leavers, Count: 40}, {Kind: soak.NewNames, Count: 1},
+	const quarter, whole = 0.25, 1
+	for _, tt := range []struct {
+		kind      soak.HostileKind
+		count     int
+		coreShare float64
+	}{
+		{soak.StoppedWrites, 600, whole}, {soak.SlowWrites, 600, whole}, {soak.ManyFields, 600, whole}, {soak.TinyChunks, 600, whole},
+		{soak.Leavers, 40, whole}, {soak.NewNames, 1, whole}, {soak.SmallRequests, 20, quarter},
 	} {
-		t.Run(group.Kind.String(), func(t *testing.T) {
+		t.Run(tt.kind.String(), func(t *testing.T) {
 			options := soak.DefaultOptions()
 			options.Command = soak.Command{Path: program}
 			options.Schedulers, options.Servers, options.Rate, options.Duration = 1, 14, 40, 4*time.Second
+			options.CoreShare = tt.coreShare
 			options.MemoryMB, options.Sockets, options.CheckMemory = 48, 1024, true
 			options.FaultyResponseInterval, options.AbandonProbability, options.LimitedFraction = 0, 0, 0
-			options.Hostile = []soak.HostileGroup{group}
+			options.Hostile = []soak.HostileGroup{{Kind: tt.kind, Count: tt.count}}
 			run, violations, err := soak.Execute(options, nil)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -42,6 +42,7 @@
 		if !c.handle(r) {
 			return c.readAhead.err
 		}
+		env.Yield() // a client that sends all the time must not keep others from their turn
 	}
 }
 
@@ -253,6 +254,7 @@
 			c.reason = closeDraining
 			return false
 		}
+		env.Yield()
 	}
 	return true
 }
@@ -382,7 +384,7 @@
 		if err != nil {
 			return true // answered: only becomeIdle and deliver set a read deadline here
 		}
-		env.Yield() // a client that sends all the time must not keep others from their turn
+		env.Yield()
 	}
 }
 
--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -141,6 +141,7 @@
 			arrivedAt = min(arrivedAt, f.listenedAt)
 		}
 		f.tasks.Go(f.environment, f.newClient(conn, arrivedAt).serve)
+		env.Yield()
 	}
 }
 
--- a/internal/control/scheduler/objectreader.go
+++ b/internal/control/scheduler/objectreader.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"merlinhitch/internal/protocol/http1"
+	"merlinhitch/internal/runtime/env"
 )
 
 // objectReader splits a stream into JSON objects. Discovery sends one object per line, and empty
@@ -53,6 +54,7 @@
 // stream ends; then it returns the stream's error.
 func (r *objectReader) forEach(stream *http1.Stream, handle func(item streamItem) (more bool, err error)) error {
 	for {
+		env.Yield() // a stream that always has data must not keep others from their turn
 		chunk, err := stream.Next()
 		if err != nil {
 			return err
