scheduler: the id of a request that may have run outlives a flood of other ids

Cause, found by reading; the report's own case was not reproduced: the last 4,096 ids were remembered, whatever became of their requests. Evidence: TestAnIDThatMayHaveRunIsRememberedThroughAFlood failed before: "the id was taken again, so its request would have run twice". Open requests and the last 4,096 of all as before. Why it works: a flood that is refused unsent does not count; what does is bounded by what disk servers execute.

--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -39,6 +39,7 @@
 	lastAttempt *attempt
 	outstanding int  // attempts without an outcome
 	ended       bool // it has its final result, or the client left
+	mayHaveRun  bool // an attempt may have been executed
 	// noNewAttempts tells other goroutines that no attempt may begin. It is set with ended, and
 	// earlier where the client's goroutine sees the disconnect before the loop does.
 	noNewAttempts atomic.Bool
@@ -112,7 +113,8 @@
 	now           float64
 	zeroUnixMS    int64 // Unix time, ms, of the clock's zero
 	calls         map[string]*call
-	recentIDs     idHistory
+	recentIDs     idHistory // of all calls
+	executedIDs   idHistory // of ended calls that may have been executed
 	timers        timerqueue.Queue[timerEvent]
 	servers       map[string]listedServer // by host
 	discoverySeen bool                    // a list came from discovery
@@ -139,7 +141,7 @@
 const clockAtStart = 3_600_000
 
 func newCore(zeroUnixMS int64, c *Config, effects effectHandler) *core {
-	k := &core{effects: effects, now: clockAtStart, zeroUnixMS: zeroUnixMS, calls: map[string]*call{}, servers: map[string]listedServer{}, counters: Counters{Reasons: map[string]uint64{}}, shardCount: c.Settings.Shards}
+	k := &core{effects: effects, now: clockAtStart, zeroUnixMS: zeroUnixMS, calls: map[string]*call{}, servers: map[string]listedServer{}, recentIDs: idHistory{size: recentIDCount}, executedIDs: idHistory{size: executedIDCount}, counters: Counters{Reasons: map[string]uint64{}}, shardCount: c.Settings.Shards}
 	k.scheduler = policy.New(c.Settings, c.Seed)
 	return k
 }
@@ -189,7 +191,7 @@
 // ID was used before.
 func (k *core) startCall(now float64, c *call) bool {
 	k.advance(now)
-	if k.calls[c.req.ID] != nil || k.recentIDs.contains(c.req.ID) {
+	if k.calls[c.req.ID] != nil || k.recentIDs.contains(c.req.ID) || k.executedIDs.contains(c.req.ID) {
 		return false
 	}
 	k.calls[c.req.ID] = c
@@ -304,6 +306,9 @@
 		return
 	}
 	delete(k.calls, c.req.ID)
+	if c.mayHaveRun {
+		k.executedIDs.add(c.req.ID)
+	}
 	if c.release != nil {
 		c.release()
 	}
@@ -388,6 +393,7 @@
 	c := a.call
 	c.outstanding--
 	k.counters.Outcomes[o.Result]++
+	c.mayHaveRun = c.mayHaveRun || mayHaveRun(o.Result)
 	o.ID, o.Node, o.Attempt, o.Done, o.Elapsed = c.req.ID, a.host, a.number, c.ended, a.elapsed(k.now)
 	if o.Result != policy.Served {
 		k.log.attemptFailed(a, o.Result, o.Elapsed)
@@ -396,6 +402,11 @@
 	k.removeIfDone(c)
 }
 
+// mayHaveRun reports whether an attempt that ended with result may have been executed.
+func mayHaveRun(result policy.Result) bool {
+	return result != policy.Rejected && result != policy.NoConnection && result != policy.NotSent
+}
+
 // nextDue returns the time of the earliest timer, +Inf if there is none.
 func (k *core) nextDue() float64 { return k.timers.NextDue() }
 
@@ -519,30 +530,3 @@
 	}
 	return min(max(float64(e.StartedMS-k.zeroUnixMS), 0), k.now)
 }
-
-// idHistory is the set of the last idHistorySize request IDs, a ring buffer with an index.
-type idHistory struct {
-	set    map[string]struct{}
-	ids    []string
-	oldest int
-}
-
-// idHistorySize exceeds the requests received within the longest deadline at several hundred a
-// second.
-const idHistorySize = 4096
-
-func (r *idHistory) contains(id string) bool { _, ok := r.set[id]; return ok }
-
-func (r *idHistory) add(id string) {
-	if r.set == nil {
-		r.set = make(map[string]struct{}, idHistorySize)
-	}
-	if len(r.ids) < idHistorySize {
-		r.ids = append(r.ids, id)
-	} else {
-		delete(r.set, r.ids[r.oldest])
-		r.ids[r.oldest] = id
-		r.oldest = (r.oldest + 1) % idHistorySize
-	}
-	r.set[id] = struct{}{}
-}
--- a/internal/control/scheduler/core_test.go
+++ b/internal/control/scheduler/core_test.go
@@ -180,13 +180,37 @@
 	}
 }
 
-// The history must contain the last idHistorySize IDs and no others.
+// The history must contain the last IDs up to its size and no others.
 func TestIDHistoryIsBounded(t *testing.T) {
-	var history idHistory
+	const idHistorySize = 4096
+	history := idHistory{size: idHistorySize}
 	for i := range 3 * idHistorySize {
 		history.add(fmt.Sprint(i))
 	}
 	if len(history.set) != idHistorySize || !history.contains(fmt.Sprint(3*idHistorySize-1)) || !history.contains(fmt.Sprint(2*idHistorySize)) || history.contains(fmt.Sprint(2*idHistorySize-1)) {
-		t.Errorf("history contains %d IDs, want exactly the last idHistorySize", len(history.set))
+		t.Errorf("history contains %d IDs, want exactly the last 4096", len(history.set))
+	}
+}
+
+// An id whose request may have run must be refused when it comes again, however many requests have come
+// and been refused unsent in between, such as a flood under ever new ids.
+func TestAnIDThatMayHaveRunIsRememberedThroughAFlood(t *testing.T) {
+	k, effects := newTestCore(t)
+	now := float64(clockAtStart)
+	if !k.startCall(now, effects.newCall(k, "ran", "card-read", now, 2000)) {
+		t.Fatal("first call: want it taken")
+	}
+	k.begin(now, effects.attempts[0])
+	k.receiveReply(now+1, effects.attempts[0], reply{result: policy.Served})
+	for i := range 2 * recentIDCount {
+		flood := effects.newCall(k, fmt.Sprint("flood-", i), "card-read", now, 2000)
+		flood.req.Shard = 1 // all but the first few wait there, and none is served
+		if !k.startCall(now+2, flood) {
+			t.Fatal("call of the flood: want it taken")
+		}
+		k.clientGone(now+2, flood)
+	}
+	if k.startCall(now+3, effects.newCall(k, "ran", "card-read", now, 2000)) {
+		t.Error("the id was taken again, so its request would have run twice")
 	}
 }
