scheduler: the look at a client's socket consumes nothing and asks for nothing new of a read

A wait for bytes is a plain read again, into 1 KiB that waiting connections share out, and 16 KiB are read at once only when that was filled.

--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -18,8 +18,9 @@
 	maxReadAhead      = 128 << 10
 	reservedReadAhead = 2 << 10
 	readAheadChunk    = 2 << 10
-	// readBytes is the most that is read at once.
+	// readBytes is the most that is read at once, and waitBytes while a read waits for data.
 	readBytes = 16 << 10
+	waitBytes = 1 << 10
 	// skipAll, as a readAhead's skip, drops all that follows.
 	skipAll = math.MaxInt
 	// kernelClockStepMS is the coarsest step of the kernel's times of arrival. Shorter waits in
@@ -31,8 +32,11 @@
 	maxMarks       = 64
 )
 
-// readBuffers holds buffers for reads, since most connections wait for data at any time.
-var readBuffers = sync.Pool{New: func() any { return new([readBytes]byte) }}
+// readBuffers and waitBuffers hold buffers for reads: most connections wait for data at any time.
+var (
+	readBuffers = sync.Pool{New: func() any { return new([readBytes]byte) }}
+	waitBuffers = sync.Pool{New: func() any { return new([waitBytes]byte) }}
+)
 
 // parserPool holds readers that parse requests without consuming them.
 var parserPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, clientReadBuffer) }}
@@ -156,14 +160,18 @@
 	a.marks = kept
 }
 
-// readMore waits for data and reads up to limit bytes of it.
+// readMore waits for data and reads up to limit bytes of it. While it waits, it has a small buffer
+// only.
 func (a *readAhead) readMore(limit int) error {
-	// The buffer is taken once there is data.
-	if err := env.WaitReadable(a.conn); err != nil && err != env.ErrNoData {
-		a.recordRead(0, err)
-		return err
+	buffer := waitBuffers.Get().(*[waitBytes]byte)
+	defer waitBuffers.Put(buffer)
+	size := min(limit, waitBytes)
+	n, err := a.fillWith(buffer[:size], a.conn.Read)
+	if err == nil && n == size && limit > size {
+		a.readAvailable(limit - size) // there may be more
+		return a.err
 	}
-	return a.fill(func(b []byte) (int, error) { return a.conn.Read(b[:min(len(b), limit)]) })
+	return err
 }
 
 // readAvailable reads up to limit bytes that have already arrived. It returns env.ErrNoData if
@@ -174,19 +182,25 @@
 
 // fill appends the result of one read to the buffer.
 func (a *readAhead) fill(read func([]byte) (int, error)) error {
-	if a.err != nil {
-		return a.err
-	}
 	buffer := readBuffers.Get().(*[readBytes]byte)
 	defer readBuffers.Put(buffer)
-	n, err := read(buffer[:])
+	_, err := a.fillWith(buffer[:], read)
+	return err
+}
+
+// fillWith appends the result of one read into buffer, and returns it.
+func (a *readAhead) fillWith(buffer []byte, read func([]byte) (int, error)) (int, error) {
+	if a.err != nil {
+		return 0, a.err
+	}
+	n, err := read(buffer)
 	dropped := min(n, a.skip)
 	a.skip -= dropped
 	if kept := buffer[dropped:n]; len(kept) > 0 {
 		a.buffer.append(kept)
 	}
 	a.recordRead(n-dropped, err)
-	return err
+	return n, err
 }
 
 // arrivalTime returns when the stream had arrived up to offset, or the present if no mark covers it.
--- a/internal/runtime/env/stream.go
+++ b/internal/runtime/env/stream.go
@@ -156,26 +156,21 @@
 	return state
 }
 
+// socketPeerState counts the unread bytes before it asks for the state: without any, the end of the
+// stream can't be hidden by a closed receive window.
 func socketPeerState(fd int) PeerState {
-	var peeked [1]byte
-	n, _, err := syscall.Recvfrom(fd, peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch {
-	case err == syscall.EAGAIN:
-		return PeerOpen
-	case err == syscall.EINTR:
-		return PeerUnknown
-	case err != nil, n == 0:
-		return PeerClosed
-	}
+	unread, unreadErr := unix.IoctlGetInt(fd, unix.TIOCINQ)
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return PeerUnknown
+	if err == nil {
+		switch info.State {
+		case tcpTimeWait, tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
+			return PeerClosed
+		}
 	}
-	switch info.State {
-	case tcpTimeWait, tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
-		return PeerClosed
+	if unreadErr == nil && unread > 0 {
+		return PeerUnknown
 	}
-	return PeerUnknown
+	return PeerOpen
 }
 
 // CloseWrite shuts down the sending half of a stream and leaves the receiving half open. It
