scheduler: heads of responses are counted too, and small responses are read whatever others hold

Cause: bodies of responses were reserved, heads (16 KiB each) not; and with the budget used up by responses that stop half way, small responses of other disk servers counted as errors that may have run. TestSmallerLimitAppliesToWhatComes: a limit that SIGHUP makes smaller than what is in use.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -107,29 +107,13 @@
 
 // requestMemory is what a request has reserved.
 type requestMemory struct {
-	heads                   *byteBudget
-	headBytes, headReserved int
-	body                    *requestBody
-}
-
-// reserveHead reserves n bytes for lines of the head, beyond unreservedBytes.
-func (m *requestMemory) reserveHead(n int) bool {
-	m.headBytes += n
-	needed := m.headBytes - unreservedBytes - m.headReserved
-	if needed <= 0 {
-		return true
-	}
-	if !m.heads.reserve(needed) {
-		return false
-	}
-	m.headReserved += needed
-	return true
+	head reservation
+	body *requestBody
 }
 
 // release returns what is reserved, once the request has ended.
 func (m *requestMemory) release() {
-	m.heads.add(-m.headReserved)
-	m.headReserved = 0
+	m.head.release()
 	if m.body != nil {
 		m.body.release()
 	}
@@ -137,7 +121,7 @@
 
 // readRequest reads a request. The memory of the one that it returns has to be released.
 func (c *client) readRequest() (*request, error) {
-	memory := &requestMemory{heads: &c.frontend.memory.heads}
+	memory := &requestMemory{head: reservation{budget: &c.frontend.memory.heads, free: unreservedBytes}}
 	r, err := c.readIntoMemory(memory)
 	if err != nil {
 		memory.release()
@@ -148,7 +132,7 @@
 func (c *client) readIntoMemory(memory *requestMemory) (*request, error) {
 	f := c.frontend
 	limits := messageLimits
-	limits.ReserveHead = memory.reserveHead
+	limits.ReserveHead = memory.head.reserve
 	head, err := http1.ReadRequest(c.in, limits)
 	if err != nil {
 		return nil, err
--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -350,7 +350,7 @@
 	result          policy.Result
 	body            []byte
 	use, fromOthers float64
-	reservedBytes   int // counted in memoryAccount.replies for the body
+	memory          *reservation // of its head and body; nil: none
 }
 
 // replyReceived notes that an attempt's response has been read. Its result is not known yet, so
--- a/internal/control/scheduler/memory.go
+++ b/internal/control/scheduler/memory.go
@@ -17,21 +17,22 @@
 	spareBytes = 6 << 20
 	// liveFraction is the part of the heap's limit that may be in use. The rest is room for the
 	// collector, whose cost grows as the two come close.
-	liveFraction = 0.6
+	liveFraction = 0.7
 	// baseBytes is the heap of a scheduler without connections: the policy's state, the list of disk
 	// servers, ids and the log.
 	baseBytes = 3 << 20
 	// minHeapFraction is the least part of the memory that the heap gets, however large the image is.
 	minHeapFraction = 0.25
 	// clientConnBytes and serverConnBytes are what a connection takes with its goroutines and
-	// buffers, and its unreservedBytes.
+	// buffers, and the bytes of a message that need no reservation.
 	clientConnBytes = 12 << 10
-	serverConnBytes = 8 << 10
+	serverConnBytes = 12 << 10
 	// maxConnFraction is the part of the heap in use that connections may take.
 	maxConnFraction = 0.6
-	// unreservedBytes of each request need no reservation, so that small requests are read
-	// however much others hold.
-	unreservedBytes = 2 << 10
+	// unreservedBytes of each request, and unreservedReplyBytes of each response of a disk server, need
+	// no reservation, so that small ones are read however much others hold.
+	unreservedBytes      = 2 << 10
+	unreservedReplyBytes = 4 << 10
 )
 
 // Parts of the memory for messages.
@@ -106,6 +107,33 @@
 	return false
 }
 
+// reservation is what one message has reserved in a budget, beyond the bytes that are free to it.
+type reservation struct {
+	budget         *byteBudget
+	free           int
+	held, reserved int
+}
+
+// reserve counts n more bytes of the message. It returns false if there is no room for them.
+func (r *reservation) reserve(n int) bool {
+	r.held += n
+	needed := r.held - r.free - r.reserved
+	if needed <= 0 {
+		return true
+	}
+	if !r.budget.reserve(needed) {
+		return false
+	}
+	r.reserved += needed
+	return true
+}
+
+// release returns what is reserved.
+func (r *reservation) release() {
+	r.budget.add(-r.reserved)
+	r.held, r.reserved = 0, 0
+}
+
 // bodyBudget bounds the bytes of requests' bodies. Where a body finds no room, the largest of those
 // that are incomplete and have made no progress for bodyStallTimeMS is dropped for it.
 type bodyBudget struct {
--- a/internal/control/scheduler/memory_test.go
+++ b/internal/control/scheduler/memory_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // The parts of the memory must not exceed it, whatever the limits and the image are.
@@ -198,3 +199,51 @@
 		}
 	}
 }
+
+// Responses that stop half way must not keep small ones of other disk servers from being read.
+func TestSmallResponsesNeedNoRoom(t *testing.T) {
+	respond := func(r standin.HTTPRequest) standin.HTTPResponse {
+		if r.Conn == 0 {
+			return standin.HTTPResponse{Raw: []byte("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + strings.Repeat("x", 50_000))}
+		}
+		return standin.HTTPResponse{Raw: []byte(ok200)}
+	}
+	runSimulated(t, respond, func(h *harness) {
+		h.scheduler.memory.replies.limit.Store(64 << 10)
+		io.WriteString(h.connect().conn, strings.Replace(h.getRequest(), "0.480", "9.000", 1))
+		env.Sleep(h.environment, 50*time.Millisecond, nil)
+		if held := h.scheduler.memory.replies.used.Load(); held < 40_000 {
+			t.Fatalf("%d bytes of the first response are counted, want its 50,000", held)
+		}
+		h.scheduler.memory.replies.limit.Store(0)
+		if got := h.connect().roundTrip(h.getRequest()); got.status != 200 {
+			t.Error("small response beside it: want status 200, got", got)
+		}
+	})
+}
+
+// A smaller limit, after a reload, applies to what comes; it takes nothing from requests that are whole.
+func TestSmallerLimitAppliesToWhatComes(t *testing.T) {
+	now := 0.0
+	var budget bodyBudget
+	budget.setLimit(100 << 10)
+	held := budget.newBody(func() float64 { return now }, 60<<10)
+	held.append(make([]byte, 60<<10))
+	held.complete()
+	budget.setLimit(20 << 10)
+	now += 2 * bodyStallTimeMS
+	later := budget.newBody(func() float64 { return now }, 8<<10)
+	later.append(make([]byte, 8<<10))
+	if _, kept := later.complete(); kept {
+		t.Error("a body was kept beyond the smaller limit")
+	}
+	if content, kept := held.complete(); !kept || len(content) != 60<<10 {
+		t.Error("a whole body was dropped")
+	}
+	held.release()
+	again := budget.newBody(func() float64 { return now }, 8<<10)
+	again.append(make([]byte, 8<<10))
+	if _, kept := again.complete(); !kept {
+		t.Error("a body within the smaller limit was dropped")
+	}
+}
--- a/internal/control/scheduler/serverconn.go
+++ b/internal/control/scheduler/serverconn.go
@@ -50,7 +50,7 @@
 	sc.conn.SetDeadline(time.Time{})
 	r, reusable, err := sc.readReply()
 	if err != nil && !http1.IsMessageError(err) {
-		p.memory.replies.add(-r.reservedBytes)
+		r.memory.release()
 		p.loop.post(p.loop.now(), eventConnBroken, func(occurredAt float64) { p.connBroken(occurredAt, sc, a, policy.ConnectionLost) })
 		return
 	}
@@ -62,7 +62,7 @@
 	}
 	p.loop.post(p.loop.now(), eventQuarantineEnded, func(occurredAt float64) {
 		p.quarantineEnded(occurredAt, sc, a, r, followedBy)
-		p.memory.replies.add(-r.reservedBytes)
+		r.memory.release()
 	})
 }
 
@@ -70,7 +70,10 @@
 // cannot be parsed yields policy.ServerError, since the request may have been executed.
 func (sc *serverConn) readReply() (r reply, reusable bool, err error) {
 	r.result = policy.ServerError
-	response, err := http1.ReadResponse(sc.reader, responseLimits)
+	r.memory = &reservation{budget: &sc.pool.memory.replies, free: unreservedReplyBytes}
+	limits := responseLimits
+	limits.Reserve, limits.ReserveHead = r.memory.reserve, r.memory.reserve
+	response, err := http1.ReadResponse(sc.reader, limits)
 	if err != nil {
 		return r, false, err
 	}
@@ -78,14 +81,6 @@
 	if err != nil {
 		return r, false, err
 	}
-	limits := responseLimits
-	limits.Reserve = func(n int) bool {
-		if !sc.pool.memory.replies.reserve(n) {
-			return false
-		}
-		r.reservedBytes += n
-		return true
-	}
 	if r.body, err = http1.ReadBody(sc.reader, framing, limits); err != nil {
 		return r, false, err
 	}
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -156,10 +156,10 @@
 	}
 }
 
-// GrowthStep returns by how many bytes a body buffer that holds length bytes grows for a piece, if
-// it reaches maxLength at most.
-func GrowthStep(length, piece, maxLength int) int {
-	return min(max(piece, growStep, min(length, maxGrowStep)), maxLength-length)
+// GrowthStep returns by how many bytes a body buffer of that capacity grows if missing bytes do not
+// fit and it reaches maxLength at most.
+func GrowthStep(capacity, missing, maxLength int) int {
+	return min(max(missing, growStep, min(capacity, maxGrowStep)), maxLength-capacity)
 }
 
 // maxGrowStep is the most, in bytes, by which a body buffer grows at once.
@@ -189,20 +189,24 @@
 // appendPiece appends piece to b, which reaches maxLength at most, after reserving the bytes by
 // which b has to grow.
 func (lim Limits) appendPiece(b, piece []byte, maxLength int) ([]byte, error) {
-	if len(b)+len(piece) > cap(b) {
-		length := len(b)
-		grown, err := lim.grow(b, GrowthStep(length, len(piece), maxLength))
-		if err != nil {
-			return nil, err
+	if missing := len(b) + len(piece) - cap(b); missing > 0 {
+		growth := GrowthStep(cap(b), missing, maxLength)
+		if !lim.reserved(growth) {
+			return nil, &Error{NoRoom, "body"}
 		}
-		b = grown[:length]
+		grown := make([]byte, len(b), cap(b)+growth)
+		copy(grown, b)
+		b = grown
 	}
 	return append(b, piece...), nil
 }
 
+// reserved reports whether n more bytes may be allocated for a body.
+func (lim Limits) reserved(n int) bool { return lim.Reserve == nil || lim.Reserve(n) }
+
 // grow extends b by n zero bytes after reserving them.
 func (lim Limits) grow(b []byte, n int) ([]byte, error) {
-	if lim.Reserve != nil && !lim.Reserve(n) {
+	if !lim.reserved(n) {
 		return nil, &Error{NoRoom, "body"}
 	}
 	grown := make([]byte, len(b)+n)
--- a/internal/protocol/http1/http1.go
+++ b/internal/protocol/http1/http1.go
@@ -63,8 +63,8 @@
 	MaxFields    int // number of field lines
 	MaxBodyBytes int
 	// Reserve, if not nil, is called before n more bytes are allocated for a body, and
-	// ReserveHead before n more are for the head of a request. If one returns false, the message is
-	// rejected as NoRoom.
+	// ReserveHead before n more are for a head. If one returns false, the message is rejected as
+	// NoRoom.
 	Reserve, ReserveHead func(n int) bool
 }
 
@@ -185,7 +185,7 @@
 // ReadResponse reads the head of a final response and skips interim (1xx) ones before it.
 // It rejects 101, since it supports no protocol upgrade.
 func ReadResponse(br *bufio.Reader, lim Limits) (*Response, error) {
-	h := lineReader{br: br, remaining: lim.MaxHeadBytes}
+	h := lineReader{br: br, remaining: lim.MaxHeadBytes, reserve: lim.ReserveHead}
 	for n := 0; n <= maxInterim; n++ {
 		line, err := h.readLine("status line")
 		if err != nil {
