gateway: data segments are counted before they are allocated, and allocated as they come

Cause: a PDU's announced length was allocated at once, 256 KiB, before a byte of it had come, also before the login, counted by nothing, and kept for the connection's life: 4,096 sessions (the example's bound) could hold 1 GiB beside target.memory_bytes. Evidence: TestHalfPDUsAreCounted failed before ("not reached within 20 s: the memory is used up": 100 logins that stop half way counted as 0 bytes). TestAnnouncedDataIsNotAllocated is of the reader alone. Change: a reader holds 8 KiB of its own; a longer segment is asked for once 8 KiB of it have come, from the host's pool, counted as a whole buffer until the PDU is over; without room the connection ends with the reason in the log. During a login a segment has 64 KiB at most, what its text may have. Why it works: a peer has to send 8 KiB for each buffer, and all buffers together stay in target.memory_bytes.

--- a/internal/control/gateway/frontend.go
+++ b/internal/control/gateway/frontend.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -83,8 +84,9 @@
 
 const (
 	clientReadBufferBytes = 4 << 10
-	maxRecvDataSegment    = 256 << 10 // declared MaxRecvDataSegmentLength, bytes
-	maxTransferBytes      = 1 << 20   // limit of a command's data and of a burst, bytes
+	maxLoginDataSegment   = iscsi.MaxText // limit of a data segment until the login has ended, bytes
+	maxRecvDataSegment    = 256 << 10     // declared MaxRecvDataSegmentLength, bytes
+	maxTransferBytes      = 1 << 20       // limit of a command's data and of a burst, bytes
 	// clientWriteLimit bounds the bytes that are queued for one client, beyond which its
 	// connection is closed. It is enough for a window of small reads or a few large ones.
 	clientWriteLimit = 16 << 20
@@ -143,6 +145,23 @@
 
 func (f *frontend) releaseMemory(bytes int) { f.memoryBytes.Add(-int64(bytes)) }
 
+// segmentPool holds buffers of maxRecvDataSegment bytes for data segments that are being read.
+var segmentPool = sync.Pool{New: func() any { return new([maxRecvDataSegment]byte) }}
+
+// allocateSegment returns a buffer for a data segment of n bytes, nil if the memory is used up. A whole
+// buffer is accounted for.
+func (f *frontend) allocateSegment(n int) []byte {
+	if !f.reserveMemory(maxRecvDataSegment) {
+		return nil
+	}
+	return segmentPool.Get().(*[maxRecvDataSegment]byte)[:n]
+}
+
+func (f *frontend) freeSegment(segment []byte) {
+	f.releaseMemory(maxRecvDataSegment)
+	segmentPool.Put((*[maxRecvDataSegment]byte)(segment[:maxRecvDataSegment]))
+}
+
 // registerSession makes c the connection of its session and returns the one it replaces, which
 // the caller must abort and wait for.
 func (f *frontend) registerSession(key sessionKey, c *conn) (replaced *conn) {
@@ -203,9 +222,12 @@
 }
 
 func (c *conn) run() {
-	reader := iscsi.NewReader(bufio.NewReaderSize(c.netConn, clientReadBufferBytes), maxRecvDataSegment)
+	reader := iscsi.NewReader(bufio.NewReaderSize(c.netConn, clientReadBufferBytes), maxLoginDataSegment)
+	reader.Allocate, reader.Free = c.frontend.allocateSegment, c.frontend.freeSegment
+	defer reader.Close()
 	err := c.login(reader)
 	if err == nil {
+		reader.MaxData = maxRecvDataSegment
 		err = c.serveFullFeature(reader)
 	}
 	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
--- a/internal/protocol/iscsi/pdu.go
+++ b/internal/protocol/iscsi/pdu.go
@@ -153,6 +153,13 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
+// NoRoomError says that there is no memory for a PDU's data segment.
+type NoRoomError struct{ Length int }
+
+func (e *NoRoomError) Error() string {
+	return fmt.Sprintf("iscsi: no memory for a segment of %d bytes", e.Length)
+}
+
 // Reader reads PDUs from a stream. The PDU that Next returns, and its segments,
 // are valid until the following call.
 type Reader struct {
@@ -160,17 +167,37 @@
 	Digests Digests
 	// MaxData bounds a data segment in bytes (MaxRecvDataSegmentLength).
 	MaxData int
+	// Allocate, if not nil, returns n bytes for a data segment over smallSegment, once its first
+	// smallSegment bytes have come; if it returns nil, Next returns a *NoRoomError. Free gets the
+	// bytes back once the PDU is not valid any more.
+	Allocate func(n int) []byte
+	Free     func(segment []byte)
+
 	pdu     PDU
-	buf     []byte
+	small   []byte // holds the AHS and segments up to smallSegment
+	large   []byte // holds a longer segment; nil: there is none
 	scratch [4]byte
 }
 
+// smallSegment is the longest data segment that a Reader holds in memory of its own. What is announced
+// beyond it is allocated once a peer has sent as much.
+const smallSegment = 8 << 10
+
 // NewReader reads from r with that bound on data segments.
 func NewReader(r *bufio.Reader, maxData int) *Reader { return &Reader{r: r, MaxData: maxData} }
 
+// Close gives back the memory of the last PDU.
+func (r *Reader) Close() {
+	if r.large != nil && r.Free != nil {
+		r.Free(r.large)
+	}
+	r.large = nil
+}
+
 // Next reads one PDU. io.EOF means a clean end between PDUs. A *DataDigestError
 // comes with the PDU; after any other error the stream can't be read on.
 func (r *Reader) Next() (*PDU, error) {
+	r.Close()
 	p := &r.pdu
 	if _, err := io.ReadFull(r.r, p.BHS[:]); err != nil {
 		return nil, err
@@ -182,10 +209,10 @@
 	}
 	// A digest is checked before the length is believed, but needs the AHS first,
 	// whose size is bounded by its own field.
-	if cap(r.buf) < ahs {
-		r.buf = make([]byte, ahs)
+	if cap(r.small) < ahs {
+		r.small = make([]byte, ahs)
 	}
-	p.AHS = r.buf[:ahs]
+	p.AHS = r.small[:ahs]
 	if _, err := io.ReadFull(r.r, p.AHS); err != nil {
 		return nil, unexpected(err)
 	}
@@ -206,15 +233,9 @@
 }
 
 func (r *Reader) data(p *PDU, ahs, n int) (*PDU, error) {
-	padded := (n + 3) &^ 3
-	if cap(r.buf) < ahs+padded {
-		grown := make([]byte, ahs+padded)
-		copy(grown, p.AHS)
-		r.buf, p.AHS = grown, grown[:ahs]
-	}
-	seg := r.buf[ahs : ahs+padded]
-	if _, err := io.ReadFull(r.r, seg); err != nil {
-		return nil, unexpected(err)
+	seg, err := r.segment(p, ahs, (n+3)&^3)
+	if err != nil {
+		return nil, err
 	}
 	p.Data = seg[:n]
 	if n == 0 || !r.Digests.Data {
@@ -230,6 +251,38 @@
 	return p, nil
 }
 
+// segment reads n bytes of data, behind the AHS in r.small or into a buffer of their own.
+func (r *Reader) segment(p *PDU, ahs, n int) ([]byte, error) {
+	first := min(n, smallSegment)
+	if cap(r.small) < ahs+first {
+		grown := make([]byte, ahs+first)
+		copy(grown, p.AHS)
+		r.small, p.AHS = grown, grown[:ahs]
+	}
+	seg := r.small[ahs : ahs+first]
+	if _, err := io.ReadFull(r.r, seg); err != nil {
+		return nil, unexpected(err)
+	}
+	if n == first {
+		return seg, nil
+	}
+	if r.large = r.allocate(n); r.large == nil {
+		return nil, &NoRoomError{Length: n}
+	}
+	copy(r.large, seg)
+	if _, err := io.ReadFull(r.r, r.large[first:]); err != nil {
+		return nil, unexpected(err)
+	}
+	return r.large, nil
+}
+
+func (r *Reader) allocate(n int) []byte {
+	if r.Allocate == nil {
+		return make([]byte, n)
+	}
+	return r.Allocate(n)
+}
+
 // digest reads a CRC32C, which is sent least significant byte first.
 func (r *Reader) digest() (uint32, error) {
 	if _, err := io.ReadFull(r.r, r.scratch[:]); err != nil {
