gateway: an initiator that sends all the time has one turn in many

Cause: a session's reader and the writer of its answers wake each other and pass one processor between them; others wait for a preemption each time. Evidence: TestAFloodLeavesOthersTheirTurn, one processor, failed before: "42013 reads between two turns of another goroutine, want at most 4". Change: the reader yields after each PDU. Result: the test passes, as do the gateway's others.

--- a/internal/control/gateway/frontend.go
+++ b/internal/control/gateway/frontend.go
@@ -397,6 +397,7 @@
 			c.closeWhenFlushed()
 			return err
 		}
+		env.Yield() // an initiator that sends all the time must not keep others from their turn
 	}
 }
 
