scheduler: bad input and lack of memory: one line a second and reason, with counts

Cause: twenty lines a second of a message, and no word of how many were left out; what was refused for lack of memory was logged and counted nowhere. Change: closes for bad input (unreadable, rejected, duplicate id) and refusals for lack of memory are logged once a second and reason, with the number left out and the request's id; "ended" has counters of heads, bodies and pipelined requests refused.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"merlinhitch/internal/protocol/http1"
@@ -180,6 +181,7 @@
 	switch status {
 	case 0:
 	case 503:
+		c.countRefused(&c.frontend.memory.refused.heads, "head", 1)
 		c.refuseForRoom(true)
 	default:
 		c.respond(status, true, nil, nil)
@@ -210,6 +212,12 @@
 // retryAfterRoom is the Retry-After, in seconds, of a request that was refused for lack of memory.
 const retryAfterRoom = "1"
 
+// countRefused counts and logs requests that are refused for lack of memory.
+func (c *client) countRefused(counter *atomic.Uint64, part string, count int) {
+	counter.Add(uint64(count))
+	c.frontend.log.roomRefused(c, part, count)
+}
+
 // refuseForRoom answers a request for which there is no memory.
 func (c *client) refuseForRoom(closeConn bool) bool {
 	return c.respond(503, closeConn, http1.Fields{{Name: "Retry-After", Value: retryAfterRoom}}, nil)
@@ -231,7 +239,7 @@
 	}
 	count := c.pipelined.takeRefused()
 	c.requests += count
-	c.frontend.log.pipelinedRefused(c, count)
+	c.countRefused(&c.frontend.memory.refused.pipelined, "pipelined requests", count)
 	for ; count > 0; count-- {
 		c.out.WaitFlushed()
 		if !c.refuseForRoom(count == 1 && c.isLastAnswer()) {
@@ -249,6 +257,7 @@
 	closeConn := r.Close()
 	if r.dropped {
 		r.memory.release()
+		c.countRefused(&f.memory.refused.bodies, "body", 1)
 		return c.refuseForRoom(closeConn || c.isLastAnswer())
 	}
 	if r.Target == readyPath {
--- a/internal/control/scheduler/eventlog.go
+++ b/internal/control/scheduler/eventlog.go
@@ -21,13 +21,18 @@
 
 // eventLog logs the ends of requests, attempts and connections and the changes of the server
 // list at a bounded rate. A nil *eventLog logs nothing.
-type eventLog struct{ log *zap.Logger }
+type eventLog struct {
+	log    *zap.Logger
+	now    func() float64 // ms on the loop's clock
+	closes [closeReasonCount]lineLimit
+	room   lineLimit // of requests that were refused for lack of memory
+}
 
-func newEventLog(log *zap.Logger) *eventLog {
+func newEventLog(log *zap.Logger, now func() float64) *eventLog {
 	sampled := zap.WrapCore(func(c zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(c, env.Duration(logPeriod), logBurst, 0)
 	})
-	return &eventLog{log.WithOptions(sampled)}
+	return &eventLog{log: log.WithOptions(sampled), now: now}
 }
 
 // eventKind is the kind of an event of the loop, for the log.
@@ -113,12 +118,18 @@
 	}
 }
 
-// pipelinedRefused logs pipelined requests that were dropped and are refused.
-func (l *eventLog) pipelinedRefused(c *client, count int) {
+// roomRefused logs that requests of a client were refused for lack of memory: what could not be kept
+// of them, and the request before them on the connection.
+func (l *eventLog) roomRefused(c *client, part string, count int) {
 	if l == nil {
 		return
 	}
-	l.log.Info("pipelined requests refused", zap.String("client", c.conn.RemoteAddr().String()), zap.Int("count", count), zap.String("request", c.lastRequestID))
+	suppressed, ok := l.room.take(l.now())
+	if !ok {
+		return
+	}
+	l.log.Info("refused for lack of memory", zap.String("part", part), zap.Int("count", count), zap.String("client", c.conn.RemoteAddr().String()),
+		zap.String("previous_request", c.lastRequestID), zap.Int("suppressed", suppressed))
 }
 
 // acceptFailed logs an error of the listener's Accept.
@@ -149,19 +160,33 @@
 	closeIdle                           // idle timeout, or closed to make room for others
 	closeByClient                       // the client closed it between requests
 	closeLoopEnded                      // the loop had stopped
+	closeReasonCount
 )
 
 var closeNames = [...]string{"unreadable", "rejected", "duplicate id", "client's wish", "last answer", "idle", "client ended", "loop ended"}
 
+// badInput reports whether the client's input ended the connection.
+func (r closeReason) badInput() bool {
+	return r == closeUnreadable || r == closeRejected || r == closeDuplicateID
+}
+
 func (r closeReason) String() string { return closeNames[r] }
 
 // connectionClosed logs the end of a client's connection. It omits those that the client closed
-// between requests and those that ended by idle timeout without having sent anything.
+// between requests and those that ended by idle timeout without having sent anything. For bad input
+// there is one line a second and reason.
 func (l *eventLog) connectionClosed(c *client, err error) {
 	if l == nil || c.reason == closeByClient || c.reason == closeIdle && c.readAhead.bytesRead == 0 {
 		return
 	}
+	suppressed := 0
+	if c.reason.badInput() {
+		var ok bool
+		if suppressed, ok = l.closes[c.reason].take(l.now()); !ok {
+			return
+		}
+	}
 	l.log.Info("client connection closed", zap.Stringer("reason", c.reason), zap.String("client", c.conn.RemoteAddr().String()),
 		zap.Int64("read", c.readAhead.bytesRead), zap.Int("requests", c.requests), zap.Int("answers", c.answers),
-		zap.String("request", c.lastRequestID), zap.NamedError("cause", err))
+		zap.String("request", c.lastRequestID), zap.NamedError("cause", err), zap.Int("suppressed", suppressed))
 }
--- a/internal/control/scheduler/lifecycle.go
+++ b/internal/control/scheduler/lifecycle.go
@@ -73,7 +73,7 @@
 	s.pool = newConnPool(w, s.loop, config, &s.memory)
 	s.core = newCore(clockZeroMS, config, s)
 	s.pool.core = s.core
-	events := newEventLog(log)
+	events := newEventLog(log, s.loop.now)
 	s.core.log, s.loop.log, s.pool.log = events, events, events
 	known := config.Known
 	known.Full = true
@@ -205,7 +205,9 @@
 	s.pool.stop()
 	s.loop.stop()
 	s.pool.close()
-	s.log.Info("ended", zap.String("counters", fmt.Sprintf("%+v", s.core.counters)))
+	refused := &s.memory.refused
+	s.log.Info("ended", zap.String("counters", fmt.Sprintf("%+v", s.core.counters)), zap.Uint64("heads_refused", refused.heads.Load()),
+		zap.Uint64("bodies_refused", refused.bodies.Load()), zap.Uint64("pipelined_refused", refused.pipelined.Load()))
 	s.ended.Open()
 }
 
--- a/internal/control/scheduler/list_test.go
+++ b/internal/control/scheduler/list_test.go
@@ -55,7 +55,7 @@
 func TestInvalidEntriesAreLogged(t *testing.T) {
 	k, effects := newTestCore(t)
 	logCore, logs := observer.New(zap.InfoLevel)
-	k.log = newEventLog(zap.New(logCore))
+	k.log = newEventLog(zap.New(logCore), func() float64 { return 0 })
 	futureEntry := fmt.Sprintf(`{"host":"s3","dial":"x:5","block":0,"health":"active","born_ms":%d}`, k.zeroUnixMS+clockAtStart+3_600_000)
 	list, err := parseServerList([]byte(fullListJSON(2, entryJSON("s0", "x:1", stateActive, 0), entryJSON("s0", "x:1", stateActive, 0),
 		entryJSON("s1", "x:2", "resting", 1), entryJSON("s2", "x:4", stateActive, 1_000_000), entryJSON("s4", "x:6", stateActive, -3), futureEntry)))
--- a/internal/control/scheduler/memory.go
+++ b/internal/control/scheduler/memory.go
@@ -80,8 +80,12 @@
 type memoryAccount struct {
 	heads, readAhead, replies, answers byteBudget
 	bodies                             bodyBudget
+	refused                            refusedCounters
 }
 
+// refusedCounters counts requests that were refused for lack of memory, by what could not be kept.
+type refusedCounters struct{ heads, bodies, pipelined atomic.Uint64 }
+
 // setLimits applies a plan. Bytes that are held already stay held.
 func (m *memoryAccount) setLimits(plan MemoryPlan) {
 	m.heads.limit.Store(plan.heads)
--- a/internal/simulation/world/lint_test.go
+++ b/internal/simulation/world/lint_test.go
@@ -17,7 +17,7 @@
 var cores = map[string][]string{
 	"policy": nil, "iscsi": nil, "scsi": nil, "reserve": nil, "diskproto": nil, "announce": nil, "rates": nil, "rules": nil,
 	"placement": nil, "plan": nil, "region": nil,
-	"http1": nil, "timerqueue": nil, "scheduler": {"loop.go", "frontend.go", "readahead.go", "connpool.go", "discovery.go", "lifecycle.go", "serverstates.go", "client.go", "presence.go", "memory.go", "serverconn.go", "quarantine.go"},
+	"http1": nil, "timerqueue": nil, "scheduler": {"loop.go", "frontend.go", "readahead.go", "connpool.go", "discovery.go", "lifecycle.go", "serverstates.go", "client.go", "presence.go", "memory.go", "loglimit.go", "serverconn.go", "quarantine.go"},
 	"bgp": {"speaker.go"}, "inventory": {"client.go", "caller.go"},
 }
 
