scheduler: at the connection limit busy, stalled and lingering clients give way too

Cause: only connections that never asked or were idle for 0.5 s gave way. One with half a request kept its place for 2.7 s, one that lingered after an error for 0.2 s, and one that asks all the time for ever. Why it works: no state of a connection lasts at the limit while others wait.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -36,6 +36,7 @@
 			c.reject(readErrorStatus(err))
 			return err
 		}
+		c.setState(clientActive)
 		c.requests++
 		c.reason = closeRequested
 		c.out.WaitFlushed() // wait for slow readers, so that at most one answer is queued
@@ -53,7 +54,7 @@
 	f := c.frontend
 	c.out.Finish()
 	c.out.Wait()
-	if c.answeredSince(f.loop.now() - env.MS(lingerTimeout)) {
+	if c.beginLinger() && c.answeredSince(f.loop.now()-env.MS(lingerTimeout)) {
 		c.linger()
 	}
 	c.conn.Close()
@@ -64,13 +65,26 @@
 	f.log.connectionClosed(c, cause)
 }
 
+// beginLinger marks that all is answered. It returns false if the connection has to make room for
+// another one.
+func (c *client) beginLinger() bool {
+	f := c.frontend
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.state == clientClosing {
+		return false
+	}
+	c.state, c.stateSince = clientLingering, f.loop.now()
+	c.conn.SetReadDeadline(f.environment.Deadline(lingerTimeout))
+	return true
+}
+
 // linger waits for the client to close its side, for up to lingerTimeout.
 func (c *client) linger() {
 	w := c.frontend.environment
 	deadline := w.Now() + lingerTimeout
-	c.conn.SetReadDeadline(w.Deadline(lingerTimeout))
 	if env.WaitReadable(c.conn) == nil { // unread data turns the close into a reset: give the answer time to arrive
-		env.Sleep(w, deadline-w.Now(), &c.frontend.ended)
+		env.Sleep(w, deadline-w.Now(), &c.lingerCut)
 	}
 }
 
@@ -123,9 +137,9 @@
 }
 
 // isLastAnswer reports whether the answer to the open request has to end the connection: during a
-// stop, unless a request behind it has been read and is owed an answer too. It is called by the
-// client's goroutine, which alone knows what has been read.
-func (c *client) isLastAnswer() bool { return c.frontend.isFinishing() && !c.pipelined.waiting() }
+// stop, or to make room, unless a request behind it has been read and is owed an answer too. It is
+// called by the client's goroutine, which alone knows what has been read.
+func (c *client) isLastAnswer() bool { return c.ending() && !c.pipelined.waiting() }
 
 const readyPath = "/up"
 
@@ -265,7 +279,7 @@
 func (c *client) readAvailable() error {
 	for range maxReadsBeforeStart {
 		room := c.pipelined.room()
-		if room == 0 || c.readAhead.readAvailable(room) != nil {
+		if room == 0 || c.recycled.Load() || c.readAhead.readAvailable(room) != nil {
 			break
 		}
 		env.Yield()
@@ -284,7 +298,7 @@
 			f.loop.post(f.loop.now(), eventDeadlineShortened, func(occurredAt float64) { f.core.shortenDeadline(occurredAt, call, earlier) })
 		}
 		room := c.pipelined.room()
-		if answered.Opened() || room == 0 {
+		if answered.Opened() || room == 0 || c.recycled.Load() {
 			return true
 		}
 		err := c.readAhead.readMore(room)
@@ -301,11 +315,11 @@
 	}
 }
 
-// deliver implements recipient. It is called on the loop. During a stop the client's goroutine sends
-// the answer, since it decides whether that is the connection's last.
+// deliver implements recipient. It is called on the loop. Where the connection is to end, the client's
+// goroutine sends the answer, since it decides whether that is the last.
 func (r *responder) deliver(outcome callOutcome, retryAfterMS float64, body []byte) {
 	answer := r.answer(outcome, retryAfterMS, body)
-	if r.client.frontend.isFinishing() && !r.closeAfter {
+	if r.client.ending() && !r.closeAfter {
 		r.deferred = answer
 		r.client.interruptRead()
 	} else {
--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -26,16 +26,12 @@
 	// hold all file descriptors.
 	keepAliveTimeout        = 20 * time.Second
 	reducedKeepAliveTimeout = 2200 * time.Millisecond
-	// At the connection limit a connection may be closed for a new one if it has sent nothing for
-	// evictNewAfterMS or been idle for evictIdleAfterMS; until there is one, none is accepted.
-	evictNewAfterMS       = 100.0
-	evictIdleAfterMS      = 500.0
-	acceptRetryInterval   = 5 * time.Millisecond
-	maxQueuedAcceptWaitMS = 1.0                                    // an accept that returns sooner took a connection that was already queued
-	clientWriteLimit      = maxResponseBytes + maxHTTPMessageBytes // bytes queued for one client
-	clientWriteTimeout    = 3 * time.Second
-	clientReadBuffer      = 2 << 10
-	idleWriteBuffer       = 512 // bytes that an idle connection keeps for its next answer
+	acceptRetryInterval     = 5 * time.Millisecond
+	maxQueuedAcceptWaitMS   = 1.0                                    // an accept that returns sooner took a connection that was already queued
+	clientWriteLimit        = maxResponseBytes + maxHTTPMessageBytes // bytes queued for one client
+	clientWriteTimeout      = 3 * time.Second
+	clientReadBuffer        = 2 << 10
+	idleWriteBuffer         = 512 // bytes that an idle connection keeps for its next answer
 	// lingerTimeout bounds how long a connection stays half-closed after its last answer, until
 	// the client closes its side (RFC 9112, section 9.6): closing it with unread data would send
 	// a reset, which can overtake the answer.
@@ -61,19 +57,22 @@
 
 	mu         locks.Mutex
 	clients    env.OrderedSet[*client]
-	maxClients int  // limit of open connections that are not closing
-	maxClosing int  // limit of closing connections beyond maxClients
-	finishing  bool // a connection ends once all that was read from it is answered; idle ones are closed
+	maxClients int     // limit of open connections that are not closing
+	maxClosing int     // limit of closing connections beyond maxClients
+	recycledAt float64 // when a busy connection was last made to end for others, ms
+	finishing  bool    // a connection ends once all that was read from it is answered; idle ones are closed
 }
 
 // clientState is the state of a client's connection, guarded by the frontend's mutex.
 type clientState int
 
 const (
-	clientNew     clientState = iota // no request yet
-	clientIdle                       // answered, no further request yet
-	clientActive                     // a request is being read or is open
-	clientClosing                    // being closed while it had no request
+	clientNew       clientState = iota // no request yet
+	clientIdle                         // answered, no further request yet
+	clientReading                      // a request is being read
+	clientActive                       // a request is open
+	clientLingering                    // all is answered and written, and the client has not closed its side
+	clientClosing                      // being closed while it had no whole request
 )
 
 // client is a connection of a client. Its goroutine reads from it and closes it; the write queue
@@ -93,6 +92,9 @@
 
 	answers int // number of answers, guarded by the frontend's mutex
 
+	recycled  atomic.Bool // it ends once all that was read from it is answered, to make room for others
+	lingerCut env.Gate    // opened when it may not linger any more
+
 	// Used by its goroutine only.
 	reason        closeReason
 	requests      int    // number of requests read completely
@@ -186,54 +188,15 @@
 	f.maxClients, f.maxClosing = maxClients, maxClosing
 }
 
-// hasCapacity reports whether another connection may be accepted. At the limit it starts to close
-// one evictable connection; with maxClosing closing beside maxClients, none is accepted.
-func (f *frontend) hasCapacity() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.clients.Len() < f.maxClients {
-		return true
-	}
-	now := f.loop.now()
-	open := 0
-	var victim *client
-	for _, c := range f.clients.All() {
-		if c.state == clientClosing {
-			continue
-		}
-		open++
-		if c.evictable(now) && (victim == nil || c.evictedBefore(victim)) {
-			victim = c
-		}
-	}
-	if open >= f.maxClients && victim != nil {
-		victim.beginClose(now)
-		open--
-	}
-	return open < f.maxClients && f.clients.Len() < f.maxClients+f.maxClosing
-}
-
-// evictable reports whether the connection may be closed to make room for a new one.
-func (c *client) evictable(now float64) bool {
-	return c.state == clientNew && now-c.stateSince > evictNewAfterMS || c.state == clientIdle && now-c.stateSince > evictIdleAfterMS
-}
-
-// evictedBefore orders evictable connections: those without a request first, then the longest idle.
-func (c *client) evictedBefore(other *client) bool {
-	if c.state != other.state {
-		return c.state == clientNew
-	}
-	return c.stateSince < other.stateSince
-}
-
-// beginClose makes an idle connection's goroutine close it, unless a request has already arrived.
+// beginClose makes the goroutine of a connection without a whole request close it, unless one has already
+// arrived.
 // The frontend's mutex is held.
 func (c *client) beginClose(now float64) {
 	c.state, c.stateSince = clientClosing, now
 	c.conn.SetReadDeadline(c.frontend.environment.Deadline(0))
 }
 
-// beginRequest marks the client active and sets the read deadline for the request that has begun.
+// beginRequest marks that a request is being read, and sets the read deadline for it.
 func (c *client) beginRequest() {
 	f := c.frontend
 	f.mu.Lock()
@@ -242,10 +205,18 @@
 	if c.lastAnswerAt == 0 {
 		timeout = firstRequestTimeout - env.Duration(f.loop.now()-c.stateSince)
 	}
-	c.state, c.stateSince = clientActive, f.loop.now()
+	c.state, c.stateSince = clientReading, f.loop.now()
 	c.conn.SetReadDeadline(f.environment.Deadline(timeout))
 }
 
+// setState sets the connection's state.
+func (c *client) setState(state clientState) {
+	f := c.frontend
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.state, c.stateSince = state, f.loop.now()
+}
+
 // becomeIdle records an answer and makes the connection idle. If closeConn, it returns false and the
 // connection ends instead; nothing more is read from it then, so the client may safely send later requests
 // elsewhere. In both cases an expired read deadline stops the goroutine's wait in readMore, since
@@ -368,6 +339,7 @@
 	f.mu.Unlock()
 	for _, c := range open {
 		c.out.Finish()
+		c.lingerCut.Open()
 	}
 	flushedBy := f.environment.Now() + closeFlushTimeout
 	for _, c := range open {
--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"merlinhitch/internal/runtime/env"
 )
@@ -57,8 +58,14 @@
 	// lastArrival is the time of the newest mark so far, ms: bytes arrive in order.
 	lastArrival float64
 	err         error // what ended the stream; timeouts are not recorded
+	// lastReadBits holds the float64 bits of the time of the last read that returned bytes, ms. Other
+	// goroutines read it.
+	lastReadBits atomic.Uint64
 }
 
+// lastReadAt returns when bytes were last read from the connection, ms; 0: never.
+func (a *readAhead) lastReadAt() float64 { return math.Float64frombits(a.lastReadBits.Load()) }
+
 // arrivalMark records the time, ms, at which the stream was read up to offset.
 type arrivalMark struct {
 	offset int64
@@ -74,10 +81,18 @@
 		return 0, a.err
 	}
 	n, err := a.conn.Read(b)
+	a.noteRead(n)
 	a.recordRead(n, err)
 	return n, err
 }
 
+// noteRead notes the time of a read that returned n bytes.
+func (a *readAhead) noteRead(n int) {
+	if n > 0 {
+		a.lastReadBits.Store(math.Float64bits(a.now()))
+	}
+}
+
 // recordRead records the arrival of n bytes that are kept, or the end of the stream.
 func (a *readAhead) recordRead(n int, err error) {
 	if n > 0 {
@@ -194,6 +209,7 @@
 		return 0, a.err
 	}
 	n, err := read(buffer)
+	a.noteRead(n)
 	dropped := min(n, a.skip)
 	a.skip -= dropped
 	if kept := buffer[dropped:n]; len(kept) > 0 {
