--- a/internal/simulation/soak/report.go
+++ b/internal/simulation/soak/report.go
@@ -32,9 +32,10 @@
 		}
 		parts = append(parts, fmt.Sprintf("%s %d", name, countByStatus[status]))
 	}
-	return fmt.Sprintf("seed %d: %d requests and %d of hostile clients, %d attempts, answers %s, %d faulty responses, at most %.1f MB; %s",
+	usage := r.Usage()
+	return fmt.Sprintf("seed %d: %d requests and %d of hostile clients, %d attempts, answers %s, %d faulty responses, at most %.1f MB, %.2f s of processor time each; %s",
 		r.Options.Seed, len(r.Record.Requests)-hostileRequests, hostileRequests, len(r.Record.Attempts), strings.Join(parts, ", "),
-		r.countFaultyResponses(), r.Usage().PeakMemoryMB, countByRule(broken))
+		r.countFaultyResponses(), usage.PeakMemoryMB, usage.CPUTime.Seconds(), countByRule(broken))
 }
 
 func (r *Run) countFaultyResponses() (total int) {
