scheduler: an incomplete request that is not kept does not hold up the refusals before it

Seen by callers: none; found by reading again. Cause: where the last of the dropped requests had not come whole, its rest was awaited before any of them was refused; if it never came, those before it got no answer: the connection ended with its 408. Evidence: TestAnIncompleteRequestDoesNotHoldUpRefusals failed before: "response 1: got status 408 after 4.028795347s, want a final answer within 0.5 s". Change: the whole ones are refused first; the last one's rest is read then. At a stop, a dropped request that is not whole is owed no answer, like any other. Result: go test ./internal/control/scheduler passes.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -160,18 +160,34 @@
 // answerRefused answers the pipelined requests that were dropped, if they are next. It returns false
 // if the connection is to be closed.
 func (c *client) answerRefused() bool {
-	if !c.pipelined.refusedNext() {
-		return true
+	for c.pipelined.refusedNext() {
+		count := c.pipelined.takeRefused()
+		if count == 0 && !c.readDropped() {
+			return false
+		}
+		if count > 0 && !c.refusePipelined(count) {
+			return false
+		}
 	}
+	return true
+}
+
+// readDropped reads the rest of a request that is dropped. It returns false, and rejects the request, if
+// that does not come in time.
+func (c *client) readDropped() bool {
 	c.beginRequest()
-	for c.readAhead.skip > 0 && c.readAhead.skip != skipAll {
-		if err := c.readAhead.readMore(readBytes); err != nil {
+	for c.readAhead.skip > 0 {
+		if err := c.readAhead.readMore(min(c.readAhead.skip, readBytes)); err != nil {
 			c.reason = closeUnreadable
 			c.reject(readErrorStatus(err))
 			return false
 		}
 	}
-	count := c.pipelined.takeRefused()
+	return true
+}
+
+// refusePipelined refuses count requests that were dropped. It returns false if the connection ends.
+func (c *client) refusePipelined(count int) bool {
 	c.requests += count
 	c.countRefused(&c.frontend.memory.refused.pipelined, "pipelined requests", count)
 	for ; count > 0; count-- {
--- a/internal/control/scheduler/pipeline.go
+++ b/internal/control/scheduler/pipeline.go
@@ -55,7 +55,7 @@
 // waiting reports whether a request has been read whole and neither consumed nor refused.
 func (p *pipelinedRequests) waiting() bool {
 	p.update()
-	return p.wholeUntil > p.consumedUntil() || p.refused.count > 0
+	return p.wholeUntil > p.consumedUntil() || p.refused.count > p.incompleteRefused()
 }
 
 // refusedNext reports whether the next requests to be answered are refused ones.
@@ -64,11 +64,19 @@
 	return p.refused.count > 0 && p.wholeUntil <= p.consumedUntil()
 }
 
-// takeRefused returns the number of requests that are refused next, and forgets them.
+// incompleteRefused returns 1 if the last of the refused requests has not come whole yet, 0 otherwise.
+func (p *pipelinedRequests) incompleteRefused() int {
+	if p.refused.count > 0 && p.readAhead.skip > 0 && !p.malformed {
+		return 1
+	}
+	return 0
+}
+
+// takeRefused returns the number of whole requests that are refused next, and forgets them.
 func (p *pipelinedRequests) takeRefused() int {
-	count := p.refused.count
-	p.refused = refusedRequests{}
-	return count
+	whole := p.refused.count - p.incompleteRefused()
+	p.refused.count -= whole
+	return whole
 }
 
 // maxIncompleteBytes bounds what is kept of a request that is not whole yet.
--- a/internal/control/scheduler/pipeline_test.go
+++ b/internal/control/scheduler/pipeline_test.go
@@ -271,3 +271,29 @@
 		}
 	})
 }
+
+// Whole requests that were not kept must be refused although the one behind them, which is not kept either,
+// never comes whole.
+func TestAnIncompleteRequestDoesNotHoldUpRefusals(t *testing.T) {
+	runSimulated(t, respondAfter(20*time.Millisecond), func(h *harness) {
+		const reads = 5
+		h.scheduler.memory.readAhead.limit.Store(4 << 10)
+		client := h.connect()
+		var pipelined strings.Builder
+		pipelined.WriteString(h.getRequest())
+		for range reads {
+			pipelined.WriteString(h.getRequest("X-Filler: " + strings.Repeat("x", 3000) + "\r\n"))
+		}
+		write := h.formatRequest("PUT", "txn-write", "00000000000000aa", "9.000", strings.Repeat("x", 60<<10), "Idempotency-Key: k\r\n")
+		sentAt := h.environment.Now()
+		io.WriteString(client.conn, pipelined.String()+write[:30<<10])
+		for i := range reads + 1 {
+			if got := client.readResponse(sentAt); got.status == 0 || got.elapsed > 500*time.Millisecond {
+				t.Fatalf("response %d: got status %d after %s, want a final answer within 0.5 s", i, got.status, got.elapsed)
+			}
+		}
+		if got := client.readResponse(sentAt); got.status != 408 || !got.closeConn {
+			t.Errorf("incomplete write: got %+v, want status 408 and a close", got)
+		}
+	})
+}
