scheduler: bytes that lie in the socket with others count as come as early as they may have

Cause: the kernel tells when the newest byte came. Of a client that sends faster than it is read, and of a connection that waits to be accepted while its client sends, that is always just now, while the bytes that are read have lain there, or in the client's kernel behind a closed window, for up to seconds. Change: bytes that a read found without waiting count as come when the socket was last seen empty; those behind bytes that were left there, with them, until the socket has stayed empty for 5 ms or all was answered; what lay in a connection that is accepted, since that was established. Why it works: each time is now the earliest possible, never the latest; a client that waits for its answers is not touched, since its bytes are waited for. TestBacklogInTheSocketCountsAsComeWithItsFirstByte and TestSinceEstablishedCountsFromTheStart; go test of scheduler, env and world passes.

--- a/internal/control/scheduler/client.go
+++ b/internal/control/scheduler/client.go
@@ -43,6 +43,7 @@
 		if !c.handle(r) {
 			return c.readAhead.err
 		}
+		c.readAhead.noteAnswered(c.in.Buffered())
 		env.Yield() // a client that sends all the time must not keep others from their turn
 	}
 }
--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -151,11 +151,11 @@
 // of bytes in a socket.
 const maxListenQueueMS = 60_000.0
 
-// arrivalTime returns when data last arrived on a connection that was just accepted, or else when it
-// was opened, ms: it may have waited in the listener's queue. It is the present where that is
-// unknown or implausibly long ago.
+// arrivalTime returns the earliest time at which data may have arrived on a connection that was just
+// accepted, when it was opened, ms: it may have waited in the listener's queue. It is the present
+// where that is unknown or implausibly long ago.
 func (f *frontend) arrivalTime(conn net.Conn) float64 {
-	elapsed, known := env.SinceLastReceive(conn)
+	elapsed, known := env.SinceEstablished(conn)
 	if !known || env.MS(elapsed) > maxListenQueueMS {
 		return f.loop.now()
 	}
--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -31,6 +31,10 @@
 	// would need more than maxMarks.
 	markIntervalMS = 1.0
 	maxMarks       = 64
+	// minWaitMS is how long a read takes at the least that had to wait for data.
+	minWaitMS = 0.5
+	// settleMS exceeds the time until bytes come for which a closed receive window has opened.
+	settleMS = 5.0
 )
 
 // readBuffers and waitBuffers hold buffers for reads: most connections wait for data at any time.
@@ -58,6 +62,12 @@
 	// lastArrival is the time of the newest mark so far, ms: bytes arrive in order.
 	lastArrival float64
 	err         error // what ended the stream; timeouts are not recorded
+	// What is read without having been waited for may have arrived at any time since emptyAt, ms, when the
+	// socket was last seen empty; 0: never. waited is set if the last read had to wait. behind is set from
+	// a read that left bytes in the socket until it has stayed empty for settleMS: more may lie in the
+	// client's kernel, behind a receive window that was closed.
+	emptyAt        float64
+	behind, waited bool
 	// lastReadBits holds the float64 bits of the time of the last read that returned bytes, ms. Other
 	// goroutines read it.
 	lastReadBits atomic.Uint64
@@ -80,12 +90,42 @@
 	if a.err != nil {
 		return 0, a.err
 	}
-	n, err := a.conn.Read(b)
-	a.noteRead(n)
+	n, err := a.timedRead(b, a.conn.Read)
 	a.recordRead(n, err)
+	a.noteEmpty(n, len(b), err)
+	return n, err
+}
+
+// timedRead reads, and notes whether it had to wait for data.
+func (a *readAhead) timedRead(b []byte, read func([]byte) (int, error)) (int, error) {
+	startedAt := a.now()
+	n, err := read(b)
+	waited := a.now() - startedAt
+	a.waited = waited >= minWaitMS
+	a.behind = a.behind && waited < settleMS
+	a.noteRead(n)
 	return n, err
 }
 
+// noteAnswered notes that a request was answered. Where nothing has come behind it, its client waits for
+// answers, and is not behind.
+func (a *readAhead) noteAnswered(unread int) {
+	if a.behind && unread == 0 && a.buffer.len() == 0 && !env.HasUnread(a.conn) {
+		a.behind, a.emptyAt = false, a.now()
+	}
+}
+
+// noteEmpty notes that the socket was seen empty: a read returned less than it could, or nothing is left
+// behind one that did not.
+func (a *readAhead) noteEmpty(n, size int, err error) {
+	seenAt := a.now()
+	if n > 0 && n < size || err == env.ErrNoData || !env.HasUnread(a.conn) {
+		a.emptyAt = seenAt
+		return
+	}
+	a.behind = a.behind || n > 0
+}
+
 // noteRead notes the time of a read that returned n bytes.
 func (a *readAhead) noteRead(n int) {
 	if n > 0 {
@@ -103,18 +143,21 @@
 	}
 }
 
-// mark records when n bytes that were just read had arrived.
+// mark records when n bytes that were just read had arrived. The kernel tells only of the newest in the
+// socket: the others count as come as early as they may have.
 func (a *readAhead) mark(n int64) {
 	now := a.now()
 	first := a.bytesRead == 0
 	a.bytesRead += n
-	if count := len(a.marks); count > 0 && now-a.marks[count-1].time < max(a.markInterval, markIntervalMS) {
+	if count := len(a.marks); count > 0 && (a.behind || now-a.marks[count-1].time < max(a.markInterval, markIntervalMS)) {
 		a.marks[count-1].offset = a.bytesRead
 		return
 	}
 	arrival := max(now-a.unreadTime(), a.lastArrival)
 	if first {
 		arrival = min(arrival, a.arrivedAt)
+	} else if !a.waited && a.emptyAt > 0 {
+		arrival = max(min(arrival, a.emptyAt), a.lastArrival)
 	}
 	a.lastArrival = arrival
 	if len(a.marks) >= maxMarks {
@@ -192,7 +235,10 @@
 // readAvailable reads up to limit bytes that have already arrived. It returns env.ErrNoData if
 // there are none, and another error if the stream has ended.
 func (a *readAhead) readAvailable(limit int) error {
-	return a.fill(func(b []byte) (int, error) { return env.ReadAvailable(a.conn, b[:min(len(b), limit)]) })
+	buffer := readBuffers.Get().(*[readBytes]byte)
+	defer readBuffers.Put(buffer)
+	_, err := a.fillWith(buffer[:min(readBytes, limit)], func(b []byte) (int, error) { return env.ReadAvailable(a.conn, b) })
+	return err
 }
 
 // fill appends the result of one read to the buffer.
@@ -208,14 +254,14 @@
 	if a.err != nil {
 		return 0, a.err
 	}
-	n, err := read(buffer)
-	a.noteRead(n)
+	n, err := a.timedRead(buffer, read)
 	dropped := min(n, a.skip)
 	a.skip -= dropped
 	if kept := buffer[dropped:n]; len(kept) > 0 {
 		a.buffer.append(kept)
 	}
 	a.recordRead(n-dropped, err)
+	a.noteEmpty(n, len(buffer), err)
 	return n, err
 }
 
--- a/internal/control/scheduler/readahead_test.go
+++ b/internal/control/scheduler/readahead_test.go
@@ -203,3 +203,43 @@
 		}
 	})
 }
+
+// backloggedConn is a connection whose reads always fill the buffer, at waitUntil at the earliest.
+type backloggedConn struct {
+	net.Conn
+	now       *float64
+	waitUntil float64
+	unread    bool // whether bytes are left after a read
+}
+
+func (c *backloggedConn) Read(b []byte) (int, error) {
+	*c.now = max(*c.now, c.waitUntil)
+	return len(b), nil
+}
+
+func (c *backloggedConn) HasUnread() bool { return c.unread }
+
+// A request of a client that sends faster than its bytes are read must not count as come when it was read:
+// the disk server would be told of more time than the client has left.
+func TestBacklogInTheSocketCountsAsComeWithItsFirstByte(t *testing.T) {
+	now := 100.0
+	conn := &backloggedConn{now: &now}
+	ahead := &readAhead{conn: conn, now: func() float64 { return now }, arrivedAt: 100, buffer: streamBuffer{budget: &byteBudget{}}}
+	for _, tt := range []struct {
+		startAt, waitUntil float64
+		unreadAfter        bool
+		want               float64
+	}{
+		{100, 100, true, 100}, {500, 500, true, 100}, {900, 900, false, 100}, // a backlog until 900 ms
+		{1000, 2000, false, 2000}, // waited for
+		{5000, 5000, false, 2000}, // it was there when the read began, and may have come since 2000 ms
+		{5001, 9000, true, 9000}, {9900, 9900, true, 9000}, {9950, 9950, false, 9000},
+		{9951, 9953, false, 9000}, {9954, 9960, false, 9960}, // once it has stayed empty for settleMS
+	} {
+		now, conn.waitUntil, conn.unread = tt.startAt, tt.waitUntil, tt.unreadAfter
+		ahead.Read(make([]byte, 100))
+		if got := ahead.arrivalTime(ahead.bytesRead); got != tt.want {
+			t.Errorf("read at %g ms: counts as come at %g ms, want %g", tt.startAt, got, tt.want)
+		}
+	}
+}
--- a/internal/runtime/env/stream.go
+++ b/internal/runtime/env/stream.go
@@ -93,21 +93,63 @@
 // the time that data or the connection waited in kernel queues before being read. It
 // returns false if the connection does not provide that information.
 func SinceLastReceive(c net.Conn) (time.Duration, bool) {
+	info := tcpInfo(c)
+	if info == nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
+// SinceEstablished returns the time since a TCP stream was established on which nothing has been sent
+// yet. Data that is unread may have arrived at any time since then. It returns false if the connection
+// does not provide that information.
+func SinceEstablished(c net.Conn) (time.Duration, bool) {
+	info := tcpInfo(c)
+	if info == nil {
+		return 0, false
+	}
+	return time.Duration(max(info.Last_data_recv, info.Last_data_sent)) * time.Millisecond, true
+}
+
+// tcpInfo returns the kernel's TCP_INFO of a stream, nil if there is none.
+func tcpInfo(c net.Conn) *unix.TCPInfo {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return 0, false
+		return nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return 0, false
+		return nil
 	}
 	var info *unix.TCPInfo
 	var sockErr error
 	err = raw.Control(func(fd uintptr) { info, sockErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
 	if err != nil || sockErr != nil {
-		return 0, false
+		return nil
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+	return info
+}
+
+// HasUnread reports whether a stream has bytes that can be read at once. It returns false if the
+// connection does not tell.
+func HasUnread(c net.Conn) bool {
+	switch c := c.(type) {
+	case interface{ HasUnread() bool }:
+		return c.HasUnread()
+	case syscall.Conn:
+		return hasUnread(c)
+	}
+	return false
+}
+
+func hasUnread(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return err == nil && unread > 0
 }
 
 // PeerState is what is known of the peer of a stream without reading from it.
--- a/internal/runtime/env/stream_test.go
+++ b/internal/runtime/env/stream_test.go
@@ -58,3 +58,24 @@
 	}
 	return accepted.(*net.TCPConn), dialled.(*net.TCPConn)
 }
+
+// A connection that waits to be accepted while its peer sends must tell how long it has waited: what came
+// first would count as come last.
+func TestSinceEstablishedCountsFromTheStart(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	startedAt := time.Now()
+	local, peer := connectedPair(t)
+	defer local.Close()
+	defer peer.Close()
+	for time.Since(startedAt) < wait {
+		peer.Write([]byte("a"))
+		time.Sleep(time.Millisecond) // the kernel counts milliseconds
+	}
+	elapsed, known := SinceEstablished(local)
+	if longest := time.Since(startedAt) + 20*time.Millisecond; !known || elapsed < wait-20*time.Millisecond || elapsed > longest {
+		t.Errorf("got %s, known %v, want %s to %s", elapsed, known, wait, longest)
+	}
+	if lastReceive, _ := SinceLastReceive(local); lastReceive > wait/2 {
+		t.Errorf("the last data came %s ago, want less than %s", lastReceive, wait/2)
+	}
+}
--- a/internal/simulation/soak/hostile.go
+++ b/internal/simulation/soak/hostile.go
@@ -237,6 +237,12 @@
 		raw = append(raw, request.raw...)
 	}
 	_, err := conn.Write(raw)
+	h.record.mu.Lock()
+	defer h.record.mu.Unlock()
+	now = h.record.Now() // Request-Timeout counts from the last byte
+	for _, request := range batch {
+		request.SentAt = now
+	}
 	return err
 }
 
--- a/internal/simulation/world/net.go
+++ b/internal/simulation/world/net.go
@@ -369,6 +369,9 @@
 	return env.ErrNoData
 }
 
+// HasUnread reports whether bytes were delivered and not read.
+func (c *conn) HasUnread() bool { return c.unreadBytes > 0 }
+
 // PeerState tells whether the peer has closed; unread bytes may precede the end.
 func (c *conn) PeerState() env.PeerState {
 	switch c.readState() {
