scheduler: a request that comes as the wait for it ends counts from then

Cause: what a read finds without waiting counts as come since the socket was last seen empty. After a wait that ended by its deadline, while bytes came, that was the wait's beginning: a request that crosses the end of an idle connection, or comes in the moment of an answer, counted as up to seconds old, and was refused as too late. Evidence: TestARequestThatComesAsTheWaitEndsCountsFromThen failed before: "counts as come at 100 ms, want 5000". Change: after such a wait the kernel's time of the newest bytes holds. Result: go test ./internal/control/scheduler passes.

--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -124,6 +124,9 @@
 		return
 	}
 	a.behind = a.behind || n > 0
+	if n == 0 && a.waited { // bytes came as the wait ended: the kernel knows when
+		a.emptyAt = seenAt - a.unreadTime()
+	}
 }
 
 // noteRead notes the time of a read that returned n bytes.
--- a/internal/control/scheduler/readahead_test.go
+++ b/internal/control/scheduler/readahead_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -243,3 +244,33 @@
 		}
 	}
 }
+
+// timeoutConn is a connection whose read waits until waitUntil and then times out, while bytes have come.
+type timeoutConn struct {
+	backloggedConn
+	timedOut bool
+}
+
+func (c *timeoutConn) Read(b []byte) (int, error) {
+	c.backloggedConn.Read(b)
+	if c.timedOut {
+		return len(b), nil
+	}
+	c.timedOut = true
+	return 0, os.ErrDeadlineExceeded
+}
+
+// A request that comes as a long wait for it ends must not count as come when the wait began: it would be
+// refused as too late.
+func TestARequestThatComesAsTheWaitEndsCountsFromThen(t *testing.T) {
+	now := 100.0
+	conn := &timeoutConn{backloggedConn: backloggedConn{now: &now, waitUntil: 5000, unread: true}}
+	ahead := &readAhead{conn: conn, now: func() float64 { return now }, arrivedAt: 100, emptyAt: 100, bytesRead: 1, buffer: streamBuffer{budget: &byteBudget{}}}
+	if _, err := ahead.Read(make([]byte, 100)); !env.IsTimeout(err) {
+		t.Fatal("want a timeout, got", err)
+	}
+	ahead.Read(make([]byte, 100))
+	if got := ahead.arrivalTime(ahead.bytesRead); got != 5000 {
+		t.Errorf("counts as come at %g ms, want 5000", got)
+	}
+}
