scheduler: bytes in the socket keep a request from giving way as stalled

Seen by callers: none; found by reading again. Cause: at the connection limit a request gave way once nothing had been read for 0.1 s. Evidence: TestBytesInTheSocketAreProgress failed before: "a request whose bytes lie in the socket is taken for stalled". Change: one that has unread bytes is not stalled. Why it works: the socket knows what the process has not come to read. Result: the test passes.

--- a/internal/control/scheduler/connectionlimit.go
+++ b/internal/control/scheduler/connectionlimit.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "merlinhitch/internal/runtime/env"
+
 // This file decides which connection of a client gives way at the connection limit. Until one does, no
 // other is accepted.
 
@@ -62,7 +64,8 @@
 	case clientNew:
 		return waited > evictNewAfterMS
 	case clientReading:
-		return min(waited, now-c.readAhead.lastReadAt()) > evictStalledAfterMS
+		// Bytes that lie in the socket are progress too: this process may run late.
+		return min(waited, now-c.readAhead.lastReadAt()) > evictStalledAfterMS && !env.HasUnread(c.conn)
 	case clientIdle:
 		return waited > evictIdleAfterMS
 	case clientLingering:
--- a/internal/control/scheduler/connectionlimit_test.go
+++ b/internal/control/scheduler/connectionlimit_test.go
@@ -72,3 +72,17 @@
 		})
 	}
 }
+
+// A request may not be taken for stalled while its bytes lie in the socket, since the process that has to
+// read them was stopped.
+func TestBytesInTheSocketAreProgress(t *testing.T) {
+	conn := &backloggedConn{unread: true}
+	c := &client{conn: conn, state: clientReading, readAhead: &readAhead{}}
+	if c.evictable(2 * evictStalledAfterMS) {
+		t.Error("a request whose bytes lie in the socket is taken for stalled")
+	}
+	conn.unread = false
+	if !c.evictable(2 * evictStalledAfterMS) {
+		t.Error("a stalled request is not")
+	}
+}
