scheduler: a connection that did not give way after all may linger

Seen by callers: none; found by reading again. Cause: an idle connection chosen to give way, on which a request had just come, is served on; but its linger was cut short for good, so that its last close over unread bytes could be a reset that overtakes the answer. Evidence: TestOnlyALingeringConnectionIsCutShort failed before: "idle: cut short true, want false". Change: only a connection that lingers has that cut short. Why it works: the others don't linger when they give way, and must be able to later. Result: the test passes.

--- a/internal/control/scheduler/connectionlimit.go
+++ b/internal/control/scheduler/connectionlimit.go
@@ -84,8 +84,10 @@
 
 // evict makes the connection's goroutine close it. The frontend's mutex is held.
 func (c *client) evict(now float64) {
+	if c.state == clientLingering {
+		c.lingerCut.Open()
+	}
 	c.beginClose(now)
-	c.lingerCut.Open()
 }
 
 // recyclable reports whether the connection may end with an answer.
--- a/internal/control/scheduler/connectionlimit_test.go
+++ b/internal/control/scheduler/connectionlimit_test.go
@@ -86,3 +86,25 @@
 		t.Error("a stalled request is not")
 	}
 }
+
+// A connection that is to give way while idle may still have a request, which crosses that. It must then be
+// able to linger after its last answer: a close over unread bytes would be a reset, which can overtake it.
+func TestOnlyALingeringConnectionIsCutShort(t *testing.T) {
+	for name, tt := range map[string]struct {
+		state clientState
+		want  bool
+	}{"idle": {clientIdle, false}, "lingering": {clientLingering, true}} {
+		runSimulated(t, respondWith(ok200), func(h *harness) {
+			h.connect().roundTrip(h.getRequest())
+			f := h.scheduler.frontend
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			c := f.clients.All()[0]
+			c.state = tt.state
+			c.evict(f.loop.now())
+			if got := c.lingerCut.Opened(); got != tt.want {
+				t.Errorf("%s: cut short %v, want %v", name, got, tt.want)
+			}
+		})
+	}
+}
