--- a/internal/control/scheduler/frontend.go
+++ b/internal/control/scheduler/frontend.go
@@ -188,9 +188,8 @@
 	f.maxClients, f.maxClosing = maxClients, maxClosing
 }
 
-// beginClose makes the goroutine of a connection without a whole request close it, unless one has already
-// arrived.
-// The frontend's mutex is held.
+// beginClose makes the goroutine of a connection without a whole request close it, unless one has
+// already arrived. The frontend's mutex is held.
 func (c *client) beginClose(now float64) {
 	c.state, c.stateSince = clientClosing, now
 	c.conn.SetReadDeadline(c.frontend.environment.Deadline(0))
--- a/internal/control/scheduler/loglimit_test.go
+++ b/internal/control/scheduler/loglimit_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/simulation/standin"
 )
 
 // Bad clients must not fill the log: one line a second for each reason, which tells how many were left
@@ -21,7 +22,7 @@
 	for i := range closesPerSecond * seconds {
 		now = float64(i) * 1000 / closesPerSecond
 		for _, reason := range []closeReason{closeUnreadable, closeRejected, closeDuplicateID} {
-			c := &client{conn: &floodConn{}, readAhead: &readAhead{bytesRead: 1}, reason: reason, lastRequestID: fmt.Sprint(i)}
+			c := &client{conn: &standin.FloodConn{}, readAhead: &readAhead{bytesRead: 1}, reason: reason, lastRequestID: fmt.Sprint(i)}
 			log.connectionClosed(c, env.ErrNoData)
 		}
 	}
--- a/internal/control/scheduler/memory_test.go
+++ b/internal/control/scheduler/memory_test.go
@@ -188,7 +188,7 @@
 	ahead := &readAhead{now: func() float64 { return now }, buffer: streamBuffer{budget: &byteBudget{}}}
 	for range bytes {
 		now++
-		ahead.fill(func(b []byte) (int, error) { return 1, nil })
+		ahead.fill(make([]byte, 2), func([]byte) (int, error) { return 1, nil })
 	}
 	if len(ahead.marks) > maxMarks {
 		t.Errorf("%d times are held, want at most %d", len(ahead.marks), maxMarks)
--- a/internal/control/scheduler/readahead.go
+++ b/internal/control/scheduler/readahead.go
@@ -18,7 +18,6 @@
 	// beyond that are read, dropped and refused.
 	maxReadAhead      = 128 << 10
 	reservedReadAhead = 2 << 10
-	readAheadChunk    = 2 << 10
 	// readBytes is the most that is read at once, and waitBytes while a read waits for data.
 	readBytes = 16 << 10
 	waitBytes = 1 << 10
@@ -227,7 +226,7 @@
 	buffer := waitBuffers.Get().(*[waitBytes]byte)
 	defer waitBuffers.Put(buffer)
 	size := min(limit, waitBytes)
-	n, err := a.fillWith(buffer[:size], a.conn.Read)
+	n, err := a.fill(buffer[:size], a.conn.Read)
 	if err == nil && n == size && limit > size {
 		a.readAvailable(limit - size) // there may be more
 		return a.err
@@ -240,20 +239,12 @@
 func (a *readAhead) readAvailable(limit int) error {
 	buffer := readBuffers.Get().(*[readBytes]byte)
 	defer readBuffers.Put(buffer)
-	_, err := a.fillWith(buffer[:min(readBytes, limit)], func(b []byte) (int, error) { return env.ReadAvailable(a.conn, b) })
+	_, err := a.fill(buffer[:min(readBytes, limit)], func(b []byte) (int, error) { return env.ReadAvailable(a.conn, b) })
 	return err
 }
 
-// fill appends the result of one read to the buffer.
-func (a *readAhead) fill(read func([]byte) (int, error)) error {
-	buffer := readBuffers.Get().(*[readBytes]byte)
-	defer readBuffers.Put(buffer)
-	_, err := a.fillWith(buffer[:], read)
-	return err
-}
-
-// fillWith appends the result of one read into buffer, and returns it.
-func (a *readAhead) fillWith(buffer []byte, read func([]byte) (int, error)) (int, error) {
+// fill appends the result of one read into buffer, and returns it.
+func (a *readAhead) fill(buffer []byte, read func([]byte) (int, error)) (int, error) {
 	if a.err != nil {
 		return 0, a.err
 	}
--- a/internal/control/scheduler/readahead_test.go
+++ b/internal/control/scheduler/readahead_test.go
@@ -45,12 +45,13 @@
 
 // With the budget of all clients exhausted, each client may still buffer reservedReadAhead bytes.
 func TestReadAheadBudget(t *testing.T) {
+	const readAheadChunk = 2 << 10
 	var budget byteBudget
 	budget.limit.Store(40 << 10)
 	now := func() float64 { return 0 }
 	first, second := &readAhead{buffer: streamBuffer{budget: &budget}, now: now}, &readAhead{buffer: streamBuffer{budget: &budget}, now: now}
 	fill := func(reader *readAhead, size int) {
-		reader.fill(func(buf []byte) (int, error) { return min(size, len(buf)), nil })
+		reader.fill(make([]byte, size), func([]byte) (int, error) { return size, nil })
 	}
 	for range 20 {
 		fill(first, readAheadChunk)
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -136,23 +136,19 @@
 
 func readUntilClose(br *bufio.Reader, lim Limits) (b []byte, err error) {
 	for {
-		if len(b) == cap(b) {
-			n := len(b)
-			if b, err = lim.grow(b, growStep); err != nil {
-				return nil, err
-			}
-			b = b[: n : n+growStep]
+		if _, err := br.Peek(1); err == io.EOF {
+			return b, nil
+		} else if err != nil {
+			return nil, err
 		}
-		n, err := br.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		switch {
-		case len(b) > lim.MaxBodyBytes:
+		piece, _ := br.Peek(br.Buffered())
+		if len(b)+len(piece) > lim.MaxBodyBytes {
 			return nil, &Error{TooLarge, "body"}
-		case err == io.EOF:
-			return b, nil
-		case err != nil:
+		}
+		if b, err = lim.appendPiece(b, piece, lim.MaxBodyBytes); err != nil {
 			return nil, err
 		}
+		br.Discard(len(piece))
 	}
 }
 
@@ -204,16 +200,6 @@
 // reserved reports whether n more bytes may be allocated for a body.
 func (lim Limits) reserved(n int) bool { return lim.Reserve == nil || lim.Reserve(n) }
 
-// grow extends b by n zero bytes after reserving them.
-func (lim Limits) grow(b []byte, n int) ([]byte, error) {
-	if !lim.reserved(n) {
-		return nil, &Error{NoRoom, "body"}
-	}
-	grown := make([]byte, len(b)+n)
-	copy(grown, b)
-	return grown, nil
-}
-
 // unexpectedEOF turns io.EOF into io.ErrUnexpectedEOF, for an error within a message.
 func unexpectedEOF(err error) error {
 	if err == io.EOF {
--- a/internal/runtime/env/stream.go
+++ b/internal/runtime/env/stream.go
@@ -117,19 +117,22 @@
 	if !ok {
 		return nil
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return nil
-	}
 	var info *unix.TCPInfo
-	var sockErr error
-	err = raw.Control(func(fd uintptr) { info, sockErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err != nil || sockErr != nil {
-		return nil
-	}
+	withDescriptor(s, func(fd int) {
+		if got, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = got
+		}
+	})
 	return info
 }
 
+// withDescriptor calls f with the descriptor of a connection. It returns false, without calling f, if the
+// connection is closed.
+func withDescriptor(c syscall.Conn, f func(fd int)) bool {
+	raw, err := c.SyscallConn()
+	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+}
+
 // HasUnread reports whether a stream has bytes that can be read at once. It returns false if the
 // connection does not tell.
 func HasUnread(c net.Conn) bool {
@@ -143,13 +146,9 @@
 }
 
 func hasUnread(c syscall.Conn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
 	unread := 0
-	err = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	return err == nil && unread > 0
+	withDescriptor(c, func(fd int) { unread, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
+	return unread > 0
 }
 
 // PeerState is what is known of the peer of a stream without reading from it.
@@ -186,13 +185,8 @@
 )
 
 func peerState(c syscall.Conn) PeerState {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return PeerClosed
-	}
 	state := PeerUnknown
-	err = raw.Control(func(fd uintptr) { state = socketPeerState(int(fd)) })
-	if err != nil {
+	if !withDescriptor(c, func(fd int) { state = socketPeerState(fd) }) {
 		return PeerClosed // closed here
 	}
 	return state
--- a/internal/runtime/env/stream_test.go
+++ b/internal/runtime/env/stream_test.go
@@ -69,7 +69,7 @@
 	defer peer.Close()
 	for time.Since(startedAt) < wait {
 		peer.Write([]byte("a"))
-		time.Sleep(time.Millisecond) // the kernel counts milliseconds
+		time.Sleep(time.Millisecond) // the kernel keeps this time, so it can't be forced
 	}
 	elapsed, known := SinceEstablished(local)
 	if longest := time.Since(startedAt) + 20*time.Millisecond; !known || elapsed < wait-20*time.Millisecond || elapsed > longest {
