scheduler: an attempt given up before its write is not sent, and is never written

Cause: an attempt may wait up to 0.05 s before its write, until its client's bytes have been read. If it was given up meanwhile (its time-out, a cancel), it counted as sent: its request as one that may have run, its disk server as silent. Before the gap was microseconds. Evidence: TestAttemptGivenUpBeforeItsWriteIsNotSent failed before: "the attempt may still be written", one attempt counted as cancelled. Change: the loop withdraws an attempt whose write has not started, by one compare-and-swap that its goroutine makes before the write; it ends as not sent, and its connection is kept. Why it works: only one of the two can win; what was withdrawn is not written, what was written was not withdrawn.

--- a/internal/control/scheduler/connpool.go
+++ b/internal/control/scheduler/connpool.go
@@ -341,7 +341,8 @@
 	return p.serverStates.allows(a.host, startedMS) && !a.call.noNewAttempts.Load() && a.inTime(now)
 }
 
-// abandon gives up an attempt and returns how far it had come. The connection that carries it is
+// abandon gives up an attempt and returns how far it had come. One whose write has not started is never
+// written; its exchange then returns the connection. Otherwise the connection that carries it is
 // closed, which cancels it at the disk server. Idle connections to a server that has been silent
 // since the attempt was issued are closed too: the server may have failed without closing them.
 func (p *connPool) abandon(a *attempt) attemptProgress {
@@ -357,6 +358,9 @@
 		}
 		return progressNotConnected
 	}
+	if a.withdraw() {
+		return progressNotDialled
+	}
 	sc := a.serverConn
 	if sc.attempt == a {
 		p.discard(sc)
--- a/internal/control/scheduler/core.go
+++ b/internal/control/scheduler/core.go
@@ -73,11 +73,32 @@
 	answerBy     float64 // deadline for the response
 	answeredAt   float64 // when its response had been read; 0: not yet
 	begun        bool
-	outcomeKnown bool // it has ended
+	write        atomic.Int32 // a writeState; the loop may withdraw it while it waits for its write
+	outcomeKnown bool         // it has ended
 	serverConn   *serverConn
 	timer        timerqueue.Timer[timerEvent]
 }
 
+// writeState tells whether an attempt that has begun may still be taken back.
+type writeState int32
+
+const (
+	writePending   writeState = iota // nothing is written
+	writeStarted                     // the write may have started
+	writeWithdrawn                   // nothing will be written
+)
+
+// startWrite reports whether the attempt may be written, and marks that. It returns false if the attempt
+// was withdrawn.
+func (a *attempt) startWrite() bool {
+	return a.write.CompareAndSwap(int32(writePending), int32(writeStarted))
+}
+
+// withdraw takes the attempt back. It returns false if the write may have started.
+func (a *attempt) withdraw() bool {
+	return a.write.CompareAndSwap(int32(writePending), int32(writeWithdrawn))
+}
+
 // timerEvent is the value of a timer: the timeout or cancellation of an attempt, or, where attempt
 // is nil, a timer that the policy set.
 type timerEvent struct {
--- a/internal/control/scheduler/presence_test.go
+++ b/internal/control/scheduler/presence_test.go
@@ -86,3 +86,45 @@
 		})
 	}
 }
+
+// An attempt that is given up while it waits until its client's bytes have been read must not be written
+// afterwards, and must end as not sent: the disk server was told nothing, and is not to blame.
+func TestAttemptGivenUpBeforeItsWriteIsNotSent(t *testing.T) {
+	runOnSockets(t, nil, respondWith(ok200), func(h *harness, hooks *hookedEnv) {
+		client, holdNextRead := connectHeld(h, hooks)
+		h.waitFor("no call, attempt or dial is outstanding", quiescent(h))
+		h.onLoop(func() { h.scheduler.pool.sweep(h.scheduler.loop.now() + 1e9) }) // closes the idle connection
+		dialled, release := h.blockDials(hooks)
+		sentBefore := len(h.diskServer.Requests())
+		io.WriteString(client.conn, strings.Replace(h.getRequest(), "0.480", "30", 1))
+		h.waitFor("a dial is blocked", dialled)
+		gate := holdNextRead()
+		io.WriteString(client.conn, strings.Repeat("GET /up HTTP/1.1\r\n\r\n", waitBytes)) // more than the held read takes
+		var waiting *attempt
+		h.onLoop(func() {
+			for _, c := range h.scheduler.core.calls {
+				waiting = c.lastAttempt
+			}
+		})
+		release()
+		h.waitFor("the attempt has begun", h.coreCondition(func(*core) bool { return waiting.begun }))
+		h.onLoop(func() {
+			if !waiting.outcomeKnown {
+				h.scheduler.core.cancel(waiting)
+			}
+		})
+		h.waitFor("the attempt has ended as not sent", h.coreCondition(func(k *core) bool { return k.counters.Outcomes[policy.NotSent] >= 1 }))
+		if waiting.startWrite() {
+			t.Error("the attempt may still be written")
+		}
+		if c := h.counters(); c.Outcomes[policy.Cancelled] != 0 {
+			t.Errorf("counters %+v, want no attempt that may have run", c)
+		}
+		client.conn.Close()
+		gate.Open()
+		h.waitFor("no call, attempt or dial is outstanding", quiescent(h))
+		if n := len(h.diskServer.Requests()); n != sentBefore {
+			t.Errorf("disk server got %d requests, want 0", n-sentBefore)
+		}
+	})
+}
--- a/internal/control/scheduler/serverconn.go
+++ b/internal/control/scheduler/serverconn.go
@@ -34,7 +34,7 @@
 	sc.conn.SetDeadline(p.environment.Deadline(writeTimeout))
 	permitted := a.clientPresent(p.loop.now()) && p.mayBegin(a, p.loop.now(), startedMS)
 	now := p.loop.now() // again: mayBegin waits while a list is applied
-	if !permitted || !a.inTime(now) {
+	if !permitted || !a.inTime(now) || !a.startWrite() {
 		p.loop.post(now, eventNotBegun, func(occurredAt float64) { p.attemptNotBegun(occurredAt, sc, a) })
 		return
 	}
