review: case 8, with discovery that answers 0.5 s late a scheduler never learns of a change

Order of events: discovery is slow, each of its answers begins 0.5 s late; a disk server is replaced; the platform hands its data over 7 s later and switches it off at 17 s.

The case runs one scheduler before stand-ins of its own, sends writes all along, and reads all that was acknowledged through a second scheduler whose discovery answers at once.

--- a/review/second/cases_test.go
+++ b/review/second/cases_test.go
@@ -27,3 +27,5 @@
 func TestCase6(t *testing.T) { playCase(t, "6") }
 
 func TestCase7(t *testing.T) { playCase(t, "7") }
+
+func TestCase8(t *testing.T) { playCase(t, "8") }
