review: case 9, a gateway never hears of a new list after its inventory was started anew

Order of events: the inventory ends and is started again at its address, with one disk server replaced by another; the gateway reconnects; 15 s later a client writes and another gateway reads.

The case runs the project's disk servers, inventory and two gateways.

Book.List and Client.watch count generations without telling the runs of an inventory apart.

--- a/review/second/cases_test.go
+++ b/review/second/cases_test.go
@@ -29,3 +29,5 @@
 func TestCase7(t *testing.T) { playCase(t, "7") }
 
 func TestCase8(t *testing.T) { playCase(t, "8") }
+
+func TestCase9(t *testing.T) { playCase(t, "9") }
