--- a/review/second/region.go
+++ b/review/second/region.go
@@ -302,6 +302,45 @@
 	return last
 }
 
+// limitSlack is for how long, s, a limit may fill beyond its slack: what the pages allow on sockets.
+const limitSlack = 0.15
+
+// spendLimit asks both regions for all that a volume of a limited plan gets there, for 3 s. It returns the
+// units that were served, one for each read, and the time from the first command to the last answer.
+func (b *bench) spendLimit(sites [2]*site) (units int, span float64) {
+	const readers, unitBlocks = 8, 4
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	began := b.since()
+	stop := time.Now().Add(3 * time.Second)
+	for i, s := range sites {
+		c, err := login(s.portal, "vol-000", 5)
+		if err != nil {
+			b.logf("no session to vol-000 in region %d: %v", i, err)
+			continue
+		}
+		defer c.Close()
+		for reader := range readers {
+			tasks.Go(func() {
+				for time.Now().Before(stop) {
+					name := fmt.Sprintf("read of the limited volume in region %d", i)
+					o := await(b.submit(c, name, initiator.ReadCDB(uint64(reader*unitBlocks), unitBlocks), nil, unitBlocks*blockBytes), 6*time.Second)
+					if o.good() {
+						mu.Lock()
+						units++
+						span = max(span, o.at-began)
+						mu.Unlock()
+					} else {
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	tasks.Wait()
+	return units, span
+}
+
 // returningRegion: the region that leads vanishes, an operator says that the other leads, and that takes
 // over. Then the first comes back, as it was, while the link between the regions is still down.
 func returningRegion(b *bench) (result, error) {
@@ -335,6 +374,7 @@
 	read := b.attempt(sites[0].portal, "read in region 0", 3, initiator.ReadCDB(0, 1), nil, blockBytes, 4*time.Second)
 	third := b.attempt(sites[0].portal, "write 3 in region 0", 3, initiator.WriteCDB(0, 1), fill('3', 1), 0, 6*time.Second)
 	other := b.attempt(sites[1].portal, "read in region 1", 4, initiator.ReadCDB(0, 1), nil, blockBytes, 4*time.Second)
+	units, span := b.spendLimit(sites)
 	b.operate("regions show " + sites[0].operator + " " + sites[1].operator)
 	if b.trouble {
 		for _, k := range links {
@@ -356,8 +396,11 @@
 	}
 	torn := other.good() && content(other.data) != expected
 	lost := last.good() && content(last.data) != expected
+	plan := regionSettings().Plans[0] // that of vol-000
+	allowed := plan.Burst + plan.Overdraft + plan.Limit*(span+limitSlack)
+	b.say("units of the volume of plan %s that both regions served within %.2f s: %d, where its limit allows %.0f", plan.Name, span, units, allowed)
 	b.say("stale read in region 0: %v; region 1 does not see what was acknowledged: %v; an acknowledged write is gone: %v", stale, torn, lost)
-	if stale || torn || lost {
+	if stale || torn || lost || float64(units) > allowed {
 		return broken, nil
 	}
 	return held, nil
