--- a/review/second/gateway.go
+++ b/review/second/gateway.go
@@ -19,7 +19,7 @@
 const blockBytes = 4096
 
 // startStoreServer starts the project's disk server for shard 0 and returns its address.
-func (b *bench) startStoreServer(name string) (string, *exec.Cmd, error) {
+func (b *bench) startStoreServer(name string) (string, *process, error) {
 	c, err := b.spawn(name, "exec bin/merlinhitch diskserver --shard 0")
 	if err != nil {
 		return "", nil, err
@@ -37,7 +37,7 @@
 }
 
 // startInventory starts the project's inventory with one disk server of shard 0.
-func (b *bench) startInventory(name, listen, server string) (*exec.Cmd, error) {
+func (b *bench) startInventory(name, listen, server string) (*process, error) {
 	return b.spawn(name, fmt.Sprintf("exec bin/merlinhitch inventory --listen %s %s=0", listen, server))
 }
 
--- a/review/second/inventory.go
+++ b/review/second/inventory.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"syscall"
 	"time"
 
 	"merlinhitch/internal/protocol/initiator"
@@ -44,8 +43,7 @@
 	}
 	if b.trouble {
 		b.logf("the inventory is started anew with the new disk server")
-		inventory.Process.Signal(syscall.SIGTERM)
-		inventory.Wait()
+		inventory.stop()
 		if _, err := b.startInventory("inventory-2", listen, next); err != nil {
 			return failed, err
 		}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -48,6 +48,9 @@
 	}
 	b := &bench{trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir, start: time.Now(), file: file}
 	r, err := run(b)
+	if name := b.lost(); name != "" && err == nil {
+		err = fmt.Errorf("%s has ended by itself", name)
+	}
 	b.end()
 	if logs, _ := filepath.Glob(filepath.Join(dir, "*.log")); os.Getenv("KEEP") == "" || len(logs) == 0 {
 		os.RemoveAll(dir)
--- a/review/second/platform.go
+++ b/review/second/platform.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -72,7 +71,7 @@
 // scheduler is one real scheduler.
 type scheduler struct {
 	name, listen, configFile string
-	cmd                      *exec.Cmd
+	cmd                      *process
 }
 
 // writeConfig writes a configuration file whole, by rename.
--- a/review/second/region.go
+++ b/review/second/region.go
@@ -185,7 +185,7 @@
 
 // site is the processes of one region.
 type site struct {
-	procs            []*exec.Cmd
+	procs            []*process
 	portal, operator string // where clients and operators connect
 }
 
@@ -400,6 +400,9 @@
 	allowed := plan.Burst + plan.Overdraft + plan.Limit*(span+limitSlack)
 	b.say("units of the volume of plan %s that both regions served within %.2f s: %d, where its limit allows %.0f", plan.Name, span, units, allowed)
 	b.say("stale read in region 0: %v; region 1 does not see what was acknowledged: %v; an acknowledged write is gone: %v", stale, torn, lost)
+	if units == 0 {
+		return failed, fmt.Errorf("nothing of the limited volume was served")
+	}
 	if float64(units) > allowed { // the rule as written; the line above tells what it did to clients
 		return broken, nil
 	}
