review: case 10, a gateway that is stopped as planned drops answers it has not sent yet

Rule: No request is lost.

Order of events: a client sends 14 reads of 1 MiB, whose answers take 4.5 s over its path of 3.3 MB a second (their class has 5 s); 0.1 s later the gateway gets SIGTERM; 2.0 s after that it ends, since no command counts as open any more; what its write queue still holds is dropped.

The case plays this with the project's own gateway, disk server, inventory and initiator, and a path of its own.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,3 +6,4 @@
 mkdir -p bin
 CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 go build -o bin/review-second ./review/second
+go build -o bin/review-third ./review/third
