--- a/review/third/main.go
+++ b/review/third/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -58,12 +59,17 @@
 
 // start starts the project's program with arguments. What it logs goes to a file of the temporary folder.
 func (r *run) start(name string, arguments ...string) (*process, error) {
-	p := &process{name: name, cmd: exec.Command(r.binary, arguments...), lines: make(chan string, 16), ended: make(chan struct{})}
+	return r.startProgram(name, r.binary, nil, arguments...)
+}
+
+// startProgram starts a program with arguments and further variables of the environment.
+func (r *run) startProgram(name, binary string, variables []string, arguments ...string) (*process, error) {
+	p := &process{name: name, cmd: exec.Command(binary, arguments...), lines: make(chan string, 16), ended: make(chan struct{})}
 	logFile, err := os.Create(filepath.Join(r.folder, name+".log"))
 	if err != nil {
 		return nil, err
 	}
-	p.cmd.Stderr = logFile
+	p.cmd.Stderr, p.cmd.Env = logFile, append(os.Environ(), variables...)
 	output, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -71,7 +77,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
-	r.notef("process %s: merlinhitch %s", name, strings.Join(arguments, " "))
+	r.notef("process %s: %s", name, strings.Join(slices.Concat(variables, []string{binary}, arguments), " "))
 	r.processes = append(r.processes, p)
 	go func() {
 		defer close(p.ended)
@@ -172,7 +178,7 @@
 	}
 }
 
-var cases = map[string]func(*run) (broken string, err error){"stop": playStop}
+var cases = map[string]func(*run) (broken string, err error){"stop": playStop, "limit": playLimit, "copy": playCopy}
 
 func main() { os.Exit(play()) }
 
