--- a/review/second/cases_test.go
+++ b/review/second/cases_test.go
@@ -30,4 +30,4 @@
 
 func TestCase8(t *testing.T) { playCase(t, "8") }
 
-func TestCase9(t *testing.T) { playCase(t, "9") }
+func TestInventoryStartedAnew(t *testing.T) { playCase(t, "second/started-anew") }
