--- a/review/third/copy.go
+++ b/review/third/copy.go
@@ -36,13 +36,12 @@
 	name    string
 	trouble bool
 
-	mu     sync.Mutex
-	count  int
-	copies int
+	mu    sync.Mutex
+	count int
 }
 
 func (d *httpDisk) listen() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", listenerHost+":0")
 	if err != nil {
 		return "", err
 	}
@@ -82,6 +81,7 @@
 	}()
 	for request := range requests {
 		time.Sleep(time.Until(request.at) + copyWork)
+		d.run.notef("%s: ran %s", d.name, request.id)
 		answer := http1.AppendResponse(nil, 200, nil, []byte("made for "+request.id))
 		answeredAt := time.Now()
 		d.send(conn, answer, answeredAt)
@@ -106,6 +106,7 @@
 		}
 		if next != nil {
 			time.Sleep(time.Until(next.at) + copyWork)
+			d.run.notef("%s: ran %s", d.name, next.id)
 			d.send(conn, http1.AppendResponse(nil, 200, nil, []byte("made for "+next.id)), time.Now())
 		}
 	}
@@ -126,7 +127,7 @@
 
 // serveDiscovery stands in for discovery: it tells one list, and says every 2 s that nothing has changed.
 func serveDiscovery(hosts []map[string]any) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", listenerHost+":0")
 	if err != nil {
 		return "", err
 	}
@@ -304,7 +305,9 @@
 		id := fmt.Sprintf("%016x", random.Uint64())
 		fields := http1.Fields{{Name: "Request-Id", Value: id}, {Name: "X-Qos-Policy", Value: "normal"}, {Name: "Request-Timeout", Value: fmt.Sprintf("%.3f", copyTimeout.Seconds())},
 			{Name: "X-Placement", Value: fmt.Sprintf("units=2,shard=%d,hosts=1", random.IntN(copyShards))}}
+		r.notef("client %d: sends %s", number, id)
 		status, body, err := ask(address, conn, "GET", fmt.Sprintf("/card-read/%016x/%016x", number, random.Uint64()), fields)
+		r.notef("client %d: request %s answered %d %q, error %v", number, id, status, body, err)
 		result.mu.Lock()
 		switch {
 		case err == nil && status == 200:
@@ -314,7 +317,6 @@
 				if result.first == "" {
 					result.first = fmt.Sprintf("%s was answered with %q", id, body)
 				}
-				r.notef("client %d: request %s was answered 200 with %q", number, id, body)
 			}
 		case err == nil && (status == 503 || status == 429):
 			result.refused++
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -23,6 +24,7 @@
 	statusHeld     = 0
 	statusBroken   = 1
 	statusNotRun   = 2
+	caseTimeout    = 100 * time.Second
 	startTimeout   = 10 * time.Second
 	endTimeout     = 2 * time.Second
 	pollInterval   = 20 * time.Millisecond
@@ -39,6 +41,7 @@
 	mu        sync.Mutex
 	record    *bufio.Writer
 	processes []*process
+	ending    bool // processes are being ended, and none may start
 }
 
 // notef writes a line to the record, with the time since the start.
@@ -55,6 +58,8 @@
 	cmd   *exec.Cmd
 	lines chan string // of its standard output
 	ended chan struct{}
+	// stopped is set where the case itself ends the process.
+	stopped bool
 }
 
 // start starts the project's program with arguments. What it logs goes to a file of the temporary folder.
@@ -74,11 +79,19 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.cmd.Start(); err != nil {
+	r.mu.Lock()
+	if err = errEnding; !r.ending {
+		err = p.cmd.Start()
+	}
+	if err == nil {
+		r.processes = append(r.processes, p)
+	}
+	r.mu.Unlock()
+	if err != nil {
+		logFile.Close()
 		return nil, err
 	}
 	r.notef("process %s: %s", name, strings.Join(slices.Concat(variables, []string{binary}, arguments), " "))
-	r.processes = append(r.processes, p)
 	go func() {
 		defer close(p.ended)
 		defer logFile.Close()
@@ -116,9 +129,26 @@
 	}
 }
 
+// errEnding is the error of a start while the processes are being ended.
+var errEnding = errors.New("the case is being ended")
+
+// endedEarly returns the name of a process that has ended though nothing has ended it.
+func (r *run) endedEarly() string {
+	for _, p := range r.processes {
+		if p.hasEnded() && !p.stopped {
+			return p.name
+		}
+	}
+	return ""
+}
+
 // endAll kills what still runs.
 func (r *run) endAll() {
-	for _, p := range r.processes {
+	r.mu.Lock()
+	r.ending = true
+	processes := r.processes
+	r.mu.Unlock()
+	for _, p := range processes {
 		if !p.hasEnded() {
 			p.cmd.Process.Signal(syscall.SIGKILL)
 		}
@@ -146,10 +176,14 @@
 // usedPorts are the ports that freeAddress has given out.
 var usedPorts = map[string]bool{}
 
+// listenerHost is the loopback address of this run's listeners. No connection of other programs begins there,
+// so that a port stays free until its program has it.
+var listenerHost = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>14&63, os.Getpid()>>7&127, 1+os.Getpid()&127)
+
 // freeAddress returns a loopback address at which nobody listens.
 func freeAddress() (string, error) {
 	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", listenerHost+":0")
 		if err != nil {
 			return "", err
 		}
@@ -178,7 +212,7 @@
 	}
 }
 
-var cases = map[string]func(*run) (broken string, err error){"stop": playStop, "limit": playLimit, "copy": playCopy}
+var cases = map[string]func(*run) (broken string, err error){"stop": playStop, "copy": playCopy}
 
 func main() { os.Exit(play()) }
 
@@ -203,7 +237,11 @@
 	r := &run{trouble: os.Getenv("TROUBLE") != "0", binary: filepath.Join("bin", "merlinhitch"), folder: folder, started: time.Now(), record: bufio.NewWriter(file)}
 	defer r.record.Flush()
 	r.notef("case %s, trouble: %v", os.Args[1], r.trouble)
+	r.endOnSignal()
 	broken, err := cases[os.Args[1]](r)
+	if name := r.endedEarly(); err == nil && name != "" {
+		err = errors.New(name + " has ended by itself")
+	}
 	r.endAll()
 	r.copyLogs()
 	switch {
@@ -221,6 +259,22 @@
 	return statusHeld
 }
 
+// endOnSignal ends the run, its processes and its folder where it is told to end or takes too long.
+func (r *run) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(caseTimeout):
+		}
+		r.endAll()
+		os.RemoveAll(r.folder)
+		fmt.Println("not run: ended from outside, or after", caseTimeout)
+		os.Exit(statusNotRun)
+	}()
+}
+
 // copyLogs appends what the processes have logged to the record.
 func (r *run) copyLogs() {
 	for _, p := range r.processes {
--- a/review/third/stop.go
+++ b/review/third/stop.go
@@ -96,6 +96,7 @@
 	time.Sleep(stopAfter)
 	if r.trouble {
 		r.notef("gateway: SIGTERM")
+		gateway.stopped = true
 		gateway.cmd.Process.Signal(syscall.SIGTERM)
 		go func() {
 			<-gateway.ended
@@ -178,7 +179,7 @@
 // slowPath listens on loopback and leads connections to an address. What comes back from there passes at
 // that many bytes a second.
 func slowPath(address string, bytesPerSecond int) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", listenerHost+":0")
 	if err != nil {
 		return "", err
 	}
