review: the path of case 10 keeps its rate where it was held up

Its rate fell below 3.3 MB a second where sleeps took longer, and the answers might have come late without the disruption.

--- a/review/third/stop.go
+++ b/review/third/stop.go
@@ -198,6 +198,8 @@
 const (
 	pathBuffer = 64 << 10 // bytes that the path holds
 	pathPiece  = 12_000   // bytes that pass at once
+	// pathCatchUp is how late a piece may be so that those behind it come sooner.
+	pathCatchUp = 100 * time.Millisecond
 )
 
 // lead copies between a connection and a new one to the address.
@@ -218,10 +220,10 @@
 	for {
 		n, err := far.Read(piece)
 		if n > 0 {
-			next = next.Add(time.Duration(n) * time.Second / time.Duration(bytesPerSecond))
-			if now := time.Now(); next.Before(now) {
-				next = now
+			if now := time.Now(); next.Before(now.Add(-pathCatchUp)) {
+				next = now // it was idle
 			}
+			next = next.Add(time.Duration(n) * time.Second / time.Duration(bytesPerSecond))
 			time.Sleep(time.Until(next))
 			if _, err := near.Write(piece[:n]); err != nil {
 				return
