scheduler: a discovery that answers late is heard; calls stay open beside later ones

Cause: one call to discovery was open at a time and had 0.4 s for the head of its response; the next began anew with the same bound. The log of the case shows `i/o timeout` 0.40 s after each call, `ready` with discovery false, and no silent watch or refused message, which rules the other bounds out. Fetches of the full list had the same bound, and a list in pieces had 2.7 s.

Change: calls without an answer stay open while others are tried beside them. callSchedule decides when calls begin and how long each may be silent: one every 2 s for 4 s, one for 8 s and longer, short ones between. The first that says something is followed, the others are closed, so an older list cannot replace a newer one. All calls hold 4 MiB of incomplete messages together.

Seen failing on (test file without the parts that need the new type): TestLateAnswerIsAppliedOnSockets "no list within 10 s", TestSlowDiscoveryIsHeard (410 ms to 30 s), TestChangeIsToldWhileDiscoveryIsSlow, TestNewAddressOfASlowDiscovery, TestSilentWatchOfASlowDiscoveryIsReplaced, TestLargestListInPieces and TestUnreadableMessageBesideASlowFullList. TestListsArePassedOnInOrder and TestNothingButTheFullListAfterAnUnreadableMessage fail without the line that each is for.

--- a/internal/control/scheduler/discovery.go
+++ b/internal/control/scheduler/discovery.go
@@ -1,61 +1,42 @@
 package scheduler
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"time"
 
-	"merlinhitch/internal/protocol/http1"
 	"merlinhitch/internal/runtime/env"
 	"merlinhitch/internal/runtime/locks"
 )
 
-const (
-	discoveryPath = "/discovery/hosts"
-	// Discovery sends a message or an empty line on an open watch every 2 s. A watch that is
-	// silent for watchSilenceTimeout is reopened. Discovery takes a change as delivered 6 s after
-	// the silence began, which leaves time for a second watch to fall silent.
-	// watchResponseTimeout bounds the dial, and then the time to the head of the response:
-	// discovery answers at once, or not at all.
-	watchSilenceTimeout  = 2700 * time.Millisecond
-	watchResponseTimeout = 400 * time.Millisecond
-	// Backoff between watches: it doubles with each watch that brings nothing.
-	minWatchBackoff = 50 * time.Millisecond
-	maxWatchBackoff = 200 * time.Millisecond
-	// maxMessageBytes bounds a message: the full list of several thousand disk servers, indented.
-	maxMessageBytes = 4 << 20
-)
-
-// discoveryClient follows the changes of the disk server list. It holds one watch at a time, which
-// starts at the last version received. After an unreadable message it fetches the full list first.
+// discoveryClient follows the changes of the disk server list over a watch, which starts at the last
+// version received. After an unreadable message it fetches the full list first. A call that has not
+// answered yet stays open while others are tried beside it (callSchedule). The first one that says
+// something is followed, and the others are closed, so all open calls but the one that said the last
+// word were opened after it: an older list cannot replace a newer one.
 type discoveryClient struct {
 	environment env.Environment
-	onList      func(ServerList)
+	onList      func(ServerList) // called for one list at a time
 	onError     func(string, error)
+	tasks       env.WaitGroup
 
 	mu            locks.Mutex
 	addr          string
-	conn          net.Conn
-	seq           uint64 // version of the last list; used by its goroutine only, as is needsFullList
-	needsFullList bool   // changes may have been missed
-	backoff       time.Duration
-	tasks         env.WaitGroup
-	ended         env.Gate
-	ctx           context.Context // for dials
-	cancelDial    context.CancelFunc
+	schedule      callSchedule
+	seq           uint64    // version of the last list
+	needsFullList bool      // changes may have been missed
+	delivery      *env.Gate // opens when the list that is being passed on has been; nil if there is none
+	changed       *env.Gate // opened when schedule has changed
+	closed        bool
 }
 
 func newDiscoveryClient(w env.Environment, addr string, seq uint64, onList func(ServerList), onError func(string, error)) *discoveryClient {
-	d := &discoveryClient{environment: w, onList: onList, onError: onError, addr: addr, seq: seq, backoff: minWatchBackoff}
-	d.ctx, d.cancelDial = context.WithCancel(context.Background())
+	d := &discoveryClient{environment: w, onList: onList, onError: onError, addr: addr, seq: seq, schedule: newCallSchedule(w.Now()), changed: &env.Gate{}}
 	d.tasks.Go(w, d.run)
 	return d
 }
 
-// setAddress changes the address of discovery; an open watch at the old one is closed.
+// setAddress changes the address of discovery; open calls to the old one are closed.
 func (d *discoveryClient) setAddress(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -63,149 +44,175 @@
 		return
 	}
 	d.addr = addr
-	if d.conn != nil {
-		d.conn.Close()
-	}
+	d.schedule.backoff, d.schedule.responseTime = minCallBackoff, 0
+	supersede(d.schedule.reset(d.environment.Now())...)
+	d.notifyLocked()
 }
 
 func (d *discoveryClient) close() {
-	d.ended.Open()
-	d.cancelDial()
 	d.mu.Lock()
-	if d.conn != nil {
-		d.conn.Close()
-	}
+	d.closed = true
+	supersede(d.schedule.reset(d.environment.Now())...)
+	d.notifyLocked()
 	d.mu.Unlock()
 	d.tasks.Wait(d.environment)
 }
 
+// notifyLocked wakes run after a change of the schedule.
+func (d *discoveryClient) notifyLocked() {
+	d.changed.Open()
+	d.changed = &env.Gate{}
+}
+
+// run opens calls as they are due until the client is closed.
 func (d *discoveryClient) run() {
-	for !d.ended.Opened() {
+	for {
 		d.mu.Lock()
-		addr := d.addr
-		d.mu.Unlock()
-		var err error
-		if d.needsFullList {
-			err = d.fetchFullList(addr)
+		if d.closed {
+			d.mu.Unlock()
+			return
 		}
-		if err == nil {
-			err = d.watch(addr)
+		now := d.environment.Now()
+		wait := d.schedule.due() - now
+		if wait <= 0 {
+			c := d.beginCallLocked()
+			d.tasks.Go(d.environment, func() { d.runCall(c) })
 		}
-		if d.ended.Opened() {
-			return
+		changed := d.changed
+		d.mu.Unlock()
+		if wait > 0 {
+			env.Sleep(d.environment, wait, changed)
 		}
-		d.needsFullList = d.needsFullList || isUnreadable(err)
-		d.onError("watch ended", err)
-		env.Sleep(d.environment, d.backoff, &d.ended)
-		d.backoff = min(2*d.backoff, maxWatchBackoff)
 	}
 }
 
-// unreadableError reports a message of discovery that cannot be applied.
-type unreadableError struct{ err error }
+func (d *discoveryClient) beginCallLocked() *discoveryCall {
+	c, displaced := d.schedule.begin(d.environment.Now())
+	if displaced != nil {
+		supersede(displaced)
+	}
+	c.addr, c.target, c.fullList = d.addr, fmt.Sprintf("%s?stream=1&index=%d", discoveryPath, d.seq), d.needsFullList
+	if c.fullList {
+		c.target = discoveryPath
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
 
-func (e *unreadableError) Error() string { return "discovery: " + e.err.Error() }
-func (e *unreadableError) Unwrap() error { return e.err }
+// runCall performs a call, and records its end unless it was superseded.
+func (d *discoveryClient) runCall(c *discoveryCall) {
+	err := d.perform(c)
+	c.cancel()
+	d.mu.Lock()
+	superseded := c.superseded
+	if !superseded {
+		d.needsFullList = d.needsFullList || isUnreadable(err)
+		d.schedule.ended(c, d.environment.Now(), isCallTimeout(err))
+		d.notifyLocked()
+	}
+	d.mu.Unlock()
+	if !superseded {
+		d.onError("watch ended", err)
+	}
+}
 
-func isUnreadable(err error) bool {
-	var e *unreadableError
-	return errors.As(err, &e)
+// headReceived records that a call's response has begun.
+func (d *discoveryClient) headReceived(c *discoveryCall) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !c.superseded {
+		d.schedule.headReceived(c, d.environment.Now())
+		d.notifyLocked()
+	}
 }
 
-// setConn records conn so that setAddress and close can close it. It returns false if the address
-// has changed meanwhile or the client has ended.
-func (d *discoveryClient) setConn(addr string, conn net.Conn) bool {
+// hold records how many bytes of an incomplete message a call holds. All calls together hold
+// maxMessageBytes at most: beyond that those with less give way to the one with the most.
+func (d *discoveryClient) hold(c *discoveryCall, bytes int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.conn = conn
-	return d.addr == addr && !d.ended.Opened()
+	c.heldBytes = bytes
+	for !c.superseded {
+		total := 0
+		smallest := c
+		for _, other := range d.schedule.calls {
+			total += other.heldBytes
+			if other.heldBytes > 0 && other.heldBytes < smallest.heldBytes {
+				smallest = other
+			}
+		}
+		if total <= maxMessageBytes {
+			return
+		}
+		d.schedule.remove(smallest)
+		supersede(smallest)
+	}
 }
 
-// get sends a GET request, reads the head of the response and passes the body to handle as a stream.
-// The connection is closed when handle returns.
-func (d *discoveryClient) get(addr, target string, handle func(net.Conn, *http1.Stream) error) error {
-	conn, err := d.environment.Dial(d.ctx, "tcp", addr, watchResponseTimeout)
-	if err != nil {
+// errSuperseded ends a call that is not needed any more.
+var errSuperseded = errors.New("superseded by another call to discovery")
+
+// errFullListNeeded ends a watch that goes on from a version that is in doubt.
+var errFullListNeeded = errors.New("changes may have been missed: waiting for the full list")
+
+// deliver checks a list that a call has received, follows this call from now on, and passes the list on
+// if pass is set. It waits until the list before it has been passed on.
+func (d *discoveryClient) deliver(c *discoveryCall, list ServerList, pass bool) error {
+	if err := d.accept(c, list); err != nil {
 		return err
 	}
-	defer conn.Close()
-	if !d.setConn(addr, conn) {
-		return nil
-	}
-	conn.SetDeadline(d.environment.Deadline(watchResponseTimeout))
-	if _, err := conn.Write(http1.AppendRequest(nil, "GET", target, http1.Fields{{Name: "Host", Value: addr}}, nil)); err != nil {
-		return err
+	if pass {
+		d.onList(list)
 	}
-	in := bufio.NewReaderSize(conn, readBufferBytes)
-	response, err := http1.ReadResponse(in, messageLimits)
-	if err != nil {
-		return err
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delivery.Open()
+	d.delivery = nil
+	return nil
+}
+
+// accept is the first part of deliver. Unless it returns an error, it leaves delivery set.
+func (d *discoveryClient) accept(c *discoveryCall, list ServerList) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for d.delivery != nil {
+		delivery := d.delivery
+		d.mu.Unlock()
+		delivery.Wait(d.environment)
+		d.mu.Lock()
 	}
-	if response.Status != 200 {
-		return fmt.Errorf("discovery returned status %d, want 200", response.Status)
+	if c.superseded {
+		return errSuperseded
 	}
-	framing, err := response.Framing(http1.Limits{MaxBodyBytes: maxMessageBytes})
-	if err != nil {
+	if err := d.checkLocked(c, list); err != nil {
 		return err
 	}
-	conn.SetReadDeadline(d.environment.Deadline(watchSilenceTimeout))
-	return handle(conn, http1.NewStream(in, framing, messageLimits))
-}
-
-// fetchFullList requests the full list and applies it.
-func (d *discoveryClient) fetchFullList(addr string) error {
-	return d.get(addr, discoveryPath, func(_ net.Conn, stream *http1.Stream) error {
-		var objects objectReader
-		return objects.forEach(stream, func(item streamItem) (more bool, err error) {
-			if item != itemObject {
-				return true, nil
-			}
-			return false, d.handleMessage(objects.bytes(), true)
-		})
-	})
-}
-
-// watch opens a watch and applies its messages until it ends.
-func (d *discoveryClient) watch(addr string) error {
-	target := fmt.Sprintf("%s?stream=1&index=%d", discoveryPath, d.seq)
-	return d.get(addr, target, func(conn net.Conn, stream *http1.Stream) error {
-		var objects objectReader
-		received := false
-		return objects.forEach(stream, func(item streamItem) (more bool, err error) {
-			if item == itemPartial {
-				return true, nil // an incomplete message does not extend the read deadline
-			}
-			conn.SetReadDeadline(d.environment.Deadline(watchSilenceTimeout))
-			if item == itemObject {
-				err = d.handleMessage(objects.bytes(), false)
-			} else if !received {
-				d.onList(ServerList{Seq: d.seq}) // an empty line first: nothing has changed since seq
-			}
-			if err == nil {
-				received, d.backoff = true, minWatchBackoff
-			}
-			return true, err
-		})
-	})
+	now := d.environment.Now()
+	d.seq, d.needsFullList = list.Seq, d.needsFullList && !list.Full
+	if c.fullList {
+		supersede(d.schedule.reset(now)...)
+	} else {
+		supersede(d.schedule.lineReceived(c, now)...)
+	}
+	d.notifyLocked()
+	d.delivery = &env.Gate{}
+	return nil
 }
 
-// handleMessage decodes and applies a message. A partial list with an older version is rejected,
+// checkLocked reports why a list cannot be applied. A partial list with an older version is rejected,
 // since changes would be missing.
-func (d *discoveryClient) handleMessage(data []byte, fetched bool) error {
-	list, err := parseServerList(data)
-	if err != nil {
-		return &unreadableError{err}
-	}
-	if fetched && !list.Full {
+func (d *discoveryClient) checkLocked(c *discoveryCall, list ServerList) error {
+	switch {
+	case list.Full:
+		return nil
+	case c.fullList:
 		return &unreadableError{errors.New("got a partial list, want the full list")}
-	}
-	if !list.Full && list.Seq < d.seq {
+	case d.needsFullList:
+		return errFullListNeeded
+	case list.Seq < d.seq:
 		return &unreadableError{fmt.Errorf("list version went back: got %d after %d", list.Seq, d.seq)}
-	}
-	if !list.Full && list.malformed {
+	case list.malformed:
 		return &unreadableError{fmt.Errorf("invalid entries in list version %d: %v", list.Seq, list.faults)}
 	}
-	d.seq, d.needsFullList = list.Seq, d.needsFullList && !list.Full
-	d.onList(list)
 	return nil
 }
