hedge: calls beside a silent one, taken out of the discovery client

The schedule of calls, the connections, the order of what is passed on and the bound of incomplete messages say nothing of discovery.

Change: package internal/runtime/hedge has them; discovery.go keeps the protocol.

--- a/internal/control/scheduler/slowdiscovery_test.go
+++ b/internal/control/scheduler/slowdiscovery_test.go
@@ -84,7 +84,7 @@
 			runModel(t, beforeHead, func(m *discoveryModel, client *discoveryClient, received *receivedLists, discovery *fakeDiscovery) {
 				env.Sleep(m.environment, 4*delay+100*time.Millisecond, nil)
 				toldAt, told := received.toldAt(8)
-				if latest := delay + 50*time.Millisecond; !told || delay <= minLongPatience && toldAt > latest {
+				if latest := delay + 50*time.Millisecond; !told || delay <= discoveryCalls.MinLongPatience && toldAt > latest {
 					t.Errorf("version 8 was told %v at %s, want it by %s; requests at %v", told, toldAt, latest, discovery.requestTimes)
 				}
 				callCount := len(discovery.requestTimes)
@@ -187,9 +187,8 @@
 // watchOpenCalls returns the most calls that were open at a time within duration.
 func (d *discoveryClient) watchOpenCalls(environment env.Environment, duration time.Duration) (maxOpen int) {
 	for until := environment.Now() + duration; environment.Now() < until; env.Sleep(environment, 10*time.Millisecond, nil) {
-		d.mu.Lock()
-		maxOpen = max(maxOpen, len(d.schedule.calls))
-		d.mu.Unlock()
+		open, _ := d.follower.Open()
+		maxOpen = max(maxOpen, open)
 	}
 	return maxOpen
 }
@@ -315,14 +314,9 @@
 		environment = process
 		for range 300 {
 			maxOpen := client.watchOpenCalls(environment, 100*time.Millisecond)
-			held := 0
-			client.mu.Lock()
-			for _, c := range client.schedule.calls {
-				held += c.heldBytes
-			}
-			client.mu.Unlock()
-			if held > maxMessageBytes || maxOpen > maxOpenCalls {
-				t.Fatalf("%d calls hold %d bytes, want %d and %d at the most", maxOpen, held, maxOpenCalls, maxMessageBytes)
+			_, held := client.follower.Open()
+			if held > maxMessageBytes || maxOpen > discoveryCalls.MaxOpen {
+				t.Fatalf("%d calls hold %d bytes, want %d and %d at the most", maxOpen, held, discoveryCalls.MaxOpen, maxMessageBytes)
 			}
 		}
 		if _, told := received.toldAt(9); !told {
@@ -337,7 +331,7 @@
 	var environment env.Environment
 	handle := func(connNumber int, _ string, conn net.Conn) {
 		conn.Write([]byte(watchResponseHead))
-		if connNumber == 2*maxOpenCalls {
+		if connNumber == 2*discoveryCalls.MaxOpen {
 			conn.Write(encodeChunk(fullListJSON(9) + "\n"))
 			return
 		}
@@ -351,8 +345,8 @@
 	runWatch(t, handle, func(process env.Environment, client *discoveryClient, received *receivedLists, discovery *fakeDiscovery) {
 		environment = process
 		maxOpen := client.watchOpenCalls(environment, 30*time.Second)
-		if _, told := received.toldAt(9); !told || maxOpen != maxOpenCalls {
-			t.Errorf("told %v, %d calls at a time, want it told and %d calls; requests at %v", told, maxOpen, maxOpenCalls, discovery.requestTimes)
+		if _, told := received.toldAt(9); !told || maxOpen != discoveryCalls.MaxOpen {
+			t.Errorf("told %v, %d calls at a time, want it told and %d calls; requests at %v", told, maxOpen, discoveryCalls.MaxOpen, discovery.requestTimes)
 		}
 	})
 }
@@ -373,11 +367,11 @@
 		client = newDiscoveryClient(environment, discovery.listener.Addr().String(), 7, func(list ServerList) {
 			begun = append(begun, list.Seq)
 			if list.Seq == 8 {
-				env.Sleep(environment, 2*watchSilenceTimeout, nil)
+				env.Sleep(environment, 2*discoveryCalls.Silence, nil)
 			}
 			passed = append(passed, list.Seq)
 		}, func(string, error) {})
-		env.Sleep(environment, 2*watchSilenceTimeout+100*time.Millisecond, nil)
+		env.Sleep(environment, 2*discoveryCalls.Silence+100*time.Millisecond, nil)
 		if want := []uint64{8, 9}; !slices.Equal(begun[:min(2, len(begun))], want) || !slices.Equal(passed[:min(2, len(passed))], want) {
 			t.Errorf("began to pass on versions %v and passed on %v, want %v first; requests at %v", begun, passed, want, discovery.requestTimes)
 		}
--- a/internal/runtime/env/stream.go
+++ b/internal/runtime/env/stream.go
@@ -218,6 +218,6 @@
 
 // IsTimeout reports whether err is a network timeout, such as a deadline that has passed.
 func IsTimeout(err error) bool {
-	netErr, ok := err.(net.Error)
-	return ok && netErr.Timeout()
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
