inventory: a list that comes late is followed, and a silent inventory counts as lost

What callers saw: a gateway whose inventory answers 3.6 s late, or whose list takes that long on its way, learns of no change for ever; an inventory that accepts connections and says nothing never counts as lost.

The client had one connection, gave it up after 3.5 s without a line and began anew; and a connection alone, without a line on it, counted as following the list.

Change: the client opens connections by package hedge. The list is lost until a line has come. At most four requests of a connection are unanswered. Names are the field's (onList, watchInterval, generation).

Seen failing on: TestSlowInventoryIsHeard (3.6 s to 45 s), TestSlowInventoryIsHeardAfterAnOutage, TestListInPieces, TestSilentInventoryIsLost.

--- a/internal/protocol/inventory/client.go
+++ b/internal/protocol/inventory/client.go
@@ -2,152 +2,202 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"time"
 
 	"merlinhitch/internal/runtime/env"
+	"merlinhitch/internal/runtime/hedge"
 	"merlinhitch/internal/runtime/locks"
 )
 
-// Client is the shell that follows a list. It reconnects by itself and asks for
-// what it missed; after a reconnect to an inventory whose numbers are behind its
-// own it is told the whole list.
+// Client follows the list of an inventory. It reconnects by itself and asks for the changes that it
+// missed; an inventory whose generations are behind its own sends it the full list. A connection that is
+// silent stays open while others are tried beside it, so that a slow inventory is heard too.
 type Client struct {
-	// Told is called with each list, in order, from one goroutine; a failure
-	// comes as a list of kind Failed.
-	Told func(List)
+	onList      func(List)
+	environment env.Environment
+	addr        string
+	follower    *hedge.Follower
 
-	world  env.Environment
-	addr   string
-	mu     locks.Mutex
-	conn   net.Conn
-	closed bool
-	gen    uint64
-	lostAt time.Duration // since when there is no connection; below 0: there is one
-	done   env.Gate
-	over   env.Gate // closing
-	ctx    context.Context
-	stop   context.CancelFunc
+	mu         locks.Mutex
+	followed   net.Conn // the connection that the last list came on
+	generation uint64
+	lost       bool
+	lostSince  time.Duration
 }
 
 const (
-	dialTime   = 2 * time.Second
-	againAfter = 200 * time.Millisecond
-	againMost  = 2 * time.Second
-	watchEach  = time.Second
-	silentMost = 3500 * time.Millisecond // three questions without an answer
+	// watchInterval is the time between requests for changes on an open connection. Each is answered.
+	watchInterval = time.Second
+	// maxUnanswered bounds the requests on a connection that are not answered yet.
+	maxUnanswered = 4
 )
 
-// Follow starts to follow the list at addr.
-func Follow(w env.Environment, addr string, told func(List)) *Client {
-	c := &Client{Told: told, world: w, addr: addr, lostAt: w.Now()}
-	c.ctx, c.stop = context.WithCancel(context.Background())
-	w.Go(c.run)
+// inventoryCalls has the times of connections to an inventory. Silence is three requests without an
+// answer.
+var inventoryCalls = hedge.Config{
+	Silence:         3500 * time.Millisecond,
+	Patience:        4 * time.Second,
+	PatientInterval: 2 * time.Second,
+	MinLongPatience: 8 * time.Second,
+	MaxLongPatience: time.Minute,
+	MinInterval:     time.Second,
+	MaxInterval:     2 * time.Second,
+	MinBackoff:      200 * time.Millisecond,
+	MaxBackoff:      2 * time.Second,
+	MaxOpen:         6,
+}
+
+// Follow starts to follow the list at addr. onList is called with each list, in order; each time the list
+// can't be followed it is called with a list of kind Failed.
+func Follow(environment env.Environment, addr string, onList func(List)) *Client {
+	c := &Client{onList: onList, environment: environment, addr: addr, lost: true, lostSince: environment.Now()}
+	c.follower = hedge.Follow(environment, inventoryCalls, c)
 	return c
 }
 
-// Fetch asks for the whole list once, on the connection that is open.
+// Fetch requests the full list once, on the connection that is followed.
 func (c *Client) Fetch() {
 	c.mu.Lock()
-	conn := c.conn
+	conn := c.followed
 	c.mu.Unlock()
 	if conn != nil {
-		conn.Write(Line(Ask{Op: "fetch"})) // a failure ends the reader, which says so
+		conn.Write(Line(Ask{Op: "fetch"})) // after a failure the connection ends
 	}
 }
 
-// Lost tells since when the list can't be followed, if it can't.
+// Lost returns whether the list can't be followed, and since when: the inventory has said nothing since
+// then, or can't be reached.
 func (c *Client) Lost() (since time.Duration, lost bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lostAt, c.lostAt >= 0
+	return c.lostSince, c.lost
 }
 
-// Close ends the client and waits for its goroutine.
-func (c *Client) Close() {
-	c.stop()
-	c.over.Open()
+// Close ends the client and waits for its goroutines.
+func (c *Client) Close() { c.follower.Close() }
+
+// setLost records that the list can't be followed, and returns whether it could be before.
+func (c *Client) setLost() (before bool) {
 	c.mu.Lock()
-	c.closed = true
-	if c.conn != nil {
-		c.conn.Close()
+	defer c.mu.Unlock()
+	if c.lost {
+		return false
 	}
-	c.mu.Unlock()
-	c.done.Wait(c.world)
+	c.lost, c.lostSince = true, c.environment.Now()
+	return true
 }
 
-func (c *Client) run() {
-	defer c.done.Open()
-	wait := againAfter
+// Perform implements hedge.Handler: it follows the list over one connection.
+func (c *Client) Perform(call *hedge.Call) error {
+	if c.setLost() { // a call is begun since the one before is silent
+		c.onList(List{Kind: Failed})
+	}
+	conn, err := call.Dial(c.addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	watch := &watchRequests{client: c, conn: conn}
+	defer watch.stop()
+	watch.send()
+	conn.SetReadDeadline(call.AnswerDeadline())
+	reader := bufio.NewReader(&progressReader{conn, call})
 	for {
-		if c.once() {
-			wait = againAfter
+		var list List
+		if err := ReadLine(reader, &list); err != nil {
+			return err
 		}
-		if c.ctx.Err() != nil {
-			return
+		if err := list.Check(); err != nil {
+			return err
 		}
-		c.Told(List{Kind: Failed})
-		if !env.Sleep(c.world, wait, &c.over) {
-			return
+		if err := call.Deliver(c.message(watch, list)); err != nil {
+			return err
 		}
-		wait = min(2*wait, againMost)
 	}
 }
 
-// once follows the list over one connection; it tells whether anything came.
-func (c *Client) once() (heard bool) {
-	conn, err := c.world.Dial(c.ctx, "tcp", c.addr, dialTime)
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	c.mu.Lock()
-	c.conn, c.lostAt = conn, -1
-	closed := c.closed
-	c.mu.Unlock()
-	defer func() {
+// Ended implements hedge.Handler.
+func (c *Client) Ended(error) {
+	c.setLost()
+	c.onList(List{Kind: Failed})
+}
+
+// message returns what is done with a list that came on a connection. A list of changes that is empty says
+// that the inventory is there, and is not passed on.
+func (c *Client) message(watch *watchRequests, list List) hedge.Message {
+	message := hedge.Message{Check: func() error {
 		c.mu.Lock()
-		c.conn, c.lostAt = nil, c.world.Now()
-		c.mu.Unlock()
-	}()
-	if closed {
-		return false
+		defer c.mu.Unlock()
+		c.followed, c.lost = watch.conn, false
+		watch.unanswered = max(watch.unanswered-1, 0)
+		if list.Kind != Failed {
+			c.generation = list.Generation
+		}
+		return nil
+	}}
+	if list.Kind != Delta || len(list.Nodes) > 0 {
+		message.Pass = func() { c.onList(list) }
 	}
-	if !c.watch(conn) {
-		return false
+	return message
+}
+
+// watchRequests asks for changes on a connection, every watchInterval: an inventory that is gone without a
+// word is noticed by that.
+type watchRequests struct {
+	client *Client
+	conn   net.Conn
+
+	// Guarded by the client's mutex.
+	unanswered int
+	stopped    bool
+}
+
+// send asks for the changes that the client lacks, now and every watchInterval until stop or a failure.
+func (w *watchRequests) send() {
+	request, stopped := w.next()
+	if stopped {
+		return
 	}
-	r := bufio.NewReader(conn)
-	for {
-		conn.SetReadDeadline(c.world.Deadline(silentMost))
-		var l List
-		if ReadLine(r, &l) != nil || l.Check() != nil {
-			return heard
-		}
-		heard = true
-		if l.Kind != Failed {
-			c.mu.Lock()
-			c.gen = l.Generation
-			c.mu.Unlock()
-		}
-		if l.Kind != Delta || len(l.Nodes) > 0 {
-			c.Told(l)
+	if len(request) > 0 {
+		if _, err := w.conn.Write(request); err != nil {
+			return
 		}
 	}
+	w.client.environment.AfterFunc(watchInterval, w.send)
 }
 
-// watch asks for what the client lacks, and goes on asking as long as the connection is
-// the present one: an inventory that is gone without a word is found out by that.
-func (c *Client) watch(conn net.Conn) bool {
-	c.mu.Lock()
-	ask, now := Line(Ask{Op: "watch", From: c.gen}), c.conn == conn
-	c.mu.Unlock()
-	if !now {
-		return false
+// next returns the next request, nil if too many are unanswered.
+func (w *watchRequests) next() (request []byte, stopped bool) {
+	w.client.mu.Lock()
+	defer w.client.mu.Unlock()
+	if w.stopped || w.unanswered >= maxUnanswered {
+		return nil, w.stopped
 	}
-	if _, err := conn.Write(ask); err != nil {
-		return false
+	w.unanswered++
+	return Line(Ask{Op: "watch", From: w.client.generation}), false
+}
+
+func (w *watchRequests) stop() {
+	w.client.mu.Lock()
+	defer w.client.mu.Unlock()
+	w.stopped = true
+	if w.client.followed == w.conn {
+		w.client.followed = nil
 	}
-	c.world.AfterFunc(watchEach, func() { c.watch(conn) })
-	return true
+}
+
+// progressReader reads from the connection of a call. All that comes extends the read deadline, so that a
+// long list may come slowly.
+type progressReader struct {
+	conn net.Conn
+	call *hedge.Call
+}
+
+func (r *progressReader) Read(b []byte) (int, error) {
+	n, err := r.conn.Read(b)
+	if n > 0 {
+		r.conn.SetReadDeadline(r.call.ReadDeadline())
+	}
+	return n, err
 }
--- a/internal/runtime/hedge/schedule.go
+++ b/internal/runtime/hedge/schedule.go
@@ -99,6 +99,9 @@
 // heard records that a call has said something. It removes the other calls, which are not needed any
 // more, and returns them.
 func (s *schedule) heard(c *Call, now time.Duration) (others []*Call) {
+	if !c.answered {
+		s.responseTime = now - c.beganAt
+	}
 	c.answered, c.established, c.heardAt, c.patience = true, true, now, s.Patience
 	s.backoff, s.longPatience = s.MinBackoff, s.MinLongPatience
 	others = slices.DeleteFunc(s.calls, func(other *Call) bool { return other == c })
