gateway: a lease may come as late as it is of use

What callers saw: where the inventory answers requests for leases later than a third of a lease, the host answers BUSY to everything once its lease has ended.

One request was under way at a time, and was given up with its connection after a third of a lease.

Change: a request goes out every sixth of a lease, over a connection of its own where earlier ones are unanswered, and may be answered for the length of a lease (inventory.CallerPool).

Seen failing on: TestLeaseOfASlowInventory (1.1 s to 2.3 s), "no lease at 1.15s", and TestLeaseAfterAnOutage (700 ms behind outages of 2 to 20 s).

Measured: tests of gateway, inventory (also with -race) and region pass.

--- a/internal/control/gateway/regions.go
+++ b/internal/control/gateway/regions.go
@@ -172,25 +172,33 @@
 	}
 }
 
-// leaseRenewer requests leases from the inventory, on its own goroutine.
+// leaseRenewer requests leases from the inventory, one every interval. A request may be answered until the
+// lease that it brings would have ended, so several may be unanswered at a time.
 type leaseRenewer struct {
 	environment env.Environment
 	host        *host
-	caller      *inventory.Caller
-	interval    time.Duration
+	callers     *inventory.CallerPool
+	leaseTime   time.Duration
 	log         *zap.Logger
-	mu          locks.Mutex
-	wake        *env.Gate // ends the wait before the next request; guarded by mu
 	stopped     env.Gate
 	done        env.Gate
+
+	mu            locks.Mutex
+	wake          *env.Gate // ends the wait before the next request
+	refusalLogged bool      // since the last grant
 }
 
-// renewalsPerLease is the number of renewal intervals in the length of a lease. A request that times
-// out takes two of them, so one may be lost without the lease expiring.
-const renewalsPerLease = 6
+const (
+	// renewalsPerLease is the number of renewal intervals in the length of a lease.
+	renewalsPerLease = 6
+	// maxLeaseRequests bounds the unanswered requests: one for each interval, and one whose time is just
+	// over.
+	maxLeaseRequests = renewalsPerLease + 1
+)
 
 func newLeaseRenewer(environment env.Environment, h *host, inventoryAddr string, regions *settings.Regions, log *zap.Logger) *leaseRenewer {
-	l := &leaseRenewer{environment: environment, host: h, caller: inventory.NewCaller(environment, func() string { return inventoryAddr }), interval: env.Duration(regions.LeaseTime / renewalsPerLease), log: log}
+	callers := inventory.NewCallerPool(environment, func() string { return inventoryAddr }, maxLeaseRequests)
+	l := &leaseRenewer{environment: environment, host: h, callers: callers, leaseTime: env.Duration(regions.LeaseTime), log: log, wake: &env.Gate{}}
 	h.requestLease = l.renewNow
 	environment.Go(l.run)
 	return l
@@ -198,30 +206,31 @@
 
 func (l *leaseRenewer) run() {
 	defer l.done.Open()
-	refusalLogged := false
-	for {
-		var askID, knownTerm uint64
-		if !l.host.runAndWait(func(c *core) { askID, knownTerm = c.regions.Ask(c.now), c.regions.Known().Term }) {
-			return
-		}
-		answer, err := l.caller.Ask(inventory.Ask{Op: "lease", Ask: askID, From: knownTerm}, 2*l.interval)
-		switch {
-		case err == nil && answer.Kind == inventory.Granted:
-			refusalLogged = false
-			l.host.post(event{kind: eventLeaseGranted, grant: answer.Grant})
-		case err == nil && !refusalLogged:
-			refusalLogged = true
-			l.log.Warn("no lease is granted", zap.String("reason", answer.Reason))
-		}
-		l.host.pool.refreshClocks()
+	for !l.stopped.Opened() {
 		l.mu.Lock()
 		l.wake = &env.Gate{}
 		wake := l.wake
 		l.mu.Unlock()
-		env.Sleep(l.environment, l.interval, wake)
-		if l.stopped.Opened() {
+		var askID, knownTerm uint64
+		if !l.host.runAndWait(func(c *core) { askID, knownTerm = c.regions.Ask(c.now), c.regions.Known().Term }) {
 			return
 		}
+		l.callers.Ask(inventory.Ask{Op: "lease", Ask: askID, From: knownTerm}, l.leaseTime, l.handleAnswer)
+		l.host.pool.refreshClocks()
+		env.Sleep(l.environment, l.leaseTime/renewalsPerLease, wake)
+	}
+}
+
+func (l *leaseRenewer) handleAnswer(answer inventory.List, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil && answer.Kind == inventory.Granted:
+		l.refusalLogged = false
+		l.host.post(event{kind: eventLeaseGranted, grant: answer.Grant})
+	case err == nil && !l.refusalLogged:
+		l.refusalLogged = true
+		l.log.Warn("no lease is granted", zap.String("reason", answer.Reason))
 	}
 }
 
@@ -229,14 +238,12 @@
 func (l *leaseRenewer) renewNow() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.wake != nil {
-		l.wake.Open()
-	}
+	l.wake.Open()
 }
 
 func (l *leaseRenewer) close() {
 	l.stopped.Open()
 	l.renewNow()
-	l.caller.Close()
+	l.callers.Close()
 	l.done.Wait(l.environment)
 }
