regions: inventories hear each other over links with a round trip of 0.5 s and more

What callers saw: the region that does not lead grants nothing where a round trip takes 0.45 s, though an echo is of use for 1.5 s.

One beat was under way at a time and given up after 0.3 of quiet_ms with its connection; a source remembered eight beats.

Change: beats and the disk servers' reports go out over a CallerPool; a disk server does not apply an older record than its last; a source remembers 32.

Seen failing on: TestBeatsOverASlowLink for 0.5, 0.8 and 1.1 s.

--- a/internal/fleet/region/region.go
+++ b/internal/fleet/region/region.go
@@ -166,9 +166,9 @@
 	at float64
 }
 
-// keepAsked bounds the questions that are remembered; an answer to an older one is too
-// late to be of use.
-const keepAsked = 8
+// keepAsked bounds the questions that are remembered, beside the time for which their answers are of use:
+// more than a source asks within Config.Quiet, also with the beats that answer the other's.
+const keepAsked = 32
 
 // NewHost returns a host that may do nothing yet.
 func NewHost(cfg Config, self ID) *Host { return &Host{cfg: cfg.planted(), self: self} }
--- a/internal/simulation/standin/copysender.go
+++ b/internal/simulation/standin/copysender.go
@@ -24,7 +24,8 @@
 	copyBatchSize      = 64 // changes
 	copyIdleTimeout    = 2 * time.Second
 	copyReportInterval = 100 * time.Millisecond
-	copyReportTimeout  = 500 * time.Millisecond
+	copyReportTimeout  = 5 * time.Second
+	maxCopyReports     = 8 // unanswered reports at a time
 )
 
 // replicationLoop keeps a connection to the copy open while this server is the shard's home.
@@ -187,15 +188,26 @@
 // copyReportLoop reports the state of the copy to the inventory and applies the home that the
 // inventory's answer names.
 func (d *DiskServer) copyReportLoop() {
-	caller := inventory.NewCaller(d.environment, d.Inventory)
-	defer caller.Close()
+	callers := inventory.NewCallerPool(d.environment, d.Inventory, maxCopyReports)
+	defer callers.Close()
 	for env.Sleep(d.environment, copyReportInterval, &d.stopped) {
 		status := d.machine.store.CopyStatus(d.now())
 		status.Shard = d.Shard
-		request := inventory.Ask{Op: "copies", Copies: []region.Copy{status}}
-		reply, err := caller.Ask(request, copyReportTimeout)
-		if err == nil && reply.Kind == inventory.Told && d.Shard < len(reply.Record.Homes) {
-			d.machine.store.UpdateHome(reply.Record.Homes[d.Shard])
-		}
+		callers.Ask(inventory.Ask{Op: "copies", Copies: []region.Copy{status}}, copyReportTimeout, d.applyCopyReply)
+	}
+}
+
+// applyCopyReply applies the home of the shard that an inventory's answer names, unless a later record was
+// applied before.
+func (d *DiskServer) applyCopyReply(reply inventory.List, err error) {
+	if err != nil || reply.Kind != inventory.Told || d.Shard >= len(reply.Record.Homes) {
+		return
+	}
+	d.recordMu.Lock()
+	defer d.recordMu.Unlock()
+	if reply.Record.Term < d.recordTerm {
+		return
 	}
+	d.recordTerm = reply.Record.Term
+	d.machine.store.UpdateHome(reply.Record.Homes[d.Shard])
 }
--- a/internal/simulation/standin/diskserver.go
+++ b/internal/simulation/standin/diskserver.go
@@ -54,6 +54,9 @@
 	// OnOverloadCrash, if set, is called once, on a goroutine of its own, when the server crashes
 	// because it was overloaded while cold.
 	OnOverloadCrash func()
+
+	recordMu   sync.Mutex
+	recordTerm uint64 // of the newest region record that was applied
 }
 
 const (
--- a/internal/simulation/standin/regionalinventory.go
+++ b/internal/simulation/standin/regionalinventory.go
@@ -47,7 +47,7 @@
 		return nil, err
 	}
 	now := env.MS(environment.Now())
-	state := &regionalState{self: self, peerAddress: peerAddress, beatInterval: env.Duration(cfg.Quiet / 10), saved: saved, lastRecord: saved.Record.Clone()}
+	state := &regionalState{self: self, peerAddress: peerAddress, beatInterval: env.Duration(cfg.Quiet / beatsPerQuiet), saved: saved, lastRecord: saved.Record.Clone()}
 	server := &Inventory{Addr: listener.Addr().String(), environment: environment, delay: delay, listener: listener, regional: state}
 	if saved.Book == nil {
 		server.book = inventory.NewBook()
@@ -62,11 +62,15 @@
 	return server, nil
 }
 
+// beatsPerQuiet is the number of beats that an inventory sends within region.Config.Quiet. An echo may come
+// for as long, so as many may be unanswered.
+const beatsPerQuiet = 10
+
 // beatLoop exchanges beats and node lists with the other region's inventory.
 func (v *Inventory) beatLoop() {
 	state := v.regional
-	caller := inventory.NewCaller(v.environment, state.peerAddress)
-	defer caller.Close()
+	callers := inventory.NewCallerPool(v.environment, state.peerAddress, beatsPerQuiet+1)
+	defer callers.Close()
 	for env.Sleep(v.environment, state.beatInterval, &v.stopped) {
 		v.mu.Lock()
 		now := v.now()
@@ -75,17 +79,20 @@
 		beat := state.source.Beat(now)
 		known := v.book.Stamps()
 		v.mu.Unlock()
-		reply, err := caller.Ask(inventory.Ask{Op: "beat", Beat: &beat, Known: known}, 3*state.beatInterval)
-		if err != nil || reply.Kind != inventory.Heard {
-			continue
-		}
-		v.mu.Lock()
-		v.handleBeat(reply.Beat, reply.Nodes)
-		v.book.CaughtUp()
-		v.mu.Unlock()
+		callers.Ask(inventory.Ask{Op: "beat", Beat: &beat, Known: known}, beatsPerQuiet*state.beatInterval, v.handleBeatReply)
 	}
 }
 
+func (v *Inventory) handleBeatReply(reply inventory.List, err error) {
+	if err != nil || reply.Kind != inventory.Heard {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.handleBeat(reply.Beat, reply.Nodes)
+	v.book.CaughtUp()
+}
+
 func (v *Inventory) now() float64 { return env.MS(v.environment.Now()) }
 
 // handleBeat applies a beat of the other region's inventory and the nodes it lists. The caller holds
