--- a/internal/protocol/bgp/speaker.go
+++ b/internal/protocol/bgp/speaker.go
@@ -46,6 +46,7 @@
 	addr    string
 	ip      string
 	conns   map[ConnID]*link
+	dials   int // connections that are being opened
 	timer   env.Timer
 	timerAt float64
 }
@@ -66,8 +67,9 @@
 const (
 	// maxQueuedBytes bounds the bytes queued for a peer: a batch of updates and some KEEPALIVEs.
 	maxQueuedBytes = 1 << 20
-	// dialTimeout bounds the time to open a connection.
-	dialTimeout = 2 * time.Second
+	// dialTimeout bounds the time to open a connection. It is longer than the ConnectRetryTime, after which
+	// another is opened beside it, so that a peer which accepts slowly is reached too.
+	dialTimeout = 20 * time.Second
 	// minWriteTimeout is the least timeout of a write: the SendHoldTime (RFC 9687) of sessions
 	// without a hold time.
 	minWriteTimeout = 10 * time.Second
@@ -192,6 +194,7 @@
 	for _, o := range outs {
 		switch o.Kind {
 		case OutDial:
+			p.dials++
 			s.tasks.Go(s.environment, func() { s.dial(p) })
 		case OutSend:
 			if l := p.conns[o.Conn]; l != nil {
@@ -239,7 +242,10 @@
 	c, err := s.environment.Dial(s.ctx, "tcp", p.addr, dialTimeout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p.dials--
 	switch {
+	case err != nil && p.dials > 0: // another may still succeed
+		p.LastError = err
 	case err != nil:
 		p.LastError = err
 		s.perform(p, p.DialFailed(s.now()))
