--- a/cmd/merlinhitch/soak.go
+++ b/cmd/merlinhitch/soak.go
@@ -10,22 +10,23 @@
 )
 
 type soakCmd struct {
-	From        uint64        `default:"1" help:"First seed."`
-	Seeds       int           `default:"5" help:"Number of seeds, run one after another (1 to 1000)."`
-	Schedulers  int           `default:"3" help:"Number of scheduler processes (1 to 200)."`
-	Servers     int           `default:"40" help:"Number of stand-in disk servers (1 to 5000)."`
-	Rate        float64       `default:"60" help:"Requests per second to each scheduler."`
-	Lasts       time.Duration `default:"15s" help:"Duration of the client traffic."`
-	Share       float64       `default:"1" help:"Share of a core for each scheduler, enforced by pausing the process (0.01 to 1)."`
-	Whole       bool          `help:"Start every discovery watch with the whole list."`
-	Indented    bool          `help:"Send indented discovery messages."`
-	Beside      int           `help:"Run each seed also with this smaller number of disk servers and compare the schedulers' resource use."`
-	Memory      int           `default:"96" help:"limits.memory_mb of the schedulers (16 to 4096)."`
-	Sockets     int           `default:"512" help:"limits.sockets of the schedulers (32 to 16384)."`
-	Hostile     []string      `placeholder:"KIND:COUNT" help:"Hostile clients of each scheduler on every seed, such as stopped-writes:600 or leavers:60; a wrong kind lists all."`
-	DrawHostile bool          `help:"Draw two kinds of hostile clients, and the machine, from each third seed."`
-	Calm        bool          `help:"Inject no fault, spoil no response, and send requests that can all be served."`
-	Program     string        `type:"existingfile" help:"Binary to run as schedulers, merlinhitch or merlinhitch-scheduler; by default, merlinhitch-scheduler beside this one, or else this one."`
+	From          uint64        `default:"1" help:"First seed."`
+	Seeds         int           `default:"5" help:"Number of seeds, run one after another (1 to 1000)."`
+	Schedulers    int           `default:"3" help:"Number of scheduler processes (1 to 200)."`
+	Servers       int           `default:"40" help:"Number of stand-in disk servers (1 to 5000)."`
+	Rate          float64       `default:"60" help:"Requests per second to each scheduler."`
+	Lasts         time.Duration `default:"15s" help:"Duration of the client traffic."`
+	Share         float64       `default:"1" help:"Share of a core for each scheduler, enforced by pausing the process (0.01 to 1)."`
+	Whole         bool          `help:"Start every discovery watch with the whole list."`
+	Indented      bool          `help:"Send indented discovery messages."`
+	Beside        int           `help:"Run each seed also with this smaller number of disk servers and compare the schedulers' resource use."`
+	Memory        int           `default:"96" help:"limits.memory_mb of the schedulers (16 to 4096)."`
+	Sockets       int           `default:"512" help:"limits.sockets of the schedulers (32 to 16384)."`
+	Hostile       []string      `placeholder:"KIND:COUNT" help:"Hostile clients of each scheduler on every seed, such as stopped-writes:600 or leavers:60; a wrong kind lists all."`
+	DrawHostile   bool          `help:"Draw two kinds of hostile clients, and the machine, from each third seed."`
+	SlowDiscovery bool          `help:"Let discovery answer calls late, by a delay drawn from each seed, and refuse some."`
+	Calm          bool          `help:"Inject no fault, spoil no response, and send requests that can all be served."`
+	Program       string        `type:"existingfile" help:"Binary to run as schedulers, merlinhitch or merlinhitch-scheduler; by default, merlinhitch-scheduler beside this one, or else this one."`
 }
 
 // Help returns the detailed help text.
@@ -114,6 +115,9 @@
 		if c.DrawHostile {
 			options.DrawHostile()
 		}
+		if c.SlowDiscovery {
+			options.DrawSlowDiscovery()
+		}
 		ok, err := c.playSeed(options)
 		if err != nil {
 			return err
--- a/internal/simulation/soak/discovery.go
+++ b/internal/simulation/soak/discovery.go
@@ -103,6 +103,8 @@
 	silentSince   time.Duration  // since when open watches get no data; 0: they do
 	undelivered   []HealthChange // changes since silentSince; a new watch makes them effective at once
 	effectiveFrom time.Duration  // no change takes effect earlier, since the scheduler was just moved here
+	spoiltAnswers int            // calls that were answered late or not at all
+	answerDelay   time.Duration  // answers to calls are late or refused (DiscoveryFault); 0: they are sound
 }
 
 // A change takes effect at the latest maxSilenceDetection after an open watch went silent, and
@@ -139,10 +141,10 @@
 // once, other changes take effect after maxMoveTime.
 func (a *Agent) TakeOver(previous *Agent) {
 	previous.mu.Lock()
-	version := previous.version
+	version, answerDelay := previous.version, previous.answerDelay
 	previous.mu.Unlock()
 	a.mu.Lock()
-	a.version, a.effectiveFrom = version, a.record.Now()+maxMoveTime
+	a.version, a.answerDelay, a.effectiveFrom = version, answerDelay, a.record.Now()+maxMoveTime
 	a.mu.Unlock()
 	a.applyNewVersions()
 }
@@ -201,8 +203,12 @@
 	}
 	now := a.record.Now()
 	effectiveAt := max(now, a.effectiveFrom) // for changes other than to active; those may be acted on at once
-	if a.silentSince > 0 {
+	delayed := a.silentSince > 0 || a.answerDelay > 0 && !a.hasOpenWatchLocked()
+	switch {
+	case a.silentSince > 0:
 		effectiveAt = max(effectiveAt, a.silentSince+maxSilenceDetection)
+	case delayed:
+		effectiveAt = max(effectiveAt, now+maxSilenceDetection)
 	}
 	for ; a.version < a.directory.version; a.version++ {
 		for _, entry := range a.directory.changesByVersion[a.version] {
@@ -211,7 +217,7 @@
 				change.EffectiveAt = now
 			}
 			a.record.addHealthChanges(change)
-			if a.silentSince > 0 {
+			if delayed {
 				a.undelivered = append(a.undelivered, change)
 			}
 		}
@@ -274,7 +280,7 @@
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	request, err := http1.ReadRequest(reader, messageLimits)
-	if err != nil || !a.waitWhileDown(conn) {
+	if err != nil || !a.waitFor(conn, a.isUp) || !a.beginAnswer(conn) {
 		return
 	}
 	heldVersion, isWatch := watchIndex(request.Target)
@@ -287,16 +293,15 @@
 	a.mu.Unlock()
 }
 
-// waitWhileDown returns true once the agent is up, false if the caller has left or the agent is
-// closed.
-func (a *Agent) waitWhileDown(conn net.Conn) bool {
-	for {
-		a.mu.Lock()
-		down := a.down
-		a.mu.Unlock()
-		if !down {
-			return true
-		}
+func (a *Agent) isUp() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.down
+}
+
+// waitFor returns true once the condition holds, false if the caller has left or the agent is closed.
+func (a *Agent) waitFor(conn net.Conn, condition func() bool) bool {
+	for !condition() {
 		var oneByte [1]byte
 		conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
 		if _, err := conn.Read(oneByte[:]); !env.IsTimeout(err) {
@@ -309,16 +314,16 @@
 		}
 		conn.SetReadDeadline(time.Time{})
 	}
+	return true
 }
 
-// respond writes the list or the changes since heldVersion, and registers the connection if it
+// respond writes, behind the head of the response, the list or the changes since heldVersion, and registers the connection if it
 // is a watch. Undelivered changes take effect now.
 func (a *Agent) respond(conn net.Conn, heldVersion int, isWatch bool) {
 	a.directory.mu.Lock()
 	defer a.directory.mu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	conn.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
 	now := a.record.Now()
 	for _, change := range a.undelivered {
 		change.EffectiveAt = min(change.EffectiveAt, now)
--- a/internal/simulation/soak/record.go
+++ b/internal/simulation/soak/record.go
@@ -77,6 +77,8 @@
 	Exits         []ProcessExit
 	// ResponseFaults counts the faulty responses of disk servers by kind.
 	ResponseFaults [responseFaultCount]int
+	// DiscoveryFaults counts the calls that discovery answered late or not at all, by kind.
+	DiscoveryFaults [discoveryFaultCount]int
 	// HostileConns counts the connections of hostile clients by kind.
 	HostileConns [hostileKindCount]int
 }
--- a/internal/simulation/soak/report.go
+++ b/internal/simulation/soak/report.go
@@ -65,6 +65,11 @@
 	for fault, count := range r.Record.ResponseFaults {
 		fmt.Fprintf(w, "  faulty responses: %d with %s\n", count, ResponseFault(fault))
 	}
+	if r.Options.AnswerDelay > 0 {
+		for fault, count := range r.Record.DiscoveryFaults {
+			fmt.Fprintf(w, "  calls to discovery: %d with %s\n", count, DiscoveryFault(fault))
+		}
+	}
 	for kind, count := range r.Record.HostileConns {
 		if count > 0 {
 			fmt.Fprintf(w, "  hostile clients: %d connections of %s\n", count, HostileKind(kind))
--- a/internal/simulation/soak/rules.go
+++ b/internal/simulation/soak/rules.go
@@ -27,8 +27,10 @@
 	HostSlack time.Duration
 	// AllResponseFaults requires each kind of faulty response at least once.
 	AllResponseFaults bool
-	HostileGroups     []HostileGroup // kinds of which a client must have connected
-	MaxMemoryMB       float64        // bound of a scheduler's resident memory; 0: not checked
+	// AllDiscoveryFaults requires each kind of late or refused answer of discovery at least once.
+	AllDiscoveryFaults bool
+	HostileGroups      []HostileGroup // kinds of which a client must have connected
+	MaxMemoryMB        float64        // bound of a scheduler's resident memory; 0: not checked
 }
 
 // Slack that the platform allows.
@@ -88,6 +90,7 @@
 	c.checkVolumeLimits(requestsByID)
 	c.checkProcesses()
 	c.checkResponseFaults()
+	c.checkDiscoveryFaults()
 	c.checkHostileGroups()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return cmp.Compare(a.At, b.At) })
 	return c.violations
--- a/internal/simulation/soak/run.go
+++ b/internal/simulation/soak/run.go
@@ -33,6 +33,7 @@
 	FaultyResponseInterval int
 	ResponseBytes          int            // size of a sound response's body; 0: the request's id
 	Hostile                []HostileGroup // hostile clients of each scheduler
+	AnswerDelay            time.Duration  // of discovery's answers, see DiscoveryFault; 0: it is sound
 	CheckMemory            bool           // that a scheduler's resident memory stays under MemoryMB
 }
 
--- a/internal/simulation/soak/scenario.go
+++ b/internal/simulation/soak/scenario.go
@@ -17,6 +17,7 @@
 		g.addServerFault()
 	}
 	g.addProcessFaults()
+	g.addSlowDiscovery()
 	return g.faults
 }
 
--- a/internal/simulation/soak/settings.go
+++ b/internal/simulation/soak/settings.go
@@ -60,7 +60,7 @@
 	rules := Rules{DrainGrace: drainGrace, KeyTTL: keyTTL, MaxAttempts: maxAttempts,
 		ColdUnits: coldUnits, ColdCapacity: coldCapacity, OverloadWindow: overloadWindow, WarmUpTime: warmUpTime,
 		VolumeRate: volumeRate, VolumeBurst: volumeBurst, VolumeBurstSlack: volumeBurstSlack, HostSlack: o.HostSlack,
-		AllResponseFaults: o.FaultyResponseInterval > 0, HostileGroups: o.Hostile}
+		AllResponseFaults: o.FaultyResponseInterval > 0, AllDiscoveryFaults: o.AnswerDelay > 0, HostileGroups: o.Hostile}
 	if o.CheckMemory {
 		rules.MaxMemoryMB = float64(o.MemoryMB)
 	}
