region: a region that was stopped with its memory grants nothing before it hears the other

Cause: a source that leads asked neither for how long it had not run nor when it last had contact, and took its absence for the other's silence.

Change: a source that has not run for 0.8 of quiet_ms is as unsure as one that is started anew.

--- a/internal/fleet/region/source.go
+++ b/internal/fleet/region/source.go
@@ -31,12 +31,15 @@
 	rec  Record
 	want Record // homes and shares that are to be, once they can; the leader's
 
-	start   uint64
-	seq     uint64
-	sent    []question // beats that wait for their echo
-	contact float64    // when the newest echoed beat was sent
-	heard   float64    // when the other was last heard
-	theirs  [2]uint64  // run and newest beat of the other
+	start uint64
+	ranAt float64 // when it last ran, see running
+	// grantsFrom is when what the other granted before an operator's word has run out.
+	grantsFrom float64
+	seq        uint64
+	sent       []question // beats that wait for their echo
+	contact    float64    // when the newest echoed beat was sent
+	heard      float64    // when the other was last heard
+	theirs     [2]uint64  // run and newest beat of the other
 	// The other has adopted the present term: nothing older is granted there since.
 	adopted   bool
 	adoptedAt float64
@@ -65,7 +68,7 @@
 func NewSource(cfg Config, self ID, start uint64, rec Record, now float64) *Source {
 	rec, cfg = rec.Clone(), cfg.planted()
 	n := len(rec.Homes)
-	return &Source{seenGen: make([]uint64, n), seenHome: make([]ID, n), ahead: make([]uint64, n), copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: wants(rec), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now}
+	return &Source{seenGen: make([]uint64, n), seenHome: make([]ID, n), ahead: make([]uint64, n), copies: make([]Copy, n), leftAt: make([]float64, n), cfg: cfg, self: self, start: start, rec: rec, want: wants(rec), heard: now, contact: now, adopted: true, adoptedAt: now, granted: now, grantedAt: now, ranAt: now}
 }
 
 // wants is a record as it stands, with a home for what has none: its last.
@@ -90,6 +93,22 @@
 	return s
 }
 
+// awayFraction of Config.Quiet without a run is a sign that the source was stopped. One that runs beats ten
+// times within Quiet.
+const awayFraction = 0.8
+
+// running notes that the source runs at that time. One that was stopped with its memory may have been taken
+// for lost, as one that was started anew: it grants nothing and makes no term before the other has echoed a
+// beat that was sent since, or an operator says so; and it knows of no silence of the other but what it
+// heard itself.
+func (s *Source) running(now float64) {
+	if now-s.ranAt > awayFraction*s.cfg.Quiet {
+		s.unsure, s.adopted, s.sent = true, false, nil
+		s.contact, s.heard = now-never, now
+	}
+	s.ranAt = max(s.ranAt, now)
+}
+
 // listens tells whether a source that came back still waits for hosts and disk servers to
 // tell what they know: for a while that every host speaks in, and until every shard's disk
 // server here has spoken, but no longer than a lease.
@@ -136,6 +155,7 @@
 
 // Beat returns what to tell the other.
 func (s *Source) Beat(now float64) Beat {
+	s.running(now)
 	s.seq++
 	s.sent = remember(s.sent, question{s.seq, now}, s.cfg.Quiet)
 	return Beat{Start: s.start, Seq: s.seq, EchoStart: s.theirs[0], EchoSeq: s.theirs[1], Sure: s.Sure(now), Record: s.rec.Clone(), Copies: s.words()}
@@ -186,6 +206,7 @@
 // Report takes a disk server's word on its copy; without a state it tells the generation
 // that it knows.
 func (s *Source) Report(now float64, c Copy) {
+	s.running(now)
 	delete(s.silentDisks, c.Shard)
 	s.saw(c, s.self)
 	if s.news(c) {
@@ -196,6 +217,7 @@
 
 // Heard takes the other's beat.
 func (s *Source) Heard(now float64, b Beat) {
+	s.running(now)
 	if b.Start < s.theirs[0] || b.Start == s.theirs[0] && b.Seq <= s.theirs[1] {
 		return // overtaken on its way
 	}
@@ -236,7 +258,8 @@
 
 // Grants tells whether the source may grant now.
 func (s *Source) Grants(now float64) bool {
-	return s.Sure(now) && (s.Leads() || now < s.contact+s.cfg.Quiet*(1-s.cfg.Drift))
+	s.running(now)
+	return s.Sure(now) && now >= s.grantsFrom && (s.Leads() || now < s.contact+s.cfg.Quiet*(1-s.cfg.Drift))
 }
 
 // Grant answers a host of this region that knows the record of a term; false if nothing
@@ -272,12 +295,17 @@
 
 // Lead makes this source the leader on an operator's word that the other region is lost,
 // and has one that came back lead with what it has; where disk servers know of later
-// generations than its record, their homes are as they say. What the other had is taken over when its grants have run out.
+// generations than its record, their homes are as they say. What the other had is taken over when its grants have run out:
+// it may have granted until the word, however long ago it was heard.
 func (s *Source) Lead(now float64) {
+	s.running(now)
 	if s.Leads() && s.Sure(now) {
 		return
 	}
-	s.unsure = false
+	if (s.unsure || !s.word) && !s.Grants(now) { // the other may have taken over what is this region's
+		s.grantsFrom = now + s.wait(s.cfg.Lease)
+	}
+	s.unsure, s.heard = false, max(s.heard, now-s.wait(s.cfg.Quiet))
 	word := max(s.rec.Term, s.seenTerm)
 	for _, g := range s.seenGen {
 		word = max(word, g)
@@ -322,6 +350,7 @@
 
 // Tick does what has come due; only a leader has anything to do.
 func (s *Source) Tick(now float64) {
+	s.running(now)
 	if !s.Leads() || s.unsure || s.listens(now) {
 		return
 	}
