--- a/internal/simulation/lab/explore.go
+++ b/internal/simulation/lab/explore.go
@@ -193,7 +193,7 @@
 		return nil, errors.New("lab: scenario needs a planted fault; build with the tag planted")
 	}
 	for _, fault := range s.Faults {
-		if faultFuncs[fault.Kind] == nil && worldFaultFuncs[fault.Kind] == nil && backgroundFuncs[fault.Kind] == nil && (regionFaults[fault.Kind] == nil || !s.Regions) {
+		if faultFuncs[fault.Kind] == nil && worldFaultFuncs[fault.Kind] == nil && backgroundFuncs[fault.Kind] == nil && (regionFaults[fault.Kind] == nil && regionBackgroundFuncs[fault.Kind] == nil || !s.Regions) {
 			return nil, fmt.Errorf("lab: unknown kind of fault %q", fault.Kind)
 		}
 	}
--- a/internal/simulation/lab/worldfaults.go
+++ b/internal/simulation/lab/worldfaults.go
@@ -46,6 +46,9 @@
 	if f := backgroundFuncs[kind]; f != nil {
 		return f
 	}
+	if f := regionBackgroundFuncs[kind]; f != nil {
+		return f
+	}
 	f := worldFaultFuncs[kind]
 	return func(d *dayRun, rng *rand.Rand, duration time.Duration) {
 		f(d, d.fleet.testbed.(virtualTestbed).world, rng, duration)
