inventory: the generations of two runs differ, so that a gateway takes the new list

What callers saw (review/second/started-anew): an inventory is started again with another disk server in the place of one; a gateway goes on sending to the one that is gone, and its acknowledged writes are read by nobody else.

Cause: generations began at 1 in each run, so a client that knew a number of one run was told of the changes since that number of the next.

Change: a run's generations begin with the time of its start; what is known of an earlier run is answered with the full list. The lines keep their form.

Seen failing without the mark of the run: TestAnotherRunSendsItsFullList.

--- a/internal/protocol/inventory/inventory.go
+++ b/internal/protocol/inventory/inventory.go
@@ -227,6 +227,17 @@
 // NewBook returns an empty list of generation 1.
 func NewBook() *Book { return &Book{nodes: map[string]Node{}, since: map[string]float64{}, gen: 1} }
 
+// runShift is the number of low bits of a generation that count the changes of a run.
+const runShift = 20
+
+// BeginRun makes the generations of the book those of a run of the server that started at that time, Unix time
+// in ms: a client that knows the list of an earlier run is sent the full list, not the changes since a number
+// that happens to be the same.
+func (b *Book) BeginRun(startedMS int64) {
+	b.gen = max(b.gen, uint64(startedMS)<<runShift)
+	b.floor, b.changes = b.gen, nil
+}
+
 // Own makes the book that of a region's source in its present run, which no earlier run
 // had a greater number than: every change made here from now on is later than all of
 // earlier runs.
--- a/internal/protocol/inventory/inventory_test.go
+++ b/internal/protocol/inventory/inventory_test.go
@@ -211,3 +211,28 @@
 		t.Error("a beat without one, or a third region, is taken")
 	}
 }
+
+// A client that knows the list of one run of an inventory must be sent the full list by another, whatever the
+// numbers of their changes and their clocks: it was told that nothing had changed, and went on sending to a disk
+// server that was gone (review/second/started-anew).
+func TestAnotherRunSendsItsFullList(t *testing.T) {
+	for _, secondStart := range []int64{1_764_000_000_001, 1_764_000_060_000, 1_763_999_999_000} {
+		for changes := 1; changes <= 3; changes++ {
+			first, second := NewBook(), NewBook()
+			first.BeginRun(1_764_000_000_000)
+			second.BeginRun(secondStart)
+			first.Set(Node{Addr: "old", Health: Ready}, 0)
+			for range changes {
+				second.Set(Node{Addr: "new", Health: Ready}, 0)
+			}
+			known := first.List(0, 0).Generation
+			list := second.List(known, 0)
+			if list.Kind != Full || len(list.Nodes) != 1 || list.Nodes[0].Addr != "new" {
+				t.Errorf("second run started at %d with %d changes: got %+v, want the full list", secondStart, changes, list)
+			}
+			if again := second.List(list.Generation, 0); again.Kind != Delta || len(again.Nodes) != 0 {
+				t.Errorf("second run, generation %d known: got %+v, want no changes", list.Generation, again)
+			}
+		}
+	}
+}
--- a/internal/simulation/standin/inventory.go
+++ b/internal/simulation/standin/inventory.go
@@ -45,6 +45,7 @@
 		return nil, err
 	}
 	server := &Inventory{Addr: listener.Addr().String(), environment: environment, book: inventory.NewBook(), delay: delay, listener: listener}
+	server.book.BeginRun(environment.Deadline(0).UnixMilli())
 	server.tasks.Go(environment, server.accept)
 	return server, nil
 }
